Core of an entry instance: requests, versions, placement, claims, holds

Cause: nothing existed. The decisions come first, without I/O, clock or global randomness, so that every order of failures can be replayed. Ruled out: an actor a request with its own sockets; not replayable. Before: no code.

--- /dev/null
+++ b/trestledock/process/__init__.py
@@ -0,0 +1,110 @@
+"""
+What lives for a process
+========================
+
+The core of an entry instance: fleet, load, queues, claims, holds, leases, and
+the node that ties them together.  Nothing here knows sockets or clocks.
+"""
+
+from trestledock.process._actions import (
+    Action,
+    AppendRecord,
+    CallService,
+    CancelHolds,
+    Count,
+    EmitChunks,
+    Finish,
+    GiveOrder,
+    Job,
+    Note,
+    Published,
+    ResumeStream,
+    StartJob,
+    ToPeer,
+)
+from trestledock.process._claims import ClaimTable, Grant
+from trestledock.process._epoch import Epoch, EpochBody, Handover
+from trestledock.process._identity import Identity, Timing
+from trestledock.process._lease import Lease, LeaseBody
+from trestledock.process._messages import (
+    Arrive,
+    AttemptFailed,
+    CacheReported,
+    CallDone,
+    CallerGone,
+    CancelConfirmed,
+    ChunkArrived,
+    InstancesListed,
+    LoadReported,
+    LogRead,
+    MarkLeaving,
+    OrderAnswered,
+    PeerMessage,
+    PieceDone,
+    Publish,
+    Shutdown,
+    StreamDone,
+    Tick,
+)
+from trestledock.process._node import Node
+from trestledock.process._policy import PLAIN, Chooser, Policy
+from trestledock.process._rendezvous import rank_by_key
+from trestledock.process._targets import (
+    CacheEvent,
+    LoadReport,
+    PeerInfo,
+    TargetInfo,
+)
+
+__all__ = (
+    'PLAIN',
+    'Action',
+    'AppendRecord',
+    'Arrive',
+    'AttemptFailed',
+    'CacheEvent',
+    'CacheReported',
+    'CallDone',
+    'CallService',
+    'CallerGone',
+    'CancelConfirmed',
+    'CancelHolds',
+    'Chooser',
+    'ChunkArrived',
+    'ClaimTable',
+    'Count',
+    'EmitChunks',
+    'Epoch',
+    'EpochBody',
+    'Finish',
+    'GiveOrder',
+    'Grant',
+    'Handover',
+    'Identity',
+    'InstancesListed',
+    'Job',
+    'Lease',
+    'LeaseBody',
+    'LoadReport',
+    'LoadReported',
+    'LogRead',
+    'MarkLeaving',
+    'Node',
+    'Note',
+    'OrderAnswered',
+    'PeerInfo',
+    'PeerMessage',
+    'PieceDone',
+    'Policy',
+    'Publish',
+    'Published',
+    'ResumeStream',
+    'Shutdown',
+    'StartJob',
+    'StreamDone',
+    'TargetInfo',
+    'Tick',
+    'Timing',
+    'ToPeer',
+    'rank_by_key',
+)
--- /dev/null
+++ b/trestledock/process/_applying.py
@@ -0,0 +1,81 @@
+"""
+Applying accepted records
+=========================
+
+Puts in force what the fold has accepted: the configuration, the epochs of all
+data centres and the lease of this one.  Versions only ever grow.
+"""
+
+from trestledock.process._actions import Published
+from trestledock.process._epoch import Epoch, EpochBody
+from trestledock.process._lease import LeaseBody
+from trestledock.process._state import State, Version
+from trestledock.version import (
+    CONFIGURATION,
+    NO_BASE,
+    Accepted,
+    check_configuration,
+    load_json,
+)
+
+EPOCH_PREFIX = 'epoch/'
+LEASE_PREFIX = 'lease/'
+
+
+def apply_accepted(state: State, now: float) -> None:
+    """Put everything in force that the fold holds and that is newer."""
+    for scope, accepted in tuple(state.reader.fold.scopes.items()):
+        if scope == CONFIGURATION:
+            _apply_configuration(state, accepted)
+        elif scope.startswith(EPOCH_PREFIX):
+            _apply_epoch(state, scope, accepted, now)
+        elif scope == LEASE_PREFIX + state.identity.data_centre:
+            body = load_json(accepted.body, LeaseBody)
+            record_id = accepted.record_id
+            state.lease.observe(accepted.offset, record_id, body, now)
+
+
+def settle_publications(state: State) -> None:
+    """Tell the operators whose records have been read back."""
+    for publish_id in tuple(state.publishing):
+        verdict = state.reader.fold.verdicts.get(publish_id)
+        if verdict is None:
+            continue
+        state.publishing.pop(publish_id)
+        detail = '' if verdict else 'another version was accepted before'
+        number = state.version.number
+        state.act(Published(publish_id, verdict, number, detail))
+
+
+def _apply_configuration(state: State, accepted: Accepted) -> None:
+    if accepted.offset <= state.version.number:
+        return
+    cfg = check_configuration(accepted.body).unwrap()
+    state.version = Version(accepted.offset, cfg)
+    state.claims.keep_s = cfg.claims.keep_s
+    state.note('version_in_force', detail=str(accepted.offset))
+
+
+def _apply_epoch(
+    state: State,
+    scope: str,
+    accepted: Accepted,
+    now: float,
+) -> None:
+    data_centre = scope.removeprefix(EPOCH_PREFIX)
+    known = state.epochs.get(data_centre)
+    if known and known.offset >= accepted.offset:
+        return
+    body = load_json(accepted.body, EpochBody)
+    epoch = Epoch(accepted.offset, body)
+    state.epochs[data_centre] = epoch
+    if data_centre != state.identity.data_centre:
+        return
+    if state.claims.enter(epoch, now):
+        state.note('epoch', detail=f'{accepted.offset} {list(body.members)}')
+
+
+def get_base(state: State, scope: str) -> int:
+    """Return the base that the next record of `scope` must name."""
+    accepted = state.reader.fold.get_accepted_by_scope(scope)
+    return accepted.offset if accepted else NO_BASE
--- /dev/null
+++ b/trestledock/process/_choosing.py
@@ -0,0 +1,258 @@
+"""
+Choosing a target
+=================
+
+The strict filter of the operators' selectors first, then the prediction of
+the time to first token for each permitted engine; plain services go to the
+less busy of two drawn at random.
+"""
+
+from dataclasses import dataclass
+
+from trestledock.process._fleet import STALE_S, Target
+from trestledock.process._policy import Chooser
+from trestledock.process._rendezvous import rank_by_key
+from trestledock.process._state import State
+from trestledock.request import (
+    CLASS_PRIORITY,
+    URGENT_PRIORITY,
+    LengthClass,
+    Reason,
+    Request,
+)
+from trestledock.version import (
+    Pool,
+    get_permission,
+    get_pool_by_request,
+    get_rules_by_work,
+    get_work_labels,
+)
+
+#: Prompt tokens in a block whose hash is remembered for affinity.
+PREFIX_BLOCK = 512
+#: The share of predicted time that cached prefixes may outweigh.
+LONG_CLASSES = frozenset((LengthClass.long, LengthClass.giant))
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """A permitted, live engine with what is predicted for the work there."""
+
+    target: Target
+    wait_s: float
+    prefill_s: float
+    decode_s: float
+    penalty_s: float
+    free_tokens: int
+
+    @property
+    def ttft_s(self) -> float:
+        """The predicted time to the first token."""
+        return self.wait_s + self.prefill_s
+
+    @property
+    def rank(self) -> float:
+        """What candidates are compared by, in seconds."""
+        return self.ttft_s + self.penalty_s
+
+
+@dataclass(frozen=True)
+class Field:
+    """The permitted candidates of a request, or why there are none."""
+
+    pool: Pool | None
+    candidates: tuple[Candidate, ...] = ()
+    reason: Reason = Reason.none
+    detail: str = ''
+
+    @property
+    def capacity(self) -> int:
+        """The KV tokens of the largest candidate."""
+        return max(
+            (
+                one.target.load.report.capacity_tokens
+                for one in self.candidates
+                if one.target.load.report
+            ),
+            default=0,
+        )
+
+
+def get_priority(state: State, req: Request, now: float, need: float) -> int:
+    """Return the priority that engines are asked for.
+
+    Work whose slack, after the `need` seconds it still takes, is nearly spent
+    goes before everything else.
+    """
+    if not state.policy.priorities:
+        return 1
+    if req.deadline - now - need < state.policy.urgent_s:
+        return URGENT_PRIORITY
+    return CLASS_PRIORITY[req.length_class]
+
+
+def find_permitted(state: State, req: Request) -> tuple[list[Target], Field]:
+    """Apply the selectors in force; the field says why nothing is left."""
+    cfg = state.version.cfg
+    if cfg is None:
+        return [], Field(None, reason=Reason.no_configuration)
+    pool = get_pool_by_request(cfg, req)
+    if pool is None:
+        reason = Reason.unknown_service if req.service else Reason.unknown_model
+        return [], Field(None, reason=reason)
+    work = get_work_labels(req, state.identity.data_centre)
+    rules = get_rules_by_work(cfg, work)
+    permitted = []
+    forbidden_by = ''
+    for target in state.get_targets().values():
+        labels = state.fleet.get_labels(target)
+        permission = get_permission(pool, rules, labels)
+        if permission.allowed:
+            target.preference = permission.preference
+            permitted.append(target)
+        else:
+            forbidden_by = permission.forbidden_by
+    if permitted:
+        return permitted, Field(pool)
+    reason = Reason.no_permitted_target
+    return [], Field(pool, reason=reason, detail=forbidden_by)
+
+
+def find_candidates(state: State, req: Request, now: float) -> Field:
+    """Return the live permitted engines with their predictions."""
+    permitted, field = find_permitted(state, req)
+    if field.pool is None or not permitted:
+        return field
+    usable = [
+        target
+        for target in permitted
+        if state.fleet.is_usable(target, now)
+        and str(req.model) in target.models
+        and now - target.load.reported_at < STALE_S
+    ]
+    if not usable:
+        return Field(field.pool, reason=Reason.no_live_target)
+    best = max(target.preference for target in usable)
+    lane = _get_lane(state, field.pool, usable)
+    candidates = tuple(
+        _predict(state, req, target, now, best, lane) for target in usable
+    )
+    return Field(field.pool, candidates)
+
+
+def choose_engine(
+    state: State,
+    candidates: tuple[Candidate, ...],
+) -> Candidate:
+    """Pick one of the candidates as the policy says."""
+    return _CHOOSERS[state.policy.chooser](state, candidates)
+
+
+def choose_service(state: State, req: Request, now: float) -> Field:
+    """Return a field with the live permitted services."""
+    permitted, field = find_permitted(state, req)
+    usable = [
+        target for target in permitted if state.fleet.is_usable(target, now)
+    ]
+    if permitted and not usable:
+        return Field(field.pool, reason=Reason.no_live_target)
+    best = max((target.preference for target in usable), default=0)
+    candidates = tuple(
+        Candidate(target, 0, 0, 0, float(target.in_flight), 0)
+        for target in usable
+        if target.preference == best
+    )
+    return Field(field.pool, candidates, field.reason, field.detail)
+
+
+def draw_two(state: State, candidates: tuple[Candidate, ...]) -> Candidate:
+    """Return the less busy of two candidates drawn at random."""
+    drawn = state.rng.sample(candidates, min(2, len(candidates)))
+    return min(drawn, key=lambda one: one.rank)
+
+
+def _predict(
+    state: State,
+    req: Request,
+    target: Target,
+    now: float,
+    best: int,
+    lane: frozenset[str],
+) -> Candidate:
+    report = target.load.report
+    if report is None:
+        raise LookupError(f'{target.info.name} has not reported')
+    missing = req.prompt_tokens - _count_cached(state, req, target)
+    prefill_s = missing / report.rate
+    decode_s = req.max_tokens * report.itl_s
+    priority = get_priority(state, req, now, prefill_s + decode_s)
+    penalty_s = (best - target.preference) * state.policy.prefer_s
+    in_lane = target.info.name in lane
+    if lane and in_lane is not (req.length_class in LONG_CLASSES):
+        penalty_s += state.policy.lane_penalty_s
+    return Candidate(
+        target,
+        target.load.predict_wait(priority, now),
+        prefill_s,
+        decode_s,
+        penalty_s,
+        target.load.predict_free(),
+    )
+
+
+def _count_cached(state: State, req: Request, target: Target) -> int:
+    if not state.policy.affinity:
+        return 0
+    known = 0
+    for count, block in enumerate(req.prefix, start=1):
+        if block not in target.cached:
+            break
+        known = count * PREFIX_BLOCK
+    return min(known, max(0, req.prompt_tokens - 1))
+
+
+def _get_lane(
+    state: State,
+    pool: Pool,
+    usable: list[Target],
+) -> frozenset[str]:
+    if not state.policy.lanes:
+        return frozenset()
+    names = rank_by_key(pool.name, [one.info.name for one in usable])
+    return frozenset(names[: round(len(names) * state.policy.lane_share)])
+
+
+def _choose_predicted(
+    state: State,
+    candidates: tuple[Candidate, ...],
+) -> Candidate:
+    least = min(one.rank for one in candidates)
+    near = [
+        one for one in candidates if one.rank <= least + state.policy.near_s
+    ]
+    return state.rng.choice(near)
+
+
+def _choose_round_robin(
+    state: State,
+    candidates: tuple[Candidate, ...],
+) -> Candidate:
+    ordered = sorted(candidates, key=lambda one: one.target.info.name)
+    state.duties.round_robin += 1
+    return ordered[state.duties.round_robin % len(ordered)]
+
+
+def _choose_least_in_flight(
+    state: State,
+    candidates: tuple[Candidate, ...],
+) -> Candidate:
+    least = min(one.target.in_flight for one in candidates)
+    near = [one for one in candidates if one.target.in_flight == least]
+    return state.rng.choice(near)
+
+
+_CHOOSERS = {  # noqa: WPS407 - read only by name
+    Chooser.predicted: _choose_predicted,
+    Chooser.round_robin: _choose_round_robin,
+    Chooser.least_in_flight: _choose_least_in_flight,
+}
--- /dev/null
+++ b/trestledock/process/_dispatching.py
@@ -0,0 +1,345 @@
+"""
+Dispatching
+===========
+
+Sends queued work to engines: whole short prompts as one job, longer ones in
+pieces so that a short one waits for one piece at most, and prompts larger
+than one engine over a group of engines, reserved all or nothing in the order
+of their names.
+"""
+
+from dataclasses import dataclass
+
+from trestledock.process._actions import CallService, Job, StartJob
+from trestledock.process._choosing import (
+    PREFIX_BLOCK,
+    Candidate,
+    choose_engine,
+    draw_two,
+    find_candidates,
+    get_priority,
+)
+from trestledock.process._choosing import Field as CandidateField
+from trestledock.process._ending import refuse
+from trestledock.process._fleet import Target
+from trestledock.process._guarding import take_hold
+from trestledock.process._live import Live, Phase, Share
+from trestledock.process._load import Sent
+from trestledock.process._state import State
+from trestledock.request import AttemptEvent, Reason
+
+#: How many requests in a row may fail to find a place in one round.
+MAX_MISSES = 16
+#: The part of an engine's free memory that a group may take.
+GROUP_FILL = 0.9
+
+
+@dataclass(frozen=True)
+class Part:
+    """The tokens of a giant prompt that one engine of a group takes."""
+
+    target: Target
+    tokens: int
+
+
+def pump(state: State, pool: str, now: float) -> None:
+    """Send whatever waits for `pool` and has a place now."""
+    queue = state.get_queue(pool)
+    misses = 0
+    for waiting in tuple(queue.iter_next()):
+        live = state.live.get(waiting.req.req_id)
+        if live is None:
+            queue.remove(waiting.req.req_id)
+        elif place(state, live, now):
+            queue.charge(waiting)
+        else:
+            misses += 1
+        if misses > MAX_MISSES:
+            break
+
+
+def pump_all(state: State, now: float) -> None:
+    """Send whatever waits and has a place now."""
+    for pool in tuple(state.queues):
+        pump(state, pool, now)
+
+
+def place(state: State, live: Live, now: float) -> bool:
+    """Send one queued request where it may run now; False where nowhere."""
+    field = find_candidates(state, live.req, now)
+    if not field.candidates:
+        return False
+    if _is_hopeless(state, live, field, now):
+        refuse(state, live, Reason.deadline_unreachable, live.cost)
+        return False
+    if live.req.total_tokens > field.capacity:
+        return _place_group(state, live, field, now)
+    ready = tuple(
+        one
+        for one in field.candidates
+        if one.wait_s <= state.policy.window_s
+        and one.free_tokens >= live.req.total_tokens
+    )
+    if not ready:
+        return False
+    fresh = tuple(one for one in ready if _is_new(live, one))
+    chosen = choose_engine(state, fresh or ready)
+    hold = take_hold(state, chosen.target, now)
+    if not hold:
+        return False
+    name = chosen.target.info.name
+    _start(state, live, (Share(name, 0, live.goal, hold),), now)
+    return True
+
+
+def send_piece(state: State, live: Live, now: float) -> None:
+    """Send the next piece of a running request's prompt."""
+    share = live.get_share()
+    target = state.get_targets()[share.target]
+    start = max(live.position, share.start)
+    stop = min(share.stop, start + _get_piece(state, live, target))
+    generate = stop >= live.goal
+    req = live.req
+    need = _estimate_need(live, target)
+    job = Job(
+        hold=share.hold,
+        model=req.model,
+        start=start,
+        stop=stop,
+        reserve=_get_reserve(live, share),
+        generate=generate,
+        max_tokens=req.max_tokens - live.emitted if generate else 0,
+        priority=get_priority(state, req, now, need),
+        first_index=live.emitted,
+    )
+    _send(state, live, target, job, now)
+
+
+def send_reservation(state: State, live: Live, now: float) -> None:
+    """Reserve the memory of the next engine of a group."""
+    ordered = sorted(live.shares, key=lambda share: share.target)
+    share = ordered[live.reserved]
+    target = state.get_targets()[share.target]
+    job = Job(
+        hold=share.hold,
+        model=live.req.model,
+        start=share.start,
+        stop=share.start,
+        reserve=_get_reserve(live, share),
+        generate=False,
+        max_tokens=0,
+        priority=get_priority(state, live.req, now, 0),
+    )
+    _send(state, live, target, job, now)
+
+
+def start_call(
+    state: State,
+    live: Live,
+    candidates: tuple[Candidate, ...],
+    not_after: float,
+    now: float,
+) -> None:
+    """Send a call to one of the permitted plain services."""
+    fresh = tuple(one for one in candidates if _is_new(live, one))
+    target = draw_two(state, fresh or candidates).target
+    name = target.info.name
+    live.enter(Phase.running)
+    attempt = live.begin_attempt(name)
+    live.note(attempt.number, AttemptEvent.write)
+    target.breaker.start(now)
+    target.in_flight += 1
+    target.load.add(
+        (live.req.req_id, attempt.number),
+        Sent(0, 0, 0, now, now),
+    )
+    state.count('attempts', 'call')
+    state.act(
+        CallService(
+            live.req.req_id,
+            attempt.number,
+            name,
+            target.info.address,
+            not_after,
+        ),
+    )
+
+
+def count_giants(state: State) -> int:
+    """Return how many engines are held for giants by this instance."""
+    return sum(
+        len(live.shares)
+        for live in state.live.values()
+        if len(live.shares) > 1
+    )
+
+
+def _start(
+    state: State,
+    live: Live,
+    shares: tuple[Share, ...],
+    now: float,
+) -> None:
+    live.enter(Phase.running)
+    attempt = live.begin_attempt(shares[0].target)
+    live.shares = shares
+    live.note(attempt.number, AttemptEvent.write)
+    state.count('attempts', live.req.length_class.value)
+    if len(shares) > 1:
+        send_reservation(state, live, now)
+    else:
+        send_piece(state, live, now)
+
+
+def _send(
+    state: State,
+    live: Live,
+    target: Target,
+    job: Job,
+    now: float,
+) -> None:
+    key = (live.req.req_id, live.attempt.number)
+    earlier = target.load.sends.get(key)
+    if earlier is None:
+        target.in_flight += 1
+        target.breaker.start(now)
+    rest = max(0, live.get_share().stop - job.stop)
+    target.load.add(
+        key,
+        Sent(
+            job.stop - job.start,
+            job.priority,
+            job.reserve,
+            now,
+            earlier.reserved_at if earlier else now,
+            rest,
+        ),
+    )
+    live.awaited = (job.hold, job.stop)
+    source = _get_source(live, job)
+    state.act(
+        StartJob(
+            live.req.req_id,
+            live.attempt.number,
+            target.info.name,
+            target.info.address,
+            _with_source(state, job, source),
+        ),
+    )
+
+
+def _get_source(live: Live, job: Job) -> Share | None:
+    for before, share in zip(live.shares, live.shares[1:]):
+        if job.hold == share.hold and job.start == share.start:
+            return before if job.stop > job.start else None
+    return None
+
+
+def _with_source(state: State, job: Job, source: Share | None) -> Job:
+    if source is None:
+        return job
+    address = state.get_targets()[source.target].info.address
+    return Job(
+        **{
+            **job.__dict__,
+            'source': address,
+            'source_hold': source.hold,
+        },
+    )
+
+
+def _get_piece(state: State, live: Live, target: Target) -> int:
+    report = target.load.report
+    if not state.policy.piece_s or report is None:
+        return live.goal
+    blocks = round(state.policy.piece_s * report.rate / PREFIX_BLOCK)
+    piece = max(1, blocks) * PREFIX_BLOCK
+    rest = live.get_share().stop - live.position
+    return rest if rest < piece * 3 // 2 else piece
+
+
+def _get_reserve(live: Live, share: Share) -> int:
+    tokens = share.stop - share.start
+    if share is live.shares[-1]:
+        tokens += live.req.max_tokens - live.emitted
+    return tokens
+
+
+def _estimate_need(live: Live, target: Target) -> float:
+    report = target.load.report
+    if report is None:
+        return 0
+    prefill_s = (live.goal - live.position) / report.rate
+    return prefill_s + (live.req.max_tokens - live.emitted) * report.itl_s
+
+
+def _is_new(live: Live, one: Candidate) -> bool:
+    if not live.attempts:
+        return True
+    return live.attempt.target != one.target.info.name
+
+
+def _is_hopeless(
+    state: State,
+    live: Live,
+    field: CandidateField,
+    now: float,
+) -> bool:
+    if not state.policy.admission:
+        return False
+    least = min(one.prefill_s + one.decode_s for one in field.candidates)
+    return now + least > live.req.deadline
+
+
+def _place_group(
+    state: State,
+    live: Live,
+    field: CandidateField,
+    now: float,
+) -> bool:
+    if field.pool is None:
+        return False
+    bound = int(len(field.candidates) * field.pool.giant_share)
+    bound = max(bound, 2) - count_giants(state)
+    parts = _split(live, field.candidates, bound)
+    holds = [take_hold(state, part.target, now) for part in parts]
+    if not parts or not all(holds):
+        for hold in holds:
+            state.hold_ids.release(hold)
+        return False
+    shares = []
+    start = 0
+    for part, hold in zip(parts, holds):
+        stop = min(live.goal, start + part.tokens)
+        shares.append(Share(part.target.info.name, start, stop, hold))
+        start = stop
+    _start(state, live, tuple(shares), now)
+    return True
+
+
+def _split(
+    live: Live,
+    candidates: tuple[Candidate, ...],
+    bound: int,
+) -> tuple[Part, ...]:
+    """Split a giant over the engines with the most free memory.
+
+    Returns nothing where `bound` engines don't suffice now.  Each part leaves
+    room for the answer, because any may turn out to be the last.
+    """
+    ordered = sorted(
+        candidates,
+        key=lambda one: (-one.free_tokens, one.target.info.name),
+    )
+    left = live.goal
+    parts = []
+    for one in ordered[: max(0, bound)]:
+        room = int(one.free_tokens * GROUP_FILL) - live.req.max_tokens
+        if room <= 0:
+            break
+        parts.append(Part(one.target, min(left, room)))
+        left -= room
+        if left <= 0:
+            return tuple(parts)
+    return ()
+
--- /dev/null
+++ b/trestledock/process/_holds.py
@@ -0,0 +1,150 @@
+"""
+Hold ids and their guards
+=========================
+
+An engine keeps memory for a hold until it is cancelled or its stream ends, so
+a hold whose owner dies must be cancelled by somebody else.  Ids are therefore
+known before they are used: an owner takes them from blocks, one sequence a
+target, and tells each block to two peers first.  A peer that finds the owner
+gone cancels every id of its blocks; cancelling an unused id does no harm.
+
+One message to each guard covers `BLOCK_SIZE` requests.
+"""
+
+from dataclasses import dataclass, field
+
+#: Ids in a block.
+BLOCK_SIZE = 64
+#: Peers that guard a block.
+GUARDS = 2
+
+
+def make_hold_id(member: str, target: str, number: int) -> str:
+    """Return the id of hold `number` of `member` on a target."""
+    return f'{member}/{target}/{number}'
+
+
+def get_block_ids(member: str, target: str, first: int) -> tuple[str, ...]:
+    """Return every id of a block."""
+    return tuple(
+        make_hold_id(member, target, number)
+        for number in range(first, first + BLOCK_SIZE)
+    )
+
+
+@dataclass
+class Block:
+    """An owner's block: which ids are open and who guards it."""
+
+    target: str
+    first: int
+    next_number: int
+    guards: set[str] = field(default_factory=set)
+    kept_by: set[str] = field(default_factory=set)
+    open_ids: set[str] = field(default_factory=set)
+    asked_at: float = float('-inf')
+    closed: bool = False
+
+    @property
+    def is_spent(self) -> bool:
+        """Whether no id is left to use."""
+        return self.closed or self.next_number >= self.first + BLOCK_SIZE
+
+    @property
+    def is_done(self) -> bool:
+        """Whether the block needs no guard any more."""
+        return self.is_spent and not self.open_ids
+
+
+@dataclass
+class HoldIds:
+    """The owner's side: blocks by target, by target key."""
+
+    member: str
+    blocks: dict[tuple[str, int], Block] = field(default_factory=dict)
+    current: dict[str, Block] = field(default_factory=dict)
+    next_first: dict[str, int] = field(default_factory=dict)
+
+    def get_block(self, target: str) -> Block:
+        """Return the target's current block, a new one where it is spent."""
+        block = self.current.get(target)
+        if block is None or block.is_spent:
+            first = self.next_first.get(target, 0)
+            self.next_first[target] = first + BLOCK_SIZE
+            block = Block(target, first, first)
+            self.current[target] = block
+            self.blocks[target, first] = block
+        return block
+
+    def take_id(self, block: Block) -> str:
+        """Take the next id of a block; it is open until released."""
+        hold = make_hold_id(self.member, block.target, block.next_number)
+        block.next_number += 1
+        block.open_ids.add(hold)
+        return hold
+
+    def release(self, hold: str) -> None:
+        """Note that an id holds nothing on its engine any more."""
+        for block in self.blocks.values():
+            block.open_ids.discard(hold)
+
+    def pop_done(self) -> list[Block]:
+        """Remove and return the blocks that need no guard any more."""
+        done = [block for block in self.blocks.values() if block.is_done]
+        for block in done:
+            self.blocks.pop((block.target, block.first))
+        return done
+
+    def close_all(self) -> None:
+        """Use no id of any present block again, as after a pause."""
+        for block in self.blocks.values():
+            block.closed = True
+
+
+@dataclass(frozen=True)
+class Watched:
+    """A block that this instance guards for its owner."""
+
+    owner: str
+    target: str
+    first: int
+
+
+@dataclass
+class Guard:
+    """The guard's side: blocks of others, and cancels still to be confirmed.
+
+    `to_cancel` maps a target to the holds that it must confirm as gone.
+    """
+
+    watched: dict[Watched, str] = field(default_factory=dict)
+    to_cancel: dict[str, set[str]] = field(default_factory=dict)
+
+    def watch(self, watched: Watched, address: str) -> None:
+        """Guard a block."""
+        self.watched[watched] = address
+
+    def unwatch(self, watched: Watched) -> None:
+        """Stop guarding a block."""
+        self.watched.pop(watched, None)
+
+    def take_up(self, owner: str) -> list[Watched]:
+        """Queue the cancels for an owner that is gone; return its blocks."""
+        found = [one for one in self.watched if one.owner == owner]
+        for one in found:
+            self.watched.pop(one)
+            ids = get_block_ids(owner, one.target, one.first)
+            self.add_cancels(one.target, ids)
+        return found
+
+    def add_cancels(self, target: str, holds: tuple[str, ...]) -> None:
+        """Queue holds of a target to be cancelled."""
+        self.to_cancel.setdefault(target, set()).update(holds)
+
+    def confirm(self, target: str, holds: tuple[str, ...]) -> None:
+        """Note that a target holds nothing under these ids."""
+        left = self.to_cancel.get(target, set()).difference(holds)
+        if left:
+            self.to_cancel[target] = left
+        else:
+            self.to_cancel.pop(target, None)
--- /dev/null
+++ b/trestledock/process/_identity.py
@@ -0,0 +1,52 @@
+"""
+Identity and timing
+===================
+
+Who an instance is and the intervals it works by.  Both are read from the
+settings once and never change in the life of the process.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Identity:
+    """The name of an instance, its incarnation and its data centre.
+
+    The incarnation differs for every start of a process, so that what an
+    earlier one held can be told apart.
+    """
+
+    instance: str
+    incarnation: str
+    data_centre: str
+
+    @property
+    def member(self) -> str:
+        """The name of this incarnation among its peers."""
+        return f'{self.instance}#{self.incarnation}'
+
+
+@dataclass(frozen=True)
+class Timing:
+    """Intervals and timeouts of the process, in seconds."""
+
+    heartbeat_s: float = 1.0
+    peer_dead_s: float = 4.0
+    forget_peer_s: float = 60.0
+    epoch_settle_s: float = 2.0
+    claim_retry_s: float = 0.25
+    cancel_retry_s: float = 0.5
+    lease_s: float = 10.0
+    lease_margin_s: float = 2.0
+    order_flight_s: float = 3.0
+    snapshot_s: float = 60.0
+    pause_s: float = 3.0
+    first_chunk_s: float = 30.0
+    drain_notice_s: float = 3.0
+    append_retry_s: float = 1.0
+
+
+#: How many peers of the data centre a heartbeat goes to, and how many others.
+LOCAL_FANOUT = 3
+REMOTE_FANOUT = 1
--- /dev/null
+++ b/trestledock/process/_liveness.py
@@ -0,0 +1,56 @@
+"""
+Liveness
+========
+
+When each member of the data centre was last heard, directly or through others.
+Heartbeats carry the ages as one character a member, in the order of the
+epoch's members, so that a fixed fan-out reaches everybody within a few
+heartbeats and the message stays small.
+"""
+
+from dataclasses import dataclass, field
+
+#: One character's step, in seconds.
+AGE_STEP_S = 0.25
+_DIGITS = '0123456789abcdefghijklmnopqrstuvwxyz'
+
+
+@dataclass
+class Liveness:
+    """The instants at which members were last heard."""
+
+    heard_at: dict[str, float] = field(default_factory=dict)
+
+    def hear(self, member: str, at: float) -> None:
+        """Note that `member` lived at the instant `at`."""
+        self.heard_at[member] = max(at, self.heard_at.get(member, at))
+
+    def get_age(self, member: str, now: float) -> float:
+        """Return the seconds since `member` was last known to live."""
+        return now - self.heard_at.get(member, float('-inf'))
+
+    def encode(self, members: tuple[str, ...], now: float) -> str:
+        """Return the ages of `members` as text, oldest digit for unknown."""
+        return ''.join(
+            _DIGITS[self._step(self.get_age(member, now))]
+            for member in members
+        )
+
+    def merge(self, members: tuple[str, ...], ages: str, now: float) -> None:
+        """Take the ages that a peer told."""
+        for member, digit in zip(members, ages):
+            step = _DIGITS.find(digit)
+            if 0 <= step < len(_DIGITS) - 1:
+                self.hear(member, now - (step + 1) * AGE_STEP_S)
+
+    def forget(self, now: float, older_s: float) -> None:
+        """Drop members not heard for `older_s` seconds."""
+        self.heard_at = {
+            member: at
+            for member, at in self.heard_at.items()
+            if now - at < older_s
+        }
+
+    def _step(self, age: float) -> int:
+        last = len(_DIGITS) - 1
+        return last if age > last * AGE_STEP_S else int(age / AGE_STEP_S)
--- /dev/null
+++ b/trestledock/process/_load.py
@@ -0,0 +1,158 @@
+"""
+Load of an engine
+=================
+
+Predicts how long new work waits at an engine.  Reports lag, so the prediction
+has two parts: the own work in flight, which is counted exactly, and that of
+the other instances, which is estimated from the last report, from the rate at
+which they added work between the last two, and from the rate at which the
+engine has drained it since.
+"""
+
+from dataclasses import dataclass, field, replace
+
+from trestledock.process._targets import LoadReport
+
+#: How long finished work is kept, to be set against older reports.
+KEEP_DONE_S = 6.0
+#: The weight of the newest sample in learned rates.
+LEARN = 0.3
+#: The largest share of the prefill rate that others are assumed to add.
+OTHERS_CAP = 1.0
+
+
+@dataclass(frozen=True)
+class Sent:
+    """Own work sent to an engine.
+
+    `tokens` are the prefill tokens of the piece that was sent, `rest` those
+    of the pieces to come, `reserve` the KV tokens held since `reserved_at`.
+    """
+
+    tokens: int
+    priority: int
+    reserve: int
+    sent_at: float
+    reserved_at: float
+    rest: int = 0
+    prefilled_at: float | None = None
+
+
+@dataclass
+class EngineLoad:
+    """What this instance knows of the load of one engine."""
+
+    report: LoadReport | None = None
+    reported_at: float = 0
+    others_rate: float = 0
+    sends: dict[tuple[str, int], Sent] = field(default_factory=dict)
+    done: list[Sent] = field(default_factory=list)
+    sent_total: int = 0
+    _mark: tuple[float, int, int] = (0, 0, 0)
+
+    def take_report(self, report: LoadReport, now: float) -> None:
+        """Take a report unless a newer one is known."""
+        reported_at = now - report.age_s
+        if self.report and reported_at <= self.reported_at:
+            return
+        self._learn_others(report, reported_at)
+        self.report = report
+        self.reported_at = reported_at
+
+    def add(self, key: tuple[str, int], sent: Sent) -> None:
+        """Count a piece of work that is being sent, after the one before."""
+        self.remove(key, sent.sent_at)
+        self.sends[key] = sent
+        self.sent_total += sent.tokens
+
+    def mark_prefilled(self, key: tuple[str, int], now: float) -> None:
+        """Count the prefill of a piece of work as done."""
+        sent = self.sends.get(key)
+        if sent and sent.prefilled_at is None:
+            self.sends[key] = replace(sent, prefilled_at=now)
+
+    def remove(self, key: tuple[str, int], now: float) -> None:
+        """Count work as ended, whatever became of it."""
+        sent = self.sends.pop(key, None)
+        if sent:
+            if sent.prefilled_at is None:
+                sent = replace(sent, prefilled_at=now)
+            self.done.append(sent)
+
+    def predict_wait(self, priority: int, now: float) -> float:
+        """Return the seconds until work of `priority` would be started."""
+        report = self.report
+        if report is None:
+            return 0
+        ahead = self._own(priority) + self._others(priority, now)
+        return (ahead + self._rest_of_piece(priority)) / report.rate
+
+    def predict_free(self) -> int:
+        """Return the KV tokens that are free, as far as known."""
+        report = self.report
+        if report is None:
+            return 0
+        since = sum(
+            sent.reserve
+            for sent in self.sends.values()
+            if sent.reserved_at > self.reported_at
+        )
+        return report.free_tokens - since
+
+    def count_prefilling(self) -> int:
+        """Return the own work in flight that is not prefilled yet."""
+        return sum(
+            sent.prefilled_at is None for sent in self.sends.values()
+        )
+
+    def forget_done(self, now: float) -> None:
+        """Drop finished work that no report can be older than."""
+        self.done = [
+            sent
+            for sent in self.done
+            if now - (sent.prefilled_at or now) < KEEP_DONE_S
+        ]
+
+    def _own(self, priority: int) -> int:
+        return sum(
+            sent.tokens + sent.rest
+            for sent in self.sends.values()
+            if sent.prefilled_at is None and sent.priority <= priority
+        )
+
+    def _own_at_report(self, priority: int) -> int:
+        moment = self.reported_at
+        return sum(
+            sent.tokens
+            for sent in (*self.sends.values(), *self.done)
+            if sent.priority <= priority
+            and sent.sent_at <= moment
+            and (sent.prefilled_at is None or sent.prefilled_at > moment)
+        )
+
+    def _others(self, priority: int, now: float) -> float:
+        report = self.report
+        if report is None:
+            return 0
+        queued = sum(report.queued[: priority + 1])
+        known = max(0, queued - self._own_at_report(priority))
+        age = now - self.reported_at
+        return max(0, known + (self.others_rate - report.rate) * age)
+
+    def _rest_of_piece(self, priority: int) -> float:
+        lower = [
+            sent.tokens
+            for sent in self.sends.values()
+            if sent.prefilled_at is None and sent.priority > priority
+        ]
+        return min(lower) / 2 if lower else 0
+
+    def _learn_others(self, report: LoadReport, reported_at: float) -> None:
+        last_at, accepted, own = self._mark
+        span = reported_at - last_at
+        if self.report and span > 0:
+            others = report.accepted_tokens - accepted
+            others -= self.sent_total - own
+            rate = min(max(0, others / span), report.rate * OTHERS_CAP)
+            self.others_rate += LEARN * (rate - self.others_rate)
+        self._mark = (reported_at, report.accepted_tokens, self.sent_total)
--- /dev/null
+++ b/trestledock/process/_policy.py
@@ -0,0 +1,55 @@
+"""
+Policy
+======
+
+The knobs of placement and admission, with the values that the replay spoke
+for (docs/MEASUREMENTS.md).  `PLAIN` is the baseline without the mechanisms.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Chooser(str, Enum):
+    """How an engine is picked among the permitted ones."""
+
+    predicted = 'predicted'
+    round_robin = 'round_robin'
+    least_in_flight = 'least_in_flight'
+
+
+@dataclass(frozen=True)
+class Policy:
+    """One set of decisions.
+
+    `piece_s` is the length of a prefill piece in engine seconds, zero for
+    whole prompts.  `window_s` is how much prefill may wait at an engine
+    before the rest waits in the fair queue.  `near_s` is the band of
+    predictions that count as equal and among which one is drawn.
+    """
+
+    chooser: Chooser = Chooser.predicted
+    piece_s: float = 0.2
+    priorities: bool = True
+    lanes: bool = False
+    lane_share: float = 0.34
+    lane_penalty_s: float = 0.3
+    affinity: bool = True
+    near_s: float = 0.05
+    window_s: float = 0.4
+    admission: bool = True
+    margin: float = 1.15
+    prefer_s: float = 0.5
+    urgent_s: float = 1.0
+
+
+#: Everything off: whole prompts in order of arrival, round robin.
+PLAIN = Policy(
+    chooser=Chooser.round_robin,
+    piece_s=0,
+    priorities=False,
+    affinity=False,
+    near_s=0,
+    window_s=float('inf'),
+    admission=False,
+)
--- /dev/null
+++ b/trestledock/process/_queue.py
@@ -0,0 +1,130 @@
+"""
+Fair queue
+==========
+
+Requests that are admitted but not yet sent to an engine.  Between teams it
+shares predicted engine seconds by weight: each team has a virtual time, and
+the one furthest behind goes first.  The queue is work-conserving, and an idle
+team banks nothing.  Within a team the least slack goes first.
+
+Shorter classes go before longer ones, except for a team that is ahead of the
+others by more than `MAX_LEAD_S`: it waits for them.
+"""
+
+from dataclasses import dataclass, field
+from typing import Iterator
+
+from trestledock.request import LengthClass, Request
+
+#: How far, in weighted engine seconds, a team may run ahead of the others
+#: before its short work loses precedence.
+MAX_LEAD_S = 2.0
+#: The most requests that may wait in one instance.
+MAX_QUEUED = 4096
+
+
+@dataclass(frozen=True)
+class Waiting:
+    """A queued request with its predicted cost in engine seconds."""
+
+    req: Request
+    cost: float
+    weight: float
+
+    @property
+    def slack_key(self) -> float:
+        """The instant at which the work must be started at the latest."""
+        return self.req.deadline - self.cost
+
+
+@dataclass
+class FairQueue:
+    """The queue of one pool."""
+
+    clocks: dict[str, float] = field(default_factory=dict)
+    waiting: dict[str, Waiting] = field(default_factory=dict)
+    running: dict[str, str] = field(default_factory=dict)
+    floor: float = 0
+
+    def push(self, waiting: Waiting) -> None:
+        """Queue a request."""
+        team = waiting.req.team
+        if not self._is_active(team):
+            behind = self.clocks.get(team, self.floor)
+            self.clocks[team] = max(behind, self.floor)
+        self.waiting[waiting.req.req_id] = waiting
+
+    def remove(self, req_id: str) -> Waiting | None:
+        """Take a request out without charging its team."""
+        return self.waiting.pop(req_id, None)
+
+    def charge(self, waiting: Waiting) -> None:
+        """Take a request out to run it and charge its team."""
+        team = waiting.req.team
+        self.waiting.pop(waiting.req.req_id, None)
+        self.running[waiting.req.req_id] = team
+        self.clocks[team] = (
+            self.clocks.get(team, self.floor) + waiting.cost / waiting.weight
+        )
+        self.floor = max(self.floor, self._get_least())
+
+    def finish(self, req_id: str) -> None:
+        """Note that a request no longer runs."""
+        self.running.pop(req_id, None)
+
+    def iter_next(self) -> Iterator[Waiting]:
+        """Yield the waiting requests in the order to try them."""
+        least = self._get_least()
+        yield from sorted(
+            self.waiting.values(),
+            key=lambda waiting: self._rank(waiting, least),
+        )
+
+    def predict_ahead(self, req: Request, weight: float) -> float:
+        """Return the engine seconds that will be spent before `req`.
+
+        The own team's work counts in full; that of the others by their
+        share while both wait, at most all of it.
+        """
+        classes = list(LengthClass)
+        rank = classes.index(req.length_class)
+        own = 0.0
+        others: dict[str, float] = {}
+        weights: dict[str, float] = {}
+        for waiting in self.waiting.values():
+            if classes.index(waiting.req.length_class) > rank:
+                continue
+            team = waiting.req.team
+            if team == req.team:
+                own += waiting.cost
+            else:
+                others[team] = others.get(team, 0) + waiting.cost
+                weights[team] = waiting.weight
+        return own + sum(
+            min(cost, (own + 1) * weights[team] / weight)
+            for team, cost in others.items()
+        )
+
+    def _is_active(self, team: str) -> bool:
+        return team in self.running.values() or any(
+            waiting.req.team == team for waiting in self.waiting.values()
+        )
+
+    def _get_least(self) -> float:
+        return min(
+            (
+                self.clocks.get(waiting.req.team, self.floor)
+                for waiting in self.waiting.values()
+            ),
+            default=self.floor,
+        )
+
+    def _rank(
+        self,
+        waiting: Waiting,
+        least: float,
+    ) -> tuple[bool, int, float, float]:
+        clock = self.clocks.get(waiting.req.team, self.floor)
+        order = list(LengthClass).index(waiting.req.length_class)
+        ahead = clock - least > MAX_LEAD_S
+        return ahead, order, clock, waiting.slack_key
--- /dev/null
+++ b/trestledock/request/__init__.py
@@ -0,0 +1,48 @@
+"""
+What lives for a request
+========================
+
+The request itself, its attempts, its outcome, the assembly of its answer and
+the bounds on its retries.
+"""
+
+from trestledock.request._attempt import Attempt, AttemptEvent, AttemptState
+from trestledock.request._outcome import (
+    Outcome,
+    Reason,
+    Verdict,
+    derive_outcome,
+)
+from trestledock.request._request import (
+    CLASS_PRIORITY,
+    URGENT_PRIORITY,
+    Kind,
+    LengthClass,
+    Model,
+    Request,
+    get_class_by_tokens,
+)
+from trestledock.request._retry import Breaker, RetryBudget, draw_backoff
+from trestledock.request._stream import Assembler, Chunk
+
+__all__ = (
+    'CLASS_PRIORITY',
+    'URGENT_PRIORITY',
+    'Assembler',
+    'Attempt',
+    'AttemptEvent',
+    'AttemptState',
+    'Breaker',
+    'Chunk',
+    'Kind',
+    'LengthClass',
+    'Model',
+    'Outcome',
+    'Reason',
+    'Request',
+    'RetryBudget',
+    'Verdict',
+    'derive_outcome',
+    'draw_backoff',
+    'get_class_by_tokens',
+)
--- /dev/null
+++ b/trestledock/request/_retry.py
@@ -0,0 +1,101 @@
+"""
+Retries
+=======
+
+Three bounds on retries: a budget that ties them to first attempts, a backoff
+with full jitter inside the deadline, and a breaker per target.  A counter per
+reason is kept by the node.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+#: Retries allowed for each first attempt.
+BUDGET_RATIO = 0.1
+#: Retries that may be saved up, and that a quiet instance starts with.
+BUDGET_CAP = 20.0
+#: First and largest backoff, in seconds.
+BACKOFF_BASE_S = 0.02
+BACKOFF_CAP_S = 1.0
+#: Failures in a row that open a breaker, and how long it stays open.
+BREAKER_FAILURES = 3
+BREAKER_OPEN_S = 2.0
+
+
+@dataclass
+class RetryBudget:
+    """A token bucket filled by first attempts and drained by retries."""
+
+    tokens: float = BUDGET_CAP
+
+    def earn(self) -> None:
+        """Count a first attempt."""
+        self.tokens = min(BUDGET_CAP, self.tokens + BUDGET_RATIO)
+
+    def spend(self) -> bool:
+        """Take one retry from the budget; False where it is spent."""
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+def draw_backoff(number: int, rng: Random) -> float:
+    """Return a full-jitter backoff in seconds before attempt `number`."""
+    ceiling = min(BACKOFF_CAP_S, BACKOFF_BASE_S * 2**number)
+    return rng.uniform(0, ceiling)
+
+
+class BreakerState(str, Enum):
+    """Whether a target gets traffic."""
+
+    closed = 'closed'
+    half_open = 'half_open'
+    opened = 'opened'
+
+
+@dataclass
+class Breaker:
+    """A breaker of one target, with one probe while half open.
+
+    >>> breaker = Breaker()
+    >>> for _ in range(BREAKER_FAILURES):
+    ...     breaker.fail(now=0)
+    >>> breaker.get_state(now=1).value
+    'opened'
+    """
+
+    failures: int = 0
+    opened_at: float = 0
+    probing: bool = False
+
+    def get_state(self, now: float) -> BreakerState:
+        """Return the state at `now`."""
+        if self.failures < BREAKER_FAILURES:
+            return BreakerState.closed
+        if now - self.opened_at >= BREAKER_OPEN_S:
+            return BreakerState.half_open
+        return BreakerState.opened
+
+    def allows(self, now: float) -> bool:
+        """Whether an attempt may be sent at `now`."""
+        state = self.get_state(now)
+        if state is BreakerState.half_open:
+            return not self.probing
+        return state is BreakerState.closed
+
+    def start(self, now: float) -> None:
+        """Note that an attempt was sent."""
+        self.probing = self.get_state(now) is BreakerState.half_open
+
+    def succeed(self) -> None:
+        """Note an answer: the target is well."""
+        self.failures = 0
+        self.probing = False
+
+    def fail(self, now: float) -> None:
+        """Note a failure."""
+        self.failures += 1
+        self.opened_at = now
+        self.probing = False
--- /dev/null
+++ b/trestledock/version/__init__.py
@@ -0,0 +1,90 @@
+"""
+What lives for a version
+========================
+
+The configuration, its checks, the selectors in it, and the fold of the log
+that decides which version is in force.
+"""
+
+from trestledock.version._check import (
+    CONVERTER,
+    OptionError,
+    check_configuration,
+    load_document,
+)
+from trestledock.version._codec import dump_json, load_json
+from trestledock.version._fold import (
+    CONFIGURATION,
+    NO_BASE,
+    SNAPSHOT,
+    Accepted,
+    Fold,
+    Record,
+    Snapshot,
+)
+from trestledock.version._placement import (
+    Permission,
+    get_permission,
+    get_pool_by_request,
+    get_rules_by_work,
+    get_work_labels,
+)
+from trestledock.version._reader import (
+    Batch,
+    Entry,
+    Reader,
+    make_snapshot_record,
+)
+from trestledock.version._schema import (
+    Claims,
+    Configuration,
+    Pool,
+    Rule,
+    TargetKind,
+    Team,
+)
+from trestledock.version._selector import (
+    Labels,
+    Op,
+    Selector,
+    Term,
+    find_failing_term,
+    matches,
+)
+
+__all__ = (
+    'CONFIGURATION',
+    'CONVERTER',
+    'NO_BASE',
+    'SNAPSHOT',
+    'Accepted',
+    'Batch',
+    'Claims',
+    'Configuration',
+    'Entry',
+    'Fold',
+    'Labels',
+    'Op',
+    'OptionError',
+    'Permission',
+    'Pool',
+    'Reader',
+    'Record',
+    'Rule',
+    'Selector',
+    'Snapshot',
+    'TargetKind',
+    'Team',
+    'Term',
+    'check_configuration',
+    'dump_json',
+    'find_failing_term',
+    'get_permission',
+    'get_pool_by_request',
+    'get_rules_by_work',
+    'get_work_labels',
+    'load_document',
+    'load_json',
+    'make_snapshot_record',
+    'matches',
+)
