Thin whole path: entry instance, stand-ins and command line as processes

Cause: the core had no sockets. Ruled out: cancelling the web server from its own task; it cancels its host task and the process ended with status 1. Before: nothing served.

--- /dev/null
+++ b/trestledock/connection/_metrics.py
@@ -0,0 +1,115 @@
+"""
+Metrics
+=======
+
+The counters, gauges and histograms of an entry instance, by library.
+"""
+
+from typing import Mapping
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from trestledock.process import Count, Node
+
+#: Upper bounds of the histogram of the time to first token, in seconds.
+TTFT_BOUNDS_S = (0.05, 0.1, 0.25, 0.5, 0.9, 1.5, 3, 6, 15, 60, 300)
+
+#: The counters by the name that the core counts under, with their label.
+COUNTERS: Mapping[str, tuple[str, str]] = {  # noqa: WPS407 - read only
+    'requests': ('Requests that arrived', 'kind'),
+    'refused': ('Requests refused or given up', 'reason'),
+    'retries': ('Attempts repeated', 'reason'),
+    'attempts': ('Attempts sent to targets', 'length'),
+    'outcome': ('Final answers', 'outcome'),
+    'claims': ('Claims repeated or stale', 'event'),
+    'orders': ('Orders to engines', 'event'),
+    'pauses': ('Pauses of the process that were noticed', 'event'),
+}
+
+
+class Metrics:
+    """The metrics of one process, in a registry of their own."""
+
+    def __init__(self) -> None:
+        """Create every metric."""
+        self.registry = CollectorRegistry()
+        self.counters = {
+            name: Counter(
+                f'trestledock_{name}',
+                text,
+                [label],
+                registry=self.registry,
+            )
+            for name, (text, label) in COUNTERS.items()
+        }
+        self.tokens = Counter(
+            'trestledock_tokens',
+            'Tokens passed on to callers',
+            registry=self.registry,
+        )
+        self.slow_callers = Counter(
+            'trestledock_slow_callers',
+            'Callers cut off because they did not read',
+            registry=self.registry,
+        )
+        self.lost_peer_messages = Counter(
+            'trestledock_lost_peer_messages',
+            'Messages to peers that could not be delivered',
+            registry=self.registry,
+        )
+        self.lost_appends = Counter(
+            'trestledock_lost_appends',
+            'Appends to the log without an answer',
+            registry=self.registry,
+        )
+        self.poll_seconds = Histogram(
+            'trestledock_poll_seconds',
+            'How long polling a target took',
+            registry=self.registry,
+        )
+        self.peer_bytes = Counter(
+            'trestledock_control_bytes',
+            'Bytes of control sent and received',
+            ['peer'],
+            registry=self.registry,
+        )
+        self.ttft = Histogram(
+            'trestledock_ttft_seconds',
+            'Time to first token',
+            ['length'],
+            buckets=TTFT_BOUNDS_S,
+            registry=self.registry,
+        )
+        self._gauges = {
+            name: Gauge(f'trestledock_{name}', text, registry=self.registry)
+            for name, text in (
+                ('in_flight', 'Requests in flight'),
+                ('version', 'Version of the configuration in force'),
+                ('leaving_targets', 'Targets that get no new work'),
+                ('peers', 'Peers that are not gone'),
+            )
+        }
+
+    def count(self, action: Count) -> None:
+        """Count an event of the core."""
+        self.counters[action.name].labels(action.label).inc()
+
+    def note_first_token(self, length: str, seconds: float) -> None:
+        """Observe the time to the first token of a request."""
+        self.ttft.labels(length).observe(seconds)
+
+    def render(self, node: Node) -> bytes:
+        """Return all metrics as text, gauges as of now."""
+        state = node.state
+        self._gauges['in_flight'].set(len(state.live))
+        self._gauges['version'].set(state.version.number)
+        self._gauges['leaving_targets'].set(len(state.fleet.leaving))
+        peers = [one for one in state.fleet.peers.values() if not one.gone]
+        self._gauges['peers'].set(len(peers))
+        return generate_latest(self.registry)
--- /dev/null
+++ b/trestledock/connection/_parsing.py
@@ -0,0 +1,219 @@
+"""
+Reading requests
+================
+
+Turns what a caller sent into a `Request`, or raises `BadRequest` with a clear
+text before anything has been dispatched.
+"""
+
+import hashlib
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from starlette.requests import Request as HttpRequest
+
+from trestledock.connection._settings import Settings
+from trestledock.process import rank_by_key
+from trestledock.request import Kind, Model, Request
+from trestledock.version import Configuration
+
+TEAM_HEADER = 'trestledock-team'
+DEADLINE_HEADER = 'trestledock-deadline-ms'
+HOME_HEADER = 'trestledock-home'
+ATTEMPT_HEADER = 'trestledock-attempt'
+KEY_HEADER = 'idempotency-key'
+
+#: Prompt tokens in a block that is hashed for prefix affinity.
+BLOCK_TOKENS = 512
+#: Blocks that are hashed at the most.
+MAX_BLOCKS = 64
+#: The largest numbers that make sense.
+MAX_DEADLINE_MS = 86_400_000
+MAX_TOKENS = 1_000_000
+MAX_KEY = 256
+MS = 1000
+TOO_LARGE = 413
+SAFE_METHODS = frozenset(('GET', 'HEAD'))
+
+
+class BadRequest(Exception):
+    """A request that is not understood; `status` is the answer's."""
+
+    def __init__(self, detail: str, status: int = 400) -> None:
+        """Keep the text for the caller."""
+        super().__init__(detail)
+        self.detail = detail
+        self.status = status
+
+
+@dataclass(frozen=True)
+class Envelope:
+    """What every request carries in its headers."""
+
+    team: str
+    deadline: float
+    idempotency_key: str
+    home: str
+    first_attempt: bool
+
+
+@dataclass(frozen=True)
+class Completion:
+    """The body of a completion request."""
+
+    prompt: str
+    model: Model
+    max_tokens: int
+    stream: bool
+
+
+async def read_body(http: HttpRequest, settings: Settings) -> bytes:
+    """Read a body up to the size allowed."""
+    parts = []
+    size = 0
+    async for part in http.stream():
+        size += len(part)
+        if size > settings.max_body_bytes:
+            limit = settings.max_body_bytes
+            raise BadRequest(f'the body exceeds {limit} bytes', TOO_LARGE)
+        parts.append(part)
+    return b''.join(parts)
+
+
+def read_envelope(
+    http: HttpRequest,
+    cfg: Configuration | None,
+    now: float,
+) -> Envelope:
+    """Read the headers; defaults come from the team's configuration."""
+    name = http.headers.get(TEAM_HEADER, '')
+    if not name:
+        raise BadRequest(f'the header {TEAM_HEADER} is missing')
+    team = cfg.get_team_by_name(name) if cfg else None
+    default_ms = team.deadline_ms if team else MAX_DEADLINE_MS
+    key = http.headers.get(KEY_HEADER, '')
+    if len(key) > MAX_KEY:
+        raise BadRequest(f'{KEY_HEADER} exceeds {MAX_KEY} characters')
+    home = http.headers.get(HOME_HEADER, '') or (team.home if team else '')
+    if cfg and home and home not in cfg.data_centres:
+        raise BadRequest(f'{home} is no data centre')
+    if cfg and not home:
+        home = rank_by_key(f'{name}/{key}', cfg.data_centres)[0]
+    return Envelope(
+        name,
+        now + _read_deadline(http, default_ms) / MS,
+        key,
+        home,
+        http.headers.get(ATTEMPT_HEADER) == '1',
+    )
+
+
+def read_completion(body: bytes) -> Completion:
+    """Read the JSON body of a completion."""
+    try:
+        plain = json.loads(body)
+    except ValueError as exc:
+        raise BadRequest(f'the body is not JSON: {exc}') from exc
+    if not isinstance(plain, dict):
+        raise BadRequest('the body must be a JSON object')
+    prompt = _get(plain, 'prompt', str, None)
+    if not prompt:
+        raise BadRequest('the prompt is empty')
+    max_tokens = _get(plain, 'max_tokens', int, 256)
+    if not 0 < max_tokens <= MAX_TOKENS:
+        raise BadRequest(f'max_tokens must be 1 to {MAX_TOKENS}')
+    return Completion(
+        prompt,
+        Model(
+            _get(plain, 'model', str, None),
+            _get(plain, 'adapter', str, ''),
+            _get(plain, 'version', str, ''),
+        ),
+        max_tokens,
+        _get(plain, 'stream', bool, False),
+    )
+
+
+def make_generation(
+    req_id: str,
+    envelope: Envelope,
+    completion: Completion,
+    settings: Settings,
+) -> Request:
+    """Return the core's request for a completion."""
+    tokens = len(completion.prompt) / settings.chars_per_token
+    return Request(
+        req_id=req_id,
+        team=envelope.team,
+        kind=Kind.generate,
+        deadline=envelope.deadline,
+        model=completion.model,
+        prompt_tokens=max(1, round(tokens)),
+        max_tokens=completion.max_tokens,
+        prefix=hash_prefix(completion.prompt, settings.chars_per_token),
+    )
+
+
+def make_call(
+    req_id: str,
+    envelope: Envelope,
+    http: HttpRequest,
+    cfg: Configuration | None,
+) -> Request:
+    """Return the core's request for a call of a plain service."""
+    service = http.path_params['service']
+    path = http.path_params['path']
+    pool = cfg.get_pool_by_service(service) if cfg else None
+    repeatable = http.method in SAFE_METHODS
+    if pool and path in pool.idempotent_paths:
+        repeatable = True
+    return Request(
+        req_id=req_id,
+        team=envelope.team,
+        kind=Kind.call,
+        deadline=envelope.deadline,
+        service=service,
+        path=path,
+        idempotent=repeatable,
+        idempotency_key=envelope.idempotency_key,
+        home=envelope.home,
+        first_attempt=envelope.first_attempt,
+    )
+
+
+def hash_prefix(prompt: str, chars_per_token: float) -> tuple[str, ...]:
+    """Return the hashes of a prompt's leading blocks, each over all before.
+
+    >>> len(hash_prefix('x' * 4096, 4.0))
+    2
+    """
+    size = round(BLOCK_TOKENS * chars_per_token)
+    digest = hashlib.blake2b(digest_size=8)
+    hashes = []
+    for number in range(min(MAX_BLOCKS, len(prompt) // size)):
+        start = number * size
+        digest.update(prompt[start : start + size].encode())
+        hashes.append(digest.hexdigest())
+    return tuple(hashes)
+
+
+def _read_deadline(http: HttpRequest, default_ms: int) -> int:
+    text = http.headers.get(DEADLINE_HEADER, '')
+    if not text:
+        return default_ms
+    if not text.isdecimal() or not 0 < int(text) <= MAX_DEADLINE_MS:
+        raise BadRequest(
+            f'{DEADLINE_HEADER} must be 1 to {MAX_DEADLINE_MS} milliseconds',
+        )
+    return int(text)
+
+
+def _get(plain: dict[str, Any], name: str, kind: type, default: Any) -> Any:
+    found = plain.get(name, default)
+    if found is None:
+        raise BadRequest(f'{name} is missing')
+    wrong = isinstance(found, bool) is not (kind is bool)
+    if wrong or not isinstance(found, kind):
+        raise BadRequest(f'{name} must be of type {kind.__name__}')
+    return found
--- /dev/null
+++ b/trestledock/connection/_peer.py
@@ -0,0 +1,61 @@
+"""
+Peer connections
+================
+
+Sends payloads to peers as JSON over HTTP.  The type of a payload travels by
+name and is looked up in the list of all payloads.
+"""
+
+import json
+from typing import Any
+
+import httpx
+
+from trestledock.connection._hub import Hub
+from trestledock.connection._parsing import BadRequest
+from trestledock.process import PAYLOADS, PeerMessage, ToPeer
+from trestledock.version import CONVERTER
+
+#: How long a message to a peer may take, in seconds.
+PEER_TIMEOUT_S = 2.0
+
+_KINDS = {kind.__name__: kind for kind in PAYLOADS}  # noqa: WPS407
+
+
+class PeerLink:
+    """The sender of one instance's messages to its peers."""
+
+    def __init__(self, hub: Hub, client: httpx.AsyncClient) -> None:
+        """Keep the client that owns the connections."""
+        self.hub = hub
+        self.client = client
+
+    async def send(self, action: ToPeer) -> None:
+        """Send a payload; it may be lost, and the core counts on that."""
+        if not action.address:
+            return
+        body = json.dumps({
+            'sender': self.hub.node.state.member,
+            'type': type(action.payload).__name__,
+            'payload': CONVERTER.unstructure(action.payload),
+        })
+        self.hub.metrics.peer_bytes.labels('sent').inc(len(body))
+        try:
+            await self.client.post(
+                f'http://{action.address}/peer/v1/messages',
+                content=body,
+                timeout=PEER_TIMEOUT_S,
+            )
+        except httpx.HTTPError:
+            self.hub.metrics.lost_peer_messages.inc()
+
+
+def read_envelope_of_peer(body: bytes) -> PeerMessage:
+    """Read a message from a peer."""
+    try:
+        plain = json.loads(body)
+        kind = _KINDS[plain['type']]
+        payload: Any = CONVERTER.structure(plain['payload'], kind)
+        return PeerMessage(str(plain['sender']), payload)
+    except Exception as exc:
+        raise BadRequest(f'not a message of a peer: {exc!r}') from exc
--- /dev/null
+++ b/trestledock/connection/_platform.py
@@ -0,0 +1,108 @@
+"""
+Platform connections
+====================
+
+Reads the log and the instance list and appends records.  Failures are left to
+the core's own repeats; each poll waits a little after one.
+"""
+
+from typing import Any, Awaitable, Callable
+
+import anyio
+import httpx
+
+from trestledock.connection._hub import Hub
+from trestledock.process import (
+    AppendRecord,
+    InstancesListed,
+    LogRead,
+    PeerInfo,
+    TargetInfo,
+)
+from trestledock.version import CONVERTER, Batch
+
+#: How long to wait after a failed poll, in seconds.
+FAILURE_PAUSE_S = 0.5
+ENTRY_ROLE = 'entry'
+
+
+class PlatformLink:
+    """One instance's connections to the platform."""
+
+    def __init__(self, hub: Hub, client: httpx.AsyncClient) -> None:
+        """Keep the client that owns the connections."""
+        self.hub = hub
+        self.client = client
+
+    async def run(self) -> None:
+        """Poll the log and the list until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._repeat, self.read_log)
+            group.start_soon(self._repeat, self.read_list)
+
+    async def append(self, action: AppendRecord) -> None:
+        """Append a record; whether it took effect is read from the log."""
+        try:
+            await self.client.post(
+                '/v1/log',
+                json=CONVERTER.unstructure(action.record),
+                timeout=self.hub.settings.platform_timeout_s,
+            )
+        except httpx.HTTPError:
+            self.hub.metrics.lost_appends.inc()
+
+    async def read_log(self) -> None:
+        """Read the log from where the core has got to."""
+        offset = self.hub.node.state.reader.next_read
+        plain = await self._get('/v1/log', {'from': offset})
+        batch = CONVERTER.structure(plain, Batch)
+        await self.hub.tell(LogRead(batch))
+        while self.hub.node.state.reader.next_read < batch.first:
+            await anyio.sleep(0)
+        await anyio.sleep(0)
+
+    async def read_list(self) -> None:
+        """Read the instance list."""
+        plain = await self._get('/v1/instances', {})
+        await self.hub.tell(read_instances(plain['instances']))
+        await anyio.sleep(self.hub.settings.poll_list_s)
+
+    async def _get(self, path: str, params: dict[str, Any]) -> Any:
+        response = await self.client.get(
+            path,
+            params=params,
+            timeout=self.hub.settings.platform_timeout_s,
+        )
+        response.raise_for_status()
+        self.hub.metrics.peer_bytes.labels('platform').inc(
+            len(response.content),
+        )
+        return response.json()
+
+    async def _repeat(self, poll: Callable[[], Awaitable[None]]) -> None:
+        while True:
+            try:
+                await poll()
+            except (httpx.HTTPError, ValueError, KeyError):
+                await anyio.sleep(FAILURE_PAUSE_S)
+
+
+def read_instances(plain: list[dict[str, Any]]) -> InstancesListed:
+    """Read the instance list; entry instances are peers, others targets."""
+    targets = []
+    peers = []
+    for one in plain:
+        labels = {str(key): str(text) for key, text in one['labels'].items()}
+        name = one['name']
+        incarnation = one.get('incarnation', '')
+        leaving = bool(one.get('leaving'))
+        if labels.get('role') == ENTRY_ROLE:
+            home = labels.get('data_centre', '')
+            peers.append(
+                PeerInfo(name, incarnation, one['address'], home, leaving),
+            )
+        else:
+            targets.append(
+                TargetInfo(name, incarnation, one['address'], labels, leaving),
+            )
+    return InstancesListed(tuple(targets), tuple(peers))
--- /dev/null
+++ b/trestledock/connection/_polling.py
@@ -0,0 +1,104 @@
+"""
+Polling targets
+===============
+
+Reads the load and the cache events of targets.  One instance of the data
+centre polls a target often and passes a digest on in its heartbeats; the
+others look seldom.
+"""
+
+import anyio
+import httpx
+
+from trestledock.connection._hub import Hub
+from trestledock.process import (
+    CacheEvent,
+    CacheReported,
+    LoadReport,
+    LoadReported,
+    rank_by_key,
+)
+from trestledock.version import CONVERTER
+
+#: How long a poll may take, in seconds.
+POLL_TIMEOUT_S = 2.0
+#: How often the list of targets is looked at, in seconds.
+LOOK_S = 0.1
+
+
+class Poller:
+    """The poller of one instance."""
+
+    def __init__(self, hub: Hub, client: httpx.AsyncClient) -> None:
+        """Keep the client that owns the connections."""
+        self.hub = hub
+        self.client = client
+        self.due: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Poll every target when it is due, until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                now = anyio.current_time()
+                for name in tuple(self.hub.node.state.fleet.targets):
+                    if now >= self.due.get(name, 0):
+                        self.due[name] = now + self._get_interval(name)
+                        group.start_soon(self.poll, name)
+                await anyio.sleep(LOOK_S)
+
+    async def poll(self, name: str) -> None:
+        """Read a target's load and cache events once."""
+        target = self.hub.node.state.fleet.targets.get(name)
+        if target is None:
+            return
+        base = f'http://{target.info.address}'
+        started = anyio.current_time()
+        try:
+            plain = await self._get(f'{base}/v1/load')
+            if 'capacity_tokens' not in plain:
+                await self.hub.tell(
+                    LoadReported(name, make_service_report(plain)),
+                )
+                return
+            report = CONVERTER.structure(plain, LoadReport)
+            await self.hub.tell(LoadReported(name, report))
+            after = target.cache_sequence
+            events = await self._get(f'{base}/v1/cache?after={after}')
+        except (httpx.HTTPError, ValueError):
+            return
+        for event in events['events']:
+            typed = CONVERTER.structure(event, CacheEvent)
+            await self.hub.tell(CacheReported(name, typed))
+        self.hub.metrics.poll_seconds.observe(
+            anyio.current_time() - started,
+        )
+
+    async def _get(self, url: str) -> dict:
+        response = await self.client.get(url, timeout=POLL_TIMEOUT_S)
+        response.raise_for_status()
+        size = len(response.content)
+        self.hub.metrics.peer_bytes.labels('target').inc(size)
+        return response.json()
+
+    def _get_interval(self, name: str) -> float:
+        state = self.hub.node.state
+        home = state.identity.data_centre
+        peers = state.fleet.get_live_peers(home)
+        members = {peer.info.member for peer in peers} | {state.member}
+        first = rank_by_key(name, members)[0] == state.member
+        state.fleet.targets[name].polled = first
+        settings = self.hub.settings
+        return settings.poll_load_s if first else settings.poll_others_s
+
+
+def make_service_report(plain: dict) -> LoadReport:
+    """Return the report of a plain service, which says only if it leaves."""
+    return LoadReport(
+        age_s=0.0,
+        queued=(),
+        free_tokens=0,
+        capacity_tokens=0,
+        rate=1.0,
+        itl_s=0.0,
+        leaving=bool(plain.get('leaving')),
+    )
--- /dev/null
+++ b/trestledock/connection/_settings.py
@@ -0,0 +1,41 @@
+"""
+Settings
+========
+
+What an entry instance learns from its settings file: who it is, where it
+listens and where the platform is.  Checked in the same place as configurations.
+"""
+
+from dataclasses import dataclass, field
+
+from trestledock.process import Timing
+
+
+@dataclass(frozen=True)
+class Settings:
+    """The settings of an entry instance.
+
+    Addresses are an IP number and a port.  Times end in `_s` (seconds).
+    `chars_per_token` turns the size of a prompt into an estimate of tokens.
+    """
+
+    instance: str
+    data_centre: str
+    listen: str
+    platform: str
+    public: str = ''
+    max_body_bytes: int = 16_777_216
+    chars_per_token: float = 4.0
+    notice_s: float = 2.0
+    handover_s: float = 10.0
+    poll_load_s: float = 0.5
+    poll_others_s: float = 5.0
+    poll_list_s: float = 1.0
+    platform_timeout_s: float = 5.0
+    target_connect_s: float = 2.0
+    timing: Timing = field(default_factory=Timing)
+
+    @property
+    def address(self) -> str:
+        """The address that peers reach this instance at."""
+        return self.public or self.listen
--- /dev/null
+++ b/trestledock/connection/_target.py
@@ -0,0 +1,254 @@
+"""
+Target connections
+==================
+
+Sends jobs, calls, cancels and orders to targets and turns their answers into
+messages.  `not_started` is claimed only where the connection was never made,
+where the target says so itself, or where nothing was written.
+"""
+
+import json
+from typing import Any
+
+import anyio
+import httpx
+import httpx_sse
+
+from trestledock.connection._hub import Exchange, Hub
+from trestledock.process import (
+    AttemptFailed,
+    CallDone,
+    CallService,
+    CancelConfirmed,
+    CancelHolds,
+    ChunkArrived,
+    GiveOrder,
+    OrderAnswered,
+    PieceDone,
+    ResumeStream,
+    StartJob,
+    StreamDone,
+)
+from trestledock.request import Chunk
+from trestledock.version import CONVERTER
+
+#: How long a cancel or an order may take, in seconds.
+CONTROL_TIMEOUT_S = 5.0
+REJECTED_STATUS = 503
+OLD_NUMBER_STATUS = 409
+MS = 1000
+
+
+class TargetLink:
+    """The sender of one instance's work to targets."""
+
+    def __init__(self, hub: Hub, client: httpx.AsyncClient) -> None:
+        """Keep the client that owns the connections."""
+        self.hub = hub
+        self.client = client
+
+    async def start_job(self, action: StartJob) -> None:
+        """Send a job and report what comes of it."""
+        exchange = self.hub.exchanges.get(action.req_id)
+        if exchange is None:
+            await self._fail(action, 'send', 'the caller has gone', proof=True)
+            return
+        body = {
+            'job': CONVERTER.unstructure(action.job),
+            'seed': exchange.prompt,
+            'prefix': exchange.prefix,
+        }
+        if action.job.generate:
+            await self._read_stream(action, '/v1/jobs', body, exchange)
+        else:
+            await self._wait_for_piece(action, body, exchange)
+
+    async def resume(self, action: ResumeStream) -> None:
+        """Go on with a stream that broke off."""
+        exchange = self.hub.exchanges.get(action.req_id)
+        if exchange:
+            body = {'hold': action.hold, 'index': action.index}
+            await self._read_stream(action, '/v1/streams', body, exchange)
+
+    async def call(self, action: CallService) -> None:
+        """Send a call to a plain service."""
+        exchange = self.hub.exchanges.get(action.req_id)
+        late = anyio.current_time() >= action.not_after
+        if exchange is None or late:
+            await self._fail(action, 'send', 'too late to start', proof=True)
+            return
+        left_s = exchange.deadline - anyio.current_time()
+        headers = {
+            'content-type': exchange.content_type or 'application/json',
+            'trestledock-deadline-ms': str(round(left_s * MS)),
+        }
+        if exchange.idempotency_key:
+            headers['idempotency-key'] = exchange.idempotency_key
+        try:
+            response = await self.client.request(
+                exchange.method,
+                f'http://{action.address}/{exchange.path}',
+                params=exchange.query,
+                content=exchange.body,
+                headers=headers,
+                timeout=self._get_timeout(left_s),
+            )
+        except httpx.HTTPError as exc:
+            proof = isinstance(exc, (httpx.ConnectError, httpx.ConnectTimeout))
+            await self._fail(action, 'call', repr(exc), proof=proof)
+            return
+        await self.hub.tell(
+            CallDone(
+                action.req_id,
+                action.attempt,
+                response.status_code,
+                response.text,
+            ),
+        )
+
+    async def cancel(self, action: CancelHolds) -> None:
+        """Cancel holds; silence means that they still count as held."""
+        try:
+            response = await self.client.post(
+                f'http://{action.address}/v1/cancel',
+                json={'holds': action.holds},
+                timeout=CONTROL_TIMEOUT_S,
+            )
+        except httpx.HTTPError:
+            return
+        if response.is_success:
+            await self.hub.tell(CancelConfirmed(action.target, action.holds))
+
+    async def order(self, action: GiveOrder) -> None:
+        """Give an order, unless the lease may have lapsed meanwhile."""
+        if anyio.current_time() >= action.not_after:
+            return
+        try:
+            response = await self.client.post(
+                f'http://{action.address}/v1/orders',
+                json={'models': action.models, 'fencing': action.fencing},
+                timeout=CONTROL_TIMEOUT_S,
+            )
+        except httpx.HTTPError:
+            return
+        refused = response.status_code == OLD_NUMBER_STATUS
+        await self.hub.tell(OrderAnswered(action.target, refused))
+
+    async def _wait_for_piece(
+        self,
+        action: StartJob,
+        body: dict[str, Any],
+        exchange: Exchange,
+    ) -> None:
+        left_s = exchange.deadline - anyio.current_time()
+        try:
+            response = await self.client.post(
+                f'http://{action.address}/v1/jobs',
+                json=body,
+                timeout=self._get_timeout(left_s),
+            )
+        except httpx.HTTPError as exc:
+            await self._fail_on(action, 'piece', exc)
+            return
+        if response.is_success:
+            answer = response.json()
+            message = PieceDone(
+                action.req_id,
+                action.attempt,
+                answer['hold'],
+                answer['stop'],
+            )
+            await self.hub.tell(message)
+        else:
+            await self._reject(action, 'piece', response)
+
+    async def _read_stream(
+        self,
+        action: StartJob | ResumeStream,
+        path: str,
+        body: dict[str, Any],
+        exchange: Exchange,
+    ) -> None:
+        left_s = exchange.deadline - anyio.current_time()
+        try:
+            async with httpx_sse.aconnect_sse(
+                self.client,
+                'POST',
+                f'http://{action.address}{path}',
+                json=body,
+                timeout=self._get_timeout(left_s),
+            ) as source:
+                if not source.response.is_success:
+                    await source.response.aread()
+                    await self._reject(action, 'stream', source.response)
+                    return
+                await self._pass_on(action, source)
+        except httpx.HTTPError as exc:
+            await self._fail_on(action, 'stream', exc)
+
+    async def _pass_on(
+        self,
+        action: StartJob | ResumeStream,
+        source: httpx_sse.EventSource,
+    ) -> None:
+        async for event in source.aiter_sse():
+            plain = json.loads(event.data)
+            if 'count' in plain:
+                await self.hub.tell(
+                    StreamDone(action.req_id, action.attempt, plain['count']),
+                )
+                return
+            if action.req_id not in self.hub.exchanges:
+                return
+            chunk = Chunk(plain['index'], plain['text'], plain['tokens'])
+            await self.hub.tell(
+                ChunkArrived(action.req_id, action.attempt, chunk),
+            )
+        await self._fail(action, 'stream', 'no final marker', proof=False)
+
+    async def _reject(
+        self,
+        action: StartJob | ResumeStream,
+        step: str,
+        response: httpx.Response,
+    ) -> None:
+        proof = False
+        if response.status_code == REJECTED_STATUS:
+            try:
+                proof = response.json().get('started') is False
+            except ValueError:
+                proof = False
+        await self._fail(action, step, response.text, proof=proof)
+
+    async def _fail_on(
+        self,
+        action: StartJob | ResumeStream,
+        step: str,
+        exc: httpx.HTTPError,
+    ) -> None:
+        proof = isinstance(exc, (httpx.ConnectError, httpx.ConnectTimeout))
+        await self._fail(action, step, repr(exc), proof=proof)
+
+    async def _fail(
+        self,
+        action: StartJob | ResumeStream | CallService,
+        step: str,
+        detail: str,
+        *,
+        proof: bool,
+    ) -> None:
+        await self.hub.tell(
+            AttemptFailed(
+                action.req_id,
+                action.attempt,
+                not_started=proof,
+                step=step,
+                peer=action.target,
+                detail=detail,
+            ),
+        )
+
+    def _get_timeout(self, left_s: float) -> httpx.Timeout:
+        connect_s = self.hub.settings.target_connect_s
+        left_s = max(0.001, left_s)
+        return httpx.Timeout(left_s, connect=min(connect_s, left_s))
--- a/trestledock/process/__init__.py
+++ b/trestledock/process/__init__.py
@@ -24,6 +24,7 @@
 )
 from trestledock.process._claims import ClaimTable, Grant
 from trestledock.process._epoch import Epoch, EpochBody, Handover
+from trestledock.process._explaining import explain
 from trestledock.process._identity import Identity, Timing
 from trestledock.process._lease import Lease, LeaseBody
 from trestledock.process._messages import (
@@ -47,6 +48,7 @@
     Tick,
 )
 from trestledock.process._node import Node
+from trestledock.process._payloads import PAYLOADS, Payload
 from trestledock.process._policy import PLAIN, Chooser, Policy
 from trestledock.process._rendezvous import rank_by_key
 from trestledock.process._targets import (
@@ -57,6 +59,7 @@
 )
 
 __all__ = (
+    'PAYLOADS',
     'PLAIN',
     'Action',
     'AppendRecord',
@@ -92,6 +95,7 @@
     'Node',
     'Note',
     'OrderAnswered',
+    'Payload',
     'PeerInfo',
     'PeerMessage',
     'PieceDone',
@@ -106,5 +110,6 @@
     'Tick',
     'Timing',
     'ToPeer',
+    'explain',
     'rank_by_key',
 )
--- a/trestledock/process/_claiming.py
+++ b/trestledock/process/_claiming.py
@@ -115,7 +115,8 @@
     if now >= wait.not_after:
         return True
     if epoch is None:
-        return not state.is_log_fresh(now)
+        impatient = now - wait.asked_at > REMOTE_PATIENCE_S
+        return impatient or not state.is_log_fresh(now)
     peers = state.fleet.peers
     replicas = epoch.get_replicas_by_key(wait.key)
     known = [peers[name] for name in replicas if name in peers]
--- a/trestledock/process/_duties.py
+++ b/trestledock/process/_duties.py
@@ -7,7 +7,7 @@
 not been confirmed.
 """
 
-from trestledock.process._actions import AppendRecord
+from trestledock.process._actions import AppendRecord, ToPeer
 from trestledock.process._applying import EPOCH_PREFIX, LEASE_PREFIX
 from trestledock.process._dispatching import pump_all
 from trestledock.process._ending import send
@@ -15,8 +15,8 @@
 from trestledock.process._fleet import Peer
 from trestledock.process._guarding import (
     keep_blocks,
+    mark_gone,
     repeat_cancels,
-    take_up_holds,
 )
 from trestledock.process._identity import LOCAL_FANOUT, REMOTE_FANOUT
 from trestledock.process._lease import LeaseBody
@@ -55,9 +55,7 @@
         member = peer.info.member
         heard_at = now - state.liveness.get_age(member, now)
         if now - max(peer.heard_at, heard_at) > state.timing.peer_dead_s:
-            peer.gone = True
-            state.note('peer_gone', member)
-            take_up_holds(state, member)
+            mark_gone(state, peer)
 
 
 def forget_peers(state: State, now: float) -> None:
@@ -88,6 +86,9 @@
     chosen = state.rng.sample(remote, min(REMOTE_FANOUT, len(remote)))
     for peer in (*local, *chosen):
         send(state, peer.info.member, heartbeat)
+    for info in state.fleet.get_strangers():
+        if info.name != state.identity.instance:
+            state.act(ToPeer(info.member, info.address, heartbeat))
 
 
 def make_heartbeat(state: State, now: float) -> Heartbeat:
--- /dev/null
+++ b/trestledock/process/_explaining.py
@@ -0,0 +1,59 @@
+"""
+Explaining decisions
+====================
+
+Says in words, for an operator, why a request would be placed where.
+"""
+
+from trestledock.process._choosing import (
+    choose_service,
+    find_candidates,
+    find_permitted,
+)
+from trestledock.process._node import Node
+from trestledock.process._state import State
+from trestledock.request import Kind, Reason, Request
+from trestledock.version import (
+    get_permission,
+    get_pool_by_request,
+    get_rules_by_work,
+    get_work_labels,
+)
+
+
+def explain(node: Node, req: Request, now: float) -> list[str]:
+    """Return a line for the class of the work and one for each target."""
+    state = node.state
+    cfg = state.version.cfg
+    _, field = find_permitted(state, req)
+    if cfg is None or field.pool is None:
+        return [f'refused: {field.reason.value}']
+    pool = get_pool_by_request(cfg, req)
+    work = get_work_labels(req, state.identity.data_centre)
+    rules = get_rules_by_work(cfg, work)
+    lines = [f'work {dict(work)}', f'pool {field.pool.name}']
+    lines.extend(f'rule {rule.name} applies' for rule in rules)
+    for name, target in sorted(state.get_targets().items()):
+        labels = state.fleet.get_labels(target)
+        permission = get_permission(pool or field.pool, rules, labels)
+        if not permission.allowed:
+            lines.append(f'{name}: forbidden by {permission.forbidden_by}')
+        elif not state.fleet.is_usable(target, now):
+            lines.append(f'{name}: permitted, but leaving or silent')
+    lines.extend(_explain_candidates(state, req, now))
+    return lines
+
+
+def _explain_candidates(state: State, req: Request, now: float) -> list[str]:
+    if req.kind is Kind.call:
+        found = choose_service(state, req, now)
+    else:
+        found = find_candidates(state, req, now)
+    if found.reason is not Reason.none:
+        return [f'refused: {found.reason.value} {found.detail}'.strip()]
+    ranked = sorted(found.candidates, key=lambda one: one.rank)
+    return [
+        f'{one.target.info.name}: first token in {one.ttft_s:.3f} s, '
+        f'penalty {one.penalty_s:.3f}, {one.free_tokens} tokens free'
+        for one in ranked
+    ]
--- a/trestledock/process/_fleet.py
+++ b/trestledock/process/_fleet.py
@@ -76,6 +76,7 @@
     targets: dict[str, Target] = field(default_factory=dict)
     peers: dict[str, Peer] = field(default_factory=dict)
     leaving: set[str] = field(default_factory=set)
+    listed_peers: tuple[PeerInfo, ...] = ()
 
     def take_targets(
         self,
@@ -100,12 +101,39 @@
 
     def take_peers(self, infos: tuple[PeerInfo, ...], now: float) -> None:
         """Fold the peers of the instance list."""
+        self.listed_peers = infos
         for info in infos:
-            peer = self.peers.get(info.member)
-            if peer is None:
+            if info.incarnation and info.member not in self.peers:
                 self.peers[info.member] = Peer(info, heard_at=now)
-            elif info.leaving:
-                peer.leaving = True
+            for peer in self.peers.values():
+                same = peer.info.member == info.member
+                if same or (peer.info.name == info.name and not info.incarnation):
+                    peer.leaving = peer.leaving or info.leaving
+
+    def get_strangers(self) -> list[PeerInfo]:
+        """Return the listed peers that have not introduced themselves."""
+        known = {
+            peer.info.name for peer in self.peers.values() if not peer.gone
+        }
+        return [
+            info
+            for info in self.listed_peers
+            if info.name not in known and not info.leaving
+        ]
+
+    def get_superseded(self, info: PeerInfo) -> list[Peer]:
+        """Return the earlier incarnations of a peer that still count.
+
+        Incarnations sort by the time of their start, so that a late heartbeat
+        of an old one supersedes nothing.
+        """
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.info.name == info.name
+            and peer.info.incarnation < info.incarnation
+            and not peer.gone
+        ]
 
     def hear_peer(self, info: PeerInfo, now: float) -> Peer:
         """Note a sign of life of a peer, listed or not."""
--- a/trestledock/process/_guarding.py
+++ b/trestledock/process/_guarding.py
@@ -88,8 +88,11 @@
         block.kept_by.add(sender)
 
 
-def take_up_holds(state: State, owner: str) -> None:
-    """Cancel everything that an owner which is gone may hold."""
+def mark_gone(state: State, peer: Peer) -> None:
+    """Mark a peer as gone and cancel everything that it may hold."""
+    owner = peer.info.member
+    peer.gone = True
+    state.note('peer_gone', owner)
     for watched in state.guard.take_up(owner):
         state.count('taken_up_holds')
         state.note('holds_taken_up', owner, watched.target)
--- a/trestledock/process/_messages.py
+++ b/trestledock/process/_messages.py
@@ -155,7 +155,6 @@
     """A target answered an order; refused where its number was old."""
 
     target: str
-    models: tuple[str, ...]
     refused: bool = False
 
 
--- a/trestledock/process/_node.py
+++ b/trestledock/process/_node.py
@@ -39,6 +39,7 @@
     ) -> None:
         """Begin with an empty state; the first step starts the duties."""
         self.state = State(identity, timing, policy, rng, address)
+        self.unready = False
         self._started = False
 
     def step(self, message: Any, now: float) -> tuple[Action, ...]:
@@ -58,9 +59,9 @@
 
     def is_ready(self) -> bool:
         """Whether requests can be served: a version is in force."""
-        return self.state.version.cfg is not None and not (
-            self.state.shutting_down
-        )
+        if self.unready or self.state.shutting_down:
+            return False
+        return self.state.version.cfg is not None
 
     def is_drained(self) -> bool:
         """Whether the instance can end without cutting anything short."""
--- a/trestledock/process/_peering.py
+++ b/trestledock/process/_peering.py
@@ -13,7 +13,7 @@
 from trestledock.process._claiming import on_claim_answer
 from trestledock.process._ending import send
 from trestledock.process._epoch import Epoch, EpochBody
-from trestledock.process._guarding import note_kept, take_block
+from trestledock.process._guarding import mark_gone, note_kept, take_block
 from trestledock.process._messages import PeerMessage
 from trestledock.process._state import State
 from trestledock.process._targets import LoadReport, PeerInfo
@@ -51,6 +51,8 @@
         payload.data_centre,
         payload.leaving,
     )
+    for earlier in state.fleet.get_superseded(info):
+        mark_gone(state, earlier)
     peer = state.fleet.hear_peer(info, now)
     peer.demands = {one.team: one.demand for one in payload.demands}
     for key in payload.leaving_targets:
--- a/trestledock/process/_platform.py
+++ b/trestledock/process/_platform.py
@@ -42,9 +42,11 @@
     if len(state.fleet.leaving) > before:
         state.note('targets_leaving', 'platform')
     state.fleet.take_peers(message.peers, now)
-    listed = {peer.member for peer in message.peers if not peer.leaving}
+    listed = {peer.name for peer in message.peers if not peer.leaving}
     state.duties.delisted = {
-        name for name in _get_epoch_members(state) if name not in listed
+        member
+        for member in _get_epoch_members(state)
+        if member.partition('#')[0] not in listed
     }
 
 
@@ -107,13 +109,9 @@
     now: float,
 ) -> None:
     """Take a target's answer to an order."""
-    target = state.get_targets().get(message.target)
+    state.count('orders', 'refused' if message.refused else 'taken')
     if message.refused:
-        state.count('orders', 'refused')
         state.note('order_refused', message.target)
-    elif target:
-        target.models = frozenset(message.models)
-        state.count('orders', 'taken')
 
 
 def on_shutdown(message: Shutdown, state: State, now: float) -> None:
--- a/trestledock/process/_targets.py
+++ b/trestledock/process/_targets.py
@@ -32,7 +32,11 @@
 
 @dataclass(frozen=True)
 class PeerInfo:
-    """An entry instance in the platform's instance list."""
+    """An entry instance.
+
+    The platform's list may not know incarnations; an instance then introduces
+    itself by its heartbeats.
+    """
 
     name: str
     incarnation: str
--- /dev/null
+++ b/trestledock/standin/_web.py
@@ -0,0 +1,66 @@
+"""
+Serving a stand-in
+==================
+
+What the stand-ins share: they are small web applications, each in a process
+of its own, whose faults are switched on through a control route.
+"""
+
+from typing import Any
+
+import anyio
+import hypercorn.asyncio
+from hypercorn.config import Config
+from starlette.requests import Request
+from starlette.responses import JSONResponse
+from starlette.types import ASGIApp
+
+#: Status of an answer that proves that nothing was started.
+NOT_STARTED_STATUS = 503
+
+
+class Faults:
+    """Switches that the control route sets; each stand-in reads its own."""
+
+    def __init__(self, **defaults: Any) -> None:
+        """Declare the faults with their values when switched off."""
+        self._faults = defaults
+
+    def get(self, name: str) -> Any:
+        """Return the present value of a fault."""
+        return self._faults[name]
+
+    def take(self, name: str) -> Any:
+        """Return the value of a fault that counts down, and count it."""
+        left = self._faults[name]
+        if left:
+            self._faults[name] = left - 1
+        return left
+
+    async def control(self, request: Request) -> JSONResponse:
+        """Set faults by name; an unknown name is an error."""
+        wanted = await request.json()
+        unknown = sorted(set(wanted) - set(self._faults))
+        if unknown:
+            return JSONResponse({'unknown': unknown}, status_code=400)
+        self._faults.update(wanted)
+        return JSONResponse(self._faults)
+
+
+def make_config(address: str) -> Config:
+    """Return the server's settings for an address."""
+    config = Config()
+    config.bind = [address]
+    config.accesslog = None
+    config.errorlog = None
+    config.graceful_timeout = 1
+    return config
+
+
+async def serve_app(app: ASGIApp, address: str) -> None:
+    """Serve an application until the task is cancelled."""
+    await hypercorn.asyncio.serve(
+        app,  # type: ignore[arg-type]
+        make_config(address),
+        shutdown_trigger=anyio.sleep_forever,
+    )
