--- a/trestledock/connection/_daemon.py
+++ b/trestledock/connection/_daemon.py
@@ -86,15 +86,17 @@
     ):
         platform = PlatformLink(hub, platform_client)
         target = TargetLink(hub, client)
-        hub.links.update({
-            AppendRecord: platform.append,
-            CallService: target.call,
-            CancelHolds: target.cancel,
-            GiveOrder: target.order,
-            ResumeStream: target.resume,
-            StartJob: target.start_job,
-            ToPeer: PeerLink(hub, client).send,
-        })
+        hub.links.update(
+            {
+                AppendRecord: platform.append,
+                CallService: target.call,
+                CancelHolds: target.cancel,
+                GiveOrder: target.order,
+                ResumeStream: target.resume,
+                StartJob: target.start_job,
+                ToPeer: PeerLink(hub, client).send,
+            }
+        )
         group.start_soon(hub.run)
         group.start_soon(platform.run)
         group.start_soon(Poller(hub, client).run)
@@ -143,4 +145,3 @@
     with anyio.move_on_after(hub.settings.handover_s):
         while not hub.node.is_drained():
             await anyio.sleep(DRAIN_LOOK_S)
-
--- a/trestledock/connection/_operator.py
+++ b/trestledock/connection/_operator.py
@@ -101,14 +101,16 @@
             for name, peer in sorted(state.fleet.peers.items())
         ]
         epoch = state.claims.epoch
-        return JSONResponse({
-            'member': state.member,
-            'version': state.version.number,
-            'epoch': list(epoch.members) if epoch else [],
-            'lease': {'holder': state.lease.holder},
-            'peers': peers,
-            'targets': targets,
-        })
+        return JSONResponse(
+            {
+                'member': state.member,
+                'version': state.version.number,
+                'epoch': list(epoch.members) if epoch else [],
+                'lease': {'holder': state.lease.holder},
+                'peers': peers,
+                'targets': targets,
+            }
+        )
 
     async def explain(self, http: HttpRequest) -> Response:
         """Return why a request would be placed where."""
--- a/trestledock/connection/_peer.py
+++ b/trestledock/connection/_peer.py
@@ -34,11 +34,13 @@
         """Send a payload; it may be lost, and the core counts on that."""
         if not action.address:
             return
-        body = json.dumps({
-            'sender': self.hub.node.state.member,
-            'type': type(action.payload).__name__,
-            'payload': CONVERTER.unstructure(action.payload),
-        })
+        body = json.dumps(
+            {
+                'sender': self.hub.node.state.member,
+                'type': type(action.payload).__name__,
+                'payload': CONVERTER.unstructure(action.payload),
+            }
+        )
         self.hub.metrics.peer_bytes.labels('sent').inc(len(body))
         try:
             await self.client.post(
--- a/trestledock/connection/_problems.py
+++ b/trestledock/connection/_problems.py
@@ -19,25 +19,27 @@
 BAD_GATEWAY = 502
 
 #: Statuses of reasons; others are answered with `BAD_GATEWAY`.
-STATUSES: Mapping[Reason, int] = MappingProxyType({
-    Reason.unknown_team: 403,
-    Reason.unknown_model: 404,
-    Reason.unknown_service: 404,
-    Reason.no_permitted_target: 403,
-    Reason.too_long: 413,
-    Reason.team_limit: 429,
-    Reason.deadline_passed: 504,
-    Reason.deadline_unreachable: 503,
-    Reason.no_configuration: 503,
-    Reason.no_live_target: 503,
-    Reason.queue_full: 503,
-    Reason.giant_limit: 503,
-    Reason.shutting_down: 503,
-    Reason.claim_unverified: 503,
-    Reason.claim_state_lost: 503,
-    Reason.claim_pending: 409,
-    Reason.claim_taken: 409,
-})
+STATUSES: Mapping[Reason, int] = MappingProxyType(
+    {
+        Reason.unknown_team: 403,
+        Reason.unknown_model: 404,
+        Reason.unknown_service: 404,
+        Reason.no_permitted_target: 403,
+        Reason.too_long: 413,
+        Reason.team_limit: 429,
+        Reason.deadline_passed: 504,
+        Reason.deadline_unreachable: 503,
+        Reason.no_configuration: 503,
+        Reason.no_live_target: 503,
+        Reason.queue_full: 503,
+        Reason.giant_limit: 503,
+        Reason.shutting_down: 503,
+        Reason.claim_unverified: 503,
+        Reason.claim_state_lost: 503,
+        Reason.claim_pending: 409,
+        Reason.claim_taken: 409,
+    }
+)
 
 
 def make_problem(verdict: Verdict) -> JSONResponse:
--- a/trestledock/process/_answers.py
+++ b/trestledock/process/_answers.py
@@ -273,4 +273,3 @@
                 peer=target_name,
             )
             on_attempt_failed(cancelled, state, now)
-
--- a/trestledock/process/_claiming.py
+++ b/trestledock/process/_claiming.py
@@ -49,6 +49,7 @@
             make_claim_key(live),
             now,
             now + ttl_s,
+            now,
         )
     wait = live.claim
     epoch = state.epochs.get(live.req.home)
@@ -56,7 +57,6 @@
         give_up_claim(state, live, Reason.claim_unverified, CLAIM_WAIT_S)
         return
     if epoch:
-        wait.epoch = epoch.offset
         ask = ClaimAsk(
             wait.key,
             wait.claim_id,
@@ -82,6 +82,7 @@
     if live is None or live.phase is not Phase.claiming or not live.claim:
         return
     if live.claim.claim_id == answer.claim_id:
+        live.claim.heard_at = now
         _TAKERS[Grant(answer.grant)](state, live, answer, now)
 
 
@@ -115,14 +116,14 @@
     if now >= wait.not_after:
         return True
     if epoch is None:
-        impatient = now - wait.asked_at > REMOTE_PATIENCE_S
+        impatient = now - wait.heard_at > REMOTE_PATIENCE_S
         return impatient or not state.is_log_fresh(now)
     peers = state.fleet.peers
     replicas = epoch.get_replicas_by_key(wait.key)
     known = [peers[name] for name in replicas if name in peers]
     home = state.identity.data_centre
     if any(peer.info.data_centre != home for peer in known):
-        return now - wait.asked_at > REMOTE_PATIENCE_S
+        return now - wait.heard_at > REMOTE_PATIENCE_S
     missing = any(peer.gone for peer in known)
     unknown = len(known) + (state.member in replicas) < len(replicas)
     return (missing or unknown) and not state.is_log_fresh(now)
@@ -186,7 +187,8 @@
     answer: ClaimAnswer,
     now: float,
 ) -> None:
-    if now + answer.wait_s >= live.req.deadline:
+    wait = live.claim
+    if wait is None or now + answer.wait_s >= wait.not_after:
         give_up_claim(state, live, Reason.claim_state_lost, answer.wait_s)
 
 
--- a/trestledock/process/_claims.py
+++ b/trestledock/process/_claims.py
@@ -104,6 +104,7 @@
                 epoch.body.previous,
                 epoch.body.previous_replicas,
                 sealed={self.member},
+                begun_at=now,
             )
             if epoch.body.previous_offset in self.vouches:
                 handover.heard.add(self.member)
@@ -226,12 +227,14 @@
     def get_unheard(self) -> tuple[str, ...]:
         """Return the members of earlier epochs that are still to be asked."""
         return tuple(
-            sorted({
-                name
-                for handover in self.handovers.values()
-                for name in handover.members
-                if name not in handover.sealed
-            }),
+            sorted(
+                {
+                    name
+                    for handover in self.handovers.values()
+                    for name in handover.members
+                    if name not in handover.sealed
+                }
+            ),
         )
 
     def forget(self, gone: set[str], now: float) -> None:
@@ -249,8 +252,7 @@
         self.handovers = {
             offset: handover
             for offset, handover in self.handovers.items()
-            if not handover.covers_all()
-            and handover.get_left(now, self.keep_s) > 0
+            if not handover.is_done(now, self.keep_s)
         }
 
     def _check(self, message: ClaimAsk, now: float) -> ClaimAnswer | None:
@@ -344,6 +346,7 @@
             blind.replicas,
             heard=set(blind.heard),
             closed_at=closed_at if blind.closed else None,
+            begun_at=now,
         )
 
 
--- a/trestledock/process/_dispatching.py
+++ b/trestledock/process/_dispatching.py
@@ -168,9 +168,7 @@
 def count_giants(state: State) -> int:
     """Return how many engines are held for giants by this instance."""
     return sum(
-        len(live.shares)
-        for live in state.live.values()
-        if len(live.shares) > 1
+        len(live.shares) for live in state.live.values() if len(live.shares) > 1
     )
 
 
@@ -342,4 +340,3 @@
         if left <= 0:
             return tuple(parts)
     return ()
-
--- a/trestledock/process/_duties.py
+++ b/trestledock/process/_duties.py
@@ -148,8 +148,9 @@
     """Ask the members of earlier epochs for what they remember."""
     gone = {
         name
-        for name in state.duties.delisted
-        if state.liveness.get_age(name, now) > state.timing.peer_dead_s
+        for handover in state.claims.handovers.values()
+        for name in handover.members
+        if _has_ended(state, name, now)
     }
     state.claims.forget(gone, now)
     scope = EPOCH_PREFIX + state.identity.data_centre
@@ -207,15 +208,31 @@
     if epoch is None:
         return True
     if state.member in epoch.members:
-        return epoch.members == (state.member,)
+        return not _get_wanted_members(state)
     return state.claims.handed_to >= set(epoch.members)
 
 
+def _has_ended(state: State, member: str, now: float) -> bool:
+    """Whether a member surely runs no more.
+
+    The platform has dropped it from its list, or its instance has started
+    again since; and it has not been heard lately.
+    """
+    name, _, incarnation = member.partition('#')
+    own = name == state.identity.instance
+    restarted = own and incarnation < state.identity.incarnation
+    ended = (
+        restarted
+        or member in state.duties.delisted
+        or state.fleet.is_superseded(member)
+    )
+    silent_s = state.liveness.get_age(member, now)
+    return ended and silent_s > state.timing.peer_dead_s
+
+
 def _get_wanted_members(state: State) -> tuple[str, ...]:
     names = [
-        peer.info.member
-        for peer in get_local_peers(state)
-        if not peer.leaving
+        peer.info.member for peer in get_local_peers(state) if not peer.leaving
     ]
     if not state.shutting_down:
         names.append(state.member)
--- a/trestledock/process/_epoch.py
+++ b/trestledock/process/_epoch.py
@@ -16,6 +16,9 @@
 from trestledock.process._payloads import Blind
 from trestledock.process._rendezvous import rank_by_key
 
+#: How long the members of an earlier epoch are asked at least, in seconds.
+ASK_S = 5.0
+
 
 @dataclass(frozen=True)
 class EpochBody:
@@ -59,6 +62,7 @@
     heard: set[str] = field(default_factory=set)
     sealed: set[str] = field(default_factory=set)
     closed_at: float | None = None
+    begun_at: float = 0
 
     def is_blind(self, key: str) -> bool:
         """Whether no replica of `key` in the earlier epoch has answered."""
@@ -70,6 +74,15 @@
         missing = len(set(self.members) - self.heard)
         return missing < min(self.replicas, len(self.members))
 
+    def is_done(self, now: float, keep_s: float) -> bool:
+        """Whether nothing is missing any more, or its time is over.
+
+        Every member is asked for a while even where nothing is missing, so
+        that one that leaves learns that it may go.
+        """
+        covered = self.covers_all() and now - self.begun_at > ASK_S
+        return covered or self.get_left(now, keep_s) <= 0
+
     def close(self, gone: set[str], now: float) -> None:
         """Start the time once the earlier members can grant nothing more.
 
--- a/trestledock/process/_fleet.py
+++ b/trestledock/process/_fleet.py
@@ -76,6 +76,7 @@
     targets: dict[str, Target] = field(default_factory=dict)
     peers: dict[str, Peer] = field(default_factory=dict)
     leaving: set[str] = field(default_factory=set)
+    replaced: set[str] = field(default_factory=set)
     listed_peers: tuple[PeerInfo, ...] = ()
 
     def take_targets(
@@ -87,10 +88,13 @@
         replaced = []
         for info in infos:
             known = self.targets.get(info.name)
+            if info.key in self.replaced:
+                continue
             if known is None:
                 self.targets[info.name] = Target(info, heard_at=now)
             elif known.info.incarnation != info.incarnation:
                 replaced.append(known.info)
+                self.replaced.add(known.info.key)
                 self.targets[info.name] = Target(info, heard_at=now)
             else:
                 known.info = info
@@ -100,15 +104,18 @@
         return replaced
 
     def take_peers(self, infos: tuple[PeerInfo, ...], now: float) -> None:
-        """Fold the peers of the instance list."""
+        """Fold the peers of the instance list.
+
+        An entry without an incarnation says nothing of those that are known:
+        a list that lags may mean an earlier one.
+        """
         self.listed_peers = infos
         for info in infos:
             if info.incarnation and info.member not in self.peers:
                 self.peers[info.member] = Peer(info, heard_at=now)
-            for peer in self.peers.values():
-                same = peer.info.member == info.member
-                if same or (peer.info.name == info.name and not info.incarnation):
-                    peer.leaving = peer.leaving or info.leaving
+            peer = self.peers.get(info.member)
+            if peer:
+                peer.leaving = peer.leaving or info.leaving
 
     def get_strangers(self) -> list[PeerInfo]:
         """Return the listed peers that have not introduced themselves."""
@@ -121,6 +128,14 @@
             if info.name not in known and not info.leaving
         ]
 
+    def is_superseded(self, member: str) -> bool:
+        """Whether a later incarnation of a member is known."""
+        name, _, incarnation = member.partition('#')
+        return any(
+            peer.info.name == name and peer.info.incarnation > incarnation
+            for peer in self.peers.values()
+        )
+
     def get_superseded(self, info: PeerInfo) -> list[Peer]:
         """Return the earlier incarnations of a peer that still count.
 
--- a/trestledock/process/_guarding.py
+++ b/trestledock/process/_guarding.py
@@ -118,9 +118,7 @@
 
 def repeat_cancels(state: State) -> None:
     """Repeat the cancels that their engines have not confirmed."""
-    keys = {
-        target.info.key: target for target in state.get_targets().values()
-    }
+    keys = {target.info.key: target for target in state.get_targets().values()}
     for key in tuple(state.guard.to_cancel):
         target = keys.get(key)
         if target is None:
--- a/trestledock/process/_live.py
+++ b/trestledock/process/_live.py
@@ -38,13 +38,15 @@
 
 
 #: Which phase may follow which.
-NEXT_PHASES: Mapping[Phase, frozenset[Phase]] = MappingProxyType({
-    Phase.queued: frozenset((Phase.running, Phase.done)),
-    Phase.claiming: frozenset((Phase.running, Phase.queued, Phase.done)),
-    Phase.running: frozenset((Phase.backoff, Phase.queued, Phase.done)),
-    Phase.backoff: frozenset((Phase.queued, Phase.running, Phase.done)),
-    Phase.done: frozenset(),
-})
+NEXT_PHASES: Mapping[Phase, frozenset[Phase]] = MappingProxyType(
+    {
+        Phase.queued: frozenset((Phase.running, Phase.done)),
+        Phase.claiming: frozenset((Phase.running, Phase.queued, Phase.done)),
+        Phase.running: frozenset((Phase.backoff, Phase.queued, Phase.done)),
+        Phase.backoff: frozenset((Phase.queued, Phase.running, Phase.done)),
+        Phase.done: frozenset(),
+    }
+)
 
 
 @dataclass(frozen=True)
@@ -65,7 +67,7 @@
     key: str
     asked_at: float
     not_after: float
-    epoch: int = -1
+    heard_at: float
     granted: bool = False
     refused: str = ''
 
--- a/trestledock/process/_liveness.py
+++ b/trestledock/process/_liveness.py
@@ -32,8 +32,7 @@
     def encode(self, members: tuple[str, ...], now: float) -> str:
         """Return the ages of `members` as text, oldest digit for unknown."""
         return ''.join(
-            _DIGITS[self._step(self.get_age(member, now))]
-            for member in members
+            _DIGITS[self._step(self.get_age(member, now))] for member in members
         )
 
     def merge(self, members: tuple[str, ...], ages: str, now: float) -> None:
--- a/trestledock/process/_registry.py
+++ b/trestledock/process/_registry.py
@@ -55,31 +55,33 @@
     """Nothing but the timers, which every step runs first."""
 
 
-HANDLERS: Mapping[type, Handler] = MappingProxyType({
-    messages.Arrive: on_arrive,
-    messages.CallerGone: on_caller_gone,
-    messages.PieceDone: on_piece_done,
-    messages.ChunkArrived: on_chunk,
-    messages.StreamDone: on_stream_done,
-    messages.CallDone: on_call_done,
-    messages.AttemptFailed: on_attempt_failed,
-    messages.CancelConfirmed: on_cancel_confirmed,
-    messages.LoadReported: on_load,
-    messages.CacheReported: on_cache_event,
-    messages.InstancesListed: on_instances,
-    messages.PeerMessage: on_peer_message,
-    messages.LogRead: on_log_read,
-    messages.MarkLeaving: on_mark_leaving,
-    messages.OrderAnswered: on_order_answered,
-    messages.Publish: on_publish,
-    messages.Shutdown: on_shutdown,
-    messages.Tick: on_tick,
-    timers.DeadlinePassed: on_deadline,
-    timers.RetryDue: on_retry_due,
-    timers.ClaimDue: on_claim_due,
-    timers.GapDue: on_gap,
-    timers.HeartbeatDue: on_heartbeat_due,
-})
+HANDLERS: Mapping[type, Handler] = MappingProxyType(
+    {
+        messages.Arrive: on_arrive,
+        messages.CallerGone: on_caller_gone,
+        messages.PieceDone: on_piece_done,
+        messages.ChunkArrived: on_chunk,
+        messages.StreamDone: on_stream_done,
+        messages.CallDone: on_call_done,
+        messages.AttemptFailed: on_attempt_failed,
+        messages.CancelConfirmed: on_cancel_confirmed,
+        messages.LoadReported: on_load,
+        messages.CacheReported: on_cache_event,
+        messages.InstancesListed: on_instances,
+        messages.PeerMessage: on_peer_message,
+        messages.LogRead: on_log_read,
+        messages.MarkLeaving: on_mark_leaving,
+        messages.OrderAnswered: on_order_answered,
+        messages.Publish: on_publish,
+        messages.Shutdown: on_shutdown,
+        messages.Tick: on_tick,
+        timers.DeadlinePassed: on_deadline,
+        timers.RetryDue: on_retry_due,
+        timers.ClaimDue: on_claim_due,
+        timers.GapDue: on_gap,
+        timers.HeartbeatDue: on_heartbeat_due,
+    }
+)
 
 for _kind, _handler in HANDLERS.items():
     handle.register(_kind, _handler)
--- /dev/null
+++ b/trestledock/proof/_history.py
@@ -0,0 +1,63 @@
+"""
+History
+=======
+
+What happened in a run, as callers, stand-ins and instances saw it: one typed
+event a line.  The checkers read nothing else.
+"""
+
+import json
+from dataclasses import asdict, dataclass
+from enum import Enum
+from typing import Iterable
+
+
+class EventType(str, Enum):
+    """The kinds of events."""
+
+    invoked = 'invoked'
+    sent = 'sent'
+    ran = 'ran'
+    chunk = 'chunk'
+    outcome = 'outcome'
+    broken = 'broken'
+    frozen = 'frozen'
+    leaving = 'leaving'
+    version = 'version'
+    published = 'published'
+    shutdown = 'shutdown'
+    ended = 'ended'
+    memory = 'memory'
+    order = 'order'
+
+
+@dataclass(frozen=True)
+class Event:
+    """One event at the instant `at`, seen by `who`.
+
+    `key` is the idempotency key, the target, or the publication; `number` a
+    count, a version or a token index; `limit` an instant or a bound.
+    """
+
+    at: float
+    kind: EventType
+    who: str = ''
+    req_id: str = ''
+    key: str = ''
+    number: int = 0
+    text: str = ''
+    limit: float = 0
+
+    def to_line(self) -> str:
+        """Return the event as a line of JSON."""
+        return json.dumps(asdict(self), separators=(',', ':'))
+
+
+def read_lines(lines: Iterable[str]) -> list[Event]:
+    """Read a history from lines of JSON."""
+    events = []
+    for line in lines:
+        plain = json.loads(line)
+        kind = EventType(plain.pop('kind'))
+        events.append(Event(kind=kind, **plain))
+    return events
--- a/trestledock/request/_attempt.py
+++ b/trestledock/request/_attempt.py
@@ -46,18 +46,20 @@
 #: The table; a pair that is missing leaves the state as it is, because
 #: messages may come twice, late or out of order.
 TRANSITIONS: Mapping[tuple[AttemptState, AttemptEvent], AttemptState] = (
-    MappingProxyType({
-        (_State.planned, _Event.write): _State.sent,
-        (_State.planned, _Event.reject): _State.rejected,
-        (_State.planned, _Event.lose): _State.rejected,
-        (_State.sent, _Event.answer): _State.started,
-        (_State.sent, _Event.finish): _State.complete,
-        (_State.sent, _Event.reject): _State.rejected,
-        (_State.sent, _Event.lose): _State.lost,
-        (_State.started, _Event.finish): _State.complete,
-        (_State.started, _Event.reject): _State.lost,
-        (_State.started, _Event.lose): _State.lost,
-    })
+    MappingProxyType(
+        {
+            (_State.planned, _Event.write): _State.sent,
+            (_State.planned, _Event.reject): _State.rejected,
+            (_State.planned, _Event.lose): _State.rejected,
+            (_State.sent, _Event.answer): _State.started,
+            (_State.sent, _Event.finish): _State.complete,
+            (_State.sent, _Event.reject): _State.rejected,
+            (_State.sent, _Event.lose): _State.lost,
+            (_State.started, _Event.finish): _State.complete,
+            (_State.started, _Event.reject): _State.lost,
+            (_State.started, _Event.lose): _State.lost,
+        }
+    )
 )
 
 #: States that prove that the target did not run the request.
--- a/trestledock/request/_request.py
+++ b/trestledock/request/_request.py
@@ -34,19 +34,23 @@
 
 
 #: Upper bounds, in prompt tokens, of the classes below `giant`.
-CLASS_BOUNDS: Mapping[LengthClass, int] = MappingProxyType({
-    LengthClass.short: 8_000,
-    LengthClass.medium: 32_000,
-    LengthClass.long: 200_000,
-})
+CLASS_BOUNDS: Mapping[LengthClass, int] = MappingProxyType(
+    {
+        LengthClass.short: 8_000,
+        LengthClass.medium: 32_000,
+        LengthClass.long: 200_000,
+    }
+)
 
 #: The priority that an engine is asked for, per class (lower runs first).
-CLASS_PRIORITY: Mapping[LengthClass, int] = MappingProxyType({
-    LengthClass.short: 1,
-    LengthClass.medium: 2,
-    LengthClass.long: 3,
-    LengthClass.giant: 4,
-})
+CLASS_PRIORITY: Mapping[LengthClass, int] = MappingProxyType(
+    {
+        LengthClass.short: 1,
+        LengthClass.medium: 2,
+        LengthClass.long: 3,
+        LengthClass.giant: 4,
+    }
+)
 
 #: The priority of work whose slack is nearly spent.
 URGENT_PRIORITY = 0
--- a/trestledock/version/_check.py
+++ b/trestledock/version/_check.py
@@ -152,10 +152,12 @@
 
 _POOL_CHECKS: Mapping[
     TargetKind, Callable[[Configuration, int], Iterator[str]]
-] = MappingProxyType({
-    TargetKind.engine: _check_engine_pool,
-    TargetKind.service: _check_service_pool,
-})
+] = MappingProxyType(
+    {
+        TargetKind.engine: _check_engine_pool,
+        TargetKind.service: _check_service_pool,
+    }
+)
 
 
 def _check_pools(cfg: Configuration) -> Iterator[str]:
--- a/trestledock/version/_reader.py
+++ b/trestledock/version/_reader.py
@@ -108,4 +108,3 @@
         if entry.offset < self.fold.next_offset:
             return False
         return self.fold.apply(entry.offset, entry.record)
-
--- a/trestledock/version/_selector.py
+++ b/trestledock/version/_selector.py
@@ -45,12 +45,14 @@
 
 Selector = tuple[Term, ...]
 
-_CHECKS: Mapping[Op, Callable[[Term, Labels], bool]] = MappingProxyType({
-    Op.in_: lambda term, labels: labels.get(term.key) in term.of,
-    Op.not_in: lambda term, labels: labels.get(term.key) not in term.of,
-    Op.present: lambda term, labels: term.key in labels,
-    Op.absent: lambda term, labels: term.key not in labels,
-})
+_CHECKS: Mapping[Op, Callable[[Term, Labels], bool]] = MappingProxyType(
+    {
+        Op.in_: lambda term, labels: labels.get(term.key) in term.of,
+        Op.not_in: lambda term, labels: labels.get(term.key) not in term.of,
+        Op.present: lambda term, labels: term.key in labels,
+        Op.absent: lambda term, labels: term.key not in labels,
+    }
+)
 
 
 def find_failing_term(selector: Selector, labels: Labels) -> Term | None:
