--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,31 @@
+"""Scenario files, each run on the virtual clock with every promise checked."""
+
+import unittest
+from pathlib import Path
+
+from nose2.tools import params
+
+from trestledock.proof import ScenarioError, run_scenario
+
+FOLDER = Path(__file__).parent.parent / 'scenarios'
+NAMES = sorted(path.stem for path in FOLDER.glob('*.txt'))
+
+
+class ScenarioFiles(unittest.TestCase):
+    """Every file in scenarios/ holds."""
+
+    @params(*NAMES)
+    def test_file(self, name):
+        text = (FOLDER / f'{name}.txt').read_text()
+        self.assertEqual(run_scenario(text), [])
+
+    def test_same_verdict_each_time(self):
+        text = 'fleet a:2:1:1\ntraffic call rate=9 from=9 until=12\nend 20'
+        expect = f'{text}\nexpect answered call 1.1'
+        self.assertEqual(run_scenario(expect), run_scenario(expect))
+        self.assertEqual(len(run_scenario(expect)), 1)
+
+    @params('fly 3', 'at 3 explode', 'traffic call', 'end soon')
+    def test_unknown_words(self, line):
+        with self.assertRaisesRegex(ScenarioError, 'line 1'):
+            run_scenario(line)
--- a/trestledock/process/_actions.py
+++ b/trestledock/process/_actions.py
@@ -129,6 +129,7 @@
     publish_id: str
     accepted: bool
     version: int
+    base: int
     detail: str = ''
 
 
--- a/trestledock/process/_answers.py
+++ b/trestledock/process/_answers.py
@@ -10,6 +10,7 @@
 from trestledock.process._actions import EmitChunks, ResumeStream
 from trestledock.process._choosing import choose_service
 from trestledock.process._dispatching import (
+    make_waiting,
     pump,
     send_piece,
     send_reservation,
@@ -29,7 +30,6 @@
     PieceDone,
     StreamDone,
 )
-from trestledock.process._queue import Waiting
 from trestledock.process._state import State
 from trestledock.process._timers import GapDue, RetryDue
 from trestledock.request import (
@@ -137,6 +137,8 @@
         return
     target = state.get_targets()[live.attempt.target]
     target.breaker.fail(now)
+    if message.not_started and live.shares:
+        state.hold_ids.note_rejection(live.shares[0].hold)
     release_attempt(state, live, is_whole=False)
     _retry(state, live, message, now)
 
@@ -150,10 +152,7 @@
         _call_again(state, live, now)
         return
     live.enter(Phase.queued)
-    cfg = state.version.cfg
-    team = cfg.get_team_by_name(live.req.team) if cfg else None
-    weight = team.weight if team else 1
-    state.get_queue(live.pool).push(Waiting(live.req, live.cost, weight))
+    state.get_queue(live.pool).push(make_waiting(state, live))
     pump(state, live.pool, now)
 
 
--- a/trestledock/process/_applying.py
+++ b/trestledock/process/_applying.py
@@ -41,10 +41,10 @@
         verdict = state.reader.fold.verdicts.get(publish_id)
         if verdict is None:
             continue
-        state.publishing.pop(publish_id)
+        wait = state.publishing.pop(publish_id)
         detail = '' if verdict else 'another version was accepted before'
         number = state.version.number
-        state.act(Published(publish_id, verdict, number, detail))
+        state.act(Published(publish_id, verdict, number, wait.base, detail))
 
 
 def _apply_configuration(state: State, accepted: Accepted) -> None:
--- a/trestledock/process/_arrivals.py
+++ b/trestledock/process/_arrivals.py
@@ -14,15 +14,19 @@
 )
 from trestledock.process._choosing import Field as CandidateField
 from trestledock.process._claiming import ask_claim
-from trestledock.process._dispatching import pump, start_call
+from trestledock.process._dispatching import (
+    get_team,
+    make_waiting,
+    pump,
+    start_call,
+)
 from trestledock.process._ending import refuse
 from trestledock.process._live import Live, Phase
 from trestledock.process._messages import Arrive, CallerGone
-from trestledock.process._queue import MAX_QUEUED, Waiting
+from trestledock.process._queue import MAX_QUEUED
 from trestledock.process._state import State
 from trestledock.process._timers import DeadlinePassed
 from trestledock.request import Kind, Reason, Request
-from trestledock.version import Team
 
 #: How many streams share an engine's decoding, for the cost of a request.
 DECODE_SHARE = 16
@@ -64,13 +68,6 @@
         refuse(state, live, reason, DEFAULT_WAIT_S)
 
 
-def get_team(state: State, req: Request) -> Team:
-    """Return the team of a request that has passed the basic checks."""
-    cfg = state.version.cfg
-    team = cfg.get_team_by_name(req.team) if cfg else None
-    return team or Team(req.team)
-
-
 def _check_basics(state: State, req: Request, now: float) -> Reason:
     cfg = state.version.cfg
     if state.shutting_down:
@@ -115,7 +112,8 @@
     if _refuse_late(state, live, best, wait_s, now):
         return
     state.get_budget(live.pool).earn()
-    queue.push(Waiting(live.req, live.cost, team.weight))
+    live.least_s = best.prefill_s + best.decode_s
+    queue.push(make_waiting(state, live))
     pump(state, live.pool, now)
 
 
--- a/trestledock/process/_choosing.py
+++ b/trestledock/process/_choosing.py
@@ -21,6 +21,7 @@
     Request,
 )
 from trestledock.version import (
+    Labels,
     Pool,
     get_permission,
     get_pool_by_request,
@@ -30,10 +31,31 @@
 
 #: Prompt tokens in a block whose hash is remembered for affinity.
 PREFIX_BLOCK = 512
-#: The share of predicted time that cached prefixes may outweigh.
+#: Sets of work labels whose permits are remembered.
+MAX_PERMITS = 1024
+#: The classes that the lane of long prompts is for.
 LONG_CLASSES = frozenset((LengthClass.long, LengthClass.giant))
 
 
+@dataclass(frozen=True)
+class Permitted:
+    """A target that some work may run on, and how much it is preferred."""
+
+    target: Target
+    preference: int
+
+
+@dataclass(frozen=True)
+class Permits:
+    """Where work with certain labels may run; `stamp` says as of when."""
+
+    stamp: tuple[int, int]
+    pool: Pool | None
+    targets: tuple[Permitted, ...] = ()
+    reason: Reason = Reason.none
+    detail: str = ''
+
+
 @dataclass(frozen=True)
 class Candidate:
     """A permitted, live engine with what is predicted for the work there."""
@@ -91,53 +113,77 @@
     return CLASS_PRIORITY[req.length_class]
 
 
-def find_permitted(state: State, req: Request) -> tuple[list[Target], Field]:
-    """Apply the selectors in force; the field says why nothing is left."""
+def find_permitted(state: State, req: Request) -> Permits:
+    """Apply the selectors in force; the reason says why nothing is left.
+
+    The answer holds for all work with the same labels, until the version in
+    force or the fleet changes.
+    """
+    labels = get_work_labels(req, state.identity.data_centre)
+    work = tuple(labels.values())
+    stamp = (state.version.number, state.fleet.revision)
+    known = state.permits.get(work)
+    if known is None or known.stamp != stamp:
+        known = _apply_selectors(state, req, labels, stamp)
+        state.permits[work] = known
+        if len(state.permits) > MAX_PERMITS:
+            state.permits.pop(next(iter(state.permits)))
+    return known
+
+
+def _apply_selectors(
+    state: State,
+    req: Request,
+    work: Labels,
+    stamp: tuple[int, int],
+) -> Permits:
     cfg = state.version.cfg
     if cfg is None:
-        return [], Field(None, reason=Reason.no_configuration)
+        return Permits(stamp, None, reason=Reason.no_configuration)
     pool = get_pool_by_request(cfg, req)
     if pool is None:
         reason = Reason.unknown_service if req.service else Reason.unknown_model
-        return [], Field(None, reason=reason)
-    work = get_work_labels(req, state.identity.data_centre)
+        return Permits(stamp, None, reason=reason)
     rules = get_rules_by_work(cfg, work)
     permitted = []
     forbidden_by = ''
     for target in state.get_targets().values():
-        labels = state.fleet.get_labels(target)
-        permission = get_permission(pool, rules, labels)
+        permission = get_permission(
+            pool,
+            rules,
+            state.fleet.get_labels(target),
+        )
         if permission.allowed:
-            target.preference = permission.preference
-            permitted.append(target)
+            permitted.append(Permitted(target, permission.preference))
         else:
             forbidden_by = permission.forbidden_by
     if permitted:
-        return permitted, Field(pool)
+        return Permits(stamp, pool, tuple(permitted))
     reason = Reason.no_permitted_target
-    return [], Field(pool, reason=reason, detail=forbidden_by)
+    return Permits(stamp, pool, reason=reason, detail=forbidden_by)
 
 
 def find_candidates(state: State, req: Request, now: float) -> Field:
     """Return the live permitted engines with their predictions."""
-    permitted, field = find_permitted(state, req)
-    if field.pool is None or not permitted:
-        return field
+    permits = find_permitted(state, req)
+    if permits.pool is None or not permits.targets:
+        return Field(permits.pool, (), permits.reason, permits.detail)
+    model = str(req.model)
     usable = [
-        target
-        for target in permitted
-        if state.fleet.is_usable(target, now)
-        and str(req.model) in target.models
-        and now - target.load.reported_at < STALE_S
+        one
+        for one in permits.targets
+        if state.fleet.is_usable(one.target, now)
+        and model in one.target.models
+        and now - one.target.load.reported_at < STALE_S
     ]
     if not usable:
-        return Field(field.pool, reason=Reason.no_live_target)
-    best = max(target.preference for target in usable)
-    lane = _get_lane(state, field.pool, usable)
+        return Field(permits.pool, reason=Reason.no_live_target)
+    best = max(one.preference for one in usable)
+    lane = _get_lane(state, permits.pool, usable)
     candidates = tuple(
-        _predict(state, req, target, now, best, lane) for target in usable
+        _predict(state, req, one, now, best, lane) for one in usable
     )
-    return Field(field.pool, candidates)
+    return Field(permits.pool, candidates)
 
 
 def choose_engine(
@@ -150,19 +196,19 @@
 
 def choose_service(state: State, req: Request, now: float) -> Field:
     """Return a field with the live permitted services."""
-    permitted, field = find_permitted(state, req)
+    permits = find_permitted(state, req)
     usable = [
-        target for target in permitted if state.fleet.is_usable(target, now)
+        one for one in permits.targets if state.fleet.is_usable(one.target, now)
     ]
-    if permitted and not usable:
-        return Field(field.pool, reason=Reason.no_live_target)
-    best = max((target.preference for target in usable), default=0)
+    if permits.targets and not usable:
+        return Field(permits.pool, reason=Reason.no_live_target)
+    best = max((one.preference for one in usable), default=0)
     candidates = tuple(
-        Candidate(target, 0, 0, 0, float(target.in_flight), 0)
-        for target in usable
-        if target.preference == best
+        Candidate(one.target, 0, 0, 0, float(one.target.in_flight), 0)
+        for one in usable
+        if one.preference == best
     )
-    return Field(field.pool, candidates, field.reason, field.detail)
+    return Field(permits.pool, candidates, permits.reason, permits.detail)
 
 
 def draw_two(state: State, candidates: tuple[Candidate, ...]) -> Candidate:
@@ -174,11 +220,12 @@
 def _predict(
     state: State,
     req: Request,
-    target: Target,
+    permitted: Permitted,
     now: float,
     best: int,
     lane: frozenset[str],
 ) -> Candidate:
+    target = permitted.target
     report = target.load.report
     if report is None:
         raise LookupError(f'{target.info.name} has not reported')
@@ -186,7 +233,7 @@
     prefill_s = missing / report.rate
     decode_s = req.max_tokens * report.itl_s
     priority = get_priority(state, req, now, prefill_s + decode_s)
-    penalty_s = (best - target.preference) * state.policy.prefer_s
+    penalty_s = (best - permitted.preference) * state.policy.prefer_s
     in_lane = target.info.name in lane
     if lane and in_lane is not (req.length_class in LONG_CLASSES):
         penalty_s += state.policy.lane_penalty_s
@@ -214,11 +261,11 @@
 def _get_lane(
     state: State,
     pool: Pool,
-    usable: list[Target],
+    usable: list[Permitted],
 ) -> frozenset[str]:
     if not state.policy.lanes:
         return frozenset()
-    names = rank_by_key(pool.name, [one.info.name for one in usable])
+    names = rank_by_key(pool.name, [one.target.info.name for one in usable])
     return frozenset(names[: round(len(names) * state.policy.lane_share)])
 
 
--- a/trestledock/process/_claiming.py
+++ b/trestledock/process/_claiming.py
@@ -92,7 +92,11 @@
     reason: Reason,
     wait_s: float,
 ) -> None:
-    """Refuse a call whose claim can't be had, honestly."""
+    """Refuse a call whose claim can't be had, honestly.
+
+    Where the state of the key is lost, the caller is not told to come back:
+    once it is forgotten that the state was lost, the key would run again.
+    """
     state.count('refused', reason.value)
     end(
         state,
@@ -102,7 +106,7 @@
             reason,
             step=live.phase.value,
             peer=live.req.home,
-            retry_after=jitter_wait(state, wait_s),
+            retry_after=jitter_wait(state, wait_s) if wait_s else 0,
         ),
     )
 
@@ -189,7 +193,7 @@
 ) -> None:
     wait = live.claim
     if wait is None or now + answer.wait_s >= wait.not_after:
-        give_up_claim(state, live, Reason.claim_state_lost, answer.wait_s)
+        give_up_claim(state, live, Reason.claim_state_lost, 0)
 
 
 def _ignore(state: State, live: Live, answer: ClaimAnswer, now: float) -> None:
--- a/trestledock/process/_claims.py
+++ b/trestledock/process/_claims.py
@@ -84,7 +84,7 @@
     """
 
     member: str
-    keep_s: float = 120
+    keep_s: float = 600
     epoch: Epoch | None = None
     claims: dict[str, Claim] = field(default_factory=dict)
     handovers: dict[int, Handover] = field(default_factory=dict)
@@ -267,9 +267,18 @@
             return self._repeat(message, claim, now)
         left = self.get_blind_left(key, now)
         if left > 0:
-            return _make_answer(message, Grant.blind, left)
+            grant = Grant.blind if self._is_lost(key) else Grant.stale
+            return _make_answer(message, grant, left)
         return None
 
+    def _is_lost(self, key: str) -> bool:
+        """Whether nobody is left who could still tell of a blind key."""
+        return all(
+            handover.closed_at is not None
+            for handover in self.handovers.values()
+            if handover.is_blind(key)
+        )
+
     def _repeat(
         self,
         message: ClaimAsk,
--- a/trestledock/process/_dispatching.py
+++ b/trestledock/process/_dispatching.py
@@ -25,11 +25,11 @@
 from trestledock.process._guarding import take_hold
 from trestledock.process._live import Live, Phase, Share
 from trestledock.process._load import Sent
+from trestledock.process._queue import Waiting, get_rank
 from trestledock.process._state import State
-from trestledock.request import AttemptEvent, Reason
+from trestledock.request import AttemptEvent, Reason, Request
+from trestledock.version import Team
 
-#: How many requests in a row may fail to find a place in one round.
-MAX_MISSES = 16
 #: The part of an engine's free memory that a group may take.
 GROUP_FILL = 0.9
 
@@ -43,19 +43,48 @@
 
 
 def pump(state: State, pool: str, now: float) -> None:
-    """Send whatever waits for `pool` and has a place now."""
+    """Send whatever waits for `pool` and has a place now.
+
+    Where one request finds no place, another of the same kind and class finds
+    none either in this round.
+    """
     queue = state.get_queue(pool)
-    misses = 0
+    without_place: set[tuple[str, ...]] = set()
     for waiting in tuple(queue.iter_next()):
         live = state.live.get(waiting.req.req_id)
+        shape = get_shape(waiting.req)
         if live is None:
             queue.remove(waiting.req.req_id)
-        elif place(state, live, now):
-            queue.charge(waiting)
-        else:
-            misses += 1
-        if misses > MAX_MISSES:
-            break
+        elif _is_hopeless(state, waiting, now):
+            refuse(state, live, Reason.deadline_unreachable, live.cost)
+        elif shape not in without_place:
+            if place(state, live, now):
+                queue.charge(waiting)
+            else:
+                without_place.add(shape)
+
+
+def get_team(state: State, req: Request) -> Team:
+    """Return the team of a request that has passed the basic checks."""
+    cfg = state.version.cfg
+    team = cfg.get_team_by_name(req.team) if cfg else None
+    return team or Team(req.team)
+
+
+def make_waiting(state: State, live: Live) -> Waiting:
+    """Return a live request as it waits in the fair queue."""
+    return Waiting(
+        live.req,
+        live.cost,
+        get_team(state, live.req).weight,
+        live.least_s,
+        get_rank(live.req),
+    )
+
+
+def get_shape(req: Request) -> tuple[str, ...]:
+    """Return what decides, besides memory, on whether a request fits."""
+    return (req.team, str(req.model), req.length_class.value)
 
 
 def pump_all(state: State, now: float) -> None:
@@ -69,9 +98,6 @@
     field = find_candidates(state, live.req, now)
     if not field.candidates:
         return False
-    if _is_hopeless(state, live, field, now):
-        refuse(state, live, Reason.deadline_unreachable, live.cost)
-        return False
     if live.req.total_tokens > field.capacity:
         return _place_group(state, live, field, now)
     ready = tuple(
@@ -277,16 +303,9 @@
     return live.attempt.target != one.target.info.name
 
 
-def _is_hopeless(
-    state: State,
-    live: Live,
-    field: CandidateField,
-    now: float,
-) -> bool:
-    if not state.policy.admission:
-        return False
-    least = min(one.prefill_s + one.decode_s for one in field.candidates)
-    return now + least > live.req.deadline
+def _is_hopeless(state: State, waiting: Waiting, now: float) -> bool:
+    late = now + waiting.least_s > waiting.req.deadline
+    return state.policy.admission and late
 
 
 def _place_group(
--- a/trestledock/process/_duties.py
+++ b/trestledock/process/_duties.py
@@ -50,8 +50,18 @@
 
 
 def mark_gone_peers(state: State, now: float) -> None:
-    """Mark the peers of the data centre that have fallen silent."""
-    for peer in get_local_peers(state):
+    """Mark the peers that have fallen silent.
+
+    Those are the peers of the data centre and the owners of guarded holds;
+    other peers send heartbeats too seldom for that.
+    """
+    owners = {watched.owner for watched in state.guard.watched}
+    watched_peers = [
+        peer
+        for name, peer in state.fleet.peers.items()
+        if name in owners and not peer.gone
+    ]
+    for peer in (*get_local_peers(state), *watched_peers):
         member = peer.info.member
         heard_at = now - state.liveness.get_age(member, now)
         if now - max(peer.heard_at, heard_at) > state.timing.peer_dead_s:
@@ -84,8 +94,9 @@
         if peer.info.data_centre != state.identity.data_centre
     ]
     chosen = state.rng.sample(remote, min(REMOTE_FANOUT, len(remote)))
-    for peer in (*local, *chosen):
-        send(state, peer.info.member, heartbeat)
+    members = {peer.info.member for peer in (*local, *chosen)}
+    for member in sorted(members | state.hold_ids.get_guards()):
+        send(state, member, heartbeat)
     for info in state.fleet.get_strangers():
         if info.name != state.identity.instance:
             state.act(ToPeer(info.member, info.address, heartbeat))
--- a/trestledock/process/_explaining.py
+++ b/trestledock/process/_explaining.py
@@ -25,7 +25,7 @@
     """Return a line for the class of the work and one for each target."""
     state = node.state
     cfg = state.version.cfg
-    _, field = find_permitted(state, req)
+    field = find_permitted(state, req)
     if cfg is None or field.pool is None:
         return [f'refused: {field.reason.value}']
     pool = get_pool_by_request(cfg, req)
--- a/trestledock/process/_fleet.py
+++ b/trestledock/process/_fleet.py
@@ -38,7 +38,6 @@
     load: EngineLoad = field(default_factory=EngineLoad)
     breaker: Breaker = field(default_factory=Breaker)
     in_flight: int = 0
-    preference: int = 0
     polled: bool = False
     ordered_at: float = float('-inf')
     cached: set[str] = field(default_factory=set)
@@ -77,6 +76,7 @@
     peers: dict[str, Peer] = field(default_factory=dict)
     leaving: set[str] = field(default_factory=set)
     replaced: set[str] = field(default_factory=set)
+    revision: int = 0
     listed_peers: tuple[PeerInfo, ...] = ()
 
     def take_targets(
@@ -90,6 +90,8 @@
             known = self.targets.get(info.name)
             if info.key in self.replaced:
                 continue
+            if known is None or known.info != info:
+                self.revision += 1
             if known is None:
                 self.targets[info.name] = Target(info, heard_at=now)
             elif known.info.incarnation != info.incarnation:
--- a/trestledock/process/_guarding.py
+++ b/trestledock/process/_guarding.py
@@ -57,11 +57,12 @@
     block.asked_at = now
     live = {peer.info.member for peer in get_guards(state)}
     block.kept_by &= live
-    block.guards &= live
+    _dismiss(state, block, block.guards - live)
     for peer in get_guards(state):
         if len(block.guards) >= GUARDS:
             break
         block.guards.add(peer.info.member)
+    block.told |= block.guards
     for member in sorted(block.guards - block.kept_by):
         payload = HoldBlock(
             target.info.key,
@@ -101,9 +102,7 @@
 def keep_blocks(state: State, now: float) -> None:
     """Retire spent blocks and replace guards that are gone."""
     for done in state.hold_ids.pop_done():
-        for member in sorted(done.guards):
-            payload = HoldBlock(done.target, '', done.first, done=True)
-            send(state, member, payload)
+        _dismiss(state, done, done.told)
     targets = {
         target.info.key: target for target in state.get_targets().values()
     }
@@ -129,6 +128,13 @@
         state.act(CancelHolds(key, address, holds[:BLOCK_SIZE]))
 
 
+def _dismiss(state: State, block: Block, members: set[str]) -> None:
+    for member in sorted(members):
+        payload = HoldBlock(block.target, '', block.first, done=True)
+        send(state, member, payload)
+    block.guards -= members
+
+
 def _drop_block(state: State, block: Block) -> None:
     state.hold_ids.blocks.pop((block.target, block.first))
     state.hold_ids.current.pop(block.target, None)
--- a/trestledock/process/_holds.py
+++ b/trestledock/process/_holds.py
@@ -15,6 +15,8 @@
 
 #: Ids in a block.
 BLOCK_SIZE = 64
+#: Rejected ids after which a block is not used any more.
+MAX_REJECTIONS = 2
 #: Peers that guard a block.
 GUARDS = 2
 
@@ -40,9 +42,11 @@
     first: int
     next_number: int
     guards: set[str] = field(default_factory=set)
+    told: set[str] = field(default_factory=set)
     kept_by: set[str] = field(default_factory=set)
     open_ids: set[str] = field(default_factory=set)
     asked_at: float = float('-inf')
+    rejections: int = 0
     closed: bool = False
 
     @property
@@ -88,6 +92,23 @@
         for block in self.blocks.values():
             block.open_ids.discard(hold)
 
+    def get_guards(self) -> set[str]:
+        """Return the peers that were ever told of a block in use.
+
+        They must hear this instance live, or they would cancel the block.
+        """
+        return set().union(*(block.told for block in self.blocks.values()))
+
+    def note_rejection(self, hold: str) -> None:
+        """Close a block whose ids an engine keeps refusing.
+
+        A peer that took this instance for gone may have cancelled the block.
+        """
+        for block in self.blocks.values():
+            if hold in block.open_ids:
+                block.rejections += 1
+                block.closed = block.rejections >= MAX_REJECTIONS
+
     def pop_done(self) -> list[Block]:
         """Remove and return the blocks that need no guard any more."""
         done = [block for block in self.blocks.values() if block.is_done]
--- a/trestledock/process/_live.py
+++ b/trestledock/process/_live.py
@@ -80,6 +80,7 @@
     arrived_at: float
     pool: str
     cost: float = 0
+    least_s: float = 0
     phase: Phase = Phase.queued
     attempts: list[Attempt] = field(default_factory=list)
     assembler: Assembler = field(default_factory=lambda: Assembler(0))
--- a/trestledock/process/_node.py
+++ b/trestledock/process/_node.py
@@ -58,10 +58,14 @@
         return self.state.timers.get_next()
 
     def is_ready(self) -> bool:
-        """Whether requests can be served: a version is in force."""
+        """Whether requests can be served.
+
+        A version must be in force and the instance list must be known.
+        """
         if self.unready or self.state.shutting_down:
             return False
-        return self.state.version.cfg is not None
+        known = bool(self.state.fleet.targets)
+        return known and self.state.version.cfg is not None
 
     def is_drained(self) -> bool:
         """Whether the instance can end without cutting anything short."""
--- a/trestledock/process/_platform.py
+++ b/trestledock/process/_platform.py
@@ -85,14 +85,16 @@
 
 def on_publish(message: Publish, state: State, now: float) -> None:
     """Check a configuration and begin to publish it."""
+    base = message.base
     checked = check_configuration(message.body)
     errors = checked.swap().value_or(None)
     if errors is not None:
         number = state.version.number
         detail = str(errors)
-        state.act(Published(message.publish_id, False, number, detail))
+        state.act(
+            Published(message.publish_id, False, number, base, detail),
+        )
         return
-    base = message.base
     if base < 0:
         base = get_base(state, CONFIGURATION)
     state.publishing.setdefault(
--- a/trestledock/process/_queue.py
+++ b/trestledock/process/_queue.py
@@ -23,13 +23,24 @@
 MAX_QUEUED = 4096
 
 
+def get_rank(req: Request) -> int:
+    """Return the rank of a request's length class, the shortest first."""
+    return list(LengthClass).index(req.length_class)
+
+
 @dataclass(frozen=True)
 class Waiting:
-    """A queued request with its predicted cost in engine seconds."""
+    """A queued request with its predicted cost in engine seconds.
+
+    `least_s` is the least time that it takes once it is sent, `rank` that of
+    its length class.
+    """
 
     req: Request
     cost: float
     weight: float
+    least_s: float = 0
+    rank: int = 0
 
     @property
     def slack_key(self) -> float:
@@ -86,13 +97,12 @@
         The own team's work counts in full; that of the others by their
         share while both wait, at most all of it.
         """
-        classes = list(LengthClass)
-        rank = classes.index(req.length_class)
+        rank = get_rank(req)
         own = 0.0
         others: dict[str, float] = {}
         weights: dict[str, float] = {}
         for waiting in self.waiting.values():
-            if classes.index(waiting.req.length_class) > rank:
+            if waiting.rank > rank:
                 continue
             team = waiting.req.team
             if team == req.team:
@@ -125,6 +135,5 @@
         least: float,
     ) -> tuple[bool, int, float, float]:
         clock = self.clocks.get(waiting.req.team, self.floor)
-        order = list(LengthClass).index(waiting.req.length_class)
         ahead = clock - least > MAX_LEAD_S
-        return ahead, order, clock, waiting.slack_key
+        return ahead, waiting.rank, clock, waiting.slack_key
--- a/trestledock/proof/_callers.py
+++ b/trestledock/proof/_callers.py
@@ -8,14 +8,16 @@
 """
 
 from dataclasses import dataclass, field
-from typing import Iterator
+from typing import Callable
 
 from trestledock.process import Finish
 from trestledock.proof._world import Host, World
-from trestledock.request import Kind, Model, Outcome, Request
+from trestledock.request import Kind, Model, Outcome, Reason, Request
 
 #: How often a key is tried again at the most.
 MAX_REPEATS = 3
+#: What a caller does not repeat: it asks a person instead.
+FINAL_REASONS = frozenset((Reason.claim_state_lost, Reason.claim_taken))
 #: The least wait before a repeat, in seconds.
 REPEAT_S = 0.5
 
@@ -62,7 +64,11 @@
             self.world.at(moment, self._make_sender(traffic, number))
             moment += self.world.rng.expovariate(traffic.rate)
 
-    def _make_sender(self, traffic: Traffic, number: int):  # noqa: ANN202
+    def _make_sender(
+        self,
+        traffic: Traffic,
+        number: int,
+    ) -> Callable[[], None]:
         return lambda: self._send(traffic, f'k{number}', 0)
 
     def _send(self, traffic: Traffic, key: str, repeat: int) -> None:
@@ -101,7 +107,8 @@
         return self.world.rng.choice(hosts)
 
     def _take_finish(self, finish: Finish) -> None:
-        if finish.verdict.outcome is not Outcome.answered:
+        answered = finish.verdict.outcome is Outcome.answered
+        if not answered and finish.verdict.reason not in FINAL_REASONS:
             self._repeat(finish.req.req_id, finish.verdict.retry_after)
 
     def _take_broken(self, req_id: str) -> None:
@@ -121,8 +128,3 @@
 def _get_home(key: str, data_centres: tuple[str, ...]) -> str:
     number = sum(key.encode())
     return data_centres[number % len(data_centres)]
-
-
-def iter_outcomes(world: World) -> Iterator[tuple[str, Finish]]:
-    """Yield the finished requests with their last answers."""
-    yield from world.finishes.items()
--- a/trestledock/proof/_checkers.py
+++ b/trestledock/proof/_checkers.py
@@ -148,38 +148,61 @@
 
 
 def check_versions(history: History) -> list[str]:
-    """An accepted version is in force everywhere in seconds, for good.
+    """An accepted version is in force everywhere in seconds, for good."""
+    accepted = [
+        event
+        for event in _pick(history, EventType.published)
+        if event.text == 'accepted'
+    ]
+    return [
+        *_find_reverted(history),
+        *_find_twice_accepted(accepted),
+        *_find_late(history, accepted),
+    ]
 
-    `limit` of a publication's event is the instant from which on all
-    instances were connected; whoever lived from then on must have it.
-    """
+
+def _find_reverted(history: History) -> list[str]:
+    known: dict[str, int] = {}
     violations = []
-    at_node: dict[str, list[Event]] = defaultdict(list)
     for event in _pick(history, EventType.version):
-        known = at_node[event.who]
-        if known and known[-1].number > event.number:
+        if event.number < known.get(event.who, -1):
             violations.append(f'{event.who} reverted to {event.number}')
-        known.append(event)
+        known[event.who] = event.number
+    return violations
+
+
+def _find_twice_accepted(accepted: list[Event]) -> list[str]:
+    """Of operators that race from one version only one is told `accepted`."""
+    seen: dict[float, str] = {}
+    violations = []
+    for event in accepted:
+        other = seen.setdefault(event.limit, event.key)
+        if other != event.key:
+            violations.append(f'{event.key} and {other} were both accepted')
+    return violations
+
+
+def _find_late(history: History, accepted: list[Event]) -> list[str]:
+    """An instance that can't hear has its time from when it can again."""
     ended = {event.who for event in _pick(history, EventType.ended)}
-    final = max(
-        (event.number for event in _pick(history, EventType.version)),
-        default=-1,
+    healed = max(
+        (event.at for event in _pick(history, EventType.healed)),
+        default=0,
     )
-    for publication in _pick(history, EventType.published):
-        if publication.text != 'accepted':
-            continue
-        final = max(final, publication.number)
-        due = max(publication.at, publication.limit) + VERSION_SLACK_S
-        for who, events in at_node.items():
-            late = min(
-                (
-                    event.at
-                    for event in events
-                    if event.number >= publication.number
-                ),
-                default=float('inf'),
-            )
-            if who not in ended and late > due:
+    reached: dict[tuple[str, int], float] = {}
+    for event in _pick(history, EventType.version):
+        reached.setdefault((event.who, event.number), event.at)
+    living = {who for who, _ in reached} - ended
+    violations = []
+    for publication in accepted:
+        due = max(publication.at, healed) + VERSION_SLACK_S
+        for who in sorted(living):
+            times = [
+                at
+                for (one, number), at in reached.items()
+                if one == who and number >= publication.number
+            ]
+            if min(times, default=float('inf')) > due:
                 violations.append(
                     f'{who} had not version {publication.number} in time',
                 )
--- a/trestledock/proof/_history.py
+++ b/trestledock/proof/_history.py
@@ -22,6 +22,7 @@
     outcome = 'outcome'
     broken = 'broken'
     frozen = 'frozen'
+    healed = 'healed'
     leaving = 'leaving'
     version = 'version'
     published = 'published'
--- a/trestledock/proof/_scenario.py
+++ b/trestledock/proof/_scenario.py
@@ -30,9 +30,21 @@
 from trestledock.request import Kind, Outcome
 from trestledock.standin import EngineSpec
 
+#: The actions that a pause just before the write can hold back.
+STALLED = MappingProxyType(
+    {
+        'call': 'CallService',
+        'order': 'GiveOrder',
+        'append': 'AppendRecord',
+    }
+)
+
 SWITCHES = MappingProxyType({'on': True, 'off': False})
 
 
+Expectation = Callable[['Run', tuple[str, ...]], list[str]]
+
+
 class ScenarioError(Exception):
     """A line that is not understood, with its number."""
 
@@ -198,7 +210,13 @@
 
 
 def _stall(world: World, words: list[str]) -> None:
-    world.hosts[words[0]].stall_s = float(words[1])
+    kind = STALLED[words[2]]
+    world.hosts[words[0]].stalls[kind] = float(words[1])
+
+
+def _hang_up(world: World, words: list[str]) -> None:
+    for name in words:
+        world.hang_up(world.hosts[name])
 
 
 def _cut(world: World, words: list[str]) -> None:
@@ -209,17 +227,9 @@
 
 def _expand(world: World, text: str) -> list[str]:
     """Return the places that a word names: hosts, data centres, or `rest`."""
-    places = {
-        **{name: host.data_centre for name, host in world.hosts.items()},
-        **{
-            name: target.info.labels['data_centre']
-            for name, target in (
-                *world.engines.items(),
-                *world.services.items(),
-            )
-        },
-        'platform': 'platform',
-    }
+    places = {'platform': 'platform'}
+    for name in (*world.hosts, *world.engines, *world.services):
+        places[name] = world.get_data_centre(name)
     names = text.split(',')
     if 'rest' in names:
         return list(places)
@@ -232,11 +242,13 @@
 
 def _heal(world: World, words: list[str]) -> None:
     world.switches.cuts.clear()
+    world.note(EventType.healed)
 
 
 def _outage(world: World, words: list[str]) -> None:
     world.switches.outage = SWITCHES[words[0]]
     world.switches.list_outage = SWITCHES[words[0]]
+    world.note(EventType.healed)
 
 
 def _lose(world: World, words: list[str]) -> None:
@@ -272,6 +284,11 @@
         world.revive_engine(name)
 
 
+def _mute(world: World, words: list[str]) -> None:
+    for name in words:
+        world.engines[name].muted = True
+
+
 def _leave(world: World, words: list[str]) -> None:
     world.mark_leaving(words[0], listed=words[1] == 'listed')
 
@@ -284,6 +301,7 @@
         'stop': _stop,
         'freeze': _freeze,
         'stall': _stall,
+        'hang-up': _hang_up,
         'cut': _cut,
         'heal': _heal,
         'outage': _outage,
@@ -293,6 +311,7 @@
         'kill-engine': _kill_engine,
         'revive-engine': _revive_engine,
         'leave': _leave,
+        'mute': _mute,
     }
 )
 
@@ -319,7 +338,8 @@
     """Expect a share of the requests of a kind to end so, between instants."""
     kind = Kind(words[0])
     least = float(words[1])
-    start, stop = (float(text) for text in (*words[2:4], 0, 1e9)[:2])
+    bounds = [float(text) for text in words[2:]]
+    start, stop = bounds or (0, float('inf'))
     events = [
         event
         for event in run.get_world().history
@@ -358,20 +378,18 @@
     return [] if found == wanted else [f'{found} conflicts: {verdicts}']
 
 
-_EXPECTATIONS: Mapping[str, Callable[[Run, tuple[str, ...]], list[str]]] = (
-    MappingProxyType(
-        {
-            **{
-                outcome.value: (
-                    lambda run, words, outcome=outcome: _expect_share(
-                        run, outcome, words
-                    )
-                )
-                for outcome in Outcome
-            },
-            'refused': _expect_refused,
-            'count': _expect_count,
-            'conflicts': _expect_conflicts,
-        }
-    )
+def _make_share_check(outcome: Outcome) -> Expectation:
+    def check(run: Run, words: tuple[str, ...]) -> list[str]:  # noqa: WPS430
+        return _expect_share(run, outcome, words)
+
+    return check
+
+
+_EXPECTATIONS: Mapping[str, Expectation] = MappingProxyType(
+    {
+        **{outcome.value: _make_share_check(outcome) for outcome in Outcome},
+        'refused': _expect_refused,
+        'count': _expect_count,
+        'conflicts': _expect_conflicts,
+    }
 )
--- a/trestledock/proof/_world.py
+++ b/trestledock/proof/_world.py
@@ -95,7 +95,7 @@
     inbox: list[Any] = field(default_factory=list)
     tick_at: float = float('inf')
     version: int = -1
-    stall_s: float = 0
+    stalls: dict[str, float] = field(default_factory=dict)
     requests: dict[str, Request] = field(default_factory=dict)
     seeds: dict[str, str] = field(default_factory=dict)
     keys: dict[str, str] = field(default_factory=dict)
@@ -123,6 +123,7 @@
     info: TargetInfo
     alive: bool = True
     silent_leaving: bool = False
+    muted: bool = False
     routes: dict[str, Route] = field(default_factory=dict)
     wake_at: float = float('inf')
     reports: list[tuple[float, LoadReport]] = field(default_factory=list)
@@ -250,11 +251,11 @@
 
     def refresh_list(self) -> None:
         """Let the instance list see what is there now."""
-        targets = tuple(
-            one.info
-            for one in (*self.engines.values(), *self.services.values())
-            if one.alive
-        )
+        hosts: list[EngineHost | ServiceHost] = [
+            *self.engines.values(),
+            *self.services.values(),
+        ]
+        targets = tuple(one.info for one in hosts if one.alive)
         peers = tuple(
             PeerInfo(
                 host.name,
@@ -320,6 +321,7 @@
     def thaw(self, host: Host) -> None:
         """Let an instance go on; what came meanwhile arrives at once."""
         host.frozen = False
+        self.note(EventType.healed, who=host.name)
         waiting = host.inbox
         host.inbox = []
         for message in waiting:
@@ -358,9 +360,20 @@
             for left, right in self.switches.cuts
         )
 
+    def get_data_centre(self, name: str) -> str:
+        """Return the data centre of a host or target."""
+        if name in self.hosts:
+            return self.hosts[name].data_centre
+        target = self.engines.get(name) or self.services.get(name)
+        return target.info.labels.get('data_centre', '') if target else ''
+
     def get_delay(self, one: str, other: str) -> float:
         """Return a delay one way between two places."""
-        base = NEAR_S if self._get_dc(one) == self._get_dc(other) else FAR_S
+        base = (
+            NEAR_S
+            if self.get_data_centre(one) == self.get_data_centre(other)
+            else FAR_S
+        )
         jitter = self.rng.uniform(0.5, 1.5)
         extra = 0.0
         if self.switches.reorder_s:
@@ -401,6 +414,21 @@
             moment = self.now + self.get_delay(peer, host.name)
             self.at(moment, lambda: self._arrive(host, peer, message))
 
+    def hang_up(self, host: Host) -> None:
+        """Let every caller of an instance leave."""
+        for req_id in tuple(host.requests):
+            host.requests.pop(req_id)
+            self._break(host, req_id)
+            self.tell(host, CallerGone(req_id))
+
+    def stall(self, host: Host, action: Any) -> bool:
+        """Hold one action back, as a pause just before its write would."""
+        stall_s = host.stalls.pop(type(action).__name__, 0)
+        if stall_s:
+            moment = self.now + stall_s
+            self.at(moment, lambda: perform(action, self, host))
+        return stall_s > 0
+
     def pump_engine(self, name: str) -> None:
         """Pass on what an engine has done, and wake up for the next."""
         engine = self.engines[name]
@@ -427,7 +455,7 @@
         event: EngineEvent,
     ) -> None:
         route = engine.routes.get(event.hold)
-        if route is None:
+        if route is None or engine.muted:
             return
         if not self.can_reach(name, route.host.name):
             engine.routes.pop(event.hold)
@@ -450,12 +478,6 @@
         if self.can_reach(peer, host.name):
             self.tell(host, message)
 
-    def _get_dc(self, name: str) -> str:
-        if name in self.hosts:
-            return self.hosts[name].data_centre
-        target = self.engines.get(name) or self.services.get(name)
-        return target.info.labels.get('data_centre', '') if target else ''
-
     def _poll(
         self,
         host: Host,
@@ -583,8 +605,9 @@
     def _end_when_drained(self, host: Host) -> None:
         if not host.alive:
             return
-        if host.node.is_drained() and not host.requests:
+        if host.node.is_drained():
             host.alive = False
+            self._break_all(host)
             self.note(EventType.ended, who=host.name, text='drained')
             self.refresh_list()
         else:
@@ -672,13 +695,7 @@
 
 @perform.register
 def _(action: CallService, world: World, host: Host) -> None:
-    if host.stall_s:
-        stall_s = host.stall_s
-        host.stall_s = 0
-        world.at(
-            world.now + stall_s,
-            lambda: perform(action, world, host),
-        )
+    if world.stall(host, action):
         return
     name = action.target
     service = world.services[name]
@@ -771,10 +788,7 @@
 
 @perform.register
 def _(action: AppendRecord, world: World, host: Host) -> None:
-    if host.stall_s:
-        stall_s = host.stall_s
-        host.stall_s = 0
-        world.at(world.now + stall_s, lambda: perform(action, world, host))
+    if world.stall(host, action):
         return
     reachable = world.can_reach(host.name, PLATFORM)
     if world.switches.outage or not reachable:
@@ -790,10 +804,7 @@
 
 @perform.register
 def _(action: GiveOrder, world: World, host: Host) -> None:
-    if host.stall_s:
-        stall_s = host.stall_s
-        host.stall_s = 0
-        world.at(world.now + stall_s, lambda: perform(action, world, host))
+    if world.stall(host, action):
         return
     name = action.target
     engine = world.engines[name]
@@ -856,6 +867,7 @@
         who=host.name,
         key=action.publish_id,
         number=action.version,
+        limit=action.base,
         text='accepted' if action.accepted else 'conflict',
     )
 
--- a/trestledock/request/_request.py
+++ b/trestledock/request/_request.py
@@ -13,6 +13,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from functools import cached_property
 from types import MappingProxyType
 from typing import Mapping
 
@@ -106,7 +107,7 @@
     home: str = ''
     first_attempt: bool = False
 
-    @property
+    @cached_property
     def length_class(self) -> LengthClass:
         """The prompt's length class."""
         return get_class_by_tokens(self.prompt_tokens)
--- a/trestledock/version/_schema.py
+++ b/trestledock/version/_schema.py
@@ -75,9 +75,14 @@
 
 @dataclass(frozen=True)
 class Claims:
-    """How long the outcome of a non-idempotent call is remembered."""
+    """How long the outcome of a non-idempotent call is remembered.
 
-    keep_s: float = 120
+    `keep_s` must exceed the time over which callers repeat a key.  It is
+    also how long the keys of a data centre whose instances were all lost at
+    once are answered `unknown`.
+    """
+
+    keep_s: float = 600
     replicas: int = 2
 
 
