--- /dev/null
+++ b/trestledock/bench/_replay.py
@@ -0,0 +1,209 @@
+"""
+Replay
+======
+
+Runs one trace through the same core that the daemon runs, on the virtual
+clock, with modelled engines of two kinds of hardware, and measures what
+callers would see.
+"""
+
+from collections import defaultdict
+from dataclasses import dataclass, field, replace
+from statistics import quantiles
+
+from trestledock.bench._trace import (
+    Arrival,
+    get_mean_tokens,
+    keep_short,
+    make_trace,
+)
+from trestledock.process import Policy
+from trestledock.proof import MODEL, Plan, Site, World, build
+from trestledock.request import LengthClass, Outcome
+from trestledock.standin import EngineSpec
+from trestledock.version import Team
+
+#: When the measured part of a run begins, in seconds.
+START_S = 12.0
+#: How long after that a run is in its steady state, in seconds.
+WARM_UP_S = 30.0
+#: How long after the last arrival a run goes on, in seconds.
+TAIL_S = 120.0
+TEAMS = ('desk', 'retail', 'disputes', 'settlement')
+#: Newer and older hardware: how many of each, and what it does.
+NEWER = 12
+OLDER = 6
+NEWER_SPEC = EngineSpec(
+    rate=12_000,
+    itl_s=0.02,
+    capacity_tokens=420_000,
+    stride=32,
+)
+OLDER_SPEC = EngineSpec(
+    rate=6_000,
+    itl_s=0.03,
+    capacity_tokens=300_000,
+    stride=32,
+)
+PERCENT = 100
+
+
+@dataclass(frozen=True)
+class Case:
+    """One run: a policy under a load, with what is made hard for it."""
+
+    name: str
+    policy: Policy = Policy()
+    load: float = 0.7
+    seed: int = 7
+    seconds: float = 90
+    instances: int = 3
+    lag_s: float = 0.2
+    poll_s: float = 0.5
+    short_only: bool = False
+    engines_die: bool = False
+
+
+@dataclass(frozen=True)
+class Row:
+    """What a run measured; times in seconds, goodput in tokens a second."""
+
+    name: str
+    load: float
+    sent: int
+    answered: int
+    refused: int
+    late: int
+    unanswered: int
+    still_open: int
+    goodput: float
+    jain: float
+    ttft: dict[str, tuple[float, float, float]] = field(default_factory=dict)
+
+    def get_p95(self, name: LengthClass) -> float:
+        """Return the 95th percentile of the time to first token."""
+        return self.ttft.get(name.value, (0, 0, 0))[1]
+
+
+def get_capacity() -> float:
+    """Return the prefill tokens a second of the whole fleet."""
+    return NEWER * NEWER_SPEC.rate + OLDER * OLDER_SPEC.rate
+
+
+def get_trace(case: Case) -> list[Arrival]:
+    """Return the trace of a case; its seed is its own."""
+    rate = case.load * get_capacity() / get_mean_tokens()
+    stop = START_S + case.seconds
+    trace = make_trace(case.seed, rate, START_S, stop, TEAMS)
+    return keep_short(trace) if case.short_only else trace
+
+
+def replay(case: Case) -> Row:
+    """Run a case and return what was measured."""
+    world = _build(case)
+    trace = get_trace(case)
+    hosts = list(world.hosts.values())
+    firsts: dict[str, float] = {}
+    for arrival in trace:
+        host = world.rng.choice(hosts)
+        world.at(
+            arrival.at,
+            lambda host=host, one=arrival: world.invoke(host, one.req),
+        )
+    world.on_first_token = lambda req_id: firsts.setdefault(req_id, world.now)
+    if case.engines_die:
+        middle = START_S + case.seconds / 2
+        for number in range((NEWER + OLDER) // 6):
+            name = f'engine-{number * 5}'
+            world.at(middle, lambda name=name: world.kill_engine(name))
+    world.run_until(START_S + case.seconds + TAIL_S)
+    return _measure(case, world, trace, firsts)
+
+
+def _build(case: Case) -> World:
+    world = World(case.seed, policy=case.policy)
+    world.records_chunks = False
+    world.switches.report_lag_s = case.lag_s
+    world.load_poll_s = case.poll_s
+    plan = Plan(
+        seed=case.seed,
+        sites=(Site('a', case.instances, 0, 0),),
+        teams=tuple(Team(name) for name in TEAMS),
+    )
+    for number in range(NEWER + OLDER):
+        spec = NEWER_SPEC if number < NEWER else OLDER_SPEC
+        labels = {'role': 'assistant', 'data_centre': 'a'}
+        loaded = frozenset((str(MODEL),))
+        world.add_engine(f'engine-{number}', labels, spec, loaded)
+    build(plan, world)
+    world.on_finish = None
+    world.on_broken = None
+    return world
+
+
+def _measure(
+    case: Case,
+    world: World,
+    trace: list[Arrival],
+    firsts: dict[str, float],
+) -> Row:
+    ends = {event.req_id: event for event in world.history if event.text}
+    times: dict[str, list[float]] = defaultdict(list)
+    served: dict[str, float] = defaultdict(float)
+    counts: dict[str, int] = defaultdict(int)
+    goodput = 0
+    for arrival in trace:
+        req = arrival.req
+        end = ends.get(req.req_id)
+        if end is None or end.text not in Outcome.__members__:
+            is_over = req.deadline < world.now
+            counts['unanswered' if is_over else 'open'] += 1
+        elif end.text == Outcome.answered.value:
+            counts['answered'] += 1
+            served[req.team] += req.total_tokens
+            if START_S + WARM_UP_S <= end.at < START_S + case.seconds:
+                goodput += req.total_tokens
+            first_s = firsts[req.req_id] - arrival.at
+            times[req.length_class.value].append(first_s)
+        elif end.key == 'deadline_passed':
+            counts['late'] += 1
+        else:
+            counts['refused'] += 1
+    return Row(
+        name=case.name,
+        load=case.load,
+        sent=len(trace),
+        answered=counts['answered'],
+        refused=counts['refused'],
+        late=counts['late'],
+        unanswered=counts['unanswered'],
+        still_open=counts['open'],
+        goodput=round(goodput / (case.seconds - WARM_UP_S), 1),
+        jain=round(get_jain([served[team] for team in TEAMS]), 4),
+        ttft={name: get_percentiles(found) for name, found in times.items()},
+    )
+
+
+def get_percentiles(found: list[float]) -> tuple[float, float, float]:
+    """Return the 50th, 95th and 99th percentile."""
+    if len(found) < 2:
+        return (found[0], found[0], found[0]) if found else (0, 0, 0)
+    cuts = quantiles(found, n=PERCENT, method='inclusive')
+    return (round(cuts[49], 4), round(cuts[94], 4), round(cuts[98], 4))
+
+
+def get_jain(shares: list[float]) -> float:
+    """Return the Jain index of what each team got.
+
+    >>> get_jain([1.0, 1.0])
+    1.0
+    """
+    squares = sum(share**2 for share in shares)
+    if not squares:
+        return 0
+    return sum(shares) ** 2 / (len(shares) * squares)
+
+
+def vary(case: Case, **changes: object) -> Case:
+    """Return a case that differs in a few points."""
+    return replace(case, **changes)  # type: ignore[arg-type]
--- a/trestledock/process/_answers.py
+++ b/trestledock/process/_answers.py
@@ -11,7 +11,7 @@
 from trestledock.process._choosing import choose_service
 from trestledock.process._dispatching import (
     make_waiting,
-    pump,
+    pump_soon,
     send_piece,
     send_reservation,
     start_call,
@@ -58,7 +58,7 @@
         return
     if live.note(message.attempt, AttemptEvent.answer):
         _advance(state, live, message.stop, now)
-        pump(state, live.pool, now)
+        pump_soon(state, live.pool, now)
 
 
 def on_chunk(message: ChunkArrived, state: State, now: float) -> None:
@@ -153,7 +153,7 @@
         return
     live.enter(Phase.queued)
     state.get_queue(live.pool).push(make_waiting(state, live))
-    pump(state, live.pool, now)
+    pump_soon(state, live.pool, now)
 
 
 def on_cancel_confirmed(
@@ -187,7 +187,7 @@
     sent = target.load.sends.get(key)
     if sent and sent.prefilled_at is None:
         target.load.mark_prefilled(key, now)
-        pump(state, live.pool, now)
+        pump_soon(state, live.pool, now)
 
 
 def _end_if_whole(state: State, live: Live, now: float) -> None:
@@ -198,7 +198,7 @@
     state.get_targets()[name].breaker.succeed()
     verdict = Verdict(Outcome.answered, peer=name, tokens=live.emitted)
     end(state, live, verdict)
-    pump(state, live.pool, now)
+    pump_soon(state, live.pool, now)
 
 
 def _resume(state: State, live: Live, message: AttemptFailed) -> bool:
--- a/trestledock/process/_arrivals.py
+++ b/trestledock/process/_arrivals.py
@@ -18,6 +18,7 @@
     get_team,
     make_waiting,
     pump,
+    pump_soon,
     start_call,
 )
 from trestledock.process._ending import refuse
@@ -113,8 +114,12 @@
         return
     state.get_budget(live.pool).earn()
     live.least_s = best.prefill_s + best.decode_s
-    queue.push(make_waiting(state, live))
-    pump(state, live.pool, now)
+    waiting = make_waiting(state, live)
+    queue.push(waiting)
+    if queue.has_before(waiting):
+        pump_soon(state, live.pool, now)
+    else:
+        pump(state, live.pool, now)
 
 
 def get_cost(req: Request, best: Candidate) -> float:
--- a/trestledock/process/_choosing.py
+++ b/trestledock/process/_choosing.py
@@ -234,8 +234,8 @@
     decode_s = req.max_tokens * report.itl_s
     priority = get_priority(state, req, now, prefill_s + decode_s)
     penalty_s = (best - permitted.preference) * state.policy.prefer_s
-    in_lane = target.info.name in lane
-    if lane and in_lane is not (req.length_class in LONG_CLASSES):
+    is_long = req.length_class in LONG_CLASSES
+    if lane and is_long and target.info.name not in lane:
         penalty_s += state.policy.lane_penalty_s
     return Candidate(
         target,
@@ -263,10 +263,27 @@
     pool: Pool,
     usable: list[Permitted],
 ) -> frozenset[str]:
+    """Return the engines that long prompts prefer: the slowest ones.
+
+    The lane is filled up to a share of the pool's rate; among engines of one
+    rate rendezvous hashing decides, so that all instances agree.
+    """
     if not state.policy.lanes:
         return frozenset()
-    names = rank_by_key(pool.name, [one.target.info.name for one in usable])
-    return frozenset(names[: round(len(names) * state.policy.lane_share)])
+    rates = {
+        one.target.info.name: one.target.load.report.rate
+        for one in usable
+        if one.target.load.report
+    }
+    ranked = sorted(rank_by_key(pool.name, rates), key=rates.__getitem__)
+    wanted = sum(rates.values()) * state.policy.lane_share
+    lane = []
+    for name in ranked:
+        if wanted <= 0:
+            break
+        lane.append(name)
+        wanted -= rates[name]
+    return frozenset(lane)
 
 
 def _choose_predicted(
--- a/trestledock/process/_dispatching.py
+++ b/trestledock/process/_dispatching.py
@@ -27,9 +27,12 @@
 from trestledock.process._load import Sent
 from trestledock.process._queue import Waiting, get_rank
 from trestledock.process._state import State
+from trestledock.process._timers import PumpDue
 from trestledock.request import AttemptEvent, Reason, Request
 from trestledock.version import Team
 
+#: For how long events that may make room are gathered, in seconds.
+PUMP_S = 0.01
 #: The part of an engine's free memory that a group may take.
 GROUP_FILL = 0.9
 
@@ -87,10 +90,23 @@
     return (req.team, str(req.model), req.length_class.value)
 
 
+def pump_soon(state: State, pool: str, now: float) -> None:
+    """Try what waits for `pool` within a moment, once for many events."""
+    if state.get_queue(pool).waiting and pool not in state.duties.pumps:
+        state.duties.pumps.add(pool)
+        state.set_timer(now + PUMP_S, PumpDue(pool))
+
+
+def on_pump_due(message: PumpDue, state: State, now: float) -> None:
+    """Try what waits for a pool."""
+    state.duties.pumps.discard(message.pool)
+    pump(state, message.pool, now)
+
+
 def pump_all(state: State, now: float) -> None:
-    """Send whatever waits and has a place now."""
+    """Try whatever waits within a moment."""
     for pool in tuple(state.queues):
-        pump(state, pool, now)
+        pump_soon(state, pool, now)
 
 
 def place(state: State, live: Live, now: float) -> bool:
@@ -279,7 +295,8 @@
     blocks = round(state.policy.piece_s * report.rate / PREFIX_BLOCK)
     piece = max(1, blocks) * PREFIX_BLOCK
     rest = live.get_share().stop - live.position
-    return rest if rest < piece * 3 // 2 else piece
+    whole = live.goal <= state.policy.whole_tokens
+    return rest if whole or rest < piece * 3 // 2 else piece
 
 
 def _get_reserve(live: Live, share: Share) -> int:
--- a/trestledock/process/_load.py
+++ b/trestledock/process/_load.py
@@ -49,12 +49,15 @@
     done: list[Sent] = field(default_factory=list)
     sent_total: int = 0
     _mark: tuple[float, int, int] = (0, 0, 0)
+    _waits: dict[int, float] = field(default_factory=dict)
+    _waits_at: float = float('-inf')
 
     def take_report(self, report: LoadReport, now: float) -> None:
         """Take a report unless a newer one is known."""
         reported_at = now - report.age_s
         if self.report and reported_at <= self.reported_at:
             return
+        self._waits.clear()
         self._learn_others(report, reported_at)
         self.report = report
         self.reported_at = reported_at
@@ -62,6 +65,7 @@
     def add(self, key: tuple[str, int], sent: Sent) -> None:
         """Count a piece of work that is being sent, after the one before."""
         self.remove(key, sent.sent_at)
+        self._waits.clear()
         self.sends[key] = sent
         self.sent_total += sent.tokens
 
@@ -69,23 +73,26 @@
         """Count the prefill of a piece of work as done."""
         sent = self.sends.get(key)
         if sent and sent.prefilled_at is None:
+            self._waits.clear()
             self.sends[key] = replace(sent, prefilled_at=now)
 
     def remove(self, key: tuple[str, int], now: float) -> None:
         """Count work as ended, whatever became of it."""
         sent = self.sends.pop(key, None)
         if sent:
+            self._waits.clear()
             if sent.prefilled_at is None:
                 sent = replace(sent, prefilled_at=now)
             self.done.append(sent)
 
     def predict_wait(self, priority: int, now: float) -> float:
         """Return the seconds until work of `priority` would be started."""
-        report = self.report
-        if report is None:
-            return 0
-        ahead = self._own(priority) + self._others(priority, now)
-        return (ahead + self._rest_of_piece(priority)) / report.rate
+        if now != self._waits_at:
+            self._waits.clear()
+            self._waits_at = now
+        if priority not in self._waits:
+            self._waits[priority] = self._compute_wait(priority, now)
+        return self._waits[priority]
 
     def predict_free(self) -> int:
         """Return the KV tokens that are free, as far as known."""
@@ -111,6 +118,13 @@
             if now - (sent.prefilled_at or now) < KEEP_DONE_S
         ]
 
+    def _compute_wait(self, priority: int, now: float) -> float:
+        report = self.report
+        if report is None:
+            return 0
+        ahead = self._own(priority) + self._others(priority, now)
+        return (ahead + self._rest_of_piece(priority)) / report.rate
+
     def _own(self, priority: int) -> int:
         return sum(
             sent.tokens + sent.rest
--- a/trestledock/process/_policy.py
+++ b/trestledock/process/_policy.py
@@ -23,13 +23,15 @@
     """One set of decisions.
 
     `piece_s` is the length of a prefill piece in engine seconds, zero for
-    whole prompts.  `window_s` is how much prefill may wait at an engine
+    whole prompts; a prompt of up to `whole_tokens` is never cut, since another
+    prompt's piece would get in between.  `window_s` is how much prefill may wait at an engine
     before the rest waits in the fair queue.  `near_s` is the band of
     predictions that count as equal and among which one is drawn.
     """
 
     chooser: Chooser = Chooser.predicted
     piece_s: float = 0.2
+    whole_tokens: int = 8_192
     priorities: bool = True
     lanes: bool = False
     lane_share: float = 0.34
--- a/trestledock/process/_queue.py
+++ b/trestledock/process/_queue.py
@@ -83,6 +83,13 @@
         """Note that a request no longer runs."""
         self.running.pop(req_id, None)
 
+    def has_before(self, waiting: Waiting) -> bool:
+        """Whether others of its class or a shorter one wait, too."""
+        return any(
+            other.rank <= waiting.rank and other is not waiting
+            for other in self.waiting.values()
+        )
+
     def iter_next(self) -> Iterator[Waiting]:
         """Yield the waiting requests in the order to try them."""
         least = self._get_least()
--- a/trestledock/process/_timers.py
+++ b/trestledock/process/_timers.py
@@ -40,6 +40,13 @@
     attempt: int
 
 
+@dataclass(frozen=True)
+class PumpDue:
+    """Something may have made room for what waits for a pool."""
+
+    pool: str
+
+
 @dataclass(frozen=True)
 class HeartbeatDue:
     """Time for a heartbeat and the duties that go with it."""
--- a/trestledock/proof/_world.py
+++ b/trestledock/proof/_world.py
@@ -178,7 +178,9 @@
     finishes: dict[str, Finish] = field(default_factory=dict)
     on_finish: Callable[[Finish], None] | None = None
     on_broken: Callable[[str], None] | None = None
+    on_first_token: Callable[[str], None] | None = None
     records_chunks: bool = True
+    load_poll_s: float = LOAD_POLL_S
     rng: Random = field(init=False)
     _heap: list[tuple[float, int, Callable[[], None]]] = field(
         default_factory=list,
@@ -224,7 +226,7 @@
         self.hosts[name] = host
         self._poll(host, LOG_POLL_S, self._read_log)
         self._poll(host, LIST_POLL_S, self._read_list)
-        self._poll(host, LOAD_POLL_S, self._read_loads)
+        self._poll(host, self.load_poll_s, self._read_loads)
         self.refresh_list()
         self.tell(host, Tick())
         return host
@@ -530,7 +532,7 @@
 
     def _get_report(self, name: str, engine: EngineHost) -> LoadReported:
         last = engine.reports[-1][0] if engine.reports else float('-inf')
-        if self.now - last > LOAD_POLL_S / 10:
+        if self.now - last > self.load_poll_s / 10:
             engine.reports.append((self.now, engine.model.report(self.now)))
             self.pump_engine(name)
         wanted = self.now - self.switches.report_lag_s
@@ -831,7 +833,11 @@
 
 @perform.register
 def _(action: EmitChunks, world: World, host: Host) -> None:
-    if action.req_id not in host.requests or not world.records_chunks:
+    if action.req_id not in host.requests:
+        return
+    if world.on_first_token and not action.chunks[0].index:
+        world.on_first_token(action.req_id)
+    if not world.records_chunks:
         return
     for chunk in action.chunks:
         world.note(
