--- a/trestledock/process/_policy.py
+++ b/trestledock/process/_policy.py
@@ -30,7 +30,7 @@
     """
 
     chooser: Chooser = Chooser.predicted
-    piece_s: float = 0.2
+    piece_s: float = 0.1
     whole_tokens: int = 8_192
     priorities: bool = True
     lanes: bool = False
