--- a/trestledock/process/_choosing.py
+++ b/trestledock/process/_choosing.py
@@ -11,12 +11,10 @@
 
 from trestledock.process._fleet import STALE_S, Target
 from trestledock.process._policy import Chooser
-from trestledock.process._rendezvous import rank_by_key
 from trestledock.process._state import State
 from trestledock.request import (
     CLASS_PRIORITY,
     URGENT_PRIORITY,
-    LengthClass,
     Reason,
     Request,
 )
@@ -33,8 +31,6 @@
 PREFIX_BLOCK = 512
 #: Sets of work labels whose permits are remembered.
 MAX_PERMITS = 1024
-#: The classes that the lane of long prompts is for.
-LONG_CLASSES = frozenset((LengthClass.long, LengthClass.giant))
 
 
 @dataclass(frozen=True)
@@ -179,10 +175,7 @@
     if not usable:
         return Field(permits.pool, reason=Reason.no_live_target)
     best = max(one.preference for one in usable)
-    lane = _get_lane(state, permits.pool, usable)
-    candidates = tuple(
-        _predict(state, req, one, now, best, lane) for one in usable
-    )
+    candidates = tuple(_predict(state, req, one, now, best) for one in usable)
     return Field(permits.pool, candidates)
 
 
@@ -223,7 +216,6 @@
     permitted: Permitted,
     now: float,
     best: int,
-    lane: frozenset[str],
 ) -> Candidate:
     target = permitted.target
     report = target.load.report
@@ -234,9 +226,6 @@
     decode_s = req.max_tokens * report.itl_s
     priority = get_priority(state, req, now, prefill_s + decode_s)
     penalty_s = (best - permitted.preference) * state.policy.prefer_s
-    is_long = req.length_class in LONG_CLASSES
-    if lane and is_long and target.info.name not in lane:
-        penalty_s += state.policy.lane_penalty_s
     return Candidate(
         target,
         target.load.predict_wait(priority, now),
@@ -258,34 +247,6 @@
     return min(known, max(0, req.prompt_tokens - 1))
 
 
-def _get_lane(
-    state: State,
-    pool: Pool,
-    usable: list[Permitted],
-) -> frozenset[str]:
-    """Return the engines that long prompts prefer: the slowest ones.
-
-    The lane is filled up to a share of the pool's rate; among engines of one
-    rate rendezvous hashing decides, so that all instances agree.
-    """
-    if not state.policy.lanes:
-        return frozenset()
-    rates = {
-        one.target.info.name: one.target.load.report.rate
-        for one in usable
-        if one.target.load.report
-    }
-    ranked = sorted(rank_by_key(pool.name, rates), key=rates.__getitem__)
-    wanted = sum(rates.values()) * state.policy.lane_share
-    lane = []
-    for name in ranked:
-        if wanted <= 0:
-            break
-        lane.append(name)
-        wanted -= rates[name]
-    return frozenset(lane)
-
-
 def _choose_predicted(
     state: State,
     candidates: tuple[Candidate, ...],
--- a/trestledock/process/_policy.py
+++ b/trestledock/process/_policy.py
@@ -33,9 +33,6 @@
     piece_s: float = 0.1
     whole_tokens: int = 8_192
     priorities: bool = True
-    lanes: bool = False
-    lane_share: float = 0.34
-    lane_penalty_s: float = 0.3
     affinity: bool = True
     near_s: float = 0.05
     window_s: float = 0.4
