--- a/trestledock/bench/_replay.py
+++ b/trestledock/bench/_replay.py
@@ -9,7 +9,9 @@
 
 from collections import defaultdict
 from dataclasses import dataclass, field, replace
+from functools import partial
 from statistics import quantiles
+from typing import Any, TypeVar
 
 from trestledock.bench._trace import (
     Arrival,
@@ -47,6 +49,8 @@
 )
 PERCENT = 100
 
+Varied = TypeVar('Varied', 'Case', Policy)
+
 
 @dataclass(frozen=True)
 class Case:
@@ -106,16 +110,13 @@
     firsts: dict[str, float] = {}
     for arrival in trace:
         host = world.rng.choice(hosts)
-        world.at(
-            arrival.at,
-            lambda host=host, one=arrival: world.invoke(host, one.req),
-        )
+        world.at(arrival.at, partial(world.invoke, host, arrival.req))
     world.on_first_token = lambda req_id: firsts.setdefault(req_id, world.now)
     if case.engines_die:
         middle = START_S + case.seconds / 2
         for number in range((NEWER + OLDER) // 6):
             name = f'engine-{number * 5}'
-            world.at(middle, lambda name=name: world.kill_engine(name))
+            world.at(middle, partial(world.kill_engine, name))
     world.run_until(START_S + case.seconds + TAIL_S)
     return _measure(case, world, trace, firsts)
 
@@ -204,6 +205,6 @@
     return sum(shares) ** 2 / (len(shares) * squares)
 
 
-def vary(case: Case, **changes: object) -> Case:
-    """Return a case that differs in a few points."""
-    return replace(case, **changes)  # type: ignore[arg-type]
+def vary(base: Varied, **changes: Any) -> Varied:
+    """Return a case or a policy that differs in a few points."""
+    return replace(base, **changes)
--- a/trestledock/cli/_main.py
+++ b/trestledock/cli/_main.py
@@ -10,6 +10,7 @@
 from trestledock import VERSION
 from trestledock.cli._operator import check, drain, publish, show
 from trestledock.cli._serve import serve, standin
+from trestledock.demo import demo
 
 
 @click.group()
@@ -18,5 +19,7 @@
     """Serve prompts of very unlike lengths from one fleet."""
 
 
-for _command in (serve, check, publish, show, drain, standin):
+COMMANDS = (serve, check, publish, show, drain, standin, demo)
+
+for _command in COMMANDS:
     main.add_command(_command)
--- a/trestledock/cli/_serve.py
+++ b/trestledock/cli/_serve.py
@@ -13,7 +13,7 @@
 from pythonjsonlogger.json import JsonFormatter
 
 from trestledock.cli._files import read_settings
-from trestledock.connection import run_instance
+from trestledock.connection import run_until_signal
 from trestledock.standin import (
     EngineSpec,
     LogModel,
@@ -40,7 +40,7 @@
     """Run an entry instance."""
     checked = read_settings(settings)
     set_up_logs()
-    anyio.run(run_instance, checked)
+    anyio.run(run_until_signal, checked)
 
 
 @click.group()
--- a/trestledock/connection/_daemon.py
+++ b/trestledock/connection/_daemon.py
@@ -11,6 +11,7 @@
 import time
 import uuid
 from random import Random
+from typing import Awaitable, Callable
 
 import anyio
 import httpx
@@ -52,8 +53,22 @@
     return f'{round(time.time() * MS):012x}{uuid.uuid4().hex[:6]}'
 
 
-async def run_instance(settings: Settings) -> None:
-    """Serve until a signal comes and everything in flight is finished."""
+async def run_until_signal(settings: Settings) -> None:
+    """Run an instance until SIGTERM or SIGINT; later signals do nothing."""
+    kinds = (signal.SIGTERM, signal.SIGINT)
+    with anyio.open_signal_receiver(*kinds) as signals:
+
+        async def wait_for_signal() -> None:  # noqa: WPS430
+            await anext(aiter(signals))
+
+        await run_instance(settings, wait_for_signal)
+
+
+async def run_instance(
+    settings: Settings,
+    wait_for_stop: Callable[[], Awaitable[None]],
+) -> None:
+    """Serve until `wait_for_stop` returns and nothing is in flight."""
     identity = Identity(
         settings.instance,
         make_incarnation(),
@@ -69,7 +84,7 @@
         hub = Hub(node, settings, Metrics(), group)
         ended = anyio.Event()
         group.start_soon(_run_links, hub)
-        group.start_soon(_wait_for_end, hub, ended)
+        group.start_soon(_wait_for_end, hub, wait_for_stop, ended)
         log.info('started', extra={'member': identity.member})
         await _serve_apart(hub, ended)
         group.cancel_scope.cancel()
@@ -122,20 +137,22 @@
     )
 
 
-async def _wait_for_end(hub: Hub, ended: anyio.Event) -> None:
-    """Drain on the first signal; later ones change nothing.
+async def _wait_for_end(
+    hub: Hub,
+    wait_for_stop: Callable[[], Awaitable[None]],
+    ended: anyio.Event,
+) -> None:
+    """Drain once the instance shall stop.
 
     Unready first, so that the balancer turns away; requests are accepted
     until it surely has.  Then everything in flight is finished.
     """
-    kinds = (signal.SIGTERM, signal.SIGINT)
-    with anyio.open_signal_receiver(*kinds) as signals:
-        await anext(aiter(signals))
-        hub.node.unready = True
-        log.info('draining')
-        await anyio.sleep(hub.settings.notice_s)
-        await hub.tell(Shutdown())
-        await _wait_until_drained(hub)
+    await wait_for_stop()
+    hub.node.unready = True
+    log.info('draining')
+    await anyio.sleep(hub.settings.notice_s)
+    await hub.tell(Shutdown())
+    await _wait_until_drained(hub)
     ended.set()
 
 
--- /dev/null
+++ b/trestledock/demo/__init__.py
@@ -0,0 +1,10 @@
+"""
+Demo
+====
+
+Both deployments of the brief on loopback, in one process.
+"""
+
+from trestledock.demo._run import demo
+
+__all__ = ('demo',)
