Fault matrix and soak; three more faults found and mended

Causes, each seen first as a violated cell: - a job sent to a new incarnation of an engine under the old one's name kept its memory, because cancels were dropped with the old incarnation; - an owner and both its guards could fall to two faults: now three guards in different data centres, who tell the owner that they live; - after a partition a target that had left meanwhile got a call before it was asked: a target not heard for 15 s gets nothing until it has answered. Also the matrix counted work as sent that no connection had carried. Ruled out: engines that free memory by themselves; the list, silent in these.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# One command for each thing a developer does.
+PYTHON ?= python3
+VENV = .venv
+BIN = $(VENV)/bin
+SEED ?= 1
+
+.PHONY: setup demo test lint types bench matrix soak binary measure
+
+setup: $(VENV)/installed
+
+$(VENV)/installed: requirements.txt requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements-dev.txt
+	touch $(VENV)/installed
+
+demo: setup
+	$(BIN)/python -m trestledock demo
+
+lint: setup
+	$(BIN)/ruff format --check trestledock tests
+	$(BIN)/flake8 trestledock tests
+
+types: setup
+	$(BIN)/mypy trestledock
+
+test: setup
+	PYTHON=$(PYTHON) bash .ci/run
+
+bench: setup
+	$(BIN)/python -m trestledock.bench
+
+matrix: setup
+	$(BIN)/python -m trestledock.proof matrix
+
+soak: setup
+	$(BIN)/python -m trestledock.proof soak --seed $(SEED)
+
+measure: setup
+	$(BIN)/python -m trestledock.bench.slopes
+
+binary: setup
+	$(BIN)/python -m trestledock.packaging build/trestledock.pyz
--- a/trestledock/bench/_replay.py
+++ b/trestledock/bench/_replay.py
@@ -111,7 +111,11 @@
     for arrival in trace:
         host = world.rng.choice(hosts)
         world.at(arrival.at, partial(world.invoke, host, arrival.req))
-    world.on_first_token = lambda req_id: firsts.setdefault(req_id, world.now)
+
+    def note_first(req_id: str) -> None:  # noqa: WPS430
+        firsts.setdefault(req_id, world.now)
+
+    world.on_first_token = note_first
     if case.engines_die:
         middle = START_S + case.seconds / 2
         for number in range((NEWER + OLDER) // 6):
--- a/trestledock/bench/_report.py
+++ b/trestledock/bench/_report.py
@@ -72,19 +72,21 @@
 
 
 #: The rows of the policy itself, as against baselines and ablations.
-_OWN = frozenset((
-    'full',
-    'full, short only',
-    'load 1.0',
-    'load 2.0',
-    'load 3.0',
-    'lag 1.0 s',
-    'lag 3.0 s',
-    '1 instances',
-    '8 instances',
-    '8 instances, lag 3 s',
-    'a sixth of the engines dies',
-))
+_OWN = frozenset(
+    (
+        'full',
+        'full, short only',
+        'load 1.0',
+        'load 2.0',
+        'load 3.0',
+        'lag 1.0 s',
+        'lag 3.0 s',
+        '1 instances',
+        '8 instances',
+        '8 instances, lag 3 s',
+        'a sixth of the engines dies',
+    )
+)
 
 
 def format_row(row: Row) -> str:
--- a/trestledock/bench/_trace.py
+++ b/trestledock/bench/_trace.py
@@ -67,7 +67,7 @@
 ) -> list[Arrival]:
     """Return the arrivals of a Poisson stream of `rate` requests a second."""
     rng = Random(seed)
-    arrivals = []
+    arrivals: list[Arrival] = []
     moment = start + rng.expovariate(rate)
     while moment < stop:
         arrivals.append(_draw(rng, moment, len(arrivals), teams))
--- a/trestledock/connection/_daemon.py
+++ b/trestledock/connection/_daemon.py
@@ -15,7 +15,7 @@
 
 import anyio
 import httpx
-import hypercorn.asyncio
+from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
 from trestledock.connection._caller import CallerApp
@@ -130,7 +130,7 @@
     config.accesslog = None
     config.errorlog = None
     config.graceful_timeout = hub.settings.handover_s
-    await hypercorn.asyncio.serve(
+    await serve(
         CallerApp(hub).make_app(),  # type: ignore[arg-type]
         config,
         shutdown_trigger=ended.wait,
--- a/trestledock/connection/_hub.py
+++ b/trestledock/connection/_hub.py
@@ -48,6 +48,7 @@
     receive: MemoryObjectReceiveStream[Any]
     prompt: str = ''
     emitted: list[str] = field(default_factory=list)
+    holds: set[str] = field(default_factory=set)
     prefix: tuple[str, ...] = ()
     body: bytes = b''
     method: str = ''
--- a/trestledock/connection/_polling.py
+++ b/trestledock/connection/_polling.py
@@ -16,12 +16,15 @@
     CacheReported,
     LoadReport,
     LoadReported,
+    Target,
     rank_by_key,
 )
 from trestledock.version import CONVERTER
 
 #: How long a poll may take, in seconds.
 POLL_TIMEOUT_S = 2.0
+#: Statuses of a plain service that knows nothing of load reports.
+NO_SUCH_ROUTE = frozenset((404, 405, 501))
 #: How often the list of targets is looked at, in seconds.
 LOOK_S = 0.1
 
@@ -51,34 +54,45 @@
         target = self.hub.node.state.fleet.targets.get(name)
         if target is None:
             return
-        base = f'http://{target.info.address}'
         started = anyio.current_time()
         try:
-            plain = await self._get(f'{base}/v1/load')
-            if 'capacity_tokens' not in plain:
-                await self.hub.tell(
-                    LoadReported(name, make_service_report(plain)),
-                )
-                return
-            report = CONVERTER.structure(plain, LoadReport)
+            report = await self._read_load(target.info.address)
             await self.hub.tell(LoadReported(name, report))
-            after = target.cache_sequence
-            events = await self._get(f'{base}/v1/cache?after={after}')
+            if report.capacity_tokens:
+                await self._read_cache(target)
         except (httpx.HTTPError, ValueError):
             return
-        for event in events['events']:
-            typed = CONVERTER.structure(event, CacheEvent)
-            await self.hub.tell(CacheReported(name, typed))
-        self.hub.metrics.poll_seconds.observe(
-            anyio.current_time() - started,
+        spent_s = anyio.current_time() - started
+        self.hub.metrics.poll_seconds.observe(spent_s)
+
+    async def _read_load(self, address: str) -> LoadReport:
+        """Read a report; a service that has none to give is alive at least."""
+        response = await self._get(f'http://{address}/v1/load')
+        if response.status_code in NO_SUCH_ROUTE:
+            return make_service_report({})
+        response.raise_for_status()
+        plain = response.json()
+        if 'capacity_tokens' in plain:
+            return CONVERTER.structure(plain, LoadReport)
+        return make_service_report(plain)
+
+    async def _read_cache(self, target: Target) -> None:
+        after = target.cache_sequence
+        address = target.info.address
+        response = await self._get(f'http://{address}/v1/cache?after={after}')
+        response.raise_for_status()
+        events = CONVERTER.structure(
+            response.json()['events'],
+            tuple[CacheEvent, ...],
         )
+        for event in events:
+            await self.hub.tell(CacheReported(target.info.name, event))
 
-    async def _get(self, url: str) -> dict:
+    async def _get(self, url: str) -> httpx.Response:
         response = await self.client.get(url, timeout=POLL_TIMEOUT_S)
-        response.raise_for_status()
         size = len(response.content)
         self.hub.metrics.peer_bytes.labels('target').inc(size)
-        return response.json()
+        return response
 
     def _get_interval(self, name: str) -> float:
         state = self.hub.node.state
--- a/trestledock/connection/_target.py
+++ b/trestledock/connection/_target.py
@@ -48,15 +48,20 @@
         self.client = client
 
     async def start_job(self, action: StartJob) -> None:
-        """Send a job and report what comes of it."""
+        """Send a job and report what comes of it.
+
+        The prompt travels with the first job of a hold only.
+        """
         exchange = self.hub.exchanges.get(action.req_id)
         if exchange is None:
             await self._fail(action, 'send', 'the caller has gone', proof=True)
             return
+        is_first = action.job.hold not in exchange.holds
+        exchange.holds.add(action.job.hold)
         body = {
             'job': CONVERTER.unstructure(action.job),
-            'seed': exchange.prompt,
-            'prefix': exchange.prefix,
+            'prompt': exchange.prompt if is_first else '',
+            'prefix': exchange.prefix if is_first else (),
         }
         if action.job.generate:
             await self._read_stream(action, '/v1/jobs', body, exchange)
--- a/trestledock/demo/_deployment.py
+++ b/trestledock/demo/_deployment.py
@@ -9,6 +9,7 @@
 import socket
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any, Awaitable, Callable
 
 import anyio
 import httpx
@@ -49,12 +50,24 @@
     async def start(self, group: TaskGroup) -> None:
         """Start every part and publish the configuration."""
         platform = f'{LOOPBACK}:{get_free_port()}'
-        group.start_soon(PlatformServer().run, platform)
+        group.start_soon(self._run_part, PlatformServer().run, platform)
         async with httpx.AsyncClient(base_url=f'http://{platform}') as client:
             await self._start_parts(group, client, platform)
             await self._publish()
         await self._wait_until_ready()
 
+    async def _run_part(
+        self,
+        run: Callable[..., Awaitable[None]],
+        *args: Any,
+    ) -> None:
+        """Run a part; how its web server ends once all stop is no matter."""
+        try:
+            await run(*args, self.stop.wait)
+        except Exception:
+            if not self.stop.is_set():
+                raise
+
     async def _start_parts(
         self,
         group: TaskGroup,
@@ -71,7 +84,7 @@
                 notice_s=0,
                 handover_s=1,
             )
-            group.start_soon(run_instance, settings, self.stop.wait)
+            group.start_soon(self._run_part, run_instance, settings)
             self.entries.append(f'http://{address}')
             await _wait_for(client, f'http://{platform}/v1/instances')
             await _list(client, settings.instance, address, ENTRY, site, '')
@@ -87,7 +100,7 @@
             role = pool.select[0].of[0]
             if pool.kind is TargetKind.service:
                 address = f'{LOOPBACK}:{get_free_port()}'
-                group.start_soon(ServiceServer().run, address)
+                group.start_soon(self._run_part, ServiceServer().run, address)
                 name = f'{role}-{site}'
                 await _list(client, name, address, role, site, '')
                 continue
@@ -95,7 +108,7 @@
             for hardware, spec in SPECS:
                 address = f'{LOOPBACK}:{get_free_port()}'
                 engine = make_engine(models, spec)
-                group.start_soon(engine.run, address)
+                group.start_soon(self._run_part, engine.run, address)
                 name = f'{role}-{hardware}-{site}'
                 await _list(client, name, address, role, site, hardware)
 
--- a/trestledock/demo/_run.py
+++ b/trestledock/demo/_run.py
@@ -6,6 +6,7 @@
 mixed traffic, and prints what became of every request.
 """
 
+import logging
 import sys
 from pathlib import Path
 from random import Random
@@ -103,5 +104,6 @@
 @click.option('--seconds', default=6.0, help='How long each phase lasts.')
 def demo(examples: str, seconds: float) -> None:
     """Run everything on loopback in one process for some seconds."""
+    logging.getLogger('asyncio').setLevel(logging.CRITICAL)
     missing = anyio.run(run_demo, Path(examples), seconds)
     sys.exit(1 if missing else 0)
--- a/trestledock/demo/_traffic.py
+++ b/trestledock/demo/_traffic.py
@@ -16,7 +16,7 @@
 import httpx_sse
 
 from trestledock.request import get_class_by_tokens
-from trestledock.version import Configuration, TargetKind
+from trestledock.version import Configuration, Pool, TargetKind
 
 CHARS_PER_TOKEN = 4
 #: Prompt tokens, and how often each is drawn.
@@ -151,7 +151,7 @@
                     return plain['outcome']
         return 'broken'
 
-    def _get_pool(self, kind: TargetKind):  # noqa: ANN202
+    def _get_pool(self, kind: TargetKind) -> Pool:
         return next(pool for pool in self.cfg.pools if pool.kind is kind)
 
 
--- a/trestledock/process/__init__.py
+++ b/trestledock/process/__init__.py
@@ -25,6 +25,7 @@
 from trestledock.process._claims import ClaimTable, Grant
 from trestledock.process._epoch import Epoch, EpochBody, Handover
 from trestledock.process._explaining import explain
+from trestledock.process._fleet import Target
 from trestledock.process._identity import Identity, Timing
 from trestledock.process._lease import Lease, LeaseBody
 from trestledock.process._messages import (
@@ -106,6 +107,7 @@
     'Shutdown',
     'StartJob',
     'StreamDone',
+    'Target',
     'TargetInfo',
     'Tick',
     'Timing',
--- a/trestledock/process/_duties.py
+++ b/trestledock/process/_duties.py
@@ -52,10 +52,11 @@
 def mark_gone_peers(state: State, now: float) -> None:
     """Mark the peers that have fallen silent.
 
-    Those are the peers of the data centre and the owners of guarded holds;
-    other peers send heartbeats too seldom for that.
+    Those are the peers of the data centre, the owners of guarded holds and
+    the guards of own ones; others send heartbeats too seldom for that.
     """
     owners = {watched.owner for watched in state.guard.watched}
+    owners |= state.hold_ids.get_guards()
     watched_peers = [
         peer
         for name, peer in state.fleet.peers.items()
@@ -95,7 +96,9 @@
     ]
     chosen = state.rng.sample(remote, min(REMOTE_FANOUT, len(remote)))
     members = {peer.info.member for peer in (*local, *chosen)}
-    for member in sorted(members | state.hold_ids.get_guards()):
+    members |= state.hold_ids.get_guards()
+    members |= {watched.owner for watched in state.guard.watched}
+    for member in sorted(members):
         send(state, member, heartbeat)
     for info in state.fleet.get_strangers():
         if info.name != state.identity.instance:
--- a/trestledock/process/_ending.py
+++ b/trestledock/process/_ending.py
@@ -92,15 +92,13 @@
 def cancel_hold(state: State, target_name: str, hold: str) -> None:
     """Cancel a hold now and again until the engine confirms.
 
-    A hold of an incarnation of the engine that has been replaced is gone.
+    That goes for a later incarnation of the engine, too: the job may have
+    reached it before the instance list told of it.
     """
+    state.guard.add_cancels(target_name, (hold,))
     target = state.get_targets().get(target_name)
-    if target and f'/{target.info.key}/' in hold:
-        key = target.info.key
-        state.guard.add_cancels(key, (hold,))
-        state.act(CancelHolds(key, target.info.address, (hold,)))
-    else:
-        state.hold_ids.release(hold)
+    if target:
+        state.act(CancelHolds(target_name, target.info.address, (hold,)))
 
 
 def _settle_claim(state: State, live: Live, verdict: Verdict) -> None:
--- a/trestledock/process/_fleet.py
+++ b/trestledock/process/_fleet.py
@@ -22,7 +22,8 @@
 
 #: A target that is not listed and not heard for so long gets no new work.
 UNSEEN_S = 5.0
-#: An engine without a report for so long gets no new work.
+#: A listed target that is not heard for so long gets no new work until it has
+#: answered again: it may have begun to leave meanwhile.
 STALE_S = 15.0
 #: How many cached prefixes are remembered for a target.
 MAX_CACHED = 4096
@@ -187,7 +188,8 @@
 
     def is_usable(self, target: Target, now: float) -> bool:
         """Whether new work may be sent to a target at `now`."""
-        seen = target.listed or now - target.heard_at < UNSEEN_S
+        patience_s = STALE_S if target.listed else UNSEEN_S
+        seen = now - target.heard_at < patience_s
         live = seen and not self.is_leaving(target)
         return live and target.breaker.allows(now)
 
--- a/trestledock/process/_guarding.py
+++ b/trestledock/process/_guarding.py
@@ -7,6 +7,8 @@
 that are gone.
 """
 
+from operator import itemgetter
+
 from trestledock.process._actions import CancelHolds
 from trestledock.process._ending import send
 from trestledock.process._fleet import Peer, Target
@@ -25,7 +27,7 @@
 
     An instance without any live peer uses its ids unguarded.
     """
-    block = state.hold_ids.get_block(target.info.key)
+    block = state.hold_ids.get_block(target.info.name)
     if not block.kept_by and get_guards(state):
         ask_guards(state, block, target, now)
         return ''
@@ -34,20 +36,27 @@
 
 def prepare_block(state: State, target: Target, now: float) -> None:
     """Have a guarded block ready before the first request needs it."""
-    block = state.hold_ids.get_block(target.info.key)
+    block = state.hold_ids.get_block(target.info.name)
     if len(block.kept_by) < GUARDS:
         ask_guards(state, block, target, now)
 
 
 def get_guards(state: State) -> list[Peer]:
-    """Return the peers that may guard, those of the data centre first."""
+    """Return the peers that may guard, in the order to ask them.
+
+    The first is of the own data centre, the next of others, one each, so that
+    no single failure takes an owner together with all its guards.
+    """
     home = state.identity.data_centre
-    live = [
-        peer
-        for name, peer in sorted(state.fleet.peers.items())
-        if name != state.member and not peer.gone and not peer.leaving
-    ]
-    return sorted(live, key=lambda peer: peer.info.data_centre != home)
+    ranks: dict[str, int] = {}
+    ordered = []
+    for name, peer in sorted(state.fleet.peers.items()):
+        if name == state.member or peer.gone or peer.leaving:
+            continue
+        place = peer.info.data_centre
+        ranks[place] = ranks.get(place, -1) + 1
+        ordered.append((ranks[place], place != home, name, peer))
+    return [one[-1] for one in sorted(ordered, key=itemgetter(0, 1, 2))]
 
 
 def ask_guards(state: State, block: Block, target: Target, now: float) -> None:
@@ -65,7 +74,7 @@
     block.told |= block.guards
     for member in sorted(block.guards - block.kept_by):
         payload = HoldBlock(
-            target.info.key,
+            target.info.name,
             target.info.address,
             block.first,
         )
@@ -103,9 +112,7 @@
     """Retire spent blocks and replace guards that are gone."""
     for done in state.hold_ids.pop_done():
         _dismiss(state, done, done.told)
-    targets = {
-        target.info.key: target for target in state.get_targets().values()
-    }
+    targets = state.get_targets()
     for block in tuple(state.hold_ids.blocks.values()):
         target = targets.get(block.target)
         if target is None:
@@ -117,7 +124,7 @@
 
 def repeat_cancels(state: State) -> None:
     """Repeat the cancels that their engines have not confirmed."""
-    keys = {target.info.key: target for target in state.get_targets().values()}
+    keys = {target.info.name: target for target in state.get_targets().values()}
     for key in tuple(state.guard.to_cancel):
         target = keys.get(key)
         if target is None:
--- a/trestledock/process/_holds.py
+++ b/trestledock/process/_holds.py
@@ -5,7 +5,7 @@
 An engine keeps memory for a hold until it is cancelled or its stream ends, so
 a hold whose owner dies must be cancelled by somebody else.  Ids are therefore
 known before they are used: an owner takes them from blocks, one sequence a
-target, and tells each block to two peers first.  A peer that finds the owner
+target, and tells each block to a few peers first.  A peer that finds the owner
 gone cancels every id of its blocks; cancelling an unused id does no harm.
 
 One message to each guard covers `BLOCK_SIZE` requests.
@@ -18,7 +18,7 @@
 #: Rejected ids after which a block is not used any more.
 MAX_REJECTIONS = 2
 #: Peers that guard a block.
-GUARDS = 2
+GUARDS = 3
 
 
 def make_hold_id(member: str, target: str, number: int) -> str:
@@ -62,7 +62,7 @@
 
 @dataclass
 class HoldIds:
-    """The owner's side: blocks by target, by target key."""
+    """The owner's side: blocks by the name of the target."""
 
     member: str
     blocks: dict[tuple[str, int], Block] = field(default_factory=dict)
--- a/trestledock/proof/__init__.py
+++ b/trestledock/proof/__init__.py
@@ -17,11 +17,19 @@
     publish_marked,
 )
 from trestledock.proof._history import Event, EventType, read_lines
+from trestledock.proof._matrix import (
+    CellResult,
+    make_cells,
+    make_soak,
+    run_cell,
+    run_cells,
+)
 from trestledock.proof._scenario import (
     FAULTS,
     Run,
     ScenarioError,
     finish_run,
+    read_scenario,
     run_scenario,
 )
 from trestledock.proof._world import World
@@ -32,6 +40,7 @@
     'MODEL',
     'SETTLED_AT_S',
     'Callers',
+    'CellResult',
     'Event',
     'EventType',
     'Plan',
@@ -43,8 +52,13 @@
     'build',
     'check_all',
     'finish_run',
+    'make_cells',
     'make_configuration',
+    'make_soak',
     'publish_marked',
     'read_lines',
+    'read_scenario',
+    'run_cell',
+    'run_cells',
     'run_scenario',
 )
--- a/trestledock/proof/_scenario.py
+++ b/trestledock/proof/_scenario.py
@@ -77,6 +77,11 @@
 
 def run_scenario(text: str, seed: int | None = None) -> list[str]:
     """Run a scenario; return a line for each violation."""
+    return finish_run(read_scenario(text, seed))
+
+
+def read_scenario(text: str, seed: int | None = None) -> Run:
+    """Read a scenario and build its world, without running it."""
     run = Run()
     if seed is not None:
         run.plan.seed = seed
@@ -88,7 +93,7 @@
             _VERBS[words[0]](run, words[1:])
         except (KeyError, ValueError, IndexError) as exc:
             raise ScenarioError(f'line {number}: {line}: {exc!r}') from exc
-    return finish_run(run)
+    return run
 
 
 def finish_run(run: Run) -> list[str]:
@@ -190,17 +195,21 @@
 
 def _kill(world: World, words: list[str]) -> None:
     for name in words:
-        world.kill(world.hosts[name])
+        if world.hosts[name].alive:
+            world.kill(world.hosts[name])
 
 
 def _start(world: World, words: list[str]) -> None:
+    """Start those of the instances that have ended."""
     for name in words:
-        world.add_host(name, world.hosts[name].data_centre)
+        if not world.hosts[name].alive:
+            world.add_host(name, world.hosts[name].data_centre)
 
 
 def _stop(world: World, words: list[str]) -> None:
     for name in words:
-        world.shut_down(world.hosts[name])
+        if world.hosts[name].alive:
+            world.shut_down(world.hosts[name])
 
 
 def _freeze(world: World, words: list[str]) -> None:
--- a/trestledock/proof/_world.py
+++ b/trestledock/proof/_world.py
@@ -634,13 +634,6 @@
 def _(action: StartJob, world: World, host: Host) -> None:
     name = action.target
     engine = world.engines[name]
-    if action.job.start == 0:
-        world.note(
-            EventType.sent,
-            who=host.name,
-            req_id=action.req_id,
-            key=name,
-        )
     route = Route(host, action.req_id, action.attempt)
     if not engine.alive or not world.can_reach(host.name, name):
         world._fail(route, name, not_started=True)
@@ -657,6 +650,13 @@
         )
         seed = host.seeds.get(action.req_id, '')
         engine.routes[action.job.hold] = route
+        if not action.job.start:
+            world.note(
+                EventType.sent,
+                who=host.name,
+                req_id=action.req_id,
+                key=name,
+            )
         try:
             engine.model.submit(action.job, seed, prefix, world.now)
         except Rejected as exc:
@@ -706,12 +706,6 @@
         or not service.alive
         or not world.can_reach(host.name, name)
     )
-    world.note(
-        EventType.sent,
-        who=host.name,
-        req_id=action.req_id,
-        key=name,
-    )
     if not host.alive:
         return
     if refused:
@@ -730,6 +724,12 @@
 
     def run() -> None:  # noqa: WPS430
         key = host.keys.get(action.req_id, '')
+        world.note(
+            EventType.sent,
+            who=host.name,
+            req_id=action.req_id,
+            key=name,
+        )
         world.note(
             EventType.ran,
             who=name,
--- a/trestledock/standin/__init__.py
+++ b/trestledock/standin/__init__.py
@@ -6,7 +6,11 @@
 tests, in the demo and in the replay.
 """
 
-from trestledock.standin._engine import EngineServer, make_engine
+from trestledock.standin._engine import (
+    EngineServer,
+    make_engine,
+    make_seed,
+)
 from trestledock.standin._engine_model import (
     BLOCK_TOKENS,
     EngineEvent,
@@ -34,4 +38,5 @@
     'ServiceServer',
     'get_token_text',
     'make_engine',
+    'make_seed',
 )
--- a/trestledock/standin/_engine.py
+++ b/trestledock/standin/_engine.py
@@ -6,6 +6,7 @@
 load reports that lag, cache events that come late and with gaps, and orders.
 """
 
+import hashlib
 import json
 import random
 from dataclasses import dataclass, field
@@ -28,7 +29,12 @@
     Hold,
     Rejected,
 )
-from trestledock.standin._web import NOT_STARTED_STATUS, Faults, serve_app
+from trestledock.standin._web import (
+    NOT_STARTED_STATUS,
+    Faults,
+    Stop,
+    serve_app,
+)
 from trestledock.version import CONVERTER
 
 #: The longest sleep of the clock task, in seconds.
@@ -77,13 +83,18 @@
         """Seed the gaps of the cache events."""
         self.rng = random.Random(self.seed)
 
-    async def run(self, address: str) -> None:
-        """Serve until cancelled."""
+    async def run(
+        self,
+        address: str,
+        wait_for_stop: Stop = anyio.sleep_forever,
+    ) -> None:
+        """Serve until `wait_for_stop` returns."""
         self.changed = anyio.Event()
         async with anyio.create_task_group() as group:
             group.start_soon(self._run_clock)
             group.start_soon(self._run_loads)
-            await serve_app(self.make_app(), address)
+            await serve_app(self.make_app(), address, wait_for_stop)
+            group.cancel_scope.cancel()
 
     def make_app(self) -> Starlette:
         """Return the web application."""
@@ -110,7 +121,7 @@
         now = anyio.current_time()
         prefix = tuple(body['prefix'])
         try:
-            self.model.submit(job, body['seed'], prefix, now)
+            self.model.submit(job, make_seed(body['prompt']), prefix, now)
         except Rejected as exc:
             return JSONResponse(
                 {'started': False, 'detail': str(exc)},
@@ -268,6 +279,11 @@
             self.lines.append((now, CacheLine(sequence, added, removed)))
 
 
+def make_seed(prompt: str) -> str:
+    """Return what the model draws the answer to a prompt from."""
+    return hashlib.blake2b(prompt.encode(), digest_size=8).hexdigest()
+
+
 def _to_line(plain: Any) -> str:
     return f'data: {json.dumps(plain)}\n\n'
 
--- a/trestledock/standin/_platform.py
+++ b/trestledock/standin/_platform.py
@@ -17,7 +17,7 @@
 from starlette.routing import Route
 
 from trestledock.standin._log_model import LogModel, Overloaded
-from trestledock.standin._web import Faults, serve_app
+from trestledock.standin._web import Faults, Stop, serve_app
 from trestledock.version import CONVERTER, Record
 
 #: The longest that a read waits for news, in seconds.
@@ -50,9 +50,13 @@
         ),
     )
 
-    async def run(self, address: str) -> None:
-        """Serve until cancelled."""
-        await serve_app(self.make_app(), address)
+    async def run(
+        self,
+        address: str,
+        wait_for_stop: Stop = anyio.sleep_forever,
+    ) -> None:
+        """Serve until `wait_for_stop` returns."""
+        await serve_app(self.make_app(), address, wait_for_stop)
 
     def make_app(self) -> Starlette:
         """Return the web application."""
--- a/trestledock/standin/_service.py
+++ b/trestledock/standin/_service.py
@@ -14,7 +14,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from trestledock.standin._web import Faults, serve_app
+from trestledock.standin._web import Faults, Stop, serve_app
 
 
 @dataclass
@@ -30,9 +30,13 @@
         ),
     )
 
-    async def run(self, address: str) -> None:
-        """Serve until cancelled."""
-        await serve_app(self.make_app(), address)
+    async def run(
+        self,
+        address: str,
+        wait_for_stop: Stop = anyio.sleep_forever,
+    ) -> None:
+        """Serve until `wait_for_stop` returns."""
+        await serve_app(self.make_app(), address, wait_for_stop)
 
     def make_app(self) -> Starlette:
         """Return the web application."""
--- a/trestledock/standin/_web.py
+++ b/trestledock/standin/_web.py
@@ -6,10 +6,10 @@
 of its own, whose faults are switched on through a control route.
 """
 
-from typing import Any
+from typing import Any, Awaitable, Callable
 
 import anyio
-import hypercorn.asyncio
+from hypercorn.asyncio import serve
 from hypercorn.config import Config
 from starlette.requests import Request
 from starlette.responses import JSONResponse
@@ -18,6 +18,9 @@
 #: Status of an answer that proves that nothing was started.
 NOT_STARTED_STATUS = 503
 
+#: What a stand-in waits for before it ends.
+Stop = Callable[[], Awaitable[None]]
+
 
 class Faults:
     """Switches that the control route sets; each stand-in reads its own."""
@@ -57,10 +60,14 @@
     return config
 
 
-async def serve_app(app: ASGIApp, address: str) -> None:
-    """Serve an application until the task is cancelled."""
-    await hypercorn.asyncio.serve(
+async def serve_app(
+    app: ASGIApp,
+    address: str,
+    wait_for_stop: Stop = anyio.sleep_forever,
+) -> None:
+    """Serve an application until `wait_for_stop` returns."""
+    await serve(
         app,  # type: ignore[arg-type]
         make_config(address),
-        shutdown_trigger=anyio.sleep_forever,
+        shutdown_trigger=wait_for_stop,
     )
