--- a/tests/test_outcome.py
+++ b/tests/test_outcome.py
@@ -44,11 +44,13 @@
         )
 
     def test_rejection_after_start_proves_nothing(self):
-        attempt = play([
-            AttemptEvent.write,
-            AttemptEvent.answer,
-            AttemptEvent.reject,
-        ])
+        attempt = play(
+            [
+                AttemptEvent.write,
+                AttemptEvent.answer,
+                AttemptEvent.reject,
+            ]
+        )
         self.assertIs(attempt.state, AttemptState.lost)
 
     @settings(derandomize=True)
--- a/trestledock/version/_check.py
+++ b/trestledock/version/_check.py
@@ -10,20 +10,26 @@
 import difflib
 import re
 from dataclasses import fields, is_dataclass
+from enum import Enum
 from types import MappingProxyType
 from typing import Any, Callable, Iterator, Mapping, TypeVar
 
 import cattrs
 import yaml
+from cattrs.v import format_exception
 from returns.result import Failure, Result, Success
 
 from trestledock.version._schema import Configuration, TargetKind
+from trestledock.version._selector import Op
 
 Document = TypeVar('Document')
 
 #: The kinds that are never converted from one another.
 PLAIN_KINDS = (str, int, float, bool)
 
+#: The choices; they are texts, too, and are told apart from them here.
+CHOICES = (TargetKind, Op)
+
 _EXTRA = re.compile('extra fields found \\((.+)\\) @ (.*)')
 
 
@@ -45,13 +51,20 @@
     return kind(raw)
 
 
+def _choose(raw: Any, kind: type[Enum]) -> Enum:
+    known = [member.value for member in kind]
+    if raw not in known:
+        raise ValueError(f'expected one of {known}, got {raw!r}')
+    return kind(raw)
+
+
 def make_converter() -> cattrs.Converter:
     """Return the converter of all documents: strict, no unknown keys."""
     converter = cattrs.Converter(forbid_extra_keys=True)
-    converter.register_structure_hook_func(
-        lambda kind: kind in PLAIN_KINDS,
-        _strict,
-    )
+    for kind in PLAIN_KINDS:
+        converter.register_structure_hook(kind, _strict)
+    for choice in CHOICES:
+        converter.register_structure_hook(choice, _choose)
     return converter
 
 
@@ -75,6 +88,12 @@
     return names
 
 
+def _describe(exc: BaseException, kind: type | None) -> str:
+    if isinstance(exc, ValueError) and exc.args:
+        return str(exc)
+    return format_exception(exc, kind)
+
+
 def _explain(line: str, kind: type) -> str:
     found = _EXTRA.match(line)
     if not found:
@@ -105,7 +124,7 @@
     try:
         return Success(CONVERTER.structure(raw, kind))
     except Exception as exc:
-        lines = cattrs.transform_error(exc, path='$')
+        lines = cattrs.transform_error(exc, '$', _describe)
         return Failure(
             OptionError(tuple(_explain(line, kind) for line in lines)),
         )
