--- a/trestledock/bench/_replay.py
+++ b/trestledock/bench/_replay.py
@@ -7,7 +7,6 @@
 callers would see.
 """
 
-from collections import defaultdict
 from dataclasses import dataclass, field, replace
 from functools import partial
 from statistics import quantiles
@@ -20,8 +19,8 @@
     make_trace,
 )
 from trestledock.process import Policy
-from trestledock.proof import MODEL, Plan, Site, World, build
-from trestledock.request import LengthClass, Outcome
+from trestledock.proof import MODEL, Event, Plan, Site, World, build, make_world
+from trestledock.request import LengthClass, Outcome, Reason
 from trestledock.standin import EngineSpec
 from trestledock.version import Team
 
@@ -48,6 +47,9 @@
     stride=32,
 )
 PERCENT = 100
+ANSWERED = Outcome.answered.value
+#: Where the 50th, 95th and 99th percentile stand among the cuts.
+CUTS = (49, 94, 98)
 
 Varied = TypeVar('Varied', 'Case', Policy)
 
@@ -126,10 +128,13 @@
 
 
 def _build(case: Case) -> World:
-    world = World(case.seed, policy=case.policy)
+    world = make_world(
+        case.seed,
+        policy=case.policy,
+        load_poll_s=case.poll_s,
+    )
     world.records_chunks = False
     world.switches.report_lag_s = case.lag_s
-    world.load_poll_s = case.poll_s
     plan = Plan(
         seed=case.seed,
         sites=(Site('a', case.instances, 0, 0),),
@@ -146,6 +151,27 @@
     return world
 
 
+@dataclass
+class Measured:
+    """What a run has shown, while its requests are gone through."""
+
+    times: dict[str, list[float]] = field(default_factory=dict)
+    served: dict[str, float] = field(default_factory=dict)
+    counts: dict[str, int] = field(default_factory=dict)
+    goodput: float = 0
+
+    def count(self, name: str) -> None:
+        """Count a request under what became of it."""
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def add_answered(self, arrival: Arrival, first_s: float) -> None:
+        """Count an answered request and its time to first token."""
+        req = arrival.req
+        self.count(ANSWERED)
+        self.served[req.team] = self.served.get(req.team, 0) + req.total_tokens
+        self.times.setdefault(req.length_class.value, []).append(first_s)
+
+
 def _measure(
     case: Case,
     world: World,
@@ -153,39 +179,49 @@
     firsts: dict[str, float],
 ) -> Row:
     ends = {event.req_id: event for event in world.history if event.text}
-    times: dict[str, list[float]] = defaultdict(list)
-    served: dict[str, float] = defaultdict(float)
-    counts: dict[str, int] = defaultdict(int)
-    goodput = 0
+    found = Measured()
+    steady = START_S + WARM_UP_S
+    stop = START_S + case.seconds
     for arrival in trace:
-        req = arrival.req
-        end = ends.get(req.req_id)
-        if end is None or end.text not in Outcome.__members__:
-            is_over = req.deadline < world.now
-            counts['unanswered' if is_over else 'open'] += 1
-        elif end.text == Outcome.answered.value:
-            counts['answered'] += 1
-            served[req.team] += req.total_tokens
-            if START_S + WARM_UP_S <= end.at < START_S + case.seconds:
-                goodput += req.total_tokens
-            first_s = firsts[req.req_id] - arrival.at
-            times[req.length_class.value].append(first_s)
-        elif end.key == 'deadline_passed':
-            counts['late'] += 1
+        end = ends.get(arrival.req.req_id)
+        name = _classify(arrival, end, world.now)
+        if end and name == ANSWERED:
+            first_s = firsts[arrival.req.req_id] - arrival.at
+            found.add_answered(arrival, first_s)
+            is_steady = steady <= end.at < stop
+            found.goodput += arrival.req.total_tokens * is_steady
         else:
-            counts['refused'] += 1
+            found.count(name)
+    return _make_row(case, trace, found)
+
+
+def _classify(arrival: Arrival, end: Event | None, now: float) -> str:
+    """Return what became of a request."""
+    if end is None or end.text not in Outcome.__members__:
+        return 'unanswered' if arrival.req.deadline < now else 'open'
+    if end.text == ANSWERED:
+        return ANSWERED
+    late = end.key == Reason.deadline_passed.value
+    return 'late' if late else 'refused'
+
+
+def _make_row(case: Case, trace: list[Arrival], found: Measured) -> Row:
+    shares = [found.served.get(team, 0) for team in TEAMS]
+    counts = found.counts
     return Row(
         name=case.name,
         load=case.load,
         sent=len(trace),
-        answered=counts['answered'],
-        refused=counts['refused'],
-        late=counts['late'],
-        unanswered=counts['unanswered'],
-        still_open=counts['open'],
-        goodput=round(goodput / (case.seconds - WARM_UP_S), 1),
-        jain=round(get_jain([served[team] for team in TEAMS]), 4),
-        ttft={name: get_percentiles(found) for name, found in times.items()},
+        answered=counts.get(ANSWERED, 0),
+        refused=counts.get('refused', 0),
+        late=counts.get('late', 0),
+        unanswered=counts.get('unanswered', 0),
+        still_open=counts.get('open', 0),
+        goodput=round(found.goodput / (case.seconds - WARM_UP_S), 1),
+        jain=round(get_jain(shares), 4),
+        ttft={
+            name: get_percentiles(times) for name, times in found.times.items()
+        },
     )
 
 
@@ -194,7 +230,8 @@
     if len(found) < 2:
         return (found[0], found[0], found[0]) if found else (0, 0, 0)
     cuts = quantiles(found, n=PERCENT, method='inclusive')
-    return (round(cuts[49], 4), round(cuts[94], 4), round(cuts[98], 4))
+    middle, high, highest = (round(cuts[index], 4) for index in CUTS)
+    return middle, high, highest
 
 
 def get_jain(shares: list[float]) -> float:
--- a/trestledock/bench/_trace.py
+++ b/trestledock/bench/_trace.py
@@ -7,6 +7,7 @@
 teams with prompts that begin alike.
 """
 
+import math
 from dataclasses import dataclass
 from random import Random
 
@@ -89,7 +90,7 @@
 ) -> Arrival:
     band = _get_band(number)
     team = rng.choice(teams)
-    place = (number * GOLDEN) % 1
+    place = math.modf(number * GOLDEN)[0]
     tokens = round(band.low + place * (band.high - band.low))
     blocks = min(SHARED_BLOCKS, tokens // BLOCK_TOKENS)
     req = Request(
--- a/trestledock/connection/_caller.py
+++ b/trestledock/connection/_caller.py
@@ -8,6 +8,7 @@
 
 import json
 import uuid
+from http import HTTPStatus
 from typing import Any, AsyncIterator
 
 import anyio
@@ -42,7 +43,7 @@
 
 #: How long past the deadline the connection waits for the core's last word.
 GRACE_S = 1.0
-NOT_READY = 503
+NOT_READY = HTTPStatus.SERVICE_UNAVAILABLE
 
 
 class CallerApp:
@@ -117,7 +118,7 @@
         body = await http.body()
         self.hub.metrics.peer_bytes.labels('received').inc(len(body))
         await self.hub.tell(read_envelope_of_peer(body))
-        return Response(status_code=204)
+        return Response(status_code=HTTPStatus.NO_CONTENT)
 
     async def get_metrics(self, http: HttpRequest) -> Response:
         """Return the metrics."""
@@ -131,7 +132,7 @@
         """Say whether the balancer should send requests here."""
         ready = self.hub.node.is_ready()
         text = 'ready' if ready else 'not ready'
-        return PlainTextResponse(text, 200 if ready else NOT_READY)
+        return PlainTextResponse(text, HTTPStatus.OK if ready else NOT_READY)
 
     def _get_cfg(self) -> Any:
         return self.hub.node.state.version.cfg
--- a/trestledock/connection/_operator.py
+++ b/trestledock/connection/_operator.py
@@ -8,6 +8,7 @@
 
 import json
 import uuid
+from http import HTTPStatus
 from typing import Any
 
 import anyio
@@ -21,9 +22,9 @@
 
 #: How long a publication may stay without a verdict, in seconds.
 PUBLISH_PATIENCE_S = 20.0
-CONFLICT = 409
-NOT_FOUND = 404
-PENDING = 202
+CONFLICT = HTTPStatus.CONFLICT
+NOT_FOUND = HTTPStatus.NOT_FOUND
+PENDING = HTTPStatus.ACCEPTED
 
 
 class OperatorRoutes:
@@ -69,7 +70,7 @@
                 'version': verdict.version,
                 'detail': verdict.detail,
             },
-            status_code=200 if verdict.accepted else CONFLICT,
+            status_code=HTTPStatus.OK if verdict.accepted else CONFLICT,
         )
 
     async def get_configuration(self, http: HttpRequest) -> Response:
--- a/trestledock/connection/_parsing.py
+++ b/trestledock/connection/_parsing.py
@@ -16,7 +16,7 @@
 from trestledock.connection._settings import Settings
 from trestledock.process import rank_by_key
 from trestledock.request import Kind, Model, Request
-from trestledock.version import Configuration
+from trestledock.version import Configuration, Team
 
 TEAM_HEADER = 'trestledock-team'
 DEADLINE_HEADER = 'trestledock-deadline-ms'
@@ -31,6 +31,7 @@
 #: The largest numbers that make sense.
 MAX_DEADLINE_MS = 86_400_000
 MAX_TOKENS = 1_000_000
+DEFAULT_TOKENS = 256
 MAX_KEY = 256
 MS = 1000
 TOO_LARGE = 413
@@ -90,19 +91,19 @@
     name = http.headers.get(TEAM_HEADER, '')
     if not name:
         raise BadRequest(f'the header {TEAM_HEADER} is missing')
-    team = cfg.get_team_by_name(name) if cfg else None
-    default_ms = team.deadline_ms if team else MAX_DEADLINE_MS
+    known = cfg.get_team_by_name(name) if cfg else None
+    team = known or Team(name, deadline_ms=MAX_DEADLINE_MS)
     key = http.headers.get(KEY_HEADER, '')
     if len(key) > MAX_KEY:
         raise BadRequest(f'{KEY_HEADER} exceeds {MAX_KEY} characters')
-    home = http.headers.get(HOME_HEADER, '') or (team.home if team else '')
+    home = http.headers.get(HOME_HEADER) or team.home
     if cfg and home and home not in cfg.data_centres:
         raise BadRequest(f'{home} is no data centre')
     if cfg and not home:
         home = rank_by_key(f'{name}/{key}', cfg.data_centres)[0]
     return Envelope(
         name,
-        now + _read_deadline(http, default_ms) / MS,
+        now + _read_deadline(http, team.deadline_ms) / MS,
         key,
         home,
         http.headers.get(ATTEMPT_HEADER) == '1',
@@ -120,7 +121,7 @@
     prompt = _get(plain, 'prompt', str, None)
     if not prompt:
         raise BadRequest('the prompt is empty')
-    max_tokens = _get(plain, 'max_tokens', int, 256)
+    max_tokens = _get(plain, 'max_tokens', int, DEFAULT_TOKENS)
     if not 0 < max_tokens <= MAX_TOKENS:
         raise BadRequest(f'max_tokens must be 1 to {MAX_TOKENS}')
     return Completion(
--- a/trestledock/connection/_platform.py
+++ b/trestledock/connection/_platform.py
@@ -6,6 +6,7 @@
 the core's own repeats; each poll waits a little after one.
 """
 
+from dataclasses import fields
 from typing import Any, Awaitable, Callable
 
 import anyio
@@ -24,6 +25,8 @@
 #: How long to wait after a failed poll, in seconds.
 FAILURE_PAUSE_S = 0.5
 ENTRY_ROLE = 'entry'
+#: What is read of an entry of the list; the platform may tell more.
+LISTED_KEYS = frozenset(field.name for field in fields(TargetInfo))
 
 
 class PlatformLink:
@@ -92,17 +95,20 @@
     targets = []
     peers = []
     for one in plain:
-        labels = {str(key): str(text) for key, text in one['labels'].items()}
-        name = one['name']
-        incarnation = one.get('incarnation', '')
-        leaving = bool(one.get('leaving'))
-        if labels.get('role') == ENTRY_ROLE:
-            home = labels.get('data_centre', '')
+        listed = CONVERTER.structure(
+            {key: one[key] for key in one if key in LISTED_KEYS},
+            TargetInfo,
+        )
+        if listed.labels.get('role') == ENTRY_ROLE:
             peers.append(
-                PeerInfo(name, incarnation, one['address'], home, leaving),
+                PeerInfo(
+                    listed.name,
+                    listed.incarnation,
+                    listed.address,
+                    listed.labels.get('data_centre', ''),
+                    listed.leaving,
+                ),
             )
         else:
-            targets.append(
-                TargetInfo(name, incarnation, one['address'], labels, leaving),
-            )
+            targets.append(listed)
     return InstancesListed(tuple(targets), tuple(peers))
--- a/trestledock/connection/_polling.py
+++ b/trestledock/connection/_polling.py
@@ -42,16 +42,13 @@
         """Poll every target when it is due, until cancelled."""
         async with anyio.create_task_group() as group:
             while True:
-                now = anyio.current_time()
-                for name in tuple(self.hub.node.state.fleet.targets):
-                    if now >= self.due.get(name, 0):
-                        self.due[name] = now + self._get_interval(name)
-                        group.start_soon(self.poll, name)
+                for name in self._get_due():
+                    group.start_soon(self.poll, name)
                 await anyio.sleep(LOOK_S)
 
     async def poll(self, name: str) -> None:
         """Read a target's load and cache events once."""
-        target = self.hub.node.state.fleet.targets.get(name)
+        target = self.hub.node.state.get_targets().get(name)
         if target is None:
             return
         started = anyio.current_time()
@@ -94,6 +91,17 @@
         self.hub.metrics.peer_bytes.labels('target').inc(size)
         return response
 
+    def _get_due(self) -> list[str]:
+        """Return the targets to be polled now, and set their next time."""
+        now = anyio.current_time()
+        state = self.hub.node.state
+        due = [
+            name for name in state.fleet.targets if now >= self.due.get(name, 0)
+        ]
+        for name in due:
+            self.due[name] = now + self._get_interval(name)
+        return due
+
     def _get_interval(self, name: str) -> float:
         state = self.hub.node.state
         home = state.identity.data_centre
@@ -108,11 +116,11 @@
 def make_service_report(plain: dict) -> LoadReport:
     """Return the report of a plain service, which says only if it leaves."""
     return LoadReport(
-        age_s=0.0,
+        age_s=0,
         queued=(),
         free_tokens=0,
         capacity_tokens=0,
-        rate=1.0,
-        itl_s=0.0,
+        rate=1,
+        itl_s=0,
         leaving=bool(plain.get('leaving')),
     )
--- a/trestledock/connection/_target.py
+++ b/trestledock/connection/_target.py
@@ -8,6 +8,7 @@
 """
 
 import json
+from dataclasses import dataclass
 from typing import Any
 
 import anyio
@@ -34,11 +35,20 @@
 
 #: How long a cancel or an order may take, in seconds.
 CONTROL_TIMEOUT_S = 5.0
+LEAST_TIMEOUT_S = 0.001
 REJECTED_STATUS = 503
 OLD_NUMBER_STATUS = 409
 MS = 1000
 
 
+@dataclass(frozen=True)
+class Rejection:
+    """An engine's word that it did not start a job."""
+
+    started: bool
+    detail: str = ''
+
+
 class TargetLink:
     """The sender of one instance's work to targets."""
 
@@ -217,12 +227,7 @@
         step: str,
         response: httpx.Response,
     ) -> None:
-        proof = False
-        if response.status_code == REJECTED_STATUS:
-            try:
-                proof = response.json().get('started') is False
-            except ValueError:
-                proof = False
+        proof = _says_not_started(response)
         await self._fail(action, step, response.text, proof=proof)
 
     async def _fail_on(
@@ -255,5 +260,16 @@
 
     def _get_timeout(self, left_s: float) -> httpx.Timeout:
         connect_s = self.hub.settings.target_connect_s
-        left_s = max(0.001, left_s)
+        left_s = max(LEAST_TIMEOUT_S, left_s)
         return httpx.Timeout(left_s, connect=min(connect_s, left_s))
+
+
+def _says_not_started(response: httpx.Response) -> bool:
+    """Whether an engine's answer proves that it did not start a job."""
+    if response.status_code != REJECTED_STATUS:
+        return False
+    try:
+        answer = CONVERTER.structure(response.json(), Rejection)
+    except Exception:
+        return False
+    return not answer.started
--- a/trestledock/demo/_run.py
+++ b/trestledock/demo/_run.py
@@ -22,6 +22,9 @@
 SEED = 7
 RATE = 12.0
 PERCENT = 100
+#: Where the 50th and the 95th percentile stand among the cuts.
+CUTS = (49, 94)
+PHASE_S = 6.0
 
 
 async def run_demo(folder: Path, seconds: float) -> int:
@@ -96,12 +99,13 @@
     if len(found) < 2:
         return found[0], found[0]
     cuts = quantiles(found, n=PERCENT, method='inclusive')
-    return cuts[49], cuts[94]
+    middle, high = (cuts[index] for index in CUTS)
+    return middle, high
 
 
 @click.command()
 @click.option('--examples', default='examples', help='Folder of the examples.')
-@click.option('--seconds', default=6.0, help='How long each phase lasts.')
+@click.option('--seconds', default=PHASE_S, help='How long each phase lasts.')
 def demo(examples: str, seconds: float) -> None:
     """Run everything on loopback in one process for some seconds."""
     logging.getLogger('asyncio').setLevel(logging.CRITICAL)
--- a/trestledock/demo/_traffic.py
+++ b/trestledock/demo/_traffic.py
@@ -26,7 +26,10 @@
 CALL_SHARE = 0.3
 MAX_TOKENS = 12
 DEADLINE_MS = 30_000
+MAX_CONNECTIONS = 500
 ANSWERED = 'answered'
+BROKEN = 'broken'
+FIRST = 0
 
 
 @dataclass
@@ -59,7 +62,7 @@
         on_sent: Callable[[], None],
     ) -> Tally:
         """Send requests at a rate, then wait for every answer."""
-        limits = httpx.Limits(max_connections=500)
+        limits = httpx.Limits(max_connections=MAX_CONNECTIONS)
         async with (
             httpx.AsyncClient(limits=limits, timeout=60) as client,
             anyio.create_task_group() as group,
@@ -90,7 +93,7 @@
         try:
             answer = await client.post(url, json={}, headers=headers)
         except httpx.HTTPError:
-            self.tally.count('broken')
+            self.tally.count(BROKEN)
             return
         self.tally.count(_get_outcome(answer))
 
@@ -116,7 +119,7 @@
         try:
             outcome = await self._stream(client, entry, body, tokens, started)
         except httpx.HTTPError:
-            outcome = 'broken'
+            outcome = BROKEN
         self.tally.count(outcome)
 
     async def _stream(
@@ -143,13 +146,13 @@
                 return _get_outcome(source.response)
             async for event in source.aiter_sse():
                 plain = json.loads(event.data)
-                if plain.get('index') == 0:
+                if plain.get('index') == FIRST:
                     name = get_class_by_tokens(tokens).value
                     waited = anyio.current_time() - started
                     self.tally.ttft.setdefault(name, []).append(waited)
                 if 'outcome' in plain:
-                    return plain['outcome']
-        return 'broken'
+                    return str(plain['outcome'])
+        return BROKEN
 
     def _get_pool(self, kind: TargetKind) -> Pool:
         return next(pool for pool in self.cfg.pools if pool.kind is kind)
@@ -158,4 +161,4 @@
 def _get_outcome(answer: httpx.Response) -> str:
     if answer.is_success:
         return ANSWERED
-    return answer.json().get('type', 'broken')
+    return answer.json().get('type', BROKEN)
--- a/trestledock/process/_answers.py
+++ b/trestledock/process/_answers.py
@@ -234,17 +234,16 @@
     reason = Reason.target_lost
     if message.not_started:
         reason = Reason.target_rejected
-    repeatable = live.req.idempotent or message.not_started
-    if not repeatable:
+    if not (live.req.idempotent or message.not_started):
         refuse(state, live, reason, LOST_WAIT_S, message.detail)
-    elif not state.get_budget(live.pool).spend():
-        refuse(state, live, Reason.retry_budget, LOST_WAIT_S, reason.value)
-    else:
+    elif state.get_budget(live.pool).spend():
         state.count('retries', reason.value)
         live.enter(Phase.backoff)
         state.get_queue(live.pool).finish(live.req.req_id)
         backoff = draw_backoff(len(live.attempts), state.rng)
         state.set_timer(now + backoff, RetryDue(live.req.req_id))
+    else:
+        refuse(state, live, Reason.retry_budget, LOST_WAIT_S, reason.value)
 
 
 def _call_again(state: State, live: Live, now: float) -> None:
--- a/trestledock/process/_fleet.py
+++ b/trestledock/process/_fleet.py
@@ -88,21 +88,9 @@
         """Fold the instance list; return incarnations that were replaced."""
         replaced = []
         for info in infos:
-            known = self.targets.get(info.name)
-            if info.key in self.replaced:
-                continue
-            if known is None or known.info != info:
-                self.revision += 1
-            if known is None:
-                self.targets[info.name] = Target(info, heard_at=now)
-            elif known.info.incarnation != info.incarnation:
-                replaced.append(known.info)
-                self.replaced.add(known.info.key)
-                self.targets[info.name] = Target(info, heard_at=now)
-            else:
-                known.info = info
-            if info.leaving:
-                self.leaving.add(info.key)
+            if info.key not in self.replaced:
+                earlier = self._take_target(info, now)
+                replaced.extend([earlier] if earlier else [])
         self._mark_listed({info.name for info in infos})
         return replaced
 
@@ -206,6 +194,23 @@
             and self.peers[name].info.data_centre == data_centre
         ]
 
+    def _take_target(self, info: TargetInfo, now: float) -> TargetInfo | None:
+        """Take an entry; return the incarnation that it replaces, if any."""
+        if info.leaving:
+            self.leaving.add(info.key)
+        known = self.targets.get(info.name)
+        if known and known.info == info:
+            return None
+        self.revision += 1
+        if known and known.info.key == info.key:
+            known.info = info
+            return None
+        self.targets[info.name] = Target(info, heard_at=now)
+        if known is None:
+            return None
+        self.replaced.add(known.info.key)
+        return known.info
+
     def _mark_listed(self, names: set[str]) -> None:
         for name, target in self.targets.items():
             target.listed = name in names
--- a/trestledock/process/_policy.py
+++ b/trestledock/process/_policy.py
@@ -24,9 +24,9 @@
 
     `piece_s` is the length of a prefill piece in engine seconds, zero for
     whole prompts; a prompt of up to `whole_tokens` is never cut, since another
-    prompt's piece would get in between.  `window_s` is how much prefill may wait at an engine
-    before the rest waits in the fair queue.  `near_s` is the band of
-    predictions that count as equal and among which one is drawn.
+    prompt's piece would get in between.  `window_s` is how much prefill may
+    wait at an engine before the rest waits in the fair queue.  `near_s` is
+    the band of predictions that count as equal and among which one is drawn.
     """
 
     chooser: Chooser = Chooser.predicted
--- a/trestledock/process/_queue.py
+++ b/trestledock/process/_queue.py
@@ -105,7 +105,7 @@
         share while both wait, at most all of it.
         """
         rank = get_rank(req)
-        own = 0.0
+        own: float = 0
         others: dict[str, float] = {}
         weights: dict[str, float] = {}
         for waiting in self.waiting.values():
--- a/trestledock/process/_targets.py
+++ b/trestledock/process/_targets.py
@@ -19,8 +19,8 @@
     """
 
     name: str
-    incarnation: str
     address: str
+    incarnation: str = ''
     labels: Mapping[str, str] = field(default_factory=dict)
     leaving: bool = False
 
--- a/trestledock/proof/__init__.py
+++ b/trestledock/proof/__init__.py
@@ -24,6 +24,7 @@
     run_cell,
     run_cells,
 )
+from trestledock.proof._performing import make_world
 from trestledock.proof._scenario import (
     FAULTS,
     Run,
@@ -55,6 +56,7 @@
     'make_cells',
     'make_configuration',
     'make_soak',
+    'make_world',
     'publish_marked',
     'read_lines',
     'read_scenario',
--- a/trestledock/proof/__main__.py
+++ b/trestledock/proof/__main__.py
@@ -19,6 +19,9 @@
     run_scenario,
 )
 
+#: Runs of a soak where no number is given.
+DEFAULT_RUNS = 12
+
 
 @click.group()
 def main() -> None:
@@ -37,7 +40,7 @@
 
 @main.command()
 @click.option('--seed', default=1)
-@click.option('--runs', default=12)
+@click.option('--runs', default=DEFAULT_RUNS)
 def soak(seed: int, runs: int) -> None:
     """Run long histories of random faults."""
     results = run_cells(make_soak(seed, runs))
--- a/trestledock/proof/_callers.py
+++ b/trestledock/proof/_callers.py
@@ -11,7 +11,8 @@
 from typing import Callable
 
 from trestledock.process import Finish
-from trestledock.proof._world import Host, World
+from trestledock.proof._hosts import Host
+from trestledock.proof._world import World
 from trestledock.request import Kind, Model, Outcome, Reason, Request
 
 #: How often a key is tried again at the most.
--- a/trestledock/proof/_checkers.py
+++ b/trestledock/proof/_checkers.py
@@ -193,22 +193,34 @@
     for event in _pick(history, EventType.version):
         reached.setdefault((event.who, event.number), event.at)
     living = {who for who, _ in reached} - ended
-    violations = []
+    violations: list[str] = []
     for publication in accepted:
         due = max(publication.at, healed) + VERSION_SLACK_S
-        for who in sorted(living):
-            times = [
-                at
-                for (one, number), at in reached.items()
-                if one == who and number >= publication.number
-            ]
-            if min(times, default=float('inf')) > due:
-                violations.append(
-                    f'{who} had not version {publication.number} in time',
-                )
+        number = publication.number
+        violations.extend(
+            f'{who} had not version {number} in time'
+            for who in sorted(living)
+            if _get_reached_at(reached, who, number) > due
+        )
     return violations
 
 
+def _get_reached_at(
+    reached: dict[tuple[str, int], float],
+    who: str,
+    number: int,
+) -> float:
+    """Return when an instance had a version or a later one in force."""
+    return min(
+        (
+            at
+            for (one, version), at in reached.items()
+            if one == who and version >= number
+        ),
+        default=float('inf'),
+    )
+
+
 def check_orders(history: History) -> list[str]:
     """No engine takes an order of a holder after one of a later holder."""
     highest: dict[str, int] = {}
--- a/trestledock/proof/_fleets.py
+++ b/trestledock/proof/_fleets.py
@@ -23,6 +23,9 @@
     dump_json,
 )
 
+#: What a scenario's engines do: tokens a second, seconds between tokens.
+RATE = 16_000.0
+ITL_S = 0.01
 #: When the first configuration is published, in seconds.
 PUBLISH_AT_S = 1.0
 #: When instances, epochs and leases have settled, in seconds.
@@ -49,7 +52,7 @@
         Site('b', 2, 1, 1),
         Site('c', 2, 1, 1),
     )
-    spec: EngineSpec = EngineSpec(rate=16_000, itl_s=0.01)
+    spec: EngineSpec = EngineSpec(rate=RATE, itl_s=ITL_S)
     keep_s: float = 30
     replicas: int = 2
     retention_s: float = float('inf')
--- a/trestledock/proof/_matrix.py
+++ b/trestledock/proof/_matrix.py
@@ -26,6 +26,9 @@
 #: How long a soak's faults last, and how long it goes on afterwards.
 SOAK_FAULTS_S = 100
 SOAK_TAIL_S = 120
+#: From when and how often whatever has ended in a soak starts again.
+REVIVE_FROM_S = 20
+REVIVE_S = 15
 
 BASE = """
 fleet a:2:1:1 b:2:1:1 c:2:1:1
@@ -179,7 +182,7 @@
     names = ('a1', 'a2', 'b1', 'b2', 'c1', 'c2')
     lines.extend(
         f'at {moment} start entry-{name}'
-        for moment in range(20, stop + 10, 15)
+        for moment in range(REVIVE_FROM_S, stop + REVIVE_S, REVIVE_S)
         for name in names
     )
     lines.append(f'end {stop + SOAK_TAIL_S}')
--- a/trestledock/proof/_scenario.py
+++ b/trestledock/proof/_scenario.py
@@ -26,6 +26,7 @@
 from trestledock.proof._checkers import check_all
 from trestledock.proof._fleets import Plan, Site, build, publish_marked
 from trestledock.proof._history import EventType
+from trestledock.proof._performing import make_world
 from trestledock.proof._world import World
 from trestledock.request import Kind, Outcome
 from trestledock.standin import EngineSpec
@@ -63,7 +64,7 @@
     def get_world(self) -> World:
         """Return the world; the first use builds it."""
         if self.world is None:
-            self.world = World(self.plan.seed, self.timing)
+            self.world = make_world(self.plan.seed, self.timing)
             self.callers = build(self.plan, self.world)
         return self.world
 
--- a/trestledock/proof/_world.py
+++ b/trestledock/proof/_world.py
@@ -13,50 +13,36 @@
 
 import heapq
 from dataclasses import dataclass, field, replace
-from functools import singledispatch
+from functools import partial
 from random import Random
 from typing import Any, Callable
 
 from trestledock.process import (
-    AppendRecord,
     Arrive,
     AttemptFailed,
-    CacheEvent,
-    CacheReported,
-    CallDone,
     CallerGone,
-    CallService,
-    CancelConfirmed,
-    CancelHolds,
     ChunkArrived,
-    Count,
-    EmitChunks,
     Finish,
-    GiveOrder,
     Identity,
-    InstancesListed,
-    LoadReport,
-    LoadReported,
-    LogRead,
     Node,
-    Note,
-    OrderAnswered,
     PeerInfo,
-    PeerMessage,
     PieceDone,
     Policy,
     Publish,
-    Published,
-    ResumeStream,
     Shutdown,
-    StartJob,
     StreamDone,
     TargetInfo,
     Tick,
     Timing,
-    ToPeer,
 )
 from trestledock.proof._history import Event, EventType
+from trestledock.proof._hosts import (
+    EngineHost,
+    Host,
+    Route,
+    ServiceHost,
+    Switches,
+)
 from trestledock.request import Request
 from trestledock.standin import (
     EngineEvent,
@@ -64,8 +50,6 @@
     EngineSpec,
     EventKind,
     LogModel,
-    Overloaded,
-    Rejected,
 )
 
 PLATFORM = 'platform'
@@ -74,96 +58,26 @@
 FAR_S = 0.001
 #: How long a connection attempt into a cut takes to fail, in seconds.
 CONNECT_TIMEOUT_S = 1.0
-#: Intervals of the polls, in seconds.
-LOG_POLL_S = 0.25
-LIST_POLL_S = 1.0
-LOAD_POLL_S = 0.5
-#: How long a service works on a call, in seconds.
-SERVICE_S = 0.01
-
-
-@dataclass
-class Host:
-    """An instance in the world: its core and whether it lives or sleeps."""
-
-    node: Node
-    name: str
-    data_centre: str
-    alive: bool = True
-    frozen: bool = False
-    leaving: bool = False
-    inbox: list[Any] = field(default_factory=list)
-    tick_at: float = float('inf')
-    version: int = -1
-    stalls: dict[str, float] = field(default_factory=dict)
-    requests: dict[str, Request] = field(default_factory=dict)
-    seeds: dict[str, str] = field(default_factory=dict)
-    keys: dict[str, str] = field(default_factory=dict)
-
-    @property
-    def member(self) -> str:
-        """The name of this incarnation."""
-        return self.node.state.member
-
-
-@dataclass
-class Route:
-    """Where an engine's events of a hold go."""
-
-    host: Host
-    req_id: str
-    attempt: int
-
-
-@dataclass
-class EngineHost:
-    """An engine in the world."""
+#: The band that delays are drawn from, as factors.
+JITTER = (0.5, 1.5)
+#: How often the end of a graceful shutdown is looked for, in seconds.
+DRAIN_LOOK_S = 0.1
 
-    model: EngineModel
-    info: TargetInfo
-    alive: bool = True
-    silent_leaving: bool = False
-    muted: bool = False
-    routes: dict[str, Route] = field(default_factory=dict)
-    wake_at: float = float('inf')
-    reports: list[tuple[float, LoadReport]] = field(default_factory=list)
-    sequence: int = -1
-    cache_events: list[CacheEvent] = field(default_factory=list)
 
+@dataclass(frozen=True)
+class Feed:
+    """Something that an instance reads by itself, every so often."""
 
-@dataclass
-class ServiceHost:
-    """A plain service in the world."""
-
-    info: TargetInfo
-    alive: bool = True
-    lose_answers: int = 0
-    silent_leaving: bool = False
-
-
-@dataclass
-class Switches:
-    """The faults of the platform and the network."""
-
-    outage: bool = False
-    list_outage: bool = False
-    lose_appends: int = 0
-    lose_cancels: int = 0
-    list_lag_s: float = 0.5
-    report_lag_s: float = 0.2
-    cache_gap_share: float = 0.1
-    loss_share: float = 0
-    duplicate_share: float = 0
-    reorder_s: float = 0
-    cuts: list[tuple[frozenset[str], frozenset[str]]] = field(
-        default_factory=list,
-    )
+    interval_s: float
+    read: Callable[['World', Host], None]
 
 
 @dataclass
 class World:
-    """All hosts on one clock."""
+    """All hosts on one clock; `make_world` builds an empty one."""
 
+    perform: Callable[[Any, 'World', Host], None]
+    feeds: tuple['Feed', ...]
     seed: int = 0
     timing: Timing = Timing()
     policy: Policy = Policy()
@@ -180,14 +94,13 @@
     on_broken: Callable[[str], None] | None = None
     on_first_token: Callable[[str], None] | None = None
     records_chunks: bool = True
-    load_poll_s: float = LOAD_POLL_S
     rng: Random = field(init=False)
     _heap: list[tuple[float, int, Callable[[], None]]] = field(
         default_factory=list,
     )
     _count: int = 0
     _incarnations: int = 0
-    _lists: list[tuple[float, tuple[TargetInfo, ...], tuple[PeerInfo, ...]]] = (
+    lists: list[tuple[float, tuple[TargetInfo, ...], tuple[PeerInfo, ...]]] = (
         field(default_factory=list)
     )
 
@@ -224,9 +137,9 @@
         )
         host = Host(node, name, data_centre)
         self.hosts[name] = host
-        self._poll(host, LOG_POLL_S, self._read_log)
-        self._poll(host, LIST_POLL_S, self._read_list)
-        self._poll(host, self.load_poll_s, self._read_loads)
+        for feed in self.feeds:
+            first = self.now + self.rng.uniform(0, feed.interval_s)
+            self.at(first, partial(self._feed, host, feed))
         self.refresh_list()
         self.tell(host, Tick())
         return host
@@ -240,14 +153,14 @@
     ) -> None:
         """Start an engine, or a new incarnation of one."""
         self._incarnations += 1
-        info = TargetInfo(name, f'{self._incarnations:04d}', name, labels)
+        info = TargetInfo(name, name, f'{self._incarnations:04d}', labels)
         self.engines[name] = EngineHost(EngineModel(spec, models), info)
         self.refresh_list()
 
     def add_service(self, name: str, labels: dict[str, str]) -> None:
         """Start a plain service."""
         self._incarnations += 1
-        info = TargetInfo(name, f'{self._incarnations:04d}', name, labels)
+        info = TargetInfo(name, name, f'{self._incarnations:04d}', labels)
         self.services[name] = ServiceHost(info)
         self.refresh_list()
 
@@ -269,7 +182,7 @@
             for host in self.hosts.values()
             if host.alive
         )
-        self._lists.append((self.now, targets, peers))
+        self.lists.append((self.now, targets, peers))
 
     def invoke(self, host: Host, req: Request, seed: str = '') -> None:
         """Let a caller send a request to an instance."""
@@ -336,7 +249,7 @@
         engine.alive = False
         self.refresh_list()
         for route in engine.routes.values():
-            self._fail(route, name, not_started=False)
+            self.fail(route, name, not_started=False)
         engine.routes.clear()
 
     def revive_engine(self, name: str) -> None:
@@ -367,7 +280,7 @@
         if name in self.hosts:
             return self.hosts[name].data_centre
         target = self.engines.get(name) or self.services.get(name)
-        return target.info.labels.get('data_centre', '') if target else ''
+        return target.info.labels['data_centre'] if target else ''
 
     def get_delay(self, one: str, other: str) -> float:
         """Return a delay one way between two places."""
@@ -376,8 +289,8 @@
             if self.get_data_centre(one) == self.get_data_centre(other)
             else FAR_S
         )
-        jitter = self.rng.uniform(0.5, 1.5)
-        extra = 0.0
+        jitter = self.rng.uniform(*JITTER)
+        extra: float = 0
         if self.switches.reorder_s:
             extra = self.rng.uniform(0, self.switches.reorder_s)
         return base * jitter + extra
@@ -403,7 +316,7 @@
             host.inbox.append(message)
             return
         for action in host.node.step(message, self.now):
-            perform(action, self, host)
+            self.perform(action, self, host)
         self._note_version(host)
         self._schedule_tick(host)
 
@@ -414,7 +327,7 @@
             repeats = 2
         for _ in range(repeats):
             moment = self.now + self.get_delay(peer, host.name)
-            self.at(moment, lambda: self._arrive(host, peer, message))
+            self.at(moment, partial(self._arrive, host, peer, message))
 
     def hang_up(self, host: Host) -> None:
         """Let every caller of an instance leave."""
@@ -428,7 +341,7 @@
         stall_s = host.stalls.pop(type(action).__name__, 0)
         if stall_s:
             moment = self.now + stall_s
-            self.at(moment, lambda: perform(action, self, host))
+            self.at(moment, partial(self.perform, action, self, host))
         return stall_s > 0
 
     def pump_engine(self, name: str) -> None:
@@ -445,6 +358,18 @@
                     lambda: self._wake_engine(engine, name),
                 )
 
+    def fail(self, route: Route, name: str, *, not_started: bool) -> None:
+        """Tell an instance, after a while, that an attempt has failed."""
+        message = AttemptFailed(
+            route.req_id,
+            route.attempt,
+            not_started,
+            step='stream',
+            peer=name,
+        )
+        moment = self.now + CONNECT_TIMEOUT_S
+        self.at(moment, lambda: self.tell(route.host, message))
+
     def _wake_engine(self, engine: EngineHost, name: str) -> None:
         if self.engines.get(name) is engine and engine.alive:
             engine.wake_at = min(engine.wake_at, self.now)
@@ -461,114 +386,14 @@
             return
         if not self.can_reach(name, route.host.name):
             engine.routes.pop(event.hold)
-            self._fail(route, name, not_started=False)
+            self.fail(route, name, not_started=False)
             return
         self.deliver(route.host, name, _to_message(route, event))
 
-    def _fail(self, route: Route, name: str, *, not_started: bool) -> None:
-        message = AttemptFailed(
-            route.req_id,
-            route.attempt,
-            not_started,
-            step='stream',
-            peer=name,
-        )
-        moment = self.now + CONNECT_TIMEOUT_S
-        self.at(moment, lambda: self.tell(route.host, message))
-
     def _arrive(self, host: Host, peer: str, message: Any) -> None:
         if self.can_reach(peer, host.name):
             self.tell(host, message)
 
-    def _poll(
-        self,
-        host: Host,
-        interval_s: float,
-        poll: Callable[[Host], None],
-    ) -> None:
-        def again() -> None:  # noqa: WPS430 - one closure a poll
-            if host.alive:
-                if not host.frozen:
-                    poll(host)
-                self.at(self.now + interval_s, again)
-
-        first = self.now + self.rng.uniform(0, interval_s)
-        self.at(first, again)
-
-    def _read_log(self, host: Host) -> None:
-        away = self.switches.outage or not self.can_reach(host.name, PLATFORM)
-        if not away:
-            offset = host.node.state.reader.next_read
-            batch = self.log.read(offset, self.now)
-            self.deliver(host, PLATFORM, LogRead(batch))
-
-    def _read_list(self, host: Host) -> None:
-        away = self.switches.list_outage
-        if away or not self.can_reach(host.name, PLATFORM):
-            return
-        wanted = self.now - self.switches.list_lag_s
-        older = [one for one in self._lists if one[0] <= wanted]
-        if older:
-            _, targets, peers = older[-1]
-            self.deliver(host, PLATFORM, InstancesListed(targets, peers))
-
-    def _read_loads(self, host: Host) -> None:
-        for name, engine in self.engines.items():
-            if engine.alive and self.can_reach(host.name, name):
-                self.deliver(host, name, self._get_report(name, engine))
-                self._send_cache_events(host, name, engine)
-        for name, service in self.services.items():
-            if service.alive and self.can_reach(host.name, name):
-                report = LoadReport(
-                    0,
-                    (),
-                    0,
-                    0,
-                    1,
-                    0,
-                    leaving=service.silent_leaving,
-                )
-                self.deliver(host, name, LoadReported(name, report))
-
-    def _get_report(self, name: str, engine: EngineHost) -> LoadReported:
-        last = engine.reports[-1][0] if engine.reports else float('-inf')
-        if self.now - last > self.load_poll_s / 10:
-            engine.reports.append((self.now, engine.model.report(self.now)))
-            self.pump_engine(name)
-        wanted = self.now - self.switches.report_lag_s
-        older = [one for one in engine.reports if one[0] <= wanted]
-        at, report = older[-1] if older else engine.reports[0]
-        engine.reports = [one for one in engine.reports if one[0] >= at]
-        report = replace(
-            report,
-            age_s=self.now - at,
-            leaving=engine.silent_leaving,
-        )
-        return LoadReported(name, report)
-
-    def _send_cache_events(
-        self,
-        host: Host,
-        name: str,
-        engine: EngineHost,
-    ) -> None:
-        lines = engine.model.cache_log
-        if lines:
-            engine.model.cache_log = []
-            gap = self.rng.random() < self.switches.cache_gap_share
-            engine.sequence += 2 if gap else 1
-            added = tuple(block for block, is_new in lines if is_new)
-            removed = tuple(block for block, is_new in lines if not is_new)
-            engine.cache_events.append(
-                CacheEvent(engine.sequence, added, removed),
-            )
-            engine.cache_events = engine.cache_events[-20:]
-        target = host.node.state.fleet.targets.get(name)
-        known = target.cache_sequence if target else -1
-        for event in engine.cache_events:
-            if event.sequence > known:
-                self.deliver(host, name, CacheReported(name, event))
-
     def _schedule_tick(self, host: Host) -> None:
         moment = host.node.get_next_timer()
         if moment < host.tick_at or host.tick_at <= self.now:
@@ -613,7 +438,15 @@
             self.note(EventType.ended, who=host.name, text='drained')
             self.refresh_list()
         else:
-            self.at(self.now + 0.1, lambda: self._end_when_drained(host))
+            moment = self.now + DRAIN_LOOK_S
+            self.at(moment, partial(self._end_when_drained, host))
+
+    def _feed(self, host: Host, feed: 'Feed') -> None:
+        if host.alive:
+            if not host.frozen:
+                feed.read(self, host)
+            moment = self.now + feed.interval_s
+            self.at(moment, partial(self._feed, host, feed))
 
 
 def _to_message(route: Route, event: EngineEvent) -> Any:
@@ -622,268 +455,3 @@
     if event.chunk is not None:
         return ChunkArrived(route.req_id, route.attempt, event.chunk)
     return StreamDone(route.req_id, route.attempt, event.count)
-
-
-@singledispatch
-def perform(action: Any, world: World, host: Host) -> None:
-    """Carry out an action of an instance."""
-    raise TypeError(f'nothing carries out {type(action).__name__}')
-
-
-@perform.register
-def _(action: StartJob, world: World, host: Host) -> None:
-    name = action.target
-    engine = world.engines[name]
-    route = Route(host, action.req_id, action.attempt)
-    if not engine.alive or not world.can_reach(host.name, name):
-        world._fail(route, name, not_started=True)
-        return
-
-    def submit() -> None:  # noqa: WPS430
-        if not engine.alive or world.engines[name] is not engine:
-            world._fail(route, name, not_started=False)
-            return
-        prefix = (
-            host.requests[action.req_id].prefix
-            if (action.req_id in host.requests)
-            else ()
-        )
-        seed = host.seeds.get(action.req_id, '')
-        engine.routes[action.job.hold] = route
-        if not action.job.start:
-            world.note(
-                EventType.sent,
-                who=host.name,
-                req_id=action.req_id,
-                key=name,
-            )
-        try:
-            engine.model.submit(action.job, seed, prefix, world.now)
-        except Rejected as exc:
-            message = AttemptFailed(
-                action.req_id,
-                action.attempt,
-                not_started=True,
-                step='job',
-                peer=name,
-                detail=str(exc),
-            )
-            world.deliver(host, name, message)
-        world.pump_engine(name)
-
-    world.at(world.now + world.get_delay(host.name, name), submit)
-
-
-@perform.register
-def _(action: ResumeStream, world: World, host: Host) -> None:
-    name = action.target
-    engine = world.engines[name]
-    route = Route(host, action.req_id, action.attempt)
-    model = engine.model
-    hold = model.holds.get(action.hold) or model.finished.get(action.hold)
-    reachable = engine.alive and world.can_reach(host.name, name)
-    if hold is None or not reachable:
-        world._fail(route, name, not_started=False)
-        return
-    engine.routes[action.hold] = route
-    for chunk in hold.produced:
-        if chunk.index >= action.index:
-            message = ChunkArrived(action.req_id, action.attempt, chunk)
-            world.deliver(host, name, message)
-    if hold.final_count is not None:
-        done = StreamDone(action.req_id, action.attempt, hold.final_count)
-        world.deliver(host, name, done)
-
-
-@perform.register
-def _(action: CallService, world: World, host: Host) -> None:
-    if world.stall(host, action):
-        return
-    name = action.target
-    service = world.services[name]
-    refused = (
-        world.now >= action.not_after
-        or not service.alive
-        or not world.can_reach(host.name, name)
-    )
-    if not host.alive:
-        return
-    if refused:
-        failed = AttemptFailed(
-            action.req_id,
-            action.attempt,
-            not_started=True,
-            step='call',
-            peer=name,
-        )
-        world.at(
-            world.now + CONNECT_TIMEOUT_S,
-            lambda: world.tell(host, failed),
-        )
-        return
-
-    def run() -> None:  # noqa: WPS430
-        key = host.keys.get(action.req_id, '')
-        world.note(
-            EventType.sent,
-            who=host.name,
-            req_id=action.req_id,
-            key=name,
-        )
-        world.note(
-            EventType.ran,
-            who=name,
-            req_id=action.req_id,
-            key=key,
-        )
-        if service.lose_answers > 0 or not service.alive:
-            service.lose_answers -= 1
-            lost = AttemptFailed(
-                action.req_id,
-                action.attempt,
-                not_started=False,
-                step='call',
-                peer=name,
-            )
-            world.deliver(host, name, lost)
-            return
-        done = CallDone(action.req_id, action.attempt, 200, f'ran {key}')
-        world.deliver(host, name, done)
-
-    delay = world.get_delay(host.name, name) + SERVICE_S
-    world.at(world.now + delay, run)
-
-
-@perform.register
-def _(action: CancelHolds, world: World, host: Host) -> None:
-    name = action.address
-    engine = world.engines.get(name)
-    if engine is None or not engine.alive:
-        return
-    if not world.can_reach(host.name, name):
-        return
-
-    def cancel() -> None:  # noqa: WPS430
-        for hold in action.holds:
-            engine.model.cancel(hold, world.now)
-            engine.routes.pop(hold, None)
-        world.pump_engine(name)
-        if world.switches.lose_cancels > 0:
-            world.switches.lose_cancels -= 1
-            return
-        confirmed = CancelConfirmed(action.target, action.holds)
-        world.deliver(host, name, confirmed)
-
-    world.at(world.now + world.get_delay(host.name, name), cancel)
-
-
-@perform.register
-def _(action: ToPeer, world: World, host: Host) -> None:
-    peer = world.hosts.get(action.address)
-    if peer is None or not world.can_reach(host.name, peer.name):
-        return
-    if world.rng.random() < world.switches.loss_share:
-        return
-    message = PeerMessage(host.member, action.payload)
-    world.deliver(peer, host.name, message)
-
-
-@perform.register
-def _(action: AppendRecord, world: World, host: Host) -> None:
-    if world.stall(host, action):
-        return
-    reachable = world.can_reach(host.name, PLATFORM)
-    if world.switches.outage or not reachable:
-        return
-    if world.switches.lose_appends > 0:
-        world.switches.lose_appends -= 1
-        return
-    try:
-        world.log.append(action.record, world.now)
-    except Overloaded:
-        return
-
-
-@perform.register
-def _(action: GiveOrder, world: World, host: Host) -> None:
-    if world.stall(host, action):
-        return
-    name = action.target
-    engine = world.engines[name]
-    if world.now >= action.not_after or not engine.alive:
-        return
-    if not world.can_reach(host.name, name):
-        return
-
-    def take() -> None:  # noqa: WPS430
-        models = frozenset(action.models)
-        taken = engine.model.order(models, action.fencing)
-        if taken:
-            world.note(
-                EventType.order,
-                who=host.name,
-                key=name,
-                number=action.fencing,
-            )
-        answered = OrderAnswered(name, refused=not taken)
-        world.deliver(host, name, answered)
-
-    world.at(world.now + world.get_delay(host.name, name), take)
-
-
-@perform.register
-def _(action: EmitChunks, world: World, host: Host) -> None:
-    if action.req_id not in host.requests:
-        return
-    if world.on_first_token and not action.chunks[0].index:
-        world.on_first_token(action.req_id)
-    if not world.records_chunks:
-        return
-    for chunk in action.chunks:
-        world.note(
-            EventType.chunk,
-            who=host.name,
-            req_id=action.req_id,
-            number=chunk.index,
-            text=chunk.text,
-        )
-
-
-@perform.register
-def _(action: Finish, world: World, host: Host) -> None:
-    req_id = action.req.req_id
-    if host.requests.pop(req_id, None) is None:
-        return
-    world.finishes[req_id] = action
-    world.note(
-        EventType.outcome,
-        who=host.name,
-        req_id=req_id,
-        key=action.verdict.reason.value,
-        text=action.verdict.outcome.value,
-    )
-    if world.on_finish:
-        world.on_finish(action)
-
-
-@perform.register
-def _(action: Published, world: World, host: Host) -> None:
-    world.note(
-        EventType.published,
-        who=host.name,
-        key=action.publish_id,
-        number=action.version,
-        limit=action.base,
-        text='accepted' if action.accepted else 'conflict',
-    )
-
-
-@perform.register
-def _(action: Count, world: World, host: Host) -> None:
-    key = (action.name, action.label)
-    world.counts[key] = world.counts.get(key, 0) + 1
-
-
-@perform.register
-def _(action: Note, world: World, host: Host) -> None:
-    """Lines of the log prove nothing, so the history leaves them out."""
--- a/trestledock/request/_attempt.py
+++ b/trestledock/request/_attempt.py
@@ -1,4 +1,4 @@
-"""
+r"""
 Attempts
 ========
 
@@ -9,8 +9,8 @@
 ::
 
     planned -> sent -> started -> complete
-                  \\-> rejected     (the target proves that it did not start)
-                  \\-> lost         (no proof either way)
+                  \-> rejected     (the target proves that it did not start)
+                  \-> lost         (no proof either way)
 """
 
 from dataclasses import dataclass, replace
--- a/trestledock/request/_request.py
+++ b/trestledock/request/_request.py
@@ -87,9 +87,9 @@
     """One admitted request.
 
     `deadline` is a monotonic instant of the instance that admitted it.
-    `idempotency_key` is empty where the caller gave none; `home` names the data centre
-    whose members decide on the key.  `prefix` holds hashes of the prompt's
-    leading blocks, longest prefix last.
+    `idempotency_key` is empty where the caller gave none; `home` names the
+    data centre whose members decide on the key.  `prefix` holds hashes of the
+    prompt's leading blocks, longest prefix last.
     """
 
     req_id: str
--- a/trestledock/standin/_engine.py
+++ b/trestledock/standin/_engine.py
@@ -70,7 +70,7 @@
     faults: Faults = field(
         default_factory=lambda: Faults(
             lag_s=0.2,
-            cache_gap_share=0.0,
+            cache_gap_share=0,
             cut_streams=0,
             lose_cancels=0,
             leaving=False,
@@ -253,7 +253,7 @@
             fetched = False
             while not fetched:
                 try:
-                    response = await client.get('/v1/weights/' + model)
+                    response = await client.get(f'/v1/weights/{model}')
                 except httpx.HTTPError:
                     await anyio.sleep(WEIGHT_RETRY_S)
                     continue
--- a/trestledock/standin/_engine_model.py
+++ b/trestledock/standin/_engine_model.py
@@ -176,7 +176,7 @@
     def report(self, now: float, age_s: float = 0) -> LoadReport:
         """Return the load as of `now`."""
         self._run_until(now)
-        queued = [0] * PRIORITIES
+        queued = [0 for _ in range(PRIORITIES)]
         waiting = [(entry[0], entry[2]) for entry in self._queue]
         if self._current:
             hold = self.holds.get(self._current[1])
--- a/trestledock/standin/_platform.py
+++ b/trestledock/standin/_platform.py
@@ -29,6 +29,8 @@
 #: Status where a limit is spent.
 LIMIT_STATUS = 429
 
+Listing = list[dict[str, Any]]
+
 
 @dataclass
 class PlatformServer:
@@ -36,9 +38,7 @@
 
     log: LogModel = field(default_factory=LogModel)
     instances: dict[str, dict[str, Any]] = field(default_factory=dict)
-    history: list[tuple[float, list[dict[str, Any]]]] = field(
-        default_factory=list,
-    )
+    history: list[tuple[float, Listing]] = field(default_factory=list)
     weights_at: float = 0
     faults: Faults = field(
         default_factory=lambda: Faults(
--- a/trestledock/standin/_service.py
+++ b/trestledock/standin/_service.py
@@ -24,7 +24,7 @@
     runs: dict[str, int] = field(default_factory=dict)
     faults: Faults = field(
         default_factory=lambda: Faults(
-            delay_s=0.0,
+            delay_s=0,
             lose_answers=0,
             leaving=False,
         ),
--- a/trestledock/standin/_web.py
+++ b/trestledock/standin/_web.py
@@ -6,6 +6,7 @@
 of its own, whose faults are switched on through a control route.
 """
 
+from http import HTTPStatus
 from typing import Any, Awaitable, Callable
 
 import anyio
@@ -45,7 +46,9 @@
         wanted = await request.json()
         unknown = sorted(set(wanted) - set(self._faults))
         if unknown:
-            return JSONResponse({'unknown': unknown}, status_code=400)
+            return JSONResponse(
+                {'unknown': unknown}, status_code=HTTPStatus.BAD_REQUEST
+            )
         self._faults.update(wanted)
         return JSONResponse(self._faults)
 
--- a/trestledock/version/_check.py
+++ b/trestledock/version/_check.py
@@ -30,7 +30,7 @@
 #: The choices; they are texts, too, and are told apart from them here.
 CHOICES = (TargetKind, Op)
 
-_EXTRA = re.compile('extra fields found \\((.+)\\) @ (.*)')
+_EXTRA = re.compile(r'extra fields found \((.+)\) @ (.*)')
 
 
 class OptionError(Exception):
--- a/trestledock/version/_schema.py
+++ b/trestledock/version/_schema.py
@@ -3,8 +3,8 @@
 =================
 
 The frozen data classes that a configuration file is read into.  Every field is
-declared here once: names, types and defaults.  `trestledock.version.check_configuration`
-reads and checks a document against them.
+declared here once: names, types and defaults; `check_configuration` reads and
+checks a document against them.
 """
 
 from dataclasses import dataclass
