Fair queue: the virtual time follows the work that is served

Cause: a test of the queue failed first: a team that had been idle was 50 engine seconds behind a busy one, because the floor moved only while others waited. Ruled out: weights and costs. Before: 50 s banked. After: at most 1.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -10,7 +10,7 @@
 
 import httpx
 
-from trestledock.demo._deployment import get_free_port
+from trestledock.demo import get_free_port
 
 ROOT = Path(__file__).parent.parent
 BINARY = ROOT / 'build' / 'trestledock.pyz'
--- a/trestledock/process/__init__.py
+++ b/trestledock/process/__init__.py
@@ -49,7 +49,7 @@
     Tick,
 )
 from trestledock.process._node import Node
-from trestledock.process._payloads import PAYLOADS, Payload
+from trestledock.process._payloads import PAYLOADS, ClaimAsk, Payload
 from trestledock.process._policy import PLAIN, Chooser, Policy
 from trestledock.process._rendezvous import rank_by_key
 from trestledock.process._targets import (
@@ -75,6 +75,7 @@
     'CancelHolds',
     'Chooser',
     'ChunkArrived',
+    'ClaimAsk',
     'ClaimTable',
     'Count',
     'EmitChunks',
--- a/trestledock/process/_arrivals.py
+++ b/trestledock/process/_arrivals.py
@@ -17,7 +17,7 @@
 from trestledock.process._dispatching import (
     get_team,
     make_waiting,
-    pump,
+    place,
     pump_soon,
     start_call,
 )
@@ -118,8 +118,8 @@
     queue.push(waiting)
     if queue.has_before(waiting):
         pump_soon(state, live.pool, now)
-    else:
-        pump(state, live.pool, now)
+    elif place(state, live, now, field):
+        queue.charge(waiting)
 
 
 def get_cost(req: Request, best: Candidate) -> float:
--- a/trestledock/process/_dispatching.py
+++ b/trestledock/process/_dispatching.py
@@ -109,9 +109,17 @@
         pump_soon(state, pool, now)
 
 
-def place(state: State, live: Live, now: float) -> bool:
-    """Send one queued request where it may run now; False where nowhere."""
-    field = find_candidates(state, live.req, now)
+def place(
+    state: State,
+    live: Live,
+    now: float,
+    known: CandidateField | None = None,
+) -> bool:
+    """Send one queued request where it may run now; False where nowhere.
+
+    `known` holds the candidates where they have just been found.
+    """
+    field = known or find_candidates(state, live.req, now)
     if not field.candidates:
         return False
     if live.req.total_tokens > field.capacity:
--- a/trestledock/process/_guarding.py
+++ b/trestledock/process/_guarding.py
@@ -19,6 +19,7 @@
     Watched,
 )
 from trestledock.process._payloads import HoldBlock, HoldBlockKept
+from trestledock.process._rendezvous import rank_by_key
 from trestledock.process._state import State
 
 
@@ -37,7 +38,7 @@
 def prepare_block(state: State, target: Target, now: float) -> None:
     """Have a guarded block ready before the first request needs it."""
     block = state.hold_ids.get_block(target.info.name)
-    if len(block.kept_by) < GUARDS:
+    if not block.guards:
         ask_guards(state, block, target, now)
 
 
@@ -45,17 +46,19 @@
     """Return the peers that may guard, in the order to ask them.
 
     The first is of the own data centre, the next of others, one each, so that
-    no single failure takes an owner together with all its guards.
+    no single failure takes an owner together with all its guards; rendezvous
+    hashing spreads the owners over the peers.
     """
     home = state.identity.data_centre
     ranks: dict[str, int] = {}
-    ordered = []
-    for name, peer in sorted(state.fleet.peers.items()):
+    ordered: list[tuple[int, bool, int, Peer]] = []
+    for name in rank_by_key(state.member, state.fleet.peers):
+        peer = state.fleet.peers[name]
         if name == state.member or peer.gone or peer.leaving:
             continue
         place = peer.info.data_centre
         ranks[place] = ranks.get(place, -1) + 1
-        ordered.append((ranks[place], place != home, name, peer))
+        ordered.append((ranks[place], place != home, len(ordered), peer))
     return [one[-1] for one in sorted(ordered, key=itemgetter(0, 1, 2))]
 
 
--- a/trestledock/process/_queue.py
+++ b/trestledock/process/_queue.py
@@ -74,10 +74,9 @@
         team = waiting.req.team
         self.waiting.pop(waiting.req.req_id, None)
         self.running[waiting.req.req_id] = team
-        self.clocks[team] = (
-            self.clocks.get(team, self.floor) + waiting.cost / waiting.weight
-        )
-        self.floor = max(self.floor, self._get_least())
+        start = self.clocks.get(team, self.floor)
+        self.clocks[team] = start + waiting.cost / waiting.weight
+        self.floor = max(self.floor, start)
 
     def finish(self, req_id: str) -> None:
         """Note that a request no longer runs."""
