--- a/trestledock/process/_choosing.py
+++ b/trestledock/process/_choosing.py
@@ -11,6 +11,7 @@
 
 from trestledock.process._fleet import STALE_S, Target
 from trestledock.process._policy import Chooser
+from trestledock.process._rendezvous import rank_by_key
 from trestledock.process._state import State
 from trestledock.request import (
     CLASS_PRIORITY,
@@ -43,11 +44,16 @@
 
 @dataclass(frozen=True)
 class Permits:
-    """Where work with certain labels may run; `stamp` says as of when."""
+    """Where work with certain labels may run; `stamp` says as of when.
+
+    `near` is this instance's own subset of `targets`: it bounds the cost of a
+    request, and every target is in the subsets of several instances.
+    """
 
     stamp: tuple[int, int]
     pool: Pool | None
     targets: tuple[Permitted, ...] = ()
+    near: tuple[Permitted, ...] = ()
     reason: Reason = Reason.none
     detail: str = ''
 
@@ -154,7 +160,8 @@
         else:
             forbidden_by = permission.forbidden_by
     if permitted:
-        return Permits(stamp, pool, tuple(permitted))
+        near = _get_subset(state, permitted)
+        return Permits(stamp, pool, tuple(permitted), near)
     reason = Reason.no_permitted_target
     return Permits(stamp, pool, reason=reason, detail=forbidden_by)
 
@@ -164,19 +171,50 @@
     permits = find_permitted(state, req)
     if permits.pool is None or not permits.targets:
         return Field(permits.pool, (), permits.reason, permits.detail)
+    field = _predict_all(state, req, permits.pool, permits.near, now)
+    too_small = field.capacity < req.total_tokens
+    if too_small and len(permits.near) < len(permits.targets):
+        return _predict_all(state, req, permits.pool, permits.targets, now)
+    return field
+
+
+def _predict_all(
+    state: State,
+    req: Request,
+    pool: Pool,
+    permitted: tuple[Permitted, ...],
+    now: float,
+) -> Field:
     model = str(req.model)
     usable = [
         one
-        for one in permits.targets
+        for one in permitted
         if state.fleet.is_usable(one.target, now)
         and model in one.target.models
         and now - one.target.load.reported_at < STALE_S
     ]
     if not usable:
-        return Field(permits.pool, reason=Reason.no_live_target)
+        return Field(pool, reason=Reason.no_live_target)
     best = max(one.preference for one in usable)
     candidates = tuple(_predict(state, req, one, now, best) for one in usable)
-    return Field(permits.pool, candidates)
+    return Field(pool, candidates)
+
+
+def _get_subset(
+    state: State,
+    permitted: list[Permitted],
+) -> tuple[Permitted, ...]:
+    """Return the targets that this instance looks at first.
+
+    Of the preferred ones as many as the subset holds, by rendezvous hashing.
+    """
+    by_name = {one.target.info.name: one for one in permitted}
+    ranked = rank_by_key(state.member, by_name)
+    ordered = sorted(
+        (by_name[name] for name in ranked),
+        key=lambda one: -one.preference,
+    )
+    return tuple(ordered[: state.policy.subset])
 
 
 def choose_engine(
--- a/trestledock/process/_policy.py
+++ b/trestledock/process/_policy.py
@@ -27,6 +27,7 @@
     prompt's piece would get in between.  `window_s` is how much prefill may
     wait at an engine before the rest waits in the fair queue.  `near_s` is
     the band of predictions that count as equal and among which one is drawn.
+    `subset` is how many of the permitted engines an instance looks at.
     """
 
     chooser: Chooser = Chooser.predicted
@@ -40,6 +41,7 @@
     margin: float = 1.15
     prefer_s: float = 0.5
     urgent_s: float = 1.0
+    subset: int = 24
 
 
 #: Everything off: whole prompts in order of arrival, round robin.
