What comes from outside is decoded strictly; a poisoned record stops nothing

Cause: reading as a newcomer: a record on the log with a body that makes no sense was accepted in the scopes of epochs and leases, and would have ended every instance that read it; a foreign record, an odd entry of the list or an odd report ended the task that read it; the counter of holds taken up had no metric, so that the death of a peer ended its guard. Ruled out: catching everything in the core; a handler that fails half way is worse than an end. Giants: each instance has its part of the pool's share.

--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from trestledock.process import ClaimTable, Epoch, EpochBody, Grant
+from trestledock.process import ClaimTable, Epoch, Grant
 from trestledock.process._payloads import (
     ClaimAnswer,
     ClaimAsk,
@@ -14,6 +14,7 @@
     ClaimResult,
     SealAnswer,
 )
+from trestledock.version import EpochBody
 
 NAMES = ('a', 'b', 'c', 'd')
 KEYS = ('k1', 'k2')
--- a/tests/test_fold.py
+++ b/tests/test_fold.py
@@ -18,10 +18,12 @@
     Record,
     check_configuration,
     make_snapshot_record,
+    read_batch,
 )
 
 EXAMPLES = Path(__file__).parent.parent / 'examples'
-SCOPES = ('lease/a', 'epoch/a')
+BODY = '{"holder": "a", "ttl_s": 1}'
+SCOPES = ('lease/a', 'lease/b')
 
 
 def make_log(draws):
@@ -31,7 +33,7 @@
     for number, (scope, age, is_snapshot) in enumerate(draws):
         accepted = fold.get_base_by_scope(scope)
         base = accepted if age == 0 else accepted - age
-        record = Record(f'r{number}', scope, base, '{}')
+        record = Record(f'r{number}', scope, base, BODY)
         if is_snapshot:
             record = make_snapshot_record(f's{number}', fold)
         else:
@@ -78,7 +80,7 @@
     def test_stale_snapshot_brings_nothing_back(self):
         fold = Fold()
         stale = make_snapshot_record('stale', fold)
-        fold.apply(0, Record('a', 'lease/a', NO_BASE, '{}'))
+        fold.apply(0, Record('a', 'lease/a', NO_BASE, BODY))
         reader = Reader()
         reader.feed(Batch(1, 2, (Entry(1, stale),)))
         self.assertTrue(reader.has_gap)
@@ -86,7 +88,7 @@
 
     def test_one_id_appended_twice_is_accepted_once(self):
         fold = Fold()
-        record = Record('a', 'lease/a', NO_BASE, '{}')
+        record = Record('a', 'lease/a', NO_BASE, BODY)
         self.assertTrue(fold.apply(0, record))
         self.assertFalse(fold.apply(1, record))
         self.assertTrue(fold.verdicts['a'])
@@ -96,9 +98,40 @@
         record = Record('a', CONFIGURATION, NO_BASE, '{"teams": 3}')
         self.assertFalse(fold.apply(0, record))
 
+    def test_poisoned_and_foreign_records_change_nothing(self):
+        plain = {
+            'first': 0,
+            'tail': 3,
+            'entries': [
+                {'offset': 0, 'record': 'not ours'},
+                {
+                    'offset': 1,
+                    'record': {
+                        'record_id': 'x',
+                        'scope': 'epoch/a',
+                        'base': NO_BASE,
+                        'body': '{"members": 7}',
+                    },
+                },
+                {
+                    'offset': 2,
+                    'record': {
+                        'record_id': 'y',
+                        'scope': 'snapshot',
+                        'base': 0,
+                        'body': 'junk',
+                    },
+                },
+            ],
+        }
+        reader = Reader()
+        self.assertEqual(reader.feed(read_batch(plain)), [])
+        self.assertTrue(reader.at_tail)
+        self.assertEqual(reader.fold.scopes, {})
+
     def test_peer_behind_is_not_adopted(self):
         ahead = Reader()
-        record = Record('a', 'lease/a', NO_BASE, '{}')
+        record = Record('a', 'lease/a', NO_BASE, BODY)
         ahead.feed(Batch(0, 1, (Entry(0, record),)))
         ahead.adopt(Fold().get_snapshot())
         self.assertIn('lease/a', ahead.fold.scopes)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -8,7 +8,6 @@
 
 from trestledock.process import (
     Lease,
-    LeaseBody,
     LoadReport,
     Timing,
     rank_by_key,
@@ -25,7 +24,13 @@
     RetryBudget,
     draw_backoff,
 )
-from trestledock.version import Op, Term, find_failing_term, matches
+from trestledock.version import (
+    LeaseBody,
+    Op,
+    Term,
+    find_failing_term,
+    matches,
+)
 
 REPORT = LoadReport(0, (0, 0, 4000, 0, 0), 9000, 10_000, 1000.0, 0.01)
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -5,7 +5,13 @@
 
 from nose2.tools import params
 
-from trestledock.proof import ScenarioError, run_scenario
+from trestledock.connection._metrics import COUNTERS
+from trestledock.proof import (
+    ScenarioError,
+    finish_run,
+    read_scenario,
+    run_scenario,
+)
 
 FOLDER = Path(__file__).parent.parent / 'scenarios'
 NAMES = sorted(path.stem for path in FOLDER.glob('*.txt'))
@@ -25,6 +31,14 @@
         self.assertEqual(run_scenario(expect), run_scenario(expect))
         self.assertEqual(len(run_scenario(expect)), 1)
 
+    def test_whatever_is_counted_has_a_metric(self):
+        text = (FOLDER / 'kill_instance.txt').read_text()
+        run = read_scenario(text)
+        finish_run(run)
+        counted = {name for name, _ in run.world.counts}
+        self.assertIn('taken_up_holds', counted)
+        self.assertLessEqual(counted, set(COUNTERS))
+
     @params('fly 3', 'at 3 explode', 'traffic call', 'end soon')
     def test_unknown_words(self, line):
         with self.assertRaisesRegex(ScenarioError, 'line 1'):
--- a/trestledock/bench/slopes.py
+++ b/trestledock/bench/slopes.py
@@ -29,14 +29,13 @@
     ClaimAsk,
     ClaimTable,
     Epoch,
-    EpochBody,
     PeerMessage,
     ToPeer,
 )
 from trestledock.proof import MODEL, Plan, Site, World, build, make_world
 from trestledock.request import Kind, Request
 from trestledock.standin import EngineSpec
-from trestledock.version import CONVERTER, Team
+from trestledock.version import CONVERTER, EpochBody, Team
 
 SETTLED_S = 15.0
 IDLE_S = 20.0
--- a/trestledock/connection/_hub.py
+++ b/trestledock/connection/_hub.py
@@ -109,7 +109,18 @@
         if link is None:
             perform(action, self)
         else:
-            self.group.start_soon(link, action)
+            self.group.start_soon(self._run_link, link, action)
+
+    async def _run_link(self, link: Any, action: Any) -> None:
+        """Run a link; what it did not foresee must not end the process.
+
+        The request's own deadline still ends it, whatever was lost here.
+        """
+        try:
+            await link(action)
+        except Exception:
+            self.metrics.link_errors.inc()
+            log.exception('link_failed')
 
 
 @singledispatch
--- a/trestledock/connection/_metrics.py
+++ b/trestledock/connection/_metrics.py
@@ -29,6 +29,7 @@
     'outcome': ('Final answers', 'outcome'),
     'claims': ('Claims repeated or stale', 'event'),
     'orders': ('Orders to engines', 'event'),
+    'taken_up_holds': ('Hold blocks taken up from lost peers', 'event'),
     'pauses': ('Pauses of the process that were noticed', 'event'),
 }
 
@@ -63,6 +64,11 @@
             'Messages to peers that could not be delivered',
             registry=self.registry,
         )
+        self.link_errors = Counter(
+            'trestledock_link_errors',
+            'Failures of a connection that were not foreseen',
+            registry=self.registry,
+        )
         self.lost_appends = Counter(
             'trestledock_lost_appends',
             'Appends to the log without an answer',
--- a/trestledock/connection/_peer.py
+++ b/trestledock/connection/_peer.py
@@ -7,6 +7,7 @@
 """
 
 import json
+from dataclasses import dataclass
 from typing import Any
 
 import httpx
@@ -14,7 +15,12 @@
 from trestledock.connection._hub import Hub
 from trestledock.connection._parsing import BadRequest
 from trestledock.process import PAYLOADS, PeerMessage, ToPeer
-from trestledock.version import CONVERTER
+from trestledock.version import (
+    CONVERTER,
+    DecodeError,
+    decode,
+    load_json,
+)
 
 #: How long a message to a peer may take, in seconds.
 PEER_TIMEOUT_S = 2.0
@@ -22,6 +28,15 @@
 _KINDS = {kind.__name__: kind for kind in PAYLOADS}  # noqa: WPS407
 
 
+@dataclass(frozen=True)
+class Envelope:
+    """A message between instances: who sends it, its type and payload."""
+
+    sender: str
+    type: str  # noqa: WPS125 - the name on the wire
+    payload: dict[str, Any]
+
+
 class PeerLink:
     """The sender of one instance's messages to its peers."""
 
@@ -55,9 +70,8 @@
 def read_envelope_of_peer(body: bytes) -> PeerMessage:
     """Read a message from a peer."""
     try:
-        plain = json.loads(body)
-        kind = _KINDS[plain['type']]
-        payload: Any = CONVERTER.structure(plain['payload'], kind)
-        return PeerMessage(str(plain['sender']), payload)
-    except Exception as exc:
+        envelope = load_json(body, Envelope)
+        payload: Any = decode(envelope.payload, _KINDS[envelope.type])
+    except (DecodeError, KeyError) as exc:
         raise BadRequest(f'not a message of a peer: {exc!r}') from exc
+    return PeerMessage(envelope.sender, payload)
--- a/trestledock/connection/_platform.py
+++ b/trestledock/connection/_platform.py
@@ -6,7 +6,7 @@
 the core's own repeats; each poll waits a little after one.
 """
 
-from dataclasses import fields
+from dataclasses import dataclass, fields
 from typing import Any, Awaitable, Callable
 
 import anyio
@@ -20,7 +20,12 @@
     PeerInfo,
     TargetInfo,
 )
-from trestledock.version import CONVERTER, Batch
+from trestledock.version import (
+    CONVERTER,
+    DecodeError,
+    decode,
+    read_batch,
+)
 
 #: How long to wait after a failed poll, in seconds.
 FAILURE_PAUSE_S = 0.5
@@ -58,7 +63,7 @@
         """Read the log from where the core has got to."""
         offset = self.hub.node.state.reader.next_read
         plain = await self._get('/v1/log', {'from': offset})
-        batch = CONVERTER.structure(plain, Batch)
+        batch = read_batch(plain)
         await self.hub.tell(LogRead(batch))
         while self.hub.node.state.reader.next_read < batch.first:
             await anyio.sleep(0)
@@ -67,7 +72,7 @@
     async def read_list(self) -> None:
         """Read the instance list."""
         plain = await self._get('/v1/instances', {})
-        await self.hub.tell(read_instances(plain['instances']))
+        await self.hub.tell(read_instances(plain))
         await anyio.sleep(self.hub.settings.poll_list_s)
 
     async def _get(self, path: str, params: dict[str, Any]) -> Any:
@@ -86,29 +91,43 @@
         while True:
             try:
                 await poll()
-            except (httpx.HTTPError, ValueError, KeyError):
+            except (httpx.HTTPError, ValueError):
                 await anyio.sleep(FAILURE_PAUSE_S)
 
 
-def read_instances(plain: list[dict[str, Any]]) -> InstancesListed:
-    """Read the instance list; entry instances are peers, others targets."""
+@dataclass(frozen=True)
+class Listing:
+    """The instance list before its entries have been looked at."""
+
+    instances: tuple[dict[str, Any], ...]
+
+
+def read_instances(plain: Any) -> InstancesListed:
+    """Read the instance list; entry instances are peers, others targets.
+
+    Entries that make no sense are left out, so that one of them can't hide
+    the rest.
+    """
     targets = []
     peers = []
-    for one in plain:
-        listed = CONVERTER.structure(
-            {key: one[key] for key in one if key in LISTED_KEYS},
-            TargetInfo,
-        )
+    for one in decode(plain, Listing).instances:
+        known = {key: one[key] for key in one if key in LISTED_KEYS}
+        try:
+            listed = decode(known, TargetInfo)
+        except DecodeError:
+            continue
         if listed.labels.get('role') == ENTRY_ROLE:
-            peers.append(
-                PeerInfo(
-                    listed.name,
-                    listed.incarnation,
-                    listed.address,
-                    listed.labels.get('data_centre', ''),
-                    listed.leaving,
-                ),
-            )
+            peers.append(_to_peer(listed))
         else:
             targets.append(listed)
     return InstancesListed(tuple(targets), tuple(peers))
+
+
+def _to_peer(listed: TargetInfo) -> PeerInfo:
+    return PeerInfo(
+        listed.name,
+        listed.incarnation,
+        listed.address,
+        listed.labels.get('data_centre', ''),
+        listed.leaving,
+    )
--- a/trestledock/connection/_polling.py
+++ b/trestledock/connection/_polling.py
@@ -7,6 +7,8 @@
 others look seldom.
 """
 
+from dataclasses import dataclass
+
 import anyio
 import httpx
 
@@ -19,7 +21,7 @@
     Target,
     rank_by_key,
 )
-from trestledock.version import CONVERTER
+from trestledock.version import decode
 
 #: How long a poll may take, in seconds.
 POLL_TIMEOUT_S = 2.0
@@ -29,6 +31,13 @@
 LOOK_S = 0.1
 
 
+@dataclass(frozen=True)
+class CacheLines:
+    """An engine's answer to a request for cache events."""
+
+    events: tuple[CacheEvent, ...]
+
+
 class Poller:
     """The poller of one instance."""
 
@@ -70,7 +79,7 @@
         response.raise_for_status()
         plain = response.json()
         if 'capacity_tokens' in plain:
-            return CONVERTER.structure(plain, LoadReport)
+            return decode(plain, LoadReport)
         return make_service_report(plain)
 
     async def _read_cache(self, target: Target) -> None:
@@ -78,11 +87,7 @@
         address = target.info.address
         response = await self._get(f'http://{address}/v1/cache?after={after}')
         response.raise_for_status()
-        events = CONVERTER.structure(
-            response.json()['events'],
-            tuple[CacheEvent, ...],
-        )
-        for event in events:
+        for event in decode(response.json(), CacheLines).events:
             await self.hub.tell(CacheReported(target.info.name, event))
 
     async def _get(self, url: str) -> httpx.Response:
--- a/trestledock/connection/_target.py
+++ b/trestledock/connection/_target.py
@@ -7,7 +7,6 @@
 where the target says so itself, or where nothing was written.
 """
 
-import json
 from dataclasses import dataclass
 from typing import Any
 
@@ -31,7 +30,7 @@
     StreamDone,
 )
 from trestledock.request import Chunk
-from trestledock.version import CONVERTER
+from trestledock.version import CONVERTER, DecodeError, load_json
 
 #: How long a cancel or an order may take, in seconds.
 CONTROL_TIMEOUT_S = 5.0
@@ -49,6 +48,24 @@
     detail: str = ''
 
 
+@dataclass(frozen=True)
+class PieceAnswer:
+    """An engine's word that a piece is prefilled up to `stop`."""
+
+    hold: str
+    stop: int
+
+
+@dataclass(frozen=True)
+class StreamLine:
+    """A line of an engine's stream: a chunk, or the count that ends it."""
+
+    index: int = 0
+    text: str = ''
+    tokens: int = 1
+    count: int | None = None
+
+
 class TargetLink:
     """The sender of one instance's work to targets."""
 
@@ -166,17 +183,24 @@
             await self._fail_on(action, 'piece', exc)
             return
         if response.is_success:
-            answer = response.json()
-            message = PieceDone(
-                action.req_id,
-                action.attempt,
-                answer['hold'],
-                answer['stop'],
-            )
-            await self.hub.tell(message)
+            await self._note_piece(action, response)
         else:
             await self._reject(action, 'piece', response)
 
+    async def _note_piece(
+        self,
+        action: StartJob,
+        response: httpx.Response,
+    ) -> None:
+        try:
+            done = load_json(response.content, PieceAnswer)
+        except DecodeError as exc:
+            await self._fail(action, 'piece', str(exc), proof=False)
+            return
+        await self.hub.tell(
+            PieceDone(action.req_id, action.attempt, done.hold, done.stop),
+        )
+
     async def _read_stream(
         self,
         action: StartJob | ResumeStream,
@@ -200,6 +224,8 @@
                 await self._pass_on(action, source)
         except httpx.HTTPError as exc:
             await self._fail_on(action, 'stream', exc)
+        except (DecodeError, httpx_sse.SSEError) as exc:
+            await self._fail(action, 'stream', repr(exc), proof=False)
 
     async def _pass_on(
         self,
@@ -207,15 +233,15 @@
         source: httpx_sse.EventSource,
     ) -> None:
         async for event in source.aiter_sse():
-            plain = json.loads(event.data)
-            if 'count' in plain:
+            line = load_json(event.data, StreamLine)
+            if line.count is not None:
                 await self.hub.tell(
-                    StreamDone(action.req_id, action.attempt, plain['count']),
+                    StreamDone(action.req_id, action.attempt, line.count),
                 )
                 return
             if action.req_id not in self.hub.exchanges:
                 return
-            chunk = Chunk(plain['index'], plain['text'], plain['tokens'])
+            chunk = Chunk(line.index, line.text, line.tokens)
             await self.hub.tell(
                 ChunkArrived(action.req_id, action.attempt, chunk),
             )
@@ -269,7 +295,7 @@
     if response.status_code != REJECTED_STATUS:
         return False
     try:
-        answer = CONVERTER.structure(response.json(), Rejection)
-    except Exception:
+        answer = load_json(response.content, Rejection)
+    except DecodeError:
         return False
     return not answer.started
--- a/trestledock/process/__init__.py
+++ b/trestledock/process/__init__.py
@@ -23,11 +23,11 @@
     ToPeer,
 )
 from trestledock.process._claims import ClaimTable, Grant
-from trestledock.process._epoch import Epoch, EpochBody, Handover
+from trestledock.process._epoch import Epoch, Handover
 from trestledock.process._explaining import explain
 from trestledock.process._fleet import Target
 from trestledock.process._identity import Identity, Timing
-from trestledock.process._lease import Lease, LeaseBody
+from trestledock.process._lease import Lease
 from trestledock.process._messages import (
     Arrive,
     AttemptFailed,
@@ -80,7 +80,6 @@
     'Count',
     'EmitChunks',
     'Epoch',
-    'EpochBody',
     'Finish',
     'GiveOrder',
     'Grant',
@@ -89,7 +88,6 @@
     'InstancesListed',
     'Job',
     'Lease',
-    'LeaseBody',
     'LoadReport',
     'LoadReported',
     'LogRead',
--- a/trestledock/process/_applying.py
+++ b/trestledock/process/_applying.py
@@ -7,20 +7,20 @@
 """
 
 from trestledock.process._actions import Published
-from trestledock.process._epoch import Epoch, EpochBody
-from trestledock.process._lease import LeaseBody
+from trestledock.process._epoch import Epoch
 from trestledock.process._state import State, Version
 from trestledock.version import (
     CONFIGURATION,
     NO_BASE,
+    EPOCH_PREFIX,
+    LEASE_PREFIX,
     Accepted,
+    EpochBody,
+    LeaseBody,
     check_configuration,
     load_json,
 )
 
-EPOCH_PREFIX = 'epoch/'
-LEASE_PREFIX = 'lease/'
-
 
 def apply_accepted(state: State, now: float) -> None:
     """Put everything in force that the fold holds and that is newer."""
--- a/trestledock/process/_dispatching.py
+++ b/trestledock/process/_dispatching.py
@@ -29,7 +29,7 @@
 from trestledock.process._state import State
 from trestledock.process._timers import PumpDue
 from trestledock.request import AttemptEvent, Reason, Request
-from trestledock.version import Team
+from trestledock.version import Pool, Team
 
 #: For how long events that may make room are gathered, in seconds.
 PUMP_S = 0.01
@@ -215,6 +215,20 @@
     )
 
 
+def get_group_bound(state: State, engines: int, pool: Pool) -> int:
+    """Return how many engines another giant may take here now.
+
+    Every instance of the data centre has its part of the pool's share; one
+    that serves no giant may take the whole share for one.
+    """
+    share = max(2, int(engines * pool.giant_share))
+    held = count_giants(state)
+    if not held:
+        return share
+    peers = state.fleet.get_live_peers(state.identity.data_centre)
+    return share // (len(peers) + 1) - held
+
+
 def count_giants(state: State) -> int:
     """Return how many engines are held for giants by this instance."""
     return sum(
@@ -341,8 +355,7 @@
 ) -> bool:
     if field.pool is None:
         return False
-    bound = int(len(field.candidates) * field.pool.giant_share)
-    bound = max(bound, 2) - count_giants(state)
+    bound = get_group_bound(state, len(field.candidates), field.pool)
     parts = _split(live, field.candidates, bound)
     holds = [take_hold(state, part.target, now) for part in parts]
     if not parts or not all(holds):
--- a/trestledock/process/_duties.py
+++ b/trestledock/process/_duties.py
@@ -8,10 +8,8 @@
 """
 
 from trestledock.process._actions import AppendRecord, ToPeer
-from trestledock.process._applying import EPOCH_PREFIX, LEASE_PREFIX
 from trestledock.process._dispatching import pump_all
 from trestledock.process._ending import send
-from trestledock.process._epoch import EpochBody
 from trestledock.process._fleet import Peer
 from trestledock.process._guarding import (
     keep_blocks,
@@ -19,7 +17,6 @@
     repeat_cancels,
 )
 from trestledock.process._identity import LOCAL_FANOUT, REMOTE_FANOUT
-from trestledock.process._lease import LeaseBody
 from trestledock.process._orders import give_orders
 from trestledock.process._payloads import (
     Digest,
@@ -29,7 +26,15 @@
 )
 from trestledock.process._state import State
 from trestledock.process._timers import HeartbeatDue
-from trestledock.version import Record, dump_json, make_snapshot_record
+from trestledock.version import (
+    EPOCH_PREFIX,
+    LEASE_PREFIX,
+    EpochBody,
+    LeaseBody,
+    Record,
+    dump_json,
+    make_snapshot_record,
+)
 
 
 def on_heartbeat_due(
--- a/trestledock/process/_epoch.py
+++ b/trestledock/process/_epoch.py
@@ -15,22 +15,12 @@
 
 from trestledock.process._payloads import Blind
 from trestledock.process._rendezvous import rank_by_key
+from trestledock.version import EpochBody
 
 #: How long the members of an earlier epoch are asked at least, in seconds.
 ASK_S = 5.0
 
 
-@dataclass(frozen=True)
-class EpochBody:
-    """The body of an epoch record: its members and those of the one before."""
-
-    members: tuple[str, ...]
-    replicas: int = 2
-    previous_offset: int = -1
-    previous: tuple[str, ...] = ()
-    previous_replicas: int = 2
-
-
 @dataclass(frozen=True)
 class Epoch:
     """An accepted epoch; its offset on the log is its number."""
--- a/trestledock/process/_lease.py
+++ b/trestledock/process/_lease.py
@@ -11,14 +11,7 @@
 from dataclasses import dataclass, field
 
 from trestledock.process._identity import Timing
-
-
-@dataclass(frozen=True)
-class LeaseBody:
-    """The body of a lease record."""
-
-    holder: str
-    ttl_s: float
+from trestledock.version import LeaseBody
 
 
 @dataclass
--- a/trestledock/process/_peering.py
+++ b/trestledock/process/_peering.py
@@ -12,12 +12,12 @@
 from trestledock.process._applying import apply_accepted
 from trestledock.process._claiming import on_claim_answer
 from trestledock.process._ending import send
-from trestledock.process._epoch import Epoch, EpochBody
+from trestledock.process._epoch import Epoch
 from trestledock.process._guarding import mark_gone, note_kept, take_block
 from trestledock.process._messages import PeerMessage
 from trestledock.process._state import State
 from trestledock.process._targets import LoadReport, PeerInfo
-from trestledock.version import load_json
+from trestledock.version import EpochBody, load_json
 
 
 def on_peer_message(message: PeerMessage, state: State, now: float) -> None:
--- a/trestledock/version/__init__.py
+++ b/trestledock/version/__init__.py
@@ -6,15 +6,23 @@
 that decides which version is in force.
 """
 
+from trestledock.version._bodies import EpochBody, LeaseBody
 from trestledock.version._check import (
     CONVERTER,
     OptionError,
     check_configuration,
     load_document,
 )
-from trestledock.version._codec import dump_json, load_json
+from trestledock.version._codec import (
+    DecodeError,
+    decode,
+    dump_json,
+    load_json,
+)
 from trestledock.version._fold import (
     CONFIGURATION,
+    EPOCH_PREFIX,
+    LEASE_PREFIX,
     NO_BASE,
     SNAPSHOT,
     Accepted,
@@ -34,6 +42,7 @@
     Entry,
     Reader,
     make_snapshot_record,
+    read_batch,
 )
 from trestledock.version._schema import (
     Claims,
@@ -55,15 +64,20 @@
 __all__ = (
     'CONFIGURATION',
     'CONVERTER',
+    'EPOCH_PREFIX',
+    'LEASE_PREFIX',
     'NO_BASE',
     'SNAPSHOT',
     'Accepted',
     'Batch',
     'Claims',
     'Configuration',
+    'DecodeError',
     'Entry',
+    'EpochBody',
     'Fold',
     'Labels',
+    'LeaseBody',
     'Op',
     'OptionError',
     'Permission',
@@ -77,6 +91,7 @@
     'Team',
     'Term',
     'check_configuration',
+    'decode',
     'dump_json',
     'find_failing_term',
     'get_permission',
@@ -87,4 +102,5 @@
     'load_json',
     'make_snapshot_record',
     'matches',
+    'read_batch',
 )
--- a/trestledock/version/_codec.py
+++ b/trestledock/version/_codec.py
@@ -8,6 +8,8 @@
 import json
 from typing import Any, TypeVar
 
+import cattrs
+
 from trestledock.version._check import CONVERTER
 
 Typed = TypeVar('Typed')
@@ -18,9 +20,22 @@
     return json.dumps(CONVERTER.unstructure(typed), separators=(',', ':'))
 
 
-def load_json(text: str | bytes, kind: type[Typed]) -> Typed:
-    """Read JSON text into the data class `kind`.
+class DecodeError(ValueError):
+    """What came from outside does not fit its data class."""
+
 
-    Raises `ValueError` or a `cattrs` error group where the text doesn't fit.
-    """
-    return CONVERTER.structure(json.loads(text), kind)
+def decode(plain: Any, kind: type[Typed]) -> Typed:
+    """Turn plain lists and mappings into `kind`, or raise `DecodeError`."""
+    try:
+        return CONVERTER.structure(plain, kind)
+    except (cattrs.BaseValidationError, ValueError, TypeError) as exc:
+        raise DecodeError(f'no {kind}: {exc!r}') from exc
+
+
+def load_json(text: str | bytes, kind: type[Typed]) -> Typed:
+    """Read JSON text into the data class `kind`, or raise `DecodeError`."""
+    try:
+        plain = json.loads(text)
+    except ValueError as exc:
+        raise DecodeError(f'not JSON: {exc}') from exc
+    return decode(plain, kind)
--- a/trestledock/version/_fold.py
+++ b/trestledock/version/_fold.py
@@ -19,14 +19,19 @@
 """
 
 from dataclasses import dataclass, field
-from typing import Mapping
+from types import MappingProxyType
+from typing import Callable, Mapping
 
 from returns.result import Success
 
+from trestledock.version._bodies import EpochBody, LeaseBody
 from trestledock.version._check import check_configuration
+from trestledock.version._codec import DecodeError, load_json
 
 CONFIGURATION = 'configuration'
 SNAPSHOT = 'snapshot'
+EPOCH_PREFIX = 'epoch/'
+LEASE_PREFIX = 'lease/'
 
 #: The base of the first record of a scope.
 NO_BASE = -1
@@ -63,9 +68,34 @@
 
 
 def _is_valid(record: Record) -> bool:
-    if record.scope != CONFIGURATION:
+    prefix = record.scope.partition('/')[0]
+    check = _BODY_CHECKS.get(prefix)
+    return check is not None and check(record.body)
+
+
+def _is_body(kind: type) -> Callable[[str], bool]:
+    def check(body: str) -> bool:  # noqa: WPS430
+        try:
+            load_json(body, kind)
+        except DecodeError:
+            return False
         return True
-    return isinstance(check_configuration(record.body), Success)
+
+    return check
+
+
+def _is_configuration(body: str) -> bool:
+    return isinstance(check_configuration(body), Success)
+
+
+#: What makes a body valid, by the part of the scope before the slash.
+_BODY_CHECKS: Mapping[str, Callable[[str], bool]] = MappingProxyType(
+    {
+        CONFIGURATION: _is_configuration,
+        'epoch': _is_body(EpochBody),
+        'lease': _is_body(LeaseBody),
+    }
+)
 
 
 @dataclass
@@ -73,9 +103,10 @@
     """The state of one reader of the log.
 
     >>> fold = Fold()
-    >>> fold.apply(0, Record('a', 'lease/x', NO_BASE, '{}'))
+    >>> body = '{"holder": "entry-1", "ttl_s": 10}'
+    >>> fold.apply(0, Record('a', 'lease/x', NO_BASE, body))
     True
-    >>> fold.apply(1, Record('b', 'lease/x', NO_BASE, '{}'))
+    >>> fold.apply(1, Record('b', 'lease/x', NO_BASE, body))
     False
     """
 
--- a/trestledock/version/_reader.py
+++ b/trestledock/version/_reader.py
@@ -7,9 +7,14 @@
 """
 
 from dataclasses import dataclass, field
-from typing import Iterable
-
-from trestledock.version._codec import dump_json, load_json
+from typing import Any, Iterable
+
+from trestledock.version._codec import (
+    DecodeError,
+    decode,
+    dump_json,
+    load_json,
+)
 from trestledock.version._fold import SNAPSHOT, Fold, Record, Snapshot
 
 
@@ -34,6 +39,34 @@
     entries: tuple[Entry, ...]
 
 
+#: Stands for a record that others keep on the log; nothing accepts it.
+FOREIGN = Record('', 'foreign', -2, '')
+
+
+@dataclass(frozen=True)
+class RawBatch:
+    """A batch whose entries have not been looked at."""
+
+    first: int
+    tail: int
+    entries: tuple[Any, ...]
+
+
+def read_batch(plain: Any) -> Batch:
+    """Read an answer of the log; records of others are kept as foreign.
+
+    Raises `DecodeError` where the answer itself makes no sense.
+    """
+    raw = decode(plain, RawBatch)
+    entries = []
+    for number, one in enumerate(raw.entries):
+        try:
+            entries.append(decode(one, Entry))
+        except DecodeError:
+            entries.append(Entry(raw.first + number, FOREIGN))
+    return Batch(raw.first, raw.tail, tuple(entries))
+
+
 def make_snapshot_record(record_id: str, fold: Fold) -> Record:
     """Return the record that keeps the state of `fold` on the log."""
     snapshot = fold.get_snapshot()
@@ -102,7 +135,11 @@
         if not self.has_gap:
             self.fold.next_offset = entry.offset + 1
             return ()
-        return self.adopt(load_json(entry.record.body, Snapshot))
+        try:
+            snapshot = load_json(entry.record.body, Snapshot)
+        except DecodeError:
+            return ()
+        return self.adopt(snapshot)
 
     def _fold(self, entry: Entry) -> bool:
         if entry.offset < self.fold.next_offset:
