--- a/trestledock/process/_choosing.py
+++ b/trestledock/process/_choosing.py
@@ -263,10 +263,14 @@
     prefill_s = missing / report.rate
     decode_s = req.max_tokens * report.itl_s
     priority = get_priority(state, req, now, prefill_s + decode_s)
+    wait_s = target.load.predict_wait(priority, now)
+    if state.policy.pace and missing > state.policy.whole_tokens:
+        paced_s = missing * target.load.get_pace(priority, now)
+        prefill_s = max(prefill_s, paced_s - wait_s)
     penalty_s = (best - permitted.preference) * state.policy.prefer_s
     return Candidate(
         target,
-        target.load.predict_wait(priority, now),
+        wait_s,
         prefill_s,
         decode_s,
         penalty_s,
--- a/trestledock/process/_load.py
+++ b/trestledock/process/_load.py
@@ -15,6 +15,8 @@
 
 #: How long finished work is kept, to be set against older reports.
 KEEP_DONE_S = 6.0
+#: How long the pace of own pieces counts, in seconds.
+KEEP_PACE_S = 5.0
 #: The weight of the newest sample in learned rates.
 LEARN = 0.3
 #: The largest share of the prefill rate that others are assumed to add.
@@ -38,6 +40,14 @@
     prefilled_at: float | None = None
 
 
+@dataclass(frozen=True)
+class Pace:
+    """The seconds that a token of cut prompts took lately, waits included."""
+
+    token_s: float
+    noted_at: float
+
+
 @dataclass
 class EngineLoad:
     """What this instance knows of the load of one engine."""
@@ -47,6 +57,7 @@
     others_rate: float = 0
     sends: dict[tuple[str, int], Sent] = field(default_factory=dict)
     done: list[Sent] = field(default_factory=list)
+    paces: dict[int, Pace] = field(default_factory=dict)
     sent_total: int = 0
     _mark: tuple[float, int, int] = (0, 0, 0)
     _waits: dict[int, float] = field(default_factory=dict)
@@ -75,6 +86,7 @@
         if sent and sent.prefilled_at is None:
             self._waits.clear()
             self.sends[key] = replace(sent, prefilled_at=now)
+            self._learn_pace(sent, now)
 
     def remove(self, key: tuple[str, int], now: float) -> None:
         """Count work as ended, whatever became of it."""
@@ -106,6 +118,17 @@
         )
         return report.free_tokens - since
 
+    def get_pace(self, priority: int, now: float) -> float:
+        """Return the seconds a token of a cut prompt takes, 0 if unknown.
+
+        Others send one piece at a time, too, so that their prompts are not
+        all in the engine's report; the pace of the own pieces tells of them.
+        """
+        pace = self.paces.get(priority)
+        if pace is None or now - pace.noted_at > KEEP_PACE_S:
+            return 0
+        return pace.token_s
+
     def count_prefilling(self) -> int:
         """Return the own work in flight that is not prefilled yet."""
         return sum(sent.prefilled_at is None for sent in self.sends.values())
@@ -159,6 +182,15 @@
         ]
         return min(lower) / 2 if lower else 0
 
+    def _learn_pace(self, sent: Sent, now: float) -> None:
+        if not sent.rest or not sent.tokens:
+            return
+        token_s = (now - sent.sent_at) / sent.tokens
+        known = self.get_pace(sent.priority, now)
+        if known:
+            token_s = known + LEARN * (token_s - known)
+        self.paces[sent.priority] = Pace(token_s, now)
+
     def _learn_others(self, report: LoadReport, reported_at: float) -> None:
         last_at, accepted, own = self._mark
         span = reported_at - last_at
--- a/trestledock/process/_policy.py
+++ b/trestledock/process/_policy.py
@@ -27,6 +27,7 @@
     prompt's piece would get in between.  `window_s` is how much prefill may
     wait at an engine before the rest waits in the fair queue.  `near_s` is
     the band of predictions that count as equal and among which one is drawn.
+    `pace` says whether the pace of own pieces counts for cut prompts,
     `subset` is how many of the permitted engines an instance looks at.
     """
 
@@ -42,6 +43,7 @@
     prefer_s: float = 0.5
     urgent_s: float = 1.0
     subset: int = 24
+    pace: bool = True
 
 
 #: Everything off: whole prompts in order of arrival, round robin.
