Engines export and import KV cache between processes; polls once a second

Cause: a giant's engines only pretended to hand their KV cache over; idle control on the real path cost 3.65% of a core at 2 targets, of which most was polling loads and cache events twice a second. Ruled out: a heavier core (0.11% idle). A prompt of 640,000 tokens is served over two engines by real processes (test).

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -81,7 +81,7 @@
         )
 
     def add_engine(self, number):
-        options = ('--model', MODEL, '--itl-ms', '20')
+        options = ('--model', MODEL, '--itl-ms', '20', '--rate', '80000')
         return self.add_target(
             'standin',
             'engine',
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -111,6 +111,11 @@
         self.assertEqual(answer.json()['reason'], 'deadline_unreachable')
         self.assertGreater(int(answer.headers['retry-after']), 0)
 
+    def test_f_giant_over_two_engines(self):
+        answer = self.complete(prompt='word' * 640_000, max_tokens=5)
+        self.assertEqual(answer.status_code, 200, answer.text[:200])
+        self.assertEqual(answer.json()['tokens'], 5)
+
     def test_g_metrics_count_refusals(self):
         text = httpx.get(f'{self.processes.urls[0]}/metrics').text
         self.assertIn('trestledock_refused_total{reason="', text)
--- a/trestledock/connection/_polling.py
+++ b/trestledock/connection/_polling.py
@@ -46,6 +46,7 @@
         self.hub = hub
         self.client = client
         self.due: dict[str, float] = {}
+        self.cache_due: dict[str, float] = {}
 
     async def run(self) -> None:
         """Poll every target when it is due, until cancelled."""
@@ -64,7 +65,7 @@
         try:
             report = await self._read_load(target.info.address)
             await self.hub.tell(LoadReported(name, report))
-            if report.capacity_tokens:
+            if report.capacity_tokens and self._is_cache_due(name, started):
                 await self._read_cache(target)
         except (httpx.HTTPError, ValueError):
             return
@@ -82,6 +83,12 @@
             return decode(plain, LoadReport)
         return make_service_report(plain)
 
+    def _is_cache_due(self, name: str, now: float) -> bool:
+        if now < self.cache_due.get(name, 0):
+            return False
+        self.cache_due[name] = now + self.hub.settings.poll_cache_s
+        return True
+
     async def _read_cache(self, target: Target) -> None:
         after = target.cache_sequence
         address = target.info.address
--- a/trestledock/connection/_settings.py
+++ b/trestledock/connection/_settings.py
@@ -28,8 +28,9 @@
     chars_per_token: float = 4.0
     notice_s: float = 2.0
     handover_s: float = 10.0
-    poll_load_s: float = 0.5
-    poll_others_s: float = 5.0
+    poll_load_s: float = 1.0
+    poll_others_s: float = 10.0
+    poll_cache_s: float = 5.0
     poll_list_s: float = 1.0
     platform_timeout_s: float = 5.0
     target_connect_s: float = 2.0
--- a/trestledock/standin/_engine.py
+++ b/trestledock/standin/_engine.py
@@ -61,6 +61,7 @@
     model: EngineModel
     platform: str = ''
     seed: int = 0
+    role: str = ''
     listeners: dict[str, MemoryObjectSendStream[EngineEvent]] = field(
         default_factory=dict,
     )
@@ -102,6 +103,7 @@
             routes=[
                 Route('/v1/jobs', self.take_job, methods=['POST']),
                 Route('/v1/streams', self.resume, methods=['POST']),
+                Route('/v1/export', self.export, methods=['POST']),
                 Route('/v1/cancel', self.cancel, methods=['POST']),
                 Route('/v1/load', self.get_load),
                 Route('/v1/cache', self.get_cache),
@@ -118,15 +120,14 @@
         send, receive = anyio.create_memory_object_stream[EngineEvent](
             STREAM_BUFFER,
         )
+        if job.source and not await self._import(job):
+            return _make_rejection('the KV cache could not be imported')
         now = anyio.current_time()
         prefix = tuple(body['prefix'])
         try:
             self.model.submit(job, make_seed(body['prompt']), prefix, now)
         except Rejected as exc:
-            return JSONResponse(
-                {'started': False, 'detail': str(exc)},
-                status_code=NOT_STARTED_STATUS,
-            )
+            return _make_rejection(str(exc))
         self.listeners[job.hold] = send
         self.changed.set()
         if job.generate:
@@ -156,6 +157,14 @@
             media_type='text/event-stream',
         )
 
+    async def export(self, request: Request) -> Response:
+        """Hand out the KV cache of a hold, as far as it is prefilled."""
+        body = await request.json()
+        hold = self.model.holds.get(body['hold'])
+        if hold is None:
+            return JSONResponse({'detail': 'no such hold'}, status_code=404)
+        return JSONResponse({'hold': body['hold'], 'stop': hold.job.stop})
+
     async def cancel(self, request: Request) -> Response:
         """Free holds; the answer may get lost."""
         body = await request.json()
@@ -203,7 +212,11 @@
             )
         self.model.fencing = max(self.model.fencing, body['fencing'])
         self.orders.append(models)
-        return JSONResponse({'models': sorted(models)}, status_code=202)
+        self.role = body.get('role', self.role)
+        return JSONResponse(
+            {'models': sorted(models), 'role': self.role},
+            status_code=202,
+        )
 
     async def get_holds(self, request: Request) -> Response:
         """Return the memory in use, for tests."""
@@ -246,6 +259,18 @@
                 self.model.models = models
             await anyio.sleep(MAX_SLEEP_S)
 
+    async def _import(self, job: Job) -> bool:
+        """Fetch the KV cache that the job goes on from."""
+        async with httpx.AsyncClient() as client:
+            try:
+                response = await client.post(
+                    f'http://{job.source}/v1/export',
+                    json={'hold': job.source_hold},
+                )
+            except httpx.HTTPError:
+                return False
+        return response.is_success and response.json()['stop'] >= job.start
+
     async def _fetch_weights(self, model: str) -> None:
         if not self.platform:
             return
@@ -284,6 +309,14 @@
     return hashlib.blake2b(prompt.encode(), digest_size=8).hexdigest()
 
 
+def _make_rejection(detail: str) -> JSONResponse:
+    """Return the answer that proves that a job was not started."""
+    return JSONResponse(
+        {'started': False, 'detail': detail},
+        status_code=NOT_STARTED_STATUS,
+    )
+
+
 def _to_line(plain: Any) -> str:
     return f'data: {json.dumps(plain)}\n\n'
 
