--- a/trestledock/bench/slopes.py
+++ b/trestledock/bench/slopes.py
@@ -285,25 +285,28 @@
     raise TimeoutError(url)
 
 
-def measure_real_path(engines: int) -> list[str]:
+def measure_real_path(engines: int) -> str:
     """Return the costs of an instance as a process."""
     path = RealPath(engines)
     try:
-        cpu, bytes_before = path.get_cpu(), path.get_control_bytes()
-        time.sleep(IDLE_S)
-        idle = PERCENT * (path.get_cpu() - cpu) / IDLE_S
-        control = (path.get_control_bytes() - bytes_before) / IDLE_S
-        few = path.complete(60, 2)
-        many = path.complete(60, 102)
-        resident = path.get_resident()
+        return f'process: targets {engines:2}: {_measure_process(path)}'
     finally:
         path.close()
+
+
+def _measure_process(path: RealPath) -> str:
+    cpu, bytes_before = path.get_cpu(), path.get_control_bytes()
+    time.sleep(IDLE_S)
+    idle = PERCENT * (path.get_cpu() - cpu) / IDLE_S
+    control = (path.get_control_bytes() - bytes_before) / IDLE_S
+    few = path.complete(60, 2)
+    many = path.complete(60, 102)
     per_token = (many - few) / 100
-    return [
-        f'process: targets {engines:2}: idle {idle:.2f}% of a core, control '
-        f'{control:.0f} B/s, {few * 1000:.1f} ms a request, '
-        f'{per_token * 1e6:.0f} us a token, {resident:.0f} MB resident',
-    ]
+    return (
+        f'idle {idle:.2f}% of a core, control {control:.0f} B/s, '
+        f'{few * 1000:.1f} ms a request, {per_token * 1e6:.0f} us a token, '
+        f'{path.get_resident():.0f} MB resident'
+    )
 
 
 @click.command()
@@ -323,8 +326,7 @@
         click.echo(measure_claims(count))
     click.echo(measure_memory('request', 4000, _make_arrival))
     for engines in (2, 4, 8):
-        for line in measure_real_path(engines):
-            click.echo(line)
+        click.echo(measure_real_path(engines))
 
 
 def _make_arrival(number: int) -> Arrive:
--- a/trestledock/process/_arrivals.py
+++ b/trestledock/process/_arrivals.py
@@ -22,6 +22,7 @@
     start_call,
 )
 from trestledock.process._ending import refuse
+from trestledock.process._groups import get_share
 from trestledock.process._live import Live, Phase
 from trestledock.process._messages import Arrive, CallerGone
 from trestledock.process._queue import MAX_QUEUED
@@ -146,8 +147,8 @@
 def _refuse_giant(state: State, live: Live, field: CandidateField) -> bool:
     if live.req.total_tokens <= field.capacity or field.pool is None:
         return False
-    bound = max(2, int(len(field.candidates) * field.pool.giant_share))
-    if live.req.total_tokens <= field.capacity * bound:
+    share = get_share(len(field.candidates), field.pool)
+    if live.req.total_tokens <= field.capacity * share:
         return False
     refuse(state, live, Reason.too_long)
     return True
--- a/trestledock/process/_claiming.py
+++ b/trestledock/process/_claiming.py
@@ -15,7 +15,7 @@
 from trestledock.process._choosing import choose_service
 from trestledock.process._claims import Grant
 from trestledock.process._dispatching import start_call
-from trestledock.process._ending import end, jitter_wait, refuse, send
+from trestledock.process._ending import end, refuse, send
 from trestledock.process._epoch import Epoch
 from trestledock.process._live import ClaimWait, Live, Phase
 from trestledock.process._payloads import ClaimAnswer, ClaimAsk
@@ -97,18 +97,7 @@
     Where the state of the key is lost, the caller is not told to come back:
     once it is forgotten that the state was lost, the key would run again.
     """
-    state.count('refused', reason.value)
-    end(
-        state,
-        live,
-        Verdict(
-            live.derive_outcome(),
-            reason,
-            step=live.phase.value,
-            peer=live.req.home,
-            retry_after=jitter_wait(state, wait_s) if wait_s else 0,
-        ),
-    )
+    refuse(state, live, reason, wait_s)
 
 
 def _is_vain(
--- a/trestledock/process/_dispatching.py
+++ b/trestledock/process/_dispatching.py
@@ -8,8 +8,6 @@
 of their names.
 """
 
-from dataclasses import dataclass
-
 from trestledock.process._actions import CallService, Job, StartJob
 from trestledock.process._choosing import (
     PREFIX_BLOCK,
@@ -22,6 +20,7 @@
 from trestledock.process._choosing import Field as CandidateField
 from trestledock.process._ending import refuse
 from trestledock.process._fleet import Target
+from trestledock.process._groups import plan_group
 from trestledock.process._guarding import take_hold
 from trestledock.process._live import Live, Phase, Share
 from trestledock.process._load import Sent
@@ -29,20 +28,10 @@
 from trestledock.process._state import State
 from trestledock.process._timers import PumpDue
 from trestledock.request import AttemptEvent, Reason, Request
-from trestledock.version import Pool, Team
+from trestledock.version import Team
 
 #: For how long events that may make room are gathered, in seconds.
 PUMP_S = 0.01
-#: The part of an engine's free memory that a group may take.
-GROUP_FILL = 0.9
-
-
-@dataclass(frozen=True)
-class Part:
-    """The tokens of a giant prompt that one engine of a group takes."""
-
-    target: Target
-    tokens: int
 
 
 def pump(state: State, pool: str, now: float) -> None:
@@ -123,7 +112,10 @@
     if not field.candidates:
         return False
     if live.req.total_tokens > field.capacity:
-        return _place_group(state, live, field, now)
+        shares = plan_group(state, live, field, now)
+        if shares:
+            _start(state, live, shares, now)
+        return bool(shares)
     ready = tuple(
         one
         for one in field.candidates
@@ -215,27 +207,6 @@
     )
 
 
-def get_group_bound(state: State, engines: int, pool: Pool) -> int:
-    """Return how many engines another giant may take here now.
-
-    Every instance of the data centre has its part of the pool's share; one
-    that serves no giant may take the whole share for one.
-    """
-    share = max(2, int(engines * pool.giant_share))
-    held = count_giants(state)
-    if not held:
-        return share
-    peers = state.fleet.get_live_peers(state.identity.data_centre)
-    return share // (len(peers) + 1) - held
-
-
-def count_giants(state: State) -> int:
-    """Return how many engines are held for giants by this instance."""
-    return sum(
-        len(live.shares) for live in state.live.values() if len(live.shares) > 1
-    )
-
-
 def _start(
     state: State,
     live: Live,
@@ -345,55 +316,3 @@
 def _is_hopeless(state: State, waiting: Waiting, now: float) -> bool:
     late = now + waiting.least_s > waiting.req.deadline
     return state.policy.admission and late
-
-
-def _place_group(
-    state: State,
-    live: Live,
-    field: CandidateField,
-    now: float,
-) -> bool:
-    if field.pool is None:
-        return False
-    bound = get_group_bound(state, len(field.candidates), field.pool)
-    parts = _split(live, field.candidates, bound)
-    holds = [take_hold(state, part.target, now) for part in parts]
-    if not parts or not all(holds):
-        for hold in holds:
-            state.hold_ids.release(hold)
-        return False
-    shares = []
-    start = 0
-    for part, hold in zip(parts, holds):
-        stop = min(live.goal, start + part.tokens)
-        shares.append(Share(part.target.info.name, start, stop, hold))
-        start = stop
-    _start(state, live, tuple(shares), now)
-    return True
-
-
-def _split(
-    live: Live,
-    candidates: tuple[Candidate, ...],
-    bound: int,
-) -> tuple[Part, ...]:
-    """Split a giant over the engines with the most free memory.
-
-    Returns nothing where `bound` engines don't suffice now.  Each part leaves
-    room for the answer, because any may turn out to be the last.
-    """
-    ordered = sorted(
-        candidates,
-        key=lambda one: (-one.free_tokens, one.target.info.name),
-    )
-    left = live.goal
-    parts = []
-    for one in ordered[: max(0, bound)]:
-        room = int(one.free_tokens * GROUP_FILL) - live.req.max_tokens
-        if room <= 0:
-            break
-        parts.append(Part(one.target, min(left, room)))
-        left -= room
-        if left <= 0:
-            return tuple(parts)
-    return ()
--- a/trestledock/process/_ending.py
+++ b/trestledock/process/_ending.py
@@ -44,7 +44,7 @@
             outcome,
             reason,
             step=live.phase.value,
-            peer=live.attempt.target if live.attempts else '',
+            peer=live.attempt.target if live.attempts else live.req.home,
             retry_after=jitter_wait(state, wait_s) if wait_s else 0,
             detail=detail,
         ),
