A decision older than 2 s is not written to its target

Cause: the matrix: a process paused between a decision and its write sent a call to a service 7.4 s after it had begun to leave. After: the scenario has none; the write counts as never made, so the request goes elsewhere.

--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -94,6 +94,11 @@
         'leaving_target',
         (mock.patch.object(Fleet, 'is_leaving', return_value=False),),
     ),
+    (
+        'leaving',
+        'paused_before_write',
+        (mock.patch('trestledock.process._dispatching.WRITE_WITHIN_S', 1e9),),
+    ),
     (
         'shutdown',
         'graceful_shutdown',
--- a/trestledock/connection/_target.py
+++ b/trestledock/connection/_target.py
@@ -80,8 +80,9 @@
         The prompt travels with the first job of a hold only.
         """
         exchange = self.hub.exchanges.get(action.req_id)
-        if exchange is None:
-            await self._fail(action, 'send', 'the caller has gone', proof=True)
+        late = anyio.current_time() >= action.not_after
+        if exchange is None or late:
+            await self._fail(action, 'send', 'too late to start', proof=True)
             return
         is_first = action.job.hold not in exchange.holds
         exchange.holds.add(action.job.hold)
--- a/trestledock/process/_actions.py
+++ b/trestledock/process/_actions.py
@@ -38,13 +38,14 @@
 
 @dataclass(frozen=True)
 class StartJob:
-    """Send a job to an engine."""
+    """Send a job to an engine, unless `not_after` has passed."""
 
     req_id: str
     attempt: int
     target: str
     address: str
     job: Job
+    not_after: float
 
 
 @dataclass(frozen=True)
--- a/trestledock/process/_dispatching.py
+++ b/trestledock/process/_dispatching.py
@@ -30,6 +30,9 @@
 from trestledock.request import AttemptEvent, Reason, Request
 from trestledock.version import Team
 
+#: How old a decision may be when it is written to its target, in seconds.  A
+#: process that was paused in between decides again: the target may be leaving.
+WRITE_WITHIN_S = 2.0
 #: For how long events that may make room are gathered, in seconds.
 PUMP_S = 0.01
 
@@ -202,7 +205,7 @@
             attempt.number,
             name,
             target.info.address,
-            not_after,
+            min(not_after, now + WRITE_WITHIN_S),
         ),
     )
 
@@ -257,6 +260,7 @@
             target.info.name,
             target.info.address,
             _with_source(state, job, source),
+            now + WRITE_WITHIN_S,
         ),
     )
 
--- a/trestledock/proof/_performing.py
+++ b/trestledock/proof/_performing.py
@@ -78,7 +78,10 @@
     name = action.target
     engine = world.engines[name]
     route = Route(host, action.req_id, action.attempt)
-    if not engine.alive or not world.can_reach(host.name, name):
+    if world.stall(host, action):
+        return
+    late = world.now >= action.not_after
+    if late or not engine.alive or not world.can_reach(host.name, name):
         world.fail(route, name, not_started=True)
         return
 
--- a/trestledock/proof/_scenario.py
+++ b/trestledock/proof/_scenario.py
@@ -35,6 +35,7 @@
 STALLED = MappingProxyType(
     {
         'call': 'CallService',
+        'job': 'StartJob',
         'order': 'GiveOrder',
         'append': 'AppendRecord',
     }
