An engine that says nothing counts as lost; calls earn retries

Causes, found by reading for timeouts that nobody used: - an engine whose answers vanish kept its requests until their deadlines and its breaker closed, as no failure was ever seen; - calls spent the retry budget of their pool and never earned it: after 20 rejections none would have been retried (test failed first: 0). Ruled out: a timeout for each chunk, which needs a timer a token. Unused settings and reasons are gone.

--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -225,5 +225,8 @@
         self.assertTrue(breaker.allows(2))
         breaker.start(2)
         self.assertFalse(breaker.allows(2))
+        breaker.fail(2)
+        self.assertFalse(breaker.allows(5))
+        self.assertTrue(breaker.allows(6))
         breaker.succeed()
         self.assertTrue(breaker.allows(2))
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -39,6 +39,15 @@
         self.assertIn('taken_up_holds', counted)
         self.assertLessEqual(counted, set(COUNTERS))
 
+    def test_calls_earn_retries(self):
+        text = 'fleet a:1:1:1\ntraffic call rate=9 from=9 until=12\nend 8'
+        run = read_scenario(text)
+        run.world.run_until(8)
+        state = run.world.hosts['entry-a1'].node.state
+        state.get_budget('booking').tokens = 0
+        run.world.run_until(20)
+        self.assertGreater(state.get_budget('booking').tokens, 1)
+
     @params('fly 3', 'at 3 explode', 'traffic call', 'end soon')
     def test_unknown_words(self, line):
         with self.assertRaisesRegex(ScenarioError, 'line 1'):
--- a/trestledock/connection/_problems.py
+++ b/trestledock/connection/_problems.py
@@ -32,7 +32,6 @@
         Reason.no_configuration: 503,
         Reason.no_live_target: 503,
         Reason.queue_full: 503,
-        Reason.giant_limit: 503,
         Reason.shutting_down: 503,
         Reason.claim_unverified: 503,
         Reason.claim_state_lost: 503,
--- a/trestledock/process/_answers.py
+++ b/trestledock/process/_answers.py
@@ -31,7 +31,7 @@
     StreamDone,
 )
 from trestledock.process._state import State
-from trestledock.process._timers import GapDue, RetryDue
+from trestledock.process._timers import GapDue, RetryDue, SilenceDue
 from trestledock.request import (
     AttemptEvent,
     Kind,
@@ -103,6 +103,23 @@
     on_attempt_failed(failed, state, now)
 
 
+def on_silence(message: SilenceDue, state: State, now: float) -> None:
+    """Count an engine that has said nothing of a job as lost."""
+    live = state.live.get(message.req_id)
+    if live is None or live.phase is not Phase.running:
+        return
+    same = live.awaited == (message.hold, message.stop)
+    if same and live.emitted == message.emitted:
+        silent = AttemptFailed(
+            message.req_id,
+            message.attempt,
+            not_started=False,
+            step='silence',
+            peer=live.attempt.target,
+        )
+        on_attempt_failed(silent, state, now)
+
+
 def on_call_done(message: CallDone, state: State, now: float) -> None:
     """Give the caller the answer of a plain service."""
     live = state.live.get(message.req_id)
--- a/trestledock/process/_arrivals.py
+++ b/trestledock/process/_arrivals.py
@@ -88,6 +88,7 @@
     if _refuse_empty(state, live, field):
         return
     live.pool = field.pool.name if field.pool else ''
+    state.get_budget(live.pool).earn()
     if live.req.idempotent or not live.req.idempotency_key:
         start_call(state, live, field.candidates, live.req.deadline, now)
         return
--- a/trestledock/process/_claiming.py
+++ b/trestledock/process/_claiming.py
@@ -47,9 +47,8 @@
         live.claim = ClaimWait(
             f'{state.member}/{live.req.req_id}',
             make_claim_key(live),
-            now,
-            now + ttl_s,
-            now,
+            not_after=now + ttl_s,
+            heard_at=now,
         )
     wait = live.claim
     epoch = state.epochs.get(live.req.home)
--- a/trestledock/process/_dispatching.py
+++ b/trestledock/process/_dispatching.py
@@ -26,13 +26,17 @@
 from trestledock.process._load import Sent
 from trestledock.process._queue import Waiting, get_rank
 from trestledock.process._state import State
-from trestledock.process._timers import PumpDue
+from trestledock.process._timers import PumpDue, SilenceDue
 from trestledock.request import AttemptEvent, Reason, Request
 from trestledock.version import Team
 
 #: How old a decision may be when it is written to its target, in seconds.  A
 #: process that was paused in between decides again: the target may be leaving.
 WRITE_WITHIN_S = 2.0
+#: How long an engine may say nothing of a job: at least so many seconds, and
+#: so many times what was predicted.
+SILENCE_S = 5.0
+SILENCE_FACTOR = 4.0
 #: For how long events that may make room are gathered, in seconds.
 PUMP_S = 0.01
 
@@ -252,6 +256,7 @@
         ),
     )
     live.awaited = (job.hold, job.stop)
+    _watch_silence(state, live, target, job, now)
     source = _get_source(live, job)
     state.act(
         StartJob(
@@ -265,6 +270,30 @@
     )
 
 
+def _watch_silence(
+    state: State,
+    live: Live,
+    target: Target,
+    job: Job,
+    now: float,
+) -> None:
+    """Set the timer after which an engine that says nothing counts as lost."""
+    report = target.load.report
+    if report is None:
+        return
+    wait_s = target.load.predict_wait(job.priority, now)
+    work_s = (job.stop - job.start) / report.rate
+    patience_s = max(SILENCE_S, SILENCE_FACTOR * (wait_s + work_s))
+    due = SilenceDue(
+        live.req.req_id,
+        live.attempt.number,
+        job.hold,
+        job.stop,
+        live.emitted,
+    )
+    state.set_timer(now + patience_s, due)
+
+
 def _get_source(live: Live, job: Job) -> Share | None:
     for before, share in zip(live.shares, live.shares[1:]):
         if job.hold == share.hold and job.start == share.start:
--- a/trestledock/process/_identity.py
+++ b/trestledock/process/_identity.py
@@ -42,8 +42,6 @@
     order_flight_s: float = 3.0
     snapshot_s: float = 60.0
     pause_s: float = 3.0
-    first_chunk_s: float = 30.0
-    drain_notice_s: float = 3.0
     append_retry_s: float = 1.0
 
 
--- a/trestledock/process/_live.py
+++ b/trestledock/process/_live.py
@@ -65,7 +65,6 @@
 
     claim_id: str
     key: str
-    asked_at: float
     not_after: float
     heard_at: float
     granted: bool = False
--- a/trestledock/process/_load.py
+++ b/trestledock/process/_load.py
@@ -129,10 +129,6 @@
             return 0
         return pace.token_s
 
-    def count_prefilling(self) -> int:
-        """Return the own work in flight that is not prefilled yet."""
-        return sum(sent.prefilled_at is None for sent in self.sends.values())
-
     def forget_done(self, now: float) -> None:
         """Drop finished work that no report can be older than."""
         self.done = [
--- a/trestledock/process/_registry.py
+++ b/trestledock/process/_registry.py
@@ -20,6 +20,7 @@
     on_gap,
     on_piece_done,
     on_retry_due,
+    on_silence,
     on_stream_done,
 )
 from trestledock.process._arrivals import (
@@ -80,6 +81,7 @@
         timers.RetryDue: on_retry_due,
         timers.ClaimDue: on_claim_due,
         timers.GapDue: on_gap,
+        timers.SilenceDue: on_silence,
         timers.PumpDue: on_pump_due,
         timers.HeartbeatDue: on_heartbeat_due,
     }
--- a/trestledock/process/_timers.py
+++ b/trestledock/process/_timers.py
@@ -40,6 +40,21 @@
     attempt: int
 
 
+@dataclass(frozen=True)
+class SilenceDue:
+    """An engine should long have answered a job.
+
+    The job is known by its attempt, its hold and where its piece stops;
+    `emitted` tokens had been passed on when it was sent.
+    """
+
+    req_id: str
+    attempt: int
+    hold: str
+    stop: int
+    emitted: int
+
+
 @dataclass(frozen=True)
 class PumpDue:
     """Something may have made room for what waits for a pool."""
--- a/trestledock/request/_retry.py
+++ b/trestledock/request/_retry.py
@@ -18,9 +18,11 @@
 #: First and largest backoff, in seconds.
 BACKOFF_BASE_S = 0.02
 BACKOFF_CAP_S = 1.0
-#: Failures in a row that open a breaker, and how long it stays open.
+#: Failures in a row that open a breaker, how long it stays open, and how often
+#: that doubles with failed probes.
 BREAKER_FAILURES = 3
 BREAKER_OPEN_S = 2.0
+MAX_DOUBLINGS = 4
 
 
 @dataclass
@@ -74,7 +76,8 @@
         """Return the state at `now`."""
         if self.failures < BREAKER_FAILURES:
             return BreakerState.closed
-        if now - self.opened_at >= BREAKER_OPEN_S:
+        probes = min(self.failures - BREAKER_FAILURES, MAX_DOUBLINGS)
+        if now - self.opened_at >= BREAKER_OPEN_S * 2**probes:
             return BreakerState.half_open
         return BreakerState.opened
 
