A continuation carries the answer so far

Cause: reading: a stream that went on at another engine sent the prompt without the tokens that the caller had; the stand-in drew tokens by their index and did not notice. Now it refuses a continuation that is not its own. Ruled out: the core (its indices were right). Test: streams cut twice on both engines give the same text as a whole answer.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -81,6 +81,16 @@
         indices = [one['index'] for one in events if 'index' in one]
         self.assertEqual(indices, list(range(BODY['max_tokens'])))
 
+    def test_c_stream_goes_on_elsewhere(self):
+        wanted = self.complete(2).json()['text']
+        for url in self.processes.engines:
+            httpx.post(f'{url}/control', json={'cut_streams': 2})
+        events = stream(self.processes.urls[0])
+        streamed = ''.join(one.get('text', '') for one in events)
+        self.assertEqual(streamed, wanted)
+        for url in self.processes.engines:
+            httpx.post(f'{url}/control', json={'cut_streams': 0})
+
     def test_d_one_key_runs_once_through_all_instances(self):
         answers = [self.call(number % 3, 'k1') for number in range(5)]
         self.assertEqual({one.status_code for one in answers}, {200})
--- a/trestledock/connection/_target.py
+++ b/trestledock/connection/_target.py
@@ -77,7 +77,8 @@
     async def start_job(self, action: StartJob) -> None:
         """Send a job and report what comes of it.
 
-        The prompt travels with the first job of a hold only.
+        The prompt travels with the first job of a hold only, and with it the
+        answer so far where another engine had begun it.
         """
         exchange = self.hub.exchanges.get(action.req_id)
         late = anyio.current_time() >= action.not_after
@@ -90,6 +91,7 @@
             'job': CONVERTER.unstructure(action.job),
             'prompt': exchange.prompt if is_first else '',
             'prefix': exchange.prefix if is_first else (),
+            'continuation': ''.join(exchange.emitted) if is_first else '',
         }
         if action.job.generate:
             await self._read_stream(action, '/v1/jobs', body, exchange)
--- a/trestledock/standin/_engine.py
+++ b/trestledock/standin/_engine.py
@@ -28,6 +28,7 @@
     EventKind,
     Hold,
     Rejected,
+    get_token_text,
 )
 from trestledock.standin._web import (
     NOT_STARTED_STATUS,
@@ -122,10 +123,16 @@
         )
         if job.source and not await self._import(job):
             return _make_rejection('the KV cache could not be imported')
+        seed = make_seed(body['prompt'])
+        begun = [
+            get_token_text(seed, index) for index in range(job.first_index)
+        ]
+        if body['prompt'] and body['continuation'] != ''.join(begun):
+            return _make_rejection('the continuation is of another answer')
         now = anyio.current_time()
         prefix = tuple(body['prefix'])
         try:
-            self.model.submit(job, make_seed(body['prompt']), prefix, now)
+            self.model.submit(job, seed, prefix, now)
         except Rejected as exc:
             return _make_rejection(str(exc))
         self.listeners[job.hold] = send
