--- a/trestledock/demo/_run.py
+++ b/trestledock/demo/_run.py
@@ -49,7 +49,6 @@
         for name, with_long in (('short only', False), ('mixed', True)):
             tallies[name] = await _run_phase(deployment, seconds, with_long)
         deployment.stop.set()
-        group.cancel_scope.cancel()
     _print_slowdown(tallies['short only'], tallies['mixed'])
     return tallies
 
