--- a/trestledock/connection/_caller.py
+++ b/trestledock/connection/_caller.py
@@ -116,7 +116,7 @@
     async def take_peer(self, http: HttpRequest) -> Response:
         """Take a message from a peer."""
         body = await http.body()
-        self.hub.metrics.peer_bytes.labels('received').inc(len(body))
+        self.hub.metrics.control_bytes.labels('received').inc(len(body))
         await self.hub.tell(read_envelope_of_peer(body))
         return Response(status_code=HTTPStatus.NO_CONTENT)
 
--- a/trestledock/connection/_hub.py
+++ b/trestledock/connection/_hub.py
@@ -119,7 +119,7 @@
         try:
             await link(action)
         except Exception:
-            self.metrics.link_errors.inc()
+            self.metrics.add('link_errors')
             log.exception('link_failed')
 
 
@@ -138,7 +138,7 @@
         waited_s = anyio.current_time() - exchange.arrived_at
         hub.metrics.note_first_token(exchange.length, waited_s)
     exchange.emitted.extend(chunk.text for chunk in action.chunks)
-    hub.metrics.tokens.inc(sum(chunk.tokens for chunk in action.chunks))
+    hub.metrics.add('tokens', sum(chunk.tokens for chunk in action.chunks))
     _reply(hub, action.req_id, action)
 
 
@@ -175,7 +175,7 @@
     try:
         exchange.send.send_nowait(reply)
     except anyio.WouldBlock:
-        hub.metrics.slow_callers.inc()
+        hub.metrics.add('slow_callers')
         exchange.send.close()
     except (anyio.BrokenResourceError, anyio.ClosedResourceError):
         return
--- a/trestledock/connection/_metrics.py
+++ b/trestledock/connection/_metrics.py
@@ -5,6 +5,7 @@
 The counters, gauges and histograms of an entry instance, by library.
 """
 
+from types import MappingProxyType
 from typing import Mapping
 
 from prometheus_client import (
@@ -21,17 +22,40 @@
 TTFT_BOUNDS_S = (0.05, 0.1, 0.25, 0.5, 0.9, 1.5, 3, 6, 15, 60, 300)
 
 #: The counters by the name that the core counts under, with their label.
-COUNTERS: Mapping[str, tuple[str, str]] = {  # noqa: WPS407 - read only
-    'requests': ('Requests that arrived', 'kind'),
-    'refused': ('Requests refused or given up', 'reason'),
-    'retries': ('Attempts repeated', 'reason'),
-    'attempts': ('Attempts sent to targets', 'length'),
-    'outcome': ('Final answers', 'outcome'),
-    'claims': ('Claims repeated or stale', 'event'),
-    'orders': ('Orders to engines', 'event'),
-    'taken_up_holds': ('Hold blocks taken up from lost peers', 'event'),
-    'pauses': ('Pauses of the process that were noticed', 'event'),
-}
+COUNTERS: Mapping[str, tuple[str, str]] = MappingProxyType(
+    {
+        'requests': ('Requests that arrived', 'kind'),
+        'refused': ('Requests refused or given up', 'reason'),
+        'retries': ('Attempts repeated', 'reason'),
+        'attempts': ('Attempts sent to targets', 'length'),
+        'outcome': ('Final answers', 'outcome'),
+        'claims': ('Claims repeated or stale', 'event'),
+        'orders': ('Orders to engines', 'event'),
+        'taken_up_holds': ('Hold blocks taken up from lost peers', 'event'),
+        'pauses': ('Pauses of the process that were noticed', 'event'),
+    }
+)
+
+#: Counters without a label.
+PLAIN_COUNTERS: Mapping[str, str] = MappingProxyType(
+    {
+        'tokens': 'Tokens passed on to callers',
+        'slow_callers': 'Callers cut off because they did not read',
+        'lost_peer_messages': 'Messages to peers that could not be delivered',
+        'link_errors': 'Failures of a connection that were not foreseen',
+        'lost_appends': 'Appends to the log without an answer',
+    }
+)
+
+#: Gauges, set when they are read.
+GAUGES: Mapping[str, str] = MappingProxyType(
+    {
+        'in_flight': 'Requests in flight',
+        'version': 'Version of the configuration in force',
+        'leaving_targets': 'Targets that get no new work',
+        'peers': 'Peers that are not gone',
+    }
+)
 
 
 class Metrics:
@@ -49,29 +73,14 @@
             )
             for name, (text, label) in COUNTERS.items()
         }
-        self.tokens = Counter(
-            'trestledock_tokens',
-            'Tokens passed on to callers',
-            registry=self.registry,
-        )
-        self.slow_callers = Counter(
-            'trestledock_slow_callers',
-            'Callers cut off because they did not read',
-            registry=self.registry,
-        )
-        self.lost_peer_messages = Counter(
-            'trestledock_lost_peer_messages',
-            'Messages to peers that could not be delivered',
-            registry=self.registry,
-        )
-        self.link_errors = Counter(
-            'trestledock_link_errors',
-            'Failures of a connection that were not foreseen',
-            registry=self.registry,
-        )
-        self.lost_appends = Counter(
-            'trestledock_lost_appends',
-            'Appends to the log without an answer',
+        self._plain = {
+            name: Counter(f'trestledock_{name}', text, registry=self.registry)
+            for name, text in PLAIN_COUNTERS.items()
+        }
+        self.control_bytes = Counter(
+            'trestledock_control_bytes',
+            'Bytes of control sent and received',
+            ['peer'],
             registry=self.registry,
         )
         self.poll_seconds = Histogram(
@@ -79,12 +88,6 @@
             'How long polling a target took',
             registry=self.registry,
         )
-        self.peer_bytes = Counter(
-            'trestledock_control_bytes',
-            'Bytes of control sent and received',
-            ['peer'],
-            registry=self.registry,
-        )
         self.ttft = Histogram(
             'trestledock_ttft_seconds',
             'Time to first token',
@@ -94,18 +97,17 @@
         )
         self._gauges = {
             name: Gauge(f'trestledock_{name}', text, registry=self.registry)
-            for name, text in (
-                ('in_flight', 'Requests in flight'),
-                ('version', 'Version of the configuration in force'),
-                ('leaving_targets', 'Targets that get no new work'),
-                ('peers', 'Peers that are not gone'),
-            )
+            for name, text in GAUGES.items()
         }
 
     def count(self, action: Count) -> None:
         """Count an event of the core."""
         self.counters[action.name].labels(action.label).inc()
 
+    def add(self, name: str, amount: float = 1) -> None:
+        """Count on one of the counters without a label."""
+        self._plain[name].inc(amount)
+
     def note_first_token(self, length: str, seconds: float) -> None:
         """Observe the time to the first token of a request."""
         self.ttft.labels(length).observe(seconds)
--- a/trestledock/connection/_peer.py
+++ b/trestledock/connection/_peer.py
@@ -56,7 +56,7 @@
                 'payload': CONVERTER.unstructure(action.payload),
             }
         )
-        self.hub.metrics.peer_bytes.labels('sent').inc(len(body))
+        self.hub.metrics.control_bytes.labels('sent').inc(len(body))
         try:
             await self.client.post(
                 f'http://{action.address}/peer/v1/messages',
@@ -64,7 +64,7 @@
                 timeout=PEER_TIMEOUT_S,
             )
         except httpx.HTTPError:
-            self.hub.metrics.lost_peer_messages.inc()
+            self.hub.metrics.add('lost_peer_messages')
 
 
 def read_envelope_of_peer(body: bytes) -> PeerMessage:
--- a/trestledock/connection/_platform.py
+++ b/trestledock/connection/_platform.py
@@ -57,7 +57,7 @@
                 timeout=self.hub.settings.platform_timeout_s,
             )
         except httpx.HTTPError:
-            self.hub.metrics.lost_appends.inc()
+            self.hub.metrics.add('lost_appends')
 
     async def read_log(self) -> None:
         """Read the log from where the core has got to."""
@@ -82,7 +82,7 @@
             timeout=self.hub.settings.platform_timeout_s,
         )
         response.raise_for_status()
-        self.hub.metrics.peer_bytes.labels('platform').inc(
+        self.hub.metrics.control_bytes.labels('platform').inc(
             len(response.content),
         )
         return response.json()
--- a/trestledock/connection/_polling.py
+++ b/trestledock/connection/_polling.py
@@ -100,7 +100,7 @@
     async def _get(self, url: str) -> httpx.Response:
         response = await self.client.get(url, timeout=POLL_TIMEOUT_S)
         size = len(response.content)
-        self.hub.metrics.peer_bytes.labels('target').inc(size)
+        self.hub.metrics.control_bytes.labels('target').inc(size)
         return response
 
     def _get_due(self) -> list[str]:
--- a/trestledock/proof/_performing.py
+++ b/trestledock/proof/_performing.py
@@ -6,7 +6,7 @@
 other faults, and writes down what callers and targets would have seen.
 """
 
-from functools import singledispatch
+from functools import partial, singledispatch
 from http import HTTPStatus
 from typing import Any
 
@@ -168,38 +168,40 @@
         )
         return
 
-    def run() -> None:  # noqa: WPS430
-        key = host.keys.get(action.req_id, '')
-        world.note(
-            EventType.sent,
-            who=host.name,
-            req_id=action.req_id,
-            key=name,
-        )
-        world.note(
-            EventType.ran,
-            who=name,
-            req_id=action.req_id,
-            key=key,
-        )
-        if service.lose_answers > 0 or not service.alive:
-            service.lose_answers -= 1
-            lost = AttemptFailed(
-                action.req_id,
-                action.attempt,
-                not_started=False,
-                step='call',
-                peer=name,
-            )
-            world.deliver(host, name, lost)
-            return
-        done = CallDone(
-            action.req_id, action.attempt, HTTPStatus.OK, f'ran {key}'
-        )
-        world.deliver(host, name, done)
-
     delay = world.get_delay(host.name, name) + SERVICE_S
-    world.at(world.now + delay, run)
+    world.at(world.now + delay, partial(_run_call, action, world, host))
+
+
+def _run_call(action: CallService, world: World, host: Host) -> None:
+    """Run a call on its service, whose answer may get lost."""
+    name = action.target
+    service = world.services[name]
+    key = host.keys.get(action.req_id, '')
+    world.note(
+        EventType.sent,
+        who=host.name,
+        req_id=action.req_id,
+        key=name,
+    )
+    world.note(
+        EventType.ran,
+        who=name,
+        req_id=action.req_id,
+        key=key,
+    )
+    if service.lose_answers > 0 or not service.alive:
+        service.lose_answers -= 1
+        lost = AttemptFailed(
+            action.req_id,
+            action.attempt,
+            not_started=False,
+            step='call',
+            peer=name,
+        )
+        world.deliver(host, name, lost)
+        return
+    done = CallDone(action.req_id, action.attempt, HTTPStatus.OK, f'ran {key}')
+    world.deliver(host, name, done)
 
 
 @perform.register
