A stream that falls silent is resumed, then continued elsewhere

Cause: an engine that fell silent in mid-stream was noticed at the deadline only. Ruled out: a timer a token; the heartbeat looks through live streams. Tests of bad headers.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -111,6 +111,23 @@
             self.assertEqual(answer.json()['reason'], reason)
             self.assertEqual(answer.json()['type'], 'not_run')
 
+    def test_e_bad_headers(self):
+        cases = (
+            ({'trestledock-team': 'nobody'}, 403, 'unknown_team'),
+            ({**TEAM, 'trestledock-deadline-ms': 'soon'}, 400, 'bad_request'),
+            ({**TEAM, 'trestledock-deadline-ms': '0'}, 400, 'bad_request'),
+            ({**TEAM, 'trestledock-home': 'moon'}, 400, 'bad_request'),
+            ({}, 400, 'bad_request'),
+        )
+        for headers, status, reason in cases:
+            answer = httpx.post(
+                f'{self.processes.urls[0]}/v1/completions',
+                json=BODY,
+                headers=headers,
+            )
+            self.assertEqual(answer.status_code, status, answer.text)
+            self.assertEqual(answer.json()['reason'], reason)
+
     def test_f_refused_at_once_with_retry_after(self):
         answer = httpx.post(
             f'{self.processes.urls[0]}/v1/completions',
--- a/trestledock/process/_answers.py
+++ b/trestledock/process/_answers.py
@@ -45,6 +45,8 @@
 GAP_PATIENCE_S = 0.5
 #: When to come back after an attempt was lost, in seconds.
 LOST_WAIT_S = 1.0
+#: How long a stream may be silent between two tokens, in seconds.
+STREAM_SILENCE_S = 5.0
 #: What is counted for a stream that is resumed or continued.
 STREAM_STEP = 'stream'
 
@@ -68,6 +70,7 @@
         return
     if not live.note(message.attempt, AttemptEvent.answer):
         return
+    live.heard_at = now
     if live.first_token_at is None:
         live.first_token_at = now
     _mark_prefilled(state, live, now)
@@ -120,6 +123,22 @@
         on_attempt_failed(silent, state, now)
 
 
+def end_silent_streams(state: State, now: float) -> None:
+    """Resume, or go on elsewhere with, streams that have fallen silent."""
+    for live in tuple(state.live.values()):
+        streaming = live.phase is Phase.running and live.heard_at > 0
+        if streaming and now - live.heard_at > STREAM_SILENCE_S:
+            live.heard_at = now
+            silent = AttemptFailed(
+                live.req.req_id,
+                live.attempt.number,
+                not_started=False,
+                step=STREAM_STEP,
+                peer=live.attempt.target,
+            )
+            on_attempt_failed(silent, state, now)
+
+
 def on_call_done(message: CallDone, state: State, now: float) -> None:
     """Give the caller the answer of a plain service."""
     live = state.live.get(message.req_id)
--- a/trestledock/process/_duties.py
+++ b/trestledock/process/_duties.py
@@ -8,6 +8,7 @@
 """
 
 from trestledock.process._actions import AppendRecord, ToPeer
+from trestledock.process._answers import end_silent_streams
 from trestledock.process._dispatching import pump_all
 from trestledock.process._ending import send
 from trestledock.process._fleet import Peer
@@ -299,5 +300,6 @@
     give_orders,
     keep_snapshot,
     keep_holds,
+    end_silent_streams,
     tidy,
 )
--- a/trestledock/process/_live.py
+++ b/trestledock/process/_live.py
@@ -90,6 +90,7 @@
     awaited: tuple[str, int] = ('', 0)
     claim: ClaimWait | None = None
     first_token_at: float | None = None
+    heard_at: float = 0
 
     @property
     def attempt(self) -> Attempt:
@@ -121,6 +122,7 @@
         self.position = 0
         self.reserved = 0
         self.resumed = False
+        self.heard_at = 0
         return attempt
 
     def note(self, number: int, event: AttemptEvent) -> bool:
