Read once more: one rule for bases and fencing numbers, less done twice

Found in the whole change: the base of a scope stood beside the fold's own; the stand-in engine checked fencing numbers beside its model; the lease's body was read again on every read of the log; the pool of an explanation was looked up twice; a field of a plan was dead. Behaviour as before.

--- a/trestledock/process/_applying.py
+++ b/trestledock/process/_applying.py
@@ -11,7 +11,6 @@
 from trestledock.process._state import State, Version
 from trestledock.version import (
     CONFIGURATION,
-    NO_BASE,
     EPOCH_PREFIX,
     LEASE_PREFIX,
     Accepted,
@@ -30,9 +29,7 @@
         elif scope.startswith(EPOCH_PREFIX):
             _apply_epoch(state, scope, accepted, now)
         elif scope == LEASE_PREFIX + state.identity.data_centre:
-            body = load_json(accepted.body, LeaseBody)
-            record_id = accepted.record_id
-            state.lease.observe(accepted.offset, record_id, body, now)
+            _apply_lease(state, accepted, now)
 
 
 def settle_publications(state: State) -> None:
@@ -56,6 +53,13 @@
     state.note('version_in_force', detail=str(accepted.offset))
 
 
+def _apply_lease(state: State, accepted: Accepted, now: float) -> None:
+    if accepted.offset > state.lease.fencing:
+        body = load_json(accepted.body, LeaseBody)
+        record_id = accepted.record_id
+        state.lease.observe(accepted.offset, record_id, body, now)
+
+
 def _apply_epoch(
     state: State,
     scope: str,
@@ -73,9 +77,3 @@
         return
     if state.claims.enter(epoch, now):
         state.note('epoch', detail=f'{accepted.offset} {list(body.members)}')
-
-
-def get_base(state: State, scope: str) -> int:
-    """Return the base that the next record of `scope` must name."""
-    accepted = state.reader.fold.get_accepted_by_scope(scope)
-    return accepted.offset if accepted else NO_BASE
--- a/trestledock/process/_explaining.py
+++ b/trestledock/process/_explaining.py
@@ -15,7 +15,6 @@
 from trestledock.request import Kind, Reason, Request
 from trestledock.version import (
     get_permission,
-    get_pool_by_request,
     get_rules_by_work,
     get_work_labels,
 )
@@ -28,14 +27,13 @@
     field = find_permitted(state, req)
     if cfg is None or field.pool is None:
         return [f'refused: {field.reason.value}']
-    pool = get_pool_by_request(cfg, req)
     work = get_work_labels(req, state.identity.data_centre)
     rules = get_rules_by_work(cfg, work)
     lines = [f'work {dict(work)}', f'pool {field.pool.name}']
     lines.extend(f'rule {rule.name} applies' for rule in rules)
     for name, target in sorted(state.get_targets().items()):
         labels = state.fleet.get_labels(target)
-        permission = get_permission(pool or field.pool, rules, labels)
+        permission = get_permission(field.pool, rules, labels)
         if not permission.allowed:
             lines.append(f'{name}: forbidden by {permission.forbidden_by}')
         elif not state.fleet.is_usable(target, now):
--- a/trestledock/process/_platform.py
+++ b/trestledock/process/_platform.py
@@ -10,7 +10,6 @@
 from trestledock.process._answers import drop_replaced
 from trestledock.process._applying import (
     apply_accepted,
-    get_base,
     settle_publications,
 )
 from trestledock.process._dispatching import pump_all
@@ -96,7 +95,7 @@
         )
         return
     if base < 0:
-        base = get_base(state, CONFIGURATION)
+        base = state.reader.fold.get_base_by_scope(CONFIGURATION)
     state.publishing.setdefault(
         message.publish_id,
         PublishWait(base, message.body),
--- a/trestledock/proof/_fleets.py
+++ b/trestledock/proof/_fleets.py
@@ -6,7 +6,7 @@
 services by data centre, and the configuration that is published to them.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from trestledock.proof._callers import MODEL, Callers
 from trestledock.proof._world import World
@@ -62,7 +62,6 @@
         Team('assistant'),
         Team('kiosks', weight=4),
     )
-    worlds: list[World] = field(default_factory=list)
 
 
 def make_configuration(plan: Plan, marker: str = '') -> Configuration:
--- a/trestledock/standin/_engine.py
+++ b/trestledock/standin/_engine.py
@@ -211,13 +211,11 @@
         """Take an order to hold models, and load them by and by."""
         body = await request.json()
         models = frozenset(body['models'])
-        old = body['fencing'] < self.model.fencing
-        if self.model.spec.checks_fencing and old:
+        if not self.model.take_number(body['fencing']):
             return JSONResponse(
                 {'fencing': self.model.fencing},
                 status_code=409,
             )
-        self.model.fencing = max(self.model.fencing, body['fencing'])
         self.orders.append(models)
         self.role = body.get('role', self.role)
         return JSONResponse(
--- a/trestledock/standin/_engine_model.py
+++ b/trestledock/standin/_engine_model.py
@@ -151,10 +151,16 @@
 
     def order(self, models: frozenset[str], fencing: int) -> bool:
         """Load exactly these models; False where the number is old."""
+        taken = self.take_number(fencing)
+        if taken:
+            self.models = models
+        return taken
+
+    def take_number(self, fencing: int) -> bool:
+        """Take the fencing number of an order; False where it is too old."""
         if self.spec.checks_fencing and fencing < self.fencing:
             return False
         self.fencing = max(self.fencing, fencing)
-        self.models = models
         return True
 
     def advance(self, now: float) -> list[EngineEvent]:
