--- /dev/null
+++ b/trestledock/entry/__init__.py
@@ -0,0 +1,39 @@
+"""
+Entry process
+=============
+
+The tasks around the decisions of `trestledock.relay`: callers, targets, the
+other entries and the platform's store.  A platform is met through a `Dialect`
+for its formats and a `Directory` for its store.
+"""
+
+from trestledock.entry._daemon import run_entry
+from trestledock.entry._dialect import (
+    AnswerNote,
+    Dialect,
+    Directory,
+    News,
+    Order,
+    Passing,
+    TargetNews,
+)
+from trestledock.entry._following import DirectoryError
+from trestledock.entry._settings import EntrySettings
+from trestledock.entry._wire import Head, Headers, Wire, WireError
+
+__all__ = (
+    'AnswerNote',
+    'Dialect',
+    'Directory',
+    'DirectoryError',
+    'EntrySettings',
+    'Head',
+    'Headers',
+    'News',
+    'Order',
+    'Passing',
+    'TargetNews',
+    'Wire',
+    'WireError',
+    'run_entry',
+)
--- /dev/null
+++ b/trestledock/entry/_answering.py
@@ -0,0 +1,244 @@
+"""
+Answers of targets
+==================
+
+Takes what a target answers and passes it on, or says how the sending ended.
+An answer counts only if it belongs to the request, bears the target's seal and
+is whole.
+"""
+
+from typing import AsyncIterator
+
+import anyio
+
+from trestledock.entry._dialect import AnswerNote, Dialect
+from trestledock.entry._job import Answer, Job
+from trestledock.entry._pool import Pool, get_idle_s
+from trestledock.entry._reply import Reply
+from trestledock.entry._state import EntryState
+from trestledock.entry._wire import Head, Wire, WireError
+from trestledock.relay import (
+    Ending,
+    Placement,
+    RouteKind,
+    Sending,
+    Splitter,
+)
+
+#: Status codes.
+OK = 200
+FIRST_FAILURE = 300
+FIRST_SERVER_ERROR = 500
+GATEWAY_TIMEOUT = 504
+#: The statuses that promise that nothing has run.
+PROMISES = frozenset((408, 421, 429, 503))
+#: Least time that is given for the first part of an answer, in seconds.
+LEAST_FIRST_S = 0.8
+#: How many times the predicted time to the first token a target may take.
+FIRST_FACTOR = 2.5
+#: How many times the objective a repeatable plain call may take.
+PLAIN_FACTOR = 3.0
+#: How many times the allowed pause a stream may be silent.
+PAUSE_FACTOR = 4.0
+
+
+class Answering:
+    """Receives answers for one entry process."""
+
+    def __init__(self, state: EntryState, pool: Pool, dialect: Dialect) -> None:
+        """Keep the state, the connections and the platform's formats."""
+        self.state = state
+        self.pool = pool
+        self.dialect = dialect
+
+    async def receive(
+        self,
+        job: Job,
+        placement: Placement,
+        wire: Wire,
+        reply: Reply,
+    ) -> tuple[Sending, float]:
+        """Take an answer; return the ending and how long `wire` may idle."""
+        first_s = get_first_timeout_s(job, placement)
+        peer = placement.target.target_id
+        with anyio.move_on_after(first_s) as scope:
+            head = await wire.read_head()
+        if scope.cancelled_caught:
+            self._note_silence(peer)
+            raise WireError('answer', f'silent for {first_s:.2f} s', sent=True)
+        answer = self.dialect.read_head(head)
+        if answer.req_id and answer.req_id != job.call.req_id:
+            raise WireError('answer', 'of another request', sent=True)
+        idle_s = get_idle_s(answer.keep_alive, answer.connection)
+        if _is_stream(job, head, answer):
+            passing = StreamPassing(self, job, placement, reply)
+            sending = await passing.run(head, wire.iter_body(), first_s)
+        else:
+            sending = await self._take_whole(job, peer, wire, head, reply)
+        return sending, idle_s
+
+    def note_success(self, peer: str) -> None:
+        """Note that a target did its work."""
+        self.state.health.note_success(peer, anyio.current_time())
+
+    def note_failure(self, peer: str) -> None:
+        """Note that a target failed."""
+        self.state.health.note_failure(peer, anyio.current_time())
+
+    def _note_silence(self, peer: str) -> None:
+        self.state.health.note_silence(peer, anyio.current_time())
+
+    async def _take_whole(
+        self,
+        job: Job,
+        peer: str,
+        wire: Wire,
+        head: Head,
+        reply: Reply,
+    ) -> Sending:
+        parts = []
+        async for raw in wire.iter_body():
+            parts.append(raw)
+        body = b''.join(parts)
+        answer = self.dialect.read_head(head)
+        if answer.not_run:
+            if answer.at_fault:
+                self._note_silence(answer.at_fault)
+            return Sending(
+                Ending.rejected, 'answer', peer, f'{head.status}'
+            )
+        if head.status in PROMISES or not answer.sealed or answer.encoded:
+            self.note_failure(peer)
+            return Sending(Ending.lost, 'answer', peer, f'{head.status}')
+        if head.status >= FIRST_SERVER_ERROR and not reply.started:
+            return self._take_failure(job, peer, Answer(head, body))
+        if reply.started:
+            return Sending(Ending.lost, 'answer', peer, f'{head.status}')
+        self.note_success(peer)
+        await reply.start(head.status, self.dialect.make_reply_headers(head))
+        await reply.finish(body)
+        return Sending(Ending.answered, 'answer', peer, f'{head.status}')
+
+    def _take_failure(self, job: Job, peer: str, answer: Answer) -> Sending:
+        """Keep a target's own failure in case nothing better comes."""
+        job.fallback = answer
+        if answer.head.status != GATEWAY_TIMEOUT:
+            self.note_failure(peer)
+        return Sending(
+            Ending.failed, 'answer', peer, f'{answer.head.status}'
+        )
+
+
+class StreamPassing:
+    """Passes one target's events on, whole ones only."""
+
+    def __init__(
+        self,
+        answering: Answering,
+        job: Job,
+        placement: Placement,
+        reply: Reply,
+    ) -> None:
+        """Keep the request and where its events go."""
+        self.answering = answering
+        self.job = job
+        self.peer = placement.target.target_id
+        self.reply = reply
+        self.splitter = Splitter()
+        self.count = 0
+
+    async def run(
+        self,
+        head: Head,
+        body: AsyncIterator[bytes],
+        first_s: float,
+    ) -> Sending:
+        """Pass on events until the stream ends."""
+        pause_s = get_pause_timeout_s(self.job)
+        limit_s = first_s
+        while True:
+            raw = await self._read(body, limit_s)
+            if raw is None:
+                return await self._finish(head)
+            await self._pass_on(head, raw)
+            if self.count:
+                limit_s = pause_s
+
+    async def _read(
+        self,
+        body: AsyncIterator[bytes],
+        limit_s: float,
+    ) -> bytes | None:
+        with anyio.move_on_after(limit_s):
+            return await anext(body, None)
+        now = anyio.current_time()
+        self.answering.state.health.note_silence(self.peer, now)
+        raise WireError('events', f'silent for {limit_s:.2f} s', sent=True)
+
+    async def _pass_on(self, head: Head, raw: bytes) -> None:
+        events = [
+            event
+            for event in self.splitter.push(raw)
+            if _is_next(event.event_id, self.job.last_event)
+        ]
+        if not events:
+            return
+        if not self.count:
+            self._note_first()
+        self.count += len(events)
+        await self._start(head)
+        await self.reply.write(b''.join(event.raw for event in events))
+        named = [event.event_id for event in events if event.event_id]
+        if named:
+            self.job.last_event = named[-1]
+
+    def _note_first(self) -> None:
+        state = self.answering.state
+        state.board.advance(self.job.call.req_id, anyio.current_time())
+        state.notify()
+
+    async def _start(self, head: Head) -> None:
+        if not self.reply.started:
+            headers = self.answering.dialect.make_reply_headers(head)
+            await self.reply.start(head.status, headers)
+
+    async def _finish(self, head: Head) -> Sending:
+        self.answering.note_success(self.peer)
+        await self._start(head)
+        await self.reply.finish(self.splitter.rest)
+        return Sending(Ending.answered, 'events', self.peer, f'{self.count}')
+
+
+def get_first_timeout_s(job: Job, placement: Placement) -> float:
+    """Return how long a target may be silent before another is asked.
+
+    A request that may not be repeated is waited for until its deadline.
+    """
+    left_s = max(0, job.deadline - anyio.current_time())
+    if not job.route.repeatable:
+        return left_s
+    if job.route.kind is RouteKind.streaming:
+        return min(
+            left_s, max(LEAST_FIRST_S, placement.first_s * FIRST_FACTOR)
+        )
+    return min(left_s, job.route.objective_s * PLAIN_FACTOR)
+
+
+def get_pause_timeout_s(job: Job) -> float:
+    """Return how long a stream may be silent between events."""
+    if not job.route.repeatable:
+        return max(0, job.deadline - anyio.current_time())
+    return max(LEAST_FIRST_S, job.route.pause_s * PAUSE_FACTOR)
+
+
+def _is_stream(job: Job, head: Head, answer: AnswerNote) -> bool:
+    if job.route.kind is not RouteKind.streaming or head.status != OK:
+        return False
+    return answer.sealed and not answer.encoded
+
+
+def _is_next(event_id: str, last: str) -> bool:
+    """Whether an event follows those that the caller has."""
+    if event_id.isdigit() and last.isdigit():
+        return int(event_id) > int(last)
+    return True
--- /dev/null
+++ b/trestledock/entry/_app.py
@@ -0,0 +1,115 @@
+"""
+Web application of an entry
+===========================
+
+The ASGI application behind the listeners: callers on one address, the
+balancer's question for readiness on another.
+"""
+
+import logging
+from typing import Any, Awaitable, Callable, Mapping
+
+import anyio
+
+from trestledock.entry._dialect import Dialect
+from trestledock.entry._relaying import Relayer
+from trestledock.entry._reply import CutReply, Reply, Send
+from trestledock.entry._state import EntryState
+
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Scope = Mapping[str, Any]
+
+log = logging.getLogger('trestledock.relay')
+
+
+class CallerLeft(Exception):
+    """The caller closed its connection before its request was whole."""
+
+
+class EntryApp:
+    """The application of one entry process."""
+
+    def __init__(
+        self,
+        state: EntryState,
+        relayer: Relayer,
+        dialect: Dialect,
+    ) -> None:
+        """Keep what requests are relayed by."""
+        self.state = state
+        self.relayer = relayer
+        self.dialect = dialect
+        self._ready_port = int(state.settings.ready.rpartition(':')[2])
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Serve one request."""
+        if scope['type'] != 'http':
+            return
+        if scope['server'][1] == self._ready_port:
+            await self._answer_ready(send)
+            return
+        self.state.in_progress += 1
+        try:
+            await self._serve(scope, receive, send)
+        finally:
+            self.state.in_progress -= 1
+
+    async def _answer_ready(self, send: Send) -> None:
+        ready = self.state.is_ready(anyio.current_time())
+        reply = Reply(send, lambda: False)
+        await reply.start(200 if ready else 503, ((b'content-length', b'0'),))
+        await reply.finish()
+
+    async def _serve(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        arrived_at = anyio.current_time()
+        try:
+            body = await _read_body(receive)
+        except CallerLeft:
+            return
+        reply = Reply(send, lambda: self.state.leaving)
+        call = self.dialect.read_call(scope, body, arrived_at)
+        cut = False
+        async with anyio.create_task_group() as group:
+            group.start_soon(_cancel_when_left, receive, group, call.req_id)
+            try:
+                await self.relayer.relay(call, reply)
+            except CutReply:
+                cut = True
+            group.cancel_scope.cancel()
+        if cut:
+            raise CutReply(call.req_id)
+
+
+async def _read_body(receive: Receive) -> bytes:
+    parts = []
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            raise CallerLeft
+        parts.append(message.get('body', b''))
+        if not message.get('more_body'):
+            return b''.join(parts)
+
+
+async def _cancel_when_left(
+    receive: Receive,
+    group: anyio.abc.TaskGroup,
+    req_id: str,
+) -> None:
+    """Cancel a request when its caller closes the connection."""
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            log.info('caller_left', extra={'req': req_id})
+            group.cancel_scope.cancel()
+            return
--- /dev/null
+++ b/trestledock/entry/_daemon.py
@@ -0,0 +1,135 @@
+"""
+Entry process
+=============
+
+An entry from its settings to its graceful end: listeners, the store, the other
+entries, signals.
+"""
+
+import logging
+import signal
+from random import Random
+from typing import Callable
+
+import anyio
+from anyio.abc import TaskGroup
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+from trestledock.entry._app import EntryApp
+from trestledock.entry._dialect import Dialect, Directory
+from trestledock.entry._following import Follower
+from trestledock.entry._gossip import Gossip
+from trestledock.entry._pool import Pool
+from trestledock.entry._relaying import Relayer
+from trestledock.entry._settings import EntrySettings
+from trestledock.entry._state import EntryState
+from trestledock.entry._tickets import Tickets
+
+#: How long new connections are taken after the request to stop, in seconds;
+#: the balancer asks once a second and needs two misses.
+NOTICE_S = 3.0
+#: What is kept of the time to stop for the end itself, in seconds.
+END_MARGIN_S = 0.7
+#: How long an idle connection of a caller is kept beyond the configured time.
+IDLE_FACTOR = 2.0
+#: Requests on one connection before it is closed; none in practice.
+MAX_REQUESTS = 1_000_000
+#: Bytes of a request's head that may be incomplete.
+MAX_HEAD_BYTES = 65_536
+#: Connections that may wait to be accepted.
+BACKLOG = 1024
+
+log = logging.getLogger('trestledock.relay')
+
+MakeDirectory = Callable[[EntrySettings], Directory]
+
+
+async def run_entry(
+    settings: EntrySettings,
+    dialect: Dialect,
+    make_directory: MakeDirectory,
+) -> None:
+    """Run an entry until SIGTERM, then end it gracefully."""
+    kinds = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
+    with anyio.open_signal_receiver(*kinds) as signals:
+        async with anyio.create_task_group() as group:
+            state = EntryState(
+                settings, settings.instance, Random(settings.peers), group
+            )
+            stop = anyio.Event()
+            _start(state, dialect, make_directory(settings), stop)
+            log.info('started', extra={'member': state.member})
+            async for signum in signals:
+                if signum != signal.SIGHUP:
+                    break
+                log.info('reload_ignored', extra={'member': state.member})
+            await _drain(state, stop)
+            group.cancel_scope.cancel()
+    log.info('ended', extra={'member': settings.instance})
+
+
+def _start(
+    state: EntryState,
+    dialect: Dialect,
+    directory: Directory,
+    stop: anyio.Event,
+) -> None:
+    group: TaskGroup = state.group
+    pool = Pool(group)
+    gossip = Gossip(state)
+    follower = Follower(state, directory, pool, gossip)
+    relayer = Relayer(state, pool, dialect, Tickets(state, pool, dialect))
+    app = EntryApp(state, relayer, dialect)
+    group.start_soon(follower.run)
+    group.start_soon(gossip.run)
+    group.start_soon(_listen, state, app, stop)
+
+
+async def _listen(
+    state: EntryState,
+    app: EntryApp,
+    stop: anyio.Event,
+) -> None:
+    config = Config()
+    config.bind = [state.settings.callers, state.settings.ready]
+    config.accesslog = None
+    config.errorlog = None
+    config.include_date_header = False
+    config.include_server_header = False
+    config.keep_alive_max_requests = MAX_REQUESTS
+    config.h11_max_incomplete_size = MAX_HEAD_BYTES
+    config.backlog = BACKLOG
+    config.graceful_timeout = (
+        state.settings.grace_s - NOTICE_S - END_MARGIN_S
+    )
+    state.group.start_soon(_follow_limits, state, config)
+    async with anyio.create_task_group() as group:
+        group.start_soon(_serve, app, config, stop)
+
+
+async def _serve(app: EntryApp, config: Config, stop: anyio.Event) -> None:
+    await serve(app, config, shutdown_trigger=stop.wait)  # type: ignore
+
+
+async def _follow_limits(state: EntryState, config: Config) -> None:
+    """Keep idle connections longer than callers reuse them."""
+    config.keep_alive_timeout = 60
+    while True:
+        if state.catalog:
+            idle_s = state.catalog.limits.idle_s * IDLE_FACTOR
+            config.keep_alive_timeout = max(idle_s, config.keep_alive_timeout)
+        await anyio.sleep(1)
+
+
+async def _drain(state: EntryState, stop: anyio.Event) -> None:
+    """Turn unready, serve on until the balancer has turned away, finish."""
+    state.leaving = True
+    log.info('draining', extra={'in_progress': state.in_progress})
+    await anyio.sleep(NOTICE_S)
+    stop.set()
+    left_s = state.settings.grace_s - NOTICE_S - END_MARGIN_S
+    with anyio.move_on_after(left_s):
+        while state.in_progress:
+            await anyio.sleep(0.05)
+    log.info('drained', extra={'in_progress': state.in_progress})
--- /dev/null
+++ b/trestledock/entry/_dialect.py
@@ -0,0 +1,117 @@
+"""
+Dialects
+========
+
+What a platform's formats must offer for the entry to relay on it.  The entry
+decides; an implementation only translates.
+"""
+
+from dataclasses import dataclass
+from typing import Any, Mapping, Protocol
+
+from trestledock.entry._wire import Head, Headers
+from trestledock.relay import Call, Catalog, Listed, Placement
+
+
+@dataclass(frozen=True)
+class Passing:
+    """What is added to a call on its way to a target.
+
+    `left_s` is the time that the target may take, `tickets` the ids of the
+    memory reserved at other targets, by target.
+    """
+
+    placement: Placement
+    team: str
+    left_s: float
+    resume_after: str
+    tickets: Mapping[str, str]
+
+
+@dataclass(frozen=True)
+class AnswerNote:
+    """What an answer's head says beside its status.
+
+    `not_run` is the target's word that it did not run the request; `sealed`
+    says that the answer is the target's own.
+    """
+
+    req_id: str
+    sealed: bool
+    not_run: bool
+    encoded: bool
+    keep_alive: str
+    connection: str
+    at_fault: str = ''
+
+
+@dataclass(frozen=True)
+class Order:
+    """A request to a target's control interface."""
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True)
+class TargetNews:
+    """What the directory says of one target; `listed` is None once removed."""
+
+    target_id: str
+    listed: Listed | None
+
+
+@dataclass(frozen=True)
+class News:
+    """What a read of the store brought.
+
+    `whole` says that `targets` are all that there are.
+    """
+
+    catalog: Catalog | None = None
+    targets: tuple[TargetNews, ...] = ()
+    whole: bool = False
+
+
+class Dialect(Protocol):
+    """Formats of callers and targets."""
+
+    def read_call(
+        self, scope: Mapping[str, Any], body: bytes, now: float
+    ) -> Call:
+        """Read a caller's request."""
+
+    def make_headers(self, call: Call, passing: Passing) -> Headers:
+        """Return the headers of a request to a target."""
+
+    def read_head(self, head: Head) -> AnswerNote:
+        """Read the head of a target's answer."""
+
+    def make_reply_headers(self, head: Head) -> Headers:
+        """Return the headers of an answer that is passed on."""
+
+    def make_reserve(
+        self, ticket: str, tokens: int, hold_s: float, host: str
+    ) -> Order:
+        """Return the order that reserves memory."""
+
+    def make_release(self, ticket: str, host: str) -> Order:
+        """Return the order that gives memory back."""
+
+
+class Directory(Protocol):
+    """The platform's store, as far as the entry reads it."""
+
+    async def read_catalog(self) -> News:
+        """Return the newest configuration where it changed."""
+
+    async def read_targets(self) -> News:
+        """Return what changed among the targets."""
+
+    async def read_peers(self) -> dict[str, str]:
+        """Return the addresses of the entries, by name."""
+
+    async def announce(self, name: str, address: str) -> None:
+        """Publish the own address."""
--- /dev/null
+++ b/trestledock/entry/_job.py
@@ -0,0 +1,82 @@
+"""
+Jobs
+====
+
+A relayed request from its admission to its final answer, and the refusals.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+from types import MappingProxyType
+from typing import Mapping
+
+from trestledock.entry._wire import Head
+from trestledock.relay import Call, History, Route
+
+
+class Refusal(str, Enum):
+    """Why a request is not answered by a target."""
+
+    no_configuration = 'no_configuration'
+    unknown_key = 'unknown_key'
+    no_route = 'no_route'
+    stale_proof = 'stale_proof'
+    no_target = 'no_target'
+    no_memory = 'no_memory'
+    not_run = 'not_run'
+    failed = 'failed'
+    timeout = 'timeout'
+    not_run_in_time = 'not_run_in_time'
+
+
+#: The status of each refusal; 503 is a promise that nothing has run.
+STATUSES: Mapping[Refusal, int] = MappingProxyType(
+    {
+        Refusal.no_configuration: 503,
+        Refusal.unknown_key: 401,
+        Refusal.no_route: 404,
+        Refusal.stale_proof: 503,
+        Refusal.no_target: 503,
+        Refusal.no_memory: 503,
+        Refusal.not_run: 503,
+        Refusal.failed: 502,
+        Refusal.timeout: 504,
+        Refusal.not_run_in_time: 503,
+    }
+)
+
+
+@dataclass(frozen=True)
+class Answer:
+    """A target's whole answer, kept to be passed on."""
+
+    head: Head
+    body: bytes
+
+
+@dataclass
+class Job:
+    """One request in progress.
+
+    `last_event` is the id of the last event that the caller was sent, and
+    `fallback` a target's failure that is passed on if nothing better comes.
+    """
+
+    call: Call
+    route: Route
+    service: str
+    team: str
+    deadline: float
+    history: History = field(default_factory=History)
+    tried: set[str] = field(default_factory=set)
+    last_event: str = ''
+    fallback: Answer | None = None
+
+    @property
+    def resume_after(self) -> str:
+        """The event after which the stream is to go on."""
+        return self.last_event or self.call.resume_after
+
+    def get_objective_left_s(self, now: float) -> float:
+        """Return what is left until the first event would be late."""
+        return self.call.arrived_at + self.route.objective_s - now
--- /dev/null
+++ b/trestledock/entry/_pool.py
@@ -0,0 +1,90 @@
+"""
+Pools of connections
+====================
+
+Idle connections by incarnation of a target.  Each idle connection is watched:
+one that closes or gets bytes that belong to no request is thrown away at once.
+"""
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import TaskGroup
+
+from trestledock.entry._wire import Wire
+from trestledock.relay import Listed
+
+#: How long a connection may be idle where the target does not say, in seconds.
+IDLE_S = 4.0
+#: How long before a target's own timeout a connection is dropped, in seconds.
+IDLE_MARGIN_S = 0.6
+
+
+@dataclass
+class _Idle:
+    """An idle connection with its watcher and the end of its life."""
+
+    wire: Wire
+    until: float
+    watcher: anyio.CancelScope
+
+
+class Pool:
+    """The connections of one process to its targets."""
+
+    def __init__(self, group: TaskGroup) -> None:
+        """Keep the task group in which idle connections are watched."""
+        self._group = group
+        self._idle: dict[str, list[_Idle]] = defaultdict(list)
+
+    async def take(self, target: Listed) -> Wire:
+        """Return an idle connection or a new one."""
+        waiting = self._idle[target.target_id]
+        while waiting:
+            idle = waiting.pop()
+            idle.watcher.cancel()
+            if not idle.wire.broken and idle.until > anyio.current_time():
+                return idle.wire
+            await idle.wire.close()
+        return await Wire.connect(target.address)
+
+    async def give(self, target: Listed, wire: Wire, idle_s: float) -> None:
+        """Take a connection back after an answer, or close it."""
+        if not wire.recycle() or idle_s <= 0:
+            await wire.close()
+            return
+        until = anyio.current_time() + idle_s
+        idle = _Idle(wire, until, anyio.CancelScope())
+        self._idle[target.target_id].append(idle)
+        self._group.start_soon(self._watch, target.target_id, idle)
+
+    def drop(self, target_id: str) -> None:
+        """Close the idle connections to an incarnation that has gone."""
+        for idle in self._idle.pop(target_id, []):
+            idle.watcher.cancel()
+            self._group.start_soon(idle.wire.close)
+
+    async def _watch(self, target_id: str, idle: _Idle) -> None:
+        left_s = max(0, idle.until - anyio.current_time())
+        with idle.watcher, anyio.move_on_after(left_s):
+            await idle.wire.wait_for_surplus()
+        waiting = self._idle.get(target_id, [])
+        if idle in waiting:
+            waiting.remove(idle)
+            await idle.wire.close()
+
+
+def get_idle_s(keep_alive: str, connection: str) -> float:
+    """Return how long a connection may be kept, by an answer's headers.
+
+    >>> get_idle_s('timeout=5', ''), get_idle_s('', 'close')
+    (4.4, 0)
+    """
+    if 'close' in connection.lower():
+        return 0
+    for part in keep_alive.replace(',', ' ').split():
+        name, _, number = part.partition('=')
+        if name.lower() == 'timeout' and number.isdigit():
+            return int(number) - IDLE_MARGIN_S
+    return IDLE_S
--- /dev/null
+++ b/trestledock/entry/_selecting.py
@@ -0,0 +1,141 @@
+"""
+Selecting a target
+==================
+
+Waits, where that pays, until a request can be placed without harm to it or to
+others, and says where it goes.
+"""
+
+import anyio
+
+from trestledock.entry._job import Job, Refusal
+from trestledock.entry._state import EntryState
+from trestledock.relay import (
+    EngineModel,
+    Flight,
+    Listed,
+    Phase,
+    Placement,
+    PromptSize,
+    Work,
+    choose_least_busy,
+)
+
+#: How often a waiting request is placed anew without any news, in seconds.
+LOOK_S = 0.03
+#: The part of its objective that a request may wait for a better place.
+PATIENCE_SHARE = 0.3
+#: The part of its time that a request may wait for memory.
+MEMORY_PATIENCE_SHARE = 0.4
+#: The cost, as a part of a request's worth, for which it is worth waiting.
+WAIT_COST_SHARE = 0.3
+#: How long to look for any target at all, in seconds.
+TARGET_PATIENCE_S = 0.2
+#: Prompt and output tokens that count as one unit of worth; an output token
+#: weighs as much as ten of the prompt (the users' sheets).
+TOKENS_PER_WORTH = 14_000
+OUTPUT_WEIGHT = 10
+
+
+def get_worth(size: PromptSize | None) -> float:
+    """Return what a request is worth, in units of a plain call."""
+    if size is None:
+        return 1
+    weighed = size.prompt_tokens + OUTPUT_WEIGHT * size.output_tokens
+    return weighed / TOKENS_PER_WORTH
+
+
+def make_flight(job: Job, placement: Placement, now: float) -> Flight:
+    """Return what the board is told of a sending."""
+    size = job.call.size or PromptSize(0, 0)
+    return Flight(
+        flight_id=job.call.req_id,
+        target=placement.target.target_id,
+        prompt_tokens=size.prompt_tokens,
+        output_tokens=size.output_tokens,
+        phase=Phase.reading,
+        since=now,
+        pause_s=job.route.pause_s,
+        worth=get_worth(job.call.size),
+        helpers=tuple(one.target_id for one in placement.helpers),
+        tickets=placement.tickets,
+    )
+
+
+async def select(state: EntryState, job: Job) -> Placement | Refusal:
+    """Return where a request goes, or why it can't go anywhere."""
+    while True:
+        now = anyio.current_time()
+        targets = get_candidates(state, job, now)
+        engine = _get_engine(state, job)
+        if targets and (engine is None or job.call.size is None):
+            return _choose_plain(state, targets, now)
+        placement = _place(state, job, engine, targets, now)
+        if placement and not _is_worth_waiting(job, placement, now):
+            return placement
+        if placement is None and _is_out_of_patience(job, targets, now):
+            return Refusal.no_memory if targets else Refusal.no_target
+        await state.wait_for_change(LOOK_S)
+
+
+def get_candidates(state: EntryState, job: Job, now: float) -> list[Listed]:
+    """Return the targets that may get the request, better ones if any."""
+    usable = list(state.fleet.get_usable(job.service))
+    sound = [
+        one for one in usable if not state.health.is_suspect(one.target_id, now)
+    ]
+    fresh = [one for one in sound if one.target_id not in job.tried]
+    return fresh or sound or usable
+
+
+def _get_engine(state: EntryState, job: Job) -> EngineModel | None:
+    if state.catalog is None:
+        return None
+    service = state.catalog.services.get(job.service)
+    return service.engine if service else None
+
+
+def _choose_plain(
+    state: EntryState,
+    targets: list[Listed],
+    now: float,
+) -> Placement | Refusal:
+    chosen = choose_least_busy(
+        state.board, state.health, targets, now, state.rng.random
+    )
+    return Placement(chosen) if chosen else Refusal.no_target
+
+
+def _place(
+    state: EntryState,
+    job: Job,
+    engine: EngineModel | None,
+    targets: list[Listed],
+    now: float,
+) -> Placement | None:
+    if engine is None or job.call.size is None:
+        return None
+    objective_s = job.get_objective_left_s(now)
+    work = Work(
+        size=job.call.size,
+        objective_s=max(objective_s, 0.05),
+        pause_s=job.route.pause_s,
+        worth=get_worth(job.call.size),
+    )
+    return state.placer.place(work, engine, targets, now)
+
+
+def _is_worth_waiting(job: Job, placement: Placement, now: float) -> bool:
+    """Whether a better place may come free while there is still time."""
+    waited_s = now - job.call.arrived_at
+    if waited_s > job.route.objective_s * PATIENCE_SHARE:
+        return False
+    return placement.cost > get_worth(job.call.size) * WAIT_COST_SHARE
+
+
+def _is_out_of_patience(job: Job, targets: list[Listed], now: float) -> bool:
+    waited_s = now - job.call.arrived_at
+    if not targets:
+        return waited_s > TARGET_PATIENCE_S
+    whole_s = job.deadline - job.call.arrived_at
+    return waited_s > whole_s * MEMORY_PATIENCE_SHARE
--- /dev/null
+++ b/trestledock/entry/_settings.py
@@ -0,0 +1,35 @@
+"""
+Settings of an entry
+====================
+
+What an entry process learns about itself and its platform at start.  Times
+are in seconds.
+"""
+
+from dataclasses import dataclass, field
+
+from trestledock.relay import BudgetTerms
+
+
+@dataclass(frozen=True)
+class EntrySettings:
+    """The settings; addresses are `IP:PORT`.
+
+    `callers` and `ready` are where callers and the balancer come, `peers`
+    where other entries do.  `revoke_s` is how long a key that was taken away
+    may still be served, zero for any time; `grace_s` is the time between the
+    request to stop and the end; `engine_hold_s` is the longest lease of
+    memory at an engine.
+    """
+
+    instance: str
+    data_centre: str
+    callers: str
+    ready: str
+    peers: str
+    store: str
+    metrics: str = ''
+    revoke_s: float = 0
+    grace_s: float = 8
+    engine_hold_s: float = 20
+    budget: BudgetTerms = field(default_factory=BudgetTerms)
--- /dev/null
+++ b/trestledock/entry/_state.py
@@ -0,0 +1,70 @@
+"""
+State of an entry process
+=========================
+
+Everything that the tasks of one entry share.  Only the tasks of one event
+loop touch it, each between two waits.
+"""
+
+from dataclasses import dataclass, field
+from random import Random
+
+import anyio
+from anyio.abc import TaskGroup
+
+from trestledock.entry._settings import EntrySettings
+from trestledock.relay import (
+    Board,
+    Catalog,
+    Fleet,
+    Health,
+    Placer,
+    Proof,
+    RetryWindow,
+)
+
+
+@dataclass
+class EntryState:
+    """The state of one entry process."""
+
+    settings: EntrySettings
+    member: str
+    rng: Random
+    group: TaskGroup
+    catalog: Catalog | None = None
+    fleet: Fleet = field(default_factory=Fleet)
+    board: Board = field(default_factory=Board)
+    health: Health = field(default_factory=Health)
+    windows: dict[str, RetryWindow] = field(default_factory=dict)
+    leaving: bool = False
+    in_progress: int = 0
+    changed: anyio.Event = field(default_factory=anyio.Event)
+    proof: Proof = field(init=False)
+    placer: Placer = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Build the parts that share others."""
+        self.proof = Proof(self.settings.revoke_s)
+        self.placer = Placer(self.board, self.health)
+
+    def notify(self) -> None:
+        """Wake everyone who waits for a change of the board or the fleet."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def wait_for_change(self, limit_s: float) -> None:
+        """Wait for a change, `limit_s` seconds at most."""
+        with anyio.move_on_after(limit_s):
+            await self.changed.wait()
+
+    def get_window(self, service: str) -> RetryWindow:
+        """Return the shared retry budget's window of a service."""
+        if service not in self.windows:
+            self.windows[service] = RetryWindow(self.settings.budget)
+        return self.windows[service]
+
+    def is_ready(self, now: float) -> bool:
+        """Whether new connections should come here."""
+        known = self.catalog is not None and bool(self.fleet.targets)
+        return known and not self.leaving and self.proof.is_ready(now)
--- /dev/null
+++ b/trestledock/entry/_tickets.py
@@ -0,0 +1,168 @@
+"""
+Memory reserved at engines
+==========================
+
+Tickets for prompts that need the memory of several engines: all or nothing,
+renewed while the request lives, given back on every path.  The lease of a
+ticket is short, so that the tickets of a process that died lapse by
+themselves.
+"""
+
+import logging
+
+import anyio
+
+from trestledock.entry._dialect import Dialect, Order
+from trestledock.entry._job import Job
+from trestledock.entry._pool import Pool
+from trestledock.entry._state import EntryState
+from trestledock.entry._wire import Head, WireError
+from trestledock.relay import Listed, Placement
+
+#: The lease of a ticket, in seconds: below the time after which memory that
+#: nobody uses counts as leaked (4 s).
+HOLD_S = 3.5
+#: How often a ticket is renewed, in seconds.
+RENEW_S = 1.2
+#: How long an order may take, in seconds.
+ORDER_S = 0.6
+#: How often a ticket is given back before its lease has to end it.
+RELEASE_TRIES = 3
+OK = 200
+
+log = logging.getLogger('trestledock.relay')
+
+
+class Tickets:
+    """Reserves and gives back memory for one entry process."""
+
+    def __init__(self, state: EntryState, pool: Pool, dialect: Dialect) -> None:
+        """Keep the connections and the platform's formats."""
+        self.state = state
+        self.pool = pool
+        self.dialect = dialect
+        self._renewals: dict[str, anyio.CancelScope] = {}
+        self._holders: dict[str, Listed] = {}
+        self._count = 0
+
+    async def reserve(
+        self,
+        job: Job,
+        placement: Placement,
+    ) -> dict[str, str] | None:
+        """Return the tickets by target; None where one was not granted."""
+        held: dict[str, str] = {}
+        if not placement.tickets:
+            return held
+        by_id = {one.target_id: one for one in placement.helpers}
+        try:
+            async with anyio.create_task_group() as group:
+                for target_id, tokens in placement.tickets:
+                    self._count += 1
+                    ticket = f'{job.call.req_id}-{self._count}'
+                    group.start_soon(
+                        self._reserve_one, by_id[target_id], ticket, tokens, held
+                    )
+        except BaseException:
+            self.release(held)
+            raise
+        if len(held) == len(placement.tickets):
+            return held
+        log.info(
+            'memory_refused',
+            extra={
+                'req': job.call.req_id,
+                'granted': len(held),
+                'asked': len(placement.tickets),
+            },
+        )
+        self.release(held)
+        return None
+
+    def release(self, held: dict[str, str]) -> None:
+        """Give tickets back in the background."""
+        for ticket in tuple(held.values()):
+            scope = self._renewals.pop(ticket, None)
+            if scope:
+                scope.cancel()
+            holder = self._holders.pop(ticket, None)
+            if holder:
+                self.state.group.start_soon(self._release_one, holder, ticket)
+
+    async def _reserve_one(
+        self,
+        holder: Listed,
+        ticket: str,
+        tokens: int,
+        held: dict[str, str],
+    ) -> None:
+        self._holders[ticket] = holder
+        status = await self._order(
+            holder, self.dialect.make_reserve(
+                ticket, tokens, HOLD_S, holder.address
+            )
+        )
+        if status == OK:
+            held[holder.target_id] = ticket
+            scope = anyio.CancelScope()
+            self._renewals[ticket] = scope
+            self.state.group.start_soon(
+                self._renew, scope, holder, ticket, tokens
+            )
+        elif status == 0:
+            self.state.group.start_soon(self._release_one, holder, ticket)
+
+    async def _renew(
+        self,
+        scope: anyio.CancelScope,
+        holder: Listed,
+        ticket: str,
+        tokens: int,
+    ) -> None:
+        with scope:
+            while True:
+                await anyio.sleep(RENEW_S)
+                order = self.dialect.make_reserve(
+                    ticket, tokens, HOLD_S, holder.address
+                )
+                await self._order(holder, order)
+
+    async def _release_one(self, holder: Listed, ticket: str) -> None:
+        for _ in range(RELEASE_TRIES):
+            order = self.dialect.make_release(ticket, holder.address)
+            if await self._order(holder, order) == OK:
+                return
+
+    async def _order(self, holder: Listed, order: Order) -> int:
+        """Give an order; return its status, zero where none came."""
+        try:
+            with anyio.fail_after(ORDER_S):
+                head = await self._exchange(holder, order)
+        except (WireError, TimeoutError) as exc:
+            log.info(
+                'order_lost',
+                extra={'peer': holder.target_id, 'detail': repr(exc)},
+            )
+            return 0
+        return head.status
+
+    async def _exchange(self, holder: Listed, order: Order) -> Head:
+        wire = await self.pool.take(holder)
+        done = False
+        try:
+            await wire.send(
+                order.method,
+                order.path,
+                order.headers,
+                order.body,
+                self.state.group,
+            )
+            head = await wire.read_head()
+            async for _ in wire.iter_body():
+                continue
+            done = True
+        finally:
+            if not done:
+                await wire.close()
+        await self.pool.give(holder, wire, idle_s=1.0)
+        return head
--- /dev/null
+++ b/trestledock/entry/_wire.py
@@ -0,0 +1,200 @@
+"""
+Connections to targets
+======================
+
+One HTTP/1.1 connection that knows how far a request got: nothing written,
+written, answered.  That knowledge decides whether a request may be repeated,
+and pools of general clients don't tell it.
+"""
+
+import socket
+from dataclasses import dataclass
+from typing import AsyncIterator
+
+import anyio
+import h11
+from anyio.abc import SocketAttribute, SocketStream
+
+#: How long a target may take to accept a connection, in seconds.
+CONNECT_S = 0.4
+#: How long unacknowledged bytes keep a connection, in milliseconds.
+USER_TIMEOUT_MS = 2000
+#: Probes of a silent connection: first after, then every, and how many.
+KEEPALIVE_S = 1
+KEEPALIVE_PROBES = 2
+READ_BYTES = 65_536
+#: Bodies above this are written while the answer is awaited, in bytes.
+SMALL_BODY_BYTES = 32_768
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+class WireError(Exception):
+    """A connection failed at a step; `sent` says whether bytes had left."""
+
+    def __init__(self, step: str, detail: str, *, sent: bool) -> None:
+        """Keep the step, and whether the request may have arrived."""
+        super().__init__(f'{step}: {detail}')
+        self.step = step
+        self.detail = detail
+        self.sent = sent
+
+
+@dataclass(frozen=True)
+class Head:
+    """The beginning of an answer."""
+
+    status: int
+    headers: Headers
+
+    def get_header(self, name: bytes) -> str:
+        """Return a header by its name in lower case, or an empty text."""
+        for known, text in self.headers:
+            if known.lower() == name:
+                return text.decode('latin-1')
+        return ''
+
+
+class Wire:
+    """One connection to one incarnation of a target."""
+
+    def __init__(self, stream: SocketStream) -> None:
+        """Take over a stream that has just been connected."""
+        self.stream = stream
+        self.http = h11.Connection(h11.CLIENT)
+        self.written = True
+        self.broken = False
+
+    @classmethod
+    async def connect(cls, address: str) -> 'Wire':
+        """Connect to `IP:PORT`, or raise a `WireError` with nothing sent."""
+        host, _, port = address.rpartition(':')
+        try:
+            with anyio.fail_after(CONNECT_S):
+                stream = await anyio.connect_tcp(host, int(port))
+        except (OSError, TimeoutError) as exc:
+            raise WireError('connect', repr(exc), sent=False) from exc
+        _set_options(stream)
+        return cls(stream)
+
+    async def send(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        group: anyio.abc.TaskGroup,
+    ) -> None:
+        """Write a whole request; a long body goes out in the background."""
+        request = h11.Request(method=method, target=target, headers=headers)
+        raw = self.http.send(request) or b''
+        if body:
+            raw += self.http.send(h11.Data(data=body)) or b''
+        raw += self.http.send(h11.EndOfMessage()) or b''
+        self.written = False
+        if len(raw) > SMALL_BODY_BYTES:
+            group.start_soon(self._write_quietly, raw)
+        else:
+            await self._write(raw)
+
+    async def read_head(self) -> Head:
+        """Wait for the answer's status and headers."""
+        while True:
+            event = await self._next_event('answer')
+            if isinstance(event, h11.Response):
+                return Head(event.status_code, tuple(event.headers))
+            if isinstance(event, h11.ConnectionClosed):
+                raise WireError('answer', 'connection closed', sent=True)
+
+    async def iter_body(self) -> AsyncIterator[bytes]:
+        """Yield the body's bytes; raise a `WireError` where it is cut."""
+        while True:
+            event = await self._next_event('body')
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise WireError('body', f'unexpected {event!r}', sent=True)
+
+    def recycle(self) -> bool:
+        """Prepare for the next request; False where that is not safe."""
+        if self.broken or not self.written:
+            return False
+        done = self.http.our_state is h11.DONE
+        if not done or self.http.their_state is not h11.DONE:
+            return False
+        if self.http.trailing_data[0]:
+            return False
+        self.http.start_next_cycle()
+        return True
+
+    async def wait_for_surplus(self) -> None:
+        """Return when an idle connection closes or gets bytes unasked for."""
+        try:
+            await self.stream.receive(1)
+        except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
+            self.broken = True
+        except anyio.ClosedResourceError:
+            self.broken = True
+        self.broken = True
+
+    async def close(self) -> None:
+        """Close the connection, whatever is under way on it."""
+        self.broken = True
+        with anyio.CancelScope(shield=True):
+            await self.stream.aclose()
+
+    async def _write(self, raw: bytes) -> None:
+        try:
+            await self.stream.send(raw)
+        except (OSError, anyio.BrokenResourceError) as exc:
+            raise WireError('write', repr(exc), sent=True) from exc
+        except anyio.ClosedResourceError as exc:
+            raise WireError('write', repr(exc), sent=True) from exc
+        self.written = True
+
+    async def _write_quietly(self, raw: bytes) -> None:
+        try:
+            await self._write(raw)
+        except WireError:
+            self.broken = True
+
+    async def _next_event(self, step: str) -> h11.Event:
+        try:
+            event = self.http.next_event()
+            while event is h11.NEED_DATA:
+                self.http.receive_data(await self._receive(step))
+                event = self.http.next_event()
+        except h11.RemoteProtocolError as exc:
+            self.broken = True
+            raise WireError(step, repr(exc), sent=True) from exc
+        if event is h11.PAUSED:
+            raise WireError(step, 'out of turn', sent=True)
+        return event
+
+    async def _receive(self, step: str) -> bytes:
+        try:
+            return await self.stream.receive(READ_BYTES)
+        except anyio.EndOfStream:
+            return b''
+        except (OSError, anyio.BrokenResourceError) as exc:
+            self.broken = True
+            raise WireError(step, repr(exc), sent=True) from exc
+        except anyio.ClosedResourceError as exc:
+            self.broken = True
+            raise WireError(step, repr(exc), sent=True) from exc
+
+
+def _set_options(stream: SocketStream) -> None:
+    """Let a peer that has lost power end the connection within seconds."""
+    raw = stream.extra(SocketAttribute.raw_socket)
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    )
+    for level, option, number in options:
+        raw.setsockopt(level, option, number)
--- /dev/null
+++ b/trestledock/relay/__init__.py
@@ -0,0 +1,76 @@
+"""
+Decisions on relayed requests
+=============================
+
+Where a request goes that is passed on as it came: routes and keys, the fleet
+of targets and its passive health, placement of prompts of unlike lengths, the
+board of what is in flight, the outcome of sendings and the shared budget for
+repeats.  No sockets, no clock.
+"""
+
+from trestledock.relay._arithmetic import (
+    PassLoad,
+    get_read_s,
+    get_write_pass_s,
+    get_write_s,
+)
+from trestledock.relay._board import Board, Flight, Phase
+from trestledock.relay._budget import BudgetTerms, RetryWindow
+from trestledock.relay._call import Call, PromptSize
+from trestledock.relay._catalog import (
+    Catalog,
+    EngineModel,
+    Limits,
+    Route,
+    RouteKind,
+    Service,
+    Share,
+    TeamKey,
+)
+from trestledock.relay._events import Event, Splitter
+from trestledock.relay._fleet import Fleet, Listed, Standing
+from trestledock.relay._health import Health
+from trestledock.relay._outcome import Ending, History, Sending
+from trestledock.relay._placing import (
+    Placement,
+    Placer,
+    Work,
+    choose_least_busy,
+)
+from trestledock.relay._proof import Proof
+
+__all__ = (
+    'Board',
+    'BudgetTerms',
+    'Call',
+    'Catalog',
+    'Ending',
+    'EngineModel',
+    'Event',
+    'Fleet',
+    'Flight',
+    'Health',
+    'History',
+    'Limits',
+    'Listed',
+    'PassLoad',
+    'Phase',
+    'Placement',
+    'Placer',
+    'PromptSize',
+    'Proof',
+    'RetryWindow',
+    'Route',
+    'RouteKind',
+    'Sending',
+    'Service',
+    'Share',
+    'Splitter',
+    'Standing',
+    'TeamKey',
+    'Work',
+    'choose_least_busy',
+    'get_read_s',
+    'get_write_pass_s',
+    'get_write_s',
+)
--- /dev/null
+++ b/trestledock/relay/_arithmetic.py
@@ -0,0 +1,51 @@
+"""
+Arithmetic of engines
+=====================
+
+How long an engine reads a prompt and how long its passes take, from the
+constants in `EngineModel`.  All results are seconds.
+"""
+
+from dataclasses import dataclass
+
+from trestledock.relay._catalog import EngineModel
+
+
+@dataclass(frozen=True)
+class PassLoad:
+    """What a pass has to do: writers, their context, reading in seconds."""
+
+    writers: int = 0
+    context_tokens: int = 0
+    reading_s: float = 0
+
+
+def get_read_s(engine: EngineModel, tokens: int) -> float:
+    """Return how long a prompt is read that an engine has to itself.
+
+    >>> engine = EngineModel(8, 232_000, 0.001, 200_000, pair_s=1e-10)
+    >>> round(get_read_s(engine, 100_000), 3)
+    1.0
+    """
+    pairs = tokens * tokens / 2
+    return tokens / engine.read_rate + pairs * engine.pair_s
+
+
+def get_write_pass_s(engine: EngineModel, load: PassLoad) -> float:
+    """Return how long one pass with writers takes, reading included.
+
+    A pass reads at most `stride` chunks, so a long prompt fills it and the
+    rest waits for the next pass.
+    """
+    step_s = (
+        engine.step_s
+        + engine.step_request_s * load.writers
+        + engine.step_context_s * load.context_tokens
+    )
+    return engine.stride * step_s + load.reading_s
+
+
+def get_write_s(engine: EngineModel, tokens: int, pass_s: float) -> float:
+    """Return how long an answer of `tokens` is written at a pass time."""
+    passes = max(1, -(-tokens // engine.stride))
+    return passes * pass_s
--- /dev/null
+++ b/trestledock/relay/_board.py
@@ -0,0 +1,180 @@
+"""
+Board of requests in flight
+===========================
+
+What every target is working on: the own requests exactly, those of the other
+instances as they last told.  Each flight stands on the board of the instance
+that sent it; peers hold copies, which are dropped with a peer that is silent.
+"""
+
+from collections import defaultdict
+from dataclasses import dataclass, field, replace
+from enum import Enum
+from typing import Iterable, Iterator
+
+
+class Phase(str, Enum):
+    """Whether a request's prompt is being read, or its answer written."""
+
+    reading = 'r'
+    writing = 'w'
+
+
+@dataclass(frozen=True)
+class Flight:
+    """One request at a target.
+
+    `since` is when its phase began, on this process's clock.  `helpers` read
+    equal parts of the prompt beside the target; `tickets` are the tokens that
+    it holds at other targets.  `pause_s` is the longest pause that its caller
+    takes as timely, and `worth` what is lost with it.
+    """
+
+    flight_id: str
+    target: str
+    prompt_tokens: int
+    output_tokens: int
+    phase: Phase
+    since: float
+    pause_s: float = 0
+    worth: float = 1
+    helpers: tuple[str, ...] = ()
+    tickets: tuple[tuple[str, int], ...] = ()
+
+    @property
+    def parts(self) -> int:
+        """Into how many equal parts the prompt is cut for reading."""
+        return len(self.helpers) + 1
+
+    def get_held_tokens(self, target: str) -> int:
+        """Return the KV tokens that the request takes at one target."""
+        ticketed = dict(self.tickets)
+        if target != self.target:
+            return ticketed.get(target, 0)
+        elsewhere = sum(
+            tokens for name, tokens in self.tickets if name != target
+        )
+        total = self.prompt_tokens + self.output_tokens
+        return max(total - elsewhere, 0)
+
+    def is_at(self, target: str) -> bool:
+        """Whether a target has anything to do for the request."""
+        return target == self.target or self.is_helped_by(target)
+
+    def is_helped_by(self, target: str) -> bool:
+        """Whether a target reads a part or holds memory beside the first."""
+        return target in self.helpers
+
+
+@dataclass
+class _Sender:
+    """One peer's flights and when it was last heard."""
+
+    heard_at: float = 0
+    sequence: int = -1
+    flights: dict[str, Flight] = field(default_factory=dict)
+
+
+OWN = ''
+
+
+class Board:
+    """Flights by target, of this instance and of its peers.
+
+    >>> board = Board()
+    >>> board.put(Flight('a', 't1', 100, 10, Phase.reading, since=0))
+    >>> [flight.flight_id for flight in board.get_flights('t1')]
+    ['a']
+    """
+
+    def __init__(self) -> None:
+        """Begin with nothing in flight."""
+        self._senders: dict[str, _Sender] = {OWN: _Sender()}
+        self._by_target: dict[str, dict[str, Flight]] = defaultdict(dict)
+        self.changed: dict[str, Flight | None] = {}
+
+    @property
+    def own(self) -> dict[str, Flight]:
+        """The flights of this instance by id."""
+        return self._senders[OWN].flights
+
+    def put(self, flight: Flight) -> None:
+        """Add or replace a flight of this instance."""
+        self._set(OWN, flight)
+        self.changed[flight.flight_id] = flight
+
+    def advance(self, flight_id: str, now: float) -> None:
+        """Note that the first part of an answer has come."""
+        flight = self.own.get(flight_id)
+        if flight and flight.phase is Phase.reading:
+            self.put(replace(flight, phase=Phase.writing, since=now))
+
+    def remove(self, flight_id: str) -> None:
+        """Drop a flight of this instance."""
+        if flight_id in self.own:
+            self._unset(OWN, flight_id)
+            self.changed[flight_id] = None
+
+    def take_changes(self) -> dict[str, Flight | None]:
+        """Return what changed among the own flights since the last call."""
+        changed = self.changed
+        self.changed = {}
+        return changed
+
+    def hear(
+        self,
+        sender: str,
+        sequence: int,
+        changes: Iterable[tuple[str, Flight | None]],
+        now: float,
+        *,
+        whole: bool,
+    ) -> None:
+        """Fold a peer's message; a whole one replaces all that it had."""
+        peer = self._senders.setdefault(sender, _Sender())
+        peer.heard_at = now
+        if sequence <= peer.sequence:
+            return
+        peer.sequence = sequence
+        if whole:
+            for flight_id in tuple(peer.flights):
+                self._unset(sender, flight_id)
+        for flight_id, flight in changes:
+            if flight:
+                self._set(sender, flight)
+            else:
+                self._unset(sender, flight_id)
+
+    def drop_silent(self, now: float, patience_s: float) -> list[str]:
+        """Forget peers that were not heard; return their names."""
+        silent = [
+            name
+            for name, peer in self._senders.items()
+            if name != OWN and now - peer.heard_at > patience_s
+        ]
+        for name in silent:
+            for flight_id in tuple(self._senders[name].flights):
+                self._unset(name, flight_id)
+            self._senders.pop(name)
+        return silent
+
+    def count_peers(self) -> int:
+        """Return how many peers are being heard."""
+        return len(self._senders) - 1
+
+    def get_flights(self, target: str) -> Iterator[Flight]:
+        """Return everything that a target is working on."""
+        return iter(tuple(self._by_target.get(target, {}).values()))
+
+    def _set(self, sender: str, flight: Flight) -> None:
+        self._unset(sender, flight.flight_id)
+        self._senders[sender].flights[flight.flight_id] = flight
+        for target in (flight.target, *flight.helpers):
+            self._by_target[target][sender + flight.flight_id] = flight
+
+    def _unset(self, sender: str, flight_id: str) -> None:
+        flight = self._senders[sender].flights.pop(flight_id, None)
+        if flight is None:
+            return
+        for target in (flight.target, *flight.helpers):
+            self._by_target[target].pop(sender + flight_id, None)
--- /dev/null
+++ b/trestledock/relay/_budget.py
@@ -0,0 +1,55 @@
+"""
+Shared retry budget
+===================
+
+Repeats to a service are bounded over all instances by a share of the requests
+for it in a sliding window, plus a fixed slack.  Nothing is exchanged for it:
+each instance keeps to its part of the slack and to the share of its own
+requests.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+#: What is left unused of the bound, for repeats that are counted elsewhere.
+MARGIN = 0.7
+
+
+@dataclass(frozen=True)
+class BudgetTerms:
+    """The bound: `ratio` x requests + `slack` in any `window_s` seconds."""
+
+    ratio: float = 0.2
+    window_s: float = 10
+    slack: float = 20
+
+
+@dataclass
+class RetryWindow:
+    """The requests and repeats of one service in the last window.
+
+    >>> window = RetryWindow(BudgetTerms(ratio=0, slack=2))
+    >>> [window.spend(now=1.0, instances=1) for _ in range(2)]
+    [True, False]
+    """
+
+    terms: BudgetTerms
+    _requests: deque[float] = field(default_factory=deque)
+    _repeats: deque[float] = field(default_factory=deque)
+
+    def earn(self, now: float) -> None:
+        """Count a first sending."""
+        self._requests.append(now)
+
+    def spend(self, now: float, instances: int) -> bool:
+        """Take one repeat from the budget; False where it is spent."""
+        start = now - self.terms.window_s
+        for times in (self._requests, self._repeats):
+            while times and times[0] <= start:
+                times.popleft()
+        slack = self.terms.slack / max(1, instances)
+        bound = (slack + self.terms.ratio * len(self._requests)) * MARGIN
+        if len(self._repeats) + 1 > bound:
+            return False
+        self._repeats.append(now)
+        return True
--- /dev/null
+++ b/trestledock/relay/_health.py
@@ -0,0 +1,95 @@
+"""
+Passive health
+==============
+
+What the own requests tell of a target.  Silence and refused connections make
+it suspect for a time that doubles; failures and slowness are averaged with the
+newest outcomes counting most.  No probe is sent: real requests are the probes.
+"""
+
+from dataclasses import dataclass, field
+
+#: The weight of the newest outcome in the averages.
+LEARN = 0.25
+#: The weight of one observation in the average of the pace.
+LEARN_PACE = 0.1
+#: First and longest time for which a silent target is left alone, in seconds.
+SUSPECT_BASE_S = 1.0
+SUSPECT_CAP_S = 8.0
+#: An average of failures halves in this time without news, in seconds.
+HALF_LIFE_S = 6.0
+
+
+@dataclass
+class TargetHealth:
+    """The outcomes of one incarnation of a target."""
+
+    failures: float = 0
+    noted_at: float = 0
+    pace: float = 1
+    silences: int = 0
+    suspect_until: float = float('-inf')
+
+    def get_failure_share(self, now: float) -> float:
+        """Return the share of requests that are expected to fail."""
+        age = max(0, now - self.noted_at)
+        return self.failures * 0.5 ** (age / HALF_LIFE_S)
+
+
+@dataclass
+class Health:
+    """The health of all targets by id.
+
+    >>> health = Health()
+    >>> health.note_silence('t1', now=0)
+    >>> health.is_suspect('t1', now=0.5), health.is_suspect('t1', now=1.5)
+    (True, False)
+    """
+
+    targets: dict[str, TargetHealth] = field(default_factory=dict)
+
+    def get(self, target_id: str) -> TargetHealth:
+        """Return what is known of a target."""
+        return self.targets.setdefault(target_id, TargetHealth())
+
+    def note_success(self, target_id: str, now: float) -> None:
+        """Note an answer as it should be."""
+        self._learn(target_id, 0, now)
+        one = self.get(target_id)
+        one.silences = 0
+        one.suspect_until = float('-inf')
+
+    def note_failure(self, target_id: str, now: float) -> None:
+        """Note an answer that failed, was cut short or made no sense."""
+        self._learn(target_id, 1, now)
+
+    def note_silence(self, target_id: str, now: float) -> None:
+        """Note that nothing came, or that no connection could be made."""
+        one = self.get(target_id)
+        if now < one.suspect_until:
+            return
+        wait_s = min(SUSPECT_CAP_S, SUSPECT_BASE_S * 2**one.silences)
+        one.silences += 1
+        one.suspect_until = now + wait_s
+
+    def note_pace(self, target_id: str, ratio: float) -> None:
+        """Note how long work took against what was predicted."""
+        one = self.get(target_id)
+        one.pace += LEARN_PACE * (min(ratio, 10) - one.pace)
+
+    def is_suspect(self, target_id: str, now: float) -> bool:
+        """Whether a target should be left alone for now."""
+        known = self.targets.get(target_id)
+        return known is not None and now < known.suspect_until
+
+    def keep_only(self, ids: set[str]) -> None:
+        """Forget the targets that are gone."""
+        self.targets = {
+            one: known for one, known in self.targets.items() if one in ids
+        }
+
+    def _learn(self, target_id: str, failed: int, now: float) -> None:
+        one = self.get(target_id)
+        known = one.get_failure_share(now)
+        one.failures = known + LEARN * (failed - known)
+        one.noted_at = now
--- /dev/null
+++ b/trestledock/relay/_outcome.py
@@ -0,0 +1,80 @@
+"""
+Outcomes of sendings
+====================
+
+How one sending of a relayed request ended, and what may be done next.  The
+rule is the only place that may promise that a request has not run: none of its
+sendings may have left this process, or every target said that it did not run.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from trestledock.relay._catalog import Route, RouteKind  # noqa: F401
+
+
+class Ending(str, Enum):
+    """How a sending ended."""
+
+    answered = 'answered'
+    not_sent = 'not_sent'
+    rejected = 'rejected'
+    lost = 'lost'
+    failed = 'failed'
+
+
+#: Endings after which the target has certainly not run the request.
+NOT_RUN = frozenset((Ending.not_sent, Ending.rejected))
+
+
+@dataclass(frozen=True)
+class Sending:
+    """One sending with the step and the peer at which it ended."""
+
+    ending: Ending
+    step: str
+    peer: str
+    detail: str = ''
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the target may have begun to work on the request."""
+        return self.ending not in NOT_RUN
+
+
+@dataclass(frozen=True)
+class History:
+    """All sendings of one request, oldest first."""
+
+    sendings: tuple[Sending, ...] = ()
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any target may have begun to work on the request."""
+        return any(one.may_have_run for one in self.sendings)
+
+    @property
+    def runs(self) -> int:
+        """How many targets may have run it."""
+        return sum(one.may_have_run for one in self.sendings)
+
+    def add(self, sending: Sending) -> 'History':
+        """Return the history with one more sending."""
+        return History((*self.sendings, sending))
+
+    def may_repeat(self, route: Route) -> bool:
+        """Whether another target may get the request.
+
+        >>> route = Route('r', 'h', '/', RouteKind.non_idempotent, ())
+        >>> History().add(Sending(Ending.lost, 'answer', 't')).may_repeat(route)
+        False
+        """
+        if len(self.sendings) >= MAX_SENDINGS:
+            return False
+        if not self.may_have_run:
+            return True
+        return route.repeatable and self.runs < route.max_attempts
+
+
+#: Bound on sendings of one request, those that were not run included.
+MAX_SENDINGS = 4
