--- a/trestledock/entry/_app.py
+++ b/trestledock/entry/_app.py
@@ -15,6 +15,7 @@
 from trestledock.entry._relaying import Relayer
 from trestledock.entry._reply import CutReply, Reply, Send
 from trestledock.entry._state import EntryState
+from trestledock.relay import Call
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Scope = Mapping[str, Any]
@@ -80,11 +81,14 @@
         call = self.dialect.read_call(scope, body, arrived_at)
         cut = False
         async with anyio.create_task_group() as group:
-            group.start_soon(_cancel_when_left, receive, group, call.req_id)
+            group.start_soon(_cancel_when_left, receive, group, reply, call)
             try:
                 await self.relayer.relay(call, reply)
             except CutReply:
                 cut = True
+            except Exception:
+                log.exception('request_failed', extra={'req': call.req_id})
+                cut = True
             group.cancel_scope.cancel()
         if cut:
             raise CutReply(call.req_id)
@@ -104,12 +108,14 @@
 async def _cancel_when_left(
     receive: Receive,
     group: anyio.abc.TaskGroup,
-    req_id: str,
+    reply: Reply,
+    call: Call,
 ) -> None:
     """Cancel a request when its caller closes the connection."""
     while True:
         message = await receive()
         if message['type'] == 'http.disconnect':
-            log.info('caller_left', extra={'req': req_id})
+            if not reply.finished:
+                log.info('caller_left', extra={'req': call.req_id})
             group.cancel_scope.cancel()
             return
--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -6,6 +6,7 @@
 entries, signals.
 """
 
+import asyncio
 import logging
 import signal
 from random import Random
@@ -76,13 +77,13 @@
     stop: anyio.Event,
 ) -> None:
     group: TaskGroup = state.group
-    pool = Pool(group)
+    pool = Pool(state.spawn)
     gossip = Gossip(state)
     follower = Follower(state, directory, pool, gossip)
     relayer = Relayer(state, pool, dialect, Tickets(state, pool, dialect))
     app = EntryApp(state, relayer, dialect)
-    group.start_soon(follower.run)
-    group.start_soon(gossip.run)
+    state.spawn(follower.run)
+    state.spawn(gossip.run)
     group.start_soon(_listen, state, app, stop)
 
 
@@ -103,13 +104,17 @@
     config.graceful_timeout = (
         state.settings.grace_s - NOTICE_S - END_MARGIN_S
     )
-    state.group.start_soon(_follow_limits, state, config)
+    state.spawn(_follow_limits, state, config)
     async with anyio.create_task_group() as group:
         group.start_soon(_serve, app, config, stop)
 
 
 async def _serve(app: EntryApp, config: Config, stop: anyio.Event) -> None:
-    await serve(app, config, shutdown_trigger=stop.wait)  # type: ignore
+    try:
+        await serve(app, config, shutdown_trigger=stop.wait)  # type: ignore
+    except asyncio.InvalidStateError:
+        # The server asks for the result of its own cancelled wait.
+        log.info('server_cancelled')
 
 
 async def _follow_limits(state: EntryState, config: Config) -> None:
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -39,6 +39,7 @@
         self.peers: dict[str, tuple[str, int]] = {}
         self.sequence = 0
         self._udp: UDPSocket | None = None
+        self._sending = anyio.Lock()
 
     def meet(self, addresses: dict[str, str]) -> None:
         """Take the addresses of the other entries by name."""
@@ -111,11 +112,21 @@
             'flights': [_write_change(*one, now) for one in flights],
         }
         raw = json.dumps(message, separators=(',', ':')).encode()
-        for host, port in tuple(self.peers.values()):
-            try:
-                await self._udp.sendto(raw, host, port)
-            except OSError as exc:
-                log.warning('send_failed', extra={'detail': repr(exc)})
+        async with self._sending:
+            for host, port in tuple(self.peers.values()):
+                await self._send_one(self._udp, raw, host, port)
+
+    async def _send_one(
+        self,
+        udp: UDPSocket,
+        raw: bytes,
+        host: str,
+        port: int,
+    ) -> None:
+        try:
+            await udp.sendto(raw, host, port)
+        except OSError as exc:
+            log.warning('send_failed', extra={'detail': repr(exc)})
 
 
 def _write_change(flight_id: str, flight: Flight | None, now: float) -> list[Any]:
--- a/trestledock/entry/_pool.py
+++ b/trestledock/entry/_pool.py
@@ -8,9 +8,9 @@
 
 from collections import defaultdict
 from dataclasses import dataclass
+from typing import Any, Callable
 
 import anyio
-from anyio.abc import TaskGroup
 
 from trestledock.entry._wire import Wire
 from trestledock.relay import Listed
@@ -20,6 +20,8 @@
 #: How long before a target's own timeout a connection is dropped, in seconds.
 IDLE_MARGIN_S = 0.6
 
+Spawn = Callable[..., Any]
+
 
 @dataclass
 class _Idle:
@@ -33,9 +35,9 @@
 class Pool:
     """The connections of one process to its targets."""
 
-    def __init__(self, group: TaskGroup) -> None:
-        """Keep the task group in which idle connections are watched."""
-        self._group = group
+    def __init__(self, spawn: Spawn) -> None:
+        """Keep the way to watch idle connections in the background."""
+        self._spawn = spawn
         self._idle: dict[str, list[_Idle]] = defaultdict(list)
 
     async def take(self, target: Listed) -> Wire:
@@ -57,13 +59,13 @@
         until = anyio.current_time() + idle_s
         idle = _Idle(wire, until, anyio.CancelScope())
         self._idle[target.target_id].append(idle)
-        self._group.start_soon(self._watch, target.target_id, idle)
+        self._spawn(self._watch, target.target_id, idle)
 
     def drop(self, target_id: str) -> None:
         """Close the idle connections to an incarnation that has gone."""
         for idle in self._idle.pop(target_id, []):
             idle.watcher.cancel()
-            self._group.start_soon(idle.wire.close)
+            self._spawn(idle.wire.close)
 
     async def _watch(self, target_id: str, idle: _Idle) -> None:
         left_s = max(0, idle.until - anyio.current_time())
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -161,7 +161,7 @@
                 job.call.path + job.call.query,
                 self.dialect.make_headers(job.call, passing),
                 job.call.body,
-                self.state.group,
+                self.state.spawn,
             )
             sending, idle_s = await self.answering.receive(
                 job, placement, wire, reply
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -6,8 +6,10 @@
 loop touch it, each between two waits.
 """
 
+import logging
 from dataclasses import dataclass, field
 from random import Random
+from typing import Any, Awaitable, Callable
 
 import anyio
 from anyio.abc import TaskGroup
@@ -23,6 +25,8 @@
     RetryWindow,
 )
 
+log = logging.getLogger('trestledock.relay')
+
 
 @dataclass
 class EntryState:
@@ -48,6 +52,10 @@
         self.proof = Proof(self.settings.revoke_s)
         self.placer = Placer(self.board, self.health)
 
+    def spawn(self, work: Callable[..., Awaitable[Any]], *args: Any) -> None:
+        """Run something in the background; its failure ends nothing else."""
+        self.group.start_soon(_run_guarded, work, args)
+
     def notify(self) -> None:
         """Wake everyone who waits for a change of the board or the fleet."""
         self.changed.set()
@@ -68,3 +76,13 @@
         """Whether new connections should come here."""
         known = self.catalog is not None and bool(self.fleet.targets)
         return known and not self.leaving and self.proof.is_ready(now)
+
+
+async def _run_guarded(
+    work: Callable[..., Awaitable[Any]],
+    args: tuple[Any, ...],
+) -> None:
+    try:
+        await work(*args)
+    except Exception:
+        log.exception('task_failed', extra={'task': work.__qualname__})
--- a/trestledock/entry/_tickets.py
+++ b/trestledock/entry/_tickets.py
@@ -87,7 +87,7 @@
                 scope.cancel()
             holder = self._holders.pop(ticket, None)
             if holder:
-                self.state.group.start_soon(self._release_one, holder, ticket)
+                self.state.spawn(self._release_one, holder, ticket)
 
     async def _reserve_one(
         self,
@@ -106,11 +106,11 @@
             held[holder.target_id] = ticket
             scope = anyio.CancelScope()
             self._renewals[ticket] = scope
-            self.state.group.start_soon(
+            self.state.spawn(
                 self._renew, scope, holder, ticket, tokens
             )
         elif status == 0:
-            self.state.group.start_soon(self._release_one, holder, ticket)
+            self.state.spawn(self._release_one, holder, ticket)
 
     async def _renew(
         self,
@@ -155,7 +155,7 @@
                 order.path,
                 order.headers,
                 order.body,
-                self.state.group,
+                self.state.spawn,
             )
             head = await wire.read_head()
             async for _ in wire.iter_body():
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -9,7 +9,7 @@
 
 import socket
 from dataclasses import dataclass
-from typing import AsyncIterator
+from typing import Any, AsyncIterator, Callable
 
 import anyio
 import h11
@@ -83,7 +83,7 @@
         target: str,
         headers: Headers,
         body: bytes,
-        group: anyio.abc.TaskGroup,
+        spawn: Callable[..., Any],
     ) -> None:
         """Write a whole request; a long body goes out in the background."""
         request = h11.Request(method=method, target=target, headers=headers)
@@ -93,7 +93,7 @@
         raw += self.http.send(h11.EndOfMessage()) or b''
         self.written = False
         if len(raw) > SMALL_BODY_BYTES:
-            group.start_soon(self._write_quietly, raw)
+            spawn(self._write_quietly, raw)
         else:
             await self._write(raw)
 
--- a/trestledock/platform/_store.py
+++ b/trestledock/platform/_store.py
@@ -107,7 +107,7 @@
             (b'content-length', str(len(body)).encode()),
         )
         async with anyio.create_task_group() as group:
-            await wire.send(method, target, headers, body, group)
+            await wire.send(method, target, headers, body, group.start_soon)
             head: Head = await wire.read_head()
             parts = [raw async for raw in wire.iter_body()]
         return head.status, b''.join(parts)
