--- a/trestledock/entry/_pool.py
+++ b/trestledock/entry/_pool.py
@@ -30,6 +30,12 @@
     wire: Wire
     until: float
     watcher: anyio.CancelScope
+    watched: anyio.Event
+
+    async def stop_watching(self) -> None:
+        """Return once nobody else reads from the connection."""
+        self.watcher.cancel()
+        await self.watched.wait()
 
 
 class Pool:
@@ -45,7 +51,7 @@
         waiting = self._idle[target.target_id]
         while waiting:
             idle = waiting.pop()
-            idle.watcher.cancel()
+            await idle.stop_watching()
             if not idle.wire.broken and idle.until > anyio.current_time():
                 return idle.wire
             await idle.wire.close()
@@ -57,7 +63,7 @@
             await wire.close()
             return
         until = anyio.current_time() + idle_s
-        idle = _Idle(wire, until, anyio.CancelScope())
+        idle = _Idle(wire, until, anyio.CancelScope(), anyio.Event())
         self._idle[target.target_id].append(idle)
         self._spawn(self._watch, target.target_id, idle)
 
@@ -69,8 +75,11 @@
 
     async def _watch(self, target_id: str, idle: _Idle) -> None:
         left_s = max(0, idle.until - anyio.current_time())
-        with idle.watcher, anyio.move_on_after(left_s):
-            await idle.wire.wait_for_surplus()
+        try:
+            with idle.watcher, anyio.move_on_after(left_s):
+                await idle.wire.wait_for_surplus()
+        finally:
+            idle.watched.set()
         waiting = self._idle.get(target_id, [])
         if idle in waiting:
             waiting.remove(idle)
