Entry: a cut call of the store no longer ends the following of it

Ruled out: the store's own outage (others went on reading). Now the client raises one error, duties are begun again, and an unforeseen error of a read is logged and the read repeated. Test: test_reset_is_an_error_of_the_wire failed before.

--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -82,8 +82,8 @@
     follower = Follower(state, directory, pool, gossip)
     relayer = Relayer(state, pool, dialect, Tickets(state, pool, dialect))
     app = EntryApp(state, relayer, dialect)
-    state.spawn(follower.run)
-    state.spawn(gossip.run)
+    state.keep_running(follower.run)
+    state.keep_running(gossip.run)
     group.start_soon(_listen, state, app, stop)
 
 
--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -35,6 +35,10 @@
     """The store did not answer as it should, at a step."""
 
 
+#: What a read may raise when the store is away.
+EXPECTED = (WireError, DirectoryError, TimeoutError)
+
+
 class Follower:
     """Keeps one entry's knowledge up to date."""
 
@@ -70,9 +74,12 @@
             try:
                 with anyio.fail_after(TIMEOUT_S):
                     await read()
-            except (WireError, DirectoryError, TimeoutError) as exc:
+            except EXPECTED as exc:
                 self._note_lost(read.__name__, exc)
                 wait_s = FAILED_S
+            except Exception:
+                log.exception('read_failed', extra={'step': read.__name__})
+                wait_s = FAILED_S
             else:
                 self._note_regained(read.__name__)
             jitter = self.state.rng.uniform(0.9, 1.1)
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -27,6 +27,9 @@
 
 log = logging.getLogger('trestledock.relay')
 
+#: How long to wait before a duty that failed is begun again, in seconds.
+RESTART_S = 0.3
+
 
 @dataclass
 class EntryState:
@@ -56,6 +59,10 @@
         """Run something in the background; its failure ends nothing else."""
         self.group.start_soon(_run_guarded, work, args)
 
+    def keep_running(self, work: Callable[[], Awaitable[Any]]) -> None:
+        """Run a duty for as long as the process lives."""
+        self.group.start_soon(_run_again, work)
+
     def notify(self) -> None:
         """Wake everyone who waits for a change of the board or the fleet."""
         self.changed.set()
@@ -78,6 +85,12 @@
         return known and not self.leaving and self.proof.is_ready(now)
 
 
+async def _run_again(work: Callable[[], Awaitable[Any]]) -> None:
+    while True:
+        await _run_guarded(work, ())
+        await anyio.sleep(RESTART_S)
+
+
 async def _run_guarded(
     work: Callable[..., Awaitable[Any]],
     args: tuple[Any, ...],
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -83,16 +83,19 @@
         target: str,
         headers: Headers,
         body: bytes,
-        spawn: Callable[..., Any],
+        spawn: Callable[..., Any] | None = None,
     ) -> None:
-        """Write a whole request; a long body goes out in the background."""
+        """Write a whole request; `spawn` takes a long body to the background.
+
+        A target may answer before it has read a long body.
+        """
         request = h11.Request(method=method, target=target, headers=headers)
         raw = self.http.send(request) or b''
         if body:
             raw += self.http.send(h11.Data(data=body)) or b''
         raw += self.http.send(h11.EndOfMessage()) or b''
         self.written = False
-        if len(raw) > SMALL_BODY_BYTES:
+        if spawn and len(raw) > SMALL_BODY_BYTES:
             spawn(self._write_quietly, raw)
         else:
             await self._write(raw)
--- a/trestledock/platform/_store.py
+++ b/trestledock/platform/_store.py
@@ -16,7 +16,6 @@
 from urllib.parse import urlencode
 
 import anyio
-import h11
 
 from trestledock.entry import (
     DirectoryError,
@@ -24,7 +23,6 @@
     News,
     TargetNews,
     Wire,
-    WireError,
 )
 from trestledock.platform._documents import decode_catalog, decode_target
 from trestledock.relay import Catalog, Listed
@@ -106,10 +104,9 @@
             (b'host', self.address.encode()),
             (b'content-length', str(len(body)).encode()),
         )
-        async with anyio.create_task_group() as group:
-            await wire.send(method, target, headers, body, group.start_soon)
-            head: Head = await wire.read_head()
-            parts = [raw async for raw in wire.iter_body()]
+        await wire.send(method, target, headers, body)
+        head: Head = await wire.read_head()
+        parts = [raw async for raw in wire.iter_body()]
         return head.status, b''.join(parts)
 
     async def _close(self) -> None:
@@ -244,7 +241,3 @@
 
 def _read_target(key: str, text: bytes) -> Listed | None:
     return decode_target(key, json.loads(text)) if text else None
-
-
-#: Named here for callers that catch what a call may raise.
-STORE_ERRORS = (WireError, DirectoryError, h11.ProtocolError)
