Entry: one instance reads the store for all that hear it

The reader is chosen alike by all; freshness is asked for with the asker's own time, so that a delayed answer proves no more than it should.

--- /dev/null
+++ b/tests/test_relay_parts.py
@@ -0,0 +1,225 @@
+"""The small parts of relaying: events, outcomes, proof, budget, health."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from trestledock.relay import (
+    BudgetTerms,
+    Ending,
+    Fleet,
+    Health,
+    History,
+    Listed,
+    Proof,
+    RetryWindow,
+    Route,
+    RouteKind,
+    Sending,
+    Splitter,
+    Standing,
+)
+
+NON_IDEMPOTENT = Route('r', 'h', '/', RouteKind.non_idempotent, ())
+IDEMPOTENT = Route('r', 'h', '/', RouteKind.idempotent, (), max_attempts=2)
+STREAM = Route('r', 'h', '/', RouteKind.streaming, (), max_attempts=2)
+RESUMABLE = Route(
+    'r', 'h', '/', RouteKind.streaming, (), max_attempts=2, resumable=True
+)
+EVENTS = b''.join(b'id: %d\ndata: x%d\n\n' % (one, one) for one in range(9))
+
+
+def make_history(*endings):
+    return History(tuple(Sending(one, 'step', 'peer') for one in endings))
+
+
+def make_target(number, standing=Standing.ready, sequence=1):
+    return Listed(
+        f't{number}', 's', f'10.0.0.{number}:80', 'dc', standing, 8, sequence
+    )
+
+
+class SplitterTest(unittest.TestCase):
+    """Streams are cut into whole events, wherever the bytes are cut."""
+
+    @given(st.lists(st.integers(0, len(EVENTS)), max_size=20))
+    def test_any_cut(self, cuts):
+        """However the bytes arrive, the same events come out."""
+        splitter = Splitter()
+        ends = [0, *sorted(cuts), len(EVENTS)]
+        found = []
+        for start, end in zip(ends, ends[1:]):
+            found.extend(splitter.push(EVENTS[start:end]))
+        self.assertEqual(b''.join(one.raw for one in found), EVENTS)
+        self.assertEqual([one.event_id for one in found], list('012345678'))
+        self.assertEqual(splitter.rest, b'')
+
+    def test_half_an_event_is_kept_back(self):
+        """What is not whole is not given out."""
+        splitter = Splitter()
+        self.assertEqual(splitter.push(b'id: 1\ndata: a'), [])
+        self.assertEqual(splitter.rest, b'id: 1\ndata: a')
+
+    def test_line_ends_of_two_bytes(self):
+        """Events may end their lines either way."""
+        found = Splitter().push(b'id: 1\r\ndata: a\r\n\r\n')
+        self.assertEqual(found[0].event_id, '1')
+
+
+class HistoryTest(unittest.TestCase):
+    """Which endings allow another sending."""
+
+    CASES = (
+        (NON_IDEMPOTENT, (Ending.not_sent,), True),
+        (NON_IDEMPOTENT, (Ending.rejected,), True),
+        (NON_IDEMPOTENT, (Ending.lost,), False),
+        (NON_IDEMPOTENT, (Ending.failed,), False),
+        (NON_IDEMPOTENT, (Ending.rejected, Ending.lost), False),
+        (IDEMPOTENT, (Ending.lost,), True),
+        (IDEMPOTENT, (Ending.failed,), True),
+        (IDEMPOTENT, (Ending.failed, Ending.lost), False),
+        (IDEMPOTENT, (Ending.rejected, Ending.lost), True),
+        (STREAM, (Ending.lost,), False),
+        (RESUMABLE, (Ending.lost,), True),
+        (RESUMABLE, (Ending.lost, Ending.lost), False),
+    )
+
+    def test_table(self):
+        """Only what has certainly not run, or may be repeated, is sent on."""
+        for route, endings, expected in self.CASES:
+            with self.subTest(kind=route.kind, endings=endings):
+                history = make_history(*endings)
+                self.assertEqual(history.may_repeat(route), expected)
+
+    def test_promise(self):
+        """A promise that nothing ran needs proof from every sending."""
+        self.assertFalse(make_history(Ending.rejected).may_have_run)
+        self.assertTrue(make_history(Ending.rejected, Ending.lost).may_have_run)
+
+
+class ProofTest(unittest.TestCase):
+    """Keys are served only while the configuration is known to be recent."""
+
+    def test_ages_through_a_freeze(self):
+        """A process that stood still serves no key when it wakes."""
+        proof = Proof(bound_s=5)
+        proof.renew(asked_at=10)
+        self.assertTrue(proof.is_fresh(13))
+        self.assertFalse(proof.is_fresh(20))
+
+    def test_late_answer_proves_its_question(self):
+        """An answer read late proves no more than when it was asked for."""
+        proof = Proof(bound_s=5)
+        proof.renew(asked_at=10)
+        proof.renew(asked_at=4)
+        self.assertEqual(proof.get_age_s(11), 1)
+
+    def test_no_bound(self):
+        """Without a bound no proof is asked for."""
+        self.assertTrue(Proof().is_fresh(1e9))
+
+
+class BudgetTest(unittest.TestCase):
+    """Repeats stay within the bound over all instances."""
+
+    @given(st.integers(1, 20), st.integers(0, 300))
+    def test_sum_over_instances(self, instances, requests):
+        """However many instances spend at once, the bound is kept."""
+        terms = BudgetTerms(ratio=0.2, window_s=10, slack=100)
+        spent = 0
+        for _ in range(instances):
+            window = RetryWindow(terms)
+            for _ in range(requests):
+                window.earn(now=0)
+            while window.spend(now=1, instances=instances):
+                spent += 1
+        self.assertLessEqual(spent, 0.2 * requests * instances + 100)
+
+    def test_window_slides(self):
+        """What was spent long ago is available again."""
+        window = RetryWindow(BudgetTerms(ratio=0, window_s=10, slack=2))
+        self.assertTrue(window.spend(0, 1))
+        self.assertFalse(window.spend(9, 1))
+        self.assertTrue(window.spend(10.1, 1))
+
+
+class HealthTest(unittest.TestCase):
+    """Suspicion doubles with silence and ends with an answer."""
+
+    def test_doubles(self):
+        """A target that stays silent is tried ever less often."""
+        health = Health()
+        health.note_silence('t', 0)
+        health.note_silence('t', 0.1)
+        self.assertFalse(health.is_suspect('t', 1.1))
+        health.note_silence('t', 1.2)
+        self.assertTrue(health.is_suspect('t', 3.1))
+
+    def test_answer_clears(self):
+        """One good answer ends the suspicion."""
+        health = Health()
+        health.note_silence('t', 0)
+        health.note_success('t', 0.5)
+        self.assertFalse(health.is_suspect('t', 0.5))
+
+    def test_failures_fade(self):
+        """A failure counts for less as time passes."""
+        health = Health()
+        health.note_failure('t', 0)
+        share = health.get('t').get_failure_share
+        self.assertGreater(share(0), share(6))
+
+
+class FleetTest(unittest.TestCase):
+    """What the directory's entries mean for new work."""
+
+    def make_fleet(self):
+        fleet = Fleet()
+        fleet.note_read(0, 0)
+        fleet.disturbed_at = float('-inf')
+        fleet.put(make_target(1))
+        fleet.put(make_target(2))
+        return fleet
+
+    def get_ids(self, fleet):
+        return [one.target_id for one in fleet.get_usable('s')]
+
+    def test_leaving_is_final(self):
+        """A target that was leaving stays out, whatever is read later."""
+        fleet = self.make_fleet()
+        fleet.put(make_target(1, Standing.leaving, 2))
+        fleet.put(make_target(1, Standing.ready, 3))
+        self.assertEqual(self.get_ids(fleet), ['t2'])
+
+    def test_old_record_changes_nothing(self):
+        """Records that arrive late don't bring back what was."""
+        fleet = self.make_fleet()
+        fleet.put(make_target(1, sequence=9))
+        self.assertFalse(fleet.put(make_target(1, sequence=3)))
+
+    def test_missing_in_calm_is_gone(self):
+        """An entry that vanishes while all is calm is gone at once."""
+        fleet = self.make_fleet()
+        fleet.note_read(0.5, 0.5)
+        gone = fleet.keep_only({'t1': make_target(1)}, 0.5)
+        self.assertEqual(gone, ['t2'])
+
+    def test_missing_after_an_outage_may_come_back(self):
+        """After an outage a missing entry counts for about two seconds."""
+        fleet = self.make_fleet()
+        fleet.note_trouble(5)
+        fleet.note_read(9, 9)
+        self.assertEqual(fleet.keep_only({'t1': make_target(1)}, 9), [])
+        self.assertEqual(self.get_ids(fleet), ['t1', 't2'])
+        self.assertEqual(fleet.expire(10), [])
+        self.assertEqual(fleet.expire(11.3), ['t2'])
+        self.assertEqual(self.get_ids(fleet), ['t1'])
+
+    def test_back_after_an_outage(self):
+        """An entry that comes back in time was never away."""
+        fleet = self.make_fleet()
+        fleet.note_trouble(9)
+        fleet.drop('t2', 9)
+        fleet.put(make_target(2, sequence=2))
+        self.assertEqual(fleet.expire(20), [])
--- /dev/null
+++ b/tests/test_relay_readers.py
@@ -0,0 +1,33 @@
+"""Who reads the store for the others."""
+
+import unittest
+
+from trestledock.relay import Candidate, choose_reader, get_retry_s
+
+
+class ReadersTest(unittest.TestCase):
+    """The choice, and what happens when readers fail."""
+
+    def test_all_choose_alike(self):
+        """The order in which candidates are known does not matter."""
+        known = [Candidate(one, 0.3) for one in 'cab']
+        self.assertEqual(choose_reader(known), 'a')
+        self.assertEqual(choose_reader(reversed(known)), 'a')
+
+    def test_reader_cut_from_the_store(self):
+        """A reader whose proof grows old hands over to a fresh one."""
+        known = [Candidate('a', 2.0), Candidate('b', 0.9)]
+        self.assertEqual(choose_reader(known), 'b')
+
+    def test_two_readers_cut(self):
+        """With two cut off, the third in order reads."""
+        known = [Candidate('a', 2), Candidate('b', 3), Candidate('c', 0.5)]
+        self.assertEqual(choose_reader(known), 'c')
+
+    def test_outage(self):
+        """While all are stale, tries are spread out and bounded."""
+        names = [f'e{one:03}' for one in range(90)]
+        waits = [get_retry_s(name, names) for name in names]
+        self.assertEqual(waits, sorted(waits))
+        tries_per_s = sum(1 / wait for wait in waits)
+        self.assertLess(tries_per_s, 60)
--- a/trestledock/entry/_app.py
+++ b/trestledock/entry/_app.py
@@ -12,6 +12,8 @@
 import anyio
 
 from trestledock.entry._dialect import Dialect
+from trestledock.entry._gossip import split_address
+from trestledock.entry._news import NewsExchange
 from trestledock.entry._relaying import Relayer
 from trestledock.entry._reply import CutReply, Reply, Send
 from trestledock.entry._state import EntryState
@@ -35,12 +37,18 @@
         state: EntryState,
         relayer: Relayer,
         dialect: Dialect,
+        exchange: NewsExchange,
     ) -> None:
-        """Keep what requests are relayed by."""
+        """Keep what requests are relayed by, and what peers ask for."""
         self.state = state
         self.relayer = relayer
         self.dialect = dialect
-        self._ready_port = int(state.settings.ready.rpartition(':')[2])
+        self.exchange = exchange
+        settings = state.settings
+        self._ports = {
+            split_address(settings.ready)[1]: self._answer_ready,
+            split_address(settings.peers)[1]: self._answer_peer,
+        }
 
     async def __call__(
         self,
@@ -51,8 +59,9 @@
         """Serve one request."""
         if scope['type'] != 'http':
             return
-        if scope['server'][1] == self._ready_port:
-            await self._answer_ready(send)
+        answer = self._ports.get(scope['server'][1])
+        if answer:
+            await answer(send)
             return
         self.state.in_progress += 1
         try:
@@ -66,6 +75,11 @@
         await reply.start(200 if ready else 503, ((b'content-length', b'0'),))
         await reply.finish()
 
+    async def _answer_peer(self, send: Send) -> None:
+        reply = Reply(send, lambda: True)
+        await reply.start(200, ((b'content-type', b'application/json'),))
+        await reply.finish(self.exchange.make_news())
+
     async def _serve(
         self,
         scope: Scope,
--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import signal
+import uuid
 from random import Random
 from typing import Callable
 
@@ -21,6 +22,7 @@
 from trestledock.entry._dialect import Dialect, Directory
 from trestledock.entry._following import Follower
 from trestledock.entry._gossip import Gossip
+from trestledock.entry._news import NewsExchange
 from trestledock.entry._pool import Pool
 from trestledock.entry._relaying import Relayer
 from trestledock.entry._settings import EntrySettings
@@ -55,9 +57,8 @@
     kinds = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
     with anyio.open_signal_receiver(*kinds) as signals:
         async with anyio.create_task_group() as group:
-            state = EntryState(
-                settings, settings.instance, Random(settings.peers), group
-            )
+            member = f'{settings.instance}#{uuid.uuid4().hex[:8]}'
+            state = EntryState(settings, member, Random(member), group)
             stop = anyio.Event()
             _start(state, dialect, make_directory(settings), stop)
             log.info('started', extra={'member': state.member})
@@ -67,7 +68,7 @@
                 log.info('reload_ignored', extra={'member': state.member})
             await _drain(state, stop)
             group.cancel_scope.cancel()
-    log.info('ended', extra={'member': settings.instance})
+    log.info('ended', extra={'instance': settings.instance})
 
 
 def _start(
@@ -79,9 +80,10 @@
     group: TaskGroup = state.group
     pool = Pool(state.spawn)
     gossip = Gossip(state)
-    follower = Follower(state, directory, pool, gossip)
+    exchange = NewsExchange(state, gossip)
+    follower = Follower(state, directory, pool, exchange)
     relayer = Relayer(state, pool, dialect, Tickets(state, pool, dialect))
-    app = EntryApp(state, relayer, dialect)
+    app = EntryApp(state, relayer, dialect, exchange)
     state.keep_running(follower.run)
     state.keep_running(gossip.run)
     group.start_soon(_listen, state, app, stop)
@@ -93,7 +95,8 @@
     stop: anyio.Event,
 ) -> None:
     config = Config()
-    config.bind = [state.settings.callers, state.settings.ready]
+    settings = state.settings
+    config.bind = [settings.callers, settings.ready, settings.peers]
     config.accesslog = None
     config.errorlog = None
     config.include_date_header = False
--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -67,10 +67,12 @@
 class News:
     """What a read of the store brought.
 
-    `whole` says that `targets` are all that there are.
+    `document` is the text that `catalog` was read from, for the other
+    entries; `whole` says that `targets` are all that there are.
     """
 
     catalog: Catalog | None = None
+    document: str = ''
     targets: tuple[TargetNews, ...] = ()
     whole: bool = False
 
@@ -107,6 +109,9 @@
     async def read_catalog(self) -> News:
         """Return the newest configuration where it changed."""
 
+    def decode_document(self, document: str) -> Catalog:
+        """Read the text of a configuration that another entry passed on."""
+
     async def read_targets(self) -> News:
         """Return what changed among the targets."""
 
--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -2,8 +2,9 @@
 Following the store
 ===================
 
-Reads configuration, targets and peers from the platform's store and puts them
-in force.  A version is applied whole and never goes back.
+Keeps configuration, targets and peers up to date, by the store itself or by
+the entry that reads it for all, and puts them in force.  A version is applied
+whole and never goes back.
 """
 
 import logging
@@ -12,19 +13,24 @@
 import anyio
 
 from trestledock.entry._dialect import Directory, News
-from trestledock.entry._gossip import Gossip
+from trestledock.entry._news import NewsExchange
 from trestledock.entry._pool import Pool
 from trestledock.entry._state import EntryState
 from trestledock.entry._wire import WireError
+from trestledock.relay import choose_reader, get_retry_s
 
-#: How often the store is read, in seconds: bounds are about two.
-READ_S = 0.6
-#: How long to wait after a read that failed, in seconds.
-FAILED_S = 0.3
+#: How often the reader reads the store, in seconds: bounds are about two.
+READ_S = 0.45
+#: How often the others ask the reader, in seconds.
+ASK_S = 0.35
 #: How long one read may take, in seconds.
-TIMEOUT_S = 1.5
+TIMEOUT_S = 1.2
+#: How old a proof may get before an entry reads the store itself, in seconds.
+SELF_S = 1.3
 #: How often the list of peers is read, in seconds.
-PEERS_S = 5.0
+PEERS_S = 20.0
+#: How long to wait after the list of peers could not be read, in seconds.
+PEERS_RETRY_S = 1.0
 #: How often lapsed entries are looked at, in seconds.
 EXPIRE_S = 0.2
 
@@ -47,43 +53,80 @@
         state: EntryState,
         directory: Directory,
         pool: Pool,
-        gossip: Gossip,
+        exchange: NewsExchange,
     ) -> None:
         """Keep what is read and where it goes."""
         self.state = state
         self.directory = directory
         self.pool = pool
-        self.gossip = gossip
+        self.gossip = exchange.gossip
+        self.exchange = exchange
         self._lost: set[str] = set()
+        self._tried_at = float('-inf')
 
     async def run(self) -> None:
         """Follow until cancelled."""
         async with anyio.create_task_group() as group:
-            group.start_soon(self._repeat, self._read_catalog, READ_S)
-            group.start_soon(self._repeat, self._read_targets, READ_S)
-            group.start_soon(self._repeat, self._meet_peers, PEERS_S)
+            group.start_soon(self._follow)
+            group.start_soon(self._follow_peers)
             group.start_soon(self._expire)
 
-    async def _repeat(
-        self,
-        read: Callable[[], Awaitable[None]],
-        interval_s: float,
-    ) -> None:
+    async def _follow(self) -> None:
         while True:
-            wait_s = interval_s
-            try:
-                with anyio.fail_after(TIMEOUT_S):
-                    await read()
-            except EXPECTED as exc:
-                self._note_lost(read.__name__, exc)
-                wait_s = FAILED_S
-            except Exception:
-                log.exception('read_failed', extra={'step': read.__name__})
-                wait_s = FAILED_S
+            now = anyio.current_time()
+            candidates = self.gossip.get_candidates(now)
+            reader = choose_reader(candidates)
+            if reader == self.state.member:
+                await self._read_store()
+                await self._sleep(self._get_pause_s(now))
             else:
-                self._note_regained(read.__name__)
-            jitter = self.state.rng.uniform(0.9, 1.1)
-            await anyio.sleep(wait_s * jitter)
+                await self._ask(reader, anyio.current_time())
+
+    async def _ask(self, reader: str, now: float) -> None:
+        """Learn from the reader; read the store where that does not help."""
+        await self.exchange.ask(reader)
+        await self._sleep(ASK_S)
+        if self.exchange.take_proof(reader):
+            news = await self.exchange.fetch(reader)
+            if news:
+                self._apply(news)
+                self.exchange.take_proof(reader)
+        is_old = self.state.proof.get_age_s(now) > SELF_S
+        retry_s = self._get_retry_s(now)
+        if is_old and now - self._tried_at > retry_s:
+            await self._read_store()
+
+    def _get_pause_s(self, now: float) -> float:
+        is_old = self.state.proof.get_age_s(now) > SELF_S
+        return self._get_retry_s(now) if is_old else READ_S
+
+    def _get_retry_s(self, now: float) -> float:
+        names = [one.name for one in self.gossip.get_candidates(now)]
+        return get_retry_s(self.state.member, names)
+
+    async def _sleep(self, wait_s: float) -> None:
+        await anyio.sleep(wait_s * self.state.rng.uniform(0.9, 1.1))
+
+    async def _read_store(self) -> None:
+        self._tried_at = anyio.current_time()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._try, self._read_catalog)
+            group.start_soon(self._try, self._read_targets)
+
+    async def _try(self, read: Callable[[], Awaitable[None]]) -> bool:
+        """Read; return whether the store answered."""
+        step = read.__name__
+        try:
+            with anyio.fail_after(TIMEOUT_S):
+                await read()
+        except EXPECTED as exc:
+            self._note_lost(step, exc)
+            return False
+        except Exception:
+            log.exception('read_failed', extra={'step': step})
+            return False
+        self._note_regained(step)
+        return True
 
     async def _read_catalog(self) -> None:
         asked_at = anyio.current_time()
@@ -94,25 +137,32 @@
         asked_at = anyio.current_time()
         try:
             news = await self.directory.read_targets()
-        except (WireError, DirectoryError):
+        except EXPECTED:
             self.state.fleet.note_trouble(anyio.current_time())
             raise
         self.state.fleet.note_read(asked_at, anyio.current_time())
         self._apply(news)
 
+    async def _follow_peers(self) -> None:
+        while True:
+            met = await self._try(self._meet_peers)
+            await self._sleep(PEERS_S if met else PEERS_RETRY_S)
+
     async def _meet_peers(self) -> None:
         settings = self.state.settings
         known = await self.directory.read_peers()
         if known.get(settings.instance) != settings.peers:
             await self.directory.announce(settings.instance, settings.peers)
-        known.pop(settings.instance, None)
         self.gossip.meet(known)
 
     def _apply(self, news: News) -> None:
         catalog = news.catalog
+        if catalog is None and news.document:
+            catalog = self.directory.decode_document(news.document)
         current = self.state.catalog
         if catalog and (current is None or catalog.version > current.version):
             self.state.catalog = catalog
+            self.state.document = news.document
             log.info('version_applied', extra={'version': catalog.version})
         if news.targets or news.whole:
             self._apply_targets(news)
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -2,20 +2,21 @@
 Gossip between entries
 ======================
 
-Tells the other entries what this one has in flight, by datagrams: each change
-at once (a few milliseconds are gathered), everything now and then.  A lost
-datagram is made good by the next whole one.
+Datagrams between the entries: what each has in flight (each change at once,
+everything now and then), and how fresh what it knows of the store is.  A lost
+datagram is made good by the next one.
 """
 
 import json
 import logging
-from typing import Any
+from dataclasses import dataclass
+from typing import Any, Callable, Mapping, Sequence
 
 import anyio
 from anyio.abc import UDPSocket
 
 from trestledock.entry._state import EntryState
-from trestledock.relay import Flight, Phase
+from trestledock.relay import Candidate, Flight, Phase
 
 #: How long changes are gathered, in seconds.
 GATHER_S = 0.004
@@ -23,33 +24,65 @@
 WHOLE_S = 0.5
 #: How long a peer may be silent before its flights are forgotten, in seconds.
 PATIENCE_S = 2.0
+#: How long a peer may be silent and still be asked for news, in seconds.
+LIVE_S = 1.3
 #: Flights in one datagram.
 MAX_FLIGHTS = 100
 MS = 1000
 
 log = logging.getLogger('trestledock.relay')
 
+Address = tuple[str, int]
+Handler = Callable[[dict[str, Any], Address], Any]
+
+
+@dataclass
+class Peer:
+    """One entry, by its last whole message."""
+
+    address: Address
+    heard_at: float
+    proof_age_s: float
+
+    def get_proof_age_s(self, now: float) -> float:
+        """Return the age of its proof by now."""
+        return self.proof_age_s + now - self.heard_at
+
 
 class Gossip:
-    """The exchange of flights with the other entries."""
+    """The exchange of datagrams with the other entries."""
 
     def __init__(self, state: EntryState) -> None:
         """Begin without peers."""
         self.state = state
-        self.peers: dict[str, tuple[str, int]] = {}
+        self.own_address = split_address(state.settings.peers)
+        self.addresses: set[Address] = set()
+        self.peers: dict[str, Peer] = {}
+        self.handlers: dict[str, Handler] = {'flights': self._take_flights}
         self.sequence = 0
         self._udp: UDPSocket | None = None
         self._sending = anyio.Lock()
 
-    def meet(self, addresses: dict[str, str]) -> None:
+    def meet(self, addresses: Mapping[str, str]) -> None:
         """Take the addresses of the other entries by name."""
-        for name, address in addresses.items():
-            if name != self.state.member:
-                self.peers[name] = _split(address)
+        known = {split_address(address) for address in addresses.values()}
+        self.addresses |= known - {self.own_address}
+
+    def get_candidates(self, now: float) -> list[Candidate]:
+        """Return the entries that are heard, this one included."""
+        own_age_s = self.state.proof.get_age_s(now)
+        return [
+            Candidate(self.state.member, own_age_s),
+            *(
+                Candidate(name, peer.get_proof_age_s(now))
+                for name, peer in self.peers.items()
+                if now - peer.heard_at < LIVE_S
+            ),
+        ]
 
     async def run(self) -> None:
         """Talk and listen until cancelled."""
-        host, port = _split(self.state.settings.peers)
+        host, port = self.own_address
         async with await anyio.create_udp_socket(
             local_host=host, local_port=port
         ) as udp:
@@ -59,22 +92,46 @@
                 group.start_soon(self._tell_changes)
                 group.start_soon(self._tell_all)
 
+    async def send(self, message: dict[str, Any], *where: Address) -> None:
+        """Send a message to some addresses; it may be lost."""
+        if self._udp is None:
+            return
+        message['from'] = self.state.member
+        raw = json.dumps(message, separators=(',', ':')).encode()
+        async with self._sending:
+            for address in where:
+                await self._send_one(self._udp, raw, address)
+
+    async def _send_one(
+        self,
+        udp: UDPSocket,
+        raw: bytes,
+        address: Address,
+    ) -> None:
+        try:
+            await udp.sendto(raw, *address)
+        except OSError as exc:
+            log.warning('send_failed', extra={'detail': repr(exc)})
+
     async def _listen(self, udp: UDPSocket) -> None:
         async for raw, sender in udp:
             try:
-                self._take(json.loads(raw), (sender[0], sender[1]))
+                message = json.loads(raw)
+                self.handlers[message['kind']](message, (sender[0], sender[1]))
             except (ValueError, KeyError, IndexError, TypeError) as exc:
                 log.warning('bad_datagram', extra={'detail': repr(exc)})
 
-    def _take(self, plain: dict[str, Any], sender: tuple[str, int]) -> None:
+    def _take_flights(self, message: dict[str, Any], sender: Address) -> None:
         now = anyio.current_time()
-        name = plain['from']
+        name = message['from']
         if name not in self.peers:
             log.info('peer_met', extra={'peer': name})
-        self.peers[name] = sender
-        changes = [_read_change(one, now) for one in plain['flights']]
+        self.addresses.add(sender)
+        age_s = message['proof_age_ms'] / MS
+        self.peers[name] = Peer(sender, now, age_s)
+        changes = [_read_change(one, now) for one in message['flights']]
         self.state.board.hear(
-            name, plain['sequence'], changes, now, whole=plain['whole']
+            name, message['sequence'], changes, now, whole=message['whole']
         )
         self.state.notify()
 
@@ -84,52 +141,46 @@
             await anyio.sleep(GATHER_S)
             changes = self.state.board.take_changes()
             if changes:
-                await self._send(list(changes.items()), whole=False)
+                await self._tell(list(changes.items()), whole=False)
 
     async def _tell_all(self) -> None:
         while True:
             own = self.state.board.own
-            await self._send(list(own.items())[:MAX_FLIGHTS], whole=True)
+            await self._tell(list(own.items())[:MAX_FLIGHTS], whole=True)
             await anyio.sleep(WHOLE_S)
             now = anyio.current_time()
             for name in self.state.board.drop_silent(now, PATIENCE_S):
+                self.peers.pop(name, None)
                 log.info('peer_lost', extra={'peer': name})
 
-    async def _send(
+    async def _tell(
         self,
-        flights: list[tuple[str, Flight | None]],
+        flights: Sequence[tuple[str, Flight | None]],
         *,
         whole: bool,
     ) -> None:
-        if self._udp is None:
-            return
         now = anyio.current_time()
         self.sequence += 1
+        age_s = min(self.state.proof.get_age_s(now), MOST_AGE_S)
         message = {
-            'from': self.state.member,
+            'kind': 'flights',
             'sequence': self.sequence,
             'whole': whole,
+            'proof_age_ms': round(age_s * MS),
             'flights': [_write_change(*one, now) for one in flights],
         }
-        raw = json.dumps(message, separators=(',', ':')).encode()
-        async with self._sending:
-            for host, port in tuple(self.peers.values()):
-                await self._send_one(self._udp, raw, host, port)
+        await self.send(message, *self.addresses)
 
-    async def _send_one(
-        self,
-        udp: UDPSocket,
-        raw: bytes,
-        host: str,
-        port: int,
-    ) -> None:
-        try:
-            await udp.sendto(raw, host, port)
-        except OSError as exc:
-            log.warning('send_failed', extra={'detail': repr(exc)})
+
+#: What stands for an instance that has never had a proof, in seconds.
+MOST_AGE_S = 1_000_000
 
 
-def _write_change(flight_id: str, flight: Flight | None, now: float) -> list[Any]:
+def _write_change(
+    flight_id: str,
+    flight: Flight | None,
+    now: float,
+) -> list[Any]:
     if flight is None:
         return [flight_id]
     return [
@@ -163,6 +214,7 @@
     )
 
 
-def _split(address: str) -> tuple[str, int]:
+def split_address(address: str) -> Address:
+    """Return the parts of `IP:PORT`."""
     host, _, port = address.rpartition(':')
     return host, int(port)
--- /dev/null
+++ b/trestledock/entry/_news.py
@@ -0,0 +1,140 @@
+"""
+News from other entries
+=======================
+
+One entry reads the store, the others ask it.  A question is a datagram with
+the time at which it was sent; the answer returns that time with the age of the
+reader's proof, so that a delayed answer, or one that waited while the process
+stood still, proves no more than it should.  What has changed is fetched by
+HTTP.
+"""
+
+import json
+import logging
+from typing import Any
+
+import anyio
+from cattrs import Converter
+
+from trestledock.entry._dialect import News, TargetNews
+from trestledock.entry._gossip import Address, Gossip
+from trestledock.entry._state import EntryState
+from trestledock.entry._wire import Wire, WireError
+from trestledock.relay import Listed
+
+#: How long the fetch of news may take, in seconds.
+FETCH_S = 1.0
+OK = 200
+NEWS_PATH = '/news'
+
+log = logging.getLogger('trestledock.relay')
+
+CONVERTER = Converter()
+
+
+class NewsExchange:
+    """Asks the reader for news, and answers those who ask."""
+
+    def __init__(self, state: EntryState, gossip: Gossip) -> None:
+        """Take part in the gossip."""
+        self.state = state
+        self.gossip = gossip
+        self._replies: dict[str, dict[str, Any]] = {}
+        self._revisions: dict[str, int] = {}
+        gossip.handlers['ask'] = self._answer
+        gossip.handlers['reply'] = self._take_reply
+
+    async def ask(self, reader: str) -> None:
+        """Ask an entry how fresh it is; its answer comes as a datagram."""
+        peer = self.gossip.peers.get(reader)
+        if peer:
+            message = {'kind': 'ask', 'asked_at': anyio.current_time()}
+            await self.gossip.send(message, peer.address)
+
+    def take_proof(self, reader: str) -> bool:
+        """Renew the proof by the reader's last answer.
+
+        Return whether something has changed there and must be fetched first.
+        """
+        reply = self._replies.get(reader)
+        if reply is None:
+            return False
+        if not self._is_level(reader, reply):
+            return True
+        proven_at = reply['asked_at'] - reply['proof_age_s']
+        self.state.proof.renew(proven_at)
+        listed_at = reply['asked_at'] - reply['list_age_s']
+        self.state.fleet.note_read(listed_at, anyio.current_time())
+        return False
+
+    async def fetch(self, reader: str) -> News | None:
+        """Fetch what the reader knows; None where it can't be had."""
+        peer = self.gossip.peers.get(reader)
+        if peer is None:
+            return None
+        try:
+            with anyio.fail_after(FETCH_S):
+                plain = await self._get(peer.address)
+        except (WireError, TimeoutError, ValueError) as exc:
+            log.info(
+                'fetch_failed', extra={'peer': reader, 'detail': repr(exc)}
+            )
+            return None
+        self._revisions[reader] = plain['revision']
+        listed = [CONVERTER.structure(one, Listed) for one in plain['targets']]
+        targets = tuple(TargetNews(one.target_id, one) for one in listed)
+        return News(document=plain['document'], targets=targets, whole=True)
+
+    def make_news(self) -> bytes:
+        """Return what this entry knows, for another one."""
+        fleet = self.state.fleet
+        plain = {
+            'revision': fleet.revision,
+            'document': self.state.document,
+            'targets': [
+                CONVERTER.unstructure(one) for one in fleet.targets.values()
+            ],
+        }
+        return json.dumps(plain, separators=(',', ':')).encode()
+
+    def _answer(self, message: dict[str, Any], sender: Address) -> None:
+        now = anyio.current_time()
+        catalog = self.state.catalog
+        reply = {
+            'kind': 'reply',
+            'asked_at': message['asked_at'],
+            'proof_age_s': min(self.state.proof.get_age_s(now), MOST_AGE_S),
+            'list_age_s': min(now - self.state.fleet.read_at, MOST_AGE_S),
+            'version': catalog.version if catalog else -1,
+            'revision': self.state.fleet.revision,
+        }
+        self.state.spawn(self.gossip.send, reply, sender)
+
+    def _take_reply(self, message: dict[str, Any], sender: Address) -> None:
+        self._replies = {message['from']: message}
+
+    def _is_level(self, reader: str, reply: dict[str, Any]) -> bool:
+        catalog = self.state.catalog
+        version = catalog.version if catalog else -1
+        if reply['version'] > version:
+            return False
+        return self._revisions.get(reader) == reply['revision']
+
+    async def _get(self, address: Address) -> dict[str, Any]:
+        host, port = address
+        wire = await Wire.connect(f'{host}:{port}')
+        try:
+            headers = ((b'host', host.encode()),)
+            await wire.send('GET', NEWS_PATH, headers, b'')
+            head = await wire.read_head()
+            parts = [raw async for raw in wire.iter_body()]
+        finally:
+            await wire.close()
+        if head.status != OK:
+            raise ValueError(f'status {head.status}')
+        plain: dict[str, Any] = json.loads(b''.join(parts))
+        return plain
+
+
+#: What stands for something that has never been read, in seconds.
+MOST_AGE_S = 1_000_000
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -40,6 +40,8 @@
     rng: Random
     group: TaskGroup
     catalog: Catalog | None = None
+    document: str = ''
+    read_at: float = float('-inf')
     fleet: Fleet = field(default_factory=Fleet)
     board: Board = field(default_factory=Board)
     health: Health = field(default_factory=Health)
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -89,7 +89,9 @@
 
         A target may answer before it has read a long body.
         """
-        request = h11.Request(method=method, target=target, headers=headers)
+        request = h11.Request(
+            method=method, target=target, headers=list(headers)
+        )
         raw = self.http.send(request) or b''
         if body:
             raw += self.http.send(h11.Data(data=body)) or b''
@@ -172,8 +174,8 @@
         except h11.RemoteProtocolError as exc:
             self.broken = True
             raise WireError(step, repr(exc), sent=True) from exc
-        if event is h11.PAUSED:
-            raise WireError(step, 'out of turn', sent=True)
+        if isinstance(event, type):
+            raise WireError(step, 'answer out of turn', sent=True)
         return event
 
     async def _receive(self, step: str) -> bytes:
--- a/trestledock/platform/_store.py
+++ b/trestledock/platform/_store.py
@@ -196,13 +196,19 @@
     async def read_catalog(self) -> News:
         """Return the newest configuration among what is new."""
         batch = await self._config.read()
-        newest: Catalog | None = None
+        newest = News()
         for record in batch.records:
             if record.key == CONFIG_KEY and record.text:
-                found = decode_catalog(json.loads(record.text))
-                if newest is None or found.version > newest.version:
-                    newest = found
-        return News(catalog=newest)
+                document = record.text.decode()
+                found = self.decode_document(document)
+                current = newest.catalog
+                if current is None or found.version > current.version:
+                    newest = News(found, document)
+        return newest
+
+    def decode_document(self, document: str) -> Catalog:
+        """Read the text of a configuration that another entry passed on."""
+        return decode_catalog(json.loads(document))
 
     async def read_targets(self) -> News:
         """Return what is new of the targets, the newest of each."""
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -38,11 +38,13 @@
     choose_least_busy,
 )
 from trestledock.relay._proof import Proof
+from trestledock.relay._readers import Candidate, choose_reader, get_retry_s
 
 __all__ = (
     'Board',
     'BudgetTerms',
     'Call',
+    'Candidate',
     'Catalog',
     'Ending',
     'EngineModel',
@@ -70,7 +72,9 @@
     'TeamKey',
     'Work',
     'choose_least_busy',
+    'choose_reader',
     'get_read_s',
+    'get_retry_s',
     'get_write_pass_s',
     'get_write_s',
 )
--- a/trestledock/relay/_fleet.py
+++ b/trestledock/relay/_fleet.py
@@ -40,11 +40,15 @@
 
 @dataclass
 class Fleet:
-    """The listed targets by id, and the lapsed ones that may still live."""
+    """The listed targets by id, and the lapsed ones that may still live.
+
+    `revision` grows with every change that matters to others.
+    """
 
     targets: dict[str, Listed] = field(default_factory=dict)
     lapsing: dict[str, float] = field(default_factory=dict)
     leaving: set[str] = field(default_factory=set)
+    revision: int = 0
     read_at: float = float('-inf')
     disturbed_at: float = float('-inf')
 
@@ -67,9 +71,10 @@
             self.leaving.add(listed.target_id)
         self.lapsing.pop(listed.target_id, None)
         self.targets[listed.target_id] = listed
-        return known is None or replace(
-            known, sequence=listed.sequence
-        ) != listed
+        if known and replace(known, sequence=listed.sequence) == listed:
+            return False
+        self.revision += 1
+        return True
 
     def drop(self, target_id: str, now: float) -> bool:
         """Take the removal of an entry; return whether it is gone at once."""
@@ -80,6 +85,7 @@
             self.lapsing.setdefault(target_id, until)
             return False
         self.targets.pop(target_id)
+        self.revision += 1
         return True
 
     def keep_only(self, listed: Mapping[str, Listed], now: float) -> list[str]:
@@ -95,6 +101,7 @@
         for target_id in over:
             self.lapsing.pop(target_id)
             self.targets.pop(target_id, None)
+            self.revision += 1
         return over
 
     def get_usable(self, service: str) -> Iterator[Listed]:
--- /dev/null
+++ b/trestledock/relay/_readers.py
@@ -0,0 +1,50 @@
+"""
+Readers of the store
+====================
+
+Which instance reads the platform's store for the others.  Calls of the store
+are dear and limited, so one instance reads and the others ask it.  Whoever has
+read lately comes first; among equals the order of names decides, so that all
+who hear each other choose alike.  Where nobody has read lately, everyone
+tries, the later in the order the more rarely.
+"""
+
+from dataclasses import dataclass
+from typing import Iterable
+
+#: A proof up to this age makes an instance fit to be asked, in seconds.
+FRESH_S = 1.1
+#: How often an instance tries to read while nobody has read lately, in
+#: seconds: the first in order, what is added for each place, and at most.
+RETRY_FIRST_S = 0.45
+RETRY_PLACE_S = 0.2
+RETRY_MOST_S = 2.0
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """An instance with the age of its newest proof, in seconds."""
+
+    name: str
+    proof_age_s: float
+
+
+def choose_reader(candidates: Iterable[Candidate]) -> str:
+    """Return the name of the instance that reads for all.
+
+    >>> choose_reader([Candidate('a', 9.0), Candidate('b', 0.2)])
+    'b'
+    """
+    known = tuple(candidates)
+    fresh = [one.name for one in known if one.proof_age_s <= FRESH_S]
+    return min(fresh or [one.name for one in known])
+
+
+def get_retry_s(me: str, names: Iterable[str]) -> float:
+    """Return how long an instance waits between tries when all are stale.
+
+    >>> get_retry_s('b', ['a', 'b', 'c'])
+    0.65
+    """
+    place = sum(name < me for name in names)
+    return min(RETRY_MOST_S, RETRY_FIRST_S + RETRY_PLACE_S * place)
