A request that is being sent at its deadline is not called refused

Ruled out: late orders, a false word of a target (none was in the log). A job now says from before the first byte that it may have run.

--- /dev/null
+++ b/tests/relaying.py
@@ -0,0 +1,229 @@
+"""A relayer with stub targets on loopback, for tests of relayed requests."""
+
+import socket
+import struct
+from random import Random
+
+import anyio
+from anyio.abc import SocketAttribute
+
+from trestledock.entry import EntrySettings
+from trestledock.entry._pool import Pool
+from trestledock.entry._relaying import Relayer
+from trestledock.entry._reply import CutReply, Reply
+from trestledock.entry._state import EntryState
+from trestledock.entry._tickets import Tickets
+from trestledock.platform._headers import PlatformDialect
+from trestledock.relay import (
+    Catalog,
+    Listed,
+    Route,
+    RouteKind,
+    Service,
+    Share,
+    Standing,
+    TeamKey,
+)
+
+KEY = 'key-1'
+HOST = 'a.example'
+SETTINGS = EntrySettings(
+    instance='entry-1',
+    data_centre='dc',
+    callers='127.0.0.1:1',
+    ready='127.0.0.1:2',
+    peers='127.0.0.1:3',
+    store='127.0.0.1:4',
+    revoke_s=5,
+)
+
+
+def make_route(kind=RouteKind.idempotent, **fields):
+    """Return a route of the one stub service."""
+    fields.setdefault('max_attempts', 2)
+    fields.setdefault('timeout_s', 5)
+    return Route('r', HOST, '/p/', kind, (Share('svc'),), **fields)
+
+
+def make_answer(body=b'ok', status=200, req_id='r1', *, seal=True, more=()):
+    """Return the bytes of a target's answer."""
+    lines = [f'HTTP/1.1 {status} X', f'Content-Length: {len(body)}']
+    lines.append(f'Trestledock-Request-Id: {req_id}')
+    if seal:
+        lines.append('Trestledock-Response-Seal: s')
+    lines.extend(more)
+    return ('\r\n'.join(lines) + '\r\n\r\n').encode() + body
+
+
+def make_stream(first, last, *, end=True, req_id='r1'):
+    """Return a chunked event stream from one event to another."""
+    head = (
+        'HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n'
+        f'Trestledock-Request-Id: {req_id}\r\n'
+        'Trestledock-Response-Seal: s\r\n\r\n'
+    )
+    raw = head.encode()
+    for number in range(first, last + 1):
+        event = b'id: %d\ndata: x\n\n' % number
+        raw += b'%x\r\n%s\r\n' % (len(event), event)
+    return raw + (b'0\r\n\r\n' if end else b'')
+
+
+class Hang:
+    """What a target does that takes a request and never answers."""
+
+
+class Reset:
+    """What a target does that reads a request and resets the connection."""
+
+
+class StubTarget:
+    """Gives one prepared answer a request and remembers the requests."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.requests = []
+        self.closed = anyio.Event()
+        self.port = 0
+
+    async def serve(self, listener):
+        await listener.serve(self._handle)
+
+    async def _handle(self, stream):
+        async with stream:
+            try:
+                await self._talk(stream)
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                self.closed.set()
+
+    async def _talk(self, stream):
+        while True:
+            self.requests.append(await read_request(stream))
+            answer = self.answers.pop(0) if self.answers else Hang
+            if answer is Hang:
+                await stream.receive()
+            elif answer is Reset:
+                reset(stream)
+                return
+            else:
+                await stream.send(answer)
+
+
+async def read_request(stream):
+    """Read one request with an optional body by length."""
+    raw = b''
+    while b'\r\n\r\n' not in raw:
+        raw += await stream.receive()
+    head, _, body = raw.partition(b'\r\n\r\n')
+    length = 0
+    for line in head.decode().split('\r\n'):
+        name, _, text = line.partition(':')
+        if name.lower() == 'content-length':
+            length = int(text)
+    while len(body) < length:
+        body += await stream.receive()
+    return head.decode()
+
+
+def reset(stream):
+    """Make the close of a stream a reset."""
+    raw = stream.extra(SocketAttribute.raw_socket)
+    option = struct.pack('ii', 1, 0)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+
+
+class Outcome:
+    """What a caller got."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = {}
+        self.body = b''
+        self.whole = False
+        self.cut = False
+
+    async def take(self, message):
+        if message['type'] == 'http.response.start':
+            self.status = message['status']
+            self.headers = {
+                name.lower().decode(): text.decode()
+                for name, text in message['headers']
+            }
+        else:
+            self.body += message['body']
+            self.whole = not message['more_body']
+
+
+class World:
+    """One relayer with its targets."""
+
+    def __init__(self, state, relayer):
+        self.state = state
+        self.relayer = relayer
+        self.dialect = PlatformDialect()
+
+    async def ask(self, req_id='r1', method='POST', key=KEY, **headers):
+        """Send a request through the relayer; return what came back."""
+        found = {
+            'host': HOST,
+            'trestledock-request-id': req_id,
+            'trestledock-request-deadline': '4000',
+            'authorization': f'Bearer {key}',
+            **headers,
+        }
+        scope = {
+            'method': method,
+            'raw_path': b'/p/x',
+            'query_string': b'',
+            'headers': [
+                (name.encode(), text.encode()) for name, text in found.items()
+            ],
+        }
+        outcome = Outcome()
+        now = anyio.current_time()
+        call = self.dialect.read_call(scope, b'', now)
+        try:
+            await self.relayer.relay(
+                call, Reply(outcome.take, lambda: self.state.leaving)
+            )
+        except CutReply:
+            outcome.cut = True
+        return outcome
+
+
+def run_world(route, targets, scenario, engine=None):
+    """Run `scenario(world)` with stub targets behind one route."""
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            state = EntryState(SETTINGS, 'entry-1#a', Random(1), group)
+            state.catalog = Catalog(
+                1,
+                {HOST: (route,)},
+                {'svc': Service('svc', engine=engine)},
+                {KEY: TeamKey('kiosks')},
+            )
+            state.proof.renew(anyio.current_time())
+            for number, target in enumerate(targets):
+                listener = await anyio.create_tcp_listener(
+                    local_host='127.0.0.1'
+                )
+                target.port = listener.extra(SocketAttribute.local_port)
+                group.start_soon(target.serve, listener)
+                state.fleet.put(make_listed(number, target.port))
+            pool = Pool(state.spawn)
+            dialect = PlatformDialect()
+            tickets = Tickets(state, pool, dialect)
+            await scenario(
+                World(state, Relayer(state, pool, dialect, tickets))
+            )
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def make_listed(number, port):
+    """Return the entry of a stub target."""
+    return Listed(
+        f't{number}', 'svc', f'127.0.0.1:{port}', 'dc', Standing.ready, 8
+    )
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -60,6 +60,8 @@
 
     `last_event` is the id of the last event that the caller was sent, and
     `fallback` a target's failure that is passed on if nothing better comes.
+    `writing` is true from before the first byte of a sending leaves until its
+    ending stands in the history.
     """
 
     call: Call
@@ -71,6 +73,12 @@
     tried: set[str] = field(default_factory=set)
     last_event: str = ''
     fallback: Answer | None = None
+    writing: bool = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any target may have begun to work on the request."""
+        return self.writing or self.history.may_have_run
 
     @property
     def resume_after(self) -> str:
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -74,6 +74,7 @@
                 return
             sending = await self._send(job, placement, reply)
             job.history = job.history.add(sending)
+            job.writing = False
             if sending.ending is Ending.answered:
                 note(job, 'answered', peer=sending.peer, detail=sending.detail)
                 return
@@ -156,6 +157,7 @@
             refusal = check_again(self.state, job, anyio.current_time())
             if refusal:
                 return Sending(Ending.not_sent, refusal.value, 'self')
+            job.writing = True
             await wire.send(
                 job.call.method,
                 job.call.path + job.call.query,
@@ -215,7 +217,7 @@
 
 def _get_refusal(job: Job, reason: Refusal) -> Refusal:
     """Return the refusal that says no more than what is known to be true."""
-    if job.history.may_have_run:
+    if job.may_have_run:
         return Refusal.timeout if reason is Refusal.timeout else Refusal.failed
     if reason is Refusal.timeout:
         return Refusal.not_run_in_time
