--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -27,7 +27,10 @@
 TIMEOUT_S = 1.2
 #: How old a proof may get before an entry reads the store itself, in seconds.
 SELF_S = 1.3
-#: How often the list of peers is read, in seconds.
+#: When the list of peers is read after the start, as pauses in seconds; the
+#: others start at the same time, so that the first reads may miss some.
+PEERS_PAUSES_S = (0.7, 1.0, 2.0, 4.0)
+#: How often it is read later, in seconds; peers mostly meet by datagrams.
 PEERS_S = 20.0
 #: How long to wait after the list of peers could not be read, in seconds.
 PEERS_RETRY_S = 1.0
@@ -144,9 +147,12 @@
         self._apply(news)
 
     async def _follow_peers(self) -> None:
+        pauses_s = list(PEERS_PAUSES_S)
         while True:
-            met = await self._try(self._meet_peers)
-            await self._sleep(PEERS_S if met else PEERS_RETRY_S)
+            if await self._try(self._meet_peers) and pauses_s:
+                await self._sleep(pauses_s.pop(0))
+            else:
+                await self._sleep(PEERS_S if not pauses_s else PEERS_RETRY_S)
 
     async def _meet_peers(self) -> None:
         settings = self.state.settings
