--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -7,6 +7,7 @@
 is whole.
 """
 
+import logging
 from typing import AsyncIterator
 
 import anyio
@@ -40,6 +41,9 @@
 PLAIN_FACTOR = 3.0
 #: How many times the allowed pause a stream may be silent.
 PAUSE_FACTOR = 4.0
+MS = 1000
+
+log = logging.getLogger('trestledock.relay')
 
 
 class Answering:
@@ -142,6 +146,7 @@
         """Keep the request and where its events go."""
         self.answering = answering
         self.job = job
+        self.placement = placement
         self.peer = placement.target.target_id
         self.reply = reply
         self.splitter = Splitter()
@@ -194,7 +199,18 @@
 
     def _note_first(self) -> None:
         state = self.answering.state
-        state.board.advance(self.job.call.req_id, anyio.current_time())
+        now = anyio.current_time()
+        flight = state.board.own.get(self.job.call.req_id)
+        log.info(
+            'first_event',
+            extra={
+                'req': self.job.call.req_id,
+                'peer': self.peer,
+                'took_ms': round((now - flight.since) * MS) if flight else -1,
+                'predicted_ms': round(self.placement.first_s * MS),
+            },
+        )
+        state.board.advance(self.job.call.req_id, now)
         state.notify()
 
     async def _start(self, head: Head) -> None:
