--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -108,9 +108,8 @@
         if answer.not_run:
             if answer.at_fault:
                 self._note_silence(answer.at_fault)
-            return Sending(
-                Ending.rejected, 'answer', peer, f'{head.status}'
-            )
+            detail = f'{head.status} at {answer.at_fault or peer}'
+            return Sending(Ending.rejected, 'answer', peer, detail)
         if head.status in PROMISES or not answer.sealed or answer.encoded:
             self.note_failure(peer)
             return Sending(Ending.lost, 'answer', peer, f'{head.status}')
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -116,7 +116,7 @@
             job,
             'placed',
             peer=target.target_id,
-            helpers=len(placement.helpers),
+            helpers=[one.target_id for one in placement.helpers],
             tickets=len(placement.tickets),
             first_ms=round(placement.first_s * 1000),
             cost=round(placement.cost, 2),
