--- a/tests/test_relay_placing.py
+++ b/tests/test_relay_placing.py
@@ -128,6 +128,28 @@
         self.assertNotEqual(first.target, second.target)
 
 
+class OverlapTest(Fixture):
+    """Newer parts go before older ones at an engine (seen in reports)."""
+
+    def test_long_prompts_keep_apart(self):
+        """A second long prompt leaves the engines of the first alone."""
+        first = self.place(LONG)
+        self.put(LONG, first, Phase.reading)
+        second = self.place(LONG, now=0.1)
+        taken = {first.target, *first.helpers}
+        self.assertFalse(taken & {second.target, *second.helpers})
+
+    def test_instances_choose_differently(self):
+        """Two instances that choose at once rarely take the same engine."""
+        firsts = {
+            Placer(self.board, self.health, f'entry-{one}')
+            .place(LONG, ENGINE, TARGETS, 0)
+            .target
+            for one in range(8)
+        }
+        self.assertGreater(len(firsts), 3)
+
+
 class GiantTest(Fixture):
     """Prompts beyond one engine's memory."""
 
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -35,8 +35,11 @@
 PROMISES = frozenset((408, 421, 429, 503))
 #: Least time that is given for the first part of an answer, in seconds.
 LEAST_FIRST_S = 0.8
+#: What is added for a prompt with helpers, in seconds: an engine whose helper
+#: is dead says so after 1.5 s (`stall_ms`).
+HELPED_S = 1.7
 #: How many times the predicted time to the first token a target may take.
-FIRST_FACTOR = 2.5
+FIRST_FACTOR = 2.0
 #: How many times the objective a repeatable plain call may take.
 PLAIN_FACTOR = 3.0
 #: How many times the allowed pause a stream may be silent.
@@ -92,6 +95,13 @@
     def _note_silence(self, peer: str) -> None:
         self.state.health.note_silence(peer, anyio.current_time())
 
+    def _blame(self, job: Job, at_fault: str) -> None:
+        """Leave alone the target that a rejection names."""
+        target_id = self.state.fleet.get_id_by_address(at_fault)
+        if target_id:
+            job.tried.add(target_id)
+            self._note_silence(target_id)
+
     async def _take_whole(
         self,
         job: Job,
@@ -106,8 +116,7 @@
         body = b''.join(parts)
         answer = self.dialect.read_head(head)
         if answer.not_run:
-            if answer.at_fault:
-                self._note_silence(answer.at_fault)
+            self._blame(job, answer.at_fault)
             detail = f'{head.status} at {answer.at_fault or peer}'
             return Sending(Ending.rejected, 'answer', peer, detail)
         if head.status in PROMISES or not answer.sealed or answer.encoded:
@@ -233,9 +242,9 @@
     if not job.route.repeatable:
         return left_s
     if job.route.kind is RouteKind.streaming:
-        return min(
-            left_s, max(LEAST_FIRST_S, placement.first_s * FIRST_FACTOR)
-        )
+        stall_s = HELPED_S if placement.helpers else 0
+        first_s = placement.first_s * FIRST_FACTOR + stall_s
+        return min(left_s, max(LEAST_FIRST_S, first_s))
     return min(left_s, job.route.objective_s * PLAIN_FACTOR)
 
 
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -75,6 +75,7 @@
             sending = await self._send(job, placement, reply)
             job.history = job.history.add(sending)
             job.writing = False
+            _avoid(job, placement, sending)
             if sending.ending is Ending.answered:
                 note(job, 'answered', peer=sending.peer, detail=sending.detail)
                 return
@@ -106,7 +107,6 @@
     ) -> Sending:
         now = anyio.current_time()
         target = placement.target
-        job.tried.add(target.target_id)
         flight = make_flight(job, placement, now)
         self.state.board.put(flight)
         self.state.notify()
@@ -224,6 +224,19 @@
     return Refusal.not_run if reason is Refusal.failed else reason
 
 
+def _avoid(job: Job, placement: Placement, sending: Sending) -> None:
+    """Remember which targets the next sending should keep away from.
+
+    A rejection may name the helper at fault, which is noted where the answer
+    is read; silence may be anybody's who was involved.
+    """
+    if sending.ending is Ending.rejected and placement.helpers:
+        return
+    job.tried.add(placement.target.target_id)
+    if sending.ending is Ending.lost:
+        job.tried.update(one.target_id for one in placement.helpers)
+
+
 def note(job: Job, event: str, **fields: Any) -> None:
     """Log one decision on a request."""
     log.info(event, extra={'req': job.call.req_id, **fields})
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -25,6 +25,8 @@
 LOOK_S = 0.03
 #: The part of its objective that a request may wait for a better place.
 PATIENCE_SHARE = 0.3
+#: One in how many sound targets must be left for the others to be avoided.
+LEAST_FRESH = 4
 #: The part of its time that a request may wait for memory.
 MEMORY_PATIENCE_SHARE = 0.4
 #: The cost, as a part of a request's worth, for which it is worth waiting.
@@ -85,7 +87,9 @@
         one for one in usable if not state.health.is_suspect(one.target_id, now)
     ]
     fresh = [one for one in sound if one.target_id not in job.tried]
-    return fresh or sound or usable
+    if len(fresh) * LEAST_FRESH < len(sound):
+        return sound or usable
+    return fresh or usable
 
 
 def _get_engine(state: EntryState, job: Job) -> EngineModel | None:
--- a/trestledock/relay/_fleet.py
+++ b/trestledock/relay/_fleet.py
@@ -113,6 +113,15 @@
             and listed.target_id not in self.leaving
         )
 
+    def get_id_by_address(self, name: str) -> str:
+        """Return the id of the target that is named by id or by address."""
+        if name in self.targets:
+            return name
+        for listed in self.targets.values():
+            if listed.address == name:
+                return listed.target_id
+        return ''
+
     def get_by_ids(self, ids: Iterable[str]) -> list[Listed]:
         """Return the listed targets among `ids`."""
         return [self.targets[one] for one in ids if one in self.targets]
--- a/trestledock/relay/_placing.py
+++ b/trestledock/relay/_placing.py
@@ -11,6 +11,7 @@
 
 from dataclasses import dataclass
 from typing import Callable, Iterable, Sequence
+from zlib import crc32
 
 from trestledock.relay._arithmetic import (
     PassLoad,
@@ -42,6 +43,10 @@
 OBJECTIVE_SHARE = 0.75
 #: The cost of a place beyond those that an engine works on at once.
 QUEUED_COST = 3.0
+#: The delay by which a prompt that is being read loses its worth, in seconds.
+READER_DELAY_S = 1.0
+#: A cost below this is nobody's loss.
+EASY_COST = 0.1
 #: Largest share of an engine's memory that is planned for.
 MEMORY_SHARE = 0.97
 
@@ -76,17 +81,20 @@
     writers: int
     base_s: float
     pending_s: float
-    least_pause_s: float
     held_tokens: int
     flights: tuple[Flight, ...]
     failure_share: float
     pace: float
 
+    @property
+    def helper_wait_s(self) -> float:
+        """Until a helper's part begins: it goes ahead of all other reading."""
+        return self.base_s / 2 if self.writers else 0
+
     @property
     def wait_s(self) -> float:
-        """Until new reading begins: half a pass and what is being read."""
-        running_s = self.base_s / 2 if self.writers else 0
-        return running_s + self.pending_s
+        """Until own reading begins: half a pass and what is being read."""
+        return self.helper_wait_s + self.pending_s
 
     def predict_first_s(self, part_s: float) -> float:
         """Return when the first token comes after reading for `part_s`."""
@@ -94,21 +102,36 @@
 
     def get_harm(self, part_s: float) -> float:
         """Return what others lose when `part_s` more is read here."""
-        pass_s = self.base_s + self.pending_s + part_s * self.pace
-        return sum(
-            flight.worth * LATE_LOSS
-            for flight in self.flights
-            if pass_s > flight.pause_s * PAUSE_SHARE
-        )
+        extra_s = part_s * self.pace
+        pass_s = self.base_s + self.pending_s + extra_s
+        return sum(_get_loss(one, pass_s, extra_s) for one in self.flights)
+
+
+def _get_loss(flight: Flight, pass_s: float, extra_s: float) -> float:
+    """Return what a flight loses by `extra_s` of reading that goes ahead.
+
+    A writer loses its worth with a pause that is too long; a reader loses
+    the more the longer it is delayed, since newer parts go before older ones.
+    """
+    if flight.phase is Phase.reading:
+        share = min(1, extra_s / READER_DELAY_S)
+    else:
+        share = float(pass_s > flight.pause_s * PAUSE_SHARE)
+    return flight.worth * LATE_LOSS * share
 
 
 class Placer:
-    """Chooses among the engines of a service."""
+    """Chooses among the engines of a service.
+
+    Equal engines are taken in an order of this instance's own, so that
+    instances that choose at the same moment choose differently.
+    """
 
-    def __init__(self, board: Board, health: Health) -> None:
+    def __init__(self, board: Board, health: Health, member: str = '') -> None:
         """Keep what the choice is made from."""
         self.board = board
         self.health = health
+        self.member = member
 
     def place(
         self,
@@ -118,9 +141,10 @@
         now: float,
     ) -> Placement | None:
         """Return the best placement; None where nothing can take the work."""
-        views = [self._view(engine, one, now) for one in targets]
-        if not views:
+        if not targets:
             return None
+        ordered = sorted(targets, key=self._get_order)
+        views = [self._view(engine, one, now) for one in ordered]
         total = work.size.total_tokens
         if total > engine.capacity_tokens * MEMORY_SHARE:
             return _place_giant(work, engine, views)
@@ -128,6 +152,9 @@
             return _place_short(work, engine, views)
         return _place_long(work, engine, views)
 
+    def _get_order(self, listed: Listed) -> int:
+        return crc32(f'{self.member}{listed.target_id}'.encode())
+
     def _view(self, engine: EngineModel, listed: Listed, now: float) -> View:
         flights = tuple(self.board.get_flights(listed.target_id))
         own = [one for one in flights if one.target == listed.target_id]
@@ -142,9 +169,8 @@
             writers=len(writing),
             base_s=get_write_pass_s(engine, load) * health.pace,
             pending_s=_get_pending_s(engine, reading, now) * health.pace,
-            least_pause_s=min((one.pause_s for one in own), default=0),
             held_tokens=held,
-            flights=tuple(own),
+            flights=flights,
             failure_share=health.get_failure_share(now),
             pace=health.pace,
         )
@@ -219,7 +245,7 @@
         if cost_of(view) < EASY_COST + view.predict_first_s(read_s) * SECOND_COST
     ]
     if easy:
-        best = max(easy, key=lambda view: (view.count, view.listed.target_id))
+        best = max(easy, key=lambda view: view.count)
     else:
         best = min(views, key=cost_of)
     return Placement(
@@ -229,10 +255,6 @@
     )
 
 
-#: A cost below this is nobody's loss.
-EASY_COST = 0.1
-
-
 def _place_long(
     work: Work,
     engine: EngineModel,
@@ -275,7 +297,7 @@
     part_s: float,
     cost: float,
 ) -> Placement:
-    waits = [view.wait_s + part_s * view.pace for view in helpers]
+    waits = [view.helper_wait_s + part_s * view.pace for view in helpers]
     first_s = first.predict_first_s(part_s)
     last_s = max([first_s, *(wait_s + first.base_s for wait_s in waits)])
     harm = sum(view.get_harm(part_s) for view in helpers)
@@ -303,7 +325,7 @@
     def cost_of(view: View) -> float:  # noqa: WPS430 - a sort key
         return (
             view.get_harm(part_s)
-            + view.wait_s * SECOND_COST
+            + view.helper_wait_s * SECOND_COST
             + view.failure_share * QUEUED_COST
         )
 
