--- a/tests/test_relay_placing.py
+++ b/tests/test_relay_placing.py
@@ -1,6 +1,7 @@
 """Placement of unlike lengths, on engines like those of the platform."""
 
 import unittest
+from dataclasses import replace
 
 from trestledock.relay import (
     Board,
@@ -81,6 +82,15 @@
         }
         self.assertLessEqual(len(used), 6)
 
+    def test_own_data_centre_first(self):
+        """Short requests stay in their data centre while it has room."""
+        near = replace(TARGETS[3], data_centre='near')
+        targets = [*TARGETS[:3], near, *TARGETS[4:]]
+        self.put(SHORT, self.place(SHORT))
+        placer = Placer(self.board, self.health, 'e', 'near')
+        found = placer.place(SHORT, ENGINE, targets, 0)
+        self.assertEqual(found.target, near)
+
     def test_not_behind_a_long_read(self):
         """A short request keeps away from engines that read a long prompt."""
         placement = self.place(LONG)
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -110,7 +110,12 @@
     now: float,
 ) -> Placement | Refusal:
     chosen = choose_least_busy(
-        state.board, state.health, targets, now, state.rng.random
+        state.board,
+        state.health,
+        targets,
+        now,
+        state.rng.random,
+        state.settings.data_centre,
     )
     return Placement(chosen) if chosen else Refusal.no_target
 
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -55,7 +55,12 @@
     def __post_init__(self) -> None:
         """Build the parts that share others."""
         self.proof = Proof(self.settings.revoke_s)
-        self.placer = Placer(self.board, self.health, self.member)
+        self.placer = Placer(
+            self.board,
+            self.health,
+            self.member,
+            self.settings.data_centre,
+        )
 
     def spawn(self, work: Callable[..., Awaitable[Any]], *args: Any) -> None:
         """Run something in the background; its failure ends nothing else."""
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -15,8 +15,9 @@
 import h11
 from anyio.abc import SocketAttribute, SocketStream
 
-#: How long a target may take to accept a connection, in seconds.
-CONNECT_S = 0.4
+#: How long a target may take to accept a connection, in seconds: some hundred
+#: times the way there, and short beside the objectives of short requests.
+CONNECT_S = 0.2
 #: How long unacknowledged bytes keep a connection, in milliseconds.
 USER_TIMEOUT_MS = 2000
 #: Probes of a silent connection: first after, then every, and how many.
--- a/trestledock/relay/_placing.py
+++ b/trestledock/relay/_placing.py
@@ -45,6 +45,13 @@
 QUEUED_COST = 3.0
 #: The delay by which a prompt that is being read loses its worth, in seconds.
 READER_DELAY_S = 1.0
+#: The cost of a target in another data centre, in units of worth: the way
+#: there may be cut while the request is on it.
+REMOTE_COST = 0.05
+#: How many slots' share of work a failing and a remote plain target seem to
+#: have more than they do.
+FAILURE_LOAD = 2.0
+REMOTE_LOAD = 0.15
 #: A cost below this is nobody's loss.
 EASY_COST = 0.1
 #: Largest share of an engine's memory that is planned for.
@@ -85,6 +92,7 @@
     flights: tuple[Flight, ...]
     failure_share: float
     pace: float
+    remote: bool
 
     @property
     def helper_wait_s(self) -> float:
@@ -127,11 +135,18 @@
     instances that choose at the same moment choose differently.
     """
 
-    def __init__(self, board: Board, health: Health, member: str = '') -> None:
+    def __init__(
+        self,
+        board: Board,
+        health: Health,
+        member: str = '',
+        data_centre: str = '',
+    ) -> None:
         """Keep what the choice is made from."""
         self.board = board
         self.health = health
         self.member = member
+        self.data_centre = data_centre
 
     def place(
         self,
@@ -173,6 +188,7 @@
             flights=flights,
             failure_share=health.get_failure_share(now),
             pace=health.pace,
+            remote=listed.data_centre != self.data_centre,
         )
 
 
@@ -207,6 +223,7 @@
         + _get_lateness(work, first_s)
         + first_s * SECOND_COST
         + (view.failure_share + own_pause * LATE_LOSS) * work.worth
+        + REMOTE_COST * view.remote
     )
 
 
@@ -244,6 +261,8 @@
         for view in views
         if cost_of(view) < EASY_COST + view.predict_first_s(read_s) * SECOND_COST
     ]
+    near = [view for view in easy if not view.remote]
+    easy = near or easy
     if easy:
         best = max(easy, key=lambda view: view.count)
     else:
@@ -326,6 +345,7 @@
         return (
             view.get_harm(part_s)
             + view.helper_wait_s * SECOND_COST
+            + REMOTE_COST * view.remote
             + view.failure_share * QUEUED_COST
         )
 
@@ -399,16 +419,20 @@
     targets: Sequence[Listed],
     now: float,
     draw: Callable[[], float],
+    data_centre: str = '',
 ) -> Listed | None:
     """Return the plain target with the fewest requests per slot.
 
-    A target that fails counts as busier; equals are drawn among.
+    A target that fails or is in another data centre counts as busier; equals
+    are drawn among.
     """
 
     def load_of(listed: Listed) -> tuple[float, float]:  # noqa: WPS430
         count = sum(1 for _ in board.get_flights(listed.target_id))
         known = health.get(listed.target_id)
         busy = (count + 1) / max(1, listed.slots)
-        return busy + known.get_failure_share(now) * 2, draw()
+        busy += known.get_failure_share(now) * FAILURE_LOAD
+        busy += REMOTE_LOAD * (listed.data_centre != data_centre)
+        return busy, draw()
 
     return min(targets, key=load_of, default=None)
