Harm to prompts that are being read is weighed by their own time left

A flight now tells when its first token is late; delays within that cost little. A placement that is late waits as long as an idle fleet would still be in time.

--- a/tests/test_relay_board.py
+++ b/tests/test_relay_board.py
@@ -7,7 +7,14 @@
 
 def make_flight(name, target='t1', helpers=(), tickets=(), tokens=1000):
     return Flight(
-        name, target, tokens, 100, Phase.reading, 0, 0.25, 1, helpers, tickets
+        name,
+        target,
+        tokens,
+        100,
+        Phase.reading,
+        0,
+        helpers=helpers,
+        tickets=tickets,
     )
 
 
--- a/tests/test_relay_placing.py
+++ b/tests/test_relay_placing.py
@@ -62,6 +62,7 @@
                 now,
                 work.pause_s,
                 work.worth,
+                now + work.objective_s,
                 tuple(one.target_id for one in placement.helpers),
                 placement.tickets,
             )
@@ -149,6 +150,12 @@
         taken = {first.target, *first.helpers}
         self.assertFalse(taken & {second.target, *second.helpers})
 
+    def test_giant_shares_with_one_that_has_time(self):
+        """A second giant takes engines of the first rather than be late."""
+        self.put(GIANT, self.place(GIANT), Phase.reading)
+        second = self.place(GIANT, now=0.2)
+        self.assertLess(second.first_s, GIANT.objective_s)
+
     def test_instances_choose_differently(self):
         """Two instances that choose at once rarely take the same engine."""
         firsts = {
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -192,6 +192,7 @@
         round((now - flight.since) * MS),
         round(flight.pause_s * MS),
         round(flight.worth, 2),
+        round(min(flight.due - now, MOST_AGE_S) * MS),
         flight.helpers,
         flight.tickets,
     ]
@@ -209,8 +210,9 @@
         since=now - row[5] / MS,
         pause_s=row[6] / MS,
         worth=row[7],
-        helpers=tuple(row[8]),
-        tickets=tuple((name, tokens) for name, tokens in row[9]),
+        due=now + row[8] / MS,
+        helpers=tuple(row[9]),
+        tickets=tuple((name, tokens) for name, tokens in row[10]),
     )
 
 
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -28,7 +28,7 @@
 #: One in how many sound targets must be left for the others to be avoided.
 LEAST_FRESH = 4
 #: Waiting ends when the prediction fills this part of what is left of the
-#: objective: what is late already only gets later.
+#: objective.
 OBJECTIVE_SHARE = 0.75
 #: The part of its time that a request may wait for memory.
 MEMORY_PATIENCE_SHARE = 0.4
@@ -62,6 +62,7 @@
         since=now,
         pause_s=job.route.pause_s,
         worth=get_worth(job.call.size),
+        due=job.call.arrived_at + job.route.objective_s,
         helpers=tuple(one.target_id for one in placement.helpers),
         tickets=placement.tickets,
     )
@@ -140,14 +141,20 @@
 
 
 def _is_worth_waiting(job: Job, placement: Placement, now: float) -> bool:
-    """Whether a better place may come free while there is still time."""
+    """Whether a better place may come free while there is still time.
+
+    A placement that harms others is put off until it would soon be late, one
+    that is late already as long as an idle fleet could still be in time.
+    """
     waited_s = now - job.call.arrived_at
     if waited_s > job.route.objective_s * PATIENCE_SHARE:
         return False
-    left_s = job.get_objective_left_s(now) * OBJECTIVE_SHARE
-    if placement.first_s + LOOK_S > left_s:
+    if placement.cost <= get_worth(job.call.size) * WAIT_COST_SHARE:
         return False
-    return placement.cost > get_worth(job.call.size) * WAIT_COST_SHARE
+    left_s = job.get_objective_left_s(now)
+    soon_s = left_s * OBJECTIVE_SHARE - LOOK_S
+    is_late = placement.first_s > left_s
+    return (placement.ideal_s if is_late else placement.first_s) < soon_s
 
 
 def _is_out_of_patience(job: Job, targets: list[Listed], now: float) -> bool:
--- a/trestledock/relay/_board.py
+++ b/trestledock/relay/_board.py
@@ -27,7 +27,8 @@
     `since` is when its phase began, on this process's clock.  `helpers` read
     equal parts of the prompt beside the target; `tickets` are the tokens that
     it holds at other targets.  `pause_s` is the longest pause that its caller
-    takes as timely, and `worth` what is lost with it.
+    takes as timely, `due` the instant at which its first token is late, and
+    `worth` what is lost with it.
     """
 
     flight_id: str
@@ -38,6 +39,7 @@
     since: float
     pause_s: float = 0
     worth: float = 1
+    due: float = float('inf')
     helpers: tuple[str, ...] = ()
     tickets: tuple[tuple[str, int], ...] = ()
 
--- a/trestledock/relay/_placing.py
+++ b/trestledock/relay/_placing.py
@@ -9,7 +9,7 @@
 worth: what this request would lose by being late, and what others would.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Callable, Iterable, Sequence
 from zlib import crc32
 
@@ -43,8 +43,9 @@
 OBJECTIVE_SHARE = 0.75
 #: The cost of a place beyond those that an engine works on at once.
 QUEUED_COST = 3.0
-#: The delay by which a prompt that is being read loses its worth, in seconds.
-READER_DELAY_S = 1.0
+#: What a prompt that is being read loses by a second's delay, as a part of its
+#: worth, though it would still be in time.
+READER_LOSS = 0.15
 #: The cost of a target in another data centre, in units of worth: the way
 #: there may be cut while the request is on it.
 REMOTE_COST = 0.05
@@ -70,13 +71,17 @@
 
 @dataclass(frozen=True)
 class Placement:
-    """Where a request goes; `cost` is what all are expected to lose."""
+    """Where a request goes; `cost` is what all are expected to lose.
+
+    `first_s` predicts the first token, `ideal_s` what an idle fleet would do.
+    """
 
     target: Listed
     helpers: tuple[Listed, ...] = ()
     tickets: tuple[tuple[str, int], ...] = ()
     first_s: float = 0
     cost: float = 0
+    ideal_s: float = 0
 
 
 @dataclass(frozen=True)
@@ -93,6 +98,7 @@
     failure_share: float
     pace: float
     remote: bool
+    now: float
 
     @property
     def helper_wait_s(self) -> float:
@@ -112,22 +118,47 @@
         """Return what others lose when `part_s` more is read here."""
         extra_s = part_s * self.pace
         pass_s = self.base_s + self.pending_s + extra_s
-        return sum(_get_loss(one, pass_s, extra_s) for one in self.flights)
+        return sum(
+            _get_loss(one, pass_s, extra_s, self.now) for one in self.flights
+        )
 
 
-def _get_loss(flight: Flight, pass_s: float, extra_s: float) -> float:
+def _get_loss(
+    flight: Flight,
+    pass_s: float,
+    extra_s: float,
+    now: float,
+) -> float:
     """Return what a flight loses by `extra_s` of reading that goes ahead.
 
-    A writer loses its worth with a pause that is too long; a reader loses
-    the more the longer it is delayed, since newer parts go before older ones.
+    A writer loses its worth with a pause that is too long.  A reader loses it
+    when it comes late, since newer parts go before older ones, and a little
+    with any delay: more may come.
     """
-    if flight.phase is Phase.reading:
-        share = min(1, extra_s / READER_DELAY_S)
-    else:
-        share = float(pass_s > flight.pause_s * PAUSE_SHARE)
+    if flight.phase is Phase.writing:
+        is_late = pass_s > flight.pause_s * PAUSE_SHARE
+        return flight.worth * LATE_LOSS * is_late
+    left_s = flight.due - now
+    if left_s <= 0:
+        return 0
+    share = 1 if pass_s > left_s else min(1, extra_s) * READER_LOSS
     return flight.worth * LATE_LOSS * share
 
 
+def _get_planner(work: Work, engine: EngineModel) -> 'Planner':
+    if work.size.total_tokens > engine.capacity_tokens * MEMORY_SHARE:
+        return _place_giant
+    is_short = get_read_s(engine, work.size.prompt_tokens) <= SHORT_READ_S
+    return _place_short if is_short else _place_long
+
+
+def _get_ideal_s(work: Work, engine: EngineModel, count: int) -> float:
+    """Return when the first token would come on an idle fleet."""
+    parts = min(count, HELPER_COUNTS[-1] + 1)
+    pass_s = get_write_pass_s(engine, PassLoad(1))
+    return get_read_s(engine, work.size.prompt_tokens) / parts + pass_s
+
+
 class Placer:
     """Chooses among the engines of a service.
 
@@ -160,12 +191,11 @@
             return None
         ordered = sorted(targets, key=self._get_order)
         views = [self._view(engine, one, now) for one in ordered]
-        total = work.size.total_tokens
-        if total > engine.capacity_tokens * MEMORY_SHARE:
-            return _place_giant(work, engine, views)
-        if get_read_s(engine, work.size.prompt_tokens) <= SHORT_READ_S:
-            return _place_short(work, engine, views)
-        return _place_long(work, engine, views)
+        placement = _get_planner(work, engine)(work, engine, views)
+        if placement is None:
+            return None
+        ideal_s = _get_ideal_s(work, engine, len(views))
+        return replace(placement, ideal_s=ideal_s)
 
     def _get_order(self, listed: Listed) -> int:
         return crc32(f'{self.member}{listed.target_id}'.encode())
@@ -189,9 +219,13 @@
             failure_share=health.get_failure_share(now),
             pace=health.pace,
             remote=listed.data_centre != self.data_centre,
+            now=now,
         )
 
 
+Planner = Callable[[Work, EngineModel, list[View]], Placement | None]
+
+
 def _get_pending_s(
     engine: EngineModel,
     reading: Iterable[Flight],
