--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -11,6 +11,7 @@
 from trestledock.entry._pool import Pool
 from trestledock.entry._relaying import Relayer
 from trestledock.entry._reply import CutReply, Reply
+from trestledock.entry._sending import Sender
 from trestledock.entry._state import EntryState
 from trestledock.entry._tickets import Tickets
 from trestledock.platform._headers import PlatformDialect
@@ -25,6 +26,9 @@
     TeamKey,
 )
 
+#: The chunk that ends a body, and bytes that break a stream off.
+END_CHUNK = b'0\r\n\r\n'
+BROKEN = b'zz'
 KEY = 'key-1'
 HOST = 'a.example'
 SETTINGS = EntrySettings(
@@ -52,10 +56,10 @@
     if seal:
         lines.append('Trestledock-Response-Seal: s')
     lines.extend(more)
-    return ('\r\n'.join(lines) + '\r\n\r\n').encode() + body
+    return '\r\n'.join([*lines, '', '']).encode() + body
 
 
-def make_stream(first, last, *, end=True, req_id='r1'):
+def make_stream(first, last, *, end=END_CHUNK, req_id='r1'):
     """Return a chunked event stream from one event to another."""
     head = (
         'HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n'
@@ -66,7 +70,7 @@
     for number in range(first, last + 1):
         event = b'id: %d\ndata: x\n\n' % number
         raw += b'%x\r\n%s\r\n' % (len(event), event)
-    return raw + (b'0\r\n\r\n' if end else b'')
+    return b''.join((raw, end))
 
 
 class Hang:
@@ -162,15 +166,15 @@
         self.relayer = relayer
         self.dialect = PlatformDialect()
 
-    async def ask(self, req_id='r1', method='POST', key=KEY, **headers):
+    async def ask(self, req_id='r1', method='POST', key=KEY, headers=()):
         """Send a request through the relayer; return what came back."""
         found = {
             'host': HOST,
             'trestledock-request-id': req_id,
             'trestledock-request-deadline': '4000',
             'authorization': f'Bearer {key}',
-            **headers,
         }
+        found.update(headers)
         scope = {
             'method': method,
             'raw_path': b'/p/x',
@@ -214,9 +218,8 @@
             pool = Pool(state.spawn)
             dialect = PlatformDialect()
             tickets = Tickets(state, pool, dialect)
-            await scenario(
-                World(state, Relayer(state, pool, dialect, tickets))
-            )
+            sender = Sender(state, pool, dialect, tickets)
+            await scenario(World(state, Relayer(state, dialect, sender)))
             group.cancel_scope.cancel()
 
     anyio.run(main)
--- /dev/null
+++ b/tests/test_entry_logs.py
@@ -0,0 +1,95 @@
+"""The log of an entry: bounded, never blocking, and as the pages say."""
+
+import json
+import logging
+import os
+import re
+import unittest
+from pathlib import Path
+
+from pythonjsonlogger.json import JsonFormatter
+
+from trestledock.entry import EVENTS
+from trestledock.entry._logger import (
+    MOST_FAILURES,
+    MOST_LINES,
+    MOST_WAITING,
+    PipeHandler,
+    RateLimit,
+)
+
+PAGE = Path(__file__).parent.parent / 'docs' / 'OPERATIONS.md'
+#: A row of the table of events: name and fields.
+ROW = re.compile(r'^\| `([a-z_]+)` \| ([^|]*) \|', re.MULTILINE)
+
+
+def make_record(kind):
+    return logging.LogRecord('t', logging.INFO, '', 0, kind, (), None)
+
+
+class Pipe:
+    """A pipe with a handler at its writing end."""
+
+    def __init__(self, clock):
+        self.read_end, write_end = os.pipe()
+        self.handler = PipeHandler(write_end, RateLimit(clock))
+        self.handler.setFormatter(JsonFormatter('%(message)s'))
+
+    def read_lines(self):
+        os.set_blocking(self.read_end, False)
+        raw = b''
+        try:
+            while True:
+                raw += os.read(self.read_end, 65_536)
+        except BlockingIOError:
+            return [json.loads(line) for line in raw.splitlines()]
+
+
+class LoggerTest(unittest.TestCase):
+    """What happens when there is much to write, or nobody reads."""
+
+    def test_full_pipe_never_blocks(self):
+        """Lines that nobody reads are left out, and their number is told."""
+        times = iter(range(10_000_000))
+        pipe = Pipe(lambda: next(times))
+        count = MOST_WAITING * 4
+        for _ in range(count):
+            pipe.handler.emit(make_record('x' * 200))
+        self.assertLessEqual(len(pipe.handler.waiting), MOST_WAITING + 1)
+        self.assertGreater(pipe.handler.dropped, 0)
+        lines = []
+        for _ in range(count):
+            lines.extend(pipe.read_lines())
+            pipe.handler.emit(make_record('later'))
+        self.assertTrue(any(one.get('reason') == 'pipe' for one in lines))
+
+    def test_rate_is_bounded(self):
+        """Beyond its bound a kind is counted, and failures have more room."""
+        now = [0.0]
+        pipe = Pipe(lambda: now[0])
+        for _ in range(1000):
+            pipe.handler.emit(make_record('answered'))
+            pipe.handler.emit(make_record('refused'))
+        now[0] = 1.0
+        pipe.handler.emit(make_record('started'))
+        lines = pipe.read_lines()
+        kinds = [one['message'] for one in lines]
+        self.assertEqual(kinds.count('answered'), MOST_LINES)
+        self.assertEqual(kinds.count('refused'), MOST_FAILURES)
+        told = {one['kind']: one['count'] for one in lines if 'kind' in one}
+        self.assertEqual(told['answered'], 1000 - MOST_LINES)
+
+
+class PageTest(unittest.TestCase):
+    """docs/OPERATIONS.md lists the events as they are."""
+
+    def test_table(self):
+        """Each event stands in the table with its fields, and no other."""
+        found = dict(ROW.findall(PAGE.read_text(encoding='utf-8')))
+        for event in EVENTS:
+            with self.subTest(event=event.get_name()):
+                expected = ', '.join(
+                    f'`{one}`' for one in event.__dataclass_fields__
+                )
+                self.assertEqual(found.pop(event.get_name()), expected)
+        self.assertEqual(found, {})
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -50,9 +50,7 @@
 def reset(stream):
     """Make the close of a stream a reset."""
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    raw.setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-    )
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
 
 
 def run_with_stub(answers, scenario):
@@ -114,9 +112,7 @@
 
         first = make_answer(200, b'{"items":[],"endOffset":3}')
         gone = make_answer(410, b'{"firstOffset":6}')
-        stub = run_with_stub(
-            [first, gone, make_answer(200, newest)], scenario
-        )
+        stub = run_with_stub([first, gone, make_answer(200, newest)], scenario)
         self.assertIn('from=3', stub.requests[1])
 
     def test_reads_go_on_after_the_last_record(self):
--- a/tests/test_relay_board.py
+++ b/tests/test_relay_board.py
@@ -36,9 +36,7 @@
 
     def test_memory_by_tickets(self):
         """Tickets hold their part; the rest is at the first target."""
-        flight = make_flight(
-            'a', helpers=('t2', 't3'), tickets=(('t2', 400),)
-        )
+        flight = make_flight('a', helpers=('t2', 't3'), tickets=(('t2', 400),))
         held = [flight.get_held_tokens(one) for one in ('t1', 't2', 't3')]
         self.assertEqual(held, [700, 400, 0])
 
--- a/tests/test_relay_parts.py
+++ b/tests/test_relay_parts.py
@@ -70,7 +70,7 @@
 class HistoryTest(unittest.TestCase):
     """Which endings allow another sending."""
 
-    CASES = (
+    cases = (
         (NON_IDEMPOTENT, (Ending.not_sent,), True),
         (NON_IDEMPOTENT, (Ending.rejected,), True),
         (NON_IDEMPOTENT, (Ending.lost,), False),
@@ -87,7 +87,7 @@
 
     def test_table(self):
         """Only what has certainly not run, or may be repeated, is sent on."""
-        for route, endings, expected in self.CASES:
+        for route, endings, expected in self.cases:
             with self.subTest(kind=route.kind, endings=endings):
                 history = make_history(*endings)
                 self.assertEqual(history.may_repeat(route), expected)
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -1,10 +1,12 @@
 """Relayed requests from end to end, with targets that misbehave."""
 
 import unittest
+from itertools import repeat
 
 import anyio
 
 from tests.relaying import (
+    BROKEN,
     Hang,
     Reset,
     StubTarget,
@@ -58,7 +60,7 @@
     def test_rejected_by_all_is_not_run(self):
         """A refusal after rejections alone promises that nothing ran."""
         full = make_answer(b'', 503, seal=False, more=NOT_RUN)
-        found = self.check(ONCE, [full] * 9, 503, 6)
+        found = self.check(ONCE, repeat(full, 9), 503, 6)
         self.assertIn('retry-after', found.headers)
 
     def test_misdirected_goes_elsewhere(self):
@@ -82,7 +84,7 @@
     def test_last_failure_is_passed_on(self):
         """The target's own failure is better than one of ours."""
         failed = make_answer(b'bad', 500)
-        found = self.check(IDEMPOTENT, [failed] * 5, 500, 2, b'bad')
+        found = self.check(IDEMPOTENT, repeat(failed, 5), 500, 2, b'bad')
         self.assertIn('trestledock-response-seal', found.headers)
 
     def test_false_promise(self):
@@ -100,7 +102,7 @@
 
     def test_cut_body(self):
         """An answer that is cut short is no answer."""
-        whole = make_answer(b'0123456789')
+        whole = make_answer(b'ten bytes.')
         self.check(ONCE, [whole[:-3], Reset], 504, 1, b'')
 
     def test_garbage(self):
@@ -131,7 +133,7 @@
 class StreamTest(unittest.TestCase):
     """Streams are whole, resumed or cut."""
 
-    def ask(self, route, answers, **headers):
+    def ask(self, route, answers, headers=()):
         targets = [StubTarget(), StubTarget()]
         shared = list(answers)
         for target in targets:
@@ -139,7 +141,7 @@
         found = []
 
         async def scenario(world):
-            found.append(await world.ask(**headers))
+            found.append(await world.ask(headers=headers))
 
         run_world(route, targets, scenario)
         requests = [one for target in targets for one in target.requests]
@@ -157,7 +159,7 @@
 
     def test_resumed_elsewhere(self):
         """A stream that breaks goes on after the last whole event."""
-        broken = make_stream(1, 3, end=False) + b'zz'
+        broken = make_stream(1, 3, end=BROKEN)
         found, requests = self.ask(STREAM, [broken, make_stream(4, 6)])
         self.assertEqual(self.get_ids(found), [1, 2, 3, 4, 5, 6])
         self.assertTrue(found.whole)
@@ -166,20 +168,20 @@
 
     def test_silent_stream_is_resumed(self):
         """A target that falls silent is left for another one."""
-        answers = [make_stream(1, 2, end=False), make_stream(3, 4)]
+        answers = [make_stream(1, 2, end=b''), make_stream(3, 4)]
         found, _ = self.ask(STREAM, answers)
         self.assertEqual(self.get_ids(found), [1, 2, 3, 4])
 
     def test_repeated_events_are_dropped(self):
         """Events that the caller has are not sent twice."""
-        broken = make_stream(1, 3, end=False) + b'zz'
+        broken = make_stream(1, 3, end=BROKEN)
         found, _ = self.ask(STREAM, [broken, make_stream(2, 5)])
         self.assertEqual(self.get_ids(found), [1, 2, 3, 4, 5])
 
     def test_not_resumable_is_cut(self):
         """A stream that may not be resumed never looks complete."""
         route = make_route(RouteKind.streaming, pause_s=0.2)
-        broken = make_stream(1, 3, end=False) + b'zz'
+        broken = make_stream(1, 3, end=BROKEN)
         found, requests = self.ask(route, [broken, make_stream(4, 6)])
         self.assertTrue(found.cut)
         self.assertFalse(found.whole)
@@ -188,7 +190,7 @@
     def test_callers_own_resumption(self):
         """The caller's last event goes on to the target."""
         _, requests = self.ask(
-            STREAM, [make_stream(8, 9)], **{'last-event-id': '7'}
+            STREAM, [make_stream(8, 9)], {'last-event-id': '7'}
         )
         self.assertIn('last-event-id: 7', requests[0].lower())
 
--- a/trestledock/entry/__init__.py
+++ b/trestledock/entry/__init__.py
@@ -17,11 +17,14 @@
     Passing,
     TargetNews,
 )
+from trestledock.entry._events import EVENTS, HistoryForgotten
 from trestledock.entry._following import DirectoryError
+from trestledock.entry._logger import emit, set_up_logs
 from trestledock.entry._settings import EntrySettings
 from trestledock.entry._wire import Head, Headers, Wire, WireError
 
 __all__ = (
+    'EVENTS',
     'AnswerNote',
     'Dialect',
     'Directory',
@@ -29,11 +32,14 @@
     'EntrySettings',
     'Head',
     'Headers',
+    'HistoryForgotten',
     'News',
     'Order',
     'Passing',
     'TargetNews',
     'Wire',
     'WireError',
+    'emit',
     'run_entry',
+    'set_up_logs',
 )
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -7,14 +7,15 @@
 is whole.
 """
 
-import logging
 from typing import AsyncIterator
 
 import anyio
 
+from trestledock.entry import _events as events
 from trestledock.entry._dialect import AnswerNote, Dialect
 from trestledock.entry._job import Answer, Job
-from trestledock.entry._pool import Pool, get_idle_s
+from trestledock.entry._logger import emit
+from trestledock.entry._pool import get_idle_s
 from trestledock.entry._reply import Reply
 from trestledock.entry._state import EntryState
 from trestledock.entry._wire import Head, Wire, WireError
@@ -46,16 +47,13 @@
 PAUSE_FACTOR = 4.0
 MS = 1000
 
-log = logging.getLogger('trestledock.relay')
-
 
 class Answering:
     """Receives answers for one entry process."""
 
-    def __init__(self, state: EntryState, pool: Pool, dialect: Dialect) -> None:
-        """Keep the state, the connections and the platform's formats."""
+    def __init__(self, state: EntryState, dialect: Dialect) -> None:
+        """Keep the state and the platform's formats."""
         self.state = state
-        self.pool = pool
         self.dialect = dialect
 
     async def receive(
@@ -110,10 +108,7 @@
         head: Head,
         reply: Reply,
     ) -> Sending:
-        parts = []
-        async for raw in wire.iter_body():
-            parts.append(raw)
-        body = b''.join(parts)
+        body = await wire.read_body()
         answer = self.dialect.read_head(head)
         if answer.not_run:
             self._blame(job, answer.at_fault)
@@ -136,9 +131,7 @@
         job.fallback = answer
         if answer.head.status != GATEWAY_TIMEOUT:
             self.note_failure(peer)
-        return Sending(
-            Ending.failed, 'answer', peer, f'{answer.head.status}'
-        )
+        return Sending(Ending.failed, 'answer', peer, f'{answer.head.status}')
 
 
 class StreamPassing:
@@ -209,14 +202,13 @@
         state = self.answering.state
         now = anyio.current_time()
         flight = state.board.own.get(self.job.call.req_id)
-        log.info(
-            'first_event',
-            extra={
-                'req': self.job.call.req_id,
-                'peer': self.peer,
-                'took_ms': round((now - flight.since) * MS) if flight else -1,
-                'predicted_ms': round(self.placement.first_s * MS),
-            },
+        emit(
+            events.FirstEvent(
+                req=self.job.call.req_id,
+                peer=self.peer,
+                took_ms=round((now - flight.since) * MS) if flight else -1,
+                predicted_ms=round(self.placement.first_s * MS),
+            ),
         )
         state.board.advance(self.job.call.req_id, now)
         state.notify()
--- a/trestledock/entry/_app.py
+++ b/trestledock/entry/_app.py
@@ -6,13 +6,15 @@
 balancer's question for readiness on another.
 """
 
-import logging
+from http import HTTPStatus
 from typing import Any, Awaitable, Callable, Mapping
 
 import anyio
 
+from trestledock.entry import _events as events
 from trestledock.entry._dialect import Dialect
 from trestledock.entry._gossip import split_address
+from trestledock.entry._logger import emit
 from trestledock.entry._news import NewsExchange
 from trestledock.entry._relaying import Relayer
 from trestledock.entry._reply import CutReply, Reply, Send
@@ -22,10 +24,8 @@
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Scope = Mapping[str, Any]
 
-log = logging.getLogger('trestledock.relay')
 
-
-class CallerLeft(Exception):
+class NoRequest(Exception):
     """The caller closed its connection before its request was whole."""
 
 
@@ -71,13 +71,15 @@
 
     async def _answer_ready(self, send: Send) -> None:
         ready = self.state.is_ready(anyio.current_time())
-        reply = Reply(send, lambda: False)
-        await reply.start(200 if ready else 503, ((b'content-length', b'0'),))
+        status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+        reply = Reply(send)
+        await reply.start(status, ((b'content-length', b'0'),))
         await reply.finish()
 
     async def _answer_peer(self, send: Send) -> None:
-        reply = Reply(send, lambda: True)
-        await reply.start(200, ((b'content-type', b'application/json'),))
+        reply = Reply(send)
+        headers = ((b'content-type', b'application/json'),)
+        await reply.start(HTTPStatus.OK, headers)
         await reply.finish(self.exchange.make_news())
 
     async def _serve(
@@ -89,9 +91,9 @@
         arrived_at = anyio.current_time()
         try:
             body = await _read_body(receive)
-        except CallerLeft:
+        except NoRequest:
             return
-        reply = Reply(send, lambda: self.state.leaving)
+        reply = Reply(send, self.state.is_leaving)
         call = self.dialect.read_call(scope, body, arrived_at)
         cut = False
         async with anyio.create_task_group() as group:
@@ -101,7 +103,7 @@
             except CutReply:
                 cut = True
             except Exception:
-                log.exception('request_failed', extra={'req': call.req_id})
+                emit(events.Failed(f'request {call.req_id}'), failed=True)
                 cut = True
             group.cancel_scope.cancel()
         if cut:
@@ -113,7 +115,7 @@
     while True:
         message = await receive()
         if message['type'] == 'http.disconnect':
-            raise CallerLeft
+            raise NoRequest
         parts.append(message.get('body', b''))
         if not message.get('more_body'):
             return b''.join(parts)
@@ -130,6 +132,6 @@
         message = await receive()
         if message['type'] == 'http.disconnect':
             if not reply.finished:
-                log.info('caller_left', extra={'req': call.req_id})
+                emit(events.CallerLeft(call.req_id))
             group.cancel_scope.cancel()
             return
--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import logging
 import signal
 import uuid
 from random import Random
@@ -19,12 +18,15 @@
 from hypercorn.config import Config
 
 from trestledock.entry._app import EntryApp
+from trestledock.entry import _events as events
 from trestledock.entry._dialect import Dialect, Directory
 from trestledock.entry._following import Follower
 from trestledock.entry._gossip import Gossip
+from trestledock.entry._logger import emit
 from trestledock.entry._news import NewsExchange
 from trestledock.entry._pool import Pool
 from trestledock.entry._relaying import Relayer
+from trestledock.entry._sending import Sender
 from trestledock.entry._settings import EntrySettings
 from trestledock.entry._state import EntryState
 from trestledock.entry._tickets import Tickets
@@ -36,6 +38,8 @@
 END_MARGIN_S = 0.7
 #: How long an idle connection of a caller is kept beyond the configured time.
 IDLE_FACTOR = 2.0
+#: How often the end of the last request is looked for, in seconds.
+LOOK_S = 0.05
 #: Requests on one connection before it is closed; none in practice.
 MAX_REQUESTS = 1_000_000
 #: Bytes of a request's head that may be incomplete.
@@ -43,17 +47,20 @@
 #: Connections that may wait to be accepted.
 BACKLOG = 1024
 
-log = logging.getLogger('trestledock.relay')
-
 MakeDirectory = Callable[[EntrySettings], Directory]
 
 
 async def run_entry(
-    settings: EntrySettings,
+    read_settings: Callable[[], EntrySettings],
     dialect: Dialect,
     make_directory: MakeDirectory,
 ) -> None:
-    """Run an entry until SIGTERM, then end it gracefully."""
+    """Run an entry until SIGTERM, then end it gracefully.
+
+    At a hang-up the settings are read again; what a running process can't
+    take over (addresses) is told and left for the next start.
+    """
+    settings = read_settings()
     kinds = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
     with anyio.open_signal_receiver(*kinds) as signals:
         async with anyio.create_task_group() as group:
@@ -61,14 +68,14 @@
             state = EntryState(settings, member, Random(member), group)
             stop = anyio.Event()
             _start(state, dialect, make_directory(settings), stop)
-            log.info('started', extra={'member': state.member})
+            emit(events.Started(state.member, settings.data_centre))
             async for signum in signals:
                 if signum != signal.SIGHUP:
                     break
-                log.info('reload_ignored', extra={'member': state.member})
+                emit(events.ReloadAsked(changed=read_settings() != settings))
             await _drain(state, stop)
             group.cancel_scope.cancel()
-    log.info('ended', extra={'instance': settings.instance})
+    emit(events.Ended(state.in_progress))
 
 
 def _start(
@@ -82,7 +89,9 @@
     gossip = Gossip(state)
     exchange = NewsExchange(state, gossip)
     follower = Follower(state, directory, pool, exchange)
-    relayer = Relayer(state, pool, dialect, Tickets(state, pool, dialect))
+    tickets = Tickets(state, pool, dialect)
+    sender = Sender(state, pool, dialect, tickets)
+    relayer = Relayer(state, dialect, sender)
     app = EntryApp(state, relayer, dialect, exchange)
     state.keep_running(follower.run)
     state.keep_running(gossip.run)
@@ -104,9 +113,7 @@
     config.keep_alive_max_requests = MAX_REQUESTS
     config.h11_max_incomplete_size = MAX_HEAD_BYTES
     config.backlog = BACKLOG
-    config.graceful_timeout = (
-        state.settings.grace_s - NOTICE_S - END_MARGIN_S
-    )
+    config.graceful_timeout = state.settings.grace_s - NOTICE_S - END_MARGIN_S
     state.spawn(_follow_limits, state, config)
     async with anyio.create_task_group() as group:
         group.start_soon(_serve, app, config, stop)
@@ -117,7 +124,7 @@
         await serve(app, config, shutdown_trigger=stop.wait)  # type: ignore
     except asyncio.InvalidStateError:
         # The server asks for the result of its own cancelled wait.
-        log.info('server_cancelled')
+        emit(events.Failed('server end'))
 
 
 async def _follow_limits(state: EntryState, config: Config) -> None:
@@ -133,11 +140,10 @@
 async def _drain(state: EntryState, stop: anyio.Event) -> None:
     """Turn unready, serve on until the balancer has turned away, finish."""
     state.leaving = True
-    log.info('draining', extra={'in_progress': state.in_progress})
+    emit(events.Draining(state.in_progress))
     await anyio.sleep(NOTICE_S)
     stop.set()
     left_s = state.settings.grace_s - NOTICE_S - END_MARGIN_S
     with anyio.move_on_after(left_s):
         while state.in_progress:
-            await anyio.sleep(0.05)
-    log.info('drained', extra={'in_progress': state.in_progress})
+            await anyio.sleep(LOOK_S)
--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -7,12 +7,13 @@
 whole and never goes back.
 """
 
-import logging
 from typing import Awaitable, Callable
 
 import anyio
 
+from trestledock.entry import _events as events
 from trestledock.entry._dialect import Directory, News
+from trestledock.entry._logger import emit
 from trestledock.entry._news import NewsExchange
 from trestledock.entry._pool import Pool
 from trestledock.entry._state import EntryState
@@ -34,11 +35,11 @@
 PEERS_S = 20.0
 #: How long to wait after the list of peers could not be read, in seconds.
 PEERS_RETRY_S = 1.0
+#: What pauses are multiplied by at random, so that entries don't keep step.
+JITTER = (0.9, 1.1)
 #: How often lapsed entries are looked at, in seconds.
 EXPIRE_S = 0.2
 
-log = logging.getLogger('trestledock.relay')
-
 
 class DirectoryError(Exception):
     """The store did not answer as it should, at a step."""
@@ -65,6 +66,7 @@
         self.gossip = exchange.gossip
         self.exchange = exchange
         self._lost: set[str] = set()
+        self._reader = ''
         self._tried_at = float('-inf')
 
     async def run(self) -> None:
@@ -79,6 +81,7 @@
             now = anyio.current_time()
             candidates = self.gossip.get_candidates(now)
             reader = choose_reader(candidates)
+            self._note_reader(reader)
             if reader == self.state.member:
                 await self._read_store()
                 await self._sleep(self._get_pause_s(now))
@@ -99,6 +102,11 @@
         if is_old and now - self._tried_at > retry_s:
             await self._read_store()
 
+    def _note_reader(self, reader: str) -> None:
+        if reader != self._reader:
+            self._reader = reader
+            emit(events.ReaderChosen(reader))
+
     def _get_pause_s(self, now: float) -> float:
         is_old = self.state.proof.get_age_s(now) > SELF_S
         return self._get_retry_s(now) if is_old else READ_S
@@ -108,7 +116,7 @@
         return get_retry_s(self.state.member, names)
 
     async def _sleep(self, wait_s: float) -> None:
-        await anyio.sleep(wait_s * self.state.rng.uniform(0.9, 1.1))
+        await anyio.sleep(wait_s * self.state.rng.uniform(*JITTER))
 
     async def _read_store(self) -> None:
         self._tried_at = anyio.current_time()
@@ -126,7 +134,7 @@
             self._note_lost(step, exc)
             return False
         except Exception:
-            log.exception('read_failed', extra={'step': step})
+            emit(events.Failed(step), failed=True)
             return False
         self._note_regained(step)
         return True
@@ -169,7 +177,8 @@
         if catalog and (current is None or catalog.version > current.version):
             self.state.catalog = catalog
             self.state.document = news.document
-            log.info('version_applied', extra={'version': catalog.version})
+            source = 'store' if news.catalog else 'peer'
+            emit(events.VersionApplied(catalog.version, source))
         if news.targets or news.whole:
             self._apply_targets(news)
 
@@ -186,12 +195,12 @@
                 gone = fleet.drop(one.target_id, now)
                 self._forget([one.target_id] if gone else [])
             elif fleet.put(one.listed):
-                log.info(
-                    'target_listed',
-                    extra={
-                        'peer': one.target_id,
-                        'standing': one.listed.standing.value,
-                    },
+                emit(
+                    events.TargetListed(
+                        one.target_id,
+                        one.listed.service,
+                        one.listed.standing.value,
+                    ),
                 )
                 self.state.notify()
 
@@ -202,7 +211,7 @@
 
     def _forget(self, gone: list[str]) -> None:
         for target_id in gone:
-            log.info('target_gone', extra={'peer': target_id})
+            emit(events.TargetGone(target_id))
             self.pool.drop(target_id)
             self.state.health.targets.pop(target_id, None)
         if gone:
@@ -211,9 +220,9 @@
     def _note_lost(self, step: str, exc: Exception) -> None:
         if step not in self._lost:
             self._lost.add(step)
-            log.warning('store_lost', extra={'step': step, 'detail': repr(exc)})
+            emit(events.StoreLost(step, repr(exc)))
 
     def _note_regained(self, step: str) -> None:
         if step in self._lost:
             self._lost.discard(step)
-            log.info('store_regained', extra={'step': step})
+            emit(events.StoreRegained(step))
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -8,13 +8,14 @@
 """
 
 import json
-import logging
 from dataclasses import dataclass
 from typing import Any, Callable, Mapping, Sequence
 
 import anyio
 from anyio.abc import UDPSocket
 
+from trestledock.entry import _events as events
+from trestledock.entry._logger import emit
 from trestledock.entry._state import EntryState
 from trestledock.relay import Candidate, Flight, Phase
 
@@ -30,7 +31,8 @@
 MAX_FLIGHTS = 100
 MS = 1000
 
-log = logging.getLogger('trestledock.relay')
+#: What a message that makes no sense raises.
+BAD_MESSAGE = (ValueError, KeyError, IndexError, TypeError)
 
 Address = tuple[str, int]
 Handler = Callable[[dict[str, Any], Address], Any]
@@ -111,21 +113,21 @@
         try:
             await udp.sendto(raw, *address)
         except OSError as exc:
-            log.warning('send_failed', extra={'detail': repr(exc)})
+            emit(events.DatagramDropped(repr(exc)))
 
     async def _listen(self, udp: UDPSocket) -> None:
         async for raw, sender in udp:
             try:
                 message = json.loads(raw)
                 self.handlers[message['kind']](message, (sender[0], sender[1]))
-            except (ValueError, KeyError, IndexError, TypeError) as exc:
-                log.warning('bad_datagram', extra={'detail': repr(exc)})
+            except BAD_MESSAGE as exc:
+                emit(events.DatagramDropped(repr(exc)))
 
     def _take_flights(self, message: dict[str, Any], sender: Address) -> None:
         now = anyio.current_time()
         name = message['from']
         if name not in self.peers:
-            log.info('peer_met', extra={'peer': name})
+            emit(events.PeerMet(name))
         self.addresses.add(sender)
         age_s = message['proof_age_ms'] / MS
         self.peers[name] = Peer(sender, now, age_s)
@@ -151,7 +153,7 @@
             now = anyio.current_time()
             for name in self.state.board.drop_silent(now, PATIENCE_S):
                 self.peers.pop(name, None)
-                log.info('peer_lost', extra={'peer': name})
+                emit(events.PeerLost(name))
 
     async def _tell(
         self,
--- a/trestledock/entry/_news.py
+++ b/trestledock/entry/_news.py
@@ -10,14 +10,15 @@
 """
 
 import json
-import logging
 from typing import Any
 
 import anyio
 from cattrs import Converter
 
+from trestledock.entry import _events as events
 from trestledock.entry._dialect import News, TargetNews
 from trestledock.entry._gossip import Address, Gossip
+from trestledock.entry._logger import emit
 from trestledock.entry._state import EntryState
 from trestledock.entry._wire import Wire, WireError
 from trestledock.relay import Listed
@@ -27,8 +28,6 @@
 OK = 200
 NEWS_PATH = '/news'
 
-log = logging.getLogger('trestledock.relay')
-
 CONVERTER = Converter()
 
 
@@ -76,9 +75,7 @@
             with anyio.fail_after(FETCH_S):
                 plain = await self._get(peer.address)
         except (WireError, TimeoutError, ValueError) as exc:
-            log.info(
-                'fetch_failed', extra={'peer': reader, 'detail': repr(exc)}
-            )
+            emit(events.NewsLost(reader, repr(exc)))
             return None
         self._revisions[reader] = plain['revision']
         listed = [CONVERTER.structure(one, Listed) for one in plain['targets']]
@@ -127,12 +124,12 @@
             headers = ((b'host', host.encode()),)
             await wire.send('GET', NEWS_PATH, headers, b'')
             head = await wire.read_head()
-            parts = [raw async for raw in wire.iter_body()]
+            body = await wire.read_body()
         finally:
             await wire.close()
         if head.status != OK:
             raise ValueError(f'status {head.status}')
-        plain: dict[str, Any] = json.loads(b''.join(parts))
+        plain: dict[str, Any] = json.loads(body)
         return plain
 
 
--- a/trestledock/entry/_pool.py
+++ b/trestledock/entry/_pool.py
@@ -58,8 +58,11 @@
         return await Wire.connect(target.address)
 
     async def give(self, target: Listed, wire: Wire, idle_s: float) -> None:
-        """Take a connection back after an answer, or close it."""
-        if not wire.recycle() or idle_s <= 0:
+        """Take a connection back after an answer.
+
+        It is closed where `idle_s` is zero, or where something is left on it.
+        """
+        if idle_s <= 0 or not wire.recycle():
             await wire.close()
             return
         until = anyio.current_time() + idle_s
--- a/trestledock/entry/_reply.py
+++ b/trestledock/entry/_reply.py
@@ -20,7 +20,11 @@
 class Reply:
     """One reply on an ASGI connection."""
 
-    def __init__(self, send: Send, is_leaving: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        send: Send,
+        is_leaving: Callable[[], bool] = bool,
+    ) -> None:
         """Keep where to send, and whether connections should be closed."""
         self._send = send
         self._is_leaving = is_leaving
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -34,6 +34,8 @@
 MEMORY_PATIENCE_SHARE = 0.4
 #: The cost, as a part of a request's worth, for which it is worth waiting.
 WAIT_COST_SHARE = 0.3
+#: What a late request is placed as if it still had, in seconds.
+LEAST_OBJECTIVE_S = 0.05
 #: How long to look for any target at all, in seconds.
 TARGET_PATIENCE_S = 0.2
 #: Prompt and output tokens that count as one unit of worth; an output token
@@ -71,19 +73,28 @@
 async def select(state: EntryState, job: Job) -> Placement | Refusal:
     """Return where a request goes, or why it can't go anywhere."""
     while True:
-        now = anyio.current_time()
-        targets = get_candidates(state, job, now)
-        engine = _get_engine(state, job)
-        if targets and (engine is None or job.call.size is None):
-            return _choose_plain(state, targets, now)
-        placement = _place(state, job, engine, targets, now)
-        if placement and not _is_worth_waiting(job, placement, now):
-            return placement
-        if placement is None and _is_out_of_patience(job, targets, now):
-            return Refusal.no_memory if targets else Refusal.no_target
+        chosen = _select_now(state, job, anyio.current_time())
+        if chosen:
+            return chosen
         await state.wait_for_change(LOOK_S)
 
 
+def _select_now(
+    state: EntryState,
+    job: Job,
+    now: float,
+) -> Placement | Refusal | None:
+    """Return a choice, or None where it is better to wait."""
+    targets = get_candidates(state, job, now)
+    engine = _get_engine(state, job)
+    if targets and (engine is None or job.call.size is None):
+        return _choose_plain(state, targets, now)
+    placement = _place(state, job, engine, targets, now)
+    if placement is None:
+        return _run_out(job, targets, now)
+    return None if _is_worth_waiting(job, placement, now) else placement
+
+
 def get_candidates(state: EntryState, job: Job, now: float) -> list[Listed]:
     """Return the targets that may get the request, better ones if any."""
     usable = list(state.fleet.get_usable(job.service))
@@ -133,7 +144,7 @@
     objective_s = job.get_objective_left_s(now)
     work = Work(
         size=job.call.size,
-        objective_s=max(objective_s, 0.05),
+        objective_s=max(objective_s, LEAST_OBJECTIVE_S),
         pause_s=job.route.pause_s,
         worth=get_worth(job.call.size),
     )
@@ -154,12 +165,17 @@
     left_s = job.get_objective_left_s(now)
     soon_s = left_s * OBJECTIVE_SHARE - LOOK_S
     is_late = placement.first_s > left_s
-    return (placement.ideal_s if is_late else placement.first_s) < soon_s
+    hoped_s = placement.ideal_s if is_late else placement.first_s
+    return hoped_s < soon_s
 
 
-def _is_out_of_patience(job: Job, targets: list[Listed], now: float) -> bool:
+def _run_out(job: Job, targets: list[Listed], now: float) -> Refusal | None:
+    """Return the refusal of what has waited too long for any place."""
     waited_s = now - job.call.arrived_at
-    if not targets:
-        return waited_s > TARGET_PATIENCE_S
     whole_s = job.deadline - job.call.arrived_at
-    return waited_s > whole_s * MEMORY_PATIENCE_SHARE
+    patience_s = whole_s * MEMORY_PATIENCE_SHARE
+    refusal = Refusal.no_memory
+    if not targets:
+        patience_s = TARGET_PATIENCE_S
+        refusal = Refusal.no_target
+    return refusal if waited_s > patience_s else None
--- /dev/null
+++ b/trestledock/entry/_sending.py
@@ -0,0 +1,148 @@
+"""
+Sending to one target
+=====================
+
+One sending of a request: the flight is put on the board, memory is reserved
+where the prompt needs it, the request is written and its answer received.
+Whatever happens, nothing of it stays behind.
+"""
+
+import anyio
+
+from trestledock.entry import _events as events
+from trestledock.entry._admission import check_again
+from trestledock.entry._answering import Answering
+from trestledock.entry._dialect import Dialect, Passing
+from trestledock.entry._job import Job
+from trestledock.entry._logger import emit
+from trestledock.entry._pool import Pool
+from trestledock.entry._reply import Reply
+from trestledock.entry._selecting import make_flight
+from trestledock.entry._state import EntryState
+from trestledock.entry._tickets import Tickets
+from trestledock.entry._wire import Wire, WireError
+from trestledock.relay import Ending, Placement, Sending
+
+MS = 1000
+
+
+class Sender:
+    """Sends requests for one entry process."""
+
+    def __init__(
+        self,
+        state: EntryState,
+        pool: Pool,
+        dialect: Dialect,
+        tickets: Tickets,
+    ) -> None:
+        """Keep the state, the connections and the platform's formats."""
+        self.state = state
+        self.pool = pool
+        self.dialect = dialect
+        self.tickets = tickets
+        self.answering = Answering(state, dialect)
+
+    async def send(
+        self,
+        job: Job,
+        placement: Placement,
+        reply: Reply,
+    ) -> Sending:
+        """Send a request to a target and pass its answer on."""
+        now = anyio.current_time()
+        flight = make_flight(job, placement, now)
+        self._note_placed(job, placement, now)
+        if not job.history.sendings:
+            self.state.get_window(job.service).earn(now)
+        held: dict[str, str] = {}
+        self.state.board.put(flight)
+        self.state.notify()
+        try:
+            if await self.tickets.reserve(job, placement, held):
+                return await self._exchange(job, placement, reply, held)
+            peer = placement.target.target_id
+            return Sending(Ending.not_sent, 'reserve', peer)
+        finally:
+            self._clean_up(flight.flight_id, held)
+
+    def _clean_up(self, flight_id: str, held: dict[str, str]) -> None:
+        self.state.board.remove(flight_id)
+        self.state.notify()
+        self.tickets.release(held)
+
+    async def _exchange(
+        self,
+        job: Job,
+        placement: Placement,
+        reply: Reply,
+        held: dict[str, str],
+    ) -> Sending:
+        peer = placement.target.target_id
+        try:
+            wire = await self.pool.take(placement.target)
+        except WireError as exc:
+            self.state.note_silence(peer, anyio.current_time())
+            return Sending(Ending.not_sent, exc.step, peer, exc.detail)
+        refusal = check_again(self.state, job, anyio.current_time())
+        if refusal:
+            await wire.close()
+            return Sending(Ending.not_sent, refusal.value, 'self')
+        return await self._talk(job, placement, reply, held, wire)
+
+    async def _talk(
+        self,
+        job: Job,
+        placement: Placement,
+        reply: Reply,
+        held: dict[str, str],
+        wire: Wire,
+    ) -> Sending:
+        """Write the request and take the answer on an open connection."""
+        peer = placement.target.target_id
+        idle_s: float = 0
+        try:
+            await self._write(job, placement, held, wire)
+            sending, idle_s = await self.answering.receive(
+                job, placement, wire, reply
+            )
+        except WireError as exc:
+            self.state.health.note_failure(peer, anyio.current_time())
+            return Sending(Ending.lost, exc.step, peer, exc.detail)
+        finally:
+            await self.pool.give(placement.target, wire, idle_s)
+        return sending
+
+    async def _write(
+        self,
+        job: Job,
+        placement: Placement,
+        held: dict[str, str],
+        wire: Wire,
+    ) -> None:
+        left_s = job.deadline - anyio.current_time()
+        passing = Passing(placement, job.team, left_s, job.resume_after, held)
+        job.writing = True
+        await wire.send(
+            job.call.method,
+            f'{job.call.path}{job.call.query}',
+            self.dialect.make_headers(job.call, passing),
+            job.call.body,
+            self.state.spawn,
+        )
+
+    def _note_placed(self, job: Job, placement: Placement, now: float) -> None:
+        size = job.call.size
+        emit(
+            events.Placed(
+                req=job.call.req_id,
+                peer=placement.target.target_id,
+                helpers=tuple(one.target_id for one in placement.helpers),
+                tickets=len(placement.tickets),
+                prompt_tokens=size.prompt_tokens if size else 0,
+                predicted_ms=round(placement.first_s * MS),
+                cost=round(placement.cost, 2),
+                waited_ms=round((now - job.call.arrived_at) * MS),
+                candidates=placement.candidates,
+            ),
+        )
--- a/trestledock/entry/_settings.py
+++ b/trestledock/entry/_settings.py
@@ -18,8 +18,7 @@
     `callers` and `ready` are where callers and the balancer come, `peers`
     where other entries do.  `revoke_s` is how long a key that was taken away
     may still be served, zero for any time; `grace_s` is the time between the
-    request to stop and the end; `engine_hold_s` is the longest lease of
-    memory at an engine.
+    request to stop and the end.
     """
 
     instance: str
@@ -31,5 +30,4 @@
     metrics: str = ''
     revoke_s: float = 0
     grace_s: float = 8
-    engine_hold_s: float = 20
     budget: BudgetTerms = field(default_factory=BudgetTerms)
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -6,7 +6,6 @@
 loop touch it, each between two waits.
 """
 
-import logging
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any, Awaitable, Callable
@@ -14,6 +13,8 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from trestledock.entry import _events as events
+from trestledock.entry._logger import emit
 from trestledock.entry._settings import EntrySettings
 from trestledock.relay import (
     Board,
@@ -25,7 +26,6 @@
     RetryWindow,
 )
 
-log = logging.getLogger('trestledock.relay')
 
 #: How long to wait before a duty that failed is begun again, in seconds.
 RESTART_S = 0.3
@@ -82,29 +82,36 @@
 
     def note_silence(self, target_id: str, now: float) -> None:
         """Note that a target could not be reached or said nothing."""
-        self.health.note_silence(target_id, now, self._get_place(target_id))
+        place = self._get_place(target_id)
+        if not self.health.is_suspect(target_id, now, place):
+            emit(events.TargetSuspected(target_id, place))
+        self.health.note_silence(target_id, now, place)
 
     def note_success(self, target_id: str, now: float) -> None:
         """Note that a target answered as it should."""
         self.health.note_success(target_id, now, self._get_place(target_id))
 
-    def _get_place(self, target_id: str) -> str:
-        """Return the data centre of a target, empty for the own one."""
-        listed = self.fleet.targets.get(target_id)
-        place = listed.data_centre if listed else ''
-        return '' if place == self.settings.data_centre else place
-
     def get_window(self, service: str) -> RetryWindow:
         """Return the shared retry budget's window of a service."""
         if service not in self.windows:
             self.windows[service] = RetryWindow(self.settings.budget)
         return self.windows[service]
 
+    def is_leaving(self) -> bool:
+        """Whether connections should be closed after their answer."""
+        return self.leaving
+
     def is_ready(self, now: float) -> bool:
         """Whether new connections should come here."""
         known = self.catalog is not None and bool(self.fleet.targets)
         return known and not self.leaving and self.proof.is_ready(now)
 
+    def _get_place(self, target_id: str) -> str:
+        """Return the data centre of a target, empty for the own one."""
+        listed = self.fleet.targets.get(target_id)
+        place = listed.data_centre if listed else ''
+        return '' if place == self.settings.data_centre else place
+
 
 async def _run_again(work: Callable[[], Awaitable[Any]]) -> None:
     while True:
@@ -119,4 +126,4 @@
     try:
         await work(*args)
     except Exception:
-        log.exception('task_failed', extra={'task': work.__qualname__})
+        emit(events.Failed(work.__qualname__), failed=True)
--- a/trestledock/entry/_tickets.py
+++ b/trestledock/entry/_tickets.py
@@ -8,12 +8,12 @@
 themselves.
 """
 
-import logging
-
 import anyio
 
+from trestledock.entry import _events as events
 from trestledock.entry._dialect import Dialect, Order
 from trestledock.entry._job import Job
+from trestledock.entry._logger import emit
 from trestledock.entry._pool import Pool
 from trestledock.entry._state import EntryState
 from trestledock.entry._wire import Head, WireError
@@ -26,11 +26,13 @@
 RENEW_S = 1.2
 #: How long an order may take, in seconds.
 ORDER_S = 0.6
+#: How long a connection that took an order is kept, in seconds.
+ORDER_IDLE_S = 1.0
 #: How often a ticket is given back before its lease has to end it.
 RELEASE_TRIES = 3
 OK = 200
-
-log = logging.getLogger('trestledock.relay')
+#: What stands for the status where no answer came.
+NO_ANSWER = 0
 
 
 class Tickets:
@@ -49,35 +51,27 @@
         self,
         job: Job,
         placement: Placement,
-    ) -> dict[str, str] | None:
-        """Return the tickets by target; None where one was not granted."""
-        held: dict[str, str] = {}
+        held: dict[str, str],
+    ) -> bool:
+        """Fill `held` with tickets by target; False where one is missing.
+
+        What is held must be released by the caller, also after a failure.
+        """
         if not placement.tickets:
-            return held
+            return True
         by_id = {one.target_id: one for one in placement.helpers}
-        try:
-            async with anyio.create_task_group() as group:
-                for target_id, tokens in placement.tickets:
-                    self._count += 1
-                    ticket = f'{job.call.req_id}-{self._count}'
-                    group.start_soon(
-                        self._reserve_one, by_id[target_id], ticket, tokens, held
-                    )
-        except BaseException:
-            self.release(held)
-            raise
+        async with anyio.create_task_group() as group:
+            for target_id, tokens in placement.tickets:
+                self._count += 1
+                ticket = f'{job.call.req_id}-{self._count}'
+                group.start_soon(
+                    self._reserve_one, by_id[target_id], ticket, tokens, held
+                )
         if len(held) == len(placement.tickets):
-            return held
-        log.info(
-            'memory_refused',
-            extra={
-                'req': job.call.req_id,
-                'granted': len(held),
-                'asked': len(placement.tickets),
-            },
-        )
-        self.release(held)
-        return None
+            return True
+        asked = len(placement.tickets)
+        emit(events.MemoryRefused(job.call.req_id, len(held), asked))
+        return False
 
     def release(self, held: dict[str, str]) -> None:
         """Give tickets back in the background."""
@@ -96,20 +90,20 @@
         tokens: int,
         held: dict[str, str],
     ) -> None:
-        self._holders[ticket] = holder
-        status = await self._order(
-            holder, self.dialect.make_reserve(
-                ticket, tokens, HOLD_S, holder.address
-            )
+        order = self.dialect.make_reserve(
+            ticket, tokens, HOLD_S, holder.address
         )
+        # From here on the memory may be set aside, whatever is answered.
+        self._holders[ticket] = holder
+        held[holder.target_id] = ticket
+        status = await self._order(holder, order)
         if status == OK:
-            held[holder.target_id] = ticket
             scope = anyio.CancelScope()
             self._renewals[ticket] = scope
-            self.state.spawn(
-                self._renew, scope, holder, ticket, tokens
-            )
-        elif status == 0:
+            self.state.spawn(self._renew, scope, holder, ticket, tokens)
+            return
+        held.pop(holder.target_id)
+        if status == NO_ANSWER:
             self.state.spawn(self._release_one, holder, ticket)
 
     async def _renew(
@@ -139,16 +133,13 @@
             with anyio.fail_after(ORDER_S):
                 head = await self._exchange(holder, order)
         except (WireError, TimeoutError) as exc:
-            log.info(
-                'order_lost',
-                extra={'peer': holder.target_id, 'detail': repr(exc)},
-            )
-            return 0
+            emit(events.OrderLost(holder.target_id, repr(exc)))
+            return NO_ANSWER
         return head.status
 
     async def _exchange(self, holder: Listed, order: Order) -> Head:
         wire = await self.pool.take(holder)
-        done = False
+        idle_s: float = 0
         try:
             await wire.send(
                 order.method,
@@ -158,11 +149,8 @@
                 self.state.spawn,
             )
             head = await wire.read_head()
-            async for _ in wire.iter_body():
-                continue
-            done = True
+            await wire.read_body()
+            idle_s = ORDER_IDLE_S
         finally:
-            if not done:
-                await wire.close()
-        await self.pool.give(holder, wire, idle_s=1.0)
+            await self.pool.give(holder, wire, idle_s)
         return head
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -123,6 +123,10 @@
             else:
                 raise WireError('body', f'unexpected {event!r}', sent=True)
 
+    async def read_body(self) -> bytes:
+        """Return the whole body."""
+        return b''.join([raw async for raw in self.iter_body()])
+
     def recycle(self) -> bool:
         """Prepare for the next request; False where that is not safe."""
         if self.broken or not self.written:
--- a/trestledock/platform/_documents.py
+++ b/trestledock/platform/_documents.py
@@ -9,6 +9,7 @@
 from collections import defaultdict
 from typing import Any
 
+from trestledock.platform._fields import Field, seconds_of, read_fields
 from trestledock.relay import (
     Catalog,
     EngineModel,
@@ -22,12 +23,72 @@
     TeamKey,
 )
 
-MS = 1000
 TOKENS_PER_K = 1000
 PAIRS_PER_M = 1_000_000
 READY = 'ready'
 
 
+def _read_standing(state: str) -> Standing:
+    return Standing.ready if state == READY else Standing.leaving
+
+
+def _per_k_seconds_of(milliseconds: float) -> float:
+    return seconds_of(milliseconds) / TOKENS_PER_K
+
+
+def _per_m_seconds_of(milliseconds: float) -> float:
+    return seconds_of(milliseconds) / PAIRS_PER_M
+
+
+TARGET_FIELDS = (
+    Field('service', 'service'),
+    Field('address', 'address'),
+    Field('zone', 'data_centre'),
+    Field('state', 'standing', _read_standing),
+    Field('slots', 'slots'),
+    Field('sequence', 'sequence'),
+)
+
+ROUTE_FIELDS = (
+    Field('name', 'name'),
+    Field('host', 'host', str.lower),
+    Field('pathPrefix', 'path_prefix'),
+    Field('kind', 'kind', RouteKind),
+    Field('timeoutMs', 'timeout_s', seconds_of),
+    Field('sloMs', 'objective_s', seconds_of),
+    Field('maxAttempts', 'max_attempts'),
+    Field('priority', 'priority'),
+    Field('public', 'public'),
+    Field('resumable', 'resumable'),
+    Field('gapAimMs', 'pause_s', seconds_of),
+)
+
+#: `slots` of an engine is its batch; `kvCapacity` counts prompt and answer.
+ENGINE_FIELDS = (
+    Field('slots', 'batch'),
+    Field('kvCapacity', 'capacity_tokens'),
+    Field('step_ms', 'step_s', seconds_of),
+    Field('read_per_s', 'read_rate'),
+    Field('per_seq_ms', 'step_request_s', seconds_of),
+    Field('context_per_k', 'step_context_s', _per_k_seconds_of),
+    Field('pairs_per_m', 'pair_s', _per_m_seconds_of),
+    Field('chunk', 'chunk_tokens'),
+    Field('stride', 'stride'),
+    Field('hopMs', 'hop_s', seconds_of),
+)
+
+LIMIT_FIELDS = (
+    Field('maxHeaderBytes', 'header_bytes'),
+    Field('maxBodyBytes', 'body_bytes'),
+    Field('idleTimeoutMs', 'idle_s', seconds_of),
+)
+
+SERVICE_FIELDS = (
+    Field('name', 'name'),
+    Field('maxConns', 'max_connections'),
+)
+
+
 def decode_catalog(plain: dict[str, Any]) -> Catalog:
     """Return a version of the configuration."""
     routes: dict[str, list[Route]] = defaultdict(list)
@@ -40,39 +101,17 @@
         routes={host: tuple(some) for host, some in routes.items()},
         services={service.name: service for service in services},
         keys=_decode_keys(plain),
-        limits=_decode_limits(plain.get('limits', {})),
+        limits=Limits(**read_fields(plain.get('limits', {}), LIMIT_FIELDS)),
     )
 
 
 def decode_target(target_id: str, plain: dict[str, Any]) -> Listed:
     """Return a target from its entry; `zone` is a data centre."""
-    ready = plain.get('state', READY) == READY
-    return Listed(
-        target_id=target_id,
-        service=plain['service'],
-        address=plain['address'],
-        data_centre=plain.get('zone', ''),
-        standing=Standing.ready if ready else Standing.leaving,
-        slots=plain.get('slots', 1),
-        sequence=plain.get('sequence', 0),
-    )
+    return Listed(target_id, **read_fields(plain, TARGET_FIELDS))
 
 
 def _decode_route(row: dict[str, Any]) -> Route:
-    return Route(
-        name=row.get('name', ''),
-        host=row['host'].lower(),
-        path_prefix=row['pathPrefix'],
-        kind=RouteKind(row['kind']),
-        shares=_decode_shares(row),
-        timeout_s=row.get('timeoutMs', 60_000) / MS,
-        objective_s=row.get('sloMs', 1000) / MS,
-        max_attempts=row.get('maxAttempts', 1),
-        priority=row.get('priority', 0),
-        public=row.get('public', False),
-        resumable=row.get('resumable', False),
-        pause_s=row.get('gapAimMs', 0) / MS,
-    )
+    return Route(shares=_decode_shares(row), **read_fields(row, ROUTE_FIELDS))
 
 
 def _decode_shares(row: dict[str, Any]) -> tuple[Share, ...]:
@@ -84,27 +123,9 @@
 
 
 def _decode_service(row: dict[str, Any]) -> Service:
-    engine = row.get('engineKind')
-    return Service(
-        name=row['name'],
-        max_connections=row.get('maxConns', 64),
-        engine=_decode_engine(engine) if engine else None,
-    )
-
-
-def _decode_engine(row: dict[str, Any]) -> EngineModel:
-    return EngineModel(
-        batch=row['slots'],
-        capacity_tokens=row['kvCapacity'],
-        step_s=row['step_ms'] / MS,
-        read_rate=row['read_per_s'],
-        step_request_s=row.get('per_seq_ms', 0) / MS,
-        step_context_s=row.get('context_per_k', 0) / MS / TOKENS_PER_K,
-        pair_s=row.get('pairs_per_m', 0) / MS / PAIRS_PER_M,
-        chunk_tokens=row.get('chunk', 2048),
-        stride=row.get('stride', 1),
-        hop_s=row.get('hopMs', 0) / MS,
-    )
+    kind = row.get('engineKind')
+    engine = EngineModel(**read_fields(kind, ENGINE_FIELDS)) if kind else None
+    return Service(engine=engine, **read_fields(row, SERVICE_FIELDS))
 
 
 def _decode_keys(plain: dict[str, Any]) -> dict[str, TeamKey] | None:
@@ -115,11 +136,3 @@
         for tenant in plain['tenants']
         for key in tenant.get('apiKeys', ())
     }
-
-
-def _decode_limits(plain: dict[str, Any]) -> Limits:
-    return Limits(
-        header_bytes=plain.get('maxHeaderBytes', 16_384),
-        body_bytes=plain.get('maxBodyBytes', 4_194_304),
-        idle_s=plain.get('idleTimeoutMs', 15_000) / MS,
-    )
--- a/trestledock/platform/_headers.py
+++ b/trestledock/platform/_headers.py
@@ -155,15 +155,13 @@
     parts = []
     for helper in passing.placement.helpers:
         ticket = passing.tickets.get(helper.target_id)
-        parts.append(
-            f'{helper.address}/{ticket}' if ticket else helper.address
-        )
+        parts.append(f'{helper.address}/{ticket}' if ticket else helper.address)
     return ','.join(parts)
 
 
 def _drop(headers: Any, names: frozenset[bytes]) -> Headers:
-    listed = b''.join(
-        text + b',' for name, text in headers if name.lower() == b'connection'
+    listed = b','.join(
+        text for name, text in headers if name.lower() == b'connection'
     )
     also = {part.strip().lower() for part in listed.split(b',')}
     return tuple(
--- a/trestledock/platform/_settings.py
+++ b/trestledock/platform/_settings.py
@@ -12,39 +12,55 @@
 from typing import Any
 
 from trestledock.entry import EntrySettings
+from trestledock.platform._fields import Field, seconds_of, read_fields
 from trestledock.relay import BudgetTerms
 
 #: The variable that holds the path of the file.
 PATH_VARIABLE = 'TRESTLEDOCK_BOOT'
-MS = 1000
+
+BUDGET_FIELDS = (
+    Field('retryRatio', 'ratio'),
+    Field('budgetWindowS', 'window_s'),
+    Field('budgetSlack', 'slack'),
+)
+
+BOUND_FIELDS = (
+    Field('revokeMs', 'revoke_s', seconds_of),
+    Field('gracePeriodS', 'grace_s'),
+)
+
+
+class SettingsError(Exception):
+    """The settings file can't be read or lacks a field."""
 
 
 def read_settings() -> EntrySettings:
     """Read the file that the environment names."""
-    path = Path(os.environ[PATH_VARIABLE])
-    return decode_settings(tomllib.loads(path.read_text(encoding='utf-8')))
+    path = os.environ.get(PATH_VARIABLE, '')
+    if not path:
+        raise SettingsError(f'{PATH_VARIABLE} is not set')
+    try:
+        return decode_settings(tomllib.loads(Path(path).read_text('utf-8')))
+    except (OSError, ValueError) as exc:
+        raise SettingsError(f'{path}: {exc}') from exc
+    except KeyError as exc:
+        raise SettingsError(f'{path}: the field {exc} is missing') from exc
 
 
 def decode_settings(plain: dict[str, Any]) -> EntrySettings:
     """Return the settings of a process from the platform's fields."""
     bounds = plain.get('bounds', {})
-    listen = plain['listen']
-    first_port = plain['portRange'][0]
+    more = read_fields(bounds, BOUND_FIELDS)
     # `strictRevoke` says whether `revokeMs` holds when the store is away.
-    strict = bounds.get('strictRevoke', False)
+    if not bounds.get('strictRevoke', False):
+        more['revoke_s'] = 0
     return EntrySettings(
         instance=plain['nodeName'],
         data_centre=plain['zone'],
-        callers=listen['front'],
-        ready=listen['ready'],
-        peers=f'{plain["ipAddr"]}:{first_port}',
+        callers=plain['listen']['front'],
+        ready=plain['listen']['ready'],
+        peers=f'{plain["ipAddr"]}:{plain["portRange"][0]}',
         store=plain['platform']['address'],
-        revoke_s=bounds.get('revokeMs', 0) / MS if strict else 0,
-        grace_s=bounds.get('gracePeriodS', 8),
-        engine_hold_s=bounds.get('holdMaxMs', 20_000) / MS,
-        budget=BudgetTerms(
-            ratio=bounds.get('retryRatio', 0.2),
-            window_s=bounds.get('budgetWindowS', 10),
-            slack=bounds.get('budgetSlack', 20),
-        ),
+        budget=BudgetTerms(**read_fields(bounds, BUDGET_FIELDS)),
+        **more,
     )
--- a/trestledock/platform/_store.py
+++ b/trestledock/platform/_store.py
@@ -9,7 +9,6 @@
 
 import base64
 import json
-import logging
 import struct
 from dataclasses import dataclass
 from typing import Any, Iterator
@@ -20,9 +19,11 @@
 from trestledock.entry import (
     DirectoryError,
     Head,
+    HistoryForgotten,
     News,
     TargetNews,
     Wire,
+    emit,
 )
 from trestledock.platform._documents import decode_catalog, decode_target
 from trestledock.relay import Catalog, Listed
@@ -39,8 +40,6 @@
 BOUNDS = struct.Struct('>QQ')
 LENGTH = struct.Struct('>I')
 
-log = logging.getLogger('trestledock.relay')
-
 
 @dataclass(frozen=True)
 class Record:
@@ -106,8 +105,7 @@
         )
         await wire.send(method, target, headers, body)
         head: Head = await wire.read_head()
-        parts = [raw async for raw in wire.iter_body()]
-        return head.status, b''.join(parts)
+        return head.status, await wire.read_body()
 
     async def _close(self) -> None:
         wire, self._wire = self._wire, None
@@ -131,7 +129,7 @@
         query = {'topic': self.topic, 'part': 0, 'from': self._next}
         status, body = await self.client.call('GET', '/log-read', query)
         if status == TRIMMED:
-            log.info('history_forgotten', extra={'topic': self.topic})
+            emit(HistoryForgotten(self.topic))
             return await self._read_newest()
         if status != OK:
             raise DirectoryError(f'log-read {self.topic}: {status}')
@@ -169,11 +167,7 @@
 
 
 def split_records(raw: bytes) -> Iterator[Record]:
-    """Yield the keyed records of a read.
-
-    >>> list(split_records(b'\\x00\\x00\\x00\\x03\\x01kv'))
-    [Record(key='k', text=b'v')]
-    """
+    """Yield the keyed records of a read."""
     position = 0
     while position + LENGTH.size <= len(raw):
         start = position + LENGTH.size
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -31,12 +31,8 @@
 from trestledock.relay._fleet import Fleet, Listed, Standing
 from trestledock.relay._health import Health
 from trestledock.relay._outcome import Ending, History, Sending
-from trestledock.relay._placing import (
-    Placement,
-    Placer,
-    Work,
-    choose_least_busy,
-)
+from trestledock.relay._placing import Placement, Placer, Work
+from trestledock.relay._plain import choose_least_busy
 from trestledock.relay._proof import Proof
 from trestledock.relay._readers import Candidate, choose_reader, get_retry_s
 
--- a/trestledock/relay/_events.py
+++ b/trestledock/relay/_events.py
@@ -6,9 +6,10 @@
 continued by another target after the last whole one.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 END = b'\n\n'
+END_CRLF = b'\r\n\r\n'
 ID_FIELD = b'id:'
 
 
@@ -24,27 +25,18 @@
 class Splitter:
     """Collects bytes and gives out whole events.
 
-    >>> splitter = Splitter()
-    >>> [event.event_id for event in splitter.push(b'id: 1\\ndata: a\\n\\nid')]
-    ['1']
-    >>> splitter.rest
-    b'id'
+    >>> Splitter().push(b'id: 1')
+    []
     """
 
     rest: bytes = b''
-    _ended: bool = field(default=False)
 
     def push(self, raw: bytes) -> list[Event]:
         """Take bytes; return the events that are whole now."""
-        buffered = self.rest + raw
-        if b'\r' in buffered:
-            return self._push_crlf(buffered)
-        *whole, self.rest = buffered.split(END)
-        return [_make_event(one + END) for one in whole]
-
-    def _push_crlf(self, buffered: bytes) -> list[Event]:
-        *whole, self.rest = buffered.split(b'\r\n\r\n')
-        return [_make_event(one + b'\r\n\r\n') for one in whole]
+        buffered = b''.join((self.rest, raw))
+        end = END_CRLF if b'\r' in buffered else END
+        *whole, self.rest = buffered.split(end)
+        return [_make_event(b''.join((one, end))) for one in whole]
 
 
 def _make_event(raw: bytes) -> Event:
--- a/trestledock/relay/_fleet.py
+++ b/trestledock/relay/_fleet.py
@@ -32,8 +32,8 @@
     target_id: str
     service: str
     address: str
-    data_centre: str
-    standing: Standing
+    data_centre: str = ''
+    standing: Standing = Standing.ready
     slots: int = 1
     sequence: int = 0
 
--- /dev/null
+++ b/trestledock/relay/_plain.py
@@ -0,0 +1,43 @@
+"""
+Choosing a plain target
+=======================
+
+Calls of plain services go to the target with the least to do; nothing else is
+known of them in advance.
+"""
+
+from typing import Callable, Sequence
+
+from trestledock.relay._board import Board
+from trestledock.relay._fleet import Listed
+from trestledock.relay._health import Health
+
+#: How many slots' share of work a failing and a remote plain target seem to
+#: have more than they do.
+FAILURE_LOAD = 2.0
+REMOTE_LOAD = 0.15
+
+
+def choose_least_busy(
+    board: Board,
+    health: Health,
+    targets: Sequence[Listed],
+    now: float,
+    draw: Callable[[], float],
+    data_centre: str = '',
+) -> Listed | None:
+    """Return the plain target with the fewest requests per slot.
+
+    A target that fails or is in another data centre counts as busier; equals
+    are drawn among.
+    """
+
+    def load_of(listed: Listed) -> tuple[float, float]:  # noqa: WPS430
+        count = sum(1 for _ in board.get_flights(listed.target_id))
+        known = health.get(listed.target_id)
+        busy = (count + 1) / max(1, listed.slots)
+        busy += known.get_failure_share(now) * FAILURE_LOAD
+        busy += REMOTE_LOAD * (listed.data_centre != data_centre)
+        return busy, draw()
+
+    return min(targets, key=load_of, default=None)
--- /dev/null
+++ b/trestledock/relay/_view.py
@@ -0,0 +1,147 @@
+"""
+Views of engines
+================
+
+What one engine has to do now, and what more work there would cost: when its
+first token would come, and what the requests lose that are there already.
+"""
+
+from dataclasses import dataclass
+from typing import Iterable
+
+from trestledock.relay._arithmetic import (
+    PassLoad,
+    get_read_s,
+    get_write_pass_s,
+)
+from trestledock.relay._board import Board, Flight, Phase
+from trestledock.relay._catalog import EngineModel
+from trestledock.relay._fleet import Listed
+from trestledock.relay._health import Health
+
+#: What a late answer loses of its worth (the users' sheets).
+LATE_LOSS = 0.75
+#: The part of an allowed pause that a pass may fill.
+PAUSE_SHARE = 0.8
+#: What a prompt that is being read loses by a second's delay, as a part of its
+#: worth, though it would still be in time.
+READER_LOSS = 0.15
+#: Largest share of an engine's memory that is planned for.
+MEMORY_SHARE = 0.97
+
+
+@dataclass(frozen=True)
+class View:
+    """What one engine has to do at the instant `now`.
+
+    `base_s` is the length of a pass without reading, `pending_s` the reading
+    that is left, `count` the requests of which it is the first target.
+    """
+
+    listed: Listed
+    count: int
+    writers: int
+    base_s: float
+    pending_s: float
+    free_tokens: float
+    flights: tuple[Flight, ...]
+    failure_share: float
+    pace: float
+    remote: bool
+    now: float
+
+    @property
+    def helper_wait_s(self) -> float:
+        """Until a helper's part begins: it goes ahead of all other reading."""
+        return self.base_s / 2 if self.writers else 0
+
+    @property
+    def wait_s(self) -> float:
+        """Until own reading begins: half a pass and what is being read."""
+        return self.helper_wait_s + self.pending_s
+
+    def predict_first_s(self, part_s: float) -> float:
+        """Return when the first token comes after reading for `part_s`."""
+        return self.wait_s + part_s * self.pace + self.base_s
+
+    def predict_part_s(self, part_s: float) -> float:
+        """Return when a helper's part of `part_s` has been read."""
+        return self.helper_wait_s + part_s * self.pace
+
+    def get_harm(self, part_s: float) -> float:
+        """Return what others lose when `part_s` more is read here."""
+        extra_s = part_s * self.pace
+        pass_s = self.base_s + self.pending_s + extra_s
+        return sum(
+            _get_loss(one, pass_s, extra_s, self.now) for one in self.flights
+        )
+
+
+class Viewer:
+    """Makes views from the board and the health of targets."""
+
+    def __init__(self, board: Board, health: Health, data_centre: str) -> None:
+        """Keep what views are made from."""
+        self.board = board
+        self.health = health
+        self.data_centre = data_centre
+
+    def view(self, engine: EngineModel, listed: Listed, now: float) -> View:
+        """Return what an engine has to do now."""
+        target_id = listed.target_id
+        flights = tuple(self.board.get_flights(target_id))
+        own = [one for one in flights if one.target == target_id]
+        held = sum(one.get_held_tokens(target_id) for one in flights)
+        health = self.health.get(target_id)
+        base_s = get_write_pass_s(engine, PassLoad(len(own) + 1, held))
+        return View(
+            listed=listed,
+            count=len(own),
+            writers=sum(one.phase is Phase.writing for one in own),
+            base_s=base_s * health.pace,
+            pending_s=_get_pending_s(engine, flights, now) * health.pace,
+            free_tokens=engine.capacity_tokens * MEMORY_SHARE - held,
+            flights=flights,
+            failure_share=health.get_failure_share(now),
+            pace=health.pace,
+            remote=listed.data_centre != self.data_centre,
+            now=now,
+        )
+
+
+def _get_pending_s(
+    engine: EngineModel,
+    flights: Iterable[Flight],
+    now: float,
+) -> float:
+    """Return the seconds of reading that an engine still has to do."""
+    left_s: float = 0
+    at = now
+    reading = [one for one in flights if one.phase is Phase.reading]
+    for flight in sorted(reading, key=lambda one: one.since):
+        part_s = get_read_s(engine, flight.prompt_tokens) / flight.parts
+        left_s = max(0, left_s - max(0, flight.since - at)) + part_s
+        at = flight.since
+    return max(0, left_s - max(0, now - at))
+
+
+def _get_loss(
+    flight: Flight,
+    pass_s: float,
+    extra_s: float,
+    now: float,
+) -> float:
+    """Return what a flight loses by `extra_s` of reading that goes ahead.
+
+    A writer loses its worth with a pause that is too long.  A reader loses it
+    when it comes late, since newer parts go before older ones, and a little
+    with any delay: more may come.
+    """
+    if flight.phase is Phase.writing:
+        is_late = pass_s > flight.pause_s * PAUSE_SHARE
+        return flight.worth * LATE_LOSS * is_late
+    left_s = flight.due - now
+    if left_s <= 0:
+        return 0
+    share = 1 if pass_s > left_s else min(1, extra_s) * READER_LOSS
+    return flight.worth * LATE_LOSS * share
