A reader that is lost is made good within 1.2 s

Ruled out: lost records (the entry got the state in the end). Answers are taken as they come, and an entry reads itself from 0.9 s on, in the order of names.

--- a/tests/test_relay_readers.py
+++ b/tests/test_relay_readers.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from trestledock.relay import Candidate, choose_reader, get_retry_s
+from trestledock.relay import (
+    Candidate,
+    choose_reader,
+    get_retry_s,
+    is_own_read_due,
+)
 
 
 class ReadersTest(unittest.TestCase):
@@ -24,6 +29,19 @@
         known = [Candidate('a', 2), Candidate('b', 3), Candidate('c', 0.5)]
         self.assertEqual(choose_reader(known), 'c')
 
+    def test_reader_that_is_lost_is_made_good_in_time(self):
+        """Everyone reads itself well before the bound on drains (2 s)."""
+        names = [f'e{one}' for one in range(8)]
+        for name in names:
+            self.assertFalse(is_own_read_due(name, names, age_s=0.8))
+            self.assertTrue(is_own_read_due(name, names, age_s=1.2))
+
+    def test_own_reads_are_spread(self):
+        """Not all of many instances read at the same moment."""
+        names = [f'e{one:03}' for one in range(90)]
+        due = [is_own_read_due(name, names, age_s=1.0) for name in names]
+        self.assertLess(sum(due), 6)
+
     def test_outage(self):
         """While all are stale, tries are spread out and bounded."""
         names = [f'e{one:03}' for one in range(90)]
--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -18,16 +18,14 @@
 from trestledock.entry._pool import Pool
 from trestledock.entry._state import EntryState
 from trestledock.entry._wire import WireError
-from trestledock.relay import choose_reader, get_retry_s
+from trestledock.relay import choose_reader, get_retry_s, is_own_read_due
 
 #: How often the reader reads the store, in seconds: bounds are about two.
-READ_S = 0.45
+READ_S = 0.4
 #: How often the others ask the reader, in seconds.
-ASK_S = 0.35
+ASK_S = 0.3
 #: How long one read may take, in seconds.
-TIMEOUT_S = 1.2
-#: How old a proof may get before an entry reads the store itself, in seconds.
-SELF_S = 1.3
+TIMEOUT_S = 0.8
 #: When the list of peers is read after the start, as pauses in seconds; the
 #: others start at the same time, so that the first reads may miss some.
 PEERS_PAUSES_S = (0.7, 1.0, 2.0, 4.0)
@@ -86,21 +84,26 @@
                 await self._read_store()
                 await self._sleep(self._get_pause_s(now))
             else:
-                await self._ask(reader, anyio.current_time())
+                await self._ask(reader)
 
-    async def _ask(self, reader: str, now: float) -> None:
+    async def _ask(self, reader: str) -> None:
         """Learn from the reader; read the store where that does not help."""
         await self.exchange.ask(reader)
-        await self._sleep(ASK_S)
         if self.exchange.take_proof(reader):
             news = await self.exchange.fetch(reader)
             if news:
                 self._apply(news)
                 self.exchange.take_proof(reader)
-        is_old = self.state.proof.get_age_s(now) > SELF_S
-        retry_s = self._get_retry_s(now)
-        if is_old and now - self._tried_at > retry_s:
+        if self._is_own_read_due(anyio.current_time()):
             await self._read_store()
+        await self._sleep(ASK_S)
+
+    def _is_own_read_due(self, now: float) -> bool:
+        if now - self._tried_at < self._get_retry_s(now):
+            return False
+        age_s = self.state.proof.get_age_s(now)
+        names = self._get_names(now)
+        return is_own_read_due(self.state.member, names, age_s)
 
     def _note_reader(self, reader: str) -> None:
         if reader != self._reader:
@@ -108,12 +111,17 @@
             emit(events.ReaderChosen(reader))
 
     def _get_pause_s(self, now: float) -> float:
-        is_old = self.state.proof.get_age_s(now) > SELF_S
-        return self._get_retry_s(now) if is_old else READ_S
+        names = self._get_names(now)
+        age_s = self.state.proof.get_age_s(now)
+        if is_own_read_due(self.state.member, names, age_s):
+            return get_retry_s(self.state.member, names)
+        return READ_S
 
     def _get_retry_s(self, now: float) -> float:
-        names = [one.name for one in self.gossip.get_candidates(now)]
-        return get_retry_s(self.state.member, names)
+        return get_retry_s(self.state.member, self._get_names(now))
+
+    def _get_names(self, now: float) -> list[str]:
+        return [one.name for one in self.gossip.get_candidates(now)]
 
     async def _sleep(self, wait_s: float) -> None:
         await anyio.sleep(wait_s * self.state.rng.uniform(*JITTER))
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -26,7 +26,7 @@
 #: How long a peer may be silent before its flights are forgotten, in seconds.
 PATIENCE_S = 2.0
 #: How long a peer may be silent and still be asked for news, in seconds.
-LIVE_S = 1.3
+LIVE_S = 1.1
 #: Flights in one datagram.
 MAX_FLIGHTS = 100
 MS = 1000
@@ -40,16 +40,12 @@
 
 @dataclass
 class Peer:
-    """One entry, by its last whole message."""
+    """One entry, with the age of its proof when it was last heard."""
 
     address: Address
     heard_at: float
     proof_age_s: float
 
-    def get_proof_age_s(self, now: float) -> float:
-        """Return the age of its proof by now."""
-        return self.proof_age_s + now - self.heard_at
-
 
 class Gossip:
     """The exchange of datagrams with the other entries."""
@@ -76,7 +72,7 @@
         return [
             Candidate(self.state.member, own_age_s),
             *(
-                Candidate(name, peer.get_proof_age_s(now))
+                Candidate(name, peer.proof_age_s)
                 for name, peer in self.peers.items()
                 if now - peer.heard_at < LIVE_S
             ),
--- a/trestledock/entry/_news.py
+++ b/trestledock/entry/_news.py
@@ -23,6 +23,8 @@
 from trestledock.entry._wire import Wire, WireError
 from trestledock.relay import Listed
 
+#: How long an answer to a question is waited for, in seconds.
+ANSWER_S = 0.1
 #: How long the fetch of news may take, in seconds.
 FETCH_S = 1.0
 OK = 200
@@ -40,15 +42,20 @@
         self.gossip = gossip
         self._replies: dict[str, dict[str, Any]] = {}
         self._revisions: dict[str, int] = {}
+        self._answered = anyio.Event()
         gossip.handlers['ask'] = self._answer
         gossip.handlers['reply'] = self._take_reply
 
     async def ask(self, reader: str) -> None:
-        """Ask an entry how fresh it is; its answer comes as a datagram."""
+        """Ask an entry how fresh it is, and wait a little for its answer."""
         peer = self.gossip.peers.get(reader)
-        if peer:
-            message = {'kind': 'ask', 'asked_at': anyio.current_time()}
-            await self.gossip.send(message, peer.address)
+        if peer is None:
+            return
+        self._answered = anyio.Event()
+        message = {'kind': 'ask', 'asked_at': anyio.current_time()}
+        await self.gossip.send(message, peer.address)
+        with anyio.move_on_after(ANSWER_S):
+            await self._answered.wait()
 
     def take_proof(self, reader: str) -> bool:
         """Renew the proof by the reader's last answer.
@@ -109,6 +116,7 @@
 
     def _take_reply(self, message: dict[str, Any], sender: Address) -> None:
         self._replies = {message['from']: message}
+        self._answered.set()
 
     def _is_level(self, reader: str, reply: dict[str, Any]) -> bool:
         catalog = self.state.catalog
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -34,7 +34,12 @@
 from trestledock.relay._placing import Placement, Placer, Work
 from trestledock.relay._plain import choose_least_busy
 from trestledock.relay._proof import Proof
-from trestledock.relay._readers import Candidate, choose_reader, get_retry_s
+from trestledock.relay._readers import (
+    Candidate,
+    choose_reader,
+    get_retry_s,
+    is_own_read_due,
+)
 
 __all__ = (
     'Board',
@@ -73,4 +78,5 @@
     'get_retry_s',
     'get_write_pass_s',
     'get_write_s',
+    'is_own_read_due',
 )
--- a/trestledock/relay/_readers.py
+++ b/trestledock/relay/_readers.py
@@ -12,8 +12,14 @@
 from dataclasses import dataclass
 from typing import Iterable
 
-#: A proof up to this age makes an instance fit to be asked, in seconds.
-FRESH_S = 1.1
+#: A proof up to this age makes an instance fit to be asked, in seconds: twice
+#: the pause between reads.
+FRESH_S = 0.8
+#: A proof above this age makes an instance read itself, in seconds, the later
+#: in the order the later: what is added for each place, and at most.
+SELF_S = 0.9
+SELF_PLACE_S = 0.03
+SELF_MOST_S = 0.5
 #: How often an instance tries to read while nobody has read lately, in
 #: seconds: the first in order, what is added for each place, and at most.
 RETRY_FIRST_S = 0.45
@@ -40,6 +46,16 @@
     return min(fresh or [one.name for one in known])
 
 
+def is_own_read_due(me: str, names: Iterable[str], age_s: float) -> bool:
+    """Whether an instance should read itself, since asking does not help.
+
+    >>> is_own_read_due('b', ['a', 'b'], age_s=0.92)
+    False
+    """
+    place = sum(name < me for name in names)
+    return age_s > SELF_S + min(SELF_MOST_S, SELF_PLACE_S * place)
+
+
 def get_retry_s(me: str, names: Iterable[str]) -> float:
     """Return how long an instance waits between tries when all are stale.
 
