A peer's older list of targets undoes nothing

Ruled out: lost records, slow propagation (0.6 s). Lists now count only if they were read later than the own one. Test: test_stale_list_brings_nothing_back failed before.

--- /dev/null
+++ b/tests/test_entry_news.py
@@ -0,0 +1,111 @@
+"""News between entries: what a peer's answer proves, and what it does not."""
+
+import json
+import unittest
+from random import Random
+
+import anyio
+
+from tests.relaying import SETTINGS, make_listed
+from trestledock.entry._gossip import Gossip, Peer
+from trestledock.entry._news import NewsExchange
+from trestledock.entry._state import EntryState
+from trestledock.relay import Catalog
+
+READER = 'entry-2#b'
+
+
+def make_exchange():
+    """Return an exchange without sockets, with one peer that is heard."""
+    state = EntryState(SETTINGS, 'entry-1#a', Random(1), None)
+    gossip = Gossip(state)
+    gossip.peers[READER] = Peer(('127.0.0.1', 9), 0, 0)
+    return NewsExchange(state, gossip)
+
+
+def make_reply(asked_at, age_s=0.1, version=1, revision=7):
+    return {
+        'from': READER,
+        'asked_at': asked_at,
+        'proof_age_s': age_s,
+        'list_age_s': age_s,
+        'version': version,
+        'revision': revision,
+    }
+
+
+class ProofTest(unittest.TestCase):
+    """Answers of a reader, fresh and stale."""
+
+    def run_async(self, scenario):
+        async def main():
+            exchange = make_exchange()
+            exchange.state.catalog = Catalog(1, {}, {}, None)
+            await scenario(exchange)
+
+        anyio.run(main)
+
+    def test_late_answer_proves_its_question(self):
+        """An answer that waited counts from when it was asked for."""
+
+        async def scenario(exchange):
+            now = anyio.current_time()
+            exchange._take_reply(make_reply(now - 9, age_s=0.5), None)
+            exchange.take_proof(READER)
+            age_s = exchange.state.proof.get_age_s(now)
+            self.assertAlmostEqual(age_s, 9.5)
+
+        self.run_async(scenario)
+
+    def test_newer_version_is_fetched_before_it_counts(self):
+        """A reader with a newer version proves nothing of the older one."""
+
+        async def scenario(exchange):
+            now = anyio.current_time()
+            exchange._take_reply(make_reply(now, version=2), None)
+            self.assertTrue(exchange.take_proof(READER))
+            self.assertFalse(exchange.state.proof.is_fresh(now))
+
+        self.run_async(scenario)
+
+    def test_stale_list_brings_nothing_back(self):
+        """A reader cut off from the store does not undo what is known."""
+
+        async def scenario(exchange):
+            state = exchange.state
+            now = anyio.current_time()
+            state.fleet.put(make_listed(1, 80))
+            state.fleet.note_read(now - 0.2, now)
+            exchange._take_reply(make_reply(now, age_s=3), None)
+            self.assertFalse(exchange.take_proof(READER))
+
+            async def get(address):
+                plain = json.loads(exchange.make_news())
+                return {**plain, 'list_age_s': 3, 'targets': []}
+
+            exchange._get = get
+            news = await exchange.fetch(READER)
+            self.assertFalse(news.whole)
+            self.assertEqual(news.targets, ())
+
+        self.run_async(scenario)
+
+    def test_newer_list_is_taken(self):
+        """A reader that has read since then is believed."""
+
+        async def scenario(exchange):
+            state = exchange.state
+            now = anyio.current_time()
+            state.fleet.note_read(now - 2, now - 2)
+            exchange._take_reply(make_reply(now), None)
+            self.assertTrue(exchange.take_proof(READER))
+
+            async def get(address):
+                plain = json.loads(exchange.make_news())
+                return {**plain, 'list_age_s': 0.1}
+
+            exchange._get = get
+            news = await exchange.fetch(READER)
+            self.assertTrue(news.whole)
+
+        self.run_async(scenario)
--- a/trestledock/entry/_news.py
+++ b/trestledock/entry/_news.py
@@ -10,6 +10,7 @@
 """
 
 import json
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -58,41 +59,55 @@
             await self._answered.wait()
 
     def take_proof(self, reader: str) -> bool:
-        """Renew the proof by the reader's last answer.
+        """Renew what the reader's last answer proves.
 
-        Return whether something has changed there and must be fetched first.
+        Return whether it knows something newer that must be fetched first.  A
+        reader that has been cut off from the store knows older things, which
+        are left alone.
         """
         reply = self._replies.get(reader)
         if reply is None:
             return False
-        if not self._is_level(reader, reply):
-            return True
-        proven_at = reply['asked_at'] - reply['proof_age_s']
-        self.state.proof.renew(proven_at)
+        catalog = self.state.catalog
+        is_behind = reply['version'] > (catalog.version if catalog else -1)
+        if not is_behind:
+            self.state.proof.renew(reply['asked_at'] - reply['proof_age_s'])
         listed_at = reply['asked_at'] - reply['list_age_s']
+        if listed_at <= self.state.fleet.read_at:
+            return is_behind
+        if self._revisions.get(reader) != reply['revision']:
+            return True
         self.state.fleet.note_read(listed_at, anyio.current_time())
-        return False
+        return is_behind
 
     async def fetch(self, reader: str) -> News | None:
         """Fetch what the reader knows; None where it can't be had."""
         peer = self.gossip.peers.get(reader)
         if peer is None:
             return None
+        asked_at = anyio.current_time()
         try:
             with anyio.fail_after(FETCH_S):
                 plain = await self._get(peer.address)
         except (WireError, TimeoutError, ValueError) as exc:
             emit(events.NewsLost(reader, repr(exc)))
             return None
+        news = News(document=plain['document'])
+        listed_at = asked_at - plain['list_age_s']
+        if listed_at <= self.state.fleet.read_at:
+            return news
         self._revisions[reader] = plain['revision']
+        self.state.fleet.note_read(listed_at, anyio.current_time())
         listed = [CONVERTER.structure(one, Listed) for one in plain['targets']]
         targets = tuple(TargetNews(one.target_id, one) for one in listed)
-        return News(document=plain['document'], targets=targets, whole=True)
+        return replace(news, targets=targets, whole=True)
 
     def make_news(self) -> bytes:
         """Return what this entry knows, for another one."""
         fleet = self.state.fleet
+        age_s = min(anyio.current_time() - fleet.read_at, MOST_AGE_S)
         plain = {
+            'list_age_s': age_s,
             'revision': fleet.revision,
             'document': self.state.document,
             'targets': [
@@ -118,13 +133,6 @@
         self._replies = {message['from']: message}
         self._answered.set()
 
-    def _is_level(self, reader: str, reply: dict[str, Any]) -> bool:
-        catalog = self.state.catalog
-        version = catalog.version if catalog else -1
-        if reply['version'] > version:
-            return False
-        return self._revisions.get(reader) == reply['revision']
-
     async def _get(self, address: Address) -> dict[str, Any]:
         host, port = address
         wire = await Wire.connect(f'{host}:{port}')
