--- a/trestledock/entry/_news.py
+++ b/trestledock/entry/_news.py
@@ -69,7 +69,8 @@
         if reply is None:
             return False
         catalog = self.state.catalog
-        is_behind = reply['version'] > (catalog.version if catalog else -1)
+        version = catalog.version if catalog else -1
+        is_behind = reply['version'] > version
         if not is_behind:
             self.state.proof.renew(reply['asked_at'] - reply['proof_age_s'])
         listed_at = reply['asked_at'] - reply['list_age_s']
