--- a/trestledock/cli/_main.py
+++ b/trestledock/cli/_main.py
@@ -8,6 +8,8 @@
 import click
 
 from trestledock import VERSION
+from trestledock.cli._entry import entry
+from trestledock.cli._explain import explain
 from trestledock.cli._operator import check, drain, publish, show
 from trestledock.cli._serve import serve, standin
 from trestledock.demo import demo
@@ -19,7 +21,17 @@
     """Serve prompts of very unlike lengths from one fleet."""
 
 
-COMMANDS = (serve, check, publish, show, drain, standin, demo)
+COMMANDS = (
+    serve,
+    entry,
+    check,
+    publish,
+    show,
+    drain,
+    explain,
+    standin,
+    demo,
+)
 
 for _command in COMMANDS:
     main.add_command(_command)
