--- /dev/null
+++ b/tests/test_entry_metrics.py
@@ -0,0 +1,32 @@
+"""Metrics are made from events as the tables say."""
+
+import tomllib
+import unittest
+from pathlib import Path
+
+from trestledock.entry import _events as events
+from trestledock.entry._metrics import GAUGES, Metrics
+from trestledock.platform._settings import METRICS_PORT
+
+DEPLOY = Path(__file__).parent.parent / 'deploy' / 'system.toml'
+
+
+class MetricsTest(unittest.TestCase):
+    """Counters, histograms and gauges."""
+
+    def test_events_count(self):
+        """A refusal counts under its reason, an answer with its time."""
+        metrics = Metrics()
+        metrics.take(events.Refused('r', 'no_target', 503, 1, 1, 0))
+        metrics.take(events.Answered('r', 't', '200', 250))
+        metrics.take(events.PeerMet('p'))
+        text = metrics.render(dict.fromkeys(GAUGES, 1)).decode()
+        self.assertIn('trestledock_refused_total{reason="no_target"} 1.0', text)
+        self.assertIn('trestledock_answered_took_seconds_sum 0.25', text)
+        self.assertNotIn('peer_met', text)
+
+    def test_port_of_the_deploy_file(self):
+        """The platform asks at the port on which the process listens."""
+        roles = tomllib.loads(DEPLOY.read_text(encoding='utf-8'))['roles']
+        port = roles['entry']['metrics'].partition('/')[0]
+        self.assertEqual(int(port), METRICS_PORT)
--- a/trestledock/cli/_explain.py
+++ b/trestledock/cli/_explain.py
@@ -8,7 +8,7 @@
 """
 
 import json
-from typing import Any, Iterable, Iterator, TextIO
+from typing import Any, Iterable, Iterator
 
 import click
 
@@ -20,11 +20,10 @@
 
 @click.command()
 @click.argument('req_id')
-@click.argument('logs', nargs=-1, type=click.File('r'))
-def explain(req_id: str, logs: tuple[TextIO, ...]) -> None:
+@click.argument('logs', nargs=-1, type=click.Path(exists=True, allow_dash=True))
+def explain(req_id: str, logs: tuple[str, ...]) -> None:
     """Print the story of request REQ_ID from LOGS, or standard input."""
-    sources = logs or (click.get_text_stream('stdin'),)
-    lines = [line for source in sources for line in read_lines(source)]
+    lines = [line for path in logs or ('-',) for line in read_file(path)]
     story = find_story(lines, req_id)
     if not story:
         fail((f'no line of {req_id} in {len(lines)} lines',))
@@ -32,6 +31,12 @@
         click.echo(format_line(line))
 
 
+def read_file(path: str) -> list[dict[str, Any]]:
+    """Return the lines of a file; `-` is standard input."""
+    with click.open_file(path) as source:
+        return list(read_lines(source))
+
+
 def read_lines(source: Iterable[str]) -> Iterator[dict[str, Any]]:
     """Yield the JSON lines; whatever stands around them is left out.
 
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -15,6 +15,7 @@
 from trestledock.entry._dialect import AnswerNote, Dialect
 from trestledock.entry._job import Answer, Job
 from trestledock.entry._logger import emit
+from trestledock.entry._metrics import METRICS
 from trestledock.entry._pool import get_idle_s
 from trestledock.entry._reply import Reply
 from trestledock.entry._state import EntryState
@@ -152,6 +153,7 @@
         self.reply = reply
         self.splitter = Splitter()
         self.count = 0
+        self.noted_at: float = 0
 
     async def run(
         self,
@@ -189,8 +191,7 @@
         ]
         if not events:
             return
-        if not self.count:
-            self._note_first()
+        self._note_pause()
         self.count += len(events)
         await self._start(head)
         await self.reply.write(b''.join(event.raw for event in events))
@@ -198,6 +199,14 @@
         if named:
             self.job.last_event = named[-1]
 
+    def _note_pause(self) -> None:
+        now = anyio.current_time()
+        if self.count:
+            METRICS.observe('pause', now - self.noted_at)
+        else:
+            self._note_first()
+        self.noted_at = now
+
     def _note_first(self) -> None:
         state = self.answering.state
         now = anyio.current_time()
--- a/trestledock/entry/_app.py
+++ b/trestledock/entry/_app.py
@@ -15,6 +15,7 @@
 from trestledock.entry._dialect import Dialect
 from trestledock.entry._gossip import split_address
 from trestledock.entry._logger import emit
+from trestledock.entry._metrics import METRICS
 from trestledock.entry._news import NewsExchange
 from trestledock.entry._relaying import Relayer
 from trestledock.entry._reply import CutReply, Reply, Send
@@ -49,6 +50,9 @@
             split_address(settings.ready)[1]: self._answer_ready,
             split_address(settings.peers)[1]: self._answer_peer,
         }
+        if settings.metrics:
+            port = split_address(settings.metrics)[1]
+            self._ports[port] = self._answer_metrics
 
     async def __call__(
         self,
@@ -76,6 +80,12 @@
         await reply.start(status, ((b'content-length', b'0'),))
         await reply.finish()
 
+    async def _answer_metrics(self, send: Send) -> None:
+        reply = Reply(send)
+        await reply.start(HTTPStatus.OK, ((b'content-type', b'text/plain'),))
+        gauges = self.state.get_gauges(anyio.current_time())
+        await reply.finish(METRICS.render(gauges))
+
     async def _answer_peer(self, send: Send) -> None:
         reply = Reply(send)
         headers = ((b'content-type', b'application/json'),)
--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -106,6 +106,8 @@
     config = Config()
     settings = state.settings
     config.bind = [settings.callers, settings.ready, settings.peers]
+    if settings.metrics:
+        config.bind.append(settings.metrics)
     config.accesslog = None
     config.errorlog = None
     config.include_date_header = False
--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -14,6 +14,7 @@
 from trestledock.entry import _events as events
 from trestledock.entry._dialect import Directory, News
 from trestledock.entry._logger import emit
+from trestledock.entry._metrics import METRICS
 from trestledock.entry._news import NewsExchange
 from trestledock.entry._pool import Pool
 from trestledock.entry._state import EntryState
@@ -135,6 +136,7 @@
     async def _try(self, read: Callable[[], Awaitable[None]]) -> bool:
         """Read; return whether the store answered."""
         step = read.__name__
+        began_at = anyio.current_time()
         try:
             with anyio.fail_after(TIMEOUT_S):
                 await read()
@@ -144,6 +146,7 @@
         except Exception:
             emit(events.Failed(step), failed=True)
             return False
+        METRICS.observe('store_read', anyio.current_time() - began_at)
         self._note_regained(step)
         return True
 
--- a/trestledock/entry/_logger.py
+++ b/trestledock/entry/_logger.py
@@ -19,6 +19,7 @@
 from pythonjsonlogger.json import JsonFormatter
 
 from trestledock.entry import _events as events
+from trestledock.entry._metrics import METRICS
 
 #: Lines of one kind a second; those of failures may be more.
 MOST_LINES = 60
@@ -42,7 +43,8 @@
 
 
 def emit(event: events.Event, *, failed: bool = False) -> None:
-    """Write one event; `failed` adds the traceback of what is handled."""
+    """Count and write one event; `failed` adds the traceback of what is handled."""
+    METRICS.take(event)
     level = logging.ERROR if failed else logging.INFO
     logger.log(
         level, event.get_name(), extra=event.get_fields(), exc_info=failed
@@ -116,6 +118,7 @@
 
     def _put_left_out(self, kind: str, count: int, reason: str) -> None:
         event = events.LinesLeftOut(kind, count, reason)
+        METRICS.take(event)
         record = logger.makeRecord(
             logger.name,
             logging.WARNING,
--- a/trestledock/entry/_settings.py
+++ b/trestledock/entry/_settings.py
@@ -16,7 +16,8 @@
     """The settings; addresses are `IP:PORT`.
 
     `callers` and `ready` are where callers and the balancer come, `peers`
-    where other entries do.  `revoke_s` is how long a key that was taken away
+    where other entries do, `metrics` where metrics are read, if anywhere.
+    `revoke_s` is how long a key that was taken away
     may still be served, zero for any time; `grace_s` is the time between the
     request to stop and the end.
     """
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -97,6 +97,16 @@
             self.windows[service] = RetryWindow(self.settings.budget)
         return self.windows[service]
 
+    def get_gauges(self, now: float) -> dict[str, float]:
+        """Return the levels that the metrics show."""
+        return {
+            'in_progress': self.in_progress,
+            'proof_age_seconds': self.proof.get_age_s(now),
+            'version': self.catalog.version if self.catalog else -1,
+            'targets': len(self.fleet.targets),
+            'peers': self.board.count_peers(),
+        }
+
     def is_leaving(self) -> bool:
         """Whether connections should be closed after their answer."""
         return self.leaving
--- a/trestledock/platform/_settings.py
+++ b/trestledock/platform/_settings.py
@@ -17,6 +17,9 @@
 
 #: The variable that holds the path of the file.
 PATH_VARIABLE = 'TRESTLEDOCK_BOOT'
+#: The port of the metrics, which `deploy/system.toml` names, too: a fixed one,
+#: since ports of the settings file are new each day.
+METRICS_PORT = 9464
 
 BUDGET_FIELDS = (
     Field('retryRatio', 'ratio'),
@@ -61,6 +64,7 @@
         ready=plain['listen']['ready'],
         peers=f'{plain["ipAddr"]}:{plain["portRange"][0]}',
         store=plain['platform']['address'],
+        metrics=f'{plain["ipAddr"]}:{METRICS_PORT}',
         budget=BudgetTerms(**read_fields(bounds, BUDGET_FIELDS)),
         **more,
     )
