--- a/trestledock/entry/_logger.py
+++ b/trestledock/entry/_logger.py
@@ -43,7 +43,7 @@
 
 
 def emit(event: events.Event, *, failed: bool = False) -> None:
-    """Count and write one event; `failed` adds the traceback of what is handled."""
+    """Count and write one event; `failed` adds the traceback at hand."""
     METRICS.take(event)
     level = logging.ERROR if failed else logging.INFO
     logger.log(
