A reader is only as good as the older of its configuration and its list

A list of targets that could not be read, or not be fetched from the reader, stayed old unnoticed as long as the configuration was fresh. Test: test_older_of_both_counts.

--- a/tests/test_entry_news.py
+++ b/tests/test_entry_news.py
@@ -34,6 +34,21 @@
     }
 
 
+class AgeTest(unittest.TestCase):
+    """What counts as the age of an entry's news."""
+
+    def test_older_of_both_counts(self):
+        """A fresh configuration does not hide an old list of targets."""
+
+        async def main():
+            state = make_exchange().state
+            state.proof.renew(10)
+            state.fleet.note_read(7, 7)
+            self.assertEqual(state.get_news_age_s(11), 4)
+
+        anyio.run(main)
+
+
 class ProofTest(unittest.TestCase):
     """Answers of a reader, fresh and stale."""
 
--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -102,7 +102,7 @@
     def _is_own_read_due(self, now: float) -> bool:
         if now - self._tried_at < self._get_retry_s(now):
             return False
-        age_s = self.state.proof.get_age_s(now)
+        age_s = self.state.get_news_age_s(now)
         names = self._get_names(now)
         return is_own_read_due(self.state.member, names, age_s)
 
@@ -113,7 +113,7 @@
 
     def _get_pause_s(self, now: float) -> float:
         names = self._get_names(now)
-        age_s = self.state.proof.get_age_s(now)
+        age_s = self.state.get_news_age_s(now)
         if is_own_read_due(self.state.member, names, age_s):
             return get_retry_s(self.state.member, names)
         return READ_S
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -40,11 +40,11 @@
 
 @dataclass
 class Peer:
-    """One entry, with the age of its proof when it was last heard."""
+    """One entry, with the age of its news when it was last heard."""
 
     address: Address
     heard_at: float
-    proof_age_s: float
+    news_age_s: float
 
 
 class Gossip:
@@ -68,11 +68,11 @@
 
     def get_candidates(self, now: float) -> list[Candidate]:
         """Return the entries that are heard, this one included."""
-        own_age_s = self.state.proof.get_age_s(now)
+        own_age_s = self.state.get_news_age_s(now)
         return [
             Candidate(self.state.member, own_age_s),
             *(
-                Candidate(name, peer.proof_age_s)
+                Candidate(name, peer.news_age_s)
                 for name, peer in self.peers.items()
                 if now - peer.heard_at < LIVE_S
             ),
@@ -125,7 +125,7 @@
         if name not in self.peers:
             emit(events.PeerMet(name))
         self.addresses.add(sender)
-        age_s = message['proof_age_ms'] / MS
+        age_s = message['news_age_ms'] / MS
         self.peers[name] = Peer(sender, now, age_s)
         changes = [_read_change(one, now) for one in message['flights']]
         self.state.board.hear(
@@ -159,12 +159,12 @@
     ) -> None:
         now = anyio.current_time()
         self.sequence += 1
-        age_s = min(self.state.proof.get_age_s(now), MOST_AGE_S)
+        age_s = min(self.state.get_news_age_s(now), MOST_AGE_S)
         message = {
             'kind': 'flights',
             'sequence': self.sequence,
             'whole': whole,
-            'proof_age_ms': round(age_s * MS),
+            'news_age_ms': round(age_s * MS),
             'flights': [_write_change(*one, now) for one in flights],
         }
         await self.send(message, *self.addresses)
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -97,6 +97,14 @@
             self.windows[service] = RetryWindow(self.settings.budget)
         return self.windows[service]
 
+    def get_news_age_s(self, now: float) -> float:
+        """Return the age of the older of what is known from the store.
+
+        A reader is only as good as the older of its configuration and its
+        list of targets.
+        """
+        return max(self.proof.get_age_s(now), now - self.fleet.read_at)
+
     def get_gauges(self, now: float) -> dict[str, float]:
         """Return the levels that the metrics show."""
         return {
--- a/trestledock/relay/_readers.py
+++ b/trestledock/relay/_readers.py
@@ -29,10 +29,10 @@
 
 @dataclass(frozen=True)
 class Candidate:
-    """An instance with the age of its newest proof, in seconds."""
+    """An instance with the age of what it knows of the store, in seconds."""
 
     name: str
-    proof_age_s: float
+    age_s: float
 
 
 def choose_reader(candidates: Iterable[Candidate]) -> str:
@@ -42,7 +42,7 @@
     'b'
     """
     known = tuple(candidates)
-    fresh = [one.name for one in known if one.proof_age_s <= FRESH_S]
+    fresh = [one.name for one in known if one.age_s <= FRESH_S]
     return min(fresh or [one.name for one in known])
 
 
