Many entries: the own data centre is told at once and has its own reader

Up to 16 others are told all as before; beyond, other data centres hear every third whole message, targets of the own data centre are preferred where there are eight, and an entry announces itself before it reads, so that one read suffices to meet.

--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -220,7 +220,7 @@
             ),
         )
         state.board.advance(self.job.call.req_id, now)
-        state.notify()
+        state.notify_own()
 
     async def _start(self, head: Head) -> None:
         if not self.reply.started:
--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -27,10 +27,8 @@
 ASK_S = 0.3
 #: How long one read may take, in seconds.
 TIMEOUT_S = 0.8
-#: When the list of peers is read after the start, as pauses in seconds; the
-#: others start at the same time, so that the first reads may miss some.
-PEERS_PAUSES_S = (0.7, 1.0, 2.0, 4.0)
-#: How often it is read later, in seconds; peers mostly meet by datagrams.
+#: How often the list of peers is read, in seconds.  Each entry announces
+#: itself before its first read, so that of two the later one sees the other.
 PEERS_S = 20.0
 #: How long to wait after the list of peers could not be read, in seconds.
 PEERS_RETRY_S = 1.0
@@ -166,19 +164,18 @@
         self._apply(news)
 
     async def _follow_peers(self) -> None:
-        pauses_s = list(PEERS_PAUSES_S)
+        while not await self._try(self._announce):
+            await self._sleep(PEERS_RETRY_S)
         while True:
-            if await self._try(self._meet_peers) and pauses_s:
-                await self._sleep(pauses_s.pop(0))
-            else:
-                await self._sleep(PEERS_S if not pauses_s else PEERS_RETRY_S)
+            met = await self._try(self._meet_peers)
+            await self._sleep(PEERS_S if met else PEERS_RETRY_S)
 
-    async def _meet_peers(self) -> None:
+    async def _announce(self) -> None:
         settings = self.state.settings
-        known = await self.directory.read_peers()
-        if known.get(settings.instance) != settings.peers:
-            await self.directory.announce(settings.instance, settings.peers)
-        self.gossip.meet(known)
+        await self.directory.announce(settings.instance, settings.peers)
+
+    async def _meet_peers(self) -> None:
+        self.gossip.meet(await self.directory.read_peers())
 
     def _apply(self, news: News) -> None:
         catalog = news.catalog
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -8,6 +8,7 @@
 """
 
 import json
+from itertools import count
 from dataclasses import dataclass
 from typing import Any, Callable, Mapping, Sequence
 
@@ -23,8 +24,16 @@
 GATHER_S = 0.004
 #: How often everything is told, in seconds.
 WHOLE_S = 0.5
-#: How long a peer may be silent before its flights are forgotten, in seconds.
-PATIENCE_S = 2.0
+#: Up to so many other entries are all told at once.  With more of them, those
+#: of other data centres hear only every so many whole messages: what they need
+#: to know of this one's targets grows with the square of the entries.
+MOST_TOLD_ALL = 16
+FAR_TURNS = 3
+#: What stands for the data centre of an entry that was not heard yet.
+UNKNOWN = ''
+#: How long a peer may be silent before its flights are forgotten, in seconds:
+#: above two whole messages to other data centres.
+PATIENCE_S = 3.2
 #: How long a peer may be silent and still be asked for news, in seconds.
 LIVE_S = 1.1
 #: Flights in one datagram.
@@ -45,6 +54,7 @@
     address: Address
     heard_at: float
     news_age_s: float
+    data_centre: str = ''
 
 
 class Gossip:
@@ -54,7 +64,7 @@
         """Begin without peers."""
         self.state = state
         self.own_address = split_address(state.settings.peers)
-        self.addresses: set[Address] = set()
+        self.addresses: dict[Address, str] = {}
         self.peers: dict[str, Peer] = {}
         self.handlers: dict[str, Handler] = {'flights': self._take_flights}
         self.sequence = 0
@@ -63,18 +73,23 @@
 
     def meet(self, addresses: Mapping[str, str]) -> None:
         """Take the addresses of the other entries by name."""
-        known = {split_address(address) for address in addresses.values()}
-        self.addresses |= known - {self.own_address}
+        for address in addresses.values():
+            self.addresses.setdefault(split_address(address), UNKNOWN)
+        self.addresses.pop(self.own_address, None)
 
     def get_candidates(self, now: float) -> list[Candidate]:
-        """Return the entries that are heard, this one included."""
+        """Return the entries that may read the store for this one.
+
+        They are heard, this one included; where there are many, each data
+        centre has a reader of its own.
+        """
         own_age_s = self.state.get_news_age_s(now)
         return [
             Candidate(self.state.member, own_age_s),
             *(
                 Candidate(name, peer.news_age_s)
                 for name, peer in self.peers.items()
-                if now - peer.heard_at < LIVE_S
+                if now - peer.heard_at < LIVE_S and self._is_near(peer)
             ),
         ]
 
@@ -124,9 +139,11 @@
         name = message['from']
         if name not in self.peers:
             emit(events.PeerMet(name))
-        self.addresses.add(sender)
+        place = message['data_centre']
+        self.addresses[sender] = place
         age_s = message['news_age_ms'] / MS
-        self.peers[name] = Peer(sender, now, age_s)
+        self.peers[name] = Peer(sender, now, age_s, place)
+        self.state.many_entries = len(self.peers) > MOST_TOLD_ALL
         changes = [_read_change(one, now) for one in message['flights']]
         self.state.board.hear(
             name, message['sequence'], changes, now, whole=message['whole']
@@ -135,25 +152,45 @@
 
     async def _tell_changes(self) -> None:
         while True:
-            await self.state.wait_for_change(WHOLE_S)
+            await self.state.wait_for_own_change()
             await anyio.sleep(GATHER_S)
-            changes = self.state.board.take_changes()
+            changes = list(self.state.board.take_changes().items())
             if changes:
-                await self._tell(list(changes.items()), whole=False)
+                await self._tell(changes, self._get_near(), whole=False)
 
     async def _tell_all(self) -> None:
-        while True:
-            own = self.state.board.own
-            await self._tell(list(own.items())[:MAX_FLIGHTS], whole=True)
+        for turn in count():
+            own = list(self.state.board.own.items())[:MAX_FLIGHTS]
+            is_far_turn = turn % FAR_TURNS == 0
+            where = list(self.addresses) if is_far_turn else self._get_near()
+            await self._tell(own, where, whole=True)
             await anyio.sleep(WHOLE_S)
-            now = anyio.current_time()
-            for name in self.state.board.drop_silent(now, PATIENCE_S):
-                self.peers.pop(name, None)
-                emit(events.PeerLost(name))
+            self._drop_silent(anyio.current_time())
+
+    def _drop_silent(self, now: float) -> None:
+        for name in self.state.board.drop_silent(now, PATIENCE_S):
+            self.peers.pop(name, None)
+            emit(events.PeerLost(name))
+
+    def _is_near(self, peer: Peer) -> bool:
+        own = self.state.settings.data_centre
+        return not self.state.many_entries or peer.data_centre == own
+
+    def _get_near(self) -> list[Address]:
+        """Return the addresses that are told at once: all, if not many."""
+        if not self.state.many_entries:
+            return list(self.addresses)
+        near = (self.state.settings.data_centre, UNKNOWN)
+        return [
+            address
+            for address, place in self.addresses.items()
+            if place in near
+        ]
 
     async def _tell(
         self,
         flights: Sequence[tuple[str, Flight | None]],
+        where: Sequence[Address],
         *,
         whole: bool,
     ) -> None:
@@ -164,10 +201,11 @@
             'kind': 'flights',
             'sequence': self.sequence,
             'whole': whole,
+            'data_centre': self.state.settings.data_centre,
             'news_age_ms': round(age_s * MS),
             'flights': [_write_change(*one, now) for one in flights],
         }
-        await self.send(message, *self.addresses)
+        await self.send(message, *where)
 
 
 #: What stands for an instance that has never had a proof, in seconds.
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -25,6 +25,8 @@
 LOOK_S = 0.03
 #: The part of its objective that a request may wait for a better place.
 PATIENCE_SHARE = 0.3
+#: How many targets of the own data centre suffice where entries are many.
+LEAST_NEAR = 8
 #: One in how many sound targets must be left for the others to be avoided.
 LEAST_FRESH = 4
 #: Waiting ends when the prediction fills this part of what is left of the
@@ -97,7 +99,7 @@
 
 def get_candidates(state: EntryState, job: Job, now: float) -> list[Listed]:
     """Return the targets that may get the request, better ones if any."""
-    usable = list(state.fleet.get_usable(job.service))
+    usable = _get_near_enough(state, job)
     sound = [
         one
         for one in usable
@@ -109,6 +111,20 @@
     return fresh or usable
 
 
+def _get_near_enough(state: EntryState, job: Job) -> list[Listed]:
+    """Return the usable targets, of the own data centre where those suffice.
+
+    Where there are many entries, those elsewhere are told too late of this
+    one's requests to share targets well.
+    """
+    usable = list(state.fleet.get_usable(job.service))
+    if not state.many_entries:
+        return usable
+    place = state.settings.data_centre
+    near = [one for one in usable if one.data_centre == place]
+    return near if len(near) >= LEAST_NEAR else usable
+
+
 def _get_engine(state: EntryState, job: Job) -> EngineModel | None:
     if state.catalog is None:
         return None
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -57,7 +57,7 @@
             self.state.get_window(job.service).earn(now)
         held: dict[str, str] = {}
         self.state.board.put(flight)
-        self.state.notify()
+        self.state.notify_own()
         try:
             if await self.tickets.reserve(job, placement, held):
                 return await self._exchange(job, placement, reply, held)
@@ -68,7 +68,7 @@
 
     def _clean_up(self, flight_id: str, held: dict[str, str]) -> None:
         self.state.board.remove(flight_id)
-        self.state.notify()
+        self.state.notify_own()
         self.tickets.release(held)
 
     async def _exchange(
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -48,7 +48,9 @@
     windows: dict[str, RetryWindow] = field(default_factory=dict)
     leaving: bool = False
     in_progress: int = 0
+    many_entries: bool = False
     changed: anyio.Event = field(default_factory=anyio.Event)
+    own_changed: anyio.Event = field(default_factory=anyio.Event)
     proof: Proof = field(init=False)
     placer: Placer = field(init=False)
 
@@ -75,6 +77,16 @@
         self.changed.set()
         self.changed = anyio.Event()
 
+    def notify_own(self) -> None:
+        """Wake those who wait, and have the change told to the others."""
+        self.own_changed.set()
+        self.notify()
+
+    async def wait_for_own_change(self) -> None:
+        """Wait until this entry's own flights have changed."""
+        await self.own_changed.wait()
+        self.own_changed = anyio.Event()
+
     async def wait_for_change(self, limit_s: float) -> None:
         """Wait for a change, `limit_s` seconds at most."""
         with anyio.move_on_after(limit_s):
