A target that answers 421 has gone; a first target that rejects a helped prompt is not asked again

Now the target at fault is avoided, named or not, and 421 is final for that id. Tests: test_gone_incarnation_is_left_for_good, test_rejecting_target_with_helpers failed before.

--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -15,10 +15,12 @@
     make_stream,
     run_world,
 )
-from trestledock.relay import RouteKind
+from trestledock.relay import EngineModel, Flight, Phase, RouteKind
 
 NOT_RUN = ('Trestledock-Not-Executed: 1',)
 IDEMPOTENT = make_route()
+#: An engine that reads 100,000 tokens in a second.
+ENGINE = EngineModel(8, 232_000, 0.001, 100_000, stride=40)
 ONCE = make_route(RouteKind.non_idempotent, max_attempts=1)
 STREAM = make_route(
     RouteKind.streaming, resumable=True, objective_s=0.3, pause_s=0.2
@@ -68,6 +70,41 @@
         other = make_answer(b'', 421, seal=False)
         self.check(ONCE, [other, make_answer()], 200, 2)
 
+    def test_gone_incarnation_is_left_for_good(self):
+        """A target that answers 421 gets nothing more under that id."""
+        other = make_answer(b'', 421, seal=False)
+        targets = [StubTarget(*repeat(other, 9)), StubTarget(make_answer())]
+
+        async def scenario(world):
+            world.state.board.put(
+                Flight('x', 't1', 9, 9, Phase.reading, since=0)
+            )
+            found = await world.ask()
+            self.assertEqual(found.status, 200)
+            self.assertEqual(world.state.fleet.leaving, {'t0'})
+
+        run_world(ONCE, targets, scenario)
+        self.assertEqual(len(targets[0].requests), 1)
+
+    def test_rejecting_target_with_helpers(self):
+        """A first target that rejects a helped prompt is not asked again."""
+        other = make_answer(b'', 421, seal=False)
+        targets = [StubTarget() for _ in range(4)]
+        shared = [other, make_stream(1, 2)]
+        for target in targets:
+            target.answers = shared
+        sizes = {'trestledock-token-counts': '100000,400'}
+
+        async def scenario(world):
+            found = await world.ask(headers=sizes)
+            self.assertEqual(found.status, 200)
+
+        run_world(STREAM, targets, scenario, engine=ENGINE)
+        asked = [one for target in targets for one in target.requests]
+        self.assertEqual(len(asked), 2)
+        self.assertIn('trestledock-helpers', asked[0].lower())
+        self.assertEqual(max(len(one.requests) for one in targets), 1)
+
     def test_reset_may_have_run(self):
         """A request that was sent and got a reset is not sent again."""
         self.check(ONCE, [Reset, make_answer()], 502, 1)
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -7,6 +7,7 @@
 is whole.
 """
 
+from http import HTTPStatus
 from typing import AsyncIterator
 
 import anyio
@@ -28,11 +29,6 @@
     Splitter,
 )
 
-#: Status codes.
-OK = 200
-FIRST_FAILURE = 300
-FIRST_SERVER_ERROR = 500
-GATEWAY_TIMEOUT = 504
 #: The statuses that promise that nothing has run.
 PROMISES = frozenset((408, 421, 429, 503))
 #: Least time that is given for the first part of an answer, in seconds.
@@ -94,12 +90,20 @@
     def _note_silence(self, peer: str) -> None:
         self.state.note_silence(peer, anyio.current_time())
 
-    def _blame(self, job: Job, at_fault: str) -> None:
-        """Leave alone the target that a rejection names."""
-        target_id = self.state.fleet.get_id_by_address(at_fault)
-        if target_id:
-            job.tried.add(target_id)
-            self._note_silence(target_id)
+    def _blame(self, job: Job, peer: str, status: int, named: str) -> str:
+        """Have the next sending avoid the target at fault; return its id.
+
+        A rejection may name a helper, which is then left alone for a while.
+        421 says that another incarnation has the address: this one has gone.
+        """
+        found = self.state.fleet.get_id_by_address(named)
+        at_fault = found or peer
+        job.tried.add(at_fault)
+        if found:
+            self._note_silence(found)
+        if status == HTTPStatus.MISDIRECTED_REQUEST:
+            self.state.fleet.leaving.add(at_fault)
+        return at_fault
 
     async def _take_whole(
         self,
@@ -112,13 +116,16 @@
         body = await wire.read_body()
         answer = self.dialect.read_head(head)
         if answer.not_run:
-            self._blame(job, answer.at_fault)
-            detail = f'{head.status} at {answer.at_fault or peer}'
+            at_fault = self._blame(job, peer, head.status, answer.at_fault)
+            detail = f'{head.status} at {at_fault}'
             return Sending(Ending.rejected, 'answer', peer, detail)
         if head.status in PROMISES or not answer.sealed or answer.encoded:
             self.note_failure(peer)
             return Sending(Ending.lost, 'answer', peer, f'{head.status}')
-        if head.status >= FIRST_SERVER_ERROR and not reply.started:
+        if (
+            head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+            and not reply.started
+        ):
             return self._take_failure(job, peer, Answer(head, body))
         if reply.started:
             return Sending(Ending.lost, 'answer', peer, f'{head.status}')
@@ -130,7 +137,7 @@
     def _take_failure(self, job: Job, peer: str, answer: Answer) -> Sending:
         """Keep a target's own failure in case nothing better comes."""
         job.fallback = answer
-        if answer.head.status != GATEWAY_TIMEOUT:
+        if answer.head.status != HTTPStatus.GATEWAY_TIMEOUT:
             self.note_failure(peer)
         return Sending(Ending.failed, 'answer', peer, f'{answer.head.status}')
 
@@ -257,7 +264,10 @@
 
 
 def _is_stream(job: Job, head: Head, answer: AnswerNote) -> bool:
-    if job.route.kind is not RouteKind.streaming or head.status != OK:
+    if (
+        job.route.kind is not RouteKind.streaming
+        or head.status != HTTPStatus.OK
+    ):
         return False
     return answer.sealed and not answer.encoded
 
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -188,10 +188,10 @@
 def _avoid(job: Job, placement: Placement, sending: Sending) -> None:
     """Remember which targets the next sending should keep away from.
 
-    A rejection may name the helper at fault, which is noted where the answer
-    is read; silence may be anybody's who was involved.
+    Who is at fault in a rejection is noted where the answer is read; silence
+    may be anybody's who was involved.
     """
-    if sending.ending is Ending.rejected and placement.helpers:
+    if sending.ending is Ending.rejected:
         return
     job.tried.add(placement.target.target_id)
     if sending.ending is Ending.lost:
