The proof of a key counts on arrival; a resumed stream is not cut for it

What is known of route and key is still looked up again. Test: test_proof_counts_on_arrival failed before.

--- /dev/null
+++ b/tests/test_entry_admission.py
@@ -0,0 +1,53 @@
+"""Admission: what is proven on arrival, and what is looked up again."""
+
+import unittest
+from dataclasses import replace
+from random import Random
+
+from tests.relaying import HOST, KEY, SETTINGS, make_route
+from trestledock.entry._admission import admit, check_again
+from trestledock.entry._job import Refusal
+from trestledock.entry._state import EntryState
+from trestledock.relay import Call, Catalog, Service, TeamKey
+
+CALL = Call('r1', 'GET', '/p/x', '', HOST, (), b'', arrived_at=10, key=KEY)
+
+
+def make_state(route):
+    state = EntryState(SETTINGS, 'e#a', Random(1), None)
+    state.catalog = Catalog(
+        1, {HOST: (route,)}, {'svc': Service('svc')}, {KEY: TeamKey('kiosks')}
+    )
+    state.proof.renew(asked_at=9)
+    return state
+
+
+class AdmissionTest(unittest.TestCase):
+    """Requests with keys, early and late."""
+
+    def test_proof_counts_on_arrival(self):
+        """A request that was proven may go on when the store is away."""
+        state = make_state(make_route())
+        job = admit(state, CALL, now=10)
+        self.assertIs(admit(state, CALL, now=30), Refusal.stale_proof)
+        self.assertIsNone(check_again(state, job))
+
+    def test_key_taken_away_meanwhile(self):
+        """A key that is known to be gone ends what has not been sent."""
+        state = make_state(make_route())
+        job = admit(state, CALL, now=10)
+        state.catalog = replace(state.catalog, version=2, keys={})
+        self.assertIs(check_again(state, job), Refusal.unknown_key)
+
+    def test_unknown_route_needs_a_proof(self):
+        """Without a proof a missing route may be one that is new."""
+        state = make_state(make_route())
+        call = replace(CALL, path='/other/')
+        self.assertIs(admit(state, call, now=10), Refusal.no_route)
+        self.assertIs(admit(state, call, now=30), Refusal.stale_proof)
+
+    def test_no_configuration(self):
+        """An entry that knows nothing yet says 503, not 404."""
+        state = make_state(make_route())
+        state.catalog = None
+        self.assertIs(admit(state, CALL, now=10), Refusal.no_configuration)
--- a/trestledock/entry/_admission.py
+++ b/trestledock/entry/_admission.py
@@ -2,9 +2,9 @@
 Admission
 =========
 
-Turns a call into a job, or says why it is refused.  The same check is made
-again before each sending, since a request may have waited, or the process may
-have stood still.
+Turns a call into a job, or says why it is refused.  Route and key are looked
+up again before each sending, since a request may have waited, or the process
+may have stood still.
 """
 
 from trestledock.entry._job import Job, Refusal
@@ -20,7 +20,9 @@
     if catalog is None:
         return Refusal.no_configuration
     route = catalog.get_route_by_path(call.host, call.path)
-    refusal = _check(state, catalog, route, call, now)
+    if _needs_proof(catalog, route) and not state.proof.is_fresh(now):
+        return Refusal.stale_proof
+    refusal = _check(catalog, route, call)
     if refusal or route is None:
         return refusal or Refusal.no_route
     deadline = call.arrived_at + route.timeout_s
@@ -33,13 +35,17 @@
     )
 
 
-def check_again(state: EntryState, job: Job, now: float) -> Refusal | None:
-    """Return why an admitted request must not be sent any more, if so."""
+def check_again(state: EntryState, job: Job) -> Refusal | None:
+    """Return why an admitted request must not be sent any more, if so.
+
+    Its key was proven when it arrived, and what is known by now counts; an
+    old proof alone is no reason, since the request was sent before.
+    """
     catalog = state.catalog
     if catalog is None:
         return Refusal.no_configuration
     route = catalog.get_route_by_path(job.call.host, job.call.path)
-    refusal = _check(state, catalog, route, job.call, now)
+    refusal = _check(catalog, route, job.call)
     if refusal is None and route is not None:
         return _move(state, job, catalog, route)
     return refusal or Refusal.no_route
@@ -60,19 +66,20 @@
     return None
 
 
+def _needs_proof(catalog: Catalog, route: Route | None) -> bool:
+    """Whether an answer depends on a configuration that may have changed."""
+    return route is None or (catalog.keys is not None and not route.public)
+
+
 def _check(
-    state: EntryState,
     catalog: Catalog,
     route: Route | None,
     call: Call,
-    now: float,
 ) -> Refusal | None:
-    if route is not None and (catalog.keys is None or route.public):
-        return None
-    if not state.proof.is_fresh(now):
-        return Refusal.stale_proof
     if route is None:
         return Refusal.no_route
+    if not _needs_proof(catalog, route):
+        return None
     known = catalog.keys is not None and call.key in catalog.keys
     return None if known else Refusal.unknown_key
 
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -60,7 +60,7 @@
         """Send to one target after the other until one has answered."""
         while True:
             placement = await select(self.state, job)
-            refusal = check_again(self.state, job, anyio.current_time())
+            refusal = check_again(self.state, job)
             if refusal or isinstance(placement, Refusal):
                 await self._give_up(job, reply, _pick(refusal, placement))
                 return
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -84,7 +84,7 @@
         except WireError as exc:
             self.state.note_silence(peer, anyio.current_time())
             return Sending(Ending.not_sent, exc.step, peer, exc.detail)
-        refusal = check_again(self.state, job, anyio.current_time())
+        refusal = check_again(self.state, job)
         if refusal:
             await wire.close()
             return Sending(Ending.not_sent, refusal.value, 'self')
