Remove what nothing uses: pace, priorities, limits without effect

Cause: reading as a newcomer; fields and functions that no decision reads say that something is done which is not. No behaviour changes: the pace was always one. Slow targets are noticed by silence only, priorities are not passed on (noted as open).

--- a/tests/test_relay_placing.py
+++ b/tests/test_relay_placing.py
@@ -26,7 +26,6 @@
     step_request_s=4.52e-6,
     step_context_s=4.31e-9,
     pair_s=1.38e-10,
-    chunk_tokens=2048,
     stride=43,
 )
 TARGETS = [
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -8,6 +8,7 @@
 """
 
 import socket
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any, AsyncIterator, Callable
 
@@ -27,6 +28,14 @@
 #: Bodies above this are written while the answer is awaited, in bytes.
 SMALL_BODY_BYTES = 32_768
 
+#: How a stream says that it has ended.
+STREAM_ENDS = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -141,12 +150,8 @@
 
     async def wait_for_surplus(self) -> None:
         """Return when an idle connection closes or gets bytes unasked for."""
-        try:
+        with suppress(*STREAM_ENDS):
             await self.stream.receive(1)
-        except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
-            self.broken = True
-        except anyio.ClosedResourceError:
-            self.broken = True
         self.broken = True
 
     async def close(self) -> None:
@@ -158,9 +163,7 @@
     async def _write(self, raw: bytes) -> None:
         try:
             await self.stream.send(raw)
-        except (OSError, anyio.BrokenResourceError) as exc:
-            raise WireError('write', repr(exc), sent=True) from exc
-        except anyio.ClosedResourceError as exc:
+        except STREAM_ENDS as exc:
             raise WireError('write', repr(exc), sent=True) from exc
         self.written = True
 
@@ -188,10 +191,7 @@
             return await self.stream.receive(READ_BYTES)
         except anyio.EndOfStream:
             return b''
-        except (OSError, anyio.BrokenResourceError) as exc:
-            self.broken = True
-            raise WireError(step, repr(exc), sent=True) from exc
-        except anyio.ClosedResourceError as exc:
+        except STREAM_ENDS as exc:
             self.broken = True
             raise WireError(step, repr(exc), sent=True) from exc
 
--- a/trestledock/platform/_documents.py
+++ b/trestledock/platform/_documents.py
@@ -57,7 +57,6 @@
     Field('timeoutMs', 'timeout_s', seconds_of),
     Field('sloMs', 'objective_s', seconds_of),
     Field('maxAttempts', 'max_attempts'),
-    Field('priority', 'priority'),
     Field('public', 'public'),
     Field('resumable', 'resumable'),
     Field('gapAimMs', 'pause_s', seconds_of),
@@ -72,21 +71,10 @@
     Field('per_seq_ms', 'step_request_s', seconds_of),
     Field('context_per_k', 'step_context_s', _per_k_seconds_of),
     Field('pairs_per_m', 'pair_s', _per_m_seconds_of),
-    Field('chunk', 'chunk_tokens'),
     Field('stride', 'stride'),
-    Field('hopMs', 'hop_s', seconds_of),
 )
 
-LIMIT_FIELDS = (
-    Field('maxHeaderBytes', 'header_bytes'),
-    Field('maxBodyBytes', 'body_bytes'),
-    Field('idleTimeoutMs', 'idle_s', seconds_of),
-)
-
-SERVICE_FIELDS = (
-    Field('name', 'name'),
-    Field('maxConns', 'max_connections'),
-)
+LIMIT_FIELDS = (Field('idleTimeoutMs', 'idle_s', seconds_of),)
 
 
 def decode_catalog(plain: dict[str, Any]) -> Catalog:
@@ -125,14 +113,14 @@
 def _decode_service(row: dict[str, Any]) -> Service:
     kind = row.get('engineKind')
     engine = EngineModel(**read_fields(kind, ENGINE_FIELDS)) if kind else None
-    return Service(engine=engine, **read_fields(row, SERVICE_FIELDS))
+    return Service(row['name'], engine)
 
 
 def _decode_keys(plain: dict[str, Any]) -> dict[str, TeamKey] | None:
     if 'tenants' not in plain:
         return None
     return {
-        key: TeamKey(tenant['name'], tenant.get('priority'))
+        key: TeamKey(tenant['name'])
         for tenant in plain['tenants']
         for key in tenant.get('apiKeys', ())
     }
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -12,7 +12,6 @@
     PassLoad,
     get_read_s,
     get_write_pass_s,
-    get_write_s,
 )
 from trestledock.relay._board import Board, Flight, Phase
 from trestledock.relay._budget import BudgetTerms, RetryWindow
@@ -77,6 +76,5 @@
     'get_read_s',
     'get_retry_s',
     'get_write_pass_s',
-    'get_write_s',
     'is_own_read_due',
 )
--- a/trestledock/relay/_arithmetic.py
+++ b/trestledock/relay/_arithmetic.py
@@ -43,9 +43,3 @@
         + engine.step_context_s * load.context_tokens
     )
     return engine.stride * step_s + load.reading_s
-
-
-def get_write_s(engine: EngineModel, tokens: int, pass_s: float) -> float:
-    """Return how long an answer of `tokens` is written at a pass time."""
-    passes = max(1, -(-tokens // engine.stride))
-    return passes * pass_s
--- a/trestledock/relay/_board.py
+++ b/trestledock/relay/_board.py
@@ -59,14 +59,6 @@
         total = self.prompt_tokens + self.output_tokens
         return max(total - elsewhere, 0)
 
-    def is_at(self, target: str) -> bool:
-        """Whether a target has anything to do for the request."""
-        return target == self.target or self.is_helped_by(target)
-
-    def is_helped_by(self, target: str) -> bool:
-        """Whether a target reads a part or holds memory beside the first."""
-        return target in self.helpers
-
 
 @dataclass
 class _Sender:
--- a/trestledock/relay/_catalog.py
+++ b/trestledock/relay/_catalog.py
@@ -35,8 +35,7 @@
 
     `timeout_s` bounds the whole request, `objective_s` is the time to the
     first byte (or event) that operators aim at, `pause_s` the longest pause
-    between events.  `max_attempts` bounds the targets that may run it;
-    priority zero is the most urgent.
+    between events.  `max_attempts` bounds the targets that may run it.
     """
 
     name: str
@@ -47,7 +46,6 @@
     timeout_s: float = 60
     objective_s: float = 1
     max_attempts: int = 1
-    priority: int = 0
     public: bool = False
     resumable: bool = False
     pause_s: float = 0
@@ -73,9 +71,9 @@
 
     Work is done in passes: `stride` steps where a request is writing, single
     steps else.  A step takes `step_s`, and `step_request_s` and
-    `step_context_s` (a token of context) for each writer; in it up to
-    `chunk_tokens` are read at `read_rate` tokens a second, plus `pair_s` for
-    each pair of a token with an earlier one.
+    `step_context_s` (a token of context) for each writer; prompts are read at
+    `read_rate` tokens a second, plus `pair_s` for each pair of a token with an
+    earlier one.
     """
 
     batch: int
@@ -85,9 +83,7 @@
     step_request_s: float = 0
     step_context_s: float = 0
     pair_s: float = 0
-    chunk_tokens: int = 2048
     stride: int = 1
-    hop_s: float = 0
 
 
 @dataclass(frozen=True)
@@ -95,24 +91,20 @@
     """A set of targets that answer for the same requests."""
 
     name: str
-    max_connections: int = 64
     engine: EngineModel | None = None
 
 
 @dataclass(frozen=True)
 class TeamKey:
-    """Whose a key is, and how urgent the team's requests are."""
+    """Whose a key is."""
 
     team: str
-    priority: int | None = None
 
 
 @dataclass(frozen=True)
 class Limits:
-    """What callers may send, in bytes, and how long they may stay idle."""
+    """How long callers may stay idle."""
 
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
     idle_s: float = 15
 
 
--- a/trestledock/relay/_fleet.py
+++ b/trestledock/relay/_fleet.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass, field, replace
 from enum import Enum
-from typing import Iterable, Iterator, Mapping
+from typing import Iterator, Mapping
 
 #: How long a vanished entry counts after a disturbance of the directory, in
 #: seconds; lapsed entries of live targets are back within about two.
@@ -121,7 +121,3 @@
             if listed.address == name:
                 return listed.target_id
         return ''
-
-    def get_by_ids(self, ids: Iterable[str]) -> list[Listed]:
-        """Return the listed targets among `ids`."""
-        return [self.targets[one] for one in ids if one in self.targets]
--- a/trestledock/relay/_health.py
+++ b/trestledock/relay/_health.py
@@ -3,16 +3,14 @@
 ==============
 
 What the own requests tell of a target.  Silence and refused connections make
-it suspect for a time that doubles; failures and slowness are averaged with the
-newest outcomes counting most.  No probe is sent: real requests are the probes.
+it suspect for a time that doubles; failures are averaged with the newest
+outcomes counting most.  No probe is sent: real requests are the probes.
 """
 
 from dataclasses import dataclass, field
 
 #: The weight of the newest outcome in the averages.
 LEARN = 0.25
-#: The weight of one observation in the average of the pace.
-LEARN_PACE = 0.1
 #: First and longest time for which a silent target is left alone, in seconds.
 SUSPECT_BASE_S = 1.0
 SUSPECT_CAP_S = 8.0
@@ -32,7 +30,6 @@
 
     failures: float = 0
     noted_at: float = 0
-    pace: float = 1
     silences: int = 0
     suspect_until: float = float('-inf')
 
@@ -108,11 +105,6 @@
         one.silences += 1
         one.suspect_until = now + wait_s
 
-    def note_pace(self, target_id: str, ratio: float) -> None:
-        """Note how long work took against what was predicted."""
-        one = self.get(target_id)
-        one.pace += LEARN_PACE * (min(ratio, 10) - one.pace)
-
     def is_suspect(self, target_id: str, now: float, place: str = '') -> bool:
         """Whether a target, or all of its data centre, should be left alone."""
         around = self.places.get(place)
@@ -121,12 +113,6 @@
         known = self.targets.get(target_id)
         return known is not None and now < known.suspect_until
 
-    def keep_only(self, ids: set[str]) -> None:
-        """Forget the targets that are gone."""
-        self.targets = {
-            one: known for one, known in self.targets.items() if one in ids
-        }
-
     def _learn(self, target_id: str, failed: int, now: float) -> None:
         one = self.get(target_id)
         known = one.get_failure_share(now)
--- a/trestledock/relay/_view.py
+++ b/trestledock/relay/_view.py
@@ -46,7 +46,6 @@
     free_tokens: float
     flights: tuple[Flight, ...]
     failure_share: float
-    pace: float
     remote: bool
     now: float
 
@@ -62,18 +61,17 @@
 
     def predict_first_s(self, part_s: float) -> float:
         """Return when the first token comes after reading for `part_s`."""
-        return self.wait_s + part_s * self.pace + self.base_s
+        return self.wait_s + part_s + self.base_s
 
     def predict_part_s(self, part_s: float) -> float:
         """Return when a helper's part of `part_s` has been read."""
-        return self.helper_wait_s + part_s * self.pace
+        return self.helper_wait_s + part_s
 
     def get_harm(self, part_s: float) -> float:
         """Return what others lose when `part_s` more is read here."""
-        extra_s = part_s * self.pace
-        pass_s = self.base_s + self.pending_s + extra_s
+        pass_s = self.base_s + self.pending_s + part_s
         return sum(
-            _get_loss(one, pass_s, extra_s, self.now) for one in self.flights
+            _get_loss(one, pass_s, part_s, self.now) for one in self.flights
         )
 
 
@@ -98,12 +96,11 @@
             listed=listed,
             count=len(own),
             writers=sum(one.phase is Phase.writing for one in own),
-            base_s=base_s * health.pace,
-            pending_s=_get_pending_s(engine, flights, now) * health.pace,
+            base_s=base_s,
+            pending_s=_get_pending_s(engine, flights, now),
             free_tokens=engine.capacity_tokens * MEMORY_SHARE - held,
             flights=flights,
             failure_share=health.get_failure_share(now),
-            pace=health.pace,
             remote=listed.data_centre != self.data_centre,
             now=now,
         )
