--- a/tests/test_relay_parts.py
+++ b/tests/test_relay_parts.py
@@ -234,6 +234,14 @@
         self.assertEqual(fleet.expire(11.3), ['t2'])
         self.assertEqual(self.get_ids(fleet), ['t1'])
 
+    def test_missing_at_a_peer_is_gone(self):
+        """A list from an entry that has waited itself is final (DRAIN)."""
+        fleet = self.make_fleet()
+        fleet.note_trouble(9)
+        gone = fleet.keep_only({'t1': make_target(1)}, 9.1, settled=True)
+        self.assertEqual(gone, ['t2'])
+        self.assertEqual(self.get_ids(fleet), ['t1'])
+
     def test_back_after_an_outage(self):
         """An entry that comes back in time was never away."""
         fleet = self.make_fleet()
--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -68,13 +68,15 @@
     """What a read of the store brought.
 
     `document` is the text that `catalog` was read from, for the other
-    entries; `whole` says that `targets` are all that there are.
+    entries; `whole` says that `targets` are all that there are, `settled`
+    that they come from an entry that has waited for lapsed ones.
     """
 
     catalog: Catalog | None = None
     document: str = ''
     targets: tuple[TargetNews, ...] = ()
     whole: bool = False
+    settled: bool = False
 
 
 class Dialect(Protocol):
--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -197,11 +197,12 @@
             listed = {
                 one.target_id: one.listed for one in news.targets if one.listed
             }
-            self._forget(fleet.keep_only(listed, now))
+            gone = fleet.keep_only(listed, now, settled=news.settled)
+            self._forget(gone)
         for one in news.targets:
             if one.listed is None:
-                gone = fleet.drop(one.target_id, now)
-                self._forget([one.target_id] if gone else [])
+                is_gone = fleet.drop(one.target_id, now)
+                self._forget([one.target_id] if is_gone else [])
             elif fleet.put(one.listed):
                 emit(
                     events.TargetListed(
--- a/trestledock/entry/_news.py
+++ b/trestledock/entry/_news.py
@@ -101,7 +101,7 @@
         self.state.fleet.note_read(listed_at, anyio.current_time())
         listed = [CONVERTER.structure(one, Listed) for one in plain['targets']]
         targets = tuple(TargetNews(one.target_id, one) for one in listed)
-        return replace(news, targets=targets, whole=True)
+        return replace(news, targets=targets, whole=True, settled=True)
 
     def make_news(self) -> bytes:
         """Return what this entry knows, for another one."""
--- a/trestledock/relay/_fleet.py
+++ b/trestledock/relay/_fleet.py
@@ -76,24 +76,41 @@
         self.revision += 1
         return True
 
-    def drop(self, target_id: str, now: float) -> bool:
-        """Take the removal of an entry; return whether it is gone at once."""
+    def drop(
+        self,
+        target_id: str,
+        now: float,
+        *,
+        settled: bool = False,
+    ) -> bool:
+        """Take the removal of an entry; return whether it is gone at once.
+
+        What is `settled` comes from an instance that has waited itself for
+        entries that had only lapsed.
+        """
         if target_id not in self.targets:
             return False
-        if now - self.disturbed_at < LAPSE_GRACE_S:
+        if not settled and now - self.disturbed_at < LAPSE_GRACE_S:
             until = self.disturbed_at + LAPSE_GRACE_S
             self.lapsing.setdefault(target_id, until)
             return False
         self.targets.pop(target_id)
+        self.lapsing.pop(target_id, None)
         self.revision += 1
         return True
 
-    def keep_only(self, listed: Mapping[str, Listed], now: float) -> list[str]:
+    def keep_only(
+        self,
+        listed: Mapping[str, Listed],
+        now: float,
+        *,
+        settled: bool = False,
+    ) -> list[str]:
         """Take a snapshot of all entries; return the ids that are gone."""
         for entry in listed.values():
             self.put(entry)
         missing = [one for one in self.targets if one not in listed]
-        return [one for one in missing if self.drop(one, now)]
+        return [one for one in missing if self.drop(one, now, settled=settled)]
 
     def expire(self, now: float) -> list[str]:
         """Drop lapsed entries that did not come back; return their ids."""
