--- a/trestledock/connection/_daemon.py
+++ b/trestledock/connection/_daemon.py
@@ -20,6 +20,7 @@
 
 from trestledock.connection._caller import CallerApp
 from trestledock.connection._hub import Hub
+from trestledock.connection._lifespan import WithoutLifespan
 from trestledock.connection._metrics import Metrics
 from trestledock.connection._peer import PeerLink
 from trestledock.connection._platform import PlatformLink
@@ -131,7 +132,7 @@
     config.errorlog = None
     config.graceful_timeout = hub.settings.handover_s
     await serve(
-        CallerApp(hub).make_app(),  # type: ignore[arg-type]
+        WithoutLifespan(CallerApp(hub).make_app()),
         config,
         shutdown_trigger=ended.wait,
     )
--- a/trestledock/standin/_web.py
+++ b/trestledock/standin/_web.py
@@ -16,6 +16,8 @@
 from starlette.responses import JSONResponse
 from starlette.types import ASGIApp
 
+from trestledock.connection._lifespan import WithoutLifespan
+
 #: Status of an answer that proves that nothing was started.
 NOT_STARTED_STATUS = 503
 
@@ -70,7 +72,7 @@
 ) -> None:
     """Serve an application until `wait_for_stop` returns."""
     await serve(
-        app,  # type: ignore[arg-type]
+        WithoutLifespan(app),
         make_config(address),
         shutdown_trigger=wait_for_stop,
     )
