Read once more: one name for unknown ages and the version, a head read once

Cause: three copies of one constant, five of one expression, a field that nothing reads, an answer's head decoded twice, and the holder of a refused ticket kept for ever.

--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -76,7 +76,9 @@
             passing = StreamPassing(self, job, placement, reply)
             sending = await passing.run(head, wire.iter_body(), first_s)
         else:
-            sending = await self._take_whole(job, peer, wire, head, reply)
+            sending = await self._take_whole(
+                job, peer, wire, head, answer, reply
+            )
         return sending, idle_s
 
     def note_success(self, peer: str) -> None:
@@ -111,10 +113,10 @@
         peer: str,
         wire: Wire,
         head: Head,
+        answer: AnswerNote,
         reply: Reply,
     ) -> Sending:
         body = await wire.read_body()
-        answer = self.dialect.read_head(head)
         if answer.not_run:
             at_fault = self._blame(job, peer, head.status, answer.at_fault)
             detail = f'{head.status} at {at_fault}'
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -8,8 +8,8 @@
 """
 
 import json
-from itertools import count
 from dataclasses import dataclass
+from itertools import count
 from typing import Any, Callable, Mapping, Sequence
 
 import anyio
@@ -17,7 +17,7 @@
 
 from trestledock.entry import _events as events
 from trestledock.entry._logger import emit
-from trestledock.entry._state import EntryState
+from trestledock.entry._state import MOST_AGE_S, EntryState
 from trestledock.relay import Candidate, Flight, Phase
 
 #: How long changes are gathered, in seconds.
@@ -208,10 +208,6 @@
         await self.send(message, *where)
 
 
-#: What stands for an instance that has never had a proof, in seconds.
-MOST_AGE_S = 1_000_000
-
-
 def _write_change(
     flight_id: str,
     flight: Flight | None,
--- a/trestledock/entry/_news.py
+++ b/trestledock/entry/_news.py
@@ -20,7 +20,7 @@
 from trestledock.entry._dialect import News, TargetNews
 from trestledock.entry._gossip import Address, Gossip
 from trestledock.entry._logger import emit
-from trestledock.entry._state import EntryState
+from trestledock.entry._state import MOST_AGE_S, EntryState
 from trestledock.entry._wire import Wire, WireError
 from trestledock.relay import Listed
 
@@ -68,9 +68,7 @@
         reply = self._replies.get(reader)
         if reply is None:
             return False
-        catalog = self.state.catalog
-        version = catalog.version if catalog else -1
-        is_behind = reply['version'] > version
+        is_behind = reply['version'] > self.state.version
         if not is_behind:
             self.state.proof.renew(reply['asked_at'] - reply['proof_age_s'])
         listed_at = reply['asked_at'] - reply['list_age_s']
@@ -119,13 +117,12 @@
 
     def _answer(self, message: dict[str, Any], sender: Address) -> None:
         now = anyio.current_time()
-        catalog = self.state.catalog
         reply = {
             'kind': 'reply',
             'asked_at': message['asked_at'],
             'proof_age_s': min(self.state.proof.get_age_s(now), MOST_AGE_S),
             'list_age_s': min(now - self.state.fleet.read_at, MOST_AGE_S),
-            'version': catalog.version if catalog else -1,
+            'version': self.state.version,
             'revision': self.state.fleet.revision,
         }
         self.state.spawn(self.gossip.send, reply, sender)
@@ -148,7 +145,3 @@
             raise ValueError(f'status {head.status}')
         plain: dict[str, Any] = json.loads(body)
         return plain
-
-
-#: What stands for something that has never been read, in seconds.
-MOST_AGE_S = 1_000_000
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -19,7 +19,7 @@
 from trestledock.entry._reply import CutReply, Reply
 from trestledock.entry._selecting import select
 from trestledock.entry._sending import Sender
-from trestledock.entry._state import EntryState
+from trestledock.entry._state import MOST_AGE_S, EntryState
 from trestledock.entry._wire import Headers
 from trestledock.relay import Call, Ending, Placement, Sending
 
@@ -127,7 +127,6 @@
         reason: Refusal,
         sendings: int,
     ) -> None:
-        catalog = self.state.catalog
         age_s = self.state.proof.get_age_s(anyio.current_time())
         emit(
             events.Refused(
@@ -135,7 +134,7 @@
                 reason=reason.value,
                 status=STATUSES[reason],
                 proof_age_ms=round(min(age_s, MOST_AGE_S) * MS),
-                version=catalog.version if catalog else -1,
+                version=self.state.version,
                 sendings=sendings,
             ),
         )
@@ -151,7 +150,6 @@
         return (*headers, (b'retry-after', after.encode()))
 
     def _note_admitted(self, job: Job) -> None:
-        catalog = self.state.catalog
         left_s = job.deadline - job.call.arrived_at
         emit(
             events.Admitted(
@@ -159,16 +157,12 @@
                 route=job.route.name,
                 service=job.service,
                 team=job.team,
-                version=catalog.version if catalog else -1,
+                version=self.state.version,
                 left_ms=round(left_s * MS),
             ),
         )
 
 
-#: What stands for an instance that has never had a proof, in seconds.
-MOST_AGE_S = 1_000_000
-
-
 def _pick(refusal: Refusal | None, placement: Placement | Refusal) -> Refusal:
     """Return the refusal that came of checking or else of selecting."""
     if refusal is None and isinstance(placement, Refusal):
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -26,9 +26,12 @@
     RetryWindow,
 )
 
-
 #: How long to wait before a duty that failed is begun again, in seconds.
 RESTART_S = 0.3
+#: What is told instead of the age of something never known, in seconds.
+MOST_AGE_S = 1_000_000
+#: What stands for the version where none is in force.
+NO_VERSION = -1
 
 
 @dataclass
@@ -41,7 +44,6 @@
     group: TaskGroup
     catalog: Catalog | None = None
     document: str = ''
-    read_at: float = float('-inf')
     fleet: Fleet = field(default_factory=Fleet)
     board: Board = field(default_factory=Board)
     health: Health = field(default_factory=Health)
@@ -64,6 +66,11 @@
             self.settings.data_centre,
         )
 
+    @property
+    def version(self) -> int:
+        """The version of the configuration in force."""
+        return self.catalog.version if self.catalog else NO_VERSION
+
     def spawn(self, work: Callable[..., Awaitable[Any]], *args: Any) -> None:
         """Run something in the background; its failure ends nothing else."""
         self.group.start_soon(_run_guarded, work, args)
@@ -122,7 +129,7 @@
         return {
             'in_progress': self.in_progress,
             'proof_age_seconds': self.proof.get_age_s(now),
-            'version': self.catalog.version if self.catalog else -1,
+            'version': self.version,
             'targets': len(self.fleet.targets),
             'peers': self.board.count_peers(),
         }
--- a/trestledock/entry/_tickets.py
+++ b/trestledock/entry/_tickets.py
@@ -103,6 +103,7 @@
             self.state.spawn(self._renew, scope, holder, ticket, tokens)
             return
         held.pop(holder.target_id)
+        self._holders.pop(ticket, None)
         if status == NO_ANSWER:
             self.state.spawn(self._release_one, holder, ticket)
 
