A fault soak of real processes on loopback

tests/soak starts entries of the platform with settings files, a stand-in store, engines with tickets, plain targets and callers that keep their connections; kills, freezes, graceful ends, hang-ups, cuts in one or both directions, resets, connections that fall silent, a store that is down, slow, loses answers or forgets, targets that crash, leave, fail or mix answers, revoked keys and versions overlap in an order drawn by a seed.

Ruled out: an own interface for the soak's runs (the platform's is what is served); datagrams between entries are not proxied, a stopped process stands in.

The earlier soak of the core on a virtual clock is 'make soak-core' now.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 VENV = .venv
 BIN = $(VENV)/bin
 SEED ?= 1
+SEEDS ?= 1
 
-.PHONY: setup demo test lint types bench matrix soak binary measure
+.PHONY: setup demo test lint types bench matrix soak soak-core binary measure
 
 setup: $(VENV)/installed
 
@@ -32,9 +33,12 @@
 matrix: setup
 	$(BIN)/python -m trestledock.proof matrix
 
-soak: setup
+soak-core: setup
 	$(BIN)/python -m trestledock.proof soak --seed $(SEED)
 
+soak: setup
+	$(BIN)/python -m tests.soak --seed $(SEED) --seeds $(SEEDS)
+
 measure: setup
 	$(BIN)/python -m trestledock.bench.slopes
 
--- /dev/null
+++ b/tests/soak/entries.py
@@ -0,0 +1,169 @@
+"""
+Entries of a run
+================
+
+The real programs: each entry is a process of its own with a settings file, a
+link to the store, and a place in the balancer's rotation.
+"""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+import httpx
+from anyio.abc import TaskGroup
+
+from tests.soak.ledger import Ledger
+from tests.soak.links import Link
+
+ROOT = Path(__file__).parent.parent.parent
+GRACE_S = 8
+#: How long after its end a process is started again, in seconds.
+RESTART_S = 0.5
+#: The balancer asks so often, and turns away after so many misses.
+LOOK_S = 1.0
+MISSES = 2
+PORTS = {'front': 8227, 'ready': 8220, 'control': 8229, 'peers': 7340}
+
+TEMPLATE = """
+nodeName = "{name}"
+ipAddr = "{host}"
+zone = "{data_centre}"
+portRange = [{peers}, {last}]
+seedAddrs = []
+[listen]
+front = "{host}:{front}"
+ready = "{host}:{ready}"
+control = "{host}:{control}"
+[bounds]
+gracePeriodS = {grace}
+strictRevoke = true
+revokeMs = 5000
+retryRatio = 0.2
+budgetWindowS = 10
+budgetSlack = {slack}
+[platform]
+address = "{store}"
+"""
+
+
+@dataclass(eq=False)
+class Entry:
+    """One entry; `ending` while it is meant to stop."""
+
+    name: str
+    host: str
+    data_centre: str
+    folder: Path
+    ledger: Ledger
+    command: tuple[str, ...]
+    store_link: Link
+    slack: int = 100
+    child: subprocess.Popen | None = None
+    ending: bool = False
+    last: bool = False
+    misses: int = MISSES
+    ended: anyio.Event = field(default_factory=anyio.Event)
+
+    @property
+    def front(self) -> str:
+        """Where callers come."""
+        return f'http://{self.host}:{PORTS["front"]}'
+
+    @property
+    def in_rotation(self) -> bool:
+        """Whether the balancer sends new connections here."""
+        return self.misses < MISSES
+
+    def write_settings(self) -> Path:
+        """Write the settings file as it is now."""
+        path = self.folder / f'{self.name}.toml'
+        path.write_text(
+            TEMPLATE.format(
+                name=self.name,
+                host=self.host,
+                data_centre=self.data_centre,
+                store=self.store_link.listed,
+                grace=GRACE_S,
+                slack=self.slack,
+                last=PORTS['peers'] + 15,
+                **PORTS,
+            ),
+        )
+        return path
+
+    def start(self) -> None:
+        """Start the process."""
+        env = {**os.environ, 'TRESTLEDOCK_BOOT': str(self.write_settings())}
+        log = (self.folder / f'{self.name}.log').open('ab')
+        self.child = subprocess.Popen(
+            (sys.executable, '-m', *self.command),
+            cwd=ROOT,
+            env=env,
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+    def send(self, signum: signal.Signals) -> None:
+        """Send a signal to the process, if it lives."""
+        if self.child and self.child.poll() is None:
+            self.child.send_signal(signum)
+
+    async def keep(self) -> None:
+        """Start the process again whenever it ends, until the last end."""
+        while True:
+            self.start()
+            while self.child.poll() is None:
+                await anyio.sleep(0.02)
+            self._note_exit(self.child.returncode)
+            if self.last:
+                self.ended.set()
+                return
+            self.ending = False
+            await anyio.sleep(RESTART_S)
+
+    async def watch(self) -> None:
+        """Ask for readiness as the balancer does."""
+        async with httpx.AsyncClient(timeout=0.9) as client:
+            while True:
+                await self._look(client)
+                await anyio.sleep(LOOK_S)
+
+    async def stop_gracefully(self) -> None:
+        """Send SIGTERM, and SIGKILL after the grace period."""
+        self.ending = True
+        child = self.child
+        began_at = time.monotonic()
+        self.send(signal.SIGTERM)
+        while child.poll() is None:
+            await anyio.sleep(0.02)
+            if time.monotonic() - began_at > GRACE_S:
+                child.kill()
+
+    async def _look(self, client: httpx.AsyncClient) -> None:
+        url = f'http://{self.host}:{PORTS["ready"]}/ready'
+        try:
+            ready = (await client.get(url)).status_code == 200
+        except httpx.HTTPError:
+            ready = False
+        self.misses = 0 if ready else self.misses + 1
+
+    def _note_exit(self, code: int) -> None:
+        expected = {-signal.SIGKILL}
+        if self.ending:
+            expected.add(0)
+        if code not in expected:
+            self.ledger.exits.append(f'{self.name} ended with {code}')
+
+
+async def run_entries(entries: list[Entry], group: TaskGroup) -> None:
+    """Start all entries and the balancer's questions."""
+    for entry in entries:
+        group.start_soon(entry.keep)
+        group.start_soon(entry.watch)
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,227 @@
+"""
+Faults
+======
+
+What is done to a run from outside.  Each kind is a function that disturbs one
+thing for a time that it draws; several may overlap.
+"""
+
+import signal
+from contextlib import contextmanager
+from random import Random
+from typing import Awaitable, Callable, Iterator
+
+import anyio
+
+from tests.soak.entries import Entry
+from tests.soak.ledger import ALL, Fault
+from tests.soak.links import Cut
+from tests.soak.world import World
+
+#: How long a fault lasts, in seconds.
+SPAN_S = (0.5, 5)
+#: Chances of the variants of a fault.
+HALF = 0.5
+OFTEN = 0.7
+#: Pauses between the beginnings of two faults, in seconds.
+GAP_S = (0.2, 2.5)
+
+FaultKind = Callable[[World, Random], Awaitable[None]]
+
+
+@contextmanager
+def noted(world: World, kind: str, entry: str = '') -> Iterator[Fault]:
+    """Note a fault for as long as it lasts."""
+    fault = world.ledger.begin_fault(kind, entry)
+    try:
+        yield fault
+    finally:
+        fault.ended_at = world.ledger.began_at + world.get_elapsed_s()
+
+
+async def _last(rng: Random, most_s: float = SPAN_S[1]) -> None:
+    await anyio.sleep(rng.uniform(SPAN_S[0], most_s))
+
+
+def _pick(world: World, rng: Random) -> Entry:
+    return rng.choice(world.entries)
+
+
+async def kill_entry(world: World, rng: Random) -> None:
+    """Kill one entry; it starts again after a moment."""
+    entry = _pick(world, rng)
+    with noted(world, 'kill_entry', entry.name):
+        entry.send(signal.SIGKILL)
+        await anyio.sleep(2)
+
+
+async def kill_all(world: World, rng: Random) -> None:
+    """Kill all entries at the same moment."""
+    with noted(world, 'kill_all', ALL):
+        for entry in world.entries:
+            entry.send(signal.SIGKILL)
+        await anyio.sleep(2)
+
+
+async def freeze_entry(world: World, rng: Random) -> None:
+    """Stop one entry and let it go on; a key may be revoked meanwhile."""
+    entry = _pick(world, rng)
+    with noted(world, 'freeze_entry', entry.name):
+        entry.send(signal.SIGSTOP)
+        if rng.random() < HALF:
+            world.revoke()
+        await _last(rng, 7)
+        entry.send(signal.SIGCONT)
+
+
+async def restart_entry(world: World, rng: Random) -> None:
+    """End one entry gracefully; it starts again."""
+    entry = _pick(world, rng)
+    if not entry.ending:
+        with noted(world, 'restart_entry', f'graceful {entry.name}'):
+            await entry.stop_gracefully()
+
+
+async def hang_up(world: World, rng: Random) -> None:
+    """Change the settings file of some entries, with a hang-up or without."""
+    for entry in rng.sample(world.entries, 2):
+        entry.slack += 1
+        entry.write_settings()
+        if rng.random() < OFTEN:
+            entry.send(signal.SIGHUP)
+    await anyio.sleep(0)
+
+
+async def cut_store(world: World, rng: Random) -> None:
+    """Cut one entry from the store, in one direction or in both."""
+    entry = _pick(world, rng)
+    with noted(world, 'cut_store', entry.name):
+        entry.store_link.set_cut(rng.choice((Cut.up, Cut.down, Cut.both)))
+        if rng.random() < HALF:
+            world.revoke()
+        await _last(rng, 9)
+        entry.store_link.set_cut(Cut.none)
+
+
+async def reset_store(world: World, rng: Random) -> None:
+    """Reset an entry's connections to the store, or let them fall silent."""
+    entry = _pick(world, rng)
+    with noted(world, 'reset_store', entry.name):
+        if rng.random() < HALF:
+            entry.store_link.reset_all()
+        else:
+            entry.store_link.silence_open()
+        await anyio.sleep(0.1)
+
+
+async def store_down(world: World, rng: Random) -> None:
+    """Let the store answer 503 or 429, be slow, or lose its answers."""
+    store = world.store
+    with noted(world, 'store_down', ALL):
+        how = rng.choice(('status', 'slow', 'losing'))
+        if how == 'status':
+            store.status = rng.choice((503, 429))
+        elif how == 'slow':
+            store.delay_s = 0.5
+        else:
+            store.losing = True
+        await _last(rng)
+        store.status, store.delay_s, store.losing = 200, 0.002, False
+
+
+async def forget_history(world: World, rng: Random) -> None:
+    """Let the store forget the history of its topics."""
+    for topic in world.store.topics.values():
+        topic.forget()
+    await anyio.sleep(0)
+
+
+async def crash_target(world: World, rng: Random) -> None:
+    """Let a target die, and another come."""
+    with noted(world, 'crash_target'):
+        await world.crash(world.pick_target())
+
+
+async def drain_target(world: World, rng: Random) -> None:
+    """Replace a target as planned."""
+    with noted(world, 'drain_target'):
+        await world.drain(world.pick_target())
+
+
+async def cut_target(world: World, rng: Random) -> None:
+    """Cut a target off, in one direction or in both."""
+    link = world.pick_target().link
+    with noted(world, 'cut_target', ALL):
+        link.set_cut(rng.choice((Cut.up, Cut.down, Cut.both)))
+        await _last(rng)
+        link.set_cut(Cut.none)
+
+
+async def shake_target(world: World, rng: Random) -> None:
+    """Reset, silence or delay the connections of a target."""
+    link = world.pick_target().link
+    with noted(world, 'shake_target', ALL):
+        how = rng.choice(('reset', 'silence', 'delay'))
+        if how == 'reset':
+            link.reset_all()
+        elif how == 'silence':
+            link.silence_open()
+        else:
+            link.delay_s = rng.uniform(0.05, 0.6)
+        await _last(rng)
+        link.delay_s = 0
+
+
+async def spoil_target(world: World, rng: Random) -> None:
+    """Let a target do something wrong with a share of its requests."""
+    quirks = world.pick_target().quirks
+    name = rng.choice(('fails', 'sheds', 'loses', 'breaks', 'mixes', 'mute'))
+    with noted(world, f'spoil_target {name}'):
+        setattr(quirks, name, rng.uniform(0.1, 0.8))
+        await _last(rng)
+        setattr(quirks, name, 0)
+
+
+async def revoke_key(world: World, rng: Random) -> None:
+    """Take a key away."""
+    world.revoke()
+    await anyio.sleep(0)
+
+
+async def change_timeouts(world: World, rng: Random) -> None:
+    """Publish some versions in quick succession with other time-outs."""
+    for _ in range(rng.randint(1, 4)):
+        for name in world.timeouts_s:
+            world.timeouts_s[name] = rng.uniform(2, 8)
+        world.publish()
+        await anyio.sleep(rng.uniform(0, 0.3))
+
+
+KINDS: dict[FaultKind, int] = {
+    kill_entry: 3,
+    kill_all: 1,
+    freeze_entry: 3,
+    restart_entry: 4,
+    hang_up: 2,
+    cut_store: 3,
+    reset_store: 2,
+    store_down: 3,
+    forget_history: 1,
+    crash_target: 3,
+    drain_target: 3,
+    cut_target: 3,
+    shake_target: 3,
+    spoil_target: 4,
+    revoke_key: 3,
+    change_timeouts: 2,
+}
+
+
+async def disturb(world: World, rng: Random) -> None:
+    """Begin one fault after the other until the run is over."""
+    names = list(KINDS)
+    async with anyio.create_task_group() as group:
+        while not world.over:
+            await anyio.sleep(rng.uniform(*GAP_S))
+            kind = rng.choices(names, list(KINDS.values()))[0]
+            group.start_soon(kind, world, Random(rng.random()))
--- /dev/null
+++ b/tests/soak/ledger.py
@@ -0,0 +1,171 @@
+"""
+Ledger of a run
+===============
+
+What was seen from outside the product: requests as callers sent and got them,
+runs as targets saw them, acknowledged changes and injected faults.  Times are
+seconds on the driver's monotonic clock.
+"""
+
+import json
+import time
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import Any
+
+#: After a fault has ended an entry is out of touch for so long, in seconds
+#: (`contactMs` of the settings).
+CONTACT_S = 3.0
+#: What stands for all entries in a fault.
+ALL = '*'
+
+
+@dataclass(frozen=True)
+class Ask:
+    """What a caller asks for; `events` is zero for plain calls."""
+
+    req_id: str
+    kind: str
+    key: str
+    team: str
+    service: str
+    path: str = ''
+    sizes: str = ''
+    events: int = 0
+    timeout_s: float = 5
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether more than one target may run it."""
+        return self.kind != 'non_idempotent'
+
+
+@dataclass
+class Attempt:
+    """One request of a caller, and what came of it.
+
+    `status` is zero where the connection ended before an answer, `last_event`
+    the last event in an unbroken row from the first, `problem` says what was
+    wrong with the answer's bytes.
+    """
+
+    ask: Ask
+    entry: str
+    sent_at: float
+    status: int = 0
+    seal: str = ''
+    whole: bool = False
+    last_event: int = 0
+    problem: str = ''
+    left_at: float | None = None
+    ended_at: float | None = None
+
+    @property
+    def end(self) -> float:
+        """When the caller had all that it got."""
+        return self.ended_at or float('inf')
+
+
+@dataclass
+class Run:
+    """One run of a request at a target."""
+
+    req_id: str
+    target: str
+    service: str
+    began_at: float
+    team: str
+    sizes: str
+    seal: str = ''
+    status: int = 0
+    key_seen: bool = False
+    ended_at: float | None = None
+
+
+@dataclass(frozen=True)
+class Change:
+    """A change that the store has acknowledged: what, whose, and when."""
+
+    what: str
+    name: str
+    at: float
+
+
+@dataclass
+class Fault:
+    """An injected fault on an entry (or all of them, or none)."""
+
+    kind: str
+    entry: str
+    began_at: float
+    ended_at: float = float('inf')
+
+    def touches(self, entry: str, start: float, end: float) -> bool:
+        """Whether the fault keeps an entry out of touch in a span."""
+        mine = self.entry in {ALL, entry}
+        return (
+            mine
+            and self.began_at <= end
+            and (start <= self.ended_at + CONTACT_S)
+        )
+
+
+@dataclass
+class Ledger:
+    """Everything that was seen in one run."""
+
+    attempts: dict[str, Attempt] = field(default_factory=dict)
+    runs: list[Run] = field(default_factory=list)
+    changes: list[Change] = field(default_factory=list)
+    faults: list[Fault] = field(default_factory=list)
+    ticket_clashes: set[str] = field(default_factory=set)
+    ticket_leaks: set[str] = field(default_factory=set)
+    exits: list[str] = field(default_factory=list)
+    began_at: float = field(default_factory=time.monotonic)
+
+    def note_change(self, what: str, name: str) -> None:
+        """Note a change that has just been acknowledged."""
+        self.changes.append(Change(what, name, time.monotonic()))
+
+    def begin_fault(self, kind: str, entry: str = '') -> Fault:
+        """Note the beginning of a fault; its end is set by the caller."""
+        fault = Fault(kind, entry, time.monotonic())
+        self.faults.append(fault)
+        return fault
+
+    def is_calm(self, entry: str, start: float, end: float) -> bool:
+        """Whether an entry was in touch for the whole of a span."""
+        return not any(
+            fault.touches(entry, start, end) for fault in self.faults
+        )
+
+    def get_runs_by_request(self) -> dict[str, list[Run]]:
+        """Return the runs of each request."""
+        found: dict[str, list[Run]] = {}
+        for run in self.runs:
+            found.setdefault(run.req_id, []).append(run)
+        return found
+
+    def get_changes(self, what: str) -> dict[str, float]:
+        """Return when changes of a kind were acknowledged, by name."""
+        return {one.name: one.at for one in self.changes if one.what == what}
+
+    def write(self, path: Path) -> None:
+        """Write the time line, a line of JSON for each thing seen."""
+        rows: list[tuple[float, dict[str, Any]]] = []
+        for kind, at, seen in (
+            ('fault', 'began_at', self.faults),
+            ('change', 'at', self.changes),
+            ('run', 'began_at', self.runs),
+            ('attempt', 'sent_at', self.attempts.values()),
+        ):
+            rows.extend(
+                (getattr(one, at), {'seen': kind, **asdict(one)})
+                for one in seen
+            )
+        rows.sort(key=lambda row: row[0])
+        lines = [
+            json.dumps({'t': round(at - self.began_at, 3), **row}, default=str)
+            for at, row in rows
+        ]
+        path.write_text('\n'.join(lines), encoding='utf-8')
--- /dev/null
+++ b/tests/soak/mutants.py
@@ -0,0 +1,130 @@
+"""
+Broken products
+===============
+
+Entries with one thing broken on purpose, each to show that a check of the soak
+catches it: `python -m tests.soak --patch NAME` must end with violations.
+"""
+
+import sys
+from types import MappingProxyType
+from typing import Any, AsyncIterator, Callable
+
+import anyio
+
+from trestledock.entry import _app, _daemon, _relaying, _tickets, _wire
+from trestledock.entry._job import STATUSES, Refusal
+from trestledock.platform import _headers, run
+from trestledock.relay import Fleet, History, Proof
+
+
+def once() -> None:
+    """Repeat whatever failed, also what may have run."""
+    History.may_repeat = lambda history, route: len(history.sendings) < 4
+
+
+def refusals() -> None:
+    """Say of what may have run that it has not."""
+    wrong = {**STATUSES, Refusal.failed: 503, Refusal.timeout: 503}
+    _relaying.STATUSES = MappingProxyType(wrong)
+
+
+def answers() -> None:
+    """Take a body that is cut for a whole one."""
+    whole = _wire.Wire.iter_body
+
+    async def iter_body(self: Any) -> AsyncIterator[bytes]:
+        try:
+            async for raw in whole(self):
+                yield raw
+        except _wire.WireError:
+            return
+
+    _wire.Wire.iter_body = iter_body
+
+
+def runs() -> None:
+    """Pass callers' keys on to targets."""
+    _headers.REPLACED = _headers.REPLACED - {_headers.AUTHORIZATION}
+
+
+def exits() -> None:
+    """End a process some seconds after its start."""
+
+    async def fail(*args: Any) -> None:
+        await anyio.sleep(8)
+        sys.exit(3)
+
+    _daemon._follow_limits = fail
+
+
+def revoked() -> None:
+    """Serve keys without a recent proof."""
+    Proof.is_fresh = lambda proof, now: True
+
+
+def leaks() -> None:
+    """Never give tickets back, and go on renewing them."""
+    _tickets.Tickets.release = lambda tickets, held: None
+
+
+def leaving() -> None:
+    """Go on using targets that are leaving."""
+    Fleet.get_usable = lambda fleet, service: (
+        one for one in fleet.targets.values() if one.service == service
+    )
+
+
+def ends() -> None:
+    """Wait for targets without a limit."""
+    _relaying.anyio = _Unlimited()
+
+
+def lost() -> None:
+    """End at once when asked to stop."""
+    _daemon.NOTICE_S = 0
+    _daemon.END_MARGIN_S = 8
+
+
+def gone() -> None:
+    """Don't notice callers that leave."""
+    _app._cancel_when_left = _sleep_on
+
+
+class _Unlimited:
+    """Stands in for anyio, with scopes that have no deadline."""
+
+    @staticmethod
+    def current_time() -> float:
+        return anyio.current_time()
+
+    @staticmethod
+    def CancelScope(deadline: float) -> anyio.CancelScope:  # noqa: N802
+        return anyio.CancelScope(deadline=deadline + 60)
+
+
+async def _sleep_on(*args: Any) -> None:
+    await anyio.sleep_forever()
+
+
+PATCHES: dict[str, Callable[[], None]] = {
+    patch.__name__: patch
+    for patch in (
+        once,
+        refusals,
+        answers,
+        runs,
+        exits,
+        revoked,
+        leaks,
+        leaving,
+        ends,
+        lost,
+        gone,
+    )
+}
+
+
+if __name__ == '__main__':
+    PATCHES[sys.argv[1]]()
+    run()
--- /dev/null
+++ b/tests/soak/playing.py
@@ -0,0 +1,119 @@
+"""
+Playing a run
+=============
+
+From the start of the processes to the verdict.
+"""
+
+import signal
+import shutil
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+import anyio
+
+from tests.soak.checks import OK, run_checks
+from tests.soak.faults import disturb
+from tests.soak.world import PRODUCT, Size, World
+
+#: How long entries may take to be ready, and the last requests to end.
+START_S = 30
+SETTLE_S = 16
+#: How long is waited after the last end, for leases to lapse, in seconds.
+LAPSE_S = 4.5
+
+
+@dataclass(frozen=True)
+class Report:
+    """What a run came to."""
+
+    requests: int
+    answered: int
+    refused: int
+    faults: int
+    violations: tuple[str, ...]
+
+
+def play(
+    seed: int,
+    size: Size,
+    folder: Path,
+    command: tuple[str, ...] = PRODUCT,
+    *,
+    timed: bool = True,
+) -> Report:
+    """Play one run; return what broke."""
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir(parents=True)
+    return anyio.run(_play, seed, size, folder.absolute(), command, timed)
+
+
+async def _play(
+    seed: int,
+    size: Size,
+    folder: Path,
+    command: tuple[str, ...],
+    timed: bool,
+) -> Report:
+    rng = Random(seed)
+    async with anyio.create_task_group() as group:
+        world = World(size, rng, folder, group, command)
+        try:
+            await _run(world, rng)
+        finally:
+            _end_processes(world)
+        group.cancel_scope.cancel()
+    world.ledger.write(folder / 'timeline.jsonl')
+    violations = run_checks(world.ledger, timed=timed)
+    attempts = world.ledger.attempts.values()
+    return Report(
+        requests=len(attempts),
+        answered=sum(one.status == OK for one in attempts),
+        refused=sum(one.status == 503 for one in attempts),
+        faults=len(world.ledger.faults),
+        violations=tuple(violations),
+    )
+
+
+async def _run(world: World, rng: Random) -> None:
+    await world.start()
+    with anyio.fail_after(START_S):
+        while not world.is_ready():
+            await anyio.sleep(0.1)
+    world.start_callers()
+    async with anyio.create_task_group() as group:
+        group.start_soon(disturb, world, rng)
+        await anyio.sleep(world.size.run_s)
+        world.over = True
+    with anyio.move_on_after(SETTLE_S):
+        while _is_waiting(world):
+            await anyio.sleep(0.1)
+    await anyio.sleep(LAPSE_S)
+    await _stop(world)
+
+
+def _is_waiting(world: World) -> bool:
+    return any(
+        one.ended_at is None and one.left_at is None
+        for one in world.ledger.attempts.values()
+    )
+
+
+async def _stop(world: World) -> None:
+    """End all entries as an operator does."""
+    async with anyio.create_task_group() as group:
+        for entry in world.entries:
+            entry.last = True
+            group.start_soon(entry.stop_gracefully)
+    for entry in world.entries:
+        await entry.ended.wait()
+
+
+def _end_processes(world: World) -> None:
+    for entry in world.entries:
+        entry.last = True
+        entry.send(signal.SIGCONT)
+        entry.send(signal.SIGKILL)
+        if entry.child:
+            entry.child.wait()
--- /dev/null
+++ b/tests/soak/serving.py
@@ -0,0 +1,139 @@
+"""
+Serving of stand-ins
+====================
+
+HTTP/1.1 on a plain stream, so that a stand-in can also break off, fall silent,
+reset or answer with bytes that belong to nothing.
+"""
+
+import socket
+import struct
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import Any, Awaitable, Callable
+from urllib.parse import parse_qsl, urlsplit
+
+import anyio
+import h11
+from anyio.abc import SocketAttribute, SocketStream
+
+ENDS = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    h11.RemoteProtocolError,
+    h11.LocalProtocolError,
+)
+READ_BYTES = 65_536
+
+Headers = list[tuple[str, str]]
+
+
+class Reset(Exception):
+    """Raised by a handler to reset the connection it works on."""
+
+
+def reset(stream: SocketStream) -> None:
+    """Make the close of a stream a reset; one that is closed stays so."""
+    option = struct.pack('ii', 1, 0)
+    with suppress(OSError):
+        raw = stream.extra(SocketAttribute.raw_socket)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+
+
+@dataclass
+class Exchange:
+    """One request on a connection, and the way to answer it."""
+
+    stream: SocketStream
+    http: h11.Connection
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+    async def answer(
+        self,
+        status: int,
+        body: bytes = b'',
+        headers: Headers | None = None,
+    ) -> None:
+        """Answer whole."""
+        listed = [*(headers or []), ('Content-Length', str(len(body)))]
+        await self.start(status, listed)
+        await self.write(body)
+        await self.finish()
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send status and headers."""
+        await self._send(h11.Response(status_code=status, headers=headers))
+
+    async def write(self, raw: bytes) -> None:
+        """Send a part of the body."""
+        await self._send(h11.Data(data=raw))
+
+    async def finish(self) -> None:
+        """End the answer."""
+        await self._send(h11.EndOfMessage())
+
+    async def wait_for_end(self) -> None:
+        """Return when the other side closes the connection.
+
+        What comes meanwhile belongs to the next request and is kept for it.
+        """
+        try:
+            while True:
+                self.http.receive_data(await self.stream.receive(READ_BYTES))
+        except ENDS:
+            return
+
+    async def _send(self, event: Any) -> None:
+        raw = self.http.send(event)
+        if raw:
+            await self.stream.send(raw)
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+async def serve_stream(stream: SocketStream, handle: Handler) -> None:
+    """Serve the requests of one connection, one after the other."""
+    http = h11.Connection(h11.SERVER)
+    async with stream:
+        try:
+            while True:
+                await handle(await _read(stream, http))
+                http.start_next_cycle()
+        except Reset:
+            reset(stream)
+        except ENDS:
+            return
+
+
+async def _read(stream: SocketStream, http: h11.Connection) -> Exchange:
+    head = None
+    body = b''
+    while True:
+        event = http.next_event()
+        if event is h11.NEED_DATA:
+            http.receive_data(await stream.receive(READ_BYTES))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage) and head:
+            break
+        else:
+            raise anyio.EndOfStream
+    parts = urlsplit(head.target.decode())
+    return Exchange(
+        stream,
+        http,
+        head.method.decode(),
+        parts.path,
+        dict(parse_qsl(parts.query)),
+        {name.decode(): text.decode() for name, text in head.headers},
+        body,
+    )
--- /dev/null
+++ b/tests/soak/targets.py
@@ -0,0 +1,311 @@
+"""
+Stand-ins of targets
+====================
+
+One incarnation of an engine or a plain service: it registers in the store,
+works on requests, keeps tickets, and misbehaves on demand.  Every run is
+written to the ledger.
+"""
+
+import json
+import time
+from dataclasses import dataclass, field
+from random import Random
+from zlib import crc32
+
+import anyio
+from anyio.abc import SocketAttribute, TaskGroup
+
+from tests.soak.ledger import Ledger, Run
+from tests.soak.links import Link
+from tests.soak.serving import Exchange, Headers, Reset, serve_stream
+from tests.soak.store import TARGETS, Store
+
+#: Requests that a target works on at once, and that may wait besides.
+SLOTS = 8
+QUEUE = 16
+#: Tokens that are read in a second, and the time of one event, in seconds.
+READ_RATE = 200_000
+EVENT_S = 0.02
+PLAIN_S = 0.02
+HEARTBEAT_S = 1.2
+TOKENS_AN_EVENT = 43
+#: How long a ticket may lie idle after its last use, and without any, in
+#: seconds (`freeMs` and `idleMaxMs` of the settings).
+FREE_S = 4.0
+UNUSED_S = 9.0
+
+
+@dataclass
+class Ticket:
+    """Reserved memory: when its lease ends, and how many requests use it."""
+
+    until: float
+    free_since: float
+    used: bool = False
+    users: int = 0
+
+
+@dataclass
+class Quirks:
+    """The share of requests with which a target does something wrong."""
+
+    fails: float = 0
+    sheds: float = 0
+    loses: float = 0
+    breaks: float = 0
+    mixes: float = 0
+    mute: float = 0
+
+
+def get_seal(target_id: str, req_id: str) -> str:
+    """Return what proves that a target made an answer."""
+    return f'{target_id}.{crc32(req_id.encode()):08x}'
+
+
+def get_body(target_id: str, req_id: str) -> bytes:
+    """Return the whole body of a plain answer."""
+    return f'{req_id} by {target_id}; '.encode() * 20
+
+
+def make_event(req_id: str, number: int) -> bytes:
+    """Return one event of a stream."""
+    return f'id: {number}\ndata: {req_id} {number}\n\n'.encode()
+
+
+def count_events(sizes: str) -> int:
+    """Return how many events a stream has by its token counts."""
+    return max(1, int(sizes.partition(',')[2]) // TOKENS_AN_EVENT)
+
+
+@dataclass(eq=False)
+class Target:
+    """One incarnation of a target behind a link of its own."""
+
+    target_id: str
+    service: str
+    data_centre: str
+    ledger: Ledger
+    store: Store
+    rng: Random
+    quirks: Quirks = field(default_factory=Quirks)
+    tickets: dict[str, Ticket] = field(default_factory=dict)
+    state: str = 'ready'
+    running: int = 0
+    sequence: int = 0
+    link: Link = field(default_factory=lambda: Link(''))
+    gone: anyio.Event = field(default_factory=anyio.Event)
+
+    async def live(self, group: TaskGroup) -> None:
+        """Start, register, and end when `gone` is set."""
+        listener = await anyio.create_tcp_listener(
+            local_host='127.0.0.1', local_port=0
+        )
+        port = listener.extra(SocketAttribute.local_port)
+        self.link.address = f'127.0.0.1:{port}'
+        await self.link.open(group)
+        group.start_soon(self._work, listener)
+
+    async def _work(self, listener: anyio.abc.SocketListener) -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, self._serve)
+            group.start_soon(self._register)
+            await self.gone.wait()
+            self.link.refusing = True
+            self.link.reset_all()
+            group.cancel_scope.cancel()
+        await listener.aclose()
+
+    async def _serve(self, stream: anyio.abc.SocketStream) -> None:
+        await serve_stream(stream, self._handle)
+
+    async def _register(self) -> None:
+        while True:
+            self.write_entry()
+            await anyio.sleep(HEARTBEAT_S)
+
+    def write_entry(self) -> None:
+        """Write the own entry, unless the store is down."""
+        if self.store.status != 200:
+            return
+        self.sequence += 1
+        plain = {
+            'service': self.service,
+            'address': self.link.listed,
+            'zone': self.data_centre,
+            'version': 'v1',
+            'slots': SLOTS,
+            'state': self.state,
+            'sequence': self.sequence,
+        }
+        self.store.put_json(TARGETS, self.target_id, plain)
+
+    async def _handle(self, exchange: Exchange) -> None:
+        if exchange.path == '/order':
+            await self._take_order(exchange)
+            return
+        headers = exchange.headers
+        expected = headers.get('trestledock-expect-instance', self.target_id)
+        if expected != self.target_id:
+            await exchange.answer(421)
+            return
+        full = self.running >= SLOTS + QUEUE
+        if full or self.rng.random() < self.quirks.sheds:
+            await exchange.answer(503, b'', [('Trestledock-Not-Executed', '1')])
+            return
+        self.running += 1
+        try:
+            await self._run(exchange)
+        finally:
+            self.running -= 1
+
+    async def _run(self, exchange: Exchange) -> None:
+        headers = exchange.headers
+        req_id = headers['trestledock-request-id']
+        run = Run(
+            req_id=req_id,
+            target=self.target_id,
+            service=self.service,
+            began_at=time.monotonic(),
+            team=headers.get('trestledock-tenant', ''),
+            sizes=headers.get('trestledock-token-counts', ''),
+            seal=get_seal(self.target_id, req_id),
+            key_seen='authorization' in headers,
+        )
+        self.ledger.runs.append(run)
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._cancel_when_left, exchange, group)
+                await self._respond(exchange, run)
+                group.cancel_scope.cancel()
+        except BaseExceptionGroup as exc:
+            raise exc.exceptions[0] from None
+        finally:
+            run.ended_at = time.monotonic()
+
+    async def _cancel_when_left(
+        self, exchange: Exchange, group: TaskGroup
+    ) -> None:
+        await exchange.wait_for_end()
+        group.cancel_scope.cancel()
+
+    async def _respond(self, exchange: Exchange, run: Run) -> None:
+        drawn = self.rng.random
+        if drawn() < self.quirks.mute:
+            await anyio.sleep_forever()
+        own_id = run.req_id
+        if drawn() < self.quirks.mixes:
+            own_id = 'another'
+        headers = [
+            ('Trestledock-Request-Id', own_id),
+            ('Trestledock-Response-Seal', run.seal),
+        ]
+        if drawn() < self.quirks.fails:
+            run.status = 500
+            await exchange.answer(500, b'failed', headers)
+        elif run.sizes:
+            await self._stream(exchange, run, headers)
+        else:
+            await self._answer_plain(exchange, run, headers)
+
+    async def _answer_plain(
+        self, exchange: Exchange, run: Run, headers: Headers
+    ) -> None:
+        await anyio.sleep(PLAIN_S * self.rng.uniform(0.5, 2))
+        run.status = 200
+        if self.rng.random() < self.quirks.loses:
+            raise Reset
+        body = get_body(run.target, run.req_id)
+        if self.rng.random() < self.quirks.breaks:
+            listed = [*headers, ('Content-Length', str(len(body)))]
+            await exchange.start(200, listed)
+            await exchange.write(body[: len(body) // 2])
+            raise Reset
+        await exchange.answer(200, body, headers)
+
+    async def _stream(
+        self, exchange: Exchange, run: Run, headers: Headers
+    ) -> None:
+        tickets = self._use_tickets(exchange)
+        try:
+            await self._answer_stream(exchange, run, headers)
+        finally:
+            for ticket in tickets:
+                ticket.users -= 1
+                ticket.free_since = time.monotonic()
+
+    async def _answer_stream(
+        self, exchange: Exchange, run: Run, headers: Headers
+    ) -> None:
+        await self._read_prompt(exchange, run)
+        run.status = 200
+        if self.rng.random() < self.quirks.loses:
+            raise Reset
+        await exchange.start(200, headers)
+        await self._write_events(exchange, run)
+
+    async def _read_prompt(self, exchange: Exchange, run: Run) -> None:
+        tokens = int(run.sizes.partition(',')[0])
+        helpers = exchange.headers.get('trestledock-helpers', '')
+        parts = 1 + len([one for one in helpers.split(',') if one])
+        await anyio.sleep(tokens / READ_RATE / parts)
+
+    async def _write_events(self, exchange: Exchange, run: Run) -> None:
+        first = int(exchange.headers.get('last-event-id') or 0) + 1
+        last = count_events(run.sizes)
+        breaking = self.rng.random() < self.quirks.breaks
+        for number in range(first, last + 1):
+            event = make_event(run.req_id, number)
+            if breaking and number > (first + last) // 2:
+                await exchange.write(event[: len(event) // 2])
+                raise Reset
+            await exchange.write(event)
+            await anyio.sleep(EVENT_S)
+        await exchange.finish()
+
+    def _use_tickets(self, exchange: Exchange) -> list[Ticket]:
+        """Note the use of tickets; all are looked up at this target's peers."""
+        helpers = exchange.headers.get('trestledock-helpers', '')
+        names = [
+            one.partition('/')[2] for one in helpers.split(',') if '/' in one
+        ]
+        used = [
+            ticket
+            for name in names
+            if (ticket := TICKETS_BY_NAME.get(name)) is not None
+        ]
+        for ticket in used:
+            ticket.users += 1
+            ticket.used = True
+            if ticket.users > 1:
+                self.ledger.ticket_clashes.add(','.join(names))
+        return used
+
+    async def _take_order(self, exchange: Exchange) -> None:
+        order = json.loads(exchange.body)
+        now = time.monotonic()
+        name = order['id']
+        if order['operation'] == 'release':
+            self.tickets.pop(name, None)
+            TICKETS_BY_NAME.pop(name, None)
+            await exchange.answer(200, b'{}')
+            return
+        until = now + order['holdMs'] / 1000
+        if name in self.tickets:
+            self.tickets[name].until = until
+        else:
+            self.tickets[name] = Ticket(until, now)
+            TICKETS_BY_NAME[name] = self.tickets[name]
+        await exchange.answer(200, b'{"available":1}')
+
+    def note_leaks(self, now: float) -> None:
+        """Note the tickets that lie idle for longer than they may."""
+        for name, ticket in self.tickets.items():
+            idle_s = min(now, ticket.until) - ticket.free_since
+            limit_s = FREE_S if ticket.used else UNUSED_S
+            if not ticket.users and idle_s > limit_s:
+                self.ledger.ticket_leaks.add(f'{name} at {self.target_id}')
+
+
+#: All tickets of a run by name, so that the first target can note their use.
+TICKETS_BY_NAME: dict[str, Ticket] = {}
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,238 @@
+"""
+World of a run
+==============
+
+Puts store, targets, entries and callers together, and makes the changes that
+operators make: configurations, keys, targets that leave.
+"""
+
+import os
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+import anyio
+from anyio.abc import SocketAttribute, TaskGroup
+
+from tests.soak.callers import HOST, KINDS, TIMEOUT_S, Caller, Keys
+from tests.soak.entries import Entry, run_entries
+from tests.soak.ledger import Ledger
+from tests.soak.links import Link
+from tests.soak.serving import serve_stream
+from tests.soak.store import CONFIG, TARGETS, Store
+from tests.soak.targets import HEARTBEAT_S, SLOTS, TICKETS_BY_NAME, Target
+
+DATA_CENTRES = ('dc-a', 'dc-b', 'dc-c')
+TEAMS = ('kiosks', 'desk', 'audit')
+KEYS_A_TEAM = 4
+#: How long a target that leaves goes on serving, in seconds.
+LINGER_S = 3.0
+#: How often tickets are looked at, in seconds.
+LOOK_S = 0.5
+ENGINE = {
+    'slots': SLOTS,
+    'kvCapacity': 232_000,
+    'stride': 43,
+    'step_ms': 0.5,
+    'read_per_s': 200_000,
+}
+PRODUCT = ('trestledock.platform',)
+
+
+@dataclass(frozen=True)
+class Size:
+    """How large a run is; `run_s` is how long callers ask."""
+
+    entries: int = 4
+    engines: int = 6
+    plain: int = 3
+    callers: int = 20
+    run_s: float = 20
+
+
+@dataclass
+class World:
+    """One run."""
+
+    size: Size
+    rng: Random
+    folder: Path
+    group: TaskGroup
+    command: tuple[str, ...] = PRODUCT
+    ledger: Ledger = field(default_factory=Ledger)
+    store: Store = field(default_factory=Store)
+    keys: Keys = field(default_factory=Keys)
+    entries: list[Entry] = field(default_factory=list)
+    targets: list[Target] = field(default_factory=list)
+    version: int = 0
+    timeouts_s: dict[str, float] = field(default_factory=dict)
+    numbers: int = 0
+    over: bool = False
+
+    async def start(self) -> None:
+        """Start everything but the callers."""
+        TICKETS_BY_NAME.clear()
+        self.timeouts_s = dict(TIMEOUT_S)
+        for team in TEAMS:
+            for number in range(KEYS_A_TEAM):
+                self.keys.by_key[f'key-{team}-{number}'] = team
+        self.publish()
+        listener = await anyio.create_tcp_listener(
+            local_host='127.0.0.1', local_port=0
+        )
+        port = listener.extra(SocketAttribute.local_port)
+        self.group.start_soon(listener.serve, self._serve_store)
+        for service, count in (
+            ('engines', self.size.engines),
+            ('booking', self.size.plain),
+        ):
+            for number in range(count):
+                await self.add_target(service, DATA_CENTRES[number % 3])
+        for number in range(self.size.entries):
+            await self._add_entry(number, f'127.0.0.1:{port}')
+        self.group.start_soon(run_entries, self.entries, self.group)
+        self.group.start_soon(self._look_at_tickets)
+
+    def start_callers(self) -> None:
+        """Let the callers begin."""
+        for number in range(self.size.callers):
+            caller = Caller(
+                f'c{number}',
+                self.entries,
+                self.ledger,
+                self.keys,
+                Random(self.rng.random()),
+                lambda: self.over,
+            )
+            self.group.start_soon(caller.run)
+
+    def publish(self) -> None:
+        """Write the configuration as it should be now."""
+        self.version += self.rng.randint(1, 3)
+        plain = {
+            'version': self.version,
+            'routes': [self._make_route(name) for name in KINDS],
+            'services': [
+                {'name': 'engines', 'engineKind': ENGINE},
+                {'name': 'booking'},
+            ],
+            'limits': {'idleTimeoutMs': 15_000},
+            'tenants': [
+                {
+                    'name': team,
+                    'apiKeys': [
+                        key
+                        for key, holder in self.keys.by_key.items()
+                        if holder == team
+                    ],
+                }
+                for team in TEAMS
+            ],
+        }
+        self.store.put_json(*CONFIG, plain)
+        self.ledger.note_change('version', str(self.version))
+
+    def revoke(self) -> None:
+        """Take one key away; callers may go on using it for a moment."""
+        key, team = self.keys.pick(self.rng)
+        self.keys.by_key.pop(key)
+        self.keys.by_key[f'{key}+'] = team
+        self.publish()
+        self.ledger.note_change('revoked', key)
+
+    async def add_target(self, service: str, data_centre: str) -> Target:
+        """Add a new incarnation of a target."""
+        self.numbers += 1
+        target = Target(
+            f'i-{self.numbers}',
+            service,
+            data_centre,
+            self.ledger,
+            self.store,
+            Random(self.rng.random()),
+        )
+        await target.live(self.group)
+        self.targets.append(target)
+        return target
+
+    async def drain(self, target: Target) -> None:
+        """Let a target leave as planned, after another has come."""
+        await self.add_target(target.service, target.data_centre)
+        target.state = 'draining'
+        while self.store.status != 200:
+            await anyio.sleep(0.1)
+        target.write_entry()
+        self.ledger.note_change('leaving', target.target_id)
+        await anyio.sleep(LINGER_S)
+        self.remove(target)
+        self.store.put_json(TARGETS, target.target_id, None)
+
+    async def crash(self, target: Target) -> None:
+        """Let a target die; its entry goes after three heartbeats."""
+        self.remove(target)
+        await anyio.sleep(HEARTBEAT_S * 3)
+        self.store.put_json(TARGETS, target.target_id, None)
+        self.ledger.note_change('leaving', target.target_id)
+        await self.add_target(target.service, target.data_centre)
+
+    def remove(self, target: Target) -> None:
+        """End a target at once."""
+        target.gone.set()
+        if target in self.targets:
+            self.targets.remove(target)
+
+    def pick_target(self) -> Target:
+        """Return a target that is not leaving."""
+        return self.rng.choice(
+            [one for one in self.targets if one.state == 'ready']
+        )
+
+    def get_elapsed_s(self) -> float:
+        """Return the seconds since the run began."""
+        return time.monotonic() - self.ledger.began_at
+
+    def is_ready(self) -> bool:
+        """Whether all entries are in rotation."""
+        return all(entry.in_rotation for entry in self.entries)
+
+    async def _add_entry(self, number: int, store: str) -> None:
+        link = Link(store)
+        await link.open(self.group)
+        # The port of the metrics is fixed, so each entry has its own address.
+        host = f'127.{os.getpid() % 200 + 20}.0.{number + 1}'
+        entry = Entry(
+            f'entry-{number}',
+            host,
+            DATA_CENTRES[number % 3],
+            self.folder,
+            self.ledger,
+            self.command,
+            link,
+        )
+        self.entries.append(entry)
+
+    def _make_route(self, name: str) -> dict:
+        path, kind, service = KINDS[name]
+        streaming = kind == 'streaming'
+        return {
+            'name': name,
+            'host': HOST,
+            'pathPrefix': path[:-1],
+            'kind': kind,
+            'service': service,
+            'timeoutMs': round(self.timeouts_s[name] * 1000),
+            'sloMs': 1000 if streaming else 300,
+            'maxAttempts': 1 if kind == 'non_idempotent' else 2,
+            'resumable': streaming,
+            'gapAimMs': 500,
+        }
+
+    async def _serve_store(self, stream: anyio.abc.SocketStream) -> None:
+        await serve_stream(stream, self.store.handle)
+
+    async def _look_at_tickets(self) -> None:
+        while True:
+            await anyio.sleep(LOOK_S)
+            for target in self.targets:
+                target.note_leaks(time.monotonic())
--- /dev/null
+++ b/tests/test_soak_checks.py
@@ -0,0 +1,160 @@
+"""Each check of the soak on a ledger that breaks it, and on a sound one."""
+
+import unittest
+from dataclasses import replace
+
+from tests.soak.checks import run_checks
+from tests.soak.ledger import Ask, Attempt, Change, Fault, Ledger, Run
+from tests.soak.targets import get_seal
+
+STREAM = Ask(
+    'r1', 'streaming', 'k1', 'desk', 'engines', '/x', '100,86', 2, timeout_s=5
+)
+BOOKING = Ask('r2', 'non_idempotent', 'k1', 'desk', 'booking')
+ENTRY = 'entry-0'
+
+
+def make_run(ask, began_at=10, **fields):
+    """Return a run of a request as it should be."""
+    fields.setdefault('seal', get_seal('i-1', ask.req_id))
+    fields.setdefault('ended_at', began_at + 1)
+    fields.setdefault('team', ask.team)
+    return Run(
+        ask.req_id,
+        'i-1',
+        ask.service,
+        began_at,
+        sizes=ask.sizes,
+        status=200,
+        **fields,
+    )
+
+
+def make_attempt(ask, **fields):
+    """Return a request that was answered whole."""
+    known = {
+        'status': 200,
+        'seal': get_seal('i-1', ask.req_id),
+        'whole': True,
+        'last_event': ask.events,
+        'ended_at': 11.2,
+    }
+    return Attempt(ask, ENTRY, 9.9, **{**known, **fields})
+
+
+def make_ledger(attempt, *runs):
+    """Return a ledger of one request."""
+    ledger = Ledger(attempts={attempt.ask.req_id: attempt})
+    ledger.runs.extend(runs)
+    return ledger
+
+
+class SoundLedgerTest(unittest.TestCase):
+    """What is as it should be breaks nothing."""
+
+    def test_answered(self):
+        for ask in (STREAM, BOOKING):
+            ledger = make_ledger(make_attempt(ask), make_run(ask))
+            self.assertEqual(run_checks(ledger), [])
+
+    def test_resumed_stream(self):
+        ledger = make_ledger(
+            make_attempt(STREAM), make_run(STREAM), make_run(STREAM)
+        )
+        self.assertEqual(run_checks(ledger), [])
+
+    def test_failure_after_a_run(self):
+        attempt = make_attempt(BOOKING, status=502, seal='')
+        self.assertEqual(
+            run_checks(make_ledger(attempt, make_run(BOOKING))), []
+        )
+
+    def test_cut_by_a_kill(self):
+        attempt = make_attempt(STREAM, whole=False, last_event=1)
+        ledger = make_ledger(attempt, make_run(STREAM))
+        ledger.faults.append(Fault('kill_entry', ENTRY, 11, 11.1))
+        self.assertEqual(run_checks(ledger), [])
+
+
+class BrokenLedgerTest(unittest.TestCase):
+    """Each promise that is broken is named."""
+
+    def expect(self, name, ledger):
+        found = run_checks(ledger)
+        self.assertEqual([one.partition(':')[0] for one in found], [name])
+
+    def test_twice(self):
+        runs = (make_run(BOOKING), make_run(BOOKING))
+        self.expect('once', make_ledger(make_attempt(BOOKING), *runs))
+
+    def test_refused_though_run(self):
+        attempt = make_attempt(BOOKING, status=503, seal='')
+        self.expect('refusals', make_ledger(attempt, make_run(BOOKING)))
+
+    def test_bytes_of_another(self):
+        attempt = make_attempt(STREAM, problem="event b'id: 9'")
+        self.expect('answers', make_ledger(attempt, make_run(STREAM)))
+
+    def test_foreign_seal(self):
+        attempt = make_attempt(BOOKING, seal='i-9.x')
+        self.expect('answers', make_ledger(attempt, make_run(BOOKING)))
+
+    def test_complete_too_soon(self):
+        attempt = make_attempt(STREAM, last_event=1)
+        self.expect('answers', make_ledger(attempt, make_run(STREAM)))
+
+    def test_asked_by_nobody(self):
+        ledger = make_ledger(make_attempt(STREAM), make_run(STREAM))
+        ledger.runs.append(make_run(BOOKING))
+        self.expect('runs', ledger)
+
+    def test_wrong_team(self):
+        run = make_run(BOOKING, team='audit')
+        self.expect('runs', make_ledger(make_attempt(BOOKING), run))
+
+    def test_key_passed_on(self):
+        run = make_run(BOOKING, key_seen=True)
+        self.expect('runs', make_ledger(make_attempt(BOOKING), run))
+
+    def test_ticket_used_twice(self):
+        self.expect('tickets', Ledger(ticket_clashes={'t1'}))
+
+    def test_process_ended(self):
+        self.expect('exits', Ledger(exits=['entry-0 ended with 1']))
+
+    def test_revoked_key(self):
+        ledger = make_ledger(make_attempt(BOOKING), make_run(BOOKING))
+        ledger.changes.append(Change('revoked', 'k1', 4.8))
+        self.expect('revoked', ledger)
+
+    def test_leak(self):
+        self.expect('leaks', Ledger(ticket_leaks={'t1 at i-1'}))
+
+    def test_target_has_left(self):
+        ledger = make_ledger(make_attempt(BOOKING), make_run(BOOKING))
+        ledger.changes.append(Change('leaving', 'i-1', 7.6))
+        self.expect('leaving', ledger)
+
+    def test_no_end(self):
+        attempt = make_attempt(STREAM, ended_at=15.9)
+        self.expect('ends', make_ledger(attempt, make_run(STREAM)))
+
+    def test_cut_by_a_graceful_end(self):
+        attempt = make_attempt(STREAM, whole=False, last_event=1)
+        ledger = make_ledger(attempt, make_run(STREAM))
+        ledger.faults.append(
+            Fault('restart_entry', f'graceful {ENTRY}', 10.5, 14)
+        )
+        self.expect('lost', ledger)
+
+    def test_works_on_for_nobody(self):
+        ledger = Ledger()
+        for number in range(4):
+            ask = replace(STREAM, req_id=f'r{number}')
+            ledger.attempts[ask.req_id] = make_attempt(
+                ask, status=0, whole=False, left_at=10.1, ended_at=None
+            )
+            ledger.runs.append(make_run(ask, ended_at=11))
+        found = run_checks(ledger)
+        self.assertEqual(len(found), 4)
+        self.assertTrue(all(one.startswith('gone') for one in found))
