--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -1,12 +1,11 @@
 """A relayer with stub targets on loopback, for tests of relayed requests."""
 
-import socket
-import struct
 from random import Random
 
 import anyio
 from anyio.abc import SocketAttribute
 
+from tests.soak.serving import reset
 from trestledock.entry import EntrySettings
 from trestledock.entry._pool import Pool
 from trestledock.entry._relaying import Relayer
@@ -129,13 +128,6 @@
     return head.decode()
 
 
-def reset(stream):
-    """Make the close of a stream a reset."""
-    raw = stream.extra(SocketAttribute.raw_socket)
-    option = struct.pack('ii', 1, 0)
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
-
-
 class Outcome:
     """What a caller got."""
 
--- a/tests/soak/playing.py
+++ b/tests/soak/playing.py
@@ -5,7 +5,6 @@
 From the start of the processes to the verdict.
 """
 
-import signal
 import shutil
 from dataclasses import dataclass
 from pathlib import Path
@@ -62,7 +61,7 @@
         try:
             await _run(world, rng)
         finally:
-            _end_processes(world)
+            world.end_processes()
         group.cancel_scope.cancel()
     world.ledger.write(folder / 'timeline.jsonl')
     violations = run_checks(world.ledger, timed=timed)
@@ -108,12 +107,3 @@
             group.start_soon(entry.stop_gracefully)
     for entry in world.entries:
         await entry.ended.wait()
-
-
-def _end_processes(world: World) -> None:
-    for entry in world.entries:
-        entry.last = True
-        entry.send(signal.SIGCONT)
-        entry.send(signal.SIGKILL)
-        if entry.child:
-            entry.child.wait()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -7,6 +7,7 @@
 """
 
 import os
+import signal
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -182,6 +183,15 @@
         if target in self.targets:
             self.targets.remove(target)
 
+    def end_processes(self) -> None:
+        """Kill all entries, and let none start again."""
+        for entry in self.entries:
+            entry.last = True
+            entry.send(signal.SIGCONT)
+            entry.send(signal.SIGKILL)
+            if entry.child:
+                entry.child.wait()
+
     def pick_target(self) -> Target:
         """Return a target that is not leaving."""
         return self.rng.choice(
--- /dev/null
+++ b/tests/test_entry_processes.py
@@ -0,0 +1,204 @@
+"""Signals and restarts of real entry processes, without the bench."""
+
+import signal
+import tempfile
+import unittest
+from pathlib import Path
+from random import Random
+
+import anyio
+import httpx
+
+from tests.soak.callers import HOST
+from tests.soak.checks import SAFE
+from tests.soak.world import Size, World
+
+#: Far above what anything here takes on a busy machine, in seconds.
+PATIENCE_S = 60
+SIZE = Size(entries=2, engines=2, plain=1)
+#: Token counts of a stream of about a second and a half.
+LONG_STREAM = '1000,3200'
+
+
+def play(scenario, size=SIZE):
+    """Run `scenario(world)` in a world whose entries are ready."""
+
+    async def main():
+        with tempfile.TemporaryDirectory() as folder:
+            async with anyio.create_task_group() as group:
+                world = World(size, Random(1), Path(folder), group)
+                try:
+                    await run(world)
+                finally:
+                    world.end_processes()
+                group.cancel_scope.cancel()
+
+    async def run(world):
+        with anyio.fail_after(PATIENCE_S):
+            await world.start()
+            await wait_for(world.is_ready)
+            await scenario(world)
+
+    anyio.run(main)
+
+
+async def wait_for(check):
+    """Wait until something holds; the limit is that of the scenario."""
+    while not check():
+        await anyio.sleep(0.05)
+
+
+async def ask(entry, path, req_id, sizes='', key='key-desk-0'):
+    """Send one request on a connection of its own; return the answer."""
+    headers = {
+        'Host': HOST,
+        'Trestledock-Request-Id': req_id,
+        'Trestledock-Request-Deadline': '8000',
+        'Authorization': f'Bearer {key}',
+    }
+    if sizes:
+        headers['Trestledock-Token-Counts'] = sizes
+    async with httpx.AsyncClient(timeout=PATIENCE_S) as client:
+        return await client.post(f'{entry.front}{path}', headers=headers)
+
+
+class SignalTest(unittest.TestCase):
+    """What signals do to requests that are under way."""
+
+    def test_graceful_end_cuts_nothing(self):
+        """A stream that began before SIGTERM ends whole after it."""
+
+        async def scenario(world):
+            entry = world.entries[0]
+            found = []
+
+            async def stream():
+                found.append(await ask(entry, '/notes/x', 's', LONG_STREAM))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(stream)
+                await wait_for(lambda: world.ledger.runs)
+                entry.last = True
+                group.start_soon(entry.stop_gracefully)
+            await entry.ended.wait()
+            answer = found[0]
+            self.assertEqual(answer.status_code, 200)
+            self.assertEqual(answer.content.count(b'\n\n'), 74)
+            self.assertEqual(world.ledger.exits, [])
+
+        play(scenario)
+
+    def test_unready_after_sigterm(self):
+        """The balancer is turned away while the process drains."""
+
+        async def scenario(world):
+            entry = world.entries[0]
+            entry.ending = True
+            entry.send(signal.SIGTERM)
+            await wait_for(lambda: not entry.in_rotation)
+            log = (entry.folder / f'{entry.name}.log').read_text()
+            self.assertIn('"draining"', log)
+
+        play(scenario)
+
+    def test_hang_up_ends_nothing(self):
+        """SIGHUP with other settings cuts no stream and ends no process."""
+
+        async def scenario(world):
+            entry = world.entries[0]
+            found = []
+
+            async def stream():
+                found.append(await ask(entry, '/notes/x', 's', LONG_STREAM))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(stream)
+                await wait_for(lambda: world.ledger.runs)
+                entry.slack += 5
+                entry.write_settings()
+                for _ in range(3):
+                    entry.send(signal.SIGHUP)
+                    await anyio.sleep(0.05)
+            self.assertEqual(found[0].status_code, 200)
+            self.assertIsNone(entry.child.poll())
+            log = (entry.folder / f'{entry.name}.log').read_text()
+            self.assertIn('"reload_asked"', log)
+
+        play(scenario)
+
+
+class RestartTest(unittest.TestCase):
+    """All entries die together, with the store there and away."""
+
+    def test_all_at_once(self):
+        """All are back with the newest configuration and serve."""
+
+        async def scenario(world):
+            world.revoke()
+            revoked = world.ledger.changes[-1].name
+            await restart_all(world)
+            await wait_for(world.is_ready)
+            answer = await ask(world.entries[0], '/look/x', 'a', key=revoked)
+            self.assertEqual(answer.status_code, 401)
+            key = next(iter(world.keys.by_key))
+            answer = await ask(world.entries[0], '/look/x', 'b', key=key)
+            self.assertEqual(answer.status_code, 200)
+
+        play(scenario)
+
+    def test_without_the_store(self):
+        """Without the store: 503 with a time to come back, never 404."""
+
+        async def scenario(world):
+            world.store.status = 503
+            await restart_all(world)
+            entry = world.entries[0]
+            answer = None
+            while answer is None:
+                try:
+                    answer = await ask(entry, '/look/x', 'a')
+                except httpx.HTTPError:
+                    await anyio.sleep(0.1)
+            self.assertEqual(answer.status_code, 503)
+            self.assertGreater(float(answer.headers['Retry-After']), 0)
+            self.assertFalse(entry.in_rotation)
+            world.store.status = 200
+            await wait_for(world.is_ready)
+            answer = await ask(entry, '/look/x', 'b')
+            self.assertEqual(answer.status_code, 200)
+
+        play(scenario)
+
+
+async def restart_all(world):
+    """Kill all entries and wait until the new processes run."""
+    old = [entry.child for entry in world.entries]
+    for entry in world.entries:
+        entry.misses = 2
+        entry.send(signal.SIGKILL)
+    await wait_for(
+        lambda: all(
+            entry.child is not one
+            for entry, one in zip(world.entries, old, strict=True)
+        )
+    )
+
+
+class PromiseTest(unittest.TestCase):
+    """The checks of the soak hold for a calm run."""
+
+    def test_calm_run(self):
+        async def scenario(world):
+            world.start_callers()
+            await wait_for(lambda: len(world.ledger.attempts) > 60)
+            world.over = True
+            await wait_for(
+                lambda: all(
+                    one.ended_at or one.left_at
+                    for one in world.ledger.attempts.values()
+                )
+            )
+            broken = [line for check in SAFE for line in check(world.ledger)]
+            self.assertEqual(broken, [])
+
+        play(scenario, Size(entries=2, engines=3, plain=2, callers=8))
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -67,10 +67,10 @@
             head = await wire.read_head()
         if scope.cancelled_caught:
             self._note_silence(peer)
-            raise WireError('answer', f'silent for {first_s:.2f} s', sent=True)
+            raise WireError('answer', f'silent for {first_s:.2f} s')
         answer = self.dialect.read_head(head)
         if answer.req_id and answer.req_id != job.call.req_id:
-            raise WireError('answer', 'of another request', sent=True)
+            raise WireError('answer', 'of another request')
         idle_s = get_idle_s(answer.keep_alive, answer.connection)
         if _is_stream(job, head, answer):
             passing = StreamPassing(self, job, placement, reply)
@@ -190,7 +190,7 @@
             return await anext(body, None)
         now = anyio.current_time()
         self.answering.state.note_silence(self.peer, now)
-        raise WireError('events', f'silent for {limit_s:.2f} s', sent=True)
+        raise WireError('events', f'silent for {limit_s:.2f} s')
 
     async def _pass_on(self, head: Head, raw: bytes) -> None:
         events = [
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -40,14 +40,13 @@
 
 
 class WireError(Exception):
-    """A connection failed at a step; `sent` says whether bytes had left."""
+    """A connection failed at a step."""
 
-    def __init__(self, step: str, detail: str, *, sent: bool) -> None:
-        """Keep the step, and whether the request may have arrived."""
+    def __init__(self, step: str, detail: str) -> None:
+        """Keep the step and what went wrong."""
         super().__init__(f'{step}: {detail}')
         self.step = step
         self.detail = detail
-        self.sent = sent
 
 
 @dataclass(frozen=True)
@@ -83,7 +82,7 @@
             with anyio.fail_after(CONNECT_S):
                 stream = await anyio.connect_tcp(host, int(port))
         except (OSError, TimeoutError) as exc:
-            raise WireError('connect', repr(exc), sent=False) from exc
+            raise WireError('connect', repr(exc)) from exc
         _set_options(stream)
         return cls(stream)
 
@@ -119,7 +118,7 @@
             if isinstance(event, h11.Response):
                 return Head(event.status_code, tuple(event.headers))
             if isinstance(event, h11.ConnectionClosed):
-                raise WireError('answer', 'connection closed', sent=True)
+                raise WireError('answer', 'connection closed')
 
     async def iter_body(self) -> AsyncIterator[bytes]:
         """Yield the body's bytes; raise a `WireError` where it is cut."""
@@ -130,7 +129,7 @@
             elif isinstance(event, h11.EndOfMessage):
                 return
             else:
-                raise WireError('body', f'unexpected {event!r}', sent=True)
+                raise WireError('body', f'unexpected {event!r}')
 
     async def read_body(self) -> bytes:
         """Return the whole body."""
@@ -164,7 +163,7 @@
         try:
             await self.stream.send(raw)
         except STREAM_ENDS as exc:
-            raise WireError('write', repr(exc), sent=True) from exc
+            raise WireError('write', repr(exc)) from exc
         self.written = True
 
     async def _write_quietly(self, raw: bytes) -> None:
@@ -181,9 +180,9 @@
                 event = self.http.next_event()
         except h11.RemoteProtocolError as exc:
             self.broken = True
-            raise WireError(step, repr(exc), sent=True) from exc
+            raise WireError(step, repr(exc)) from exc
         if isinstance(event, type):
-            raise WireError(step, 'answer out of turn', sent=True)
+            raise WireError(step, 'answer out of turn')
         return event
 
     async def _receive(self, step: str) -> bytes:
@@ -193,7 +192,7 @@
             return b''
         except STREAM_ENDS as exc:
             self.broken = True
-            raise WireError(step, repr(exc), sent=True) from exc
+            raise WireError(step, repr(exc)) from exc
 
 
 def _set_options(stream: SocketStream) -> None:
