Fewer store calls: pace by the bounds, one call while the store is away

While the store was silent for 8 s each of 76 entries tried both topics every 2 s, and the list of peers every second; in calm times a reader reads every 0.4 s whatever the bounds are.

Now the pause between reads is a fifth of the shorter of configMs and drainMs (0.4 s on the small sites as before, 0.6 s on the grown ones), one call tells whether the store is back, later entries try more rarely (up to 6 s), and peers are listed once, since a newcomer tells everyone it finds.

Ruled out: long polls (the topic of the targets has a record at every heartbeat); one reader for all data centres (two hops do not fit the bound of 2 s).

--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -19,18 +19,22 @@
 from trestledock.entry._pool import Pool
 from trestledock.entry._state import EntryState
 from trestledock.entry._wire import WireError
-from trestledock.relay import choose_reader, get_retry_s, is_own_read_due
+from trestledock.relay import (
+    ReadPace,
+    choose_reader,
+    get_retry_s,
+    is_own_read_due,
+)
 
-#: How often the reader reads the store, in seconds: bounds are about two.
-READ_S = 0.4
 #: How often the others ask the reader, in seconds.
 ASK_S = 0.3
 #: How long one read may take, in seconds.
 TIMEOUT_S = 0.8
 #: How often the list of peers is read, in seconds.  Each entry announces
-#: itself before its first read, so that of two the later one sees the other.
-PEERS_S = 20.0
-#: How long to wait after the list of peers could not be read, in seconds.
+#: itself before its first read, so that of two the later one sees the other
+#: and tells it; reading again only makes good what nobody expects.
+PEERS_S = 120.0
+#: How long to wait after the first list of peers could not be read, in seconds.
 PEERS_RETRY_S = 1.0
 #: What pauses are multiplied by at random, so that entries don't keep step.
 JITTER = (0.9, 1.1)
@@ -65,6 +69,8 @@
         self._lost: set[str] = set()
         self._reader = ''
         self._tried_at = float('-inf')
+        self._pace = ReadPace(state.settings.settle_s)
+        self._steps = [self._read_targets, self._read_catalog]
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -77,7 +83,7 @@
         while True:
             now = anyio.current_time()
             candidates = self.gossip.get_candidates(now)
-            reader = choose_reader(candidates)
+            reader = choose_reader(candidates, self._pace)
             self._note_reader(reader)
             if reader == self.state.member:
                 await self._read_store()
@@ -102,7 +108,7 @@
             return False
         age_s = self.state.get_news_age_s(now)
         names = self._get_names(now)
-        return is_own_read_due(self.state.member, names, age_s)
+        return is_own_read_due(self.state.member, names, age_s, self._pace)
 
     def _note_reader(self, reader: str) -> None:
         if reader != self._reader:
@@ -112,9 +118,9 @@
     def _get_pause_s(self, now: float) -> float:
         names = self._get_names(now)
         age_s = self.state.get_news_age_s(now)
-        if is_own_read_due(self.state.member, names, age_s):
+        if is_own_read_due(self.state.member, names, age_s, self._pace):
             return get_retry_s(self.state.member, names)
-        return READ_S
+        return self._pace.read_s
 
     def _get_retry_s(self, now: float) -> float:
         return get_retry_s(self.state.member, self._get_names(now))
@@ -126,10 +132,19 @@
         await anyio.sleep(wait_s * self.state.rng.uniform(*JITTER))
 
     async def _read_store(self) -> None:
+        """Read all; while the store is lost, one call tells if it is back.
+
+        That call takes turns, since a part of the store may be back first.
+        """
         self._tried_at = anyio.current_time()
+        if self._lost:
+            self._steps.reverse()
+            if await self._try(self._steps[0]):
+                await self._try(self._steps[1])
+            return
         async with anyio.create_task_group() as group:
-            group.start_soon(self._try, self._read_catalog)
-            group.start_soon(self._try, self._read_targets)
+            for step in self._steps:
+                group.start_soon(self._try, step)
 
     async def _try(self, read: Callable[[], Awaitable[None]]) -> bool:
         """Read; return whether the store answered."""
@@ -164,11 +179,12 @@
         self._apply(news)
 
     async def _follow_peers(self) -> None:
-        while not await self._try(self._announce):
-            await self._sleep(PEERS_RETRY_S)
+        for step in (self._announce, self._meet_peers):
+            while not await self._try(step):
+                await self._sleep(PEERS_RETRY_S)
         while True:
-            met = await self._try(self._meet_peers)
-            await self._sleep(PEERS_S if met else PEERS_RETRY_S)
+            await self._sleep(PEERS_S)
+            await self._try(self._meet_peers)
 
     async def _announce(self) -> None:
         settings = self.state.settings
--- a/trestledock/entry/_settings.py
+++ b/trestledock/entry/_settings.py
@@ -17,9 +17,10 @@
 
     `callers` and `ready` are where callers and the balancer come, `peers`
     where other entries do, `metrics` where metrics are read, if anywhere.
-    `revoke_s` is how long a key that was taken away
-    may still be served, zero for any time; `grace_s` is the time between the
-    request to stop and the end.
+    `settle_s` is the time within which a change in the store must be in force
+    here; `revoke_s` is how long a key that was taken away may still be served,
+    zero for any time; `grace_s` is the time between the request to stop and the
+    end.
     """
 
     instance: str
@@ -29,6 +30,7 @@
     peers: str
     store: str
     metrics: str = ''
+    settle_s: float = 2
     revoke_s: float = 0
     grace_s: float = 8
     budget: BudgetTerms = field(default_factory=BudgetTerms)
--- a/trestledock/platform/_settings.py
+++ b/trestledock/platform/_settings.py
@@ -32,6 +32,10 @@
     Field('gracePeriodS', 'grace_s'),
 )
 
+#: What bounds the time until a change is in force: of the configuration, and
+#: of the targets that leave, in milliseconds.
+SETTLE_BOUNDS = ('configMs', 'drainMs')
+
 
 class SettingsError(Exception):
     """The settings file can't be read or lacks a field."""
@@ -57,6 +61,11 @@
     # `strictRevoke` says whether `revokeMs` holds when the store is away.
     if not bounds.get('strictRevoke', False):
         more['revoke_s'] = 0
+    settling = [
+        seconds_of(bounds[name]) for name in SETTLE_BOUNDS if name in bounds
+    ]
+    if settling:
+        more['settle_s'] = min(settling)
     return EntrySettings(
         instance=plain['nodeName'],
         data_centre=plain['zone'],
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -35,6 +35,7 @@
 from trestledock.relay._proof import Proof
 from trestledock.relay._readers import (
     Candidate,
+    ReadPace,
     choose_reader,
     get_retry_s,
     is_own_read_due,
@@ -61,6 +62,7 @@
     'Placer',
     'PromptSize',
     'Proof',
+    'ReadPace',
     'RetryWindow',
     'Route',
     'RouteKind',
--- a/trestledock/relay/_readers.py
+++ b/trestledock/relay/_readers.py
@@ -12,19 +12,58 @@
 from dataclasses import dataclass
 from typing import Iterable
 
-#: A proof up to this age makes an instance fit to be asked, in seconds: twice
-#: the pause between reads.
-FRESH_S = 0.8
-#: A proof above this age makes an instance read itself, in seconds, the later
-#: in the order the later: what is added for each place, and at most.
-SELF_S = 0.9
+#: The part of the time within which a change must be in force everywhere after
+#: which the store is read again; the rest is for the way to the others, and for
+#: noticing that a reader is gone.
+READ_SHARE = 0.2
+#: A proof up to this age makes an instance fit to be asked, in pauses between
+#: reads.
+FRESH_PAUSES = 2.0
+#: A proof above this age makes an instance read itself, in pauses between
+#: reads, the later in the order the later: what is added for each place, and at
+#: most, in seconds.
+SELF_PAUSES = 2.25
 SELF_PLACE_S = 0.03
 SELF_MOST_S = 0.5
 #: How often an instance tries to read while nobody has read lately, in
-#: seconds: the first in order, what is added for each place, and at most.
+#: seconds: the first in order, what is added for each place, and at most.  All
+#: calls are priced, refused ones too; whoever is served first tells the others.
 RETRY_FIRST_S = 0.45
-RETRY_PLACE_S = 0.2
-RETRY_MOST_S = 2.0
+RETRY_PLACE_S = 0.4
+RETRY_MOST_S = 6.0
+
+
+@dataclass(frozen=True)
+class ReadPace:
+    """How often one instance reads for all.
+
+    `settle_s` is the time within which a change must be in force everywhere,
+    in seconds.
+
+    >>> round(ReadPace(settle_s=3).read_s, 2)
+    0.6
+    """
+
+    settle_s: float = 2
+
+    @property
+    def read_s(self) -> float:
+        """The pause between two reads in seconds."""
+        return self.settle_s * READ_SHARE
+
+    @property
+    def fresh_s(self) -> float:
+        """Up to what age of its proof an instance is fit to be asked."""
+        return self.read_s * FRESH_PAUSES
+
+    @property
+    def self_s(self) -> float:
+        """Above what age of its proof the first in order reads itself."""
+        return self.read_s * SELF_PAUSES
+
+
+#: The pace for a bound of two seconds.
+DEFAULT_PACE = ReadPace()
 
 
 @dataclass(frozen=True)
@@ -35,32 +74,40 @@
     age_s: float
 
 
-def choose_reader(candidates: Iterable[Candidate]) -> str:
+def choose_reader(
+    candidates: Iterable[Candidate],
+    pace: ReadPace = DEFAULT_PACE,
+) -> str:
     """Return the name of the instance that reads for all.
 
     >>> choose_reader([Candidate('a', 9.0), Candidate('b', 0.2)])
     'b'
     """
     known = tuple(candidates)
-    fresh = [one.name for one in known if one.age_s <= FRESH_S]
+    fresh = [one.name for one in known if one.age_s <= pace.fresh_s]
     return min(fresh or [one.name for one in known])
 
 
-def is_own_read_due(me: str, names: Iterable[str], age_s: float) -> bool:
+def is_own_read_due(
+    me: str,
+    names: Iterable[str],
+    age_s: float,
+    pace: ReadPace = DEFAULT_PACE,
+) -> bool:
     """Whether an instance should read itself, since asking does not help.
 
     >>> is_own_read_due('b', ['a', 'b'], age_s=0.92)
     False
     """
     place = sum(name < me for name in names)
-    return age_s > SELF_S + min(SELF_MOST_S, SELF_PLACE_S * place)
+    return age_s > pace.self_s + min(SELF_MOST_S, SELF_PLACE_S * place)
 
 
 def get_retry_s(me: str, names: Iterable[str]) -> float:
     """Return how long an instance waits between tries when all are stale.
 
     >>> get_retry_s('b', ['a', 'b', 'c'])
-    0.65
+    0.85
     """
     place = sum(name < me for name in names)
     return min(RETRY_MOST_S, RETRY_FIRST_S + RETRY_PLACE_S * place)
