A target that stays silent is left early enough for another to be in time

Now the first target of a repeatable request may be silent for 2.5 times the prediction, 0.2 s at least (a plain one for 0.6 of the objective); the last one that may run it for as long as before. The rule is a module of its own in relay.

Ruled out: asking both at once (runs twice what is nearly always answered).

--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -27,21 +27,12 @@
     RouteKind,
     Sending,
     Splitter,
+    get_first_patience_s,
+    get_pause_patience_s,
 )
 
 #: The statuses that promise that nothing has run.
 PROMISES = frozenset((408, 421, 429, 503))
-#: Least time that is given for the first part of an answer, in seconds.
-LEAST_FIRST_S = 0.8
-#: What is added for a prompt with helpers, in seconds: an engine whose helper
-#: is dead says so after 1.5 s (`stall_ms`).
-HELPED_S = 1.7
-#: How many times the predicted time to the first token a target may take.
-FIRST_FACTOR = 2.0
-#: How many times the objective a repeatable plain call may take.
-PLAIN_FACTOR = 3.0
-#: How many times the allowed pause a stream may be silent.
-PAUSE_FACTOR = 4.0
 MS = 1000
 
 
@@ -61,7 +52,7 @@
         reply: Reply,
     ) -> tuple[Sending, float]:
         """Take an answer; return the ending and how long `wire` may idle."""
-        first_s = get_first_timeout_s(job, placement)
+        first_s = _get_first_limit_s(job, placement)
         peer = placement.target.target_id
         with anyio.move_on_after(first_s) as scope:
             head = await wire.read_head()
@@ -171,7 +162,7 @@
         first_s: float,
     ) -> Sending:
         """Pass on events until the stream ends."""
-        pause_s = get_pause_timeout_s(self.job)
+        pause_s = _get_pause_limit_s(self.job)
         limit_s = first_s
         while True:
             raw = await self._read(body, limit_s)
@@ -243,26 +234,24 @@
         return Sending(Ending.answered, 'events', self.peer, f'{self.count}')
 
 
-def get_first_timeout_s(job: Job, placement: Placement) -> float:
-    """Return how long a target may be silent before another is asked.
+def _get_first_limit_s(job: Job, placement: Placement) -> float:
+    """Return how long a target may be silent before another is asked."""
+    patience_s = get_first_patience_s(
+        job.route,
+        placement.first_s,
+        job.history.runs,
+        helped=bool(placement.helpers),
+    )
+    return min(patience_s, _get_left_s(job))
 
-    A request that may not be repeated is waited for until its deadline.
-    """
-    left_s = max(0, job.deadline - anyio.current_time())
-    if not job.route.repeatable:
-        return left_s
-    if job.route.kind is RouteKind.streaming:
-        stall_s = HELPED_S if placement.helpers else 0
-        first_s = placement.first_s * FIRST_FACTOR + stall_s
-        return min(left_s, max(LEAST_FIRST_S, first_s))
-    return min(left_s, job.route.objective_s * PLAIN_FACTOR)
 
-
-def get_pause_timeout_s(job: Job) -> float:
+def _get_pause_limit_s(job: Job) -> float:
     """Return how long a stream may be silent between events."""
-    if not job.route.repeatable:
-        return max(0, job.deadline - anyio.current_time())
-    return max(LEAST_FIRST_S, job.route.pause_s * PAUSE_FACTOR)
+    return min(get_pause_patience_s(job.route), _get_left_s(job))
+
+
+def _get_left_s(job: Job) -> float:
+    return max(0, job.deadline - anyio.current_time())
 
 
 def _is_stream(job: Job, head: Head, answer: AnswerNote) -> bool:
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -30,6 +30,10 @@
 from trestledock.relay._fleet import Fleet, Listed, Standing
 from trestledock.relay._health import Health
 from trestledock.relay._outcome import Ending, History, Sending
+from trestledock.relay._patience import (
+    get_first_patience_s,
+    get_pause_patience_s,
+)
 from trestledock.relay._placing import Placement, Placer, Work
 from trestledock.relay._plain import choose_least_busy
 from trestledock.relay._proof import Proof
@@ -75,6 +79,8 @@
     'Work',
     'choose_least_busy',
     'choose_reader',
+    'get_first_patience_s',
+    'get_pause_patience_s',
     'get_read_s',
     'get_retry_s',
     'get_write_pass_s',
