Ranks of teams and routes reach targets

The rank of the team goes before that of the route; a caller's own word on it is dropped as before. Ruled out: an order of our own among waiting requests, as none wait here but for memory. Tests: without either no header, the team's before the route's, ranks beyond 9 cut to it.

--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -7,6 +7,7 @@
 
 from tests.relaying import (
     BROKEN,
+    KEY,
     Hang,
     Reset,
     StubTarget,
@@ -15,7 +16,7 @@
     make_stream,
     run_world,
 )
-from trestledock.relay import EngineModel, Flight, Phase, RouteKind
+from trestledock.relay import EngineModel, Flight, Phase, RouteKind, TeamKey
 
 NOT_RUN = ('Trestledock-Not-Executed: 1',)
 IDEMPOTENT = make_route()
@@ -257,6 +258,28 @@
         self.assertIn('trestledock-tenant: kiosks', requests[0].lower())
         self.assertNotIn('key-1', requests[0])
 
+    def test_rank_of_the_team_goes_before_the_routes(self):
+        """The caller's own word on its rank counts for nothing."""
+        name = 'trestledock-request-priority'
+        for team_rank, route_rank, expected in (
+            (None, None, None),
+            (None, 1, '1'),
+            (0, 1, '0'),
+            (12, 1, '9'),
+        ):
+            target = StubTarget(make_answer())
+            key = TeamKey('kiosks', team_rank)
+
+            async def scenario(world, key=key):
+                world.state.catalog.keys[KEY] = key
+                await world.ask(headers={name: '3'})
+
+            run_world(make_route(priority=route_rank), [target], scenario)
+            lines = target.requests[0].lower().split('\r\n')
+            found = [one for one in lines if one.startswith(name)]
+            wanted = [f'{name}: {expected}'] if expected else []
+            self.assertEqual(found, wanted)
+
     def test_old_proof(self):
         """Without a recent proof a key is not served."""
         found, requests = self.ask('key-1', age_s=4)
--- a/trestledock/entry/_admission.py
+++ b/trestledock/entry/_admission.py
@@ -30,7 +30,7 @@
         call=call,
         route=route,
         service=route.draw_service(state.rng),
-        team=_get_team(catalog, route, call).team,
+        team=_get_team(catalog, route, call),
         deadline=min(deadline, call.deadline or deadline),
     )
 
@@ -62,7 +62,7 @@
         if job.history.sendings:
             return Refusal.not_run
         job.service = route.draw_service(state.rng)
-    job.team = _get_team(catalog, route, job.call).team
+    job.team = _get_team(catalog, route, job.call)
     return None
 
 
--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -18,7 +18,8 @@
     """What is added to a call on its way to a target.
 
     `left_s` is the time that the target may take, `tickets` the ids of the
-    memory reserved at other targets, by target.
+    memory reserved at other targets, by target, and `priority` its rank where
+    work waits at the target, 0 first.
     """
 
     placement: Placement
@@ -26,6 +27,7 @@
     left_s: float
     resume_after: str
     tickets: Mapping[str, str]
+    priority: int | None = None
 
 
 @dataclass(frozen=True)
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -11,7 +11,7 @@
 from typing import Mapping
 
 from trestledock.entry._wire import Head
-from trestledock.relay import Call, History, Route
+from trestledock.relay import Call, History, Route, TeamKey
 
 
 class Refusal(str, Enum):
@@ -67,7 +67,7 @@
     call: Call
     route: Route
     service: str
-    team: str
+    team: TeamKey
     deadline: float
     history: History = field(default_factory=History)
     tried: set[str] = field(default_factory=set)
@@ -85,6 +85,13 @@
         """The event after which the stream is to go on."""
         return self.last_event or self.call.resume_after
 
+    @property
+    def priority(self) -> int | None:
+        """The rank of the request: its team's, or else its route's."""
+        if self.team.priority is None:
+            return self.route.priority
+        return self.team.priority
+
     def get_objective_left_s(self, now: float) -> float:
         """Return what is left until the first event would be late."""
         return self.call.arrived_at + self.route.objective_s - now
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -156,7 +156,7 @@
                 req=job.call.req_id,
                 route=job.route.name,
                 service=job.service,
-                team=job.team,
+                team=job.team.team,
                 version=self.state.version,
                 left_ms=round(left_s * MS),
             ),
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -121,7 +121,14 @@
         wire: Wire,
     ) -> None:
         left_s = job.deadline - anyio.current_time()
-        passing = Passing(placement, job.team, left_s, job.resume_after, held)
+        passing = Passing(
+            placement=placement,
+            team=job.team.team,
+            left_s=left_s,
+            resume_after=job.resume_after,
+            tickets=held,
+            priority=job.priority,
+        )
         job.writing = True
         await wire.send(
             job.call.method,
--- a/trestledock/platform/_documents.py
+++ b/trestledock/platform/_documents.py
@@ -60,6 +60,7 @@
     Field('public', 'public'),
     Field('resumable', 'resumable'),
     Field('gapAimMs', 'pause_s', seconds_of),
+    Field('priority', 'priority'),
 )
 
 #: `slots` of an engine is its batch; `kvCapacity` counts prompt and answer.
@@ -120,7 +121,7 @@
     if 'tenants' not in plain:
         return None
     return {
-        key: TeamKey(tenant['name'])
+        key: TeamKey(tenant['name'], tenant.get('priority'))
         for tenant in plain['tenants']
         for key in tenant.get('apiKeys', ())
     }
--- a/trestledock/platform/_headers.py
+++ b/trestledock/platform/_headers.py
@@ -25,6 +25,9 @@
 AT_FAULT = b'at-server'
 AUTHORIZATION = b'authorization'
 SCHEME = 'bearer '
+#: The rank of a request where it waits at a target, from 0 (first) to 9.
+PRIORITY = b'trestledock-request-priority'
+LEAST_URGENT = 9
 MISDIRECTED = 421
 MS = 1000
 
@@ -49,7 +52,7 @@
     EXPECT,
     HELPERS,
     LAST_EVENT,
-    b'trestledock-request-priority',
+    PRIORITY,
     b'trestledock-expect-version',
     b'content-length',
 }
@@ -94,6 +97,9 @@
         ]
         if passing.team:
             added.append((TEAM, passing.team.encode()))
+        if passing.priority is not None:
+            rank = min(max(passing.priority, 0), LEAST_URGENT)
+            added.append((PRIORITY, str(rank).encode()))
         if passing.resume_after:
             added.append((LAST_EVENT, passing.resume_after.encode()))
         if passing.placement.helpers:
--- a/trestledock/relay/_catalog.py
+++ b/trestledock/relay/_catalog.py
@@ -35,7 +35,8 @@
 
     `timeout_s` bounds the whole request, `objective_s` is the time to the
     first byte (or event) that operators aim at, `pause_s` the longest pause
-    between events.  `max_attempts` bounds the targets that may run it.
+    between events.  `max_attempts` bounds the targets that may run it, and
+    `priority` is its rank where work waits, 0 first.
     """
 
     name: str
@@ -49,6 +50,7 @@
     public: bool = False
     resumable: bool = False
     pause_s: float = 0
+    priority: int | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -96,9 +98,10 @@
 
 @dataclass(frozen=True)
 class TeamKey:
-    """Whose a key is."""
+    """Whose a key is; `priority` goes before that of the route."""
 
     team: str
+    priority: int | None = None
 
 
 @dataclass(frozen=True)
