Other data centres hear of flights at their own targets only, and more rarely

Now they hear every 3 s, and only of flights at their own targets. A silent peer is forgotten after 1.7 s (was 3.2) in the own data centre and 6.5 s elsewhere.

Ruled out: only one entry of a data centre tells the others (more to go wrong when it dies; needed at 550, see CAPACITY.md).

--- a/tests/test_entry_gossip.py
+++ b/tests/test_entry_gossip.py
@@ -1,14 +1,23 @@
 """Who is told what, with few entries and with many."""
 
 import unittest
+from dataclasses import replace
 from itertools import repeat
 from random import Random
 
 import anyio
 
-from tests.relaying import SETTINGS
-from trestledock.entry._gossip import MOST_TOLD_ALL, Gossip
+from tests.relaying import SETTINGS, make_listed
+from trestledock.entry._gossip import (
+    FAR_PATIENCE_S,
+    FAR_TURNS,
+    MOST_TOLD_ALL,
+    PATIENCE_S,
+    WHOLE_S,
+    Gossip,
+)
 from trestledock.entry._state import EntryState
+from trestledock.relay import Flight, Phase
 
 
 def make_message(name, place):
@@ -52,3 +61,58 @@
         """Of many only the own data centre is; it has its own reader."""
         far = MOST_TOLD_ALL
         self.check(near=5, far=far, told=5, readers=6)
+
+
+class FarTest(unittest.TestCase):
+    """What entries of other data centres hear of this one."""
+
+    def test_only_flights_at_their_targets(self):
+        """A flight is told where its target or a helper of it is."""
+
+        async def main():
+            gossip = make_gossip(near=2, far=MOST_TOLD_ALL)
+            fleet = gossip.state.fleet
+            fleet.put(make_listed(0, 1))
+            fleet.put(replace(make_listed(1, 2), data_centre='other'))
+            own = [
+                (name, Flight(name, target, 9, 9, Phase.reading, 0))
+                for name, target in (('a', 't0'), ('b', 't1'))
+            ]
+            sent = []
+
+            async def tell(flights, where, *, whole):
+                sent.append(([name for name, _ in flights], len(where), whole))
+
+            gossip._tell = tell
+            await gossip._tell_far(own)
+            self.assertEqual(sent, [(['b'], MOST_TOLD_ALL, True)])
+
+        anyio.run(main)
+
+    def test_nobody_is_far_among_few(self):
+        """Few entries are all told everything."""
+
+        async def main():
+            gossip = make_gossip(near=3, far=3)
+            self.assertEqual(gossip._get_far(), {})
+
+        anyio.run(main)
+
+    def test_patience_covers_two_messages(self):
+        """One lost datagram, or one that is late, loses no peer."""
+        self.assertGreater(PATIENCE_S, 3 * WHOLE_S)
+        self.assertGreater(FAR_PATIENCE_S, 2 * FAR_TURNS * WHOLE_S)
+
+    def test_silent_peers(self):
+        """Near ones are forgotten sooner than far ones."""
+
+        async def main():
+            gossip = make_gossip(near=1, far=MOST_TOLD_ALL)
+            now = anyio.current_time()
+            gossip._drop_silent(now + PATIENCE_S + 0.5)
+            self.assertEqual(len(gossip.peers), MOST_TOLD_ALL)
+            self.assertEqual(gossip.state.board.count_peers(), MOST_TOLD_ALL)
+            gossip._drop_silent(now + FAR_PATIENCE_S + 0.5)
+            self.assertEqual(gossip.peers, {})
+
+        anyio.run(main)
--- a/tests/test_relay_board.py
+++ b/tests/test_relay_board.py
@@ -44,31 +44,31 @@
         """A whole message makes good what was lost."""
         board = Board()
         changes = [('a', make_flight('a')), ('b', make_flight('b'))]
-        board.hear('peer', 1, changes, 0, whole=False)
-        board.hear('peer', 5, [('b', make_flight('b'))], 1, whole=True)
+        board.hear('peer', 1, changes, whole=False)
+        board.hear('peer', 5, [('b', make_flight('b'))], whole=True)
         self.assertEqual(get_ids(board, 't1'), ['b'])
 
     def test_late_message_is_dropped(self):
         """A message that was overtaken changes nothing."""
         board = Board()
-        board.hear('peer', 2, [('a', None)], 0, whole=False)
-        board.hear('peer', 1, [('a', make_flight('a'))], 0, whole=False)
+        board.hear('peer', 2, [('a', None)], whole=False)
+        board.hear('peer', 1, [('a', make_flight('a'))], whole=False)
         self.assertEqual(get_ids(board, 't1'), [])
 
     def test_silent_peer_is_forgotten(self):
         """The flights of a peer that died end with it."""
         board = Board()
         board.put(make_flight('own'))
-        board.hear('peer', 1, [('a', make_flight('a'))], 0, whole=True)
-        self.assertEqual(board.drop_silent(3, patience_s=2), ['peer'])
+        board.hear('peer', 1, [('a', make_flight('a'))], whole=True)
+        board.drop_sender('peer')
         self.assertEqual(get_ids(board, 't1'), ['own'])
 
     def test_restarted_peer_is_heard(self):
         """A peer that counts from the start again is believed once gone."""
         board = Board()
-        board.hear('peer', 900, [], 0, whole=True)
-        board.drop_silent(3, patience_s=2)
-        board.hear('peer', 1, [('a', make_flight('a'))], 4, whole=True)
+        board.hear('peer', 900, [], whole=True)
+        board.drop_sender('peer')
+        board.hear('peer', 1, [('a', make_flight('a'))], whole=True)
         self.assertEqual(get_ids(board, 't1'), ['a'])
 
     def test_changes_are_taken_once(self):
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -8,6 +8,7 @@
 """
 
 import json
+from collections import defaultdict
 from dataclasses import dataclass
 from itertools import count
 from typing import Any, Callable, Mapping, Sequence
@@ -25,15 +26,17 @@
 #: How often everything is told, in seconds.
 WHOLE_S = 0.5
 #: Up to so many other entries are all told at once.  With more of them, those
-#: of other data centres hear only every so many whole messages: what they need
-#: to know of this one's targets grows with the square of the entries.
+#: of other data centres hear only every so many whole messages, and only of
+#: flights at their own targets: what all tell all grows with the square of the
+#: entries.
 MOST_TOLD_ALL = 16
-FAR_TURNS = 3
+FAR_TURNS = 6
 #: What stands for the data centre of an entry that was not heard yet.
 UNKNOWN = ''
 #: How long a peer may be silent before its flights are forgotten, in seconds:
-#: above two whole messages to other data centres.
-PATIENCE_S = 3.2
+#: above three whole messages, and two of them to other data centres.
+PATIENCE_S = 1.7
+FAR_PATIENCE_S = 6.5
 #: How long a peer may be silent and still be asked for news, in seconds.
 LIVE_S = 1.1
 #: Flights in one datagram.
@@ -146,7 +149,7 @@
         self.state.many_entries = len(self.peers) > MOST_TOLD_ALL
         changes = [_read_change(one, now) for one in message['flights']]
         self.state.board.hear(
-            name, message['sequence'], changes, now, whole=message['whole']
+            name, message['sequence'], changes, whole=message['whole']
         )
         self.state.notify()
 
@@ -161,17 +164,36 @@
     async def _tell_all(self) -> None:
         for turn in count():
             own = list(self.state.board.own.items())[:MAX_FLIGHTS]
-            is_far_turn = turn % FAR_TURNS == 0
-            where = list(self.addresses) if is_far_turn else self._get_near()
-            await self._tell(own, where, whole=True)
+            await self._tell(own, self._get_near(), whole=True)
+            if turn % FAR_TURNS == 0:
+                await self._tell_far(own)
             await anyio.sleep(WHOLE_S)
             self._drop_silent(anyio.current_time())
 
+    async def _tell_far(self, own: list[tuple[str, Flight]]) -> None:
+        """Tell the other data centres of the flights at their targets."""
+        for place, where in self._get_far().items():
+            flights = [
+                (flight_id, flight)
+                for flight_id, flight in own
+                if place in self._get_places(flight)
+            ]
+            await self._tell(flights, where, whole=True)
+
     def _drop_silent(self, now: float) -> None:
-        for name in self.state.board.drop_silent(now, PATIENCE_S):
-            self.peers.pop(name, None)
+        silent = [
+            name
+            for name, peer in self.peers.items()
+            if now - peer.heard_at > self._get_patience_s(peer)
+        ]
+        for name in silent:
+            self.peers.pop(name)
+            self.state.board.drop_sender(name)
             emit(events.PeerLost(name))
 
+    def _get_patience_s(self, peer: Peer) -> float:
+        return PATIENCE_S if self._is_near(peer) else FAR_PATIENCE_S
+
     def _is_near(self, peer: Peer) -> bool:
         own = self.state.settings.data_centre
         return not self.state.many_entries or peer.data_centre == own
@@ -187,6 +209,24 @@
             if place in near
         ]
 
+    def _get_far(self) -> dict[str, list[Address]]:
+        """Return the other addresses by data centre: none, if not many."""
+        far: dict[str, list[Address]] = defaultdict(list)
+        near = set(self._get_near())
+        for address, place in self.addresses.items():
+            if address not in near:
+                far[place].append(address)
+        return far
+
+    def _get_places(self, flight: Flight) -> set[str]:
+        """Return the data centres of the targets that a flight is at."""
+        listed = self.state.fleet.targets
+        return {
+            listed[name].data_centre
+            for name in (flight.target, *flight.helpers)
+            if name in listed
+        }
+
     async def _tell(
         self,
         flights: Sequence[tuple[str, Flight | None]],
--- a/trestledock/relay/_board.py
+++ b/trestledock/relay/_board.py
@@ -4,7 +4,7 @@
 
 What every target is working on: the own requests exactly, those of the other
 instances as they last told.  Each flight stands on the board of the instance
-that sent it; peers hold copies, which are dropped with a peer that is silent.
+that sent it; peers hold copies, until whoever listens drops the sender.
 """
 
 from collections import defaultdict
@@ -62,9 +62,8 @@
 
 @dataclass
 class _Sender:
-    """One peer's flights and when it was last heard."""
+    """One instance's flights; `sequence` is that of its newest message."""
 
-    heard_at: float = 0
     sequence: int = -1
     flights: dict[str, Flight] = field(default_factory=dict)
 
@@ -120,13 +119,11 @@
         sender: str,
         sequence: int,
         changes: Iterable[tuple[str, Flight | None]],
-        now: float,
         *,
         whole: bool,
     ) -> None:
         """Fold a peer's message; a whole one replaces all that it had."""
         peer = self._senders.setdefault(sender, _Sender())
-        peer.heard_at = now
         if sequence <= peer.sequence:
             return
         peer.sequence = sequence
@@ -139,18 +136,12 @@
             else:
                 self._unset(sender, flight_id)
 
-    def drop_silent(self, now: float, patience_s: float) -> list[str]:
-        """Forget peers that were not heard; return their names."""
-        silent = [
-            name
-            for name, peer in self._senders.items()
-            if name != OWN and now - peer.heard_at > patience_s
-        ]
-        for name in silent:
-            for flight_id in tuple(self._senders[name].flights):
-                self._unset(name, flight_id)
-            self._senders.pop(name)
-        return silent
+    def drop_sender(self, sender: str) -> None:
+        """Forget a peer that is no longer heard."""
+        if sender in self._senders:
+            for flight_id in tuple(self._senders[sender].flights):
+                self._unset(sender, flight_id)
+            self._senders.pop(sender)
 
     def count_peers(self) -> int:
         """Return how many peers are being heard."""
