Soak: sparse and dense runs, keys used after they were taken away

Now the seed draws how dense the faults are, callers use revoked keys for 15 requests in 100, the store may be away for 9 s with a key taken away meanwhile, and 'ends' lengthens the deadline itself.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -39,6 +39,8 @@
 #: Share of requests whose caller leaves, and when at most, in seconds.
 LEAVE_SHARE = 0.05
 LEAVE_S = 0.6
+#: Share of requests with a key that was taken away before.
+REVOKED_SHARE = 0.15
 #: Pause between two requests of a caller, in seconds.
 THINK_S = (0.02, 0.3)
 END = b'\n\n'
@@ -46,14 +48,28 @@
 
 @dataclass
 class Keys:
-    """The keys in force, by team."""
+    """The teams of the keys in force, and of those taken away."""
 
     by_key: dict[str, str] = field(default_factory=dict)
+    revoked: dict[str, str] = field(default_factory=dict)
 
     def pick(self, rng: Random) -> tuple[str, str]:
-        """Return a key and its team."""
+        """Return a key in force and its team."""
         return rng.choice(sorted(self.by_key.items()))
 
+    def pick_any(self, rng: Random) -> tuple[str, str]:
+        """Return a key as callers use them, at times one taken away."""
+        if self.revoked and rng.random() < REVOKED_SHARE:
+            return rng.choice(sorted(self.revoked.items()))
+        return self.pick(rng)
+
+    def revoke(self, rng: Random) -> str:
+        """Replace a key by another; return the one taken away."""
+        key, team = self.pick(rng)
+        self.revoked[key] = self.by_key.pop(key)
+        self.by_key[f'{key}+'] = team
+        return key
+
 
 @dataclass
 class Caller:
@@ -88,7 +104,7 @@
 
     def _draw(self, req_id: str) -> Ask:
         kind = self.rng.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
-        key, team = self.keys.pick(self.rng)
+        key, team = self.keys.pick_any(self.rng)
         path, route_kind, service = KINDS[kind]
         sizes = ''
         if kind in SIZES:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -23,8 +23,11 @@
 #: Chances of the variants of a fault.
 HALF = 0.5
 OFTEN = 0.7
-#: Pauses between the beginnings of two faults, in seconds.
-GAP_S = (0.1, 1.2)
+#: The least and the longest pauses between the beginnings of two faults, in
+#: seconds: a run has one of them as its longest, so that some runs have many
+#: faults at once, and in others one can be told from the next.
+GAP_S = 0.1
+LONGEST_GAPS_S = (1.2, 3, 6)
 
 FaultKind = Callable[[World, Random], Awaitable[None]]
 
@@ -117,7 +120,10 @@
 
 
 async def store_down(world: World, rng: Random) -> None:
-    """Let the store answer 503 or 429, be slow, or lose its answers."""
+    """Let the store answer 503 or 429, be slow, or lose its answers.
+
+    The operator still reaches it, and may take a key away.
+    """
     store = world.store
     with noted(world, 'store_down', ALL):
         how = rng.choice(('status', 'slow', 'losing'))
@@ -127,7 +133,9 @@
             store.delay_s = 0.5
         else:
             store.losing = True
-        await _last(rng)
+        if rng.random() < HALF:
+            world.revoke()
+        await _last(rng, 9)
         store.status, store.delay_s, store.losing = 200, 0.002, False
 
 
@@ -227,8 +235,9 @@
 async def disturb(world: World, rng: Random) -> None:
     """Begin one fault after the other until the run is over."""
     names = list(KINDS)
+    longest_s = rng.choice(LONGEST_GAPS_S)
     async with anyio.create_task_group() as group:
         while not world.over:
-            await anyio.sleep(rng.uniform(*GAP_S))
+            await anyio.sleep(rng.uniform(GAP_S, longest_s))
             kind = rng.choices(names, list(KINDS.values()))[0]
             group.start_soon(kind, world, Random(rng.random()))
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -13,7 +13,7 @@
 import anyio
 
 from trestledock.entry import _app, _daemon, _relaying, _tickets, _wire
-from trestledock.entry._job import STATUSES, Refusal
+from trestledock.entry._job import STATUSES, Job, Refusal
 from trestledock.platform import _headers, run
 from trestledock.relay import Fleet, History, Proof
 
@@ -76,8 +76,16 @@
 
 
 def ends() -> None:
-    """Wait for targets without a limit."""
-    _relaying.anyio = _Unlimited()
+    """Give requests more time than their routes do."""
+    admit = _relaying.admit
+
+    def admit_long(*args: Any) -> Any:
+        job = admit(*args)
+        if isinstance(job, Job):
+            job.deadline += 5
+        return job
+
+    _relaying.admit = admit_long
 
 
 def lost() -> None:
@@ -91,18 +99,6 @@
     _app._cancel_when_left = _sleep_on
 
 
-class _Unlimited:
-    """Stands in for anyio, with scopes that have no deadline."""
-
-    @staticmethod
-    def current_time() -> float:
-        return anyio.current_time()
-
-    @staticmethod
-    def CancelScope(deadline: float) -> anyio.CancelScope:  # noqa: N802
-        return anyio.CancelScope(deadline=deadline + 60)
-
-
 async def _sleep_on(*args: Any) -> None:
     await anyio.sleep_forever()
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -135,10 +135,8 @@
         self.ledger.note_change('version', str(self.version))
 
     def revoke(self) -> None:
-        """Take one key away; callers may go on using it for a moment."""
-        key, team = self.keys.pick(self.rng)
-        self.keys.by_key.pop(key)
-        self.keys.by_key[f'{key}+'] = team
+        """Take one key away; some callers go on using it."""
+        key = self.keys.revoke(self.rng)
         self.publish()
         self.ledger.note_change('revoked', key)
 
