--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -13,6 +13,9 @@
 
 #: Answers that promise that nothing has run and nothing will.
 PROMISES = frozenset((408, 421, 429, 503))
+#: Failures that the product answers itself: lost, refused, out of time.
+OWN_FAILURES = frozenset((502, 503, 504))
+FAILED = 500
 #: The bound of the settings on keys taken away, in seconds.
 REVOKE_S = 5.0
 
@@ -55,6 +58,14 @@
             )
 
 
+def check_failures(ledger: Ledger) -> Iterator[str]:
+    """A failure is the target's own, or one with a reason of ours."""
+    for req_id, attempt in ledger.attempts.items():
+        is_own = attempt.status >= FAILED and not attempt.seal
+        if is_own and attempt.status not in OWN_FAILURES:
+            yield f'{req_id} at {attempt.entry} got {attempt.status}'
+
+
 def check_runs(ledger: Ledger) -> Iterator[str]:
     """Targets run only what callers asked for, as they asked it."""
     for run in ledger.runs:
@@ -97,6 +108,7 @@
     check_once,
     check_refusals,
     check_answers,
+    check_failures,
     check_runs,
     check_tickets,
     check_exits,
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -43,6 +43,11 @@
     _wire.Wire.iter_body = iter_body
 
 
+def failures() -> None:
+    """Fail while a target is chosen."""
+    _relaying.select = None
+
+
 def runs() -> None:
     """Pass callers' keys on to targets."""
     _headers.REPLACED = _headers.REPLACED - {_headers.AUTHORIZATION}
@@ -109,6 +114,7 @@
         once,
         refusals,
         answers,
+        failures,
         runs,
         exits,
         revoked,
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -103,6 +103,10 @@
         attempt = make_attempt(STREAM, last_event=1)
         self.expect('answers', make_ledger(attempt, make_run(STREAM)))
 
+    def test_failed_inside(self):
+        attempt = make_attempt(BOOKING, status=500, seal='')
+        self.expect('failures', make_ledger(attempt))
+
     def test_asked_by_nobody(self):
         ledger = make_ledger(make_attempt(STREAM), make_run(STREAM))
         ledger.runs.append(make_run(BOOKING))
