A hang-up does not end an entry that is still importing its modules

Cause: SIGHUP was set to be ignored in run(), but the package imported all that it runs before that, some 0.3 s after the start; a hang-up in that time ends a Python process. Now the package is light, and run() ignores SIGHUP before it imports the rest. What is left is the start of Python itself. Test: StartTest, which failed before.

--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -29,6 +29,8 @@
 LOOK_S = 1.0
 #: How long a process may take to its handlers on a busy machine, in seconds.
 STARTING_S = 3.0
+#: How long Python itself may take to the product's first line, in seconds.
+INTERPRETER_S = 0.2
 MISSES = 2
 PORTS = {'front': 8227, 'ready': 8220, 'control': 8229, 'peers': 7340}
 
@@ -70,6 +72,7 @@
     ending: bool = False
     started_at: float = 0
     asked_at: float = float('inf')
+    hung_up_at: float = float('inf')
     last: bool = False
     misses: int = MISSES
     ended: anyio.Event = field(default_factory=anyio.Event)
@@ -106,6 +109,7 @@
         env = {**os.environ, 'TRESTLEDOCK_BOOT': str(self.write_settings())}
         self.started_at = time.monotonic()
         self.asked_at = float('inf')
+        self.hung_up_at = float('inf')
         log = (self.folder / f'{self.name}.log').open('ab')
         self.child = subprocess.Popen(
             (sys.executable, '-m', *self.command),
@@ -120,6 +124,8 @@
         """Send a signal to the process, if it lives."""
         if self.child and self.child.poll() is None:
             self.child.send_signal(signum)
+            if signum is signal.SIGHUP:
+                self.hung_up_at = min(self.hung_up_at, time.monotonic())
 
     async def keep(self) -> None:
         """Start the process again whenever it ends, until the last end."""
@@ -167,6 +173,8 @@
         if self.asked_at - self.started_at < STARTING_S:
             # Python has not come to the product's handlers yet.
             expected.add(-signal.SIGTERM)
+        if self.hung_up_at - self.started_at < INTERPRETER_S:
+            expected.add(-signal.SIGHUP)
         if code not in expected:
             self.ledger.exits.append(f'{self.name} ended with {code}')
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -121,6 +121,7 @@
     ticket_clashes: set[str] = field(default_factory=set)
     ticket_leaks: set[str] = field(default_factory=set)
     exits: list[str] = field(default_factory=list)
+    timeouts_s: dict[str, float] = field(default_factory=dict)
     began_at: float = field(default_factory=time.monotonic)
 
     def note_change(self, what: str, name: str) -> None:
@@ -150,6 +151,16 @@
             found.setdefault(run.req_id, []).append(run)
         return found
 
+    def note_timeout(self, path: str, timeout_s: float) -> None:
+        """Note the time that a route allows; the least ever counts."""
+        known_s = self.timeouts_s.get(path, timeout_s)
+        self.timeouts_s[path] = min(known_s, timeout_s)
+
+    def is_timed_out(self, attempt: Attempt) -> bool:
+        """Whether a request may have reached its route's time."""
+        limit_s = self.timeouts_s.get(attempt.ask.path, float('inf'))
+        return attempt.end - attempt.sent_at >= limit_s
+
     def get_changes(self, what: str) -> dict[str, float]:
         """Return when changes of a kind were acknowledged, by name."""
         return {one.name: one.at for one in self.changes if one.what == what}
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -111,6 +111,8 @@
     def publish(self) -> None:
         """Write the configuration as it should be now."""
         self.version += self.rng.randint(1, 3)
+        for name, timeout_s in self.timeouts_s.items():
+            self.ledger.note_timeout(KINDS[name][0], timeout_s)
         plain = {
             'version': self.version,
             'routes': [self._make_route(name) for name in KINDS],
--- a/tests/test_entry_processes.py
+++ b/tests/test_entry_processes.py
@@ -1,6 +1,8 @@
 """Signals and restarts of real entry processes, without the bench."""
 
 import signal
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -11,6 +13,7 @@
 
 from tests.soak.callers import HOST
 from tests.soak.checks import SAFE
+from tests.soak.entries import ROOT
 from tests.soak.world import Size, World
 
 #: Far above what anything here takes on a busy machine, in seconds.
@@ -18,6 +21,21 @@
 SIZE = Size(entries=2, engines=2, plain=1)
 #: Token counts of a stream of about a second and a half.
 LONG_STREAM = '1000,1300'
+#: Runs an entry up to its first import, and prints whether SIGHUP is ignored.
+PROBE = """
+import signal, sys
+import trestledock.platform
+
+class Probe:
+    def find_spec(self, name, path=None, target=None):
+        if name == 'trestledock.entry':
+            print(signal.getsignal(signal.SIGHUP) is signal.SIG_IGN)
+            sys.exit(0)
+
+assert 'trestledock.entry' not in sys.modules
+sys.meta_path.insert(0, Probe())
+trestledock.platform.run()
+"""
 
 
 def play(scenario, size=SIZE):
@@ -127,6 +145,20 @@
         play(scenario)
 
 
+class StartTest(unittest.TestCase):
+    """Signals that come before the process is ready."""
+
+    def test_hang_up_is_ignored_before_the_imports(self):
+        """SIGHUP must not end a process that still loads its modules."""
+        found = subprocess.run(
+            (sys.executable, '-c', PROBE),
+            cwd=ROOT,
+            capture_output=True,
+            check=False,
+        )
+        self.assertEqual(found.stdout.split(), [b'True'], found.stderr)
+
+
 class RestartTest(unittest.TestCase):
     """All entries die together, with the store there and away."""
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -69,6 +69,13 @@
             run_checks(make_ledger(attempt, make_run(BOOKING))), []
         )
 
+    def test_cut_by_its_routes_time(self):
+        attempt = make_attempt(STREAM, whole=False, last_event=1)
+        ledger = make_ledger(attempt, make_run(STREAM))
+        ledger.note_timeout(STREAM.path, 8)
+        ledger.note_timeout(STREAM.path, 1.2)
+        self.assertEqual(run_checks(ledger), [])
+
     def test_cut_by_a_kill(self):
         attempt = make_attempt(STREAM, whole=False, last_event=1)
         ledger = make_ledger(attempt, make_run(STREAM))
--- a/trestledock/platform/_run.py
+++ b/trestledock/platform/_run.py
@@ -5,7 +5,6 @@
 Builds the entry from the platform's settings and runs it.
 """
 
-import signal
 import sys
 
 import anyio
@@ -16,10 +15,8 @@
 from trestledock.platform._store import StoreDirectory
 
 
-def run() -> None:
-    """Run an entry until it is asked to stop."""
-    # A change of the settings must not end a process that is still starting.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+def run_entry_process() -> None:
+    """Run an entry; leave with a message where the settings are of no use."""
     set_up_logs()
     try:
         anyio.run(run_entry, read_settings, PlatformDialect(), _make_directory)
