--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -14,6 +14,7 @@
 import click
 
 from tests.soak.playing import Report, play
+from tests.soak.seeds import FAILED
 from tests.soak.world import PRODUCT, Size
 
 FOLDER = Path('build') / 'soak'
@@ -22,6 +23,7 @@
 @click.command()
 @click.option('--seed', default=1, help='The first seed.')
 @click.option('--seeds', default=1, help='How many seeds to play.')
+@click.option('--again', is_flag=True, help='Play all seeds that failed.')
 @click.option('--run-s', default=Size.run_s, help='How long callers ask.')
 @click.option('--entries', default=Size.entries)
 @click.option('--engines', default=Size.engines)
@@ -32,6 +34,7 @@
 def main(  # noqa: WPS211, WPS216 - options of a command
     seed: int,
     seeds: int,
+    again: bool,
     run_s: float,
     entries: int,
     engines: int,
@@ -46,7 +49,8 @@
     size = Size(entries=entries, engines=engines, callers=callers, run_s=run_s)
     command = ('tests.soak.mutants', patch) if patch else (product,)
     broken = 0
-    for number in range(seed, seed + seeds):
+    numbers = tuple(FAILED) if again else range(seed, seed + seeds)
+    for number in numbers:
         report = play(
             number,
             size,
@@ -56,7 +60,7 @@
         )
         _print(number, report)
         broken += bool(report.violations)
-    click.echo(f'runs: {seeds}, broken: {broken}')
+    click.echo(f'runs: {len(numbers)}, broken: {broken}')
     sys.exit(1 if broken else 0)
 
 
