--- a/tests/test_entry_processes.py
+++ b/tests/test_entry_processes.py
@@ -80,6 +80,20 @@
         return await client.post(f'{entry.front}{path}', headers=headers)
 
 
+async def stream_while(world, entry, disturb):
+    """Ask for a stream, disturb it once it runs; return its answer."""
+    found = []
+
+    async def stream():
+        found.append(await ask(entry, '/notes/x', 's', LONG_STREAM))
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(stream)
+        await wait_for(lambda: world.ledger.runs)
+        await disturb()
+    return found[0]
+
+
 class SignalTest(unittest.TestCase):
     """What signals do to requests that are under way."""
 
@@ -88,18 +102,13 @@
 
         async def scenario(world):
             entry = world.entries[0]
-            found = []
-
-            async def stream():
-                found.append(await ask(entry, '/notes/x', 's', LONG_STREAM))
 
-            async with anyio.create_task_group() as group:
-                group.start_soon(stream)
-                await wait_for(lambda: world.ledger.runs)
+            async def end():
                 entry.last = True
-                group.start_soon(entry.stop_gracefully)
+                await entry.stop_gracefully()
+
+            answer = await stream_while(world, entry, end)
             await entry.ended.wait()
-            answer = found[0]
             self.assertEqual(answer.status_code, 200)
             self.assertEqual(answer.content.count(b'\n\n'), 30)
             self.assertEqual(world.ledger.exits, [])
@@ -124,20 +133,16 @@
 
         async def scenario(world):
             entry = world.entries[0]
-            found = []
-
-            async def stream():
-                found.append(await ask(entry, '/notes/x', 's', LONG_STREAM))
 
-            async with anyio.create_task_group() as group:
-                group.start_soon(stream)
-                await wait_for(lambda: world.ledger.runs)
+            async def hang_up():
                 entry.slack += 5
                 entry.write_settings()
                 for _ in range(3):
                     entry.send(signal.SIGHUP)
                     await anyio.sleep(0.05)
-            self.assertEqual(found[0].status_code, 200)
+
+            answer = await stream_while(world, entry, hang_up)
+            self.assertEqual(answer.status_code, 200)
             self.assertIsNone(entry.child.poll())
             log = (entry.folder / f'{entry.name}.log').read_text()
             self.assertIn('"reload_asked"', log)
