--- /dev/null
+++ b/tests/test_relay_asking.py
@@ -0,0 +1,175 @@
+"""Asking for a place: giants, callers who leave, and what is refused."""
+
+import unittest
+
+from trestledock.relay import (
+    Ask,
+    Board,
+    Decision,
+    EngineModel,
+    Flight,
+    Health,
+    Listed,
+    Phase,
+    Placement,
+    Placer,
+    PromptSize,
+    Standing,
+    Timing,
+)
+
+#: An engine that reads 182,000 tokens in 3.9 s, 790,000 in 55 s.
+ENGINE = EngineModel(
+    batch=8,
+    capacity_tokens=405_000,
+    step_s=0.00131,
+    read_rate=154_000,
+    step_request_s=9.17e-7,
+    step_context_s=2.13e-9,
+    pair_s=1.62e-10,
+    stride=34,
+)
+TARGETS = tuple(
+    Listed(f't{one:02}', 's', f'10.0.0.{one}:80', 'dc', Standing.ready, 8)
+    for one in range(18)
+)
+
+
+def make_ask(tokens, *, arrived_at=0.0, deadline=15.0, output=600):
+    """Return a long prompt whose caller leaves after a silence of 12 s."""
+    timing = Timing(
+        arrived_at=arrived_at,
+        due=arrived_at + 3.0,
+        gone=min(deadline, arrived_at + 12.0),
+        deadline=deadline,
+    )
+    return Ask('r1', PromptSize(tokens, output), timing, 1.0, 12.0)
+
+
+def read_by(name, numbers, *, due, gone, tokens=300_000):
+    """Return a long prompt that is being read by some of the engines."""
+    names = [TARGETS[one].target_id for one in numbers]
+    return Flight(
+        name,
+        names[0],
+        tokens,
+        600,
+        Phase.reading,
+        since=0,
+        pause_s=1.0,
+        worth=20,
+        due=due,
+        helpers=tuple(names[1:]),
+        gone=gone,
+        patience_s=12.0,
+    )
+
+
+class Fixture(unittest.TestCase):
+    """An idle fleet of 18 engines."""
+
+    def setUp(self):
+        self.board = Board()
+        self.placer = Placer(self.board, Health())
+
+    def choose(self, ask, now=0.0, targets=TARGETS):
+        return ask.choose(self.placer, ENGINE, targets, now)
+
+
+class GiantTest(Fixture):
+    """A prompt that needs most of the fleet, alone and beside others."""
+
+    def test_in_time_for_its_caller(self):
+        """A giant on an idle fleet is read well before its caller leaves."""
+        found = self.choose(make_ask(790_000))
+        self.assertIsInstance(found, Placement)
+        self.assertLess(found.first_s, 9.6)
+
+    def test_never_for_nobody(self):
+        """Beside others' reading it waits; it isn't read until long after.
+
+        With a flat price of lateness, two helpers read it for 18 s, while its
+        caller leaves after 12: three engines taken for nothing.
+        """
+        self.board.put(read_by('a', range(9), due=3, gone=12))
+        self.board.put(read_by('b', range(9, 15), due=3, gone=12))
+        found = self.choose(make_ask(790_000))
+        if isinstance(found, Placement):
+            self.assertLess(found.first_s, 9.6)
+        else:
+            self.assertIs(found, Decision.wait)
+
+    def test_goes_when_others_have_finished(self):
+        """Once they are done, it goes over many engines at once."""
+        found = self.choose(make_ask(790_000), now=2.0)
+        self.assertIsInstance(found, Placement)
+        self.assertGreater(len(found.helpers), 4)
+
+    def test_refused_where_it_cannot_be_in_time(self):
+        """A caller that comes back with too little time is refused at once."""
+        found = self.choose(make_ask(790_000, deadline=2.9))
+        self.assertIs(found, Decision.no_time)
+
+    def test_answer_must_be_written_too(self):
+        """The first event is of no use if the rest comes after the deadline."""
+        ask = make_ask(182_000, deadline=2.2)
+        self.assertIsInstance(self.choose(ask), Placement)
+        ask = make_ask(182_000, deadline=2.2, output=1_500)
+        self.assertIs(self.choose(ask), Decision.no_time)
+
+
+class HarmTest(Fixture):
+    """What a new part costs those whose parts it goes before."""
+
+    def test_late_reader_is_not_pushed_beyond_its_caller(self):
+        """A giant that is late already keeps what time its caller has left."""
+        flight = read_by('a', range(17), due=-1, gone=1.2, tokens=600_000)
+        self.board.put(flight)
+        found = self.choose(make_ask(300_000))
+        if isinstance(found, Placement):
+            names = {one.target_id for one in found.helpers}
+            taken = names & set(flight.engaged)
+            self.assertEqual(taken, set())
+
+    def test_stream_whose_caller_would_leave(self):
+        """A pause at which callers leave costs more than a late answer."""
+        viewer = self.placer.viewer
+        for name, target, patience_s in (('a', 't00', 2.0), ('b', 't01', 9.0)):
+            self.board.put(
+                Flight(
+                    name,
+                    target,
+                    5_000,
+                    1_300,
+                    Phase.writing,
+                    0,
+                    pause_s=0.25,
+                    patience_s=patience_s,
+                )
+            )
+        harms = [
+            viewer.view(ENGINE, TARGETS[one], 0).get_harm(2.5) for one in (0, 1)
+        ]
+        self.assertGreater(harms[0], harms[1])
+
+    def test_harm_is_done_once(self):
+        """Who is late anyway loses nothing more by another part."""
+        self.board.put(read_by('a', (0,), due=0.5, gone=12, tokens=182_000))
+        view = self.placer.viewer.view(ENGINE, TARGETS[0], 0)
+        self.assertLess(view.get_harm(1.0), 5)
+
+
+class SmallTest(Fixture):
+    """Prompts that fit are placed as before."""
+
+    def test_in_time(self):
+        """A long prompt on an idle fleet comes within its objective."""
+        found = self.choose(make_ask(182_000))
+        self.assertLess(found.first_s, 2.25)
+
+    def test_no_target(self):
+        """Without any target it waits a little, then says so."""
+        ask = make_ask(5_000)
+        self.assertIs(self.choose(ask, targets=()), Decision.wait)
+        found = self.choose(ask, now=0.5, targets=())
+        self.assertIs(found, Decision.no_target)
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -224,6 +224,7 @@
         named = [event.event_id for event in events if event.event_id]
         if named:
             self.job.last_event = named[-1]
+        self.job.last_event_at = anyio.current_time()
 
     def _note_pause(self) -> None:
         now = anyio.current_time()
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -11,7 +11,7 @@
 from collections import defaultdict
 from dataclasses import dataclass
 from itertools import count
-from typing import Any, Callable, Mapping, Sequence
+from typing import Any, Callable, Mapping, NamedTuple, Sequence
 
 import anyio
 from anyio.abc import UDPSocket
@@ -248,43 +248,74 @@
         await self.send(message, *where)
 
 
+class _Row(NamedTuple):
+    """A flight as it is told; instants are told as the time until or since.
+
+    What an older version of the program does not tell has a default.
+    """
+
+    flight_id: str
+    target: str
+    prompt_tokens: int
+    output_tokens: int
+    phase: str
+    since_ms: int
+    pause_ms: int
+    worth: float
+    due_ms: int
+    helpers: Sequence[str]
+    tickets: Sequence[tuple[str, int]]
+    gone_ms: float = MOST_AGE_S * MS
+    patience_ms: float = MOST_AGE_S * MS
+
+
 def _write_change(
     flight_id: str,
     flight: Flight | None,
     now: float,
-) -> list[Any]:
+) -> Sequence[Any]:
     if flight is None:
         return [flight_id]
-    return [
-        flight_id,
-        flight.target,
-        flight.prompt_tokens,
-        flight.output_tokens,
-        flight.phase.value,
-        round((now - flight.since) * MS),
-        round(flight.pause_s * MS),
-        round(flight.worth, 2),
-        round(min(flight.due - now, MOST_AGE_S) * MS),
-        flight.helpers,
-        flight.tickets,
-    ]
-
-
-def _read_change(row: list[Any], now: float) -> tuple[str, Flight | None]:
-    if len(row) == 1:
-        return row[0], None
-    return row[0], Flight(
-        flight_id=row[0],
-        target=row[1],
-        prompt_tokens=row[2],
-        output_tokens=row[3],
-        phase=Phase(row[4]),
-        since=now - row[5] / MS,
-        pause_s=row[6] / MS,
-        worth=row[7],
-        due=now + row[8] / MS,
-        helpers=tuple(row[9]),
-        tickets=tuple((name, tokens) for name, tokens in row[10]),
+    return _Row(
+        flight_id=flight_id,
+        target=flight.target,
+        prompt_tokens=flight.prompt_tokens,
+        output_tokens=flight.output_tokens,
+        phase=flight.phase.value,
+        since_ms=round((now - flight.since) * MS),
+        pause_ms=round(flight.pause_s * MS),
+        worth=round(flight.worth, 2),
+        due_ms=_get_ms(flight.due - now),
+        helpers=flight.helpers,
+        tickets=flight.tickets,
+        gone_ms=_get_ms(flight.gone - now),
+        patience_ms=_get_ms(flight.patience_s),
+    )
+
+
+def _get_ms(seconds: float) -> int:
+    """Return milliseconds; what has no end is told as very long."""
+    return round(min(seconds, MOST_AGE_S) * MS)
+
+
+def _read_change(told: list[Any], now: float) -> tuple[str, Flight | None]:
+    if len(told) == 1:
+        return told[0], None
+    row = _Row(*told)
+    return row.flight_id, Flight(
+        flight_id=row.flight_id,
+        target=row.target,
+        prompt_tokens=row.prompt_tokens,
+        output_tokens=row.output_tokens,
+        phase=Phase(row.phase),
+        since=now - row.since_ms / MS,
+        pause_s=row.pause_ms / MS,
+        worth=row.worth,
+        due=now + row.due_ms / MS,
+        helpers=tuple(row.helpers),
+        tickets=tuple((name, tokens) for name, tokens in row.tickets),
+        gone=now + row.gone_ms / MS,
+        patience_s=row.patience_ms / MS,
     )
 
 
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -11,7 +11,7 @@
 from typing import Mapping
 
 from trestledock.entry._wire import Head
-from trestledock.relay import Call, History, Route, TeamKey
+from trestledock.relay import Call, History, Route, TeamKey, Timing
 
 
 class Refusal(str, Enum):
@@ -23,6 +23,7 @@
     stale_proof = 'stale_proof'
     no_target = 'no_target'
     no_memory = 'no_memory'
+    no_time = 'no_time'
     not_run = 'not_run'
     failed = 'failed'
     timeout = 'timeout'
@@ -38,6 +39,7 @@
         Refusal.stale_proof: 503,
         Refusal.no_target: 503,
         Refusal.no_memory: 503,
+        Refusal.no_time: 503,
         Refusal.not_run: 503,
         Refusal.failed: 502,
         Refusal.timeout: 504,
@@ -58,8 +60,9 @@
 class Job:
     """One request in progress.
 
-    `last_event` is the id of the last event that the caller was sent, and
-    `fallback` a target's failure that is passed on if nothing better comes.
+    `last_event` is the id of the last event that the caller was sent, at the
+    instant `last_event_at`, and `fallback` a target's failure that is passed
+    on if nothing better comes.
     `writing` is true from before the first byte of a sending leaves until its
     ending stands in the history.
     """
@@ -72,6 +75,7 @@
     history: History = field(default_factory=History)
     tried: set[str] = field(default_factory=set)
     last_event: str = ''
+    last_event_at: float | None = None
     fallback: Answer | None = None
     writing: bool = False
 
@@ -92,6 +96,18 @@
             return self.route.priority
         return self.team.priority
 
-    def get_objective_left_s(self, now: float) -> float:
-        """Return what is left until the first event would be late."""
-        return self.call.arrived_at + self.route.objective_s - now
+    @property
+    def timing(self) -> Timing:
+        """The instants that the request is judged by.
+
+        Its caller leaves after a silence, whether before the first event or
+        between two of them.
+        """
+        arrived_at = self.call.arrived_at
+        heard_at = self.last_event_at or arrived_at
+        return Timing(
+            arrived_at=arrived_at,
+            due=arrived_at + self.route.objective_s,
+            gone=min(self.deadline, heard_at + self.route.patience_s),
+            deadline=self.deadline,
+        )
--- a/trestledock/platform/_documents.py
+++ b/trestledock/platform/_documents.py
@@ -7,6 +7,7 @@
 """
 
 from collections import defaultdict
+from dataclasses import replace
 from typing import Any
 
 from trestledock.platform._fields import Field, seconds_of, read_fields
@@ -26,6 +27,14 @@
 TOKENS_PER_K = 1000
 PAIRS_PER_M = 1_000_000
 READY = 'ready'
+#: Callers of this platform abandon a stream, also before its first event, after
+#: a gap of so many seconds, or so many times its objective or its longest
+#: pause, whichever is longest.
+LEAST_GAP_S = 2.0
+GAP_OBJECTIVES = 4
+GAP_PAUSES = 8
+#: Callers of plain services leave at their deadline only.
+FOREVER_S = float('inf')
 
 
 def _read_standing(state: str) -> Standing:
@@ -100,7 +109,20 @@
 
 
 def _decode_route(row: dict[str, Any]) -> Route:
-    return Route(shares=_decode_shares(row), **read_fields(row, ROUTE_FIELDS))
+    found = read_fields(row, ROUTE_FIELDS)
+    route = Route(shares=_decode_shares(row), **found)
+    return replace(route, patience_s=_get_patience_s(route))
+
+
+def _get_patience_s(route: Route) -> float:
+    """Return how long a silence callers of a route bear."""
+    if route.kind is not RouteKind.streaming:
+        return FOREVER_S
+    return max(
+        LEAST_GAP_S,
+        GAP_OBJECTIVES * route.objective_s,
+        GAP_PAUSES * route.pause_s,
+    )
 
 
 def _decode_shares(row: dict[str, Any]) -> tuple[Share, ...]:
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -12,7 +12,9 @@
     PassLoad,
     get_read_s,
     get_write_pass_s,
+    get_write_s,
 )
+from trestledock.relay._asking import Ask
 from trestledock.relay._board import Board, Flight, Phase
 from trestledock.relay._budget import BudgetTerms, RetryWindow
 from trestledock.relay._call import Call, PromptSize
@@ -26,6 +28,13 @@
     Share,
     TeamKey,
 )
+from trestledock.relay._deciding import (
+    LOOK_S,
+    Decision,
+    Timing,
+    decide,
+    decide_without_place,
+)
 from trestledock.relay._events import Event, Splitter
 from trestledock.relay._fleet import Fleet, Listed, Standing
 from trestledock.relay._health import Health
@@ -45,13 +54,16 @@
     get_retry_s,
     is_own_read_due,
 )
+from trestledock.relay._worth import get_worth
 
 __all__ = (
+    'Ask',
     'Board',
     'BudgetTerms',
     'Call',
     'Candidate',
     'Catalog',
+    'Decision',
     'EARLY_TERMS',
     'Ending',
     'EngineModel',
@@ -60,6 +72,7 @@
     'Flight',
     'Health',
     'History',
+    'LOOK_S',
     'Limits',
     'Listed',
     'PassLoad',
@@ -78,13 +91,18 @@
     'Splitter',
     'Standing',
     'TeamKey',
+    'Timing',
     'Work',
     'choose_least_busy',
     'choose_reader',
+    'decide',
+    'decide_without_place',
     'get_first_patience_s',
     'get_pause_patience_s',
     'get_read_s',
     'get_retry_s',
+    'get_worth',
     'get_write_pass_s',
+    'get_write_s',
     'is_own_read_due',
 )
--- a/trestledock/relay/_arithmetic.py
+++ b/trestledock/relay/_arithmetic.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 
+from trestledock.relay._call import PromptSize
 from trestledock.relay._catalog import EngineModel
 
 
@@ -43,3 +44,14 @@
         + engine.step_context_s * load.context_tokens
     )
     return engine.stride * step_s + load.reading_s
+
+
+def get_write_s(engine: EngineModel, size: PromptSize) -> float:
+    """Return how long an answer is written by an engine without other work.
+
+    >>> engine = EngineModel(8, 232_000, 0.001, 200_000)
+    >>> get_write_s(engine, PromptSize(1_000, 500))
+    0.5
+    """
+    step_s = engine.step_s + engine.step_context_s * size.total_tokens
+    return size.output_tokens * step_s
--- /dev/null
+++ b/trestledock/relay/_asking.py
@@ -0,0 +1,88 @@
+"""
+Asking for a place
+==================
+
+A request with what its route says of times, as the decisions take it: the work
+that is placed, the flight that the board is told of, and the choice.
+"""
+
+from dataclasses import dataclass, replace
+from typing import Sequence
+
+from trestledock.relay._arithmetic import get_write_s
+from trestledock.relay._board import Flight, Phase
+from trestledock.relay._call import PromptSize
+from trestledock.relay._catalog import EngineModel
+from trestledock.relay._deciding import (
+    Decision,
+    Timing,
+    decide,
+    decide_without_place,
+)
+from trestledock.relay._fleet import Listed
+from trestledock.relay._placing import Placement, Placer, Work
+from trestledock.relay._worth import get_worth
+
+#: What a late request is placed as if it still had, in seconds.
+LEAST_OBJECTIVE_S = 0.05
+
+
+@dataclass(frozen=True)
+class Ask:
+    """One request; `pause_s` and `patience_s` are those of its route."""
+
+    req_id: str
+    size: PromptSize
+    timing: Timing
+    pause_s: float
+    patience_s: float = float('inf')
+
+    def choose(
+        self,
+        placer: Placer,
+        engine: EngineModel,
+        targets: Sequence[Listed],
+        now: float,
+    ) -> Placement | Decision:
+        """Return where the request goes now, or what else is done with it."""
+        timing = replace(self.timing, write_s=get_write_s(engine, self.size))
+        work = self._make_work(timing, now)
+        placement = placer.place(work, engine, targets, now)
+        if placement is None:
+            found = bool(targets)
+            return decide_without_place(timing, now, any_target=found)
+        decision = decide(timing, work.worth, placement, now)
+        return placement if decision is Decision.send else decision
+
+    def make_flight(
+        self,
+        placement: Placement,
+        phase: Phase,
+        now: float,
+    ) -> Flight:
+        """Return what the board is told of a sending."""
+        return Flight(
+            flight_id=self.req_id,
+            target=placement.target.target_id,
+            prompt_tokens=self.size.prompt_tokens,
+            output_tokens=self.size.output_tokens,
+            phase=phase,
+            since=now,
+            pause_s=self.pause_s,
+            worth=get_worth(self.size),
+            due=self.timing.due,
+            helpers=tuple(one.target_id for one in placement.helpers),
+            tickets=placement.tickets,
+            gone=self.timing.gone,
+            patience_s=self.patience_s,
+        )
+
+    def _make_work(self, timing: Timing, now: float) -> Work:
+        objective_s = timing.get_objective_left_s(now)
+        return Work(
+            size=self.size,
+            objective_s=max(objective_s, LEAST_OBJECTIVE_S),
+            pause_s=self.pause_s,
+            worth=get_worth(self.size),
+            gone_s=timing.get_left_s(now),
+        )
--- a/trestledock/relay/_board.py
+++ b/trestledock/relay/_board.py
@@ -27,8 +27,9 @@
     `since` is when its phase began, on this process's clock.  `helpers` read
     equal parts of the prompt beside the target; `tickets` are the tokens that
     it holds at other targets.  `pause_s` is the longest pause that its caller
-    takes as timely, `due` the instant at which its first token is late, and
-    `worth` what is lost with it.
+    takes as timely, `patience_s` the one at which it leaves; `due` is the
+    instant at which its first token is late, `gone` that at which nobody waits
+    for it any more, and `worth` what is lost with it.
     """
 
     flight_id: str
@@ -42,12 +43,24 @@
     due: float = float('inf')
     helpers: tuple[str, ...] = ()
     tickets: tuple[tuple[str, int], ...] = ()
+    gone: float = float('inf')
+    patience_s: float = float('inf')
 
     @property
     def parts(self) -> int:
         """Into how many equal parts the prompt is cut for reading."""
         return len(self.helpers) + 1
 
+    @property
+    def engaged(self) -> tuple[str, ...]:
+        """The targets that have something to do for the request.
+
+        Once the prompt has been read, helpers that hold none of it are free.
+        """
+        if self.phase is Phase.reading:
+            return (self.target, *self.helpers)
+        return (self.target, *(name for name, _ in self.tickets))
+
     def get_held_tokens(self, target: str) -> int:
         """Return the KV tokens that the request takes at one target."""
         ticketed = dict(self.tickets)
@@ -154,12 +167,12 @@
     def _set(self, sender: str, flight: Flight) -> None:
         self._unset(sender, flight.flight_id)
         self._senders[sender].flights[flight.flight_id] = flight
-        for target in (flight.target, *flight.helpers):
+        for target in flight.engaged:
             self._by_target[target][sender + flight.flight_id] = flight
 
     def _unset(self, sender: str, flight_id: str) -> None:
         flight = self._senders[sender].flights.pop(flight_id, None)
         if flight is None:
             return
-        for target in (flight.target, *flight.helpers):
+        for target in flight.engaged:
             self._by_target[target].pop(sender + flight_id, None)
--- a/trestledock/relay/_catalog.py
+++ b/trestledock/relay/_catalog.py
@@ -35,8 +35,9 @@
 
     `timeout_s` bounds the whole request, `objective_s` is the time to the
     first byte (or event) that operators aim at, `pause_s` the longest pause
-    between events.  `max_attempts` bounds the targets that may run it, and
-    `priority` is its rank where work waits, 0 first.
+    between events, and `patience_s` the silence after which callers leave,
+    before the first event too.  `max_attempts` bounds the targets that may
+    run it, and `priority` is its rank where work waits, 0 first.
     """
 
     name: str
@@ -50,6 +51,7 @@
     public: bool = False
     resumable: bool = False
     pause_s: float = 0
+    patience_s: float = float('inf')
     priority: int | None = None
 
     @property
--- a/trestledock/relay/_placing.py
+++ b/trestledock/relay/_placing.py
@@ -46,6 +46,11 @@
 OBJECTIVE_SHARE = 0.75
 #: What a prediction beyond that loses at least, as a part of `LATE_LOSS`.
 LATE_AT_LEAST = 0.5
+#: Part of the time until a caller leaves that a prediction must stay within.
+GONE_SHARE = 0.8
+#: What a request costs that is read though its caller will have left, as a part
+#: of its worth: more than one that is refused, which may come back.
+LOST_SHARE = 2.0
 #: The least objective that lateness is measured against, in seconds.
 LEAST_OBJECTIVE_S = 0.05
 #: The cost of a place beyond those that an engine works on at once.
@@ -59,18 +64,25 @@
 
 @dataclass(frozen=True)
 class Work:
-    """What is to be placed: sizes, times left, and what it is worth."""
+    """What is to be placed: sizes, times left, and what it is worth.
+
+    Its first token is late after `objective_s`, and nobody waits for it any
+    more after `gone_s`.
+    """
 
     size: PromptSize
     objective_s: float
     pause_s: float
     worth: float
+    gone_s: float = float('inf')
 
 
 @dataclass(frozen=True)
 class Placement:
     """Where a request goes; `cost` is what all are expected to lose.
 
+    `harm` is the part of it that others lose who are at the engines already.
+
     `first_s` predicts the first token, `ideal_s` what an idle fleet would do.
     `tickets` are the tokens to be reserved at helpers, by their ids.
     """
@@ -80,6 +92,7 @@
     tickets: tuple[tuple[str, int], ...] = ()
     first_s: float = 0
     cost: float = 0
+    harm: float = 0
     ideal_s: float = 0
     candidates: int = 1
 
@@ -94,12 +107,21 @@
     read_s: float
 
     def get_lateness(self, first_s: float) -> float:
-        """Return what the work loses by a first token after `first_s`."""
+        """Return what the work loses by a first token after `first_s`.
+
+        Beyond the objective the rest of its worth is lost bit by bit until
+        its caller leaves, since predictions of long reads are too short where
+        newer prompts go before them.
+        """
         limit_s = self.work.objective_s * OBJECTIVE_SHARE
         if first_s <= limit_s:
             return 0
         over = (first_s - limit_s) / max(limit_s, LEAST_OBJECTIVE_S)
-        return self.work.worth * LATE_LOSS * min(1, LATE_AT_LEAST + over)
+        share = LATE_LOSS * min(1, LATE_AT_LEAST + over)
+        left_s = max(self.work.gone_s * GONE_SHARE, LEAST_OBJECTIVE_S)
+        if first_s > left_s:
+            return self.work.worth * LOST_SHARE
+        return self.work.worth * (share + (1 - LATE_LOSS) * first_s / left_s)
 
     def get_cost(self, view: View, part_s: float) -> float:
         """Return what all lose when an engine reads `part_s` and writes."""
@@ -213,7 +235,12 @@
     else:
         best = min(problem.views, key=cost_of)
     first_s = best.predict_first_s(read_s)
-    return Placement(best.listed, first_s=first_s, cost=cost_of(best))
+    return Placement(
+        best.listed,
+        first_s=first_s,
+        cost=cost_of(best),
+        harm=best.get_harm(read_s),
+    )
 
 
 def _place_long(problem: Problem) -> Placement:
@@ -248,14 +275,15 @@
     ends = [view.predict_part_s(part_s) + first.base_s for view in helpers]
     last_s = max([first_s, *ends])
     late = problem.get_lateness(last_s) - problem.get_lateness(first_s)
-    cost = problem.get_cost(first, part_s)
-    cost += sum(view.get_harm(part_s) for view in helpers)
+    helpers_harm = sum(view.get_harm(part_s) for view in helpers)
+    cost = problem.get_cost(first, part_s) + helpers_harm
     cost += late + (last_s - first_s) * SECOND_COST
     return Placement(
         first.listed,
         tuple(view.listed for view in helpers),
         first_s=last_s,
         cost=cost + HELPER_COST * len(helpers),
+        harm=first.get_harm(part_s) + helpers_harm,
     )
 
 
--- a/trestledock/relay/_view.py
+++ b/trestledock/relay/_view.py
@@ -23,6 +23,10 @@
 LATE_LOSS = 0.75
 #: The part of an allowed pause that a pass may fill.
 PAUSE_SHARE = 0.8
+#: The parts of its time left that a prediction may fill to be surely in time,
+#: and from which on it is surely late.
+SAFE_SHARE = 0.75
+LATE_SHARE = 1.05
 #: What a prompt that is being read loses by a second's delay, as a part of its
 #: worth, though it would still be in time.
 READER_LOSS = 0.15
@@ -69,9 +73,15 @@
 
     def get_harm(self, part_s: float) -> float:
         """Return what others lose when `part_s` more is read here."""
-        pass_s = self.base_s + self.pending_s + part_s
+        before_s = self.base_s + self.pending_s
         return sum(
-            _get_loss(one, pass_s, part_s, self.now) for one in self.flights
+            _get_loss(one, before_s + part_s, self.now)
+            - _get_loss(one, before_s, self.now)
+            for one in self.flights
+        ) + sum(
+            one.worth * LATE_LOSS * READER_LOSS * min(1, part_s)
+            for one in self.flights
+            if one.phase is Phase.reading
         )
 
 
@@ -122,23 +132,30 @@
     return max(0, left_s - max(0, now - at))
 
 
-def _get_loss(
-    flight: Flight,
-    pass_s: float,
-    extra_s: float,
-    now: float,
-) -> float:
-    """Return what a flight loses by `extra_s` of reading that goes ahead.
+def _get_loss(flight: Flight, pass_s: float, now: float) -> float:
+    """Return what a flight loses by a pass that ends after `pass_s`.
 
-    A writer loses its worth with a pause that is too long.  A reader loses it
-    when it comes late, since newer parts go before older ones, and a little
-    with any delay: more may come.
+    To a writer that is a pause, to a reader its first token: newer parts go
+    before older ones.
     """
     if flight.phase is Phase.writing:
-        is_late = pass_s > flight.pause_s * PAUSE_SHARE
-        return flight.worth * LATE_LOSS * is_late
-    left_s = flight.due - now
+        late: float = pass_s > flight.pause_s * PAUSE_SHARE
+        gone_s = flight.patience_s
+    else:
+        late = _get_late_share(pass_s, flight.due - now)
+        gone_s = flight.gone - now
+    share = late * LATE_LOSS
+    if pass_s > gone_s:
+        share = 1
+    return flight.worth * share
+
+
+def _get_late_share(first_s: float, left_s: float) -> float:
+    """Return how likely a prediction that fills a part of its time is late.
+
+    Whoever has hardly time left is not safe from what comes next.
+    """
     if left_s <= 0:
-        return 0
-    share = 1 if pass_s > left_s else min(1, extra_s) * READER_LOSS
-    return flight.worth * LATE_LOSS * share
+        return 1
+    over = first_s / left_s - SAFE_SHARE
+    return min(1, max(0, over / (LATE_SHARE - SAFE_SHARE)))
