A cut data centre is one fact, told by the silence of its instances

Cause: at a cut each target across it was given up by its own silence, 1.0 to 4.4 s later, streams went on at another target of the lost side, and when the suspicion of the place lapsed all that waited tried there at once. Entries knew from one another's silence and did not use it.

Now: entries of few instances let other data centres hear them five times a second (60 bytes); when all of one are silent for 0.5 s, its targets are left alone until they speak, and waits for them end. Once a suspicion by silent targets lapses, one request at a time finds out, and long prompts wait for an answer. The last target is waited for (History.is_last_run serves both limits).

Each new test fails on the code before.

--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -1,6 +1,7 @@
 """Relayed requests from end to end, with targets that misbehave."""
 
 import unittest
+from dataclasses import replace
 from itertools import repeat
 
 import anyio
@@ -179,7 +180,9 @@
         found = []
 
         async def scenario(world):
+            began_at = anyio.current_time()
             found.append(await world.ask(headers=headers))
+            self.took_s = anyio.current_time() - began_at
 
         run_world(route, targets, scenario)
         requests = [one for target in targets for one in target.requests]
@@ -210,6 +213,55 @@
         found, _ = self.ask(STREAM, answers)
         self.assertEqual(self.get_ids(found), [1, 2, 3, 4])
 
+    def test_last_target_is_waited_for(self):
+        """A silent stream is not cut where nobody else may go on with it."""
+        route = make_route(
+            RouteKind.streaming,
+            resumable=True,
+            pause_s=0.2,
+            max_attempts=1,
+            timeout_s=1.5,
+        )
+        found, requests = self.ask(route, [make_stream(1, 2, end=b'')])
+        self.assertEqual(len(requests), 1)
+        self.assertGreater(self.took_s, 1.4)
+        self.assertTrue(found.cut)
+
+    def test_stream_across_a_cut_goes_on_elsewhere(self):
+        """What waits for a data centre that falls silent is not kept there."""
+        targets = [StubTarget(make_stream(1, 2, end=b'')), StubTarget()]
+        targets[1].answers = [make_stream(3, 4)]
+        found = []
+
+        async def scenario(world):
+            state = world.state
+            far = replace(state.fleet.targets['t0'], data_centre='far')
+            state.fleet.put(far)
+            state.health.note_failure('t1', anyio.current_time())
+            state.note_heard('far', 'e', anyio.current_time())
+            async with anyio.create_task_group() as group:
+                group.start_soon(cut)
+                found.append(await world.ask())
+
+            self.assertEqual(state.waits, set())
+
+        async def cut():
+            await anyio.sleep(0.55)
+            states[0].check_reach(anyio.current_time())
+
+        states = []
+
+        async def with_state(world):
+            states.append(world.state)
+            await scenario(world)
+
+        route = make_route(
+            RouteKind.streaming, resumable=True, pause_s=1.0, timeout_s=5
+        )
+        run_world(route, targets, with_state)
+        self.assertEqual(self.get_ids(found[0]), [1, 2, 3, 4])
+        self.assertEqual(len(targets[1].requests), 1)
+
     def test_repeated_events_are_dropped(self):
         """Events that the caller has are not sent twice."""
         broken = make_stream(1, 3, end=BROKEN)
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -7,9 +7,10 @@
 is whole.
 """
 
+from contextlib import contextmanager
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import AsyncIterator
+from typing import AsyncIterator, Iterator
 
 import anyio
 
@@ -20,7 +21,7 @@
 from trestledock.entry._metrics import METRICS
 from trestledock.entry._pool import get_idle_s
 from trestledock.entry._reply import Reply
-from trestledock.entry._state import EntryState
+from trestledock.entry._state import EntryState, Wait
 from trestledock.entry._wire import Head, Wire, WireError
 from trestledock.relay import (
     Ending,
@@ -63,7 +64,7 @@
         """Take an answer; return the ending and how long `wire` may idle."""
         limit = self._get_first_limit(job, placement)
         peer = placement.target.target_id
-        with anyio.move_on_after(limit.wait_s) as scope:
+        with self.wait(job, placement, limit) as scope:
             head = await wire.read_head()
         if scope.cancelled_caught:
             raise self.give_up('answer', peer, limit)
@@ -80,6 +81,27 @@
             )
         return sending, idle_s
 
+    @contextmanager
+    def wait(
+        self,
+        job: Job,
+        placement: Placement,
+        limit: Limit,
+    ) -> Iterator[anyio.CancelScope]:
+        """Wait within a limit, or until the way to a target is cut."""
+        with anyio.move_on_after(limit.wait_s) as scope:
+            if job.history.is_last_run(job.route):
+                yield scope
+                return
+            helpers = () if job.last_event else placement.helpers
+            names = [one.target_id for one in (placement.target, *helpers)]
+            wait = Wait(tuple(names), scope)
+            self.state.waits.add(wait)
+            try:
+                yield scope
+            finally:
+                self.state.waits.discard(wait)
+
     def give_up(self, step: str, peer: str, limit: Limit) -> WireError:
         """Note that a target was silent for too long; return the error."""
         now = anyio.current_time()
@@ -87,6 +109,8 @@
             self.state.note_early(peer, now)
         else:
             self.state.note_silence(peer, now)
+        if self.state.is_cut_off(peer, now):
+            return WireError(step, 'its data centre is silent')
         return WireError(step, f'silent for {limit.wait_s:.2f} s')
 
     def note_success(self, peer: str) -> None:
@@ -102,7 +126,7 @@
 
     def _get_first_limit(self, job: Job, placement: Placement) -> Limit:
         """Return how long a target may be silent before another is asked."""
-        is_last = job.history.runs + 1 >= job.route.max_attempts
+        is_last = job.history.is_last_run(job.route)
         may_leave = self.state.may_leave_early(anyio.current_time())
         early = may_leave and not is_last and not placement.helpers
         patience_s = get_first_patience_s(
@@ -205,7 +229,7 @@
         body: AsyncIterator[bytes],
         limit: Limit,
     ) -> bytes | None:
-        with anyio.move_on_after(limit.wait_s):
+        with self.answering.wait(self.job, self.placement, limit):
             return await anext(body, None)
         raise self.answering.give_up('events', self.peer, limit)
 
@@ -262,8 +286,14 @@
 
 
 def _get_pause_limit_s(job: Job) -> float:
-    """Return how long a stream may be silent between events."""
-    return min(get_pause_patience_s(job.route), _get_left_s(job))
+    """Return how long a stream may be silent between events.
+
+    The last target that may run it is waited for: nobody else would go on.
+    """
+    left_s = _get_left_s(job)
+    if job.history.is_last_run(job.route):
+        return left_s
+    return min(get_pause_patience_s(job.route), left_s)
 
 
 def _get_left_s(job: Job) -> float:
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -185,6 +185,13 @@
     data_centre: str
 
 
+@dataclass(frozen=True)
+class DataCentreQuiet(Event):
+    """All entries of a data centre are silent; its targets are left alone."""
+
+    data_centre: str
+
+
 @dataclass(frozen=True)
 class PeerMet(Event):
     """Another entry is heard."""
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -19,7 +19,7 @@
 from trestledock.entry import _events as events
 from trestledock.entry._logger import emit
 from trestledock.entry._state import MOST_AGE_S, EntryState
-from trestledock.relay import Candidate, Flight, Phase
+from trestledock.relay import BEAT_S, Candidate, Flight, Phase
 
 #: How long changes are gathered, in seconds.
 GATHER_S = 0.004
@@ -69,7 +69,10 @@
         self.own_address = split_address(state.settings.peers)
         self.addresses: dict[Address, str] = {}
         self.peers: dict[str, Peer] = {}
-        self.handlers: dict[str, Handler] = {'flights': self._take_flights}
+        self.handlers: dict[str, Handler] = {
+            'flights': self._take_flights,
+            'beat': self._take_beat,
+        }
         self.sequence = 0
         self._udp: UDPSocket | None = None
         self._sending = anyio.Lock()
@@ -107,6 +110,7 @@
                 group.start_soon(self._listen, udp)
                 group.start_soon(self._tell_changes)
                 group.start_soon(self._tell_all)
+                group.start_soon(self._beat)
 
     async def send(self, message: dict[str, Any], *where: Address) -> None:
         """Send a message to some addresses; it may be lost."""
@@ -144,6 +148,7 @@
             emit(events.PeerMet(name))
         place = message['data_centre']
         self.addresses[sender] = place
+        self.state.note_heard(place, name, now)
         age_s = message['news_age_ms'] / MS
         self.peers[name] = Peer(sender, now, age_s, place)
         self.state.many_entries = len(self.peers) > MOST_TOLD_ALL
@@ -153,6 +158,29 @@
         )
         self.state.notify()
 
+    def _take_beat(self, message: dict[str, Any], _: Address) -> None:
+        now = anyio.current_time()
+        self.state.note_heard(message['data_centre'], message['from'], now)
+
+    async def _beat(self) -> None:
+        """Let other data centres hear this entry, and listen for them.
+
+        With many entries the others speak too rarely to be listened for.
+        """
+        place = self.state.settings.data_centre
+        while True:
+            await anyio.sleep(BEAT_S)
+            if self.state.many_entries:
+                continue
+            elsewhere = [
+                address
+                for address, known in self.addresses.items()
+                if known != place
+            ]
+            beat = {'kind': 'beat', 'data_centre': place}
+            await self.send(beat, *elsewhere)
+            self.state.check_reach(anyio.current_time())
+
     async def _tell_changes(self) -> None:
         while True:
             await self.state.wait_for_own_change()
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -58,6 +58,7 @@
             self.state.early.earn(now)
         held: dict[str, str] = {}
         self.state.board.put(flight)
+        self.state.note_sent(flight.target, now)
         self.state.notify_own()
         try:
             if await self.tickets.reserve(job, placement, held):
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -24,6 +24,7 @@
     Health,
     Placer,
     Proof,
+    Reach,
     RetryWindow,
 )
 
@@ -40,6 +41,14 @@
     return RetryWindow(EARLY_TERMS)
 
 
+@dataclass(frozen=True, eq=False)
+class Wait:
+    """A wait for targets that may be left, with the scope that ends it."""
+
+    targets: tuple[str, ...]
+    scope: anyio.CancelScope
+
+
 @dataclass
 class EntryState:
     """The state of one entry process."""
@@ -53,6 +62,8 @@
     fleet: Fleet = field(default_factory=Fleet)
     board: Board = field(default_factory=Board)
     health: Health = field(default_factory=Health)
+    reach: Reach = field(default_factory=Reach)
+    waits: set[Wait] = field(default_factory=set)
     windows: dict[str, RetryWindow] = field(default_factory=dict)
     early: RetryWindow = field(default_factory=_make_early_window)
     leaving: bool = False
@@ -123,6 +134,27 @@
         emit(events.TargetDoubted(target_id))
         self.health.note_doubt(target_id, now, self._get_place(target_id))
 
+    def note_sent(self, target_id: str, now: float) -> None:
+        """Note that a request goes to a target."""
+        self.health.note_sent(self._get_place(target_id), now)
+
+    def note_heard(self, place: str, name: str, now: float) -> None:
+        """Note that an entry of another data centre has spoken."""
+        if place != self.settings.data_centre:
+            self.reach.note_heard(place, name, now)
+            self.health.note_heard(place)
+
+    def check_reach(self, now: float) -> None:
+        """Leave the targets of data centres that have fallen silent."""
+        for place in self.reach.get_quiet(now):
+            if self.health.note_quiet(place, now):
+                emit(events.DataCentreQuiet(place))
+                self._end_waits(place)
+
+    def is_cut_off(self, target_id: str, now: float) -> bool:
+        """Whether all entries of a target's data centre are silent."""
+        return self._get_place(target_id) in self.reach.get_quiet(now)
+
     def get_window(self, service: str) -> RetryWindow:
         """Return the shared retry budget's window of a service."""
         if service not in self.windows:
@@ -160,6 +192,12 @@
         known = self.catalog is not None and bool(self.fleet.targets)
         return known and not self.leaving and self.proof.is_ready(now)
 
+    def _end_waits(self, place: str) -> None:
+        """End the waits for targets of a data centre."""
+        for wait in tuple(self.waits):
+            if place in map(self._get_place, wait.targets):
+                wait.scope.cancel()
+
     def _get_place(self, target_id: str) -> str:
         """Return the data centre of a target, empty for the own one."""
         listed = self.fleet.targets.get(target_id)
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -47,6 +47,7 @@
 from trestledock.relay._placing import Placement, Placer, Work
 from trestledock.relay._plain import choose_least_busy
 from trestledock.relay._proof import Proof
+from trestledock.relay._reach import BEAT_S, Reach
 from trestledock.relay._readers import (
     Candidate,
     ReadPace,
@@ -58,6 +59,7 @@
 
 __all__ = (
     'Ask',
+    'BEAT_S',
     'Board',
     'BudgetTerms',
     'Call',
@@ -81,6 +83,7 @@
     'Placer',
     'PromptSize',
     'Proof',
+    'Reach',
     'ReadPace',
     'RetryWindow',
     'Route',
--- a/trestledock/relay/_health.py
+++ b/trestledock/relay/_health.py
@@ -22,6 +22,16 @@
 PLACE_WINDOW_S = 1.5
 PLACE_BASE_S = 0.8
 PLACE_CAP_S = 2.5
+#: How long one request may try a data centre that was suspect before the next
+#: one may, in seconds: above the time that a connection may take.
+PROBE_S = 0.4
+#: For how long a data centre is left alone whose instances are silent, in
+#: seconds: its targets may live though they have all ended.
+QUIET_MOST_S = 8.0
+#: For how long after a suspicion only small requests go to a data centre, in
+#: seconds, unless one was answered: a prompt that is read in parts is lost with
+#: any of them.
+DOUBT_S = 5.0
 #: An average of failures halves in this time without news, in seconds.
 HALF_LIFE_S = 6.0
 
@@ -46,13 +56,17 @@
 class PlaceHealth:
     """The silence of a data centre.
 
-    Several silent targets within a short time mean that the way there is cut;
-    the others need not be tried one by one.
+    Several silent targets within a short time, or the silence of all instances
+    there, mean that the way is cut; the others need not be tried one by one.
+    Once the suspicion has lapsed, one request at a time finds out whether it
+    still holds: all that waits would otherwise try, and lose, at once.
     """
 
     silent: dict[str, float] = field(default_factory=dict)
     suspect_until: float = float('-inf')
+    probed_until: float = float('-inf')
     times: int = 0
+    quiet: bool = False
 
     def note_silence(self, target_id: str, now: float) -> None:
         """Note a silent target there."""
@@ -60,12 +74,36 @@
         recent = [
             at for at in self.silent.values() if now - at <= PLACE_WINDOW_S
         ]
-        if len(recent) < PLACE_TARGETS or now < self.suspect_until:
+        if self.times or len(recent) >= PLACE_TARGETS:
+            self.suspect(now)
+
+    def suspect(self, now: float) -> None:
+        """Have the data centre left alone, for longer each time."""
+        if now < self.suspect_until:
             return
         wait_s = min(PLACE_CAP_S, PLACE_BASE_S * 2**self.times)
         self.times += 1
         self.suspect_until = now + wait_s
 
+    def note_quiet(self, now: float) -> None:
+        """Have the data centre left alone until its instances are heard."""
+        self.quiet = True
+        self.times += 1
+        self.suspect_until = now + QUIET_MOST_S
+
+    def is_suspect(self, now: float, *, small: bool) -> bool:
+        """Whether a request should not be sent there now."""
+        if not self.times:
+            return False
+        if not small:
+            return now < self.suspect_until + DOUBT_S
+        return now < max(self.suspect_until, self.probed_until)
+
+    def note_sent(self, now: float) -> None:
+        """Note a request that finds out whether the way is back."""
+        if self.times:
+            self.probed_until = now + PROBE_S
+
 
 @dataclass
 class Health:
@@ -120,14 +158,51 @@
         one.silences += 1
         one.suspect_until = now + wait_s
 
-    def is_suspect(self, target_id: str, now: float, place: str = '') -> bool:
-        """Whether a target, or all of its data centre, should be left alone."""
+    def is_suspect(
+        self,
+        target_id: str,
+        now: float,
+        place: str = '',
+        *,
+        small: bool = True,
+    ) -> bool:
+        """Whether a target, or all of its data centre, should be left alone.
+
+        A `small` request is no great loss where it finds that out.
+        """
         around = self.places.get(place)
-        if around is not None and now < around.suspect_until:
+        if around is not None and around.is_suspect(now, small=small):
             return True
         known = self.targets.get(target_id)
         return known is not None and now < known.suspect_until
 
+    def note_quiet(self, place: str, now: float) -> bool:
+        """Note that all instances of a data centre are silent.
+
+        Return whether that is news.
+        """
+        known = self.places.setdefault(place, PlaceHealth())
+        if known.quiet:
+            return False
+        known.note_quiet(now)
+        return True
+
+    def note_heard(self, place: str) -> None:
+        """Note that an instance of a data centre has spoken.
+
+        That ends the suspicion only where silence of the instances was its
+        cause: words may come through where requests don't.
+        """
+        known = self.places.get(place)
+        if known and known.quiet:
+            self.places.pop(place)
+
+    def note_sent(self, place: str, now: float) -> None:
+        """Note that a request goes to a target of a data centre."""
+        known = self.places.get(place)
+        if known:
+            known.note_sent(now)
+
     def _learn(self, target_id: str, failed: int, now: float) -> None:
         one = self.get(target_id)
         known = one.get_failure_share(now)
--- a/trestledock/relay/_outcome.py
+++ b/trestledock/relay/_outcome.py
@@ -73,6 +73,12 @@
             return True
         return route.repeatable and self.runs < route.max_attempts
 
+    def is_last_run(self, route: Route) -> bool:
+        """Whether no further target may run what one is working on now."""
+        if len(self.sendings) + 1 >= MAX_SENDINGS:
+            return True
+        return not route.repeatable or self.runs + 1 >= route.max_attempts
+
 
 #: Bound on sendings of one request, those that were not run included.
 MAX_SENDINGS = 6
--- /dev/null
+++ b/trestledock/relay/_reach.py
@@ -0,0 +1,55 @@
+"""
+Reach of data centres
+=====================
+
+Whether another data centre can be reached, as its instances tell by speaking.
+Each of them says something several times a second; when all are silent at
+once, the way there is cut, and targets there need not be tried one by one.  A
+cut that is noticed so costs the streams across it half a second, where each
+target's own silence takes one to four.
+"""
+
+from dataclasses import dataclass, field
+from typing import Iterable
+
+#: How often an instance lets those elsewhere hear it, in seconds; sixty bytes
+#: each.
+BEAT_S = 0.2
+#: For how long all instances of a data centre must be silent, in seconds: two
+#: beats that are lost and half a beat of delay.
+QUIET_S = 0.5
+#: Instances that were heard within this time are expected to speak, in
+#: seconds; one that was silent for longer has been taken away.
+EXPECTED_S = 1.7
+
+
+@dataclass
+class Reach:
+    """When each instance of another data centre was last heard.
+
+    >>> reach = Reach()
+    >>> reach.note_heard('dc-2', 'entry-1', now=0)
+    >>> reach.get_quiet(now=0.4), reach.get_quiet(now=0.6)
+    (set(), {'dc-2'})
+    """
+
+    heard: dict[str, dict[str, float]] = field(default_factory=dict)
+
+    def note_heard(self, place: str, name: str, now: float) -> None:
+        """Note that an instance of a data centre has spoken."""
+        self.heard.setdefault(place, {})[name] = now
+
+    def get_quiet(self, now: float) -> set[str]:
+        """Return the data centres whose instances have all fallen silent."""
+        return {
+            place
+            for place, names in self.heard.items()
+            if _is_quiet(names.values(), now)
+        }
+
+
+def _is_quiet(heard: Iterable[float], now: float) -> bool:
+    """Whether some instances spoke lately, and none just now."""
+    ages = [now - at for at in heard]
+    expected = [age for age in ages if age <= EXPECTED_S]
+    return bool(expected) and min(expected) > QUIET_S
