losses: where worth was lost, by cause, route and moment, from logs alone

Cause: the logs told when a first event came but not the longest pause, nor what a request was judged by, so late short streams could not be told apart. Now: admitted carries objective, allowed pause and worth, answered the time to the first part and the longest pause; the command adds up what was lost. No decision depends on it.

--- a/trestledock/cli/_main.py
+++ b/trestledock/cli/_main.py
@@ -10,6 +10,7 @@
 from trestledock import VERSION
 from trestledock.cli._entry import entry
 from trestledock.cli._explain import explain
+from trestledock.cli._losses import losses
 from trestledock.cli._operator import check, drain, publish, show
 from trestledock.cli._serve import serve, standin
 from trestledock.demo import demo
@@ -29,6 +30,7 @@
     show,
     drain,
     explain,
+    losses,
     standin,
     demo,
 )
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -177,6 +177,7 @@
         if reply.started:
             return Sending(Ending.lost, 'answer', peer, f'{head.status}')
         self.note_success(peer)
+        job.note_event(anyio.current_time())
         await reply.start(head.status, self.dialect.make_reply_headers(head))
         await reply.finish(body)
         return Sending(Ending.answered, 'answer', peer, f'{head.status}')
@@ -248,7 +249,7 @@
         named = [event.event_id for event in events if event.event_id]
         if named:
             self.job.last_event = named[-1]
-        self.job.last_event_at = anyio.current_time()
+        self.job.note_event(anyio.current_time())
 
     def _note_pause(self) -> None:
         now = anyio.current_time()
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True)
 class Admitted(Event):
-    """A request has a route and a team."""
+    """A request has a route and a team, and times that it is judged by."""
 
     req: str
     route: str
@@ -44,6 +44,9 @@
     team: str
     version: int
     left_ms: int
+    objective_ms: int
+    pause_ms: int
+    worth: float
 
 
 @dataclass(frozen=True)
@@ -103,12 +106,18 @@
 
 @dataclass(frozen=True)
 class Answered(Event):
-    """The target's answer was passed on whole."""
+    """The target's answer was passed on whole.
+
+    `first_ms` is when its first part came after admission, `longest_ms` the
+    longest pause after that.
+    """
 
     req: str
     peer: str
     detail: str
     took_ms: int
+    first_ms: int
+    longest_ms: int
 
 
 @dataclass(frozen=True)
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -71,8 +71,9 @@
     """One request in progress.
 
     `last_event` is the id of the last event that the caller was sent, at the
-    instant `last_event_at`, and `fallback` a target's failure that is passed
-    on if nothing better comes.
+    instant `last_event_at`; the first one was sent at `first_event_at`, and the
+    longest pause since then took `longest_s`.  `fallback` is a target's
+    failure that is passed on if nothing better comes.
     `writing` is true from before the first byte of a sending leaves until its
     ending stands in the history.  `come_back_s` is when there may be room for
     it, where it is refused.
@@ -87,6 +88,8 @@
     tried: set[str] = field(default_factory=set)
     last_event: str = ''
     last_event_at: float | None = None
+    first_event_at: float | None = None
+    longest_s: float = 0
     fallback: Answer | None = None
     writing: bool = False
     come_back_s: float = 0
@@ -108,6 +111,14 @@
             return self.route.priority
         return self.team.priority
 
+    def note_event(self, now: float) -> None:
+        """Note that the caller is sent a part of its answer."""
+        if self.last_event_at is None:
+            self.first_event_at = now
+        else:
+            self.longest_s = max(self.longest_s, now - self.last_event_at)
+        self.last_event_at = now
+
     @property
     def timing(self) -> Timing:
         """The instants that the request is judged by.
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -21,7 +21,7 @@
 from trestledock.entry._sending import Sender
 from trestledock.entry._state import MOST_AGE_S, EntryState
 from trestledock.entry._wire import Headers
-from trestledock.relay import Call, Ending, Placement, Sending
+from trestledock.relay import Call, Ending, Placement, Sending, get_worth
 
 #: When to come back after a refusal, in seconds and at least, before jitter.
 COME_BACK_S = 0.25
@@ -156,6 +156,9 @@
                 team=job.team.team,
                 version=self.state.version,
                 left_ms=round(left_s * MS),
+                objective_ms=round(job.route.objective_s * MS),
+                pause_ms=round(job.route.pause_s * MS),
+                worth=round(get_worth(job.ask.size), 2),
             ),
         )
 
@@ -192,7 +195,7 @@
 def _note_ending(job: Job, sending: Sending, took_ms: int) -> None:
     req = job.call.req_id
     if sending.ending is Ending.answered:
-        emit(events.Answered(req, sending.peer, sending.detail, took_ms))
+        emit(_make_answered(job, sending, took_ms))
         return
     emit(
         events.SendingEnded(
@@ -204,3 +207,16 @@
             took_ms=took_ms,
         )
     )
+
+
+def _make_answered(job: Job, sending: Sending, took_ms: int) -> events.Answered:
+    arrived_at = job.call.arrived_at
+    first_s = (job.first_event_at or arrived_at) - arrived_at
+    return events.Answered(
+        req=job.call.req_id,
+        peer=sending.peer,
+        detail=sending.detail,
+        took_ms=took_ms,
+        first_ms=round(first_s * MS),
+        longest_ms=round(job.longest_s * MS),
+    )
