--- a/trestledock/relay/_placing.py
+++ b/trestledock/relay/_placing.py
@@ -29,7 +29,6 @@
     PAUSE_SHARE,
     View,
     Viewer,
-    get_late_share,
 )
 
 #: A prompt that an engine reads in less is short: it may be read in the
@@ -49,6 +48,10 @@
 ENGINE_COST = 3.0
 #: The cost of a second before the first token, in units of worth.
 SECOND_COST = 0.3
+#: Part of the objective that a prediction should stay within.
+OBJECTIVE_SHARE = 0.75
+#: What a prediction beyond that loses at least, as a part of `LATE_LOSS`.
+LATE_AT_LEAST = 0.5
 #: Part of the time until a caller leaves that a prediction must stay within.
 GONE_SHARE = 0.8
 #: What a request costs that is read though its caller will have left, as a part
@@ -120,14 +123,15 @@
         its caller leaves, since predictions of long reads are too short where
         newer prompts go before them.
         """
-        late = get_late_share(first_s, self.work.objective_s)
-        if not late:
+        limit_s = self.work.objective_s * OBJECTIVE_SHARE
+        if first_s <= limit_s:
             return 0
+        over = (first_s - limit_s) / max(limit_s, LEAST_OBJECTIVE_S)
+        share = LATE_LOSS * min(1, LATE_AT_LEAST + over)
         left_s = max(self.work.gone_s * GONE_SHARE, LEAST_OBJECTIVE_S)
         if first_s > left_s:
             return self.work.worth * LOST_SHARE
-        share = late * (LATE_LOSS + (1 - LATE_LOSS) * first_s / left_s)
-        return self.work.worth * share
+        return self.work.worth * (share + (1 - LATE_LOSS) * first_s / left_s)
 
     def get_gain(self, first_s: float) -> float:
         """Return what the work earns by a first token after `first_s`."""
--- a/trestledock/relay/_view.py
+++ b/trestledock/relay/_view.py
@@ -25,7 +25,7 @@
 PAUSE_SHARE = 0.8
 #: The parts of its time left that a prediction may fill to be surely in time,
 #: and from which on it is surely late.
-SAFE_SHARE = 0.5
+SAFE_SHARE = 0.75
 LATE_SHARE = 1.05
 #: What a prompt that is being read loses by a second's delay, as a part of its
 #: worth, though it would still be in time.
@@ -142,7 +142,7 @@
         late: float = pass_s > flight.pause_s * PAUSE_SHARE
         gone_s = flight.patience_s
     else:
-        late = get_late_share(pass_s, flight.due - now)
+        late = _get_late_share(pass_s, flight.due - now)
         gone_s = flight.gone - now
     share = late * LATE_LOSS
     if pass_s > gone_s:
@@ -150,7 +150,7 @@
     return flight.worth * share
 
 
-def get_late_share(first_s: float, left_s: float) -> float:
+def _get_late_share(first_s: float, left_s: float) -> float:
     """Return how likely a prediction that fills a part of its time is late.
 
     Whoever has hardly time left is not safe from what comes next.
