--- a/tests/test_bench_sharing.py
+++ b/tests/test_bench_sharing.py
@@ -4,21 +4,11 @@
 from dataclasses import replace
 from statistics import mean
 
+from tests.engines import LARGE_ENGINE as ENGINE
 from trestledock.bench._bursts import LONG, SHORT, make_bursts
 from trestledock.bench._sharing import Prompt, get_share, make_fleet
-from trestledock.relay import Decision, EngineModel, PromptSize
-
-#: An engine that reads 182,000 tokens in 3.9 s, 790,000 in 55 s.
-ENGINE = EngineModel(
-    batch=8,
-    capacity_tokens=405_000,
-    step_s=0.00131,
-    read_rate=154_000,
-    step_request_s=9.17e-7,
-    step_context_s=2.13e-9,
-    pair_s=1.62e-10,
-    stride=34,
-)
+from trestledock.relay import Decision, PromptSize
+
 GIANT = PromptSize(790_000, 600)
 LARGE = PromptSize(300_000, 600)
 SMALL = PromptSize(5_000, 1_300)
--- a/tests/test_relay_asking.py
+++ b/tests/test_relay_asking.py
@@ -2,39 +2,22 @@
 
 import unittest
 
+from tests.engines import LARGE_ENGINE as ENGINE
+from tests.engines import TARGETS
 from trestledock.relay import (
     Ask,
     Board,
     Decision,
-    EngineModel,
     Flight,
     Health,
-    Listed,
     NoPlace,
     Phase,
     Placement,
     Placer,
     PromptSize,
-    Standing,
     Timing,
 )
 
-#: An engine that reads 182,000 tokens in 3.9 s, 790,000 in 55 s.
-ENGINE = EngineModel(
-    batch=8,
-    capacity_tokens=405_000,
-    step_s=0.00131,
-    read_rate=154_000,
-    step_request_s=9.17e-7,
-    step_context_s=2.13e-9,
-    pair_s=1.62e-10,
-    stride=34,
-)
-TARGETS = tuple(
-    Listed(f't{one:02}', 's', f'10.0.0.{one}:80', 'dc', Standing.ready, 8)
-    for one in range(18)
-)
-
 
 def make_ask(tokens, *, arrived_at=0.0, deadline=15.0, output=600):
     """Return a long prompt whose caller leaves after a silence of 12 s."""
--- a/tests/test_relay_placing.py
+++ b/tests/test_relay_placing.py
@@ -3,35 +3,20 @@
 import unittest
 from dataclasses import replace
 
+from tests.engines import SMALL_ENGINE as ENGINE
+from tests.engines import TARGETS
 from trestledock.relay import (
     Board,
-    EngineModel,
     Flight,
     Health,
-    Listed,
     Phase,
     Placer,
     PromptSize,
-    Standing,
     Work,
     choose_least_busy,
     get_read_s,
 )
 
-ENGINE = EngineModel(
-    batch=8,
-    capacity_tokens=232_000,
-    step_s=0.00102,
-    read_rate=206_000,
-    step_request_s=4.52e-6,
-    step_context_s=4.31e-9,
-    pair_s=1.38e-10,
-    stride=43,
-)
-TARGETS = [
-    Listed(f't{one:02}', 's', f'10.0.0.{one}:80', 'dc', Standing.ready, 8)
-    for one in range(18)
-]
 SHORT = Work(PromptSize(5_000, 1_400), 0.3, 0.25, 1.3)
 LONG = Work(PromptSize(133_000, 700), 2.5, 1.0, 10)
 GIANT = Work(PromptSize(400_000, 700), 2.5, 1.0, 29)
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -11,15 +11,16 @@
 from collections import defaultdict
 from dataclasses import dataclass
 from itertools import count
-from typing import Any, Callable, Mapping, NamedTuple, Sequence
+from typing import Any, Callable, Mapping, Sequence
 
 import anyio
 from anyio.abc import UDPSocket
 
 from trestledock.entry import _events as events
 from trestledock.entry._logger import emit
+from trestledock.entry._rows import read_change, write_change
 from trestledock.entry._state import MOST_AGE_S, EntryState
-from trestledock.relay import BEAT_S, Candidate, Flight, Phase
+from trestledock.relay import BEAT_S, Candidate, Flight
 
 #: How long changes are gathered, in seconds.
 GATHER_S = 0.004
@@ -152,7 +153,7 @@
         age_s = message['news_age_ms'] / MS
         self.peers[name] = Peer(sender, now, age_s, place)
         self.state.many_entries = len(self.peers) > MOST_TOLD_ALL
-        changes = [_read_change(one, now) for one in message['flights']]
+        changes = [read_change(one, now) for one in message['flights']]
         self.state.board.hear(
             name, message['sequence'], changes, whole=message['whole']
         )
@@ -271,82 +272,11 @@
             'whole': whole,
             'data_centre': self.state.settings.data_centre,
             'news_age_ms': round(age_s * MS),
-            'flights': [_write_change(*one, now) for one in flights],
+            'flights': [write_change(*one, now) for one in flights],
         }
         await self.send(message, *where)
 
 
-class _Row(NamedTuple):
-    """A flight as it is told; instants are told as the time until or since.
-
-    What an older version of the program does not tell has a default.
-    """
-
-    flight_id: str
-    target: str
-    prompt_tokens: int
-    output_tokens: int
-    phase: str
-    since_ms: int
-    pause_ms: int
-    worth: float
-    due_ms: int
-    helpers: Sequence[str]
-    tickets: Sequence[tuple[str, int]]
-    gone_ms: float = MOST_AGE_S * MS
-    patience_ms: float = MOST_AGE_S * MS
-
-
-def _write_change(
-    flight_id: str,
-    flight: Flight | None,
-    now: float,
-) -> Sequence[Any]:
-    if flight is None:
-        return [flight_id]
-    return _Row(
-        flight_id=flight_id,
-        target=flight.target,
-        prompt_tokens=flight.prompt_tokens,
-        output_tokens=flight.output_tokens,
-        phase=flight.phase.value,
-        since_ms=round((now - flight.since) * MS),
-        pause_ms=round(flight.pause_s * MS),
-        worth=round(flight.worth, 2),
-        due_ms=_get_ms(flight.due - now),
-        helpers=flight.helpers,
-        tickets=flight.tickets,
-        gone_ms=_get_ms(flight.gone - now),
-        patience_ms=_get_ms(flight.patience_s),
-    )
-
-
-def _get_ms(seconds: float) -> int:
-    """Return milliseconds; what has no end is told as very long."""
-    return round(min(seconds, MOST_AGE_S) * MS)
-
-
-def _read_change(told: list[Any], now: float) -> tuple[str, Flight | None]:
-    if len(told) == 1:
-        return told[0], None
-    row = _Row(*told)
-    return row.flight_id, Flight(
-        flight_id=row.flight_id,
-        target=row.target,
-        prompt_tokens=row.prompt_tokens,
-        output_tokens=row.output_tokens,
-        phase=Phase(row.phase),
-        since=now - row.since_ms / MS,
-        pause_s=row.pause_ms / MS,
-        worth=row.worth,
-        due=now + row.due_ms / MS,
-        helpers=tuple(row.helpers),
-        tickets=tuple((name, tokens) for name, tokens in row.tickets),
-        gone=now + row.gone_ms / MS,
-        patience_s=row.patience_ms / MS,
-    )
-
-
 def split_address(address: str) -> Address:
     """Return the parts of `IP:PORT`."""
     host, _, port = address.rpartition(':')
--- /dev/null
+++ b/trestledock/entry/_limits.py
@@ -0,0 +1,98 @@
+"""
+Limits on silence
+=================
+
+How long a target may be silent, and what it means when it is: a doubt where it
+was left early, silence, or a cut of the way to its data centre, which ends all
+waits for targets there.
+"""
+
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import Iterator
+
+import anyio
+
+from trestledock.entry._job import Job
+from trestledock.entry._state import EntryState, Wait
+from trestledock.entry._wire import WireError
+from trestledock.relay import (
+    Placement,
+    get_first_patience_s,
+    get_pause_patience_s,
+)
+
+
+@dataclass(frozen=True)
+class Limit:
+    """How long a target may be silent, and whether that is but a doubt."""
+
+    wait_s: float
+    early: bool = False
+
+
+class Limits:
+    """Limits the waits of one entry process."""
+
+    def __init__(self, state: EntryState) -> None:
+        """Keep the state."""
+        self.state = state
+
+    def get_first(self, job: Job, placement: Placement) -> Limit:
+        """Return how long a target may be silent before another is asked."""
+        is_last = job.history.is_last_run(job.route)
+        may_leave = self.state.may_leave_early(anyio.current_time())
+        early = may_leave and not is_last and not placement.helpers
+        patience_s = get_first_patience_s(
+            job.route,
+            placement.first_s,
+            early=early,
+            helped=bool(placement.helpers),
+        )
+        return Limit(min(patience_s, _get_left_s(job)), early)
+
+    def get_pause(self, job: Job) -> Limit:
+        """Return how long a stream may be silent between events.
+
+        The last target that may run it is waited for: nobody else would go on.
+        """
+        left_s = _get_left_s(job)
+        if job.history.is_last_run(job.route):
+            return Limit(left_s)
+        return Limit(min(get_pause_patience_s(job.route), left_s))
+
+    @contextmanager
+    def wait(
+        self,
+        job: Job,
+        placement: Placement,
+        limit: Limit,
+    ) -> Iterator[anyio.CancelScope]:
+        """Wait within a limit, or until the way to a target is cut."""
+        with anyio.move_on_after(limit.wait_s) as scope:
+            if job.history.is_last_run(job.route):
+                yield scope
+                return
+            helpers = () if job.last_event else placement.helpers
+            names = [one.target_id for one in (placement.target, *helpers)]
+            wait = Wait(tuple(names), scope)
+            self.state.waits.add(wait)
+            try:
+                yield scope
+            finally:
+                self.state.waits.discard(wait)
+
+    def give_up(self, step: str, peer: str, limit: Limit) -> WireError:
+        """Note that a target was silent for too long; return the error."""
+        now = anyio.current_time()
+        if limit.early:
+            self.state.note_early(peer, now)
+        else:
+            self.state.note_silence(peer, now)
+        if self.state.is_cut_off(peer, now):
+            return WireError(step, 'its data centre is silent')
+        return WireError(step, f'silent for {limit.wait_s:.2f} s')
+
+
+def _get_left_s(job: Job) -> float:
+    return max(0, job.deadline - anyio.current_time())
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -44,7 +44,8 @@
     get_first_patience_s,
     get_pause_patience_s,
 )
-from trestledock.relay._placing import Placement, Placer, Work
+from trestledock.relay._placing import Placer
+from trestledock.relay._problem import Placement, Work
 from trestledock.relay._plain import choose_least_busy
 from trestledock.relay._proof import Proof
 from trestledock.relay._reach import BEAT_S, Reach
--- a/trestledock/relay/_asking.py
+++ b/trestledock/relay/_asking.py
@@ -22,7 +22,8 @@
     get_come_back_s,
 )
 from trestledock.relay._fleet import Listed
-from trestledock.relay._placing import Placement, Placer, Work
+from trestledock.relay._placing import Placer
+from trestledock.relay._problem import Placement, Work
 from trestledock.relay._worth import get_worth
 
 #: What a late request is placed as if it still had, in seconds.
--- a/trestledock/relay/_deciding.py
+++ b/trestledock/relay/_deciding.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from trestledock.relay._placing import GONE_SHARE, Placement
+from trestledock.relay._problem import GONE_SHARE, Placement
 
 #: The part of its objective that a request may wait for a better place.
 PATIENCE_SHARE = 0.3
