A stream that has begun is not refused for what it costs others

What is left of their worth is small, so nearly any harm is above the limit, while their callers have waited and engines have worked. Now: what may have run, or was answered in part, goes on as long as it may be in time for its caller. Ruled out: a smaller limit for such streams, since the cut itself costs as much as the whole request.

--- a/tests/test_relay_asking.py
+++ b/tests/test_relay_asking.py
@@ -1,6 +1,7 @@
 """Asking for a place: giants, callers who leave, and what is refused."""
 
 import unittest
+from dataclasses import replace
 
 from tests.engines import LARGE_ENGINE as ENGINE
 from tests.engines import TARGETS
@@ -154,6 +155,16 @@
         found = self.choose(make_ask(160_000), now=0.95)
         self.assertIs(found.decision, Decision.wait)
 
+    def test_begun_stream_goes_on(self):
+        """What others would lose is no reason to cut a stream midway."""
+        for number in range(18):
+            self.board.put(read_by(f'f{number}', (number,), due=2.2, gone=12))
+        ask = make_ask(160_000, arrived_at=-5)
+        found = self.choose(ask)
+        self.assertIs(found.decision, Decision.no_room)
+        begun = replace(ask, timing=replace(ask.timing, begun=True))
+        self.assertIsInstance(self.choose(begun), Placement)
+
     def test_come_back_when_there_is_room(self):
         """A refusal says when the reading in progress will have ended.
 
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -133,6 +133,7 @@
             due=arrived_at + self.route.objective_s,
             gone=min(self.deadline, heard_at + self.route.patience_s),
             deadline=self.deadline,
+            begun=self.may_have_run,
         )
 
     @property
--- a/trestledock/relay/_deciding.py
+++ b/trestledock/relay/_deciding.py
@@ -63,7 +63,8 @@
 
     Its first event is late after `due`; at `gone` its caller has left, and at
     `deadline` it must be answered whole.  `write_s` is what its answer takes
-    after the first event.
+    after the first event.  One that has `begun` may have been run, or answered
+    in part.
     """
 
     arrived_at: float
@@ -71,6 +72,7 @@
     gone: float
     deadline: float
     write_s: float = 0
+    begun: bool = False
 
     def get_waited_s(self, now: float) -> float:
         """Return how long the request has been waiting."""
@@ -108,12 +110,16 @@
     placement: Placement,
     now: float,
 ) -> Decision | None:
-    """Return why a placement is worse than none, if so."""
+    """Return why a placement is worse than none, if so.
+
+    What has begun goes on: its caller has waited, and engines have worked.
+    """
     if placement.first_s > timing.get_left_s(now) * GONE_SHARE:
         return Decision.no_time
-    if placement.harm > placement.gain * HARM_LIMIT:
-        return Decision.no_room
-    return None
+    if timing.begun:
+        return None
+    too_dear = placement.harm > placement.gain * HARM_LIMIT
+    return Decision.no_room if too_dear else None
 
 
 def _is_in_the_way(
