--- a/tests/test_relay_asking.py
+++ b/tests/test_relay_asking.py
@@ -158,7 +158,11 @@
     def test_begun_stream_goes_on(self):
         """What others would lose is no reason to cut a stream midway."""
         for number in range(18):
-            self.board.put(read_by(f'f{number}', (number,), due=2.2, gone=12))
+            self.board.put(
+                read_by(
+                    f'f{number}', (number,), due=2.2, gone=12, tokens=120_000
+                )
+            )
         ask = make_ask(160_000, arrived_at=-5)
         found = self.choose(ask)
         self.assertIs(found.decision, Decision.no_room)
