Mechanisms of placement as typed terms, and make ablation

No behaviour changes with the terms that run. Cause: what a mechanism is worth could only be tried by editing constants.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 SEED ?= 1
 SEEDS ?= 1
 
-.PHONY: setup demo test lint types bench matrix soak soak-core binary measure
+.PHONY: setup demo test lint types bench matrix soak soak-core binary measure \
+	ablation
 
 setup: $(VENV)/installed
 
@@ -39,6 +40,9 @@
 soak: setup
 	$(BIN)/python -m tests.soak --seed $(SEED) --seeds $(SEEDS)
 
+ablation: setup
+	$(BIN)/python -m trestledock.bench.ablation
+
 measure: setup
 	$(BIN)/python -m trestledock.bench.slopes
 
--- a/trestledock/bench/_sharing.py
+++ b/trestledock/bench/_sharing.py
@@ -19,9 +19,10 @@
 from itertools import count
 from typing import Callable
 
-from trestledock.bench._passes import Part, PassEngine, PassEnd, Writer
+from trestledock.bench._passes import Part, PassEnd, PassEngine, Writer
 from trestledock.relay import (
     LOOK_S,
+    TERMS,
     Ask,
     Board,
     Decision,
@@ -34,6 +35,7 @@
     Placement,
     Placer,
     PromptSize,
+    Terms,
     Timing,
     get_read_s,
     get_worth,
@@ -274,6 +276,7 @@
     engines: int,
     entries: int,
     places: int = 1,
+    terms: Terms = TERMS,
 ) -> SharedFleet:
     """Return an idle fleet, spread evenly over some data centres."""
     listed = tuple(
@@ -290,7 +293,7 @@
         model,
         listed,
         tuple(
-            _make_entry(number, f'dc-{number % places}')
+            _make_entry(number, f'dc-{number % places}', terms)
             for number in range(entries)
         ),
         engines={one.target_id: PassEngine(model) for one in listed},
@@ -308,9 +311,10 @@
     return worths[True] / worths[False]
 
 
-def _make_entry(number: int, place: str) -> Entry:
+def _make_entry(number: int, place: str, terms: Terms) -> Entry:
     board = Board()
-    return Entry(board, Placer(board, Health(), f'entry-{number}', place))
+    name = f'entry-{number}'
+    return Entry(board, Placer(board, Health(), name, place, terms))
 
 
 def _make_ask(req_id: str, prompt: Prompt) -> Ask:
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -45,8 +45,8 @@
     get_pause_patience_s,
 )
 from trestledock.relay._placing import Placer
-from trestledock.relay._problem import Placement, Work
 from trestledock.relay._plain import choose_least_busy
+from trestledock.relay._problem import Placement, Work
 from trestledock.relay._proof import Proof
 from trestledock.relay._reach import BEAT_S, Reach
 from trestledock.relay._readers import (
@@ -56,6 +56,7 @@
     get_retry_s,
     is_own_read_due,
 )
+from trestledock.relay._terms import TERMS, Terms
 from trestledock.relay._worth import get_worth
 
 __all__ = (
@@ -95,7 +96,9 @@
     'Share',
     'Splitter',
     'Standing',
+    'TERMS',
     'TeamKey',
+    'Terms',
     'Timing',
     'Work',
     'choose_least_busy',
--- a/trestledock/relay/_asking.py
+++ b/trestledock/relay/_asking.py
@@ -28,6 +28,8 @@
 
 #: What a late request is placed as if it still had, in seconds.
 LEAST_OBJECTIVE_S = 0.05
+#: An instant that never comes.
+FOREVER = float('inf')
 
 
 @dataclass(frozen=True)
@@ -62,12 +64,14 @@
     ) -> Placement | NoPlace:
         """Return where the request goes now, or what else is done with it."""
         timing = replace(self.timing, write_s=get_write_s(engine, self.size))
+        if not placer.terms.departure:
+            timing = replace(timing, gone=FOREVER, deadline=FOREVER)
         work = self._make_work(timing, now)
         placement = placer.place(work, engine, targets, now)
         if placement is None:
             found = bool(targets)
             return NoPlace(decide_without_place(timing, now, any_target=found))
-        decision = decide(timing, work.worth, placement, now)
+        decision = decide(timing, work.worth, placement, now, placer.terms)
         if decision is Decision.send:
             return placement
         return NoPlace(
--- a/trestledock/relay/_deciding.py
+++ b/trestledock/relay/_deciding.py
@@ -12,6 +12,7 @@
 from enum import Enum
 
 from trestledock.relay._problem import GONE_SHARE, Placement
+from trestledock.relay._terms import TERMS, Terms
 
 #: The part of its objective that a request may wait for a better place.
 PATIENCE_SHARE = 0.3
@@ -28,11 +29,6 @@
 LATE_PATIENCE_SHARE = 0.4
 IDEAL_SHARE = 0.6
 SMALL_WORTH = 2.0
-#: What a request may cost others at most, as a part of what it earns itself.
-#: Where long prompts and bursts of short ones meet, 3 in 1,000 are refused for
-#: it, and those that are served earn 0.7 in 100 more (the mean of 24 simulated
-#: days; with a limit of 1 they earn 0.2 less).
-HARM_LIMIT = 0.7
 #: The part of the time left after which a refused caller comes back at the
 #: latest; callers don't wait for longer than a third.
 COME_BACK_SHARE = 0.3
@@ -92,15 +88,17 @@
     worth: float,
     placement: Placement,
     now: float,
+    terms: Terms = TERMS,
 ) -> Decision:
     """Return what to do where `placement` is the best that there is."""
-    if is_worth_waiting(timing, worth, placement, now):
+    if terms.waiting and is_worth_waiting(timing, worth, placement, now):
         return Decision.wait
-    refusal = _get_refusal(timing, placement, now)
+    refusal = _get_refusal(timing, placement, now, terms)
     if refusal or _is_in_the_way(timing, worth, placement, now):
-        if _may_be_in_time(timing, placement, now):
+        if terms.waiting and _may_be_in_time(timing, placement, now):
             return Decision.wait
-        if worth > SMALL_WORTH and _may_queue(timing, placement, now):
+        may_queue = terms.queueing and worth > SMALL_WORTH
+        if may_queue and _has_time_to_queue(timing, placement, now):
             return Decision.wait
     return refusal or Decision.send
 
@@ -109,6 +107,7 @@
     timing: Timing,
     placement: Placement,
     now: float,
+    terms: Terms,
 ) -> Decision | None:
     """Return why a placement is worse than none, if so.
 
@@ -118,7 +117,7 @@
         return Decision.no_time
     if timing.begun:
         return None
-    too_dear = placement.harm > placement.gain * HARM_LIMIT
+    too_dear = placement.harm > placement.gain * terms.harm_limit
     return Decision.no_room if too_dear else None
 
 
@@ -169,7 +168,11 @@
     return placement.ideal_s < left_s - LOOK_S
 
 
-def _may_queue(timing: Timing, placement: Placement, now: float) -> bool:
+def _has_time_to_queue(
+    timing: Timing,
+    placement: Placement,
+    now: float,
+) -> bool:
     """Whether a late request should wait for others to finish."""
     whole_s = timing.gone - timing.arrived_at
     if timing.get_waited_s(now) > whole_s * LATE_PATIENCE_SHARE:
--- a/trestledock/relay/_parts.py
+++ b/trestledock/relay/_parts.py
@@ -10,7 +10,6 @@
 
 from trestledock.relay._problem import (
     QUEUED_COST,
-    REMOTE_COST,
     SECOND_COST,
     Placement,
     Problem,
@@ -45,7 +44,7 @@
     ends = [view.predict_part_s(part_s) + first.base_s for view in helpers]
     last_s = max([first_s, *ends])
     late = problem.get_lateness(last_s) - problem.get_lateness(first_s)
-    helpers_harm = sum(view.get_harm(part_s) for view in helpers)
+    helpers_harm = sum(problem.get_harm(view, part_s) for view in helpers)
     cost = problem.get_cost(first, part_s) + helpers_harm
     cost += late + (last_s - first_s) * SECOND_COST
     cost += problem.get_scarcity([first, *helpers], part_s, last_s)
@@ -54,7 +53,7 @@
         tuple(view.listed for view in helpers),
         first_s=last_s,
         cost=cost + HELPER_COST * len(helpers),
-        harm=first.get_harm(part_s) + helpers_harm,
+        harm=problem.get_harm(first, part_s) + helpers_harm,
         gain=problem.get_gain(last_s),
     )
 
@@ -69,10 +68,10 @@
 
     def cost_of(view: View) -> float:  # noqa: WPS430 - a sort key
         return (
-            view.get_harm(part_s)
+            problem.get_harm(view, part_s)
             + view.helper_wait_s * SECOND_COST
             + view.failure_share * QUEUED_COST
-            + REMOTE_COST * view.remote
+            + problem.get_remoteness(view)
         )
 
     others = [
--- a/trestledock/relay/_placing.py
+++ b/trestledock/relay/_placing.py
@@ -30,6 +30,7 @@
     Problem,
     Work,
 )
+from trestledock.relay._terms import TERMS, Terms
 from trestledock.relay._view import MEMORY_SHARE, View, Viewer
 
 #: A prompt that an engine reads in less is short: it may be read in the
@@ -54,8 +55,10 @@
         health: Health,
         member: str = '',
         data_centre: str = '',
+        terms: Terms = TERMS,
     ) -> None:
         """Keep what the choice is made from."""
+        self.terms = terms
         self.viewer = Viewer(board, health, data_centre)
         self.member = member
 
@@ -75,6 +78,7 @@
             engine=engine,
             views=tuple(self.viewer.view(engine, one, now) for one in ordered),
             read_s=get_read_s(engine, work.size.prompt_tokens),
+            terms=self.terms,
         )
         placement = _get_planner(problem)(problem)
         if placement is None:
@@ -123,7 +127,7 @@
         < EASY_COST
     ]
     near = [view for view in easy if not view.remote]
-    if easy:
+    if easy and problem.terms.packing:
         best = max(near or easy, key=lambda view: view.count)
     else:
         best = min(problem.views, key=cost_of)
@@ -132,16 +136,17 @@
         best.listed,
         first_s=first_s,
         cost=cost_of(best),
-        harm=best.get_harm(read_s),
+        harm=problem.get_harm(best, read_s),
         gain=problem.get_gain(first_s),
     )
 
 
 def _place_long(problem: Problem) -> Placement:
     """Weigh numbers of parts; each number takes the engines it harms least."""
+    counts = HELPER_COUNTS if problem.terms.helpers else (0,)
     options = [
         plan_parts(problem, count)
-        for count in HELPER_COUNTS
+        for count in counts
         if count < len(problem.views)
     ]
     return min(options, key=lambda option: option.cost)
--- a/trestledock/relay/_problem.py
+++ b/trestledock/relay/_problem.py
@@ -13,16 +13,11 @@
 from trestledock.relay._call import PromptSize
 from trestledock.relay._catalog import EngineModel
 from trestledock.relay._fleet import Listed
+from trestledock.relay._terms import TERMS, Terms
 from trestledock.relay._view import LATE_LOSS, PAUSE_SHARE, View
 
 #: Places of an engine that are left free where others have room.
 SPARE_PLACES = 1
-#: The cost of a second of the last idle engine for a request that is late
-#: anyway, in units of worth: an engine that is packed with short requests
-#: answers 3.5 of them a second, which lose 1 each by lateness.  Without it, a
-#: giant that takes all idle engines meets the next burst: the worst of 24
-#: simulated days earns 0.81 instead of 0.87.
-ENGINE_COST = 3.0
 #: The cost of a second before the first token, in units of worth.
 SECOND_COST = 0.3
 #: Part of the objective that a prediction should stay within.
@@ -90,6 +85,7 @@
     engine: EngineModel
     views: tuple[View, ...]
     read_s: float
+    terms: Terms = TERMS
 
     def get_lateness(self, first_s: float) -> float:
         """Return what the work loses by a first token after `first_s`.
@@ -112,17 +108,25 @@
         """Return what the work earns by a first token after `first_s`."""
         return max(0, self.work.worth - self.get_lateness(first_s))
 
+    def get_harm(self, view: View, part_s: float) -> float:
+        """Return what others lose when an engine reads `part_s` more."""
+        return view.get_harm(part_s) if self.terms.harm else 0
+
+    def get_remoteness(self, view: View) -> float:
+        """Return the cost of an engine in another data centre."""
+        return REMOTE_COST * (view.remote and self.terms.near_first)
+
     def get_cost(self, view: View, part_s: float) -> float:
         """Return what all lose when an engine reads `part_s` and writes."""
         first_s = view.predict_first_s(part_s)
         own_pause = view.base_s > self.work.pause_s * PAUSE_SHARE
         risk = view.failure_share + own_pause * LATE_LOSS
         return (
-            view.get_harm(part_s)
+            self.get_harm(view, part_s)
             + self.get_lateness(first_s)
             + first_s * SECOND_COST
             + risk * self.work.worth
-            + REMOTE_COST * view.remote
+            + self.get_remoteness(view)
         )
 
     def get_crowding(self, view: View) -> float:
@@ -149,7 +153,9 @@
         busy = sum(bool(view.flights) for view in self.views)
         taken = sum(not view.flights for view in engines)
         shares = [(busy + 1 + place) / total for place in range(taken)]
-        return ENGINE_COST * part_s * sum(share**2 for share in shares)
+        return (
+            self.terms.engine_cost * part_s * sum(share**2 for share in shares)
+        )
 
     def get_whole_cost(self, view: View, part_s: float) -> float:
         """Return the cost of an engine as the first target."""
