A silent connection to a target takes the other idle ones with it

Cause: kept connections may go silent together, without a reset, while new ones work; each one that was reused cost a request 0.2 s or more of patience, and two of them made a sound target suspect. Other kept connections were looked through: the store's is closed by a timeout of 0.8 s and opened anew, entries fetch news on a new one each time. Now a failed sending closes the idle connections to its target. The test fails on the code before.

--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -87,12 +87,14 @@
         self.answers = list(answers)
         self.requests = []
         self.closed = anyio.Event()
+        self.connections = 0
         self.port = 0
 
     async def serve(self, listener):
         await listener.serve(self._handle)
 
     async def _handle(self, stream):
+        self.connections += 1
         async with stream:
             try:
                 await self._talk(stream)
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -169,6 +169,27 @@
         run_world(ONCE, targets, scenario)
 
 
+class SilentConnectionTest(unittest.TestCase):
+    """Kept connections that have gone silent, while new ones work."""
+
+    def test_others_are_not_tried(self):
+        """After one was silent, the next sending has a new connection."""
+        answers = [make_answer(req_id=one) for one in ('r1', 'r2', 'r3')]
+        target = StubTarget(*answers[:2], Hang, answers[2])
+
+        async def scenario(world):
+            async with anyio.create_task_group() as group:
+                group.start_soon(world.ask, 'r1')
+                await anyio.sleep(0)
+                group.start_soon(world.ask, 'r2')
+            self.assertEqual(target.connections, 2)
+            found = await world.ask('r3')
+            self.assertEqual(found.status, 200)
+            self.assertEqual(target.connections, 3)
+
+        run_world(IDEMPOTENT, [target], scenario)
+
+
 class StreamTest(unittest.TestCase):
     """Streams are whole, resumed or cut."""
 
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -110,6 +110,8 @@
             )
         except WireError as exc:
             self.state.health.note_failure(peer, anyio.current_time())
+            # Connections that go silent do so together, while new ones work.
+            self.pool.drop(peer)
             return Sending(Ending.lost, exc.step, peer, exc.detail)
         finally:
             await self.pool.give(placement.target, wire, idle_s)
