The time to write an answer is the usual one, not the most that it may take

Cause: on the incident three callers that came back with 4.5, 3.9 and 2.6 s left were refused as hopeless (no_time), since the most tokens they may get would not have been written in that time. Of 1,163 answers there the median used 0.32 of its most (0.05 to 0.9 in 90 of 100), and took 0.36 of the time. Now: 0.35 of it counts.

--- a/trestledock/relay/_arithmetic.py
+++ b/trestledock/relay/_arithmetic.py
@@ -11,6 +11,10 @@
 from trestledock.relay._call import PromptSize
 from trestledock.relay._catalog import EngineModel
 
+#: The part of the tokens that it may have that an answer uses, in the median:
+#: 0.32 of 1,163 answers by their events, 0.36 by the time they took.
+USED_SHARE = 0.35
+
 
 @dataclass(frozen=True)
 class PassLoad:
@@ -47,11 +51,11 @@
 
 
 def get_write_s(engine: EngineModel, size: PromptSize) -> float:
-    """Return how long an answer is written by an engine without other work.
+    """Return how long an answer is usually written, without other work.
 
     >>> engine = EngineModel(8, 232_000, 0.001, 200_000)
-    >>> get_write_s(engine, PromptSize(1_000, 500))
-    0.5
+    >>> get_write_s(engine, PromptSize(1_000, 1_000))
+    0.35
     """
     step_s = engine.step_s + engine.step_context_s * size.total_tokens
-    return size.output_tokens * step_s
+    return size.output_tokens * USED_SHARE * step_s
