--- a/tests/test_entry_gossip.py
+++ b/tests/test_entry_gossip.py
@@ -116,3 +116,43 @@
             self.assertEqual(gossip.peers, {})
 
         anyio.run(main)
+
+
+class BeatTest(unittest.TestCase):
+    """How entries of other data centres hear this one, and are heard."""
+
+    def test_told_elsewhere_only(self):
+        """Few entries let other data centres hear them."""
+        told = []
+
+        async def send(message, *where):
+            told.append((message['kind'], where))
+
+        async def main():
+            gossip = make_gossip(near=2, far=2)
+            gossip.send = send
+            with anyio.move_on_after(0.5):
+                await gossip._beat()
+            far = [
+                address
+                for address, place in gossip.addresses.items()
+                if place == 'other'
+            ]
+            self.assertEqual(set(told), {('beat', tuple(far))})
+
+        anyio.run(main)
+
+    def test_silence_is_noted(self):
+        """A data centre that was heard and falls silent is left alone."""
+
+        async def main():
+            gossip = make_gossip(near=1, far=2)
+            state = gossip.state
+            now = anyio.current_time()
+            state.check_reach(now + 0.6)
+            self.assertTrue(state.health.is_suspect('t', now + 0.7, 'other'))
+            beat = {'from': 'p001', 'data_centre': 'other'}
+            gossip._take_beat(beat, ('10.0.0.1', 1))
+            self.assertFalse(state.health.is_suspect('t', now + 0.8, 'other'))
+
+        anyio.run(main)
--- a/tests/test_relay_parts.py
+++ b/tests/test_relay_parts.py
@@ -97,6 +97,20 @@
         self.assertFalse(make_history(Ending.rejected).may_have_run)
         self.assertTrue(make_history(Ending.rejected, Ending.lost).may_have_run)
 
+    def test_last_run(self):
+        """The last target is the one after which nobody else may run it."""
+        lost = make_history(Ending.lost)
+        for route, history, expected in (
+            (RESUMABLE, make_history(), False),
+            (RESUMABLE, lost, True),
+            (RESUMABLE, make_history(Ending.rejected), False),
+            (STREAM, make_history(), True),
+            (NON_IDEMPOTENT, make_history(), True),
+            (IDEMPOTENT, make_history(*[Ending.not_sent] * 5), True),
+        ):
+            with self.subTest(route=route.kind, sendings=history.sendings):
+                self.assertEqual(history.is_last_run(route), expected)
+
 
 class ProofTest(unittest.TestCase):
     """Keys are served only while the configuration is known to be recent."""
--- a/trestledock/relay/_outcome.py
+++ b/trestledock/relay/_outcome.py
@@ -74,11 +74,11 @@
         return route.repeatable and self.runs < route.max_attempts
 
     def is_last_run(self, route: Route) -> bool:
-        """Whether no further target may run what one is working on now."""
-        if len(self.sendings) + 1 >= MAX_SENDINGS:
-            return True
-        return not route.repeatable or self.runs + 1 >= route.max_attempts
+        """Whether no other target may go on with what one works on now."""
+        return not self.add(_LOST_NOW).may_repeat(route)
 
 
+#: What the sending under way would end as if its target were left.
+_LOST_NOW = Sending(Ending.lost, 'answer', '')
 #: Bound on sendings of one request, those that were not run included.
 MAX_SENDINGS = 6
