--- a/tests/test_relay_parts.py
+++ b/tests/test_relay_parts.py
@@ -1,6 +1,7 @@
 """The small parts of relaying: events, outcomes, proof, budget, health."""
 
 import unittest
+from itertools import repeat
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -106,7 +107,7 @@
             (RESUMABLE, make_history(Ending.rejected), False),
             (STREAM, make_history(), True),
             (NON_IDEMPOTENT, make_history(), True),
-            (IDEMPOTENT, make_history(*[Ending.not_sent] * 5), True),
+            (IDEMPOTENT, make_history(*repeat(Ending.not_sent, 5)), True),
         ):
             with self.subTest(route=route.kind, sendings=history.sendings):
                 self.assertEqual(history.is_last_run(route), expected)
