--- a/trestledock/relay/_patience.py
+++ b/trestledock/relay/_patience.py
@@ -22,8 +22,8 @@
 EARLY_LEAST_S = 0.2
 #: How many requests may be given up early: a share of those of the last
 #: seconds, and some besides, over all instances.  With 1 in 4 repeated, crowded
-#: targets did not recover for ten seconds (gpbba-trestle, answers lost at half
-#: of the targets while the traffic doubles).
+#: targets did not recover for ten seconds (answers lost at half of the targets
+#: while the traffic doubles).
 EARLY_TERMS = BudgetTerms(ratio=0.1, window_s=10, slack=10)
 #: The same for the last target that may be asked, and for all others.
 LATE_FACTOR = 2.0
