--- a/tests/engines.py
+++ b/tests/engines.py
@@ -1,19 +1,11 @@
 """Engines and fleets that tests of placement share."""
 
+from trestledock.bench.ablation import ENGINE
 from trestledock.relay import EngineModel, Listed, Standing
 
 #: Engines with memory for 405,000 tokens: 182,000 are read in 3.9 s, 790,000
 #: in 55 s.
-LARGE_ENGINE = EngineModel(
-    batch=8,
-    capacity_tokens=405_000,
-    step_s=0.00131,
-    read_rate=154_000,
-    step_request_s=9.17e-7,
-    step_context_s=2.13e-9,
-    pair_s=1.62e-10,
-    stride=34,
-)
+LARGE_ENGINE = ENGINE
 #: Engines with memory for 232,000 tokens: 133,000 are read in 1.9 s.
 SMALL_ENGINE = EngineModel(
     batch=8,
