Logs say who listed a target, who held or dropped it, and how old the list was

A list from another entry changed what is known without a line, a target that came back after it was gone looked like a new one, what was held as lapsing and why a list counted as disturbed was not logged, and a record that was hidden by another one of the same read left no trace.

Ruled out: a line for each list that was taken, three a second and entry.

--- a/trestledock/entry/__init__.py
+++ b/trestledock/entry/__init__.py
@@ -17,7 +17,7 @@
     Passing,
     TargetNews,
 )
-from trestledock.entry._events import EVENTS, HistoryForgotten
+from trestledock.entry._events import EVENTS, HistoryForgotten, OldRecord
 from trestledock.entry._following import DirectoryError
 from trestledock.entry._logger import emit, set_up_logs
 from trestledock.entry._settings import EntrySettings
@@ -34,6 +34,7 @@
     'Headers',
     'HistoryForgotten',
     'News',
+    'OldRecord',
     'Order',
     'Passing',
     'TargetNews',
--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -71,7 +71,8 @@
 
     `document` is the text that `catalog` was read from, for the other
     entries; `whole` says that `targets` are all that there are, `settled`
-    that they come from an entry that has waited for lapsed ones.
+    that they come from an entry that has waited for lapsed ones; `source` is
+    that entry.
     """
 
     catalog: Catalog | None = None
@@ -79,6 +80,7 @@
     targets: tuple[TargetNews, ...] = ()
     whole: bool = False
     settled: bool = False
+    source: str = 'store'
 
 
 class Dialect(Protocol):
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -62,6 +62,7 @@
     cost: float
     waited_ms: int
     candidates: int
+    list_age_ms: int
 
 
 @dataclass(frozen=True)
@@ -165,11 +166,14 @@
 
 @dataclass(frozen=True)
 class TargetListed(Event):
-    """A target is new, or its entry has changed."""
+    """A target is new, or its entry has changed; `again` after it was gone."""
 
     peer: str
     service: str
     standing: str
+    sequence: int
+    source: str
+    again: bool
 
 
 @dataclass(frozen=True)
@@ -177,6 +181,33 @@
     """A target's entry has gone."""
 
     peer: str
+    source: str
+
+
+@dataclass(frozen=True)
+class TargetHeld(Event):
+    """A target's entry is missing, but may only have lapsed."""
+
+    peer: str
+    source: str
+    left_ms: int
+
+
+@dataclass(frozen=True)
+class ListDisturbed(Event):
+    """Entries that are missing from a list of targets may have lapsed."""
+
+    source: str
+    gap_ms: int
+
+
+@dataclass(frozen=True)
+class OldRecord(Event):
+    """A record of a target was written after a newer one of it."""
+
+    peer: str
+    sequence: int
+    newest: int
 
 
 @dataclass(frozen=True)
--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -20,6 +20,7 @@
 from trestledock.entry._state import EntryState
 from trestledock.entry._wire import WireError
 from trestledock.relay import (
+    Listed,
     ReadPace,
     choose_reader,
     get_retry_s,
@@ -40,6 +41,9 @@
 JITTER = (0.9, 1.1)
 #: How often lapsed entries are looked at, in seconds.
 EXPIRE_S = 0.2
+#: Who says that a target is gone where it was held and did not come back.
+LAPSED = 'lapsed'
+MS = 1000
 
 
 class DirectoryError(Exception):
@@ -175,7 +179,7 @@
         except EXPECTED:
             self.state.fleet.note_trouble(anyio.current_time())
             raise
-        self.state.fleet.note_read(asked_at, anyio.current_time())
+        self.state.note_list(asked_at, anyio.current_time(), news.source)
         self._apply(news)
 
     async def _follow_peers(self) -> None:
@@ -208,35 +212,55 @@
 
     def _apply_targets(self, news: News) -> None:
         now = anyio.current_time()
-        fleet = self.state.fleet
         if news.whole:
-            listed = {
-                one.target_id: one.listed for one in news.targets if one.listed
-            }
-            gone = fleet.keep_only(listed, now, settled=news.settled)
-            self._forget(gone)
+            self._keep_only(news, now)
         for one in news.targets:
             if one.listed is None:
-                is_gone = fleet.drop(one.target_id, now)
-                self._forget([one.target_id] if is_gone else [])
-            elif fleet.put(one.listed):
-                emit(
-                    events.TargetListed(
-                        one.target_id,
-                        one.listed.service,
-                        one.listed.standing.value,
-                    ),
-                )
-                self.state.notify()
+                self._drop(one.target_id, news, now)
+            else:
+                self._put(one.listed, news)
+
+    def _keep_only(self, news: News, now: float) -> None:
+        """Drop the targets that are missing from a list of all."""
+        present = {one.target_id for one in news.targets if one.listed}
+        for target_id in set(self.state.fleet.targets) - present:
+            self._drop(target_id, news, now)
+
+    def _put(self, listed: Listed, news: News) -> None:
+        again = listed.target_id in self.state.fleet.gone
+        if not self.state.fleet.put(listed):
+            return
+        emit(
+            events.TargetListed(
+                listed.target_id,
+                listed.service,
+                listed.standing.value,
+                listed.sequence,
+                news.source,
+                again,
+            ),
+        )
+        self.state.notify()
+
+    def _drop(self, target_id: str, news: News, now: float) -> None:
+        fleet = self.state.fleet
+        known = target_id in fleet.lapsing
+        if fleet.drop(target_id, now, settled=news.settled):
+            self._forget([target_id], news.source)
+        elif target_id in fleet.lapsing and not known:
+            left_s = fleet.lapsing[target_id] - now
+            held = events.TargetHeld(target_id, news.source, round(left_s * MS))
+            emit(held)
 
     async def _expire(self) -> None:
         while True:
             await anyio.sleep(EXPIRE_S)
-            self._forget(self.state.fleet.expire(anyio.current_time()))
+            gone = self.state.fleet.expire(anyio.current_time())
+            self._forget(gone, LAPSED)
 
-    def _forget(self, gone: list[str]) -> None:
+    def _forget(self, gone: list[str], source: str) -> None:
         for target_id in gone:
-            emit(events.TargetGone(target_id))
+            emit(events.TargetGone(target_id, source))
             self.pool.drop(target_id)
             self.state.health.targets.pop(target_id, None)
         if gone:
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -60,6 +60,9 @@
         events.OrderLost: Counting('Orders to engines without an answer'),
         events.TargetSuspected: Counting('Targets that fell silent'),
         events.StoreLost: Counting('Losses of the store', ('step',)),
+        events.TargetHeld: Counting('Missing targets that may have lapsed'),
+        events.ListDisturbed: Counting('Lists of targets after a disturbance'),
+        events.OldRecord: Counting('Records of targets after newer ones'),
         events.PeerLost: Counting('Losses of other entries'),
         events.DatagramDropped: Counting('Datagrams that were lost here'),
         events.Failed: Counting('Unforeseen failures'),
@@ -90,6 +93,8 @@
         'proof_age_seconds': 'Age of what is known of the configuration',
         'version': 'Version of the configuration in force',
         'targets': 'Targets that are listed',
+        'targets_held': 'Targets that are missing but may have lapsed',
+        'list_age_seconds': 'Age of what is known of the targets',
         'peers': 'Other entries that are heard',
     }
 )
--- a/trestledock/entry/_news.py
+++ b/trestledock/entry/_news.py
@@ -76,7 +76,7 @@
             return is_behind
         if self._revisions.get(reader) != reply['revision']:
             return True
-        self.state.fleet.note_read(listed_at, anyio.current_time())
+        self.state.note_list(listed_at, anyio.current_time(), reader)
         return is_behind
 
     async def fetch(self, reader: str) -> News | None:
@@ -91,12 +91,12 @@
         except (WireError, TimeoutError, ValueError) as exc:
             emit(events.NewsLost(reader, repr(exc)))
             return None
-        news = News(document=plain['document'])
+        news = News(document=plain['document'], source=reader)
         listed_at = asked_at - plain['list_age_s']
         if listed_at <= self.state.fleet.read_at:
             return news
         self._revisions[reader] = plain['revision']
-        self.state.fleet.note_read(listed_at, anyio.current_time())
+        self.state.note_list(listed_at, anyio.current_time(), reader)
         listed = [CONVERTER.structure(one, Listed) for one in plain['targets']]
         targets = tuple(TargetNews(one.target_id, one) for one in listed)
         return replace(news, targets=targets, whole=True, settled=True)
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -18,7 +18,7 @@
 from trestledock.entry._pool import Pool
 from trestledock.entry._reply import Reply
 from trestledock.entry._selecting import make_flight
-from trestledock.entry._state import EntryState
+from trestledock.entry._state import MOST_AGE_S, EntryState
 from trestledock.entry._tickets import Tickets
 from trestledock.entry._wire import Wire, WireError
 from trestledock.relay import Ending, Placement, Sending
@@ -142,6 +142,9 @@
             self.state.spawn,
         )
 
+    def _get_list_age_s(self, now: float) -> float:
+        return min(self.state.get_list_age_s(now), MOST_AGE_S)
+
     def _note_placed(self, job: Job, placement: Placement, now: float) -> None:
         size = job.call.size
         emit(
@@ -155,5 +158,6 @@
                 cost=round(placement.cost, 2),
                 waited_ms=round((now - job.call.arrived_at) * MS),
                 candidates=placement.candidates,
+                list_age_ms=round(self._get_list_age_s(now) * MS),
             ),
         )
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -34,6 +34,7 @@
 MOST_AGE_S = 1_000_000
 #: What stands for the version where none is in force.
 NO_VERSION = -1
+MS = 1000
 
 
 def _make_early_window() -> RetryWindow:
@@ -165,13 +166,24 @@
         """Whether one more request may be given up at its target early."""
         return self.early.is_left(now, self.board.count_peers() + 1)
 
+    def note_list(self, asked_at: float, now: float, source: str) -> None:
+        """Note a list of targets, as of `asked_at`."""
+        gap_s = min(self.get_list_age_s(now), MOST_AGE_S)
+        self.fleet.note_read(asked_at, now)
+        if self.fleet.disturbed_at == now:
+            emit(events.ListDisturbed(source, round(gap_s * MS)))
+
     def get_news_age_s(self, now: float) -> float:
         """Return the age of the older of what is known from the store.
 
         A reader is only as good as the older of its configuration and its
         list of targets.
         """
-        return max(self.proof.get_age_s(now), now - self.fleet.read_at)
+        return max(self.proof.get_age_s(now), self.get_list_age_s(now))
+
+    def get_list_age_s(self, now: float) -> float:
+        """Return the age of what is known of the targets in seconds."""
+        return now - self.fleet.read_at
 
     def get_gauges(self, now: float) -> dict[str, float]:
         """Return the levels that the metrics show."""
@@ -180,6 +192,8 @@
             'proof_age_seconds': self.proof.get_age_s(now),
             'version': self.version,
             'targets': len(self.fleet.targets),
+            'targets_held': len(self.fleet.lapsing),
+            'list_age_seconds': self.get_list_age_s(now),
             'peers': self.board.count_peers(),
         }
 
--- a/trestledock/platform/_store.py
+++ b/trestledock/platform/_store.py
@@ -21,6 +21,7 @@
     Head,
     HistoryForgotten,
     News,
+    OldRecord,
     TargetNews,
     Wire,
     emit,
@@ -207,6 +208,7 @@
     async def read_targets(self) -> News:
         """Return what is new of the targets, the newest of each."""
         batch = await self._targets.read()
+        _note_old_records(batch)
         newest = {record.key: record.text for record in batch.records}
         return News(
             targets=tuple(
@@ -239,5 +241,18 @@
             raise DirectoryError(f'log-append {PEERS_TOPIC}: {status}')
 
 
+def _note_old_records(batch: Batch) -> None:
+    """Note records that were written after newer ones of the same target."""
+    newest: dict[str, int] = {}
+    for record in batch.records:
+        listed = _read_target(record.key, record.text)
+        if listed is None:
+            continue
+        known = newest.setdefault(record.key, listed.sequence)
+        if listed.sequence < known:
+            emit(OldRecord(record.key, listed.sequence, known))
+        newest[record.key] = max(known, listed.sequence)
+
+
 def _read_target(key: str, text: bytes) -> Listed | None:
     return decode_target(key, json.loads(text)) if text else None
--- a/trestledock/relay/_fleet.py
+++ b/trestledock/relay/_fleet.py
@@ -48,6 +48,7 @@
     targets: dict[str, Listed] = field(default_factory=dict)
     lapsing: dict[str, float] = field(default_factory=dict)
     leaving: set[str] = field(default_factory=set)
+    gone: set[str] = field(default_factory=set)
     revision: int = 0
     read_at: float = float('-inf')
     disturbed_at: float = float('-inf')
@@ -96,6 +97,7 @@
             return False
         self.targets.pop(target_id)
         self.lapsing.pop(target_id, None)
+        self.gone.add(target_id)
         self.revision += 1
         return True
 
@@ -118,6 +120,7 @@
         for target_id in over:
             self.lapsing.pop(target_id)
             self.targets.pop(target_id, None)
+            self.gone.add(target_id)
             self.revision += 1
         return over
 
