Failing tests: a target that left comes back into the list

Cause, reasoned from the record and the play, and forced in a test: the entry that reads the store stands still for 3.3 s while a target leaves. When it goes on, it takes the gap between its reads for a disturbance of the store and holds the missing target for 2.2 s. (a) Its list, the newest of all, has the target as listed: who had dropped it takes it back. (b) Holding it changes no revision, so those that rely on the reader are told that nothing is new. (c) Another way to the same end: of several records of one target in one read only the last is kept, so an old heartbeat that is written late hides the word that the target leaves until its next heartbeat.

Ruled out: a wait between choice and write (8 ms in the record); an entry that can't reach the store (the sender had dropped the target 3 s before).

--- /dev/null
+++ b/tests/following.py
@@ -0,0 +1,136 @@
+"""Entries that follow a store and ask one another, without sockets."""
+
+import json
+from dataclasses import replace
+from random import Random
+
+import anyio
+
+from tests.relaying import SETTINGS, make_listed
+from trestledock.entry import DirectoryError, News, TargetNews
+from trestledock.entry._following import Follower
+from trestledock.entry._gossip import Gossip, Peer
+from trestledock.entry._news import NewsExchange
+from trestledock.entry._pool import Pool
+from trestledock.entry._state import EntryState
+from trestledock.relay import Catalog
+
+CATALOG = Catalog(1, {}, {}, None)
+
+
+class Store:
+    """The list of targets that all entries read, and whether it answers."""
+
+    def __init__(self, *numbers):
+        self.records = [
+            TargetNews(f't{one}', make_listed(one, 80)) for one in numbers
+        ]
+        self.down = False
+
+    def remove(self, number):
+        """Remove a target that never said that it leaves."""
+        self.records.append(TargetNews(f't{number}', None))
+
+    def put(self, number, sequence):
+        """Write a heartbeat."""
+        listed = replace(make_listed(number, 80), sequence=sequence)
+        self.records.append(TargetNews(f't{number}', listed))
+
+
+class Reading:
+    """One entry's reads of the store, each from where the last one ended."""
+
+    def __init__(self, store):
+        self.store = store
+        self.position = 0
+        self.calls = 0
+
+    async def read_catalog(self):
+        self._check()
+        return News(CATALOG, '{}')
+
+    async def read_targets(self):
+        self._check()
+        self.calls += 1
+        new = self.store.records[self.position :]
+        self.position = len(self.store.records)
+        return News(targets=tuple(new))
+
+    def decode_document(self, document):
+        return CATALOG
+
+    def _check(self):
+        if self.store.down:
+            raise DirectoryError('down')
+
+
+class FollowingEntry:
+    """One entry; `network` has all of them by address."""
+
+    def __init__(self, number, store, network, group):
+        self.address = ('127.0.0.1', number)
+        self.network = network
+        network[self.address] = self
+        self.name = f'entry-{number}'
+        self.state = EntryState(SETTINGS, self.name, Random(1), group)
+        self.reading = Reading(store)
+        self.gossip = Gossip(self.state)
+        self.exchange = NewsExchange(self.state, self.gossip)
+        self.gossip.send = self._send
+        self.exchange._get = self._get
+        self.follower = Follower(
+            self.state, self.reading, Pool(self.state.spawn), self.exchange
+        )
+        self.follower._sleep = _sleep
+
+    async def read(self):
+        """Read the store."""
+        await self.follower._read_store()
+
+    async def ask(self, reader):
+        """Ask another entry, as it is done again and again."""
+        peer = Peer(reader.address, anyio.current_time(), 0)
+        self.gossip.peers[reader.name] = peer
+        await self.follower._ask(reader.name)
+
+    def stand_still(self, pause_s):
+        """Have the past lie further back, as after a pause of the process."""
+        self.state.fleet.read_at -= pause_s
+        self.state.proof.proven_at -= pause_s
+
+    def get_usable(self):
+        """Return the names of the targets that may get new work."""
+        return {one.target_id for one in self.state.fleet.get_usable('svc')}
+
+    async def _send(self, message, *where):
+        plain = json.loads(json.dumps({**message, 'from': self.name}))
+        for address in where:
+            gossip = self.network[address].gossip
+            gossip.handlers[plain['kind']](plain, self.address)
+
+    async def _get(self, address):
+        return json.loads(self.network[address].exchange.make_news())
+
+
+async def _sleep(wait_s):
+    """Skip the pause between two questions."""
+
+
+def run_entries(count, store, scenario):
+    """Run `scenario(*entries)` with entries that have read the store."""
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            network = {}
+            entries = [
+                FollowingEntry(number, store, network, group)
+                for number in range(count)
+            ]
+            for entry in entries:
+                await entry.read()
+                entry.state.fleet.disturbed_at = float('-inf')
+            found = await scenario(*entries)
+            group.cancel_scope.cancel()
+        return found
+
+    return anyio.run(main)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,5 +1,6 @@
 """The client of the platform's store, against a stub on loopback."""
 
+import json
 import socket
 import struct
 import unittest
@@ -10,10 +11,14 @@
 from trestledock.platform._store import (
     BOUNDS,
     LENGTH,
+    Batch,
     KeyedTopic,
+    Record,
     StoreClient,
+    StoreDirectory,
     split_records,
 )
+from trestledock.relay import Fleet
 
 
 def make_record(key, text):
@@ -151,3 +156,48 @@
         raw = make_record(b'a', b'1') + make_record(b'b', b'')
         found = [(one.key, one.text) for one in split_records(raw)]
         self.assertEqual(found, [('a', b'1'), ('b', b'')])
+
+
+def make_heartbeat(state, sequence):
+    """Return a target's record as it stands in the log."""
+    fields = {
+        'service': 's',
+        'address': '10.0.0.1:80',
+        'zone': 'dc',
+        'state': state,
+        'slots': 8,
+        'sequence': sequence,
+    }
+    return Record('t1', json.dumps(fields).encode())
+
+
+class TargetsTest(unittest.TestCase):
+    """What is read of targets."""
+
+    def read(self, *records):
+        """Return the targets that may get new work after one read."""
+        directory = StoreDirectory('127.0.0.1:1')
+
+        async def read():
+            return Batch(records, len(records))
+
+        directory._targets.read = read
+        fleet = Fleet()
+        for one in anyio.run(directory.read_targets).targets:
+            fleet.put(one.listed)
+        return [one.target_id for one in fleet.get_usable('s')]
+
+    def test_late_heartbeat_hides_nothing(self):
+        """A target leaves, though an older heartbeat is written after that.
+
+        A heartbeat whose answer was lost may be carried out seconds later.
+        Where it came into the same read as the word that the target leaves,
+        only the last of both was kept, and the target got work for as long as
+        its next heartbeat took: 1.2 s and more.
+        """
+        found = self.read(
+            make_heartbeat('ready', 4),
+            make_heartbeat('draining', 6),
+            make_heartbeat('ready', 5),
+        )
+        self.assertEqual(found, [])
