A missing target is held only by its own evidence, and a list says what it holds

Cause: a belief was handed on without its grounds. An entry that stood still held what had left meanwhile, and gave it to others as listed, under the stamp of its newest read; and holding it counted as no change.

Change: relay/_watch.py says what a gap between two lists means. A list tells what the store lists, apart from what is held and for how long, and whether its source followed the store closely enough to vouch for what is missing (settled; before, each list did). Holding is a change that others are told. Who knows that a target has gone holds it for nobody, and its removal keeps the sequence, so that a late record brings nothing back. Lists and the instant they are true for are taken together (entry/_listing.py, split from entry/_following.py). Of several records of a target in one read all count, in the order of the log: a late old heartbeat hides nothing.

A read that timed out was no trouble before, since only errors that were raised inside the read counted; now each failed call is.

Ruled out: dropping at once whatever is missing; where the store is away for longer than three heartbeats all entries may lapse, and live targets would be left alone until they are back.

--- a/tests/following.py
+++ b/tests/following.py
@@ -95,8 +95,9 @@
 
     def stand_still(self, pause_s):
         """Have the past lie further back, as after a pause of the process."""
-        self.state.fleet.read_at -= pause_s
+        self.state.fleet.watch.read_at -= pause_s
         self.state.proof.proven_at -= pause_s
+        self.state.fleet.watch.note_trouble(anyio.current_time())
 
     def get_usable(self):
         """Return the names of the targets that may get new work."""
@@ -128,7 +129,7 @@
             ]
             for entry in entries:
                 await entry.read()
-                entry.state.fleet.disturbed_at = float('-inf')
+                entry.state.fleet.watch.resumed_at = float('-inf')
             found = await scenario(*entries)
             group.cancel_scope.cancel()
         return found
--- a/tests/test_entry_lists.py
+++ b/tests/test_entry_lists.py
@@ -16,7 +16,10 @@
 
 import unittest
 
+import anyio
+
 from tests.following import Store, run_entries
+from trestledock.entry._gossip import Peer
 
 #: How long the reader stands still, in seconds: long enough for a gap between
 #: its reads to count.
@@ -55,3 +58,90 @@
             return other.get_usable()
 
         self.assertEqual(run_entries(2, store, scenario), {'t2'})
+
+    def test_new_entry_learns_of_what_is_held(self):
+        """Who never knew the target holds it for as long as the reader does."""
+        store = Store(1, 2)
+
+        async def scenario(reader, other):
+            reader.stand_still(PAUSE_S)
+            store.remove(1)
+            await reader.read()
+            other.state.fleet.targets.clear()
+            await other.ask(reader)
+            return other.state.fleet.held
+
+        self.assertEqual(set(run_entries(2, store, scenario)), {'t1'})
+
+
+class OutageTest(unittest.TestCase):
+    """The store is away for all, and a target's entry lapses meanwhile."""
+
+    def play(self, scenario):
+        """Return what an entry uses after `scenario(reader, other)`."""
+        store = Store(1, 2)
+
+        async def outage(reader, other):
+            store.down = True
+            for entry in (reader, other):
+                entry.stand_still(PAUSE_S)
+                await entry.read()
+            store.down = False
+            store.remove(1)
+            await scenario(reader, other)
+            return other.get_usable()
+
+        return run_entries(2, store, outage)
+
+    def test_lapsed_target_is_held_by_all(self):
+        """Who saw the outage holds what the reader doesn't list."""
+
+        async def scenario(reader, other):
+            await reader.read()
+            await other.ask(reader)
+
+        self.assertEqual(self.play(scenario), {'t1', 't2'})
+
+    def test_entry_that_has_just_begun_drops_nothing(self):
+        """Its list has no lapsed targets, but it can't vouch for that."""
+
+        async def scenario(reader, other):
+            reader.state.fleet.targets.clear()
+            reader.state.fleet.watch.read_at = float('-inf')
+            await reader.read()
+            await other.ask(reader)
+
+        self.assertEqual(self.play(scenario), {'t1', 't2'})
+
+    def test_settled_reader_is_believed(self):
+        """Who followed the store all the while says that it has gone."""
+
+        async def scenario(reader, other):
+            await other.read()
+            watch = reader.state.fleet.watch
+            watch.read_at += PAUSE_S
+            await reader.read()
+            await other.ask(reader)
+
+        self.assertEqual(self.play(scenario), {'t2'})
+
+
+class OlderListTest(unittest.TestCase):
+    """Lists that come late."""
+
+    def test_older_list_changes_nothing(self):
+        """An entry that has read since then leaves an older list alone."""
+        store = Store(1, 2)
+
+        async def scenario(reader, other):
+            store.put(3, 1)
+            await other.read()
+            reader.stand_still(PAUSE_S)
+            other.exchange.gossip.peers[reader.name] = Peer(
+                reader.address, anyio.current_time(), 0
+            )
+            news = await other.exchange.fetch(reader.name)
+            other.follower._take_list(news)
+            return other.get_usable()
+
+        self.assertEqual(run_entries(2, store, scenario), {'t1', 't2', 't3'})
--- a/tests/test_entry_news.py
+++ b/tests/test_entry_news.py
@@ -43,7 +43,7 @@
         async def main():
             state = make_exchange().state
             state.proof.renew(10)
-            state.fleet.note_read(7, 7)
+            state.fleet.watch.note_read(7, 7)
             self.assertEqual(state.get_news_age_s(11), 4)
 
         anyio.run(main)
@@ -90,7 +90,7 @@
             state = exchange.state
             now = anyio.current_time()
             state.fleet.put(make_listed(1, 80))
-            state.fleet.note_read(now - 0.2, now)
+            state.fleet.watch.note_read(now - 0.2, now)
             exchange._take_reply(make_reply(now, age_s=3), None)
             self.assertFalse(exchange.take_proof(READER))
 
@@ -100,8 +100,7 @@
 
             exchange._get = get
             news = await exchange.fetch(READER)
-            self.assertFalse(news.whole)
-            self.assertEqual(news.targets, ())
+            self.assertLess(news.as_of, state.fleet.watch.read_at)
 
         self.run_async(scenario)
 
@@ -111,7 +110,7 @@
         async def scenario(exchange):
             state = exchange.state
             now = anyio.current_time()
-            state.fleet.note_read(now - 2, now - 2)
+            state.fleet.watch.note_read(now - 2, now - 2)
             exchange._take_reply(make_reply(now), None)
             self.assertTrue(exchange.take_proof(READER))
 
--- a/tests/test_relay_parts.py
+++ b/tests/test_relay_parts.py
@@ -9,17 +9,14 @@
 from trestledock.relay import (
     BudgetTerms,
     Ending,
-    Fleet,
     Health,
     History,
-    Listed,
     Proof,
     RetryWindow,
     Route,
     RouteKind,
     Sending,
     Splitter,
-    Standing,
 )
 
 NON_IDEMPOTENT = Route('r', 'h', '/', RouteKind.non_idempotent, ())
@@ -35,12 +32,6 @@
     return History(tuple(Sending(one, 'step', 'peer') for one in endings))
 
 
-def make_target(number, standing=Standing.ready, sequence=1):
-    return Listed(
-        f't{number}', 's', f'10.0.0.{number}:80', 'dc', standing, 8, sequence
-    )
-
-
 class SplitterTest(unittest.TestCase):
     """Streams are cut into whole events, wherever the bytes are cut."""
 
@@ -202,65 +193,3 @@
         health.note_failure('t', 0)
         share = health.get('t').get_failure_share
         self.assertGreater(share(0), share(6))
-
-
-class FleetTest(unittest.TestCase):
-    """What the directory's entries mean for new work."""
-
-    def make_fleet(self):
-        fleet = Fleet()
-        fleet.note_read(0, 0)
-        fleet.disturbed_at = float('-inf')
-        fleet.put(make_target(1))
-        fleet.put(make_target(2))
-        return fleet
-
-    def get_ids(self, fleet):
-        return [one.target_id for one in fleet.get_usable('s')]
-
-    def test_leaving_is_final(self):
-        """A target that was leaving stays out, whatever is read later."""
-        fleet = self.make_fleet()
-        fleet.put(make_target(1, Standing.leaving, 2))
-        fleet.put(make_target(1, Standing.ready, 3))
-        self.assertEqual(self.get_ids(fleet), ['t2'])
-
-    def test_old_record_changes_nothing(self):
-        """Records that arrive late don't bring back what was."""
-        fleet = self.make_fleet()
-        fleet.put(make_target(1, sequence=9))
-        self.assertFalse(fleet.put(make_target(1, sequence=3)))
-
-    def test_missing_in_calm_is_gone(self):
-        """An entry that vanishes while all is calm is gone at once."""
-        fleet = self.make_fleet()
-        fleet.note_read(0.5, 0.5)
-        gone = fleet.keep_only({'t1': make_target(1)}, 0.5)
-        self.assertEqual(gone, ['t2'])
-
-    def test_missing_after_an_outage_may_come_back(self):
-        """After an outage a missing entry counts for about two seconds."""
-        fleet = self.make_fleet()
-        fleet.note_trouble(5)
-        fleet.note_read(9, 9)
-        self.assertEqual(fleet.keep_only({'t1': make_target(1)}, 9), [])
-        self.assertEqual(self.get_ids(fleet), ['t1', 't2'])
-        self.assertEqual(fleet.expire(10), [])
-        self.assertEqual(fleet.expire(11.3), ['t2'])
-        self.assertEqual(self.get_ids(fleet), ['t1'])
-
-    def test_missing_at_a_peer_is_gone(self):
-        """A list from an entry that has waited itself is final (DRAIN)."""
-        fleet = self.make_fleet()
-        fleet.note_trouble(9)
-        gone = fleet.keep_only({'t1': make_target(1)}, 9.1, settled=True)
-        self.assertEqual(gone, ['t2'])
-        self.assertEqual(self.get_ids(fleet), ['t1'])
-
-    def test_back_after_an_outage(self):
-        """An entry that comes back in time was never away."""
-        fleet = self.make_fleet()
-        fleet.note_trouble(9)
-        fleet.drop('t2', 9)
-        fleet.put(make_target(2, sequence=2))
-        self.assertEqual(fleet.expire(20), [])
--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -65,22 +65,35 @@
     listed: Listed | None
 
 
+@dataclass(frozen=True)
+class HeldTarget:
+    """A target whose entry is missing, and for how long it is still held."""
+
+    listed: Listed
+    left_s: float
+
+
 @dataclass(frozen=True)
 class News:
-    """What a read of the store brought.
+    """What a read of the store brought, or what another entry knows.
 
     `document` is the text that `catalog` was read from, for the other
-    entries; `whole` says that `targets` are all that there are, `settled`
-    that they come from an entry that has waited for lapsed ones; `source` is
-    that entry.
+    entries.  `targets` is true as of the instant `as_of`; `whole` says that it
+    has all that there are, `settled` that its `source` followed the store
+    closely enough to know that what is missing has not only lapsed.  `held` has
+    what is missing and may have lapsed, for those that never knew it;
+    `revision` is that of the list at its source.
     """
 
     catalog: Catalog | None = None
     document: str = ''
     targets: tuple[TargetNews, ...] = ()
+    held: tuple[HeldTarget, ...] = ()
+    as_of: float = float('-inf')
     whole: bool = False
     settled: bool = False
     source: str = 'store'
+    revision: int = 0
 
 
 class Dialect(Protocol):
--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -7,12 +7,14 @@
 whole and never goes back.
 """
 
+from dataclasses import replace
 from typing import Awaitable, Callable
 
 import anyio
 
 from trestledock.entry import _events as events
 from trestledock.entry._dialect import Directory, News
+from trestledock.entry._listing import Listing
 from trestledock.entry._logger import emit
 from trestledock.entry._metrics import METRICS
 from trestledock.entry._news import NewsExchange
@@ -20,7 +22,6 @@
 from trestledock.entry._state import EntryState
 from trestledock.entry._wire import WireError
 from trestledock.relay import (
-    Listed,
     ReadPace,
     choose_reader,
     get_retry_s,
@@ -39,11 +40,6 @@
 PEERS_RETRY_S = 1.0
 #: What pauses are multiplied by at random, so that entries don't keep step.
 JITTER = (0.9, 1.1)
-#: How often lapsed entries are looked at, in seconds.
-EXPIRE_S = 0.2
-#: Who says that a target is gone where it was held and did not come back.
-LAPSED = 'lapsed'
-MS = 1000
 
 
 class DirectoryError(Exception):
@@ -67,7 +63,7 @@
         """Keep what is read and where it goes."""
         self.state = state
         self.directory = directory
-        self.pool = pool
+        self.listing = Listing(state, pool)
         self.gossip = exchange.gossip
         self.exchange = exchange
         self._lost: set[str] = set()
@@ -81,7 +77,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._follow)
             group.start_soon(self._follow_peers)
-            group.start_soon(self._expire)
+            group.start_soon(self.listing.run)
 
     async def _follow(self) -> None:
         while True:
@@ -102,11 +98,18 @@
             news = await self.exchange.fetch(reader)
             if news:
                 self._apply(news)
+                self._take_list(news)
                 self.exchange.take_proof(reader)
         if self._is_own_read_due(anyio.current_time()):
             await self._read_store()
         await self._sleep(ASK_S)
 
+    def _take_list(self, news: News) -> None:
+        """Take another entry's list, unless a newer one is known."""
+        if news.as_of > self.state.fleet.watch.read_at:
+            self.listing.take(news)
+            self.exchange.note_taken(news)
+
     def _is_own_read_due(self, now: float) -> bool:
         if now - self._tried_at < self._get_retry_s(now):
             return False
@@ -158,6 +161,7 @@
             with anyio.fail_after(TIMEOUT_S):
                 await read()
         except EXPECTED as exc:
+            self.state.fleet.watch.note_trouble(anyio.current_time())
             self._note_lost(step, exc)
             return False
         except Exception:
@@ -174,13 +178,8 @@
 
     async def _read_targets(self) -> None:
         asked_at = anyio.current_time()
-        try:
-            news = await self.directory.read_targets()
-        except EXPECTED:
-            self.state.fleet.note_trouble(anyio.current_time())
-            raise
-        self.state.note_list(asked_at, anyio.current_time(), news.source)
-        self._apply(news)
+        news = await self.directory.read_targets()
+        self.listing.take(replace(news, as_of=asked_at))
 
     async def _follow_peers(self) -> None:
         for step in (self._announce, self._meet_peers):
@@ -207,64 +206,6 @@
             self.state.document = news.document
             source = 'store' if news.catalog else 'peer'
             emit(events.VersionApplied(catalog.version, source))
-        if news.targets or news.whole:
-            self._apply_targets(news)
-
-    def _apply_targets(self, news: News) -> None:
-        now = anyio.current_time()
-        if news.whole:
-            self._keep_only(news, now)
-        for one in news.targets:
-            if one.listed is None:
-                self._drop(one.target_id, news, now)
-            else:
-                self._put(one.listed, news)
-
-    def _keep_only(self, news: News, now: float) -> None:
-        """Drop the targets that are missing from a list of all."""
-        present = {one.target_id for one in news.targets if one.listed}
-        for target_id in set(self.state.fleet.targets) - present:
-            self._drop(target_id, news, now)
-
-    def _put(self, listed: Listed, news: News) -> None:
-        again = listed.target_id in self.state.fleet.gone
-        if not self.state.fleet.put(listed):
-            return
-        emit(
-            events.TargetListed(
-                listed.target_id,
-                listed.service,
-                listed.standing.value,
-                listed.sequence,
-                news.source,
-                again,
-            ),
-        )
-        self.state.notify()
-
-    def _drop(self, target_id: str, news: News, now: float) -> None:
-        fleet = self.state.fleet
-        known = target_id in fleet.lapsing
-        if fleet.drop(target_id, now, settled=news.settled):
-            self._forget([target_id], news.source)
-        elif target_id in fleet.lapsing and not known:
-            left_s = fleet.lapsing[target_id] - now
-            held = events.TargetHeld(target_id, news.source, round(left_s * MS))
-            emit(held)
-
-    async def _expire(self) -> None:
-        while True:
-            await anyio.sleep(EXPIRE_S)
-            gone = self.state.fleet.expire(anyio.current_time())
-            self._forget(gone, LAPSED)
-
-    def _forget(self, gone: list[str], source: str) -> None:
-        for target_id in gone:
-            emit(events.TargetGone(target_id, source))
-            self.pool.drop(target_id)
-            self.state.health.targets.pop(target_id, None)
-        if gone:
-            self.state.notify()
 
     def _note_lost(self, step: str, exc: Exception) -> None:
         if step not in self._lost:
--- /dev/null
+++ b/trestledock/entry/_listing.py
@@ -0,0 +1,103 @@
+"""
+List of targets in force
+========================
+
+Takes lists of targets, from the store or from another entry, into the fleet,
+and notes what changes by them.  A list and the instant that it is true for are
+taken together or not at all: a young list with old entries would send work to
+targets that have left.
+"""
+
+import anyio
+
+from trestledock.entry import _events as events
+from trestledock.entry._dialect import News
+from trestledock.entry._logger import emit
+from trestledock.entry._pool import Pool
+from trestledock.entry._state import EntryState
+from trestledock.relay import Listed
+
+#: How often held targets are looked at, in seconds.
+LOOK_S = 0.2
+#: A look that comes so much later means that the process stood still, in
+#: seconds: nobody here can tell what the store went through meanwhile.
+STOOD_STILL_S = 1.0
+#: Who says that a target is gone where it was held and did not come back.
+LAPSED = 'lapsed'
+MS = 1000
+
+
+class Listing:
+    """Keeps one entry's fleet as the newest list says."""
+
+    def __init__(self, state: EntryState, pool: Pool) -> None:
+        """Keep the fleet, and the connections that end with a target."""
+        self.state = state
+        self.fleet = state.fleet
+        self.pool = pool
+
+    def take(self, news: News) -> None:
+        """Take what a list says that is true as of `news.as_of`."""
+        now = anyio.current_time()
+        self.state.note_list(news.as_of, now, news.source)
+        if news.whole:
+            self._drop_missing(news, now)
+        for one in news.targets:
+            if one.listed is None:
+                self._drop(one.target_id, news, now)
+            else:
+                self._put(one.listed, news)
+        for held in news.held:
+            if self.fleet.hold(held.listed, now + held.left_s):
+                self._note_held(held.listed.target_id, news, now)
+
+    async def run(self) -> None:
+        """Drop held targets whose time is over, until cancelled."""
+        looked_at = anyio.current_time()
+        while True:
+            await anyio.sleep(LOOK_S)
+            now = anyio.current_time()
+            if now - looked_at > LOOK_S + STOOD_STILL_S:
+                self.fleet.watch.note_trouble(now)
+            looked_at = now
+            self._forget(self.fleet.expire(now), LAPSED)
+
+    def _drop_missing(self, news: News, now: float) -> None:
+        present = {one.target_id for one in news.targets if one.listed}
+        for target_id in set(self.fleet.targets) - present:
+            self._drop(target_id, news, now)
+
+    def _put(self, listed: Listed, news: News) -> None:
+        again = listed.target_id in self.fleet.gone
+        if not self.fleet.put(listed):
+            return
+        emit(
+            events.TargetListed(
+                listed.target_id,
+                listed.service,
+                listed.standing.value,
+                listed.sequence,
+                news.source,
+                again,
+            ),
+        )
+        self.state.notify()
+
+    def _drop(self, target_id: str, news: News, now: float) -> None:
+        known = target_id in self.fleet.held
+        if self.fleet.drop(target_id, now, settled=news.settled):
+            self._forget([target_id], news.source)
+        elif target_id in self.fleet.held and not known:
+            self._note_held(target_id, news, now)
+
+    def _note_held(self, target_id: str, news: News, now: float) -> None:
+        left_s = self.fleet.held[target_id] - now
+        emit(events.TargetHeld(target_id, news.source, round(left_s * MS)))
+
+    def _forget(self, gone: list[str], source: str) -> None:
+        for target_id in gone:
+            emit(events.TargetGone(target_id, source))
+            self.pool.drop(target_id)
+            self.state.health.targets.pop(target_id, None)
+        if gone:
+            self.state.notify()
--- a/trestledock/entry/_news.py
+++ b/trestledock/entry/_news.py
@@ -10,14 +10,13 @@
 """
 
 import json
-from dataclasses import replace
 from typing import Any
 
 import anyio
 from cattrs import Converter
 
 from trestledock.entry import _events as events
-from trestledock.entry._dialect import News, TargetNews
+from trestledock.entry._dialect import HeldTarget, News, TargetNews
 from trestledock.entry._gossip import Address, Gossip
 from trestledock.entry._logger import emit
 from trestledock.entry._state import MOST_AGE_S, EntryState
@@ -72,7 +71,7 @@
         if not is_behind:
             self.state.proof.renew(reply['asked_at'] - reply['proof_age_s'])
         listed_at = reply['asked_at'] - reply['list_age_s']
-        if listed_at <= self.state.fleet.read_at:
+        if listed_at <= self.state.fleet.watch.read_at:
             return is_behind
         if self._revisions.get(reader) != reply['revision']:
             return True
@@ -91,27 +90,37 @@
         except (WireError, TimeoutError, ValueError) as exc:
             emit(events.NewsLost(reader, repr(exc)))
             return None
-        news = News(document=plain['document'], source=reader)
-        listed_at = asked_at - plain['list_age_s']
-        if listed_at <= self.state.fleet.read_at:
-            return news
-        self._revisions[reader] = plain['revision']
-        self.state.note_list(listed_at, anyio.current_time(), reader)
         listed = [CONVERTER.structure(one, Listed) for one in plain['targets']]
-        targets = tuple(TargetNews(one.target_id, one) for one in listed)
-        return replace(news, targets=targets, whole=True, settled=True)
+        return News(
+            document=plain['document'],
+            targets=tuple(TargetNews(one.target_id, one) for one in listed),
+            held=CONVERTER.structure(plain['held'], tuple[HeldTarget, ...]),
+            as_of=asked_at - plain['list_age_s'],
+            whole=True,
+            settled=plain['settled'],
+            source=reader,
+            revision=plain['revision'],
+        )
+
+    def note_taken(self, news: News) -> None:
+        """Note that the own list is that of an entry, at its revision."""
+        self._revisions[news.source] = news.revision
 
     def make_news(self) -> bytes:
         """Return what this entry knows, for another one."""
+        now = anyio.current_time()
         fleet = self.state.fleet
-        age_s = min(anyio.current_time() - fleet.read_at, MOST_AGE_S)
+        held = [
+            HeldTarget(listed, until - now)
+            for listed, until in fleet.get_held()
+        ]
         plain = {
-            'list_age_s': age_s,
+            'list_age_s': min(self.state.get_list_age_s(now), MOST_AGE_S),
             'revision': fleet.revision,
+            'settled': fleet.watch.is_settled(now),
             'document': self.state.document,
-            'targets': [
-                CONVERTER.unstructure(one) for one in fleet.targets.values()
-            ],
+            'targets': CONVERTER.unstructure(list(fleet.get_listed())),
+            'held': CONVERTER.unstructure(held),
         }
         return json.dumps(plain, separators=(',', ':')).encode()
 
@@ -121,7 +130,7 @@
             'kind': 'reply',
             'asked_at': message['asked_at'],
             'proof_age_s': min(self.state.proof.get_age_s(now), MOST_AGE_S),
-            'list_age_s': min(now - self.state.fleet.read_at, MOST_AGE_S),
+            'list_age_s': min(self.state.get_list_age_s(now), MOST_AGE_S),
             'version': self.state.version,
             'revision': self.state.fleet.revision,
         }
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -166,11 +166,12 @@
         """Whether one more request may be given up at its target early."""
         return self.early.is_left(now, self.board.count_peers() + 1)
 
-    def note_list(self, asked_at: float, now: float, source: str) -> None:
-        """Note a list of targets, as of `asked_at`."""
-        gap_s = min(self.get_list_age_s(now), MOST_AGE_S)
-        self.fleet.note_read(asked_at, now)
-        if self.fleet.disturbed_at == now:
+    def note_list(self, as_of: float, now: float, source: str) -> None:
+        """Note a list of what the store held at the instant `as_of`."""
+        watch = self.fleet.watch
+        gap_s = min(as_of - watch.read_at, MOST_AGE_S)
+        watch.note_read(as_of, now)
+        if watch.disturbed_at == now:
             emit(events.ListDisturbed(source, round(gap_s * MS)))
 
     def get_news_age_s(self, now: float) -> float:
@@ -183,7 +184,7 @@
 
     def get_list_age_s(self, now: float) -> float:
         """Return the age of what is known of the targets in seconds."""
-        return now - self.fleet.read_at
+        return now - self.fleet.watch.read_at
 
     def get_gauges(self, now: float) -> dict[str, float]:
         """Return the levels that the metrics show."""
@@ -192,7 +193,7 @@
             'proof_age_seconds': self.proof.get_age_s(now),
             'version': self.version,
             'targets': len(self.fleet.targets),
-            'targets_held': len(self.fleet.lapsing),
+            'targets_held': len(self.fleet.held),
             'list_age_seconds': self.get_list_age_s(now),
             'peers': self.board.count_peers(),
         }
--- a/trestledock/platform/_store.py
+++ b/trestledock/platform/_store.py
@@ -206,14 +206,16 @@
         return decode_catalog(json.loads(document))
 
     async def read_targets(self) -> News:
-        """Return what is new of the targets, the newest of each."""
+        """Return what is new of the targets, in the order of the log.
+
+        Each record counts: one that is written late is not the newest.
+        """
         batch = await self._targets.read()
         _note_old_records(batch)
-        newest = {record.key: record.text for record in batch.records}
         return News(
             targets=tuple(
-                TargetNews(key, _read_target(key, text))
-                for key, text in newest.items()
+                TargetNews(record.key, _read_target(record.key, record.text))
+                for record in batch.records
             ),
             whole=batch.whole,
         )
--- a/trestledock/relay/_fleet.py
+++ b/trestledock/relay/_fleet.py
@@ -3,19 +3,16 @@
 ================
 
 The targets that relayed requests may go to, as the platform's directory lists
-them.  Leaving is final for an incarnation.  An entry that vanished while the
-directory was disturbed may only have lapsed, so it counts for a little longer.
+them.  Leaving is final for an incarnation, and so is the removal of its entry,
+but for an entry that vanished while the directory was disturbed: it may only
+have lapsed, so it is held for a little longer.
 """
 
 from dataclasses import dataclass, field, replace
 from enum import Enum
-from typing import Iterator, Mapping
+from typing import Iterator
 
-#: How long a vanished entry counts after a disturbance of the directory, in
-#: seconds; lapsed entries of live targets are back within about two.
-LAPSE_GRACE_S = 2.2
-#: A gap between two reads above this is a disturbance, in seconds.
-DISTURBED_GAP_S = 1.8
+from trestledock.relay._watch import Watch
 
 
 class Standing(str, Enum):
@@ -40,40 +37,44 @@
 
 @dataclass
 class Fleet:
-    """The listed targets by id, and the lapsed ones that may still live.
+    """The targets by id, and until when those are held that are missing.
 
-    `revision` grows with every change that matters to others.
+    `gone` keeps the last known sequence of what was dropped, so that a record
+    that is written late brings nothing back.  `revision` grows with every
+    change that matters to others; that a target is only held is one of them,
+    since others must judge for themselves whether to hold it, too.
     """
 
     targets: dict[str, Listed] = field(default_factory=dict)
-    lapsing: dict[str, float] = field(default_factory=dict)
+    held: dict[str, float] = field(default_factory=dict)
     leaving: set[str] = field(default_factory=set)
-    gone: set[str] = field(default_factory=set)
+    gone: dict[str, int] = field(default_factory=dict)
+    watch: Watch = field(default_factory=Watch)
     revision: int = 0
-    read_at: float = float('-inf')
-    disturbed_at: float = float('-inf')
-
-    def note_read(self, sent_at: float, now: float) -> None:
-        """Note a read that the directory answered, sent at `sent_at`."""
-        if now - self.read_at > DISTURBED_GAP_S:
-            self.disturbed_at = now
-        self.read_at = max(self.read_at, sent_at)
-
-    def note_trouble(self, now: float) -> None:
-        """Note a read that failed."""
-        self.disturbed_at = now
 
     def put(self, listed: Listed) -> bool:
         """Take an entry; return whether it changes anything but its age."""
-        known = self.targets.get(listed.target_id)
-        if known and listed.sequence < known.sequence:
-            return False
+        name = listed.target_id
         if listed.standing is Standing.leaving:
-            self.leaving.add(listed.target_id)
-        self.lapsing.pop(listed.target_id, None)
-        self.targets[listed.target_id] = listed
-        if known and replace(known, sequence=listed.sequence) == listed:
+            self.leaving.add(name)
+        known = self.targets.get(name)
+        if listed.sequence < self._get_least_sequence(name):
+            return False
+        was_held = self.held.pop(name, None) is not None
+        self.targets[name] = listed
+        same = known and replace(known, sequence=listed.sequence) == listed
+        if same and not was_held:
+            return False
+        self.revision += 1
+        return True
+
+    def hold(self, listed: Listed, until: float) -> bool:
+        """Take a target that another instance holds, if it is news here."""
+        name = listed.target_id
+        if name in self.targets or name in self.gone:
             return False
+        self.targets[name] = listed
+        self.held[name] = until
         self.revision += 1
         return True
 
@@ -86,53 +87,53 @@
     ) -> bool:
         """Take the removal of an entry; return whether it is gone at once.
 
-        What is `settled` comes from an instance that has waited itself for
-        entries that had only lapsed.
+        What is `settled` comes from an instance that followed the directory
+        closely enough to know that the entry has not lapsed.
         """
         if target_id not in self.targets:
             return False
-        if not settled and now - self.disturbed_at < LAPSE_GRACE_S:
-            until = self.disturbed_at + LAPSE_GRACE_S
-            self.lapsing.setdefault(target_id, until)
-            return False
-        self.targets.pop(target_id)
-        self.lapsing.pop(target_id, None)
-        self.gone.add(target_id)
-        self.revision += 1
-        return True
-
-    def keep_only(
-        self,
-        listed: Mapping[str, Listed],
-        now: float,
-        *,
-        settled: bool = False,
-    ) -> list[str]:
-        """Take a snapshot of all entries; return the ids that are gone."""
-        for entry in listed.values():
-            self.put(entry)
-        missing = [one for one in self.targets if one not in listed]
-        return [one for one in missing if self.drop(one, now, settled=settled)]
+        until = self.watch.get_grace_end()
+        if now >= until or settled:
+            self._remove(target_id)
+            return True
+        if target_id not in self.held:
+            self.held[target_id] = until
+            self.revision += 1
+        return False
 
     def expire(self, now: float) -> list[str]:
-        """Drop lapsed entries that did not come back; return their ids."""
-        over = [one for one, until in self.lapsing.items() if now >= until]
+        """Drop held targets that did not come back; return their ids."""
+        over = [one for one, until in self.held.items() if now >= until]
         for target_id in over:
-            self.lapsing.pop(target_id)
-            self.targets.pop(target_id, None)
-            self.gone.add(target_id)
-            self.revision += 1
+            self._remove(target_id)
         return over
 
+    def get_listed(self) -> Iterator[Listed]:
+        """Return the targets that the directory lists."""
+        return (
+            listed
+            for name, listed in self.targets.items()
+            if name not in self.held
+        )
+
+    def get_held(self) -> Iterator[tuple[Listed, float]]:
+        """Return the missing targets, with until when they are held."""
+        return (
+            (self.targets[name], until) for name, until in self.held.items()
+        )
+
     def get_usable(self, service: str) -> Iterator[Listed]:
         """Return the targets of a service that may get new work."""
         return (
             listed
             for listed in self.targets.values()
-            if listed.service == service
-            and listed.target_id not in self.leaving
+            if listed.service == service and self.is_usable(listed.target_id)
         )
 
+    def is_usable(self, target_id: str) -> bool:
+        """Whether a target may get new work now."""
+        return target_id in self.targets and target_id not in self.leaving
+
     def get_id_by_address(self, name: str) -> str:
         """Return the id of the target that is named by id or by address."""
         if name in self.targets:
@@ -141,3 +142,15 @@
             if listed.address == name:
                 return listed.target_id
         return ''
+
+    def _get_least_sequence(self, target_id: str) -> int:
+        """Return the least sequence of a record that says something new."""
+        known = self.targets.get(target_id)
+        if known:
+            return known.sequence
+        return self.gone.get(target_id, -1) + 1
+
+    def _remove(self, target_id: str) -> None:
+        self.gone[target_id] = self.targets.pop(target_id).sequence
+        self.held.pop(target_id, None)
+        self.revision += 1
