--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -86,11 +86,25 @@
         except WireError as exc:
             self.state.note_silence(peer, anyio.current_time())
             return Sending(Ending.not_sent, exc.step, peer, exc.detail)
+        obstacle = self._find_obstacle(job, placement)
+        if obstacle:
+            await wire.close()
+            return obstacle
+        return await self._talk(job, placement, reply, held, wire)
+
+    def _find_obstacle(self, job: Job, placement: Placement) -> Sending | None:
+        """Return why nothing may be written, as it is known by now.
+
+        Reserving memory and connecting take up to a second, in which a key may
+        be taken away or a target may leave.
+        """
         refusal = check_again(self.state, job)
         if refusal:
-            await wire.close()
             return Sending(Ending.not_sent, refusal.value, 'self')
-        return await self._talk(job, placement, reply, held, wire)
+        for one in (placement.target, *placement.helpers):
+            if not self.state.fleet.is_usable(one.target_id):
+                return Sending(Ending.not_sent, 'left', one.target_id)
+        return None
 
     async def _talk(
         self,
