A record that makes no sense hides no other, and nobody vouches for it

The position in the log moved on before the records were decoded. One record of a target without sense lost all others of that read, and the next read, which found nothing new, made the list count as fresh; so with a version of the configuration, whose next read proved the older one.

Change: each record of a target is decoded by itself, and record_ignored says what was left out. A version that can't be decoded is read again and proves nothing. News of another entry that make no sense, or lack what an older version doesn't know, are as if they had not come; they ended the task that follows the store, which announced itself anew.

Ruled out: serving the older version on with its proof; a key taken away by the unreadable version would be served.

--- a/tests/test_entry_news.py
+++ b/tests/test_entry_news.py
@@ -123,3 +123,35 @@
             self.assertTrue(news.whole)
 
         self.run_async(scenario)
+
+    def test_news_of_an_older_version(self):
+        """It says nothing of held targets, so it vouches for nothing."""
+        news = self.fetch(held=None, settled=None)
+        self.assertTrue(news.whole)
+        self.assertFalse(news.settled)
+        self.assertEqual(news.held, ())
+
+    def test_news_that_makes_no_sense(self):
+        """It is as if nothing had come."""
+        self.assertIsNone(self.fetch(targets=[{'service': 1}]))
+        self.assertIsNone(self.fetch(revision=None))
+
+    def fetch(self, **changes):
+        """Fetch news with some fields changed, or left out where None."""
+        found = []
+
+        async def scenario(exchange):
+            async def get(address):
+                plain = json.loads(exchange.make_news())
+                plain.update(changes)
+                return {
+                    name: what
+                    for name, what in plain.items()
+                    if what is not None
+                }
+
+            exchange._get = get
+            found.append(await exchange.fetch(READER, 1))
+
+        self.run_async(scenario)
+        return found[0]
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,5 +1,6 @@
 """The client of the platform's store, against a stub on loopback."""
 
+import base64
 import json
 import socket
 import struct
@@ -158,7 +159,7 @@
         self.assertEqual(found, [('a', b'1'), ('b', b'')])
 
 
-def make_heartbeat(state, sequence):
+def make_heartbeat(state, sequence, name='t1'):
     """Return a target's record as it stands in the log."""
     fields = {
         'service': 's',
@@ -168,7 +169,7 @@
         'slots': 8,
         'sequence': sequence,
     }
-    return Record('t1', json.dumps(fields).encode())
+    return Record(name, json.dumps(fields).encode())
 
 
 class TargetsTest(unittest.TestCase):
@@ -201,3 +202,44 @@
             make_heartbeat('ready', 5),
         )
         self.assertEqual(found, [])
+
+    def test_record_that_makes_no_sense_hides_no_other(self):
+        """What can't be read is left out, and all others count.
+
+        The position in the log had moved on by then: a target that left in the
+        same read got work until it ended.
+        """
+        found = self.read(
+            make_heartbeat('ready', 1),
+            Record('t2', b'{"service"'),
+            Record('t3', b'{}'),
+            make_heartbeat('draining', 2),
+        )
+        self.assertEqual(found, [])
+
+
+class ConfigurationTest(unittest.TestCase):
+    """What is read of the configuration."""
+
+    def test_version_that_makes_no_sense_is_not_passed_over(self):
+        """Nobody vouches for a version that could not be read.
+
+        The next read found nothing new and proved that the old version was
+        the newest one.
+        """
+        body = json.dumps({'version': 2, 'routes': [{}]}).encode()
+        item = base64.b64encode(body).decode()
+        page = json.dumps(
+            {'items': [{'key': 'config', 'value': item}], 'endOffset': 1}
+        )
+        answer = make_answer(200, page.encode())
+        nothing = make_answer(200, BOUNDS.pack(1, 0))
+
+        async def scenario(client):
+            directory = StoreDirectory(client.address)
+            for _ in range(2):
+                with self.assertRaises(DirectoryError):
+                    await directory.read_catalog()
+
+        stub = run_with_stub([answer, answer, nothing], scenario)
+        self.assertIn('/log-newest', stub.requests[1])
--- a/trestledock/entry/__init__.py
+++ b/trestledock/entry/__init__.py
@@ -17,7 +17,12 @@
     Passing,
     TargetNews,
 )
-from trestledock.entry._events import EVENTS, HistoryForgotten, OldRecord
+from trestledock.entry._events import (
+    EVENTS,
+    HistoryForgotten,
+    OldRecord,
+    RecordIgnored,
+)
 from trestledock.entry._following import DirectoryError
 from trestledock.entry._logger import emit, set_up_logs
 from trestledock.entry._settings import EntrySettings
@@ -37,6 +42,7 @@
     'OldRecord',
     'Order',
     'Passing',
+    'RecordIgnored',
     'TargetNews',
     'Wire',
     'WireError',
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -210,6 +210,14 @@
     newest: int
 
 
+@dataclass(frozen=True)
+class RecordIgnored(Event):
+    """A record of a target makes no sense, so what was known stays."""
+
+    peer: str
+    detail: str
+
+
 @dataclass(frozen=True)
 class TargetDoubted(Event):
     """A target did not answer when expected, and another one is asked."""
--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -107,11 +107,19 @@
     async def _fetch(self, reader: str) -> None:
         now = anyio.current_time()
         news = await self.exchange.fetch(reader, self._get_fetch_s(now))
-        if news:
-            self._apply(news)
+        if news and self._apply_passed_on(news):
             self._take_list(news)
             self.exchange.take_proof(reader)
 
+    def _apply_passed_on(self, news: News) -> bool:
+        """Apply another entry's configuration; return whether it made sense."""
+        try:
+            self._apply(news)
+        except DirectoryError as exc:
+            emit(events.NewsLost(news.source, repr(exc)))
+            return False
+        return True
+
     def _get_fetch_s(self, now: float) -> float:
         """Return how long a fetch may take: an own read does not wait for it.
 
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -63,6 +63,7 @@
         events.TargetHeld: Counting('Missing targets that may have lapsed'),
         events.ListDisturbed: Counting('Lists of targets after a disturbance'),
         events.OldRecord: Counting('Records of targets after newer ones'),
+        events.RecordIgnored: Counting('Records of targets without sense'),
         events.PeerLost: Counting('Losses of other entries'),
         events.DatagramDropped: Counting('Datagrams that were lost here'),
         events.Failed: Counting('Unforeseen failures'),
--- a/trestledock/entry/_news.py
+++ b/trestledock/entry/_news.py
@@ -14,6 +14,7 @@
 
 import anyio
 from cattrs import Converter
+from cattrs.errors import BaseValidationError
 
 from trestledock.entry import _events as events
 from trestledock.entry._dialect import HeldTarget, News, TargetNews
@@ -29,6 +30,15 @@
 NEWS_PATH = '/news'
 
 CONVERTER = Converter()
+#: What a fetch raises that fails, or brings what makes no sense.
+BAD_NEWS = (
+    WireError,
+    TimeoutError,
+    ValueError,
+    KeyError,
+    TypeError,
+    BaseValidationError,
+)
 
 
 class NewsExchange:
@@ -85,20 +95,10 @@
         try:
             with anyio.fail_after(limit_s):
                 plain = await self._get(peer.address)
-        except (WireError, TimeoutError, ValueError) as exc:
+            return _read_news(plain, asked_at, reader)
+        except BAD_NEWS as exc:
             emit(events.NewsLost(reader, repr(exc)))
             return None
-        listed = [CONVERTER.structure(one, Listed) for one in plain['targets']]
-        return News(
-            document=plain['document'],
-            targets=tuple(TargetNews(one.target_id, one) for one in listed),
-            held=CONVERTER.structure(plain['held'], tuple[HeldTarget, ...]),
-            as_of=asked_at - plain['list_age_s'],
-            whole=True,
-            settled=plain['settled'],
-            source=reader,
-            revision=plain['revision'],
-        )
 
     def note_taken(self, news: News) -> None:
         """Note that the own list is that of an entry, at its revision."""
@@ -152,3 +152,19 @@
             raise ValueError(f'status {head.status}')
         plain: dict[str, Any] = json.loads(body)
         return plain
+
+
+def _read_news(plain: dict[str, Any], asked_at: float, reader: str) -> News:
+    """Return what an entry knows; an older one says nothing of held targets."""
+    listed = CONVERTER.structure(plain['targets'], tuple[Listed, ...])
+    held = CONVERTER.structure(plain.get('held', ()), tuple[HeldTarget, ...])
+    return News(
+        document=plain['document'],
+        targets=tuple(TargetNews(one.target_id, one) for one in listed),
+        held=held,
+        as_of=asked_at - plain['list_age_s'],
+        whole=True,
+        settled=plain.get('settled', False),
+        source=reader,
+        revision=plain['revision'],
+    )
--- a/trestledock/platform/_store.py
+++ b/trestledock/platform/_store.py
@@ -11,7 +11,7 @@
 import json
 import struct
 from dataclasses import dataclass
-from typing import Any, Iterator
+from typing import Any, Iterable, Iterator
 from urllib.parse import urlencode
 
 import anyio
@@ -22,6 +22,7 @@
     HistoryForgotten,
     News,
     OldRecord,
+    RecordIgnored,
     TargetNews,
     Wire,
     emit,
@@ -40,6 +41,8 @@
 #: The first bytes of a read: the end and the first retained offset.
 BOUNDS = struct.Struct('>QQ')
 LENGTH = struct.Struct('>I')
+#: What decoding raises where a record makes no sense.
+UNREADABLE = (ValueError, KeyError, TypeError, AttributeError)
 
 
 @dataclass(frozen=True)
@@ -141,6 +144,10 @@
         self._next += len(records)
         return Batch(records, self._next)
 
+    def forget(self) -> None:
+        """Have the next read bring everything."""
+        self._next = None
+
     async def _read_newest(self) -> Batch:
         """Read all pages; what is written meanwhile is read afterwards."""
         self._next = None
@@ -194,16 +201,15 @@
         newest = News()
         for record in batch.records:
             if record.key == CONFIG_KEY and record.text:
-                document = record.text.decode()
-                found = self.decode_document(document)
-                current = newest.catalog
-                if current is None or found.version > current.version:
-                    newest = News(found, document)
+                newest = _pick_newer(newest, self._decode_record(record))
         return newest
 
     def decode_document(self, document: str) -> Catalog:
         """Read the text of a configuration that another entry passed on."""
-        return decode_catalog(json.loads(document))
+        try:
+            return decode_catalog(json.loads(document))
+        except UNREADABLE as exc:
+            raise DirectoryError(f'configuration: {exc!r}') from exc
 
     async def read_targets(self) -> News:
         """Return what is new of the targets, in the order of the log.
@@ -211,14 +217,9 @@
         Each record counts: one that is written late is not the newest.
         """
         batch = await self._targets.read()
-        _note_old_records(batch)
-        return News(
-            targets=tuple(
-                TargetNews(record.key, _read_target(record.key, record.text))
-                for record in batch.records
-            ),
-            whole=batch.whole,
-        )
+        news = tuple(_read_targets(batch))
+        _note_old_records(news)
+        return News(targets=news, whole=batch.whole)
 
     async def read_peers(self) -> dict[str, str]:
         """Return the addresses that entries have announced."""
@@ -242,19 +243,46 @@
         if status != OK:
             raise DirectoryError(f'log-append {PEERS_TOPIC}: {status}')
 
+    def _decode_record(self, record: Record) -> News:
+        """Return a version, or have it read again: nobody may vouch for it."""
+        document = record.text.decode()
+        try:
+            return News(self.decode_document(document), document)
+        except DirectoryError:
+            self._config.forget()
+            raise
+
+
+def _pick_newer(one: News, other: News) -> News:
+    """Return the newer of two versions of the configuration."""
+    if one.catalog is None or other.catalog is None:
+        return one if other.catalog is None else other
+    return one if one.catalog.version > other.catalog.version else other
 
-def _note_old_records(batch: Batch) -> None:
+
+def _note_old_records(news: Iterable[TargetNews]) -> None:
     """Note records that were written after newer ones of the same target."""
     newest: dict[str, int] = {}
-    for record in batch.records:
-        listed = _read_target(record.key, record.text)
-        if listed is None:
+    for one in news:
+        if one.listed is None:
             continue
-        known = newest.setdefault(record.key, listed.sequence)
-        if listed.sequence < known:
-            emit(OldRecord(record.key, listed.sequence, known))
-        newest[record.key] = max(known, listed.sequence)
+        sequence = one.listed.sequence
+        known = newest.setdefault(one.target_id, sequence)
+        if sequence < known:
+            emit(OldRecord(one.target_id, sequence, known))
+        newest[one.target_id] = max(known, sequence)
+
+
+def _read_targets(batch: Batch) -> Iterator[TargetNews]:
+    """Yield what the records say; one that makes no sense hides no other."""
+    for record in batch.records:
+        try:
+            yield TargetNews(record.key, _read_target(record))
+        except UNREADABLE as exc:
+            emit(RecordIgnored(record.key, repr(exc)))
 
 
-def _read_target(key: str, text: bytes) -> Listed | None:
-    return decode_target(key, json.loads(text)) if text else None
+def _read_target(record: Record) -> Listed | None:
+    if not record.text:
+        return None
+    return decode_target(record.key, json.loads(record.text))
