--- a/trestledock/platform/_store.py
+++ b/trestledock/platform/_store.py
@@ -2,32 +2,30 @@
 The platform's store
 ====================
 
-The client for the log that the platform runs: framed records in topics, of
-which the newest of each key is kept for ever.  One connection, one call at a
-time.
+What stands in the platform's log: configuration, targets and the addresses of
+the entries.
 """
 
-import base64
 import json
-import struct
-from dataclasses import dataclass
-from typing import Any, Iterable, Iterator
-from urllib.parse import urlencode
-
-import anyio
+from typing import Iterable, Iterator
 
 from trestledock.entry import (
     DirectoryError,
-    Head,
-    HistoryForgotten,
     News,
     OldRecord,
     RecordIgnored,
     TargetNews,
-    Wire,
     emit,
 )
 from trestledock.platform._documents import decode_catalog, decode_target
+from trestledock.platform._log import (
+    LENGTH,
+    OK,
+    Batch,
+    KeyedTopic,
+    Record,
+    StoreClient,
+)
 from trestledock.relay import Catalog, Listed
 
 CONFIG_TOPIC = 'keyed.op'
@@ -36,155 +34,10 @@
 PEERS_TOPIC = 'keyed.status'
 #: What the record of an entry begins with, under `status/`.
 PEER_PREFIX = 'entry-'
-OK = 200
-TRIMMED = 410
-#: The first bytes of a read: the end and the first retained offset.
-BOUNDS = struct.Struct('>QQ')
-LENGTH = struct.Struct('>I')
 #: What decoding raises where a record makes no sense.
 UNREADABLE = (ValueError, KeyError, TypeError, AttributeError)
 
 
-@dataclass(frozen=True)
-class Record:
-    """One record of a keyed topic; without a value the key is dropped."""
-
-    key: str
-    text: bytes
-
-
-@dataclass(frozen=True)
-class Batch:
-    """Records with the offset at which the next read begins.
-
-    `whole` says that they are the newest of every key.
-    """
-
-    records: tuple[Record, ...]
-    end: int
-    whole: bool = False
-
-
-class StoreClient:
-    """Calls of the store over one connection that is opened when needed."""
-
-    def __init__(self, address: str) -> None:
-        """Keep the address; nothing is sent yet."""
-        self.address = address
-        self._wire: Wire | None = None
-        self._lock = anyio.Lock()
-
-    async def call(
-        self,
-        method: str,
-        path: str,
-        query: dict[str, Any],
-        body: bytes = b'',
-    ) -> tuple[int, bytes]:
-        """Make one call; return its status and body."""
-        async with self._lock:
-            if self._wire is None:
-                self._wire = await Wire.connect(self.address)
-            done = False
-            try:
-                status, answer = await self._exchange(
-                    self._wire, method, f'{path}?{urlencode(query)}', body
-                )
-                done = self._wire.recycle()
-            finally:
-                if not done:
-                    await self._close()
-        return status, answer
-
-    async def _exchange(
-        self,
-        wire: Wire,
-        method: str,
-        target: str,
-        body: bytes,
-    ) -> tuple[int, bytes]:
-        headers = (
-            (b'host', self.address.encode()),
-            (b'content-length', str(len(body)).encode()),
-        )
-        await wire.send(method, target, headers, body)
-        head: Head = await wire.read_head()
-        return head.status, await wire.read_body()
-
-    async def _close(self) -> None:
-        wire, self._wire = self._wire, None
-        if wire:
-            await wire.close()
-
-
-class KeyedTopic:
-    """Reads one keyed topic: all of it first, then what is new."""
-
-    def __init__(self, client: StoreClient, topic: str) -> None:
-        """Keep the topic; the first read brings everything."""
-        self.client = client
-        self.topic = topic
-        self._next: int | None = None
-
-    async def read(self) -> Batch:
-        """Return what is new, or everything where history was forgotten."""
-        if self._next is None:
-            return await self._read_newest()
-        query = {'topic': self.topic, 'part': 0, 'from': self._next}
-        status, body = await self.client.call('GET', '/log-read', query)
-        if status == TRIMMED:
-            emit(HistoryForgotten(self.topic))
-            return await self._read_newest()
-        if status != OK:
-            raise DirectoryError(f'log-read {self.topic}: {status}')
-        records = tuple(split_records(body[BOUNDS.size :]))
-        end = BOUNDS.unpack_from(body)[0]
-        if end < self._next:
-            return await self._read_newest()
-        self._next += len(records)
-        return Batch(records, self._next)
-
-    def forget(self) -> None:
-        """Have the next read bring everything."""
-        self._next = None
-
-    async def _read_newest(self) -> Batch:
-        """Read all pages; what is written meanwhile is read afterwards."""
-        self._next = None
-        records: list[Record] = []
-        first_end = None
-        query: dict[str, Any] = {'topic': self.topic, 'part': 0}
-        more = True
-        while more:
-            status, body = await self.client.call('GET', '/log-newest', query)
-            if status != OK:
-                raise DirectoryError(f'log-newest {self.topic}: {status}')
-            page = json.loads(body)
-            if first_end is None:
-                first_end = page['endOffset']
-            items = page['items']
-            records.extend(
-                Record(one['key'], base64.b64decode(one['value'] or ''))
-                for one in items
-            )
-            more = bool(page.get('hasMore') and items)
-            if more:
-                query['startAfter'] = items[-1]['key']
-        self._next = first_end
-        return Batch(tuple(records), first_end or 0, whole=True)
-
-
-def split_records(raw: bytes) -> Iterator[Record]:
-    """Yield the keyed records of a read."""
-    position = 0
-    while position + LENGTH.size <= len(raw):
-        start = position + LENGTH.size
-        position = start + LENGTH.unpack_from(raw, position)[0]
-        key_end = start + 1 + raw[start]
-        key = raw[start + 1 : key_end].decode()
-        yield Record(key, raw[key_end:position])
-
-
 class StoreDirectory:
     """The store as the entry reads it."""
 
