Failing tests: a reader that ends, or that can't be asked, stays the reader

Its log: the reader is draining, its listeners are closed (news_lost, connection refused, three times a second from every entry), reader_chosen stays at it, and each entry reads the store by itself with pauses of up to 4.9 s.

--- a/tests/living.py
+++ b/tests/living.py
@@ -11,6 +11,7 @@
 
 from tests.following import FollowingEntry, Store
 from tests.virtual_loop import run_virtually
+from trestledock.entry import WireError
 
 #: One way between two entries, and a call of the store, in seconds.
 WAY_S = 0.001
@@ -26,6 +27,7 @@
         self.running = anyio.Event()
         self.running.set()
         self.disturbed_until = 0.0
+        self.closed = False
         self.state.rng = self.rng
         self.follower._sleep = self._pause
 
@@ -46,6 +48,14 @@
         self.disturbed_until = now
         self.running.set()
 
+    def end(self):
+        """Be asked to stop."""
+        self.state.leaving = True
+
+    def close(self):
+        """Take no connections any more, as in the last part of the end."""
+        self.closed = True
+
     async def _pause(self, wait_s):
         await anyio.sleep(wait_s * self.rng.uniform(0.9, 1.1))
         await self.running.wait()
@@ -62,6 +72,8 @@
 
     async def _get(self, address):
         await anyio.sleep(WAY_S)
+        if self.network[address].closed:
+            raise WireError('connect', 'refused')
         await self.network[address].running.wait()
         await anyio.sleep(WAY_S)
         return await FollowingEntry._get(self, address)
--- a/tests/test_entry_pace.py
+++ b/tests/test_entry_pace.py
@@ -80,3 +80,75 @@
 
     def test_two_readers_stand_still(self):
         self.check(count=6, still=2)
+
+
+class LeavingReaderTest(unittest.TestCase):
+    """The reader of the list ends, or can't be asked.
+
+    Seen: beside restarts one by one, an entry was behind by a version for more
+    than two seconds.  An entry that ends still told how fresh its news was, and
+    came first in the order of names, but took no connections any more: for four
+    seconds nobody could fetch what it had read, and each entry read by itself,
+    with pauses that are meant for a store that is away.
+    """
+
+    def play(self, scenario, count=12):
+        """Run `scenario(life, reader)` once all rely on the reader."""
+
+        async def begin(life):
+            await anyio.sleep(8)
+            reader = life.get_readers()[0]
+            return await scenario(life, reader)
+
+        return run_life(count, (1, 2), begin)
+
+    def test_ending_reader_hands_over(self):
+        """All others have another reader within a second."""
+
+        async def scenario(life, reader):
+            reader.end()
+            await anyio.sleep(1)
+            return {one.follower._reader for one in life.entries}
+
+        self.assertEqual(self.play(scenario), {'entry-1'})
+
+    def test_reader_that_can_not_be_asked(self):
+        """Who can't fetch a reader's news relies on another one."""
+
+        async def scenario(life, reader):
+            reader.close()
+            calls = 0
+            for number in range(3, 9):
+                life.store.put(number, 1)
+                await anyio.sleep(1)
+            others = [one for one in life.entries if one is not reader]
+            calls = [one.reading.calls for one in others]
+            await anyio.sleep(3)
+            after = [one.reading.calls for one in others]
+            wrong = [one.name for one in others if len(one.get_usable()) != 8]
+            readers = sum(
+                new - old > 1 for old, new in zip(calls, after, strict=True)
+            )
+            return wrong, readers
+
+        self.assertEqual(self.play(scenario), ([], 1))
+
+    def test_target_leaves_while_readers_end(self):
+        """Entries end one by one, the reader first; a target leaves."""
+
+        async def scenario(life, reader):
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.end_in_turn, life)
+                await anyio.sleep(3.5)
+                life.store.remove(1)
+                wrong = await watch(life, 1)
+                group.cancel_scope.cancel()
+            return wrong
+
+        self.assertEqual(self.play(scenario), set())
+
+    async def end_in_turn(self, life):
+        for entry in life.entries:
+            entry.end()
+            await anyio.sleep(1)
+            entry.close()
