An entry that ends offers no news, and one whose news can't be had is not asked

Cause: whoever has the youngest news and comes first in the order of names is the reader. An entry that ends kept telling a young age for the rest of its grace period, though it takes no connections after the first three seconds: questions were answered, fetches were not.

Change: from its first moment of ending an entry tells an age that nobody relies on, and relies on others itself. An entry whose news could not be fetched, for whatever reason, is left out of the choice for 1.5 s.

Ruled out: keeping the listener for peers open to the end; the web server ends all listeners together, and a reader that is going is no good choice anyway.

--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -22,6 +22,7 @@
 from trestledock.entry._state import EntryState
 from trestledock.entry._wire import WireError
 from trestledock.relay import (
+    Candidate,
     ReadPace,
     choose_reader,
     get_own_read_in_s,
@@ -34,6 +35,9 @@
 #: at least where an own read is due soon: some hundred times the way there.
 FETCH_S = 1.0
 FETCH_LEAST_S = 0.25
+#: For how long an entry whose news could not be fetched is not asked, in
+#: seconds: above the time that the others take to find another reader.
+UNFIT_S = 1.5
 #: How long one read may take, in seconds.
 TIMEOUT_S = 0.8
 #: How often the list of peers is read, in seconds.  Each entry announces
@@ -73,6 +77,7 @@
         self._lost: set[str] = set()
         self._reader = ''
         self._failed_at = float('-inf')
+        self._unfit: dict[str, float] = {}
         self._pace = ReadPace(state.settings.settle_s)
         self._steps = [self._read_targets, self._read_catalog]
 
@@ -86,8 +91,7 @@
     async def _follow(self) -> None:
         while True:
             now = anyio.current_time()
-            candidates = self.gossip.get_candidates(now)
-            reader = choose_reader(candidates, self._pace)
+            reader = choose_reader(self._get_candidates(now), self._pace)
             self._note_reader(reader)
             if reader == self.state.member:
                 await self._read_store()
@@ -110,6 +114,8 @@
         if news and self._apply_passed_on(news):
             self._take_list(news)
             self.exchange.take_proof(reader)
+        else:
+            self._unfit[reader] = now + UNFIT_S
 
     def _apply_passed_on(self, news: News) -> bool:
         """Apply another entry's configuration; return whether it made sense."""
@@ -165,7 +171,15 @@
         return get_retry_s(self.state.member, self._get_names(now))
 
     def _get_names(self, now: float) -> list[str]:
-        return [one.name for one in self.gossip.get_candidates(now)]
+        return [one.name for one in self._get_candidates(now)]
+
+    def _get_candidates(self, now: float) -> list[Candidate]:
+        """Return who may read for this entry, and can be asked."""
+        self._unfit = {
+            one: until for one, until in self._unfit.items() if now < until
+        }
+        known = self.gossip.get_candidates(now)
+        return [one for one in known if one.name not in self._unfit]
 
     async def _sleep(self, wait_s: float) -> None:
         await anyio.sleep(wait_s * self.state.rng.uniform(*JITTER))
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -19,7 +19,7 @@
 from trestledock.entry import _events as events
 from trestledock.entry._logger import emit
 from trestledock.entry._rows import read_change, write_change
-from trestledock.entry._state import MOST_AGE_S, EntryState
+from trestledock.entry._state import EntryState
 from trestledock.relay import BEAT_S, Candidate, Flight
 
 #: How long changes are gathered, in seconds.
@@ -90,9 +90,8 @@
         They are heard, this one included; where there are many, each data
         centre has a reader of its own.
         """
-        own_age_s = self.state.get_news_age_s(now)
         return [
-            Candidate(self.state.member, own_age_s),
+            Candidate(self.state.member, self.state.get_offered_age_s(now)),
             *(
                 Candidate(name, peer.news_age_s)
                 for name, peer in self.peers.items()
@@ -265,7 +264,7 @@
     ) -> None:
         now = anyio.current_time()
         self.sequence += 1
-        age_s = min(self.state.get_news_age_s(now), MOST_AGE_S)
+        age_s = self.state.get_offered_age_s(now)
         message = {
             'kind': 'flights',
             'sequence': self.sequence,
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -182,6 +182,16 @@
         """
         return max(self.proof.get_age_s(now), self.get_list_age_s(now))
 
+    def get_offered_age_s(self, now: float) -> float:
+        """Return the age of the news for those who might ask for it.
+
+        An entry that ends stops to take connections while it still speaks, so
+        it offers nothing from the beginning of its end on.
+        """
+        if self.leaving:
+            return MOST_AGE_S
+        return min(self.get_news_age_s(now), MOST_AGE_S)
+
     def get_list_age_s(self, now: float) -> float:
         """Return the age of what is known of the targets in seconds."""
         return now - self.fleet.watch.read_at
