--- a/tests/test_entry_stale.py
+++ b/tests/test_entry_stale.py
@@ -1,4 +1,4 @@
-"""What an entry keeps under a fresh stamp, or holds without evidence of its own.
+"""What an entry keeps under a fresh stamp, or holds without own evidence.
 
 Found by reading, cold; each of these orders of events was then played.
 """
@@ -97,5 +97,3 @@
     def test_new_target_is_not_lost(self):
         """It is dropped for good: the first reader's revision is known."""
         self.play(lambda store: store.put(3, 1))
-
-
