--- a/tests/following.py
+++ b/tests/following.py
@@ -7,6 +7,7 @@
 import anyio
 
 from tests.relaying import SETTINGS, make_listed
+from tests.virtual_loop import run_virtually
 from trestledock.entry import DirectoryError, News, TargetNews
 from trestledock.entry._following import Follower
 from trestledock.entry._gossip import Gossip, Peer
@@ -16,6 +17,8 @@
 from trestledock.relay import Catalog
 
 CATALOG = Catalog(1, {}, {}, None)
+#: Between one step of a scenario and the next, on a virtual clock.
+STEP_S = 0.01
 
 
 class Store:
@@ -88,11 +91,13 @@
         self.follower._sleep = _sleep
 
     async def read(self):
-        """Read the store."""
+        """Read the store, a moment later."""
+        await anyio.sleep(STEP_S)
         await self.follower._read_store()
 
     async def ask(self, reader):
-        """Ask another entry, as it is done again and again."""
+        """Ask another entry a moment later, as is done again and again."""
+        await anyio.sleep(STEP_S)
         peer = Peer(reader.address, anyio.current_time(), 0)
         self.gossip.peers[reader.name] = peer
         await self.follower._ask(reader.name)
@@ -138,4 +143,4 @@
             group.cancel_scope.cancel()
         return found
 
-    return anyio.run(main)
+    return run_virtually(main)
--- a/tests/test_entry_sending.py
+++ b/tests/test_entry_sending.py
@@ -3,8 +3,15 @@
 import unittest
 from dataclasses import replace
 
-from tests.relaying import StubTarget, make_answer, make_route, run_world
-from trestledock.relay import Standing
+from tests.relaying import (
+    HOST,
+    KEY,
+    StubTarget,
+    make_answer,
+    make_route,
+    run_world,
+)
+from trestledock.relay import Catalog, Service, Share, Standing, TeamKey
 
 
 class LastLookTest(unittest.TestCase):
@@ -53,6 +60,46 @@
         """Its entry vanished, so it gets nothing more."""
 
         def drop(fleet, target):
-            fleet.drop(target.target_id, 0, settled=True)
+            fleet.drop(target.target_id, 0, 0)
 
         self.check(drop)
+
+
+def move(state, route):
+    """Put a version in force that sends the route to another service."""
+    moved = replace(route, shares=(Share('new'),))
+    state.catalog = Catalog(
+        2,
+        {HOST: (moved,)},
+        {'new': Service('new', engine=None)},
+        {KEY: TeamKey('kiosks')},
+    )
+
+
+class MovedRouteTest(unittest.TestCase):
+    """A version comes between the choice of a target and the write."""
+
+    def test_old_service_gets_nothing(self):
+        """The entry knows the newer version, so it follows it."""
+        route = make_route()
+        targets = [StubTarget(make_answer()), StubTarget(make_answer())]
+
+        async def scenario(world):
+            state = world.state
+            pool = world.relayer.sender.pool
+            take = pool.take
+            moved = replace(state.fleet.targets['t1'], service='new')
+            state.fleet.put(replace(moved, sequence=1))
+
+            async def take_late(target):
+                wire = await take(target)
+                if state.catalog.version == 1:
+                    move(state, route)
+                return wire
+
+            pool.take = take_late
+            await world.ask()
+
+        run_world(route, targets, scenario)
+        counts = [len(one.requests) for one in targets]
+        self.assertEqual(counts, [0, 1])
--- a/tests/test_platform_log.py
+++ b/tests/test_platform_log.py
@@ -2,11 +2,19 @@
 
 import unittest
 
-from tests.stub_store import make_answer, make_record, run_with_stub
+import anyio
+
+from tests.stub_store import (
+    StubStore,
+    make_answer,
+    make_record,
+    run_with_stub,
+)
 from trestledock.entry import DirectoryError, WireError
 from trestledock.platform._log import (
     BOUNDS,
     KeyedTopic,
+    StoreClient,
     split_records,
 )
 
@@ -82,3 +90,70 @@
         raw = make_record(b'a', b'1') + make_record(b'b', b'')
         found = [(one.key, one.text) for one in split_records(raw)]
         self.assertEqual(found, [('a', b'1'), ('b', b'')])
+
+
+FIRST = make_answer(200, b'{"items":[],"endOffset":3}')
+
+
+class BacklogTest(unittest.TestCase):
+    """One answer of the log has a part of what is new: a megabyte at most."""
+
+    def test_read_ends_at_the_end_of_the_log(self):
+        """A read that counts as fresh has brought all that there was.
+
+        Who is further behind than one answer has room for reads the newest
+        record of each key, instead of a megabyte of heartbeats.
+        """
+        part = BOUNDS.pack(5, 0) + make_record(b'a', b'1')
+        newest = b'{"items":[{"key":"b","value":"dg=="}],"endOffset":5}'
+        batches = []
+
+        async def scenario(client):
+            topic = KeyedTopic(client, 'keyed.servers')
+            await topic.read()
+            batches.extend([await topic.read(), await topic.read()])
+
+        answers = [
+            FIRST,
+            make_answer(200, part),
+            make_answer(200, newest),
+            make_answer(200, BOUNDS.pack(5, 0)),
+        ]
+        stub = run_with_stub(answers, scenario)
+        self.assertTrue(batches[0].whole)
+        self.assertEqual([one.key for one in batches[0].records], ['b'])
+        self.assertEqual(batches[1].records, ())
+        self.assertIn('from=5', stub.requests[3])
+
+
+class ClosingStore(StubStore):
+    """Closes its connection after each answer, without a word."""
+
+    async def serve(self, stream):
+        async with stream:
+            raw = await stream.receive()
+            self.requests.append(raw.partition(b'\r\n')[0].decode())
+            await stream.send(self.answers.pop(0))
+
+
+class IdleConnectionTest(unittest.TestCase):
+    """A kept connection was closed while nothing was asked."""
+
+    def test_read_after_a_close_is_no_loss_of_the_store(self):
+        """It is a matter of the connection: the store itself is well."""
+        stub = ClosingStore([FIRST, make_answer(200, BOUNDS.pack(3, 0))])
+
+        async def main():
+            listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            async with anyio.create_task_group() as group:
+                group.start_soon(listener.serve, stub.serve)
+                topic = KeyedTopic(StoreClient(f'127.0.0.1:{port}'), 'keyed.op')
+                await topic.read()
+                await anyio.sleep(0.1)
+                batch = await topic.read()
+                group.cancel_scope.cancel()
+            await listener.aclose()
+            return batch.end
+
+        self.assertEqual(anyio.run(main), 3)
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -25,6 +25,11 @@
     return [one.target_id for one in fleet.get_usable('s')]
 
 
+def drop(fleet, name, now):
+    """Drop a target by what the fleet knows of the directory."""
+    return fleet.drop(name, fleet.watch.grace_end, now)
+
+
 def disturb(fleet, began_at, ended_at):
     """Have the directory be asked in vain until a read at `ended_at`."""
     fleet.watch.note_trouble(began_at)
@@ -51,7 +56,7 @@
         """A heartbeat that is written after the removal is not a return."""
         fleet = make_fleet()
         fleet.put(make_target(1, sequence=9))
-        fleet.drop('t1', 0.5)
+        drop(fleet, 't1', 0.5)
         for sequence in (3, 9):
             self.assertFalse(fleet.put(make_target(1, sequence=sequence)))
         self.assertEqual(get_ids(fleet), ['t2'])
@@ -59,7 +64,7 @@
     def test_newer_record_is_a_return(self):
         """A target whose entry had lapsed writes a newer one."""
         fleet = make_fleet()
-        fleet.drop('t1', 0.5)
+        drop(fleet, 't1', 0.5)
         self.assertTrue(fleet.put(make_target(1, sequence=2)))
         self.assertEqual(set(get_ids(fleet)), {'t1', 't2'})
 
@@ -71,14 +76,14 @@
         """An entry that vanishes while all is calm is gone at once."""
         fleet = make_fleet()
         fleet.watch.note_read(0.5, 0.5)
-        self.assertTrue(fleet.drop('t2', 0.5))
+        self.assertTrue(drop(fleet, 't2', 0.5))
         self.assertEqual(get_ids(fleet), ['t1'])
 
     def test_missing_after_an_outage_may_come_back(self):
         """After an outage a missing entry counts for about two seconds."""
         fleet = make_fleet()
-        disturb(fleet, 5, 9)
-        self.assertFalse(fleet.drop('t2', 9))
+        disturb(fleet, 8.6, 9)
+        self.assertFalse(drop(fleet, 't2', 9))
         self.assertEqual(get_ids(fleet), ['t1', 't2'])
         self.assertEqual(fleet.expire(10), [])
         self.assertEqual(fleet.expire(11.3), ['t2'])
@@ -92,34 +97,34 @@
         """
         fleet = make_fleet()
         fleet.watch.note_read(2.5, 2.5)
-        self.assertTrue(fleet.drop('t2', 2.5))
+        self.assertTrue(drop(fleet, 't2', 2.5))
 
     def test_one_failed_read_is_no_outage(self):
         """A read that fails once, between two that don't, changes nothing."""
         fleet = make_fleet()
         disturb(fleet, 0.4, 0.8)
-        self.assertTrue(fleet.drop('t2', 0.8))
+        self.assertTrue(drop(fleet, 't2', 0.8))
 
     def test_missing_at_a_settled_instance_is_gone(self):
         """Who followed the directory all the while knows better."""
         fleet = make_fleet()
-        disturb(fleet, 5, 9)
-        self.assertTrue(fleet.drop('t2', 9.1, settled=True))
+        disturb(fleet, 8.6, 9)
+        self.assertTrue(fleet.drop('t2', 9.1, 9.1))
         self.assertEqual(get_ids(fleet), ['t1'])
 
     def test_back_after_an_outage(self):
         """An entry that comes back in time was never away."""
         fleet = make_fleet()
-        disturb(fleet, 5, 9)
-        fleet.drop('t2', 9)
+        disturb(fleet, 8.6, 9)
+        drop(fleet, 't2', 9)
         fleet.put(make_target(2, sequence=2))
         self.assertEqual(fleet.expire(20), [])
 
     def test_back_with_the_same_record(self):
         """What is listed again is held no longer, and others are told."""
         fleet = make_fleet()
-        disturb(fleet, 5, 9)
-        fleet.drop('t2', 9)
+        disturb(fleet, 8.6, 9)
+        drop(fleet, 't2', 9)
         revision = fleet.revision
         fleet.put(make_target(2))
         self.assertEqual(len(list(fleet.get_listed())), 2)
@@ -133,8 +138,8 @@
         """Others are told that it is missing, and that this is new."""
         fleet = make_fleet()
         revision = fleet.revision
-        disturb(fleet, 5, 9)
-        fleet.drop('t2', 9)
+        disturb(fleet, 8.6, 9)
+        drop(fleet, 't2', 9)
         self.assertEqual([one.target_id for one in fleet.get_listed()], ['t1'])
         held = [(one.target_id, until) for one, until in fleet.get_held()]
         self.assertEqual(held, [('t2', 11.2)])
@@ -150,6 +155,6 @@
     def test_gone_here_is_not_held_for_others(self):
         """What is known to have gone is not brought back by a doubt."""
         fleet = make_fleet()
-        fleet.drop('t1', 0.5)
+        drop(fleet, 't1', 0.5)
         self.assertFalse(fleet.hold(make_target(1), 2))
         self.assertEqual(get_ids(fleet), ['t2'])
--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -78,8 +78,9 @@
     """What a read of the store brought, or what another entry knows.
 
     `document` is the text that `catalog` was read from, for the other
-    entries.  `targets` is true as of the instant `as_of`; `whole` says that it
-    has all that there are, `settled` that its `source` followed the store
+    entries.  `targets` is true as of the instant `as_of`, or for a list that
+    was on its way as of `latest_at` at most; `whole` says that it has all that
+    there are, `settled` that its `source` followed the store
     closely enough to know that what is missing has not only lapsed.  `held` has
     what is missing and may have lapsed, for those that never knew it;
     `revision` is that of the list at its source.
@@ -90,6 +91,7 @@
     targets: tuple[TargetNews, ...] = ()
     held: tuple[HeldTarget, ...] = ()
     as_of: float = float('-inf')
+    latest_at: float | None = None
     whole: bool = False
     settled: bool = False
     source: str = 'store'
--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -142,8 +142,8 @@
         return min(ASK_S, due_in_s) if due_in_s > 0 else ASK_S
 
     def _take_list(self, news: News) -> None:
-        """Take another entry's list, unless a newer one is known."""
-        if news.as_of > self.state.fleet.watch.read_at:
+        """Take another entry's list if it is surely newer than the own one."""
+        if news.as_of > self.state.fleet.watch.latest_at:
             self.listing.take(news)
             self.exchange.note_taken(news)
 
@@ -213,7 +213,7 @@
             with anyio.fail_after(TIMEOUT_S):
                 await read()
         except EXPECTED as exc:
-            self.state.fleet.watch.note_trouble(anyio.current_time())
+            self.state.fleet.watch.note_trouble(began_at)
             self._note_lost(step, exc)
             return False
         except Exception:
@@ -231,7 +231,10 @@
     async def _read_targets(self) -> None:
         asked_at = anyio.current_time()
         news = await self.directory.read_targets()
+        known = self.state.fleet.revision
         self.listing.take(replace(news, as_of=asked_at))
+        if self.state.fleet.revision != known:
+            self.exchange.forget_taken()
 
     async def _follow_peers(self) -> None:
         for step in (self._announce, self._meet_peers):
--- a/trestledock/entry/_listing.py
+++ b/trestledock/entry/_listing.py
@@ -8,6 +8,9 @@
 targets that have left.
 """
 
+from collections import defaultdict
+from typing import Iterable
+
 import anyio
 
 from trestledock.entry import _events as events
@@ -39,17 +42,16 @@
     def take(self, news: News) -> None:
         """Take what a list says that is true as of `news.as_of`."""
         now = anyio.current_time()
-        self.state.note_list(news.as_of, now, news.source)
+        self.state.note_list(news.as_of, now, news.source, news.latest_at)
         if news.whole:
             self._drop_missing(news, now)
+        records: dict[str, list[Listed | None]] = defaultdict(list)
         for one in news.targets:
-            if one.listed is None:
-                self._drop(one.target_id, news, now)
-            else:
-                self._put(one.listed, news)
-        for held in news.held:
-            if self.fleet.hold(held.listed, now + held.left_s):
-                self._note_held(held.listed.target_id, news, now)
+            records[one.target_id].append(one.listed)
+        for target_id, of_one in records.items():
+            self._take_records(target_id, of_one, news, now)
+        if not self.fleet.watch.is_settled(now):
+            self._hold(news, now)
 
     async def run(self) -> None:
         """Drop held targets whose time is over, until cancelled."""
@@ -62,6 +64,35 @@
             looked_at = now
             self._forget(self.fleet.expire(now), LAPSED)
 
+    def _take_records(
+        self,
+        target_id: str,
+        records: list[Listed | None],
+        news: News,
+        now: float,
+    ) -> None:
+        """Take the records of one target, in the order of the log.
+
+        What a removal has followed brings nothing back for a moment: it may be
+        long past, where this entry has not read for a while.
+        """
+        past, present = _split_at_removal(records)
+        for listed in past:
+            self.fleet.note_past(listed)
+        if len(present) < len(records):
+            self._drop(target_id, news, now)
+        for listed in present:
+            self._put(listed, news)
+
+    def _hold(self, news: News, now: float) -> None:
+        """Hold what the source holds and what was never known here.
+
+        Whoever has followed the store for long enough knows better.
+        """
+        for held in news.held:
+            if self.fleet.hold(held.listed, now + held.left_s):
+                self._note_held(held.listed.target_id, news, now)
+
     def _drop_missing(self, news: News, now: float) -> None:
         present = {one.target_id for one in news.targets if one.listed}
         for target_id in set(self.fleet.targets) - present:
@@ -85,11 +116,28 @@
 
     def _drop(self, target_id: str, news: News, now: float) -> None:
         known = target_id in self.fleet.held
-        if self.fleet.drop(target_id, now, settled=news.settled):
+        until = self._get_grace_end(target_id, news, now)
+        if self.fleet.drop(target_id, until, now):
             self._forget([target_id], news.source)
         elif target_id in self.fleet.held and not known:
             self._note_held(target_id, news, now)
 
+    def _get_grace_end(self, target_id: str, news: News, now: float) -> float:
+        """Return until when a missing target may only have lapsed.
+
+        By own evidence alone; the source may know better when the store was
+        back, or that it was never away.
+        """
+        watch = self.fleet.watch
+        if news.settled or not watch.is_disturbed(now):
+            return now
+        ends = (
+            now + held.left_s
+            for held in news.held
+            if held.listed.target_id == target_id
+        )
+        return next(ends, watch.grace_end)
+
     def _note_held(self, target_id: str, news: News, now: float) -> None:
         left_s = self.fleet.held[target_id] - now
         emit(events.TargetHeld(target_id, news.source, round(left_s * MS)))
@@ -101,3 +149,21 @@
             self.state.health.targets.pop(target_id, None)
         if gone:
             self.state.notify()
+
+
+def _split_at_removal(
+    records: list[Listed | None],
+) -> tuple[list[Listed], list[Listed]]:
+    """Return the records before and after the last removal, if any.
+
+    >>> one, two = Listed('t', 's', 'a'), Listed('t', 's', 'b')
+    >>> _split_at_removal([one, None, two]) == ([one], [two])
+    True
+    """
+    removals = [at for at, listed in enumerate(records) if listed is None]
+    split_at = removals[-1] + 1 if removals else 0
+    return _drop_none(records[:split_at]), _drop_none(records[split_at:])
+
+
+def _drop_none(records: Iterable[Listed | None]) -> list[Listed]:
+    return [listed for listed in records if listed is not None]
--- a/trestledock/entry/_news.py
+++ b/trestledock/entry/_news.py
@@ -28,6 +28,8 @@
 ANSWER_S = 0.1
 OK = 200
 NEWS_PATH = '/news'
+#: Whose list the own one is, and at which revision, where it is nobody's.
+NOBODY = ('', -1)
 
 CONVERTER = Converter()
 #: What a fetch raises that fails, or brings what makes no sense.
@@ -49,7 +51,7 @@
         self.state = state
         self.gossip = gossip
         self._replies: dict[str, dict[str, Any]] = {}
-        self._revisions: dict[str, int] = {}
+        self._taken = NOBODY
         self._answered = anyio.Event()
         gossip.handlers['ask'] = self._answer
         gossip.handlers['reply'] = self._take_reply
@@ -81,9 +83,11 @@
         listed_at = reply['asked_at'] - reply['list_age_s']
         if listed_at <= self.state.fleet.watch.read_at:
             return is_behind
-        if self._revisions.get(reader) != reply['revision']:
+        if self._taken != (reader, reply['revision']):
             return True
-        self.state.note_list(listed_at, anyio.current_time(), reader)
+        now = anyio.current_time()
+        latest_at = now - reply['list_age_s']
+        self.state.note_list(listed_at, now, reader, latest_at)
         return is_behind
 
     async def fetch(self, reader: str, limit_s: float) -> News | None:
@@ -95,14 +99,19 @@
         try:
             with anyio.fail_after(limit_s):
                 plain = await self._get(peer.address)
-            return _read_news(plain, asked_at, reader)
+            now = anyio.current_time()
+            return _read_news(plain, asked_at, now, reader)
         except BAD_NEWS as exc:
             emit(events.NewsLost(reader, repr(exc)))
             return None
 
     def note_taken(self, news: News) -> None:
         """Note that the own list is that of an entry, at its revision."""
-        self._revisions[news.source] = news.revision
+        self._taken = (news.source, news.revision)
+
+    def forget_taken(self) -> None:
+        """Note that the own list is nobody else's any more."""
+        self._taken = NOBODY
 
     def make_news(self) -> bytes:
         """Return what this entry knows, for another one."""
@@ -154,7 +163,12 @@
         return plain
 
 
-def _read_news(plain: dict[str, Any], asked_at: float, reader: str) -> News:
+def _read_news(
+    plain: dict[str, Any],
+    asked_at: float,
+    now: float,
+    reader: str,
+) -> News:
     """Return what an entry knows; an older one says nothing of held targets."""
     listed = CONVERTER.structure(plain['targets'], tuple[Listed, ...])
     held = CONVERTER.structure(plain.get('held', ()), tuple[HeldTarget, ...])
@@ -163,6 +177,7 @@
         targets=tuple(TargetNews(one.target_id, one) for one in listed),
         held=held,
         as_of=asked_at - plain['list_age_s'],
+        latest_at=now - plain['list_age_s'],
         whole=True,
         settled=plain.get('settled', False),
         source=reader,
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -96,11 +96,14 @@
         """Return why nothing may be written, as it is known by now.
 
         Reserving memory and connecting take up to a second, in which a key may
-        be taken away or a target may leave.
+        be taken away, a route may move to another service, or a target may
+        leave.
         """
         refusal = check_again(self.state, job)
         if refusal:
             return Sending(Ending.not_sent, refusal.value, 'self')
+        if placement.target.service != job.service:
+            return Sending(Ending.not_sent, 'moved', placement.target.target_id)
         for one in (placement.target, *placement.helpers):
             if not self.state.fleet.is_usable(one.target_id):
                 return Sending(Ending.not_sent, 'left', one.target_id)
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -166,11 +166,20 @@
         """Whether one more request may be given up at its target early."""
         return self.early.is_left(now, self.board.count_peers() + 1)
 
-    def note_list(self, as_of: float, now: float, source: str) -> None:
-        """Note a list of what the store held at the instant `as_of`."""
+    def note_list(
+        self,
+        as_of: float,
+        now: float,
+        source: str,
+        latest_at: float | None = None,
+    ) -> None:
+        """Note a list of what the store held at the instant `as_of`.
+
+        It is no younger than `latest_at`.
+        """
         watch = self.fleet.watch
         gap_s = min(as_of - watch.read_at, MOST_AGE_S)
-        watch.note_read(as_of, now)
+        watch.note_read(as_of, now, latest_at)
         if watch.disturbed_at == now:
             emit(events.ListDisturbed(source, round(gap_s * MS)))
 
--- a/trestledock/platform/_log.py
+++ b/trestledock/platform/_log.py
@@ -16,10 +16,21 @@
 
 import anyio
 
-from trestledock.entry import DirectoryError, Head, HistoryForgotten, Wire, emit
+from trestledock.entry import (
+    DirectoryError,
+    Head,
+    HistoryForgotten,
+    Wire,
+    WireError,
+    emit,
+)
 
 OK = 200
 TRIMMED = 410
+#: The most that one read asks for, in KB: the heartbeats of some seconds, and a
+#: fifth of a second on the slowest links.  Who is further behind reads the
+#: newest record of each key instead.
+MOST_KB = 256
 #: The first bytes of a read: the end and the first retained offset.
 BOUNDS = struct.Struct('>QQ')
 LENGTH = struct.Struct('>I')
@@ -62,18 +73,35 @@
         body: bytes = b'',
     ) -> tuple[int, bytes]:
         """Make one call; return its status and body."""
+        target = f'{path}?{urlencode(query)}'
         async with self._lock:
-            if self._wire is None:
-                self._wire = await Wire.connect(self.address)
-            done = False
+            kept = self._wire is not None
             try:
-                status, answer = await self._exchange(
-                    self._wire, method, f'{path}?{urlencode(query)}', body
-                )
-                done = self._wire.recycle()
-            finally:
-                if not done:
-                    await self._close()
+                return await self._call_once(method, target, body)
+            except WireError:
+                # A kept connection may have been closed while it was idle,
+                # which says nothing of the store.
+                if not kept or method != 'GET':
+                    raise
+            return await self._call_once(method, target, body)
+
+    async def _call_once(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+    ) -> tuple[int, bytes]:
+        if self._wire is None:
+            self._wire = await Wire.connect(self.address)
+        done = False
+        try:
+            status, answer = await self._exchange(
+                self._wire, method, target, body
+            )
+            done = self._wire.recycle()
+        finally:
+            if not done:
+                await self._close()
         return status, answer
 
     async def _exchange(
@@ -110,7 +138,12 @@
         """Return what is new, or everything where history was forgotten."""
         if self._next is None:
             return await self._read_newest()
-        query = {'topic': self.topic, 'part': 0, 'from': self._next}
+        query = {
+            'topic': self.topic,
+            'part': 0,
+            'from': self._next,
+            'maxKb': MOST_KB,
+        }
         status, body = await self.client.call('GET', '/log-read', query)
         if status == TRIMMED:
             emit(HistoryForgotten(self.topic))
@@ -119,9 +152,10 @@
             raise DirectoryError(f'log-read {self.topic}: {status}')
         records = tuple(split_records(body[BOUNDS.size :]))
         end = BOUNDS.unpack_from(body)[0]
-        if end < self._next:
+        if end != self._next + len(records):
+            # Too far behind, or ahead of a log that was begun anew.
             return await self._read_newest()
-        self._next += len(records)
+        self._next = end
         return Batch(records, self._next)
 
     def forget(self) -> None:
--- a/trestledock/relay/_fleet.py
+++ b/trestledock/relay/_fleet.py
@@ -68,6 +68,16 @@
         self.revision += 1
         return True
 
+    def note_past(self, listed: Listed) -> None:
+        """Take a record that a removal has followed since."""
+        name = listed.target_id
+        known = self.targets.get(name)
+        if known:
+            newest = max(known.sequence, listed.sequence)
+            self.targets[name] = replace(known, sequence=newest)
+        else:
+            self.gone[name] = max(self.gone.get(name, 0), listed.sequence)
+
     def hold(self, listed: Listed, until: float) -> bool:
         """Take a target that another instance holds, if it is news here."""
         name = listed.target_id
@@ -78,22 +88,14 @@
         self.revision += 1
         return True
 
-    def drop(
-        self,
-        target_id: str,
-        now: float,
-        *,
-        settled: bool = False,
-    ) -> bool:
+    def drop(self, target_id: str, until: float, now: float) -> bool:
         """Take the removal of an entry; return whether it is gone at once.
 
-        What is `settled` comes from an instance that followed the directory
-        closely enough to know that the entry has not lapsed.
+        It may only have lapsed until the instant `until`.
         """
         if target_id not in self.targets:
             return False
-        until = self.watch.get_grace_end()
-        if now >= until or settled:
+        if now >= until:
             self._remove(target_id)
             return True
         if target_id not in self.held:
--- a/trestledock/relay/_watch.py
+++ b/trestledock/relay/_watch.py
@@ -13,6 +13,11 @@
 #: How long a missing entry counts after a disturbance of the directory, in
 #: seconds; lapsed entries of live targets are back within about two.
 LAPSE_GRACE_S = 2.2
+#: The same from the last read that failed, in seconds, since the directory may
+#: have been back from that moment on: after three seconds without a disturbance
+#: a target that left before must get nothing, and the end is looked for each
+#: 0.2 s.
+RETURN_GRACE_S = 2.7
 #: A gap between two lists above this leaves room for entries to lapse, in
 #: seconds: leases last three heartbeats, of which the last one may have been
 #: written up to one before the gap.
@@ -26,37 +31,57 @@
     A gap alone is no disturbance: whoever reads for all may have stood still,
     and holding what left meanwhile would send work to it for as long as the gap
     and the grace together.  A disturbance is a gap in which the directory was
-    asked in vain.  `resumed_at` is the end of the last gap of any kind,
-    `disturbed_at` that of the last disturbance.
+    asked in vain, for the last time at `troubled_at`.  `resumed_at` is the end
+    of the last gap of any kind, `disturbed_at` that of the last disturbance,
+    after which a missing entry is held until `grace_end`.
+
+    What is known was true at `read_at`, and may be as young as `latest_at`,
+    since a list was on its way for some time: only one that is surely younger
+    may replace it.
 
     >>> watch = Watch()
     >>> watch.note_read(0, 0)
-    >>> watch.note_trouble(1)
-    >>> watch.note_read(3, 3)
-    >>> watch.get_grace_end(), watch.is_settled(5), watch.is_settled(5.3)
-    (5.2, False, True)
+    >>> watch.note_trouble(3)
+    >>> watch.note_read(4, 4)
+    >>> watch.grace_end, watch.is_settled(6), watch.is_settled(6.3)
+    (5.7, False, True)
     """
 
     read_at: float = float('-inf')
+    latest_at: float = float('-inf')
     troubled_at: float = float('-inf')
     resumed_at: float = float('-inf')
     disturbed_at: float = float('-inf')
+    grace_end: float = float('-inf')
+
+    def note_read(
+        self,
+        as_of: float,
+        now: float,
+        latest_at: float | None = None,
+    ) -> None:
+        """Note a list of what the directory held at the instant `as_of`.
 
-    def note_read(self, as_of: float, now: float) -> None:
-        """Note a list of what the directory held at the instant `as_of`."""
+        It is no younger than `latest_at`; that is now where it is not known.
+        """
+        youngest_at = now if latest_at is None else latest_at
+        self.latest_at = max(self.latest_at, youngest_at)
         if as_of - self.read_at > GAP_S:
             self.resumed_at = now
             if self.troubled_at > self.read_at:
                 self.disturbed_at = now
+                self.grace_end = min(
+                    now + LAPSE_GRACE_S, self.troubled_at + RETURN_GRACE_S
+                )
         self.read_at = max(self.read_at, as_of)
 
-    def note_trouble(self, now: float) -> None:
-        """Note a read that failed, or a time in which nobody could read."""
-        self.troubled_at = now
+    def note_trouble(self, began_at: float) -> None:
+        """Note a read that failed, or the end of a time without any."""
+        self.troubled_at = began_at
 
-    def get_grace_end(self) -> float:
-        """Return until when a missing entry may only have lapsed."""
-        return self.disturbed_at + LAPSE_GRACE_S
+    def is_disturbed(self, now: float) -> bool:
+        """Whether live targets may still be missing after a disturbance."""
+        return now - self.disturbed_at < LAPSE_GRACE_S
 
     def is_settled(self, now: float) -> bool:
         """Whether what is missing from this list is missing for good."""
