--- a/tests/following.py
+++ b/tests/following.py
@@ -93,7 +93,7 @@
     async def read(self):
         """Read the store, a moment later."""
         await anyio.sleep(STEP_S)
-        await self.follower._read_store()
+        await self.follower.reading.read()
 
     async def ask(self, reader):
         """Ask another entry a moment later, as is done again and again."""
--- a/tests/test_entry_anew.py
+++ b/tests/test_entry_anew.py
@@ -38,7 +38,7 @@
     first = life.entries[0]
     number = len(life.entries)
     entry = LivingEntry(number, life.store, first.network, first.state.group)
-    entry.follower.directory = NewestReading(life.store)
+    entry.follower.reading.directory = NewestReading(life.store)
     entry.disturbed_until = anyio.current_time()
     everybody = [*life.entries, entry]
     addresses = {one.name: f'127.0.0.1:{one.address[1]}' for one in everybody}
--- a/tests/test_entry_following.py
+++ b/tests/test_entry_following.py
@@ -61,10 +61,10 @@
 
         async def scenario(follower, directory):
             directory.down = {'catalog': True, 'targets': True}
-            await follower._read_store()
+            await follower.reading.read()
             directory.calls.clear()
             for _ in range(4):
-                await follower._read_store()
+                await follower.reading.read()
             self.assertEqual(len(directory.calls), 4)
 
         self.run_follower(scenario)
@@ -75,11 +75,11 @@
 
             async def scenario(follower, directory, part=part):
                 directory.down = {'catalog': True, 'targets': True}
-                await follower._read_store()
+                await follower.reading.read()
                 directory.down[part] = False
                 directory.calls.clear()
                 for _ in range(2):
-                    await follower._read_store()
+                    await follower.reading.read()
                 self.assertIn(part, directory.calls)
 
             self.run_follower(scenario)
@@ -89,9 +89,9 @@
 
         async def scenario(follower, directory):
             directory.down = {'catalog': True, 'targets': True}
-            await follower._read_store()
+            await follower.reading.read()
             directory.down = {'catalog': False, 'targets': False}
-            await follower._read_store()
+            await follower.reading.read()
             self.assertEqual(follower.state.version, 1)
             self.assertIn('t0', follower.state.fleet.targets)
 
@@ -117,7 +117,7 @@
             follower = Follower(
                 state, StubDirectory(), Pool(state.spawn), exchange
             )
-            await follower._read_store()
+            await follower.reading.read()
             state.fleet.watch.read_at -= age_s
             await scenario(follower)
 
@@ -141,8 +141,8 @@
         """While the store is away, those that come later wait for longer."""
 
         async def scenario(follower):
-            follower.directory.down = {'catalog': True, 'targets': True}
-            await follower._read_store()
+            follower.reading.directory.down = {'catalog': True, 'targets': True}
+            await follower.reading.read()
             now = anyio.current_time()
             self.assertFalse(follower._is_own_read_due(now))
 
@@ -159,8 +159,8 @@
 
     def test_fetch_may_last_while_the_store_is_away(self):
         async def scenario(follower):
-            follower.directory.down = {'catalog': True, 'targets': True}
-            await follower._read_store()
+            follower.reading.directory.down = {'catalog': True, 'targets': True}
+            await follower.reading.read()
             found_s = follower._get_fetch_s(anyio.current_time())
             self.assertEqual(found_s, FETCH_S)
 
--- a/trestledock/entry/__init__.py
+++ b/trestledock/entry/__init__.py
@@ -23,7 +23,7 @@
     OldRecord,
     RecordIgnored,
 )
-from trestledock.entry._following import DirectoryError
+from trestledock.entry._reading import DirectoryError
 from trestledock.entry._logger import emit, set_up_logs
 from trestledock.entry._settings import EntrySettings
 from trestledock.entry._wire import Head, Headers, Wire, WireError
--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -2,25 +2,21 @@
 Following the store
 ===================
 
-Keeps configuration, targets and peers up to date, by the store itself or by
-the entry that reads it for all, and puts them in force.  A version is applied
-whole and never goes back.
+Keeps configuration, targets and peers up to date: decides when to read the
+store, and whom to ask who has read it.  A version is applied whole and never
+goes back.
 """
 
-from dataclasses import replace
-from typing import Awaitable, Callable
-
 import anyio
 
 from trestledock.entry import _events as events
 from trestledock.entry._dialect import Directory, News
 from trestledock.entry._listing import Listing
 from trestledock.entry._logger import emit
-from trestledock.entry._metrics import METRICS
 from trestledock.entry._news import NewsExchange
 from trestledock.entry._pool import Pool
+from trestledock.entry._reading import DirectoryError, StoreReading
 from trestledock.entry._state import EntryState
-from trestledock.entry._wire import WireError
 from trestledock.relay import (
     Candidate,
     ReadPace,
@@ -38,8 +34,6 @@
 #: For how long an entry whose news could not be fetched is not asked, in
 #: seconds: above the time that the others take to find another reader.
 UNFIT_S = 1.5
-#: How long one read may take, in seconds.
-TIMEOUT_S = 0.8
 #: How often the list of peers is read, in seconds.  Each entry announces
 #: itself before its first read, so that of two the later one sees the other
 #: and tells it; reading again only makes good what nobody expects.
@@ -50,14 +44,6 @@
 JITTER = (0.9, 1.1)
 
 
-class DirectoryError(Exception):
-    """The store did not answer as it should, at a step."""
-
-
-#: What a read may raise when the store is away.
-EXPECTED = (WireError, DirectoryError, TimeoutError)
-
-
 class Follower:
     """Keeps one entry's knowledge up to date."""
 
@@ -70,16 +56,13 @@
     ) -> None:
         """Keep what is read and where it goes."""
         self.state = state
-        self.directory = directory
         self.listing = Listing(state, pool)
+        self.reading = StoreReading(state, directory, self.listing, exchange)
         self.gossip = exchange.gossip
         self.exchange = exchange
-        self._lost: set[str] = set()
         self._reader = ''
-        self._failed_at = float('-inf')
         self._unfit: dict[str, float] = {}
         self._pace = ReadPace(state.settings.settle_s)
-        self._steps = [self._read_targets, self._read_catalog]
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -94,7 +77,7 @@
             reader = choose_reader(self._get_candidates(now), self._pace)
             self._note_reader(reader)
             if reader == self.state.member:
-                await self._read_store()
+                await self.reading.read()
                 await self._sleep(self._get_pause_s(now))
             else:
                 await self._ask(reader)
@@ -105,7 +88,7 @@
         if self.exchange.take_proof(reader):
             await self._fetch(reader)
         if self._is_own_read_due(anyio.current_time()):
-            await self._read_store()
+            await self.reading.read()
         await self._sleep(self._get_ask_pause_s(anyio.current_time()))
 
     async def _fetch(self, reader: str) -> None:
@@ -120,7 +103,7 @@
     def _apply_passed_on(self, news: News) -> bool:
         """Apply another entry's configuration; return whether it made sense."""
         try:
-            self._apply(news)
+            self.reading.apply(news)
         except DirectoryError as exc:
             emit(events.NewsLost(news.source, repr(exc)))
             return False
@@ -132,7 +115,7 @@
         A reader that stands still accepts the connection and says nothing.
         While the store is away, nobody else can tell.
         """
-        if self._is_list_lost():
+        if self.reading.is_lost():
             return FETCH_S
         return min(FETCH_S, max(FETCH_LEAST_S, self._get_own_read_in_s(now)))
 
@@ -148,7 +131,7 @@
             self.exchange.note_taken(news)
 
     def _is_own_read_due(self, now: float) -> bool:
-        if now - self._failed_at < self._get_retry_s(now):
+        if now - self.reading.failed_at < self._get_retry_s(now):
             return False
         return self._get_own_read_in_s(now) <= 0
 
@@ -184,90 +167,10 @@
     async def _sleep(self, wait_s: float) -> None:
         await anyio.sleep(wait_s * self.state.rng.uniform(*JITTER))
 
-    async def _read_store(self) -> None:
-        """Read all; while the store is lost, one call tells if it is back.
-
-        That call takes turns, since a part of the store may be back first.
-        """
-        began_at = anyio.current_time()
-        if self._is_list_lost():
-            self._steps.reverse()
-            if await self._try(self._steps[0]):
-                await self._try(self._steps[1])
-        else:
-            async with anyio.create_task_group() as group:
-                for step in self._steps:
-                    group.start_soon(self._try, step)
-        if self._is_list_lost():
-            self._failed_at = began_at
-
-    def _is_list_lost(self) -> bool:
-        """Whether the last read of configuration or targets failed."""
-        return any(step.__name__ in self._lost for step in self._steps)
-
-    async def _try(self, read: Callable[[], Awaitable[None]]) -> bool:
-        """Read; return whether the store answered."""
-        step = read.__name__
-        began_at = anyio.current_time()
-        try:
-            with anyio.fail_after(TIMEOUT_S):
-                await read()
-        except EXPECTED as exc:
-            self.state.fleet.watch.note_trouble(began_at)
-            self._note_lost(step, exc)
-            return False
-        except Exception:
-            emit(events.Failed(step), failed=True)
-            return False
-        METRICS.observe('store_read', anyio.current_time() - began_at)
-        self._note_regained(step)
-        return True
-
-    async def _read_catalog(self) -> None:
-        asked_at = anyio.current_time()
-        self._apply(await self.directory.read_catalog())
-        self.state.proof.renew(asked_at)
-
-    async def _read_targets(self) -> None:
-        asked_at = anyio.current_time()
-        news = await self.directory.read_targets()
-        known = self.state.fleet.revision
-        self.listing.take(replace(news, as_of=asked_at))
-        if self.state.fleet.revision != known:
-            self.exchange.forget_taken()
-
     async def _follow_peers(self) -> None:
-        for step in (self._announce, self._meet_peers):
-            while not await self._try(step):
+        for step in (self.reading.announce, self.reading.meet_peers):
+            while not await step():
                 await self._sleep(PEERS_RETRY_S)
         while True:
             await self._sleep(PEERS_S)
-            await self._try(self._meet_peers)
-
-    async def _announce(self) -> None:
-        settings = self.state.settings
-        await self.directory.announce(settings.instance, settings.peers)
-
-    async def _meet_peers(self) -> None:
-        self.gossip.meet(await self.directory.read_peers())
-
-    def _apply(self, news: News) -> None:
-        catalog = news.catalog
-        if catalog is None and news.document:
-            catalog = self.directory.decode_document(news.document)
-        current = self.state.catalog
-        if catalog and (current is None or catalog.version > current.version):
-            self.state.catalog = catalog
-            self.state.document = news.document
-            source = 'store' if news.catalog else 'peer'
-            emit(events.VersionApplied(catalog.version, source))
-
-    def _note_lost(self, step: str, exc: Exception) -> None:
-        if step not in self._lost:
-            self._lost.add(step)
-            emit(events.StoreLost(step, repr(exc)))
-
-    def _note_regained(self, step: str) -> None:
-        if step in self._lost:
-            self._lost.discard(step)
-            emit(events.StoreRegained(step))
+            await self.reading.meet_peers()
--- /dev/null
+++ b/trestledock/entry/_reading.py
@@ -0,0 +1,142 @@
+"""
+Reading the store
+=================
+
+Reads configuration, targets and peers from the platform's store and puts them
+in force.  While the store is away one call tells whether it is back; each call
+is priced, a refused one too.
+"""
+
+from dataclasses import replace
+from typing import Awaitable, Callable
+
+import anyio
+
+from trestledock.entry import _events as events
+from trestledock.entry._dialect import Directory, News
+from trestledock.entry._listing import Listing
+from trestledock.entry._logger import emit
+from trestledock.entry._metrics import METRICS
+from trestledock.entry._news import NewsExchange
+from trestledock.entry._state import EntryState
+from trestledock.entry._wire import WireError
+
+#: How long one read may take, in seconds.
+TIMEOUT_S = 0.8
+
+
+class DirectoryError(Exception):
+    """The store did not answer as it should, at a step."""
+
+
+#: What a read may raise when the store is away.
+EXPECTED = (WireError, DirectoryError, TimeoutError)
+
+
+class StoreReading:
+    """Reads the store for one entry; `failed_at` is its last vain read."""
+
+    def __init__(
+        self,
+        state: EntryState,
+        directory: Directory,
+        listing: Listing,
+        exchange: NewsExchange,
+    ) -> None:
+        """Keep what is read and where it goes."""
+        self.state = state
+        self.directory = directory
+        self.listing = listing
+        self.exchange = exchange
+        self.failed_at = float('-inf')
+        self._lost: set[str] = set()
+        self._steps = [self._read_targets, self._read_catalog]
+
+    async def read(self) -> None:
+        """Read all; while the store is lost, one call tells if it is back.
+
+        That call takes turns, since a part of the store may be back first.
+        """
+        began_at = anyio.current_time()
+        if self.is_lost():
+            self._steps.reverse()
+            if await self._try(self._steps[0]):
+                await self._try(self._steps[1])
+        else:
+            async with anyio.create_task_group() as group:
+                for step in self._steps:
+                    group.start_soon(self._try, step)
+        if self.is_lost():
+            self.failed_at = began_at
+
+    def is_lost(self) -> bool:
+        """Whether the last read of configuration or targets failed."""
+        return any(step.__name__ in self._lost for step in self._steps)
+
+    async def announce(self) -> bool:
+        """Publish the own address; return whether the store answered."""
+        return await self._try(self._announce)
+
+    async def meet_peers(self) -> bool:
+        """Learn of the other entries; return whether the store answered."""
+        return await self._try(self._meet_peers)
+
+    def apply(self, news: News) -> None:
+        """Put a version of the configuration in force if it is newer."""
+        catalog = news.catalog
+        if catalog is None and news.document:
+            catalog = self.directory.decode_document(news.document)
+        current = self.state.catalog
+        if catalog and (current is None or catalog.version > current.version):
+            self.state.catalog = catalog
+            self.state.document = news.document
+            source = 'store' if news.catalog else 'peer'
+            emit(events.VersionApplied(catalog.version, source))
+
+    async def _try(self, read: Callable[[], Awaitable[None]]) -> bool:
+        """Read; return whether the store answered."""
+        step = read.__name__
+        began_at = anyio.current_time()
+        try:
+            with anyio.fail_after(TIMEOUT_S):
+                await read()
+        except EXPECTED as exc:
+            self.state.fleet.watch.note_trouble(began_at)
+            self._note_lost(step, exc)
+            return False
+        except Exception:
+            emit(events.Failed(step), failed=True)
+            return False
+        METRICS.observe('store_read', anyio.current_time() - began_at)
+        self._note_regained(step)
+        return True
+
+    async def _read_catalog(self) -> None:
+        asked_at = anyio.current_time()
+        self.apply(await self.directory.read_catalog())
+        self.state.proof.renew(asked_at)
+
+    async def _read_targets(self) -> None:
+        asked_at = anyio.current_time()
+        news = await self.directory.read_targets()
+        known = self.state.fleet.revision
+        self.listing.take(replace(news, as_of=asked_at))
+        if self.state.fleet.revision != known:
+            self.exchange.forget_taken()
+
+    async def _announce(self) -> None:
+        settings = self.state.settings
+        await self.directory.announce(settings.instance, settings.peers)
+
+    async def _meet_peers(self) -> None:
+        self.exchange.gossip.meet(await self.directory.read_peers())
+
+    def _note_lost(self, step: str, exc: Exception) -> None:
+        if step not in self._lost:
+            self._lost.add(step)
+            emit(events.StoreLost(step, repr(exc)))
+
+    def _note_regained(self, step: str) -> None:
+        if step in self._lost:
+            self._lost.discard(step)
+            emit(events.StoreRegained(step))
