A removal in the middle of a read says nothing of a target that was listed anew

Its own read may bring a removal that is long past; the target was dropped then, and the records behind it, known already from others, brought it back only with its next heartbeat.

Change: whether a target is back is decided once for all records of a read: its newest record is newer than those before the removal and no older than the last one known.

Ruled out: the place of the last record alone; a heartbeat that is written late stands behind the removal, too.

--- /dev/null
+++ b/tests/test_entry_listing.py
@@ -0,0 +1,75 @@
+"""Records of one target in one read, in the order of the log."""
+
+import unittest
+from dataclasses import replace
+from random import Random
+
+import anyio
+
+from tests.relaying import SETTINGS, make_listed
+from trestledock.entry import News, TargetNews
+from trestledock.entry._listing import Listing
+from trestledock.entry._pool import Pool
+from trestledock.entry._state import EntryState
+
+#: What stands for a removal among sequences.
+REMOVED = None
+
+
+class RecordsTest(unittest.TestCase):
+    """Whether a target is listed after a read."""
+
+    def read(self, known, *sequences):
+        """Take one read; `known` is the target's last sequence before it."""
+
+        async def main():
+            state = EntryState(SETTINGS, 'entry-1#a', Random(1), None)
+            if known is not None:
+                state.fleet.put(replace(make_listed(1, 80), sequence=known))
+            listing = Listing(state, Pool(state.spawn))
+            records = tuple(map(make_record, sequences))
+            listing.take(News(targets=records, as_of=anyio.current_time()))
+            return state.fleet
+
+        return anyio.run(main)
+
+    def check(self, known, sequences, *, listed):
+        fleet = self.read(known, *sequences)
+        self.assertEqual('t1' in fleet.targets, listed)
+        return fleet
+
+    def test_heartbeats(self):
+        self.check(3, (4, 5), listed=True)
+
+    def test_removal(self):
+        self.check(3, (4, REMOVED), listed=False)
+
+    def test_late_record_after_the_removal(self):
+        """It was written before what is known, so it says nothing new."""
+        self.check(6, (REMOVED, 5), listed=False)
+        self.check(3, (6, REMOVED, 5), listed=False)
+
+    def test_doubled_record_after_the_removal(self):
+        """The last record once more is no return."""
+        self.check(3, (6, REMOVED, 6), listed=False)
+        self.check(6, (REMOVED, 6), listed=False)
+
+    def test_return(self):
+        """An entry that had lapsed, and a newer record."""
+        self.check(3, (4, REMOVED, 5), listed=True)
+        self.check(None, (4, REMOVED, 5), listed=True)
+
+    def test_removal_that_is_long_past(self):
+        """Others have told of the return since; nothing is lost by reading."""
+        fleet = self.check(9, (4, REMOVED, 7, 8, 9), listed=True)
+        self.assertEqual(fleet.gone, {})
+
+    def test_removal_keeps_the_newest_sequence(self):
+        """So that what was read is not taken for new later."""
+        fleet = self.check(3, (7, REMOVED, 5), listed=False)
+        self.assertEqual(fleet.gone, {'t1': 7})
+
+
+def make_record(sequence):
+    listed = sequence and replace(make_listed(1, 80), sequence=sequence)
+    return TargetNews('t1', listed)
--- a/trestledock/entry/_listing.py
+++ b/trestledock/entry/_listing.py
@@ -73,16 +73,35 @@
     ) -> None:
         """Take the records of one target, in the order of the log.
 
-        What a removal has followed brings nothing back for a moment: it may be
-        long past, where this entry has not read for a while.
+        A removal may be long past, where this entry has not read for a while,
+        and a record behind it may be an old one that was written late.
         """
         past, present = _split_at_removal(records)
-        for listed in past:
-            self.fleet.note_past(listed)
-        if len(present) < len(records):
-            self._drop(target_id, news, now)
-        for listed in present:
-            self._put(listed, news)
+        if len(present) == len(records) or self._is_back(
+            target_id, past, present
+        ):
+            for listed in present:
+                self._put(listed, news)
+            return
+        for old in (*past, *present):
+            self.fleet.note_past(old)
+        self._drop(target_id, news, now)
+
+    def _is_back(
+        self,
+        target_id: str,
+        past: list[Listed],
+        present: list[Listed],
+    ) -> bool:
+        """Whether a target was listed anew after its removal.
+
+        Its records are newer then than those before the removal; where there
+        are none, newer than the last one known.  And the last one known, which
+        may be from others, is not newer than all of them.
+        """
+        known = self.fleet.get_last_sequence(target_id)
+        newest = _get_newest(present, -1)
+        return newest >= known and newest > _get_newest(past, known)
 
     def _hold(self, news: News, now: float) -> None:
         """Hold what the source holds and what was never known here.
@@ -165,5 +184,9 @@
     return _drop_none(records[:split_at]), _drop_none(records[split_at:])
 
 
+def _get_newest(records: list[Listed], least: int) -> int:
+    return max((listed.sequence for listed in records), default=least)
+
+
 def _drop_none(records: Iterable[Listed | None]) -> list[Listed]:
     return [listed for listed in records if listed is not None]
--- a/trestledock/relay/_fleet.py
+++ b/trestledock/relay/_fleet.py
@@ -68,6 +68,11 @@
         self.revision += 1
         return True
 
+    def get_last_sequence(self, target_id: str) -> int:
+        """Return the last known sequence of a target, or less than any."""
+        known = self.targets.get(target_id)
+        return known.sequence if known else self.gone.get(target_id, -1)
+
     def note_past(self, listed: Listed) -> None:
         """Take a record that a removal has followed since."""
         name = listed.target_id
