News leave out the configuration that the asker has; a pause is no silence

Change: the question names the version that the asker has. At most 0.35 s are added for the place in the order, so that the sum of delays is 1.83 s. A look for silence that comes late says nothing. An entry is left out as a reader only after two vain fetches in a row, since one may fail where many ask at once.

Tests of silence look at each beat now, as the product does: one look alone would be a late one.

--- a/tests/test_entry_news.py
+++ b/tests/test_entry_news.py
@@ -124,6 +124,17 @@
 
         self.run_async(scenario)
 
+    def test_document_that_is_known_is_left_out(self):
+        """Who has the version is spared its text."""
+
+        async def scenario(exchange):
+            exchange.state.document = 'text'
+            for version, document in ((1, ''), (0, 'text'), (-1, 'text')):
+                plain = json.loads(exchange.make_news(version))
+                self.assertEqual(plain['document'], document)
+
+        self.run_async(scenario)
+
     def test_news_of_an_older_version(self):
         """It says nothing of held targets, so it vouches for nothing."""
         news = self.fetch(held=None, settled=None)
--- a/tests/test_relay_reach.py
+++ b/tests/test_relay_reach.py
@@ -37,6 +37,14 @@
         """Of a data centre without instances nothing can be said."""
         self.assertEqual(Reach().get_quiet(CUT_AT), set())
 
+    def test_own_pause_is_no_silence(self):
+        """A process that stood still has not yet heard what was said."""
+        reach = self.make()
+        for now in (CUT_AT - 0.2, CUT_AT):
+            self.assertEqual(reach.look(now), set())
+        self.assertEqual(reach.look(CUT_AT + 1), set())
+        self.assertEqual(reach.look(CUT_AT + 1.2), {'far'})
+
 
 class SuspicionTest(unittest.TestCase):
     """What is done with the targets there."""
--- a/trestledock/entry/_app.py
+++ b/trestledock/entry/_app.py
@@ -8,6 +8,7 @@
 
 from http import HTTPStatus
 from typing import Any, Awaitable, Callable, Mapping
+from urllib.parse import parse_qs
 
 import anyio
 
@@ -16,10 +17,10 @@
 from trestledock.entry._gossip import split_address
 from trestledock.entry._logger import emit
 from trestledock.entry._metrics import METRICS
-from trestledock.entry._news import NewsExchange
+from trestledock.entry._news import VERSION_FIELD, NewsExchange
 from trestledock.entry._relaying import Relayer
 from trestledock.entry._reply import CutReply, Reply, Send
-from trestledock.entry._state import EntryState
+from trestledock.entry._state import NO_VERSION, EntryState
 from trestledock.relay import Call
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -65,7 +66,7 @@
             return
         answer = self._ports.get(scope['server'][1])
         if answer:
-            await answer(send)
+            await answer(scope, send)
             return
         self.state.in_progress += 1
         try:
@@ -73,24 +74,25 @@
         finally:
             self.state.in_progress -= 1
 
-    async def _answer_ready(self, send: Send) -> None:
+    async def _answer_ready(self, _: Scope, send: Send) -> None:
         ready = self.state.is_ready(anyio.current_time())
         status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
         reply = Reply(send)
         await reply.start(status, ((b'content-length', b'0'),))
         await reply.finish()
 
-    async def _answer_metrics(self, send: Send) -> None:
+    async def _answer_metrics(self, _: Scope, send: Send) -> None:
         reply = Reply(send)
         await reply.start(HTTPStatus.OK, ((b'content-type', b'text/plain'),))
         gauges = self.state.get_gauges(anyio.current_time())
         await reply.finish(METRICS.render(gauges))
 
-    async def _answer_peer(self, send: Send) -> None:
+    async def _answer_peer(self, scope: Scope, send: Send) -> None:
         reply = Reply(send)
         headers = ((b'content-type', b'application/json'),)
         await reply.start(HTTPStatus.OK, headers)
-        await reply.finish(self.exchange.make_news())
+        version = _read_version(scope['query_string'])
+        await reply.finish(self.exchange.make_news(version))
 
     async def _serve(
         self,
@@ -120,6 +122,16 @@
             raise CutReply(call.req_id)
 
 
+def _read_version(query: bytes) -> int:
+    """Return the version that a peer has, as it says in its question.
+
+    >>> _read_version(b'version=7'), _read_version(b'') == NO_VERSION
+    (7, True)
+    """
+    found = parse_qs(query.decode('latin-1')).get(VERSION_FIELD, [''])[0]
+    return int(found) if found.isdigit() else NO_VERSION
+
+
 async def _read_body(receive: Receive) -> bytes:
     parts = []
     while True:
--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -31,8 +31,10 @@
 #: at least where an own read is due soon: some hundred times the way there.
 FETCH_S = 1.0
 FETCH_LEAST_S = 0.25
-#: For how long an entry whose news could not be fetched is not asked, in
-#: seconds: above the time that the others take to find another reader.
+#: After how many vain fetches in a row an entry is not asked for a while, and
+#: for how long, in seconds: one may fail where many ask at once, and the others
+#: take less than that to find another reader.
+UNFIT_TRIES = 2
 UNFIT_S = 1.5
 #: How often the list of peers is read, in seconds.  Each entry announces
 #: itself before its first read, so that of two the later one sees the other
@@ -61,6 +63,7 @@
         self.gossip = exchange.gossip
         self.exchange = exchange
         self._reader = ''
+        self._vain = 0
         self._unfit: dict[str, float] = {}
         self._pace = ReadPace(state.settings.settle_s)
 
@@ -95,9 +98,13 @@
         now = anyio.current_time()
         news = await self.exchange.fetch(reader, self._get_fetch_s(now))
         if news and self._apply_passed_on(news):
+            self._vain = 0
             self._take_list(news)
             self.exchange.take_proof(reader)
-        else:
+            return
+        self._vain += 1
+        if self._vain >= UNFIT_TRIES:
+            self._vain = 0
             self._unfit[reader] = now + UNFIT_S
 
     def _apply_passed_on(self, news: News) -> bool:
--- a/trestledock/entry/_news.py
+++ b/trestledock/entry/_news.py
@@ -20,7 +20,7 @@
 from trestledock.entry._dialect import HeldTarget, News, TargetNews
 from trestledock.entry._gossip import Address, Gossip
 from trestledock.entry._logger import emit
-from trestledock.entry._state import MOST_AGE_S, EntryState
+from trestledock.entry._state import MOST_AGE_S, NO_VERSION, EntryState
 from trestledock.entry._wire import Wire, WireError
 from trestledock.relay import Listed
 
@@ -28,6 +28,7 @@
 ANSWER_S = 0.1
 OK = 200
 NEWS_PATH = '/news'
+VERSION_FIELD = 'version'
 #: Whose list the own one is, and at which revision, where it is nobody's.
 NOBODY = ('', -1)
 
@@ -113,8 +114,13 @@
         """Note that the own list is nobody else's any more."""
         self._taken = NOBODY
 
-    def make_news(self) -> bytes:
-        """Return what this entry knows, for another one."""
+    def make_news(self, version: int = NO_VERSION) -> bytes:
+        """Return what this entry knows, for one that has a version.
+
+        The document is left out where that is the own one: lists change with
+        each target, and tens of kilobytes a second would fill slow links where
+        many ask.
+        """
         now = anyio.current_time()
         fleet = self.state.fleet
         held = [
@@ -125,12 +131,15 @@
             'list_age_s': min(self.state.get_list_age_s(now), MOST_AGE_S),
             'revision': fleet.revision,
             'settled': fleet.watch.is_settled(now),
-            'document': self.state.document,
+            'document': self._get_document(version),
             'targets': CONVERTER.unstructure(list(fleet.get_listed())),
             'held': CONVERTER.unstructure(held),
         }
         return json.dumps(plain, separators=(',', ':')).encode()
 
+    def _get_document(self, version: int) -> str:
+        return '' if version == self.state.version else self.state.document
+
     def _answer(self, message: dict[str, Any], sender: Address) -> None:
         now = anyio.current_time()
         reply = {
@@ -149,10 +158,11 @@
 
     async def _get(self, address: Address) -> dict[str, Any]:
         host, port = address
+        path = f'{NEWS_PATH}?{VERSION_FIELD}={self.state.version}'
         wire = await Wire.connect(f'{host}:{port}')
         try:
             headers = ((b'host', host.encode()),)
-            await wire.send('GET', NEWS_PATH, headers, b'')
+            await wire.send('GET', path, headers, b'')
             head = await wire.read_head()
             body = await wire.read_body()
         finally:
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -147,7 +147,7 @@
 
     def check_reach(self, now: float) -> None:
         """Leave the targets of data centres that have fallen silent."""
-        for place in self.reach.get_quiet(now):
+        for place in self.reach.look(now):
             if self.health.note_quiet(place, now):
                 emit(events.DataCentreQuiet(place))
                 self._end_waits(place)
--- a/trestledock/relay/_reach.py
+++ b/trestledock/relay/_reach.py
@@ -18,6 +18,9 @@
 #: For how long all instances of a data centre must be silent, in seconds: two
 #: beats that are lost and half a beat of delay.
 QUIET_S = 0.5
+#: A look that comes later than this after the one before it says nothing, in
+#: seconds: this process stood still, and words for it wait to be heard.
+LATE_LOOK_S = 0.4
 #: Instances that were heard within this time are expected to speak, in
 #: seconds; one that was silent for longer has been taken away.
 EXPECTED_S = 1.7
@@ -34,11 +37,18 @@
     """
 
     heard: dict[str, dict[str, float]] = field(default_factory=dict)
+    looked_at: float = float('-inf')
 
     def note_heard(self, place: str, name: str, now: float) -> None:
         """Note that an instance of a data centre has spoken."""
         self.heard.setdefault(place, {})[name] = now
 
+    def look(self, now: float) -> set[str]:
+        """Return the data centres that are silent; to be asked each beat."""
+        is_late = now - self.looked_at > LATE_LOOK_S
+        self.looked_at = now
+        return set() if is_late else self.get_quiet(now)
+
     def get_quiet(self, now: float) -> set[str]:
         """Return the data centres whose instances have all fallen silent."""
         return {
--- a/trestledock/relay/_readers.py
+++ b/trestledock/relay/_readers.py
@@ -24,7 +24,7 @@
 #: most, in seconds.
 SELF_PAUSES = 2.25
 SELF_PLACE_S = 0.03
-SELF_MOST_S = 0.5
+SELF_MOST_S = 0.35
 #: How often an instance tries to read while nobody has read lately, in
 #: seconds: the first in order, what is added for each place, and at most.  All
 #: calls are priced, refused ones too; whoever is served first tells the others.
