--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -1,5 +1,6 @@
 """A relayer with stub targets on loopback, for tests of relayed requests."""
 
+from dataclasses import dataclass
 from random import Random
 
 import anyio
@@ -80,6 +81,15 @@
     """What a target does that reads a request and resets the connection."""
 
 
+@dataclass(frozen=True)
+class Late:
+    """What a target does that says nothing between two parts of its answer."""
+
+    first: bytes
+    rest: bytes
+    pause_s: float = 1.5
+
+
 class StubTarget:
     """Gives one prepared answer a request and remembers the requests."""
 
@@ -110,6 +120,10 @@
             elif answer is Reset:
                 reset(stream)
                 return
+            elif isinstance(answer, Late):
+                await stream.send(answer.first)
+                await anyio.sleep(answer.pause_s)
+                await stream.send(answer.rest)
             else:
                 await stream.send(answer)
 
--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -68,6 +68,7 @@
     command: tuple[str, ...]
     store_link: Link
     slack: int = 100
+    grace_s: float = GRACE_S
     child: subprocess.Popen | None = None
     ending: bool = False
     started_at: float = 0
@@ -96,7 +97,7 @@
                 host=self.host,
                 data_centre=self.data_centre,
                 store=self.store_link.listed,
-                grace=GRACE_S,
+                grace=self.grace_s,
                 slack=self.slack,
                 last=PORTS['peers'] + 15,
                 **PORTS,
@@ -155,7 +156,7 @@
         self.send(signal.SIGTERM)
         while child.poll() is None:
             await anyio.sleep(0.02)
-            if time.monotonic() - self.asked_at > GRACE_S:
+            if time.monotonic() - self.asked_at > self.grace_s:
                 child.kill()
 
     async def _look(self, client: httpx.AsyncClient) -> None:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -17,7 +17,7 @@
 from anyio.abc import SocketAttribute, TaskGroup
 
 from tests.soak.callers import HOST, KINDS, TIMEOUT_S, Caller, Keys
-from tests.soak.entries import Entry, run_entries
+from tests.soak.entries import GRACE_S, Entry, run_entries
 from tests.soak.ledger import Ledger
 from tests.soak.links import Link
 from tests.soak.serving import serve_stream
@@ -43,13 +43,17 @@
 
 @dataclass(frozen=True)
 class Size:
-    """How large a run is; `run_s` is how long callers ask."""
+    """How large a run is; `run_s` is how long callers ask.
+
+    `grace_s` is the time that entries are given to stop.
+    """
 
     entries: int = 4
     engines: int = 6
     plain: int = 3
     callers: int = 20
     run_s: float = 20
+    grace_s: float = GRACE_S
 
 
 @dataclass
@@ -68,6 +72,7 @@
     targets: list[Target] = field(default_factory=list)
     version: int = 0
     timeouts_s: dict[str, float] = field(default_factory=dict)
+    objective_s: float = 1
     numbers: int = 0
     over: bool = False
 
@@ -219,6 +224,7 @@
             self.ledger,
             self.command,
             link,
+            grace_s=self.size.grace_s,
         )
         self.entries.append(entry)
 
@@ -232,7 +238,7 @@
             'kind': kind,
             'service': service,
             'timeoutMs': round(self.timeouts_s[name] * 1000),
-            'sloMs': 1000 if streaming else 300,
+            'sloMs': round(self.objective_s * 1000) if streaming else 300,
             'maxAttempts': 1 if kind == 'non_idempotent' else 2,
             'resumable': streaming,
             'gapAimMs': 500,
--- /dev/null
+++ b/tests/test_entry_limits.py
@@ -0,0 +1,159 @@
+"""
+Answers that have begun are not cut for a silence.
+
+Seen: beside a new version, a stream that its caller had in part was cut after
+a second of its target's silence, well before its time was over.  How: it was
+left for another target, and then nobody else could or might go on with it.
+Cause: whether to leave was asked of the route's attempts alone, and only for
+the target that the stream had begun at; and once left, it could be refused.
+"""
+
+import unittest
+from dataclasses import replace
+from types import MappingProxyType
+
+import anyio
+
+from tests.relaying import (
+    BROKEN,
+    HOST,
+    Late,
+    StubTarget,
+    make_listed,
+    make_route,
+    make_stream,
+    run_world,
+)
+from trestledock.relay import (
+    BudgetTerms,
+    RetryWindow,
+    RouteKind,
+    Share,
+)
+
+#: A silence of 0.8 s has it left.
+STREAM = make_route(
+    RouteKind.streaming, resumable=True, objective_s=0.3, pause_s=0.2
+)
+#: Two events, a silence above that, and two more.
+WHOLE = make_stream(1, 4)
+HALF = WHOLE.index(b'id: 3') - 4
+SILENT = Late(WHOLE[:HALF], WHOLE[HALF:])
+NO_BUDGET = BudgetTerms(ratio=0, slack=0)
+
+
+def get_ids(found):
+    """Return the ids of the events that a caller has got."""
+    return [
+        int(line.partition(b' ')[2])
+        for line in found.body.splitlines()
+        if line.startswith(b'id:')
+    ]
+
+
+class BegunTest(unittest.TestCase):
+    """Streams that have begun, by who else might go on with them."""
+
+    def check(self, targets, prepare=None, during=None):
+        """Ask once; the caller must get all four events."""
+        found = []
+
+        async def scenario(world):
+            if prepare:
+                prepare(world.state)
+            async with anyio.create_task_group() as group:
+                if during:
+                    group.start_soon(during, world.state)
+                found.append(await world.ask())
+
+        run_world(STREAM, targets, scenario)
+        self.assertFalse(found[0].cut)
+        self.assertEqual(get_ids(found[0]), [1, 2, 3, 4])
+        self.assertTrue(found[0].whole)
+
+    def test_resumed_at_the_last_target(self):
+        """The last target that may run it is waited for from its start."""
+        shared = [make_stream(1, 2, end=BROKEN), Late(b'', make_stream(3, 4))]
+        targets = [StubTarget(), StubTarget()]
+        for target in targets:
+            target.answers = shared
+        self.check(targets)
+
+    def test_without_budget(self):
+        """It is not left where no repeat is left."""
+
+        def prepare(state):
+            state.windows['svc'] = RetryWindow(NO_BUDGET)
+
+        self.check([StubTarget(SILENT), StubTarget(SILENT)], prepare)
+
+    def test_no_other_target(self):
+        """It is not left where its target, a leaving one, is the only one."""
+        target = StubTarget(SILENT)
+
+        async def leave(state):
+            while not target.requests:
+                await anyio.sleep(0.01)
+            state.fleet.leaving.add('t0')
+
+        self.check([target], during=leave)
+
+    def test_route_moves(self):
+        """It is not left where a new version takes the route elsewhere."""
+        targets = [StubTarget(SILENT), StubTarget(SILENT)]
+
+        async def move(state):
+            while not any(target.requests for target in targets):
+                await anyio.sleep(0.01)
+            route = replace(STREAM, shares=(Share('other'),))
+            state.catalog = replace(
+                state.catalog,
+                version=2,
+                routes=MappingProxyType({HOST: (route,)}),
+            )
+
+        self.check(targets, during=move)
+
+    def test_waits_for_budget(self):
+        """One that its target has broken off waits for a repeat."""
+        shared = [make_stream(1, 2, end=BROKEN), make_stream(3, 4)]
+        targets = [StubTarget(), StubTarget()]
+        for target in targets:
+            target.answers = shared
+
+        def prepare(state):
+            state.windows['svc'] = RetryWindow(NO_BUDGET)
+
+        async def earn(state):
+            await wait_for_loss(state)
+            state.windows['svc'] = RetryWindow(BudgetTerms())
+
+        self.check(targets, prepare, earn)
+
+    def test_waits_for_a_target(self):
+        """One whose targets are all gone waits until there is another."""
+        first, second = StubTarget(make_stream(1, 2, end=BROKEN)), StubTarget()
+        second.answers = [make_stream(3, 4)]
+
+        def prepare(state):
+            state.fleet.leaving.add('t1')
+
+        async def come(state):
+            while not first.requests:
+                await anyio.sleep(0.01)
+            state.fleet.leaving.add('t0')
+            await wait_for_loss(state)
+            state.fleet.put(make_listed(2, second.port))
+
+        self.check([first, second], prepare, come)
+
+
+async def wait_for_loss(state):
+    """Wait until a target was left, and then longer than for any target."""
+    while not state.health.is_suspect(
+        't0', anyio.current_time(), 'dc', small=False
+    ) and not state.health.is_suspect(
+        't1', anyio.current_time(), 'dc', small=False
+    ):
+        await anyio.sleep(0.01)
+    await anyio.sleep(0.4)
--- a/tests/test_entry_processes.py
+++ b/tests/test_entry_processes.py
@@ -14,7 +14,7 @@
 from tests.soak.callers import HOST
 from tests.soak.checks import SAFE
 from tests.soak.entries import ROOT
-from tests.soak.world import Size, World
+from tests.soak.world import PRODUCT, Size, World
 
 #: Far above what anything here takes on a busy machine, in seconds.
 PATIENCE_S = 60
@@ -38,13 +38,13 @@
 """
 
 
-def play(scenario, size=SIZE):
+def play(scenario, size=SIZE, command=PRODUCT):
     """Run `scenario(world)` in a world whose entries are ready."""
 
     async def main():
         with tempfile.TemporaryDirectory() as folder:
             async with anyio.create_task_group() as group:
-                world = World(size, Random(1), Path(folder), group)
+                world = World(size, Random(1), Path(folder), group, command)
                 try:
                     await run(world)
                 finally:
@@ -66,12 +66,12 @@
         await anyio.sleep(0.05)
 
 
-async def ask(entry, path, req_id, sizes='', key='key-desk-0'):
+async def ask(entry, path, req_id, sizes='', key='key-desk-0', wait_s=8):
     """Send one request on a connection of its own; return the answer."""
     headers = {
         'Host': HOST,
         'Trestledock-Request-Id': req_id,
-        'Trestledock-Request-Deadline': '8000',
+        'Trestledock-Request-Deadline': str(wait_s * 1000),
         'Authorization': f'Bearer {key}',
     }
     if sizes:
