A begun answer's target is not left where nobody else may go on

Cause: whether a silent target is left was asked of the route's attempts alone, once, when the wait began; and the first wait of a resumed sending had an end even at the last target. So a stream that its caller had in part was left for another target and then cut: since no repeat was left in the budget, since its only target was leaving, since a new version had taken the route elsewhere, or since it was resumed at its last target already.

Ruled out: a longer patience (only moves the moment); the wait between events at the last target, which was endless before.

Change: when a silence has lasted too long, it is asked again whether another target may or could go on (attempts, budget, usable targets, the version in force); if not, the wait goes on until the request's time is over. The body is read on where it was left. The same question decides whether a request that has not begun may be left early: without a repeat it would be a failure for sure. Elsewhere with the same cause: the wait for an answer's head, mended as well; a whole body had no limit of its own.

Now the stub closes the connection and the board tells the loss, and each scenario has an end of 30 s; same assertions.

--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -90,6 +90,14 @@
     pause_s: float = 1.5
 
 
+@dataclass(frozen=True)
+class Torn:
+    """What a target does that breaks an answer off after a moment."""
+
+    first: bytes
+    pause_s: float = 0.3
+
+
 class StubTarget:
     """Gives one prepared answer a request and remembers the requests."""
 
@@ -120,6 +128,10 @@
             elif answer is Reset:
                 reset(stream)
                 return
+            elif isinstance(answer, Torn):
+                await stream.send(answer.first)
+                await anyio.sleep(answer.pause_s)
+                return
             elif isinstance(answer, Late):
                 await stream.send(answer.first)
                 await anyio.sleep(answer.pause_s)
--- a/tests/test_entry_limits.py
+++ b/tests/test_entry_limits.py
@@ -15,10 +15,10 @@
 import anyio
 
 from tests.relaying import (
-    BROKEN,
     HOST,
     Late,
     StubTarget,
+    Torn,
     make_listed,
     make_route,
     make_stream,
@@ -39,6 +39,8 @@
 WHOLE = make_stream(1, 4)
 HALF = WHOLE.index(b'id: 3') - 4
 SILENT = Late(WHOLE[:HALF], WHOLE[HALF:])
+#: Far above what anything here takes, in seconds.
+PATIENCE_S = 30
 NO_BUDGET = BudgetTerms(ratio=0, slack=0)
 
 
@@ -61,6 +63,10 @@
         async def scenario(world):
             if prepare:
                 prepare(world.state)
+            with anyio.fail_after(PATIENCE_S):
+                await ask(world)
+
+        async def ask(world):
             async with anyio.create_task_group() as group:
                 if during:
                     group.start_soon(during, world.state)
@@ -73,7 +79,10 @@
 
     def test_resumed_at_the_last_target(self):
         """The last target that may run it is waited for from its start."""
-        shared = [make_stream(1, 2, end=BROKEN), Late(b'', make_stream(3, 4))]
+        shared = [
+            Torn(make_stream(1, 2, end=b'')),
+            Late(b'', make_stream(3, 4)),
+        ]
         targets = [StubTarget(), StubTarget()]
         for target in targets:
             target.answers = shared
@@ -116,7 +125,7 @@
 
     def test_waits_for_budget(self):
         """One that its target has broken off waits for a repeat."""
-        shared = [make_stream(1, 2, end=BROKEN), make_stream(3, 4)]
+        shared = [Torn(make_stream(1, 2, end=b'')), make_stream(3, 4)]
         targets = [StubTarget(), StubTarget()]
         for target in targets:
             target.answers = shared
@@ -125,14 +134,17 @@
             state.windows['svc'] = RetryWindow(NO_BUDGET)
 
         async def earn(state):
-            await wait_for_loss(state)
+            await wait_for_loss(state, targets)
             state.windows['svc'] = RetryWindow(BudgetTerms())
 
         self.check(targets, prepare, earn)
 
     def test_waits_for_a_target(self):
         """One whose targets are all gone waits until there is another."""
-        first, second = StubTarget(make_stream(1, 2, end=BROKEN)), StubTarget()
+        first, second = (
+            StubTarget(Torn(make_stream(1, 2, end=b''))),
+            StubTarget(),
+        )
         second.answers = [make_stream(3, 4)]
 
         def prepare(state):
@@ -142,18 +154,16 @@
             while not first.requests:
                 await anyio.sleep(0.01)
             state.fleet.leaving.add('t0')
-            await wait_for_loss(state)
+            await wait_for_loss(state, [first])
             state.fleet.put(make_listed(2, second.port))
 
         self.check([first, second], prepare, come)
 
 
-async def wait_for_loss(state):
+async def wait_for_loss(state, targets):
     """Wait until a target was left, and then longer than for any target."""
-    while not state.health.is_suspect(
-        't0', anyio.current_time(), 'dc', small=False
-    ) and not state.health.is_suspect(
-        't1', anyio.current_time(), 'dc', small=False
-    ):
+    while not any(target.requests for target in targets):
+        await anyio.sleep(0.01)
+    while state.board.own:
         await anyio.sleep(0.01)
     await anyio.sleep(0.4)
--- a/trestledock/entry/_admission.py
+++ b/trestledock/entry/_admission.py
@@ -51,6 +51,17 @@
     return refusal or Refusal.no_route
 
 
+def may_go_on(state: EntryState, job: Job) -> bool:
+    """Whether what is in force lets another target of its service go on."""
+    catalog = state.catalog
+    if catalog is None:
+        return False
+    route = catalog.get_route_by_path(job.call.host, job.call.path)
+    if route is None or _check(catalog, route, job.call):
+        return False
+    return job.service in {share.service for share in route.shares}
+
+
 def _move(
     state: EntryState,
     job: Job,
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -13,7 +13,7 @@
 
 from trestledock.entry._dialect import AnswerNote, Dialect
 from trestledock.entry._job import Answer, Job
-from trestledock.entry._limits import Limits
+from trestledock.entry._limits import Limit, Limits
 from trestledock.entry._pool import get_idle_s
 from trestledock.entry._reply import Reply
 from trestledock.entry._state import EntryState
@@ -44,10 +44,7 @@
         """Take an answer; return the ending and how long `wire` may idle."""
         limit = self.limits.get_first(job, placement)
         peer = placement.target.target_id
-        with self.limits.wait(job, placement, limit) as scope:
-            head = await wire.read_head()
-        if scope.cancelled_caught:
-            raise self.limits.give_up('answer', peer, limit)
+        head = await self._read_head(job, placement, wire, limit)
         answer = self.dialect.read_head(head)
         if answer.req_id and answer.req_id != job.call.req_id:
             raise WireError('answer', 'of another request')
@@ -56,7 +53,7 @@
             passing = StreamPassing(
                 self.state, self.dialect, job, placement, reply
             )
-            sending = await passing.run(head, wire.iter_body(), limit)
+            sending = await passing.run(head, wire.iter_body, limit)
         else:
             sending = await self._take_whole(
                 job, peer, wire, head, answer, reply
@@ -71,6 +68,21 @@
         """Note that a target failed."""
         self.state.health.note_failure(peer, anyio.current_time())
 
+    async def _read_head(
+        self,
+        job: Job,
+        placement: Placement,
+        wire: Wire,
+        limit: Limit,
+    ) -> Head:
+        while True:
+            with self.limits.wait(job, placement, limit):
+                return await wire.read_head()
+            if not self.limits.must_wait(job):
+                peer = placement.target.target_id
+                raise self.limits.give_up('answer', peer, limit)
+            limit = self.limits.get_pause(job)
+
     def _note_silence(self, peer: str) -> None:
         self.state.note_silence(peer, anyio.current_time())
 
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -99,6 +99,11 @@
         """Whether any target may have begun to work on the request."""
         return self.writing or self.history.may_have_run
 
+    @property
+    def begun(self) -> bool:
+        """Whether the caller has a part of its answer: no refusal any more."""
+        return self.last_event_at is not None
+
     @property
     def resume_after(self) -> str:
         """The event after which the stream is to go on."""
--- a/trestledock/entry/_limits.py
+++ b/trestledock/entry/_limits.py
@@ -13,6 +13,7 @@
 
 import anyio
 
+from trestledock.entry._admission import may_go_on
 from trestledock.entry._job import Job
 from trestledock.entry._state import EntryState, Wait
 from trestledock.entry._wire import WireError
@@ -40,7 +41,7 @@
 
     def get_first(self, job: Job, placement: Placement) -> Limit:
         """Return how long a target may be silent before another is asked."""
-        is_last = job.history.is_last_run(job.route)
+        is_last = self._is_last(job)
         may_leave = self.state.may_leave_early(anyio.current_time())
         early = may_leave and not is_last and not placement.helpers
         patience_s = get_first_patience_s(
@@ -61,6 +62,10 @@
             return Limit(left_s)
         return Limit(min(get_pause_patience_s(job.route), left_s))
 
+    def must_wait(self, job: Job) -> bool:
+        """Whether to leave the target now would be to cut an answer."""
+        return job.begun and _get_left_s(job) > 0 and self._is_last(job)
+
     @contextmanager
     def wait(
         self,
@@ -93,6 +98,18 @@
             return WireError(step, 'its data centre is silent')
         return WireError(step, f'silent for {limit.wait_s:.2f} s')
 
+    def _is_last(self, job: Job) -> bool:
+        """Whether nobody else may, or could, go on with a request now."""
+        if job.history.is_last_run(job.route):
+            return True
+        window = self.state.get_window(job.service)
+        peers = self.state.board.count_peers()
+        if not window.is_left(anyio.current_time(), peers + 1):
+            return True
+        # A target that is leaving works on, but takes nothing new.
+        usable = any(self.state.fleet.get_usable(job.service))
+        return not usable or not may_go_on(self.state, job)
+
 
 def _get_left_s(job: Job) -> float:
     return max(0, job.deadline - anyio.current_time())
--- a/trestledock/entry/_streaming.py
+++ b/trestledock/entry/_streaming.py
@@ -6,7 +6,7 @@
 another target can go on after the last of them.
 """
 
-from typing import AsyncIterator
+from typing import AsyncIterator, Callable
 
 import anyio
 
@@ -23,6 +23,9 @@
 
 MS = 1000
 
+#: Reads on where a wait for the body was left.
+IterBody = Callable[[], AsyncIterator[bytes]]
+
 
 class StreamPassing:
     """Passes one target's events on, whole ones only."""
@@ -46,16 +49,18 @@
         self.splitter = Splitter()
         self.count = 0
         self.noted_at: float = 0
+        self.body: AsyncIterator[bytes]
 
     async def run(
         self,
         head: Head,
-        body: AsyncIterator[bytes],
+        iter_body: IterBody,
         limit: Limit,
     ) -> Sending:
         """Pass on events until the stream ends."""
+        self.body = iter_body()
         while True:
-            raw = await self._read(body, limit)
+            raw = await self._read(iter_body, limit)
             if raw is None:
                 return await self._finish(head)
             await self._pass_on(head, raw)
@@ -64,12 +69,17 @@
 
     async def _read(
         self,
-        body: AsyncIterator[bytes],
+        iter_body: IterBody,
         limit: Limit,
     ) -> bytes | None:
-        with self.limits.wait(self.job, self.placement, limit):
-            return await anext(body, None)
-        raise self.limits.give_up('events', self.peer, limit)
+        while True:
+            with self.limits.wait(self.job, self.placement, limit):
+                return await anext(self.body, None)
+            # Who might have gone on when the silence began may have gone.
+            if not self.limits.must_wait(self.job):
+                raise self.limits.give_up('events', self.peer, limit)
+            limit = self.limits.get_pause(self.job)
+            self.body = iter_body()
 
     async def _pass_on(self, head: Head, raw: bytes) -> None:
         events = [
