An answer that has begun waits for a place and a repeat instead of being cut

Cause: once a target was left or had broken off, a stream that its caller had in part was treated as one that can be refused: no repeat in the budget at that moment, or no target, and it was cut, though its caller would have waited.

Change: where the answer has begun, refusals of the selection and of the budget count only once the caller would have left or the time is over.

Open: a rejection still counts as one of six sendings, so a begun stream that five targets reject is cut.

--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -21,7 +21,14 @@
 from trestledock.entry._sending import Sender
 from trestledock.entry._state import MOST_AGE_S, EntryState
 from trestledock.entry._wire import Headers
-from trestledock.relay import Call, Ending, Placement, Sending, get_worth
+from trestledock.relay import (
+    LOOK_S,
+    Call,
+    Ending,
+    Placement,
+    Sending,
+    get_worth,
+)
 
 #: When to come back after a refusal, in seconds and at least, before jitter.
 COME_BACK_S = 0.25
@@ -67,7 +74,7 @@
             sending = await self._send(job, placement, reply)
             if sending.ending is Ending.answered:
                 return
-            if not self._may_repeat(job, anyio.current_time()):
+            if not await self._may_repeat(job):
                 await self._give_up(job, reply, Refusal.failed)
                 return
             emit(
@@ -93,13 +100,22 @@
         _note_ending(job, sending, took_ms)
         return sending
 
-    def _may_repeat(self, job: Job, now: float) -> bool:
+    async def _may_repeat(self, job: Job) -> bool:
+        """Whether to go on elsewhere; an answer that has begun waits for it."""
         if not job.history.may_repeat(job.route):
             return False
         if job.history.sendings[-1].ending is Ending.not_sent:
             return True
+        while not self._spend(job):
+            if not job.begun or anyio.current_time() >= job.timing.gone:
+                return False
+            await self.state.wait_for_change(LOOK_S)
+        return True
+
+    def _spend(self, job: Job) -> bool:
         window = self.state.get_window(job.service)
-        return window.spend(now, self.state.board.count_peers() + 1)
+        peers = self.state.board.count_peers()
+        return window.spend(anyio.current_time(), peers + 1)
 
     async def _give_up(self, job: Job, reply: Reply, reason: Refusal) -> None:
         """End a request that no target answered."""
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -46,10 +46,16 @@
 
 
 async def select(state: EntryState, job: Job) -> Placement | Refusal:
-    """Return where a request goes, or why it can't go anywhere."""
+    """Return where a request goes, or why it can't go anywhere.
+
+    An answer that has begun can't be refused, only cut: it waits for a place
+    for as long as its caller does.
+    """
     while True:
-        chosen = _select_now(state, job, anyio.current_time())
-        if chosen:
+        now = anyio.current_time()
+        chosen = _select_now(state, job, now)
+        waits = job.begun and now < job.timing.gone
+        if isinstance(chosen, Placement) or (chosen and not waits):
             return chosen
         await state.wait_for_change(LOOK_S)
 
