A hang-up survives a settings file that can't be read

Cause: the settings were read again without a guard. A file that is half written, missing or of another shape raised up to the top and ended the process with all its connections. And nothing of what was read was taken over: with a shorter time to stop the process was killed before it had ended itself.

Change: what can't be read is told (`failed`, step `settings`) and the settings known before stay; the time to stop is the newest, read at SIGTERM as well, since the file may change without a signal. The server's own time to end (graceful_timeout) had been set at the start and is given up: there is one clock, the drain's.

Elsewhere: the only other reading is at the start, where ending is right.

Open: other bounds that change in the file (budget, revocation) are still left for the next start.

--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -40,6 +40,8 @@
 IDLE_FACTOR = 2.0
 #: How often the end of the last request is looked for, in seconds.
 LOOK_S = 0.05
+#: How long the server itself waits for the last connection.
+FOREVER_S = float('inf')
 #: Requests on one connection before it is closed; none in practice.
 MAX_REQUESTS = 1_000_000
 #: Bytes of a request's head that may be incomplete.
@@ -57,8 +59,9 @@
 ) -> None:
     """Run an entry until SIGTERM, then end it gracefully.
 
-    At a hang-up the settings are read again; what a running process can't
-    take over (addresses) is told and left for the next start.
+    At a signal the settings are read again: the time to stop is the newest,
+    what a running process can't take over (addresses) is told and left for
+    the next start.
     """
     settings = read_settings()
     kinds = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
@@ -70,14 +73,32 @@
             _start(state, dialect, make_directory(settings), stop)
             emit(events.Started(state.member, settings.data_centre))
             async for signum in signals:
+                settings = _read_again(read_settings, settings)
                 if signum != signal.SIGHUP:
                     break
-                emit(events.ReloadAsked(changed=read_settings() != settings))
-            await _drain(state, stop)
+                changed = settings != state.settings
+                emit(events.ReloadAsked(changed=changed))
+            await _drain(state, stop, settings.grace_s)
             group.cancel_scope.cancel()
     emit(events.Ended(state.in_progress))
 
 
+def _read_again(
+    read_settings: Callable[[], EntrySettings],
+    known: EntrySettings,
+) -> EntrySettings:
+    """Return the newest settings, or those known while they can't be read.
+
+    The file may be half written, and whatever is wrong with it is no reason
+    to end what is under way.
+    """
+    try:
+        return read_settings()
+    except Exception:
+        emit(events.Failed('settings'), failed=True)
+        return known
+
+
 def _start(
     state: EntryState,
     dialect: Dialect,
@@ -115,7 +136,8 @@
     config.keep_alive_max_requests = MAX_REQUESTS
     config.h11_max_incomplete_size = MAX_HEAD_BYTES
     config.backlog = BACKLOG
-    config.graceful_timeout = state.settings.grace_s - NOTICE_S - END_MARGIN_S
+    # `_drain` says when it is over.
+    config.graceful_timeout = FOREVER_S
     state.spawn(_follow_limits, state, config)
     async with anyio.create_task_group() as group:
         group.start_soon(_serve, app, config, stop)
@@ -139,13 +161,17 @@
         await anyio.sleep(1)
 
 
-async def _drain(state: EntryState, stop: anyio.Event) -> None:
+async def _drain(
+    state: EntryState,
+    stop: anyio.Event,
+    grace_s: float,
+) -> None:
     """Turn unready, serve on until the balancer has turned away, finish."""
     state.leaving = True
     emit(events.Draining(state.in_progress))
     await anyio.sleep(NOTICE_S)
     stop.set()
-    left_s = state.settings.grace_s - NOTICE_S - END_MARGIN_S
+    left_s = grace_s - NOTICE_S - END_MARGIN_S
     with anyio.move_on_after(left_s):
         while state.in_progress:
             await anyio.sleep(LOOK_S)
