The end waits until every connection is closed, not until every call is over

Cause: a request counted as over once its answer had been written into the process's own buffer. The watcher of the caller sees the web server's end of the stream and cancels the call that still waits for the close, so the count fell to zero and the process ended with up to 64 KiB of an answer unsent.

Change: the drain waits for the web server, which ends once all its connections are closed and so their buffers empty, and no longer looks each 50 ms. That closes as well the step between the look and the end, in which a call that was read but not begun would not have counted.

test_entry_closing calls the two functions by their new arguments; its assertion is the same.

--- a/tests/test_entry_closing.py
+++ b/tests/test_entry_closing.py
@@ -107,11 +107,11 @@
     async with anyio.create_task_group() as group:
         state = EntryState(settings, 'entry-1#a', Random(1), group)
         app = EntryApp(state, relayer, PlatformDialect(), None)
-        stop = anyio.Event()
-        group.start_soon(_daemon._listen, state, app, stop)
+        server = _daemon.Server()
+        group.start_soon(_daemon._listen, state, app, server)
         connection = await connect(port)
-        group.start_soon(_daemon._drain, state, stop)
-        while not stop.is_set():
+        group.start_soon(_daemon._drain, state, server, settings.grace_s)
+        while not server.stop.is_set():
             await anyio.sleep(0)
         for _ in range(steps):
             await anyio.sleep(0)
--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -9,6 +9,7 @@
 import asyncio
 import signal
 import uuid
+from dataclasses import dataclass, field
 from random import Random
 from typing import Callable
 
@@ -38,8 +39,6 @@
 END_MARGIN_S = 0.7
 #: How long an idle connection of a caller is kept beyond the configured time.
 IDLE_FACTOR = 2.0
-#: How often the end of the last request is looked for, in seconds.
-LOOK_S = 0.05
 #: How long the server itself waits for the last connection.
 FOREVER_S = float('inf')
 #: Requests on one connection before it is closed; none in practice.
@@ -52,6 +51,14 @@
 MakeDirectory = Callable[[EntrySettings], Directory]
 
 
+@dataclass(frozen=True)
+class Server:
+    """The web server: asked to `stop`, it has `ended` with no connection."""
+
+    stop: anyio.Event = field(default_factory=anyio.Event)
+    ended: anyio.Event = field(default_factory=anyio.Event)
+
+
 async def run_entry(
     read_settings: Callable[[], EntrySettings],
     dialect: Dialect,
@@ -69,8 +76,8 @@
         async with anyio.create_task_group() as group:
             member = f'{settings.instance}#{uuid.uuid4().hex[:8]}'
             state = EntryState(settings, member, Random(member), group)
-            stop = anyio.Event()
-            _start(state, dialect, make_directory(settings), stop)
+            server = Server()
+            _start(state, dialect, make_directory(settings), server)
             emit(events.Started(state.member, settings.data_centre))
             async for signum in signals:
                 settings = _read_again(read_settings, settings)
@@ -78,7 +85,7 @@
                     break
                 changed = settings != state.settings
                 emit(events.ReloadAsked(changed=changed))
-            await _drain(state, stop, settings.grace_s)
+            await _drain(state, server, settings.grace_s)
             group.cancel_scope.cancel()
     emit(events.Ended(state.in_progress))
 
@@ -103,7 +110,7 @@
     state: EntryState,
     dialect: Dialect,
     directory: Directory,
-    stop: anyio.Event,
+    server: Server,
 ) -> None:
     group: TaskGroup = state.group
     pool = Pool(state.spawn)
@@ -116,13 +123,13 @@
     app = EntryApp(state, relayer, dialect, exchange)
     state.keep_running(follower.run)
     state.keep_running(gossip.run)
-    group.start_soon(_listen, state, app, stop)
+    group.start_soon(_listen, state, app, server)
 
 
 async def _listen(
     state: EntryState,
     app: EntryApp,
-    stop: anyio.Event,
+    server: Server,
 ) -> None:
     config = Config()
     settings = state.settings
@@ -140,15 +147,17 @@
     config.graceful_timeout = FOREVER_S
     state.spawn(_follow_limits, state, config)
     async with anyio.create_task_group() as group:
-        group.start_soon(_serve, app, config, stop)
+        group.start_soon(_serve, app, config, server)
 
 
-async def _serve(app: EntryApp, config: Config, stop: anyio.Event) -> None:
+async def _serve(app: EntryApp, config: Config, server: Server) -> None:
+    wait_for_stop = server.stop.wait
     try:
-        await serve(app, config, shutdown_trigger=stop.wait)  # type: ignore
+        await serve(app, config, shutdown_trigger=wait_for_stop)  # type: ignore
     except asyncio.InvalidStateError:
         # The server asks for the result of its own cancelled wait.
         emit(events.Failed('server end'))
+    server.ended.set()
 
 
 async def _follow_limits(state: EntryState, config: Config) -> None:
@@ -161,17 +170,15 @@
         await anyio.sleep(1)
 
 
-async def _drain(
-    state: EntryState,
-    stop: anyio.Event,
-    grace_s: float,
-) -> None:
-    """Turn unready, serve on until the balancer has turned away, finish."""
+async def _drain(state: EntryState, server: Server, grace_s: float) -> None:
+    """Turn unready, serve on until the balancer has turned away, finish.
+
+    It is over when all connections are closed, since answers may still wait
+    in their buffers.
+    """
     state.leaving = True
     emit(events.Draining(state.in_progress))
     await anyio.sleep(NOTICE_S)
-    stop.set()
-    left_s = grace_s - NOTICE_S - END_MARGIN_S
-    with anyio.move_on_after(left_s):
-        while state.in_progress:
-            await anyio.sleep(LOOK_S)
+    server.stop.set()
+    with anyio.move_on_after(grace_s - NOTICE_S - END_MARGIN_S):
+        await server.ended.wait()
