Whoever still waits at the end of the time to stop gets a last word

Cause: 0.7 s before the time to stop is over everything was cancelled at once. A request that waited for a place got the web server's own 500 while its connection was torn down, and no line in the log; a 500 promises nothing, though nothing had run.

Change: at that moment each request that has no whole answer has its relaying cancelled on its own, and ends as any that is given up: 503 with Retry-After where nothing was sent, 502 (or the target's own failure) where a target may have run it, cut where the answer has begun. What is finished and only flows out is left alone. 0.4 s are given for that, 0.3 s are kept for the end. A body that comes whole after that moment is refused.

Open: a request whose body is still not whole at the end gets no answer.

--- a/trestledock/entry/_app.py
+++ b/trestledock/entry/_app.py
@@ -105,6 +105,9 @@
             return
         reply = Reply(send, self.state.is_leaving)
         call = self.dialect.read_call(scope, body, arrived_at)
+        if self.state.ending:
+            await self.relayer.turn_away(call, reply)
+            return
         cut = False
         async with anyio.create_task_group() as group:
             group.start_soon(_cancel_when_left, receive, group, reply, call)
--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -35,8 +35,10 @@
 #: How long new connections are taken after the request to stop, in seconds;
 #: the balancer asks once a second and needs two misses.
 NOTICE_S = 3.0
-#: What is kept of the time to stop for the end itself, in seconds.
+#: What is kept of the time to stop for the last word to each request, and for
+#: the end itself, in seconds.
 END_MARGIN_S = 0.7
+LAST_MARGIN_S = 0.3
 #: How long an idle connection of a caller is kept beyond the configured time.
 IDLE_FACTOR = 2.0
 #: How long the server itself waits for the last connection.
@@ -174,7 +176,7 @@
     """Turn unready, serve on until the balancer has turned away, finish.
 
     It is over when all connections are closed, since answers may still wait
-    in their buffers.
+    in their buffers.  Whoever has no answer by the end is told so.
     """
     state.leaving = True
     emit(events.Draining(state.in_progress))
@@ -182,3 +184,6 @@
     server.stop.set()
     with anyio.move_on_after(grace_s - NOTICE_S - END_MARGIN_S):
         await server.ended.wait()
+    state.end_requests()
+    with anyio.move_on_after(END_MARGIN_S - LAST_MARGIN_S):
+        await server.ended.wait()
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -59,9 +59,16 @@
             return
         self._note_admitted(job)
         with anyio.CancelScope(deadline=job.deadline) as scope:
-            await self._run(job, reply)
+            with self.state.keep_unanswered(reply, scope):
+                await self._run(job, reply)
         if scope.cancelled_caught:
-            await self._give_up(job, reply, Refusal.timeout)
+            over = anyio.current_time() >= job.deadline
+            reason = Refusal.timeout if over else Refusal.failed
+            await self._give_up(job, reply, reason)
+
+    async def turn_away(self, call: Call, reply: Reply) -> None:
+        """Refuse a call that comes too late to be relayed."""
+        await self._refuse(call, reply, Refusal.not_run)
 
     async def _run(self, job: Job, reply: Reply) -> None:
         """Send to one target after the other until one has answered."""
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -6,15 +6,17 @@
 loop touch it, each between two waits.
 """
 
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from random import Random
-from typing import Any, Awaitable, Callable
+from typing import Any, Awaitable, Callable, Iterator
 
 import anyio
 from anyio.abc import TaskGroup
 
 from trestledock.entry import _events as events
 from trestledock.entry._logger import emit
+from trestledock.entry._reply import Reply
 from trestledock.entry._settings import EntrySettings
 from trestledock.relay import (
     EARLY_TERMS,
@@ -49,9 +51,21 @@
     scope: anyio.CancelScope
 
 
+@dataclass(frozen=True, eq=False)
+class Unanswered:
+    """A request that is being relayed, with the scope that ends that."""
+
+    reply: Reply
+    scope: anyio.CancelScope
+
+
 @dataclass
 class EntryState:
-    """The state of one entry process."""
+    """The state of one entry process.
+
+    It is `leaving` once it was asked to stop, and `ending` once nothing may go
+    on any more.
+    """
 
     settings: EntrySettings
     member: str
@@ -66,7 +80,9 @@
     waits: set[Wait] = field(default_factory=set)
     windows: dict[str, RetryWindow] = field(default_factory=dict)
     early: RetryWindow = field(default_factory=_make_early_window)
+    unanswered: set[Unanswered] = field(default_factory=set)
     leaving: bool = False
+    ending: bool = False
     in_progress: int = 0
     many_entries: bool = False
     changed: anyio.Event = field(default_factory=anyio.Event)
@@ -183,6 +199,27 @@
             'peers': self.board.count_peers(),
         }
 
+    @contextmanager
+    def keep_unanswered(
+        self,
+        reply: Reply,
+        scope: anyio.CancelScope,
+    ) -> Iterator[None]:
+        """Have a request given up, should the process end meanwhile."""
+        one = Unanswered(reply, scope)
+        self.unanswered.add(one)
+        try:
+            yield
+        finally:
+            self.unanswered.discard(one)
+
+    def end_requests(self) -> None:
+        """Have each request that has no whole answer get its last word."""
+        self.ending = True
+        for one in tuple(self.unanswered):
+            if not one.reply.finished:
+                one.scope.cancel()
+
     def is_leaving(self) -> bool:
         """Whether connections should be closed after their answer."""
         return self.leaving
