A request that crosses the close of its connection is not passed on

Cause: when the notice is over the web server closes idle connections. Between the steps of the event loop in which it begins to and in which it does, it still reads a request there and begins it: the target got it, and the answer went to a closed connection. With one connection that are five steps; each of them takes longer the more connections are closed at once.

Ruled out: the idle time of connections outside the end (60 s at least, callers reuse for at most four fifths of theirs); an answer that ends after the notice (its close follows in the same step).

Change: a call that begins once the close has begun is refused and never passed on. One whose head was read before goes on as ever.

The steps as such are the web server's and are still there.

--- a/trestledock/entry/_app.py
+++ b/trestledock/entry/_app.py
@@ -67,9 +67,12 @@
         if answer:
             await answer(send)
             return
+        # One that begins on a connection that is being closed gets no answer
+        # through, so it must not run: no target gets it.
+        crossing = self.state.closing
         self.state.in_progress += 1
         try:
-            await self._serve(scope, receive, send)
+            await self._serve(scope, receive, send, crossing=crossing)
         finally:
             self.state.in_progress -= 1
 
@@ -97,6 +100,8 @@
         scope: Scope,
         receive: Receive,
         send: Send,
+        *,
+        crossing: bool,
     ) -> None:
         arrived_at = anyio.current_time()
         try:
@@ -105,7 +110,7 @@
             return
         reply = Reply(send, self.state.is_leaving)
         call = self.dialect.read_call(scope, body, arrived_at)
-        if self.state.ending:
+        if crossing or self.state.ending:
             await self.relayer.turn_away(call, reply)
             return
         cut = False
--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -181,6 +181,7 @@
     state.leaving = True
     emit(events.Draining(state.in_progress))
     await anyio.sleep(NOTICE_S)
+    state.closing = True
     server.stop.set()
     with anyio.move_on_after(grace_s - NOTICE_S - END_MARGIN_S):
         await server.ended.wait()
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -63,8 +63,8 @@
 class EntryState:
     """The state of one entry process.
 
-    It is `leaving` once it was asked to stop, and `ending` once nothing may go
-    on any more.
+    It is `leaving` once it was asked to stop, `closing` once idle connections
+    are being closed, and `ending` once nothing may go on any more.
     """
 
     settings: EntrySettings
@@ -82,6 +82,7 @@
     early: RetryWindow = field(default_factory=_make_early_window)
     unanswered: set[Unanswered] = field(default_factory=set)
     leaving: bool = False
+    closing: bool = False
     ending: bool = False
     in_progress: int = 0
     many_entries: bool = False
