Signals don't end a process that is ending by itself

Cause: the handlers go when the loop of signals is left, while connections, the event loop and the interpreter still end: one more SIGTERM or SIGHUP then ended the process by its default, code -15 or -1.

Ruled out: signals earlier in the drain (they change nothing, seen by the same test). Blocking them in the first thread alone: a run still ended with -1, since a signal goes to any thread that lets it in (the name look-ups have some).

Change: threads for names block the three signals from their start, the first thread once the drain is over.

--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -9,6 +9,7 @@
 import asyncio
 import signal
 import uuid
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from random import Random
 from typing import Callable
@@ -32,6 +33,7 @@
 from trestledock.entry._state import EntryState
 from trestledock.entry._tickets import Tickets
 
+KINDS = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
 #: How long new connections are taken after the request to stop, in seconds;
 #: the balancer asks once a second and needs two misses.
 NOTICE_S = 3.0
@@ -73,8 +75,9 @@
     the next start.
     """
     settings = read_settings()
-    kinds = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
-    with anyio.open_signal_receiver(*kinds) as signals:
+    executor = ThreadPoolExecutor(initializer=_block_signals)
+    asyncio.get_running_loop().set_default_executor(executor)
+    with anyio.open_signal_receiver(*KINDS) as signals:
         async with anyio.create_task_group() as group:
             member = f'{settings.instance}#{uuid.uuid4().hex[:8]}'
             state = EntryState(settings, member, Random(member), group)
@@ -88,10 +91,20 @@
                 changed = settings != state.settings
                 emit(events.ReloadAsked(changed=changed))
             await _drain(state, server, settings.grace_s)
+            _block_signals()
             group.cancel_scope.cancel()
     emit(events.Ended(state.in_progress))
 
 
+def _block_signals() -> None:
+    """Keep signals from a thread: from others always, from the first at last.
+
+    Once the handlers are gone a signal would end the process, which ends by
+    itself.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, KINDS)
+
+
 def _read_again(
     read_settings: Callable[[], EntrySettings],
     known: EntrySettings,
