soak: plans of planned work and of a reader that stands still; lost without excuses

Cause: the soak could not see either fault of the incident. A target that vanished from the store was killed in the same step, so nothing could reach it; the only other targets that left had said so, which no entry takes back; and the entry that reads for all stood still only by chance while a target left. A request counted as lost only if exactly one target had run it and had come as far as its answer: one that was cut while it was read, queued, just sent or read by its target broke nothing. Callers sent no bodies and took answers at once, and beside kills and cuts nearly every request was excused.

Ruled out: that faults on one entry excuse others (`is_calm` asks by name; only the store and a kill of all excuse everyone).

Change: targets leave in series, by a word or by vanishing, and serve on for 5 to 9 s; plan `standstill` freezes the first in the order of names for 2 to 4 s meanwhile; plan `planned` has SIGTERM, SIGHUP, versions and leaving targets in series and overlapping, and no fault that excuses anything; callers send bodies in pieces (targets check them) and some take long answers slowly; every eighth seed of the new plans has 24 entries. `lost` asks of each request whose last byte was sent whether it had an answer. The plan `mixed` draws what it drew.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,20 +3,25 @@
 =======
 
 Each caller keeps its connection for as long as it may and asks for one thing
-after the other; some leave before they have their answer.
+after the other; some leave before they have their answer.  Bodies come in
+pieces, and some callers take their answers slowly.
 """
 
 import time
+from contextlib import suppress
 from dataclasses import dataclass, field
 from itertools import count
 from random import Random
 from typing import Callable
+from zlib import crc32
 
 import anyio
-import httpx
+import h11
 
+from tests.soak.client import Connection, connect
 from tests.soak.entries import Entry
 from tests.soak.ledger import Ask, Attempt, Ledger
+from tests.soak.serving import ENDS
 from tests.soak.targets import count_events, get_body, make_event
 
 HOST = 'a.example'
@@ -43,7 +48,16 @@
 REVOKED_SHARE = 0.15
 #: Pause between two requests of a caller, in seconds.
 THINK_S = (0.02, 0.3)
+#: Pieces of a body at most, bytes of a piece at most, and the longest pause
+#: before each, in seconds.
+PIECES = 4
+PIECE_BYTES = 20_000
+PIECE_S = 0.25
+#: Share of connections whose caller takes answers slowly.
+SLOW_SHARE = 0.3
 END = b'\n\n'
+OK = 200
+HALF = 0.5
 
 
 @dataclass
@@ -90,19 +104,22 @@
             if entry is None:
                 await anyio.sleep(0.1)
                 continue
-            limits = httpx.Limits(max_connections=1)
-            async with httpx.AsyncClient(limits=limits, timeout=None) as client:
+            slow = self.rng.random() < SLOW_SHARE
+            conn = await connect(entry.front, slow=slow)
+            if conn is None:
+                await anyio.sleep(THINK_S[1])
+                continue
+            async with conn.stream:
                 kept = True
-                while kept and not self.is_over():
-                    ask = self._draw(f'{self.name}-{next(numbers)}')
-                    kept = await self._ask(client, entry, ask)
+                while kept and not self.is_over() and conn.is_open():
+                    kept = await self._ask(conn, entry, next(numbers))
                     await anyio.sleep(self.rng.uniform(*THINK_S))
 
     def _pick_entry(self) -> Entry | None:
         ready = [one for one in self.entries if one.in_rotation]
         return self.rng.choice(ready) if ready else None
 
-    def _draw(self, req_id: str) -> Ask:
+    def _draw(self, req_id: str, body: bytes) -> Ask:
         kind = self.rng.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
         key, team = self.keys.pick_any(self.rng)
         path, route_kind, service = KINDS[kind]
@@ -119,35 +136,38 @@
             path=path,
             sizes=sizes,
             events=count_events(sizes) if sizes else 0,
+            digest=0 if route_kind == 'idempotent' else crc32(body),
             timeout_s=TIMEOUT_S[kind],
         )
 
-    async def _ask(
-        self, client: httpx.AsyncClient, entry: Entry, ask: Ask
-    ) -> bool:
+    async def _ask(self, conn: Connection, entry: Entry, number: int) -> bool:
         """Send one request; return whether the connection may be kept."""
+        pieces = [
+            self.rng.randbytes(self.rng.randint(1, PIECE_BYTES))
+            for _ in range(self.rng.randint(0, PIECES))
+        ]
+        ask = self._draw(f'{self.name}-{number}', b''.join(pieces))
         attempt = Attempt(ask, entry.name, time.monotonic())
         self.ledger.attempts[ask.req_id] = attempt
         leaving = self.rng.random() < LEAVE_SHARE
         wait_s = ask.timeout_s + 2
         if leaving:
             wait_s = self.rng.uniform(0, LEAVE_S)
-        kept = False
         with anyio.move_on_after(wait_s) as scope:
-            try:
-                kept = await self._exchange(client, entry, attempt)
-            except httpx.HTTPError:
-                attempt.whole = False
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._send, conn, attempt, pieces)
+                await _take(conn, attempt)
+                group.cancel_scope.cancel()
         now = time.monotonic()
         if scope.cancelled_caught and leaving:
             attempt.left_at = now
         elif not scope.cancelled_caught:
             attempt.ended_at = now
-        return kept and not scope.cancelled_caught
+        return attempt.whole and conn.is_kept()
 
-    async def _exchange(
-        self, client: httpx.AsyncClient, entry: Entry, attempt: Attempt
-    ) -> bool:
+    async def _send(
+        self, conn: Connection, attempt: Attempt, pieces: list[bytes]
+    ) -> None:
         ask = attempt.ask
         headers = {
             'Host': HOST,
@@ -158,29 +178,64 @@
         if ask.sizes:
             headers['Trestledock-Model'] = 'm'
             headers['Trestledock-Token-Counts'] = ask.sizes
-        method = 'GET' if ask.kind == 'idempotent' else 'POST'
-        async with client.stream(
-            method, f'{entry.front}{ask.path}', headers=headers
-        ) as answer:
-            attempt.status = answer.status_code
-            attempt.seal = answer.headers.get('Trestledock-Response-Seal', '')
-            await self._take(answer, attempt)
-            closing = answer.headers.get('Connection', '').lower() == 'close'
-        return not closing
-
-    async def _take(self, answer: httpx.Response, attempt: Attempt) -> None:
-        body = b''
-        async for raw in answer.aiter_raw():
-            body += raw
-            if answer.is_success and attempt.ask.events:
+        method = 'POST'
+        if ask.kind == 'idempotent':
+            method, pieces = 'GET', []
+        else:
+            headers.update(_frame(pieces, chunked=self.rng.random() < HALF))
+        head = h11.Request(
+            method=method, target=ask.path, headers=list(headers.items())
+        )
+        pause_s = self.rng.uniform(0, PIECE_S)
+        with suppress(*ENDS):
+            await conn.send(head, pieces, pause_s)
+            attempt.whole_at = time.monotonic()
+
+
+def _frame(pieces: list[bytes], *, chunked: bool) -> dict[str, str]:
+    if chunked:
+        return {'Transfer-Encoding': 'chunked'}
+    return {'Content-Length': str(sum(map(len, pieces)))}
+
+
+async def _take(conn: Connection, attempt: Attempt) -> None:
+    """Take an answer to its end, or to the connection's."""
+    try:
+        await _take_answer(conn, attempt)
+    except ENDS as exc:
+        is_reset = isinstance(exc, anyio.BrokenResourceError)
+        attempt.unread = is_reset and not conn.used
+
+
+async def _take_answer(conn: Connection, attempt: Attempt) -> None:
+    body = b''
+    event = await conn.receive()
+    while not isinstance(event, h11.EndOfMessage):
+        if isinstance(event, h11.Response):
+            headers = {name.decode(): text for name, text in event.headers}
+            attempt.status = event.status_code
+            seal = headers.get('trestledock-response-seal', b'')
+            attempt.seal = seal.decode()
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if attempt.status == OK and attempt.ask.events:
                 body = _take_events(attempt, body)
-        attempt.whole = True
-        if answer.is_success and not attempt.ask.events:
-            target = attempt.seal.partition('.')[0]
-            if body != get_body(target, attempt.ask.req_id):
-                attempt.problem = f'body {body[:40]!r}'
-        elif answer.is_success and body:
-            attempt.problem = f'left over {body[:40]!r}'
+        elif isinstance(event, h11.ConnectionClosed):
+            return
+        event = await conn.receive()
+    attempt.whole = True
+    if attempt.status == OK:
+        _check_rest(attempt, body)
+
+
+def _check_rest(attempt: Attempt, body: bytes) -> None:
+    """Note what is wrong with a body, beside the events already taken."""
+    expected = b''
+    if not attempt.ask.events:
+        target = attempt.seal.partition('.')[0]
+        expected = get_body(target, attempt.ask.req_id)
+    if body != expected:
+        attempt.problem = f'{len(body)} bytes {body[:40]!r}'
 
 
 def _take_events(attempt: Attempt, body: bytes) -> bytes:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -78,8 +78,9 @@
 
 def _is_asked(attempt: Attempt, run: Run) -> bool:
     ask = attempt.ask
-    asked = (ask.service, ask.team, ask.sizes, False)
-    return asked == (run.service, run.team, run.sizes, run.key_seen)
+    asked = (ask.service, ask.team, ask.sizes, ask.digest, False)
+    got = (run.service, run.team, run.sizes, run.digest, run.key_seen)
+    return asked == got
 
 
 def check_tickets(ledger: Ledger) -> Iterator[str]:
--- /dev/null
+++ b/tests/soak/client.py
@@ -0,0 +1,97 @@
+"""
+Connections of callers
+======================
+
+HTTP/1.1 as callers speak it: a body may arrive in pieces, an answer may be
+taken slowly, and the time of the last byte sent is known.
+"""
+
+import select
+import socket
+from dataclasses import dataclass, field
+from typing import Any, Sequence
+from urllib.parse import urlsplit
+
+import anyio
+import h11
+from anyio.abc import SocketAttribute, SocketStream
+
+from tests.soak.serving import ENDS, READ_BYTES
+
+#: What a slow caller takes at once and leaves unread, and how long it pauses.
+SLOW_BYTES = 8192
+SLOW_S = 0.02
+
+
+@dataclass(eq=False)
+class Connection:
+    """One connection to an entry, for one request after the other."""
+
+    stream: SocketStream
+    slow: bool = False
+    used: bool = False
+    http: h11.Connection = field(
+        default_factory=lambda: h11.Connection(h11.CLIENT)
+    )
+
+    def is_open(self) -> bool:
+        """Whether the other side has neither closed nor sent anything."""
+        raw = self.stream.extra(SocketAttribute.raw_socket)
+        poll = select.poll()
+        poll.register(raw, select.POLLIN)
+        return not poll.poll(0)
+
+    async def send(
+        self,
+        head: h11.Request,
+        pieces: Sequence[bytes],
+        pause_s: float,
+    ) -> None:
+        """Send a request, its body in pieces."""
+        await self._send(head)
+        for piece in pieces:
+            await anyio.sleep(pause_s)
+            await self._send(h11.Data(data=piece))
+        await self._send(h11.EndOfMessage())
+
+    async def receive(self) -> Any:
+        """Return the next event of the answer."""
+        event = self.http.next_event()
+        while event is h11.NEED_DATA:
+            if self.slow:
+                await anyio.sleep(SLOW_S)
+            size = SLOW_BYTES if self.slow else READ_BYTES
+            try:
+                raw = await self.stream.receive(size)
+            except anyio.EndOfStream:
+                raw = b''
+            self.http.receive_data(raw)
+            event = self.http.next_event()
+        return event
+
+    def is_kept(self) -> bool:
+        """Whether the next request may follow; makes ready for it."""
+        self.used = True
+        states = {self.http.our_state, self.http.their_state}
+        if states == {h11.DONE}:
+            self.http.start_next_cycle()
+            return True
+        return False
+
+    async def _send(self, event: Any) -> None:
+        raw = self.http.send(event)
+        if raw:
+            await self.stream.send(raw)
+
+
+async def connect(url: str, *, slow: bool) -> Connection | None:
+    """Return a connection, or None where none is taken."""
+    parts = urlsplit(url)
+    try:
+        stream = await anyio.connect_tcp(str(parts.hostname), parts.port or 0)
+    except ENDS:
+        return None
+    if slow:
+        raw = stream.extra(SocketAttribute.raw_socket)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BYTES)
+    return Connection(stream, slow)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,19 +3,24 @@
 ======
 
 What is done to a run from outside.  Each kind is a function that disturbs one
-thing for a time that it draws; several may overlap.
+thing for a time that it draws; several may overlap.  What is noted as a fault
+excuses what it touches; planned work is not noted and excuses nothing.
 """
 
 import signal
+import time
 from contextlib import contextmanager
 from random import Random
+from types import MappingProxyType
 from typing import Awaitable, Callable, Iterator
 
 import anyio
 
+from tests.soak.callers import TIMEOUT_S
 from tests.soak.entries import Entry
 from tests.soak.ledger import ALL, Fault
 from tests.soak.links import Cut
+from tests.soak.targets import LEAVING, VANISHED
 from tests.soak.world import World
 
 #: How long a fault lasts, in seconds.
@@ -28,6 +33,13 @@
 #: faults at once, and in others one can be told from the next.
 GAP_S = 0.1
 LONGEST_GAPS_S = (1.2, 3, 6)
+#: Steps of a series, and the pauses between them: between targets that are
+#: replaced, and between versions or changed settings at most, in seconds.
+SERIES = (3, 8)
+SERIES_S = (0.5, 1.2)
+SHORT_S = 0.3
+#: For how long the entry that reads the store stands still, in seconds.
+STILL_S = (2, 4)
 
 FaultKind = Callable[[World, Random], Awaitable[None]]
 
@@ -68,6 +80,24 @@
         await anyio.sleep(2)
 
 
+async def freeze_reader(world: World, rng: Random) -> None:
+    """Stop the entry that reads the store for all, and let it go on.
+
+    By its name it is the first.  Between two stops it goes on for long enough
+    to read and to be asked.
+    """
+    entry = world.entries[0]
+    if rng.random() > OFTEN:
+        entry = _pick(world, rng)
+    now = time.monotonic()
+    if not world.ledger.is_calm(entry.name, now, now):
+        return
+    with noted(world, 'freeze_reader', entry.name):
+        entry.send(signal.SIGSTOP)
+        await anyio.sleep(rng.uniform(*STILL_S))
+        entry.send(signal.SIGCONT)
+
+
 async def freeze_entry(world: World, rng: Random) -> None:
     """Stop one entry and let it go on; a key may be revoked meanwhile."""
     entry = _pick(world, rng)
@@ -97,6 +127,22 @@
     await anyio.sleep(0)
 
 
+async def hang_up_in_series(world: World, rng: Random) -> None:
+    """Change settings several times, each time before the last is settled."""
+    for _ in range(rng.randint(*SERIES)):
+        await hang_up(world, rng)
+        await anyio.sleep(rng.uniform(0, SHORT_S))
+
+
+async def publish_in_series(world: World, rng: Random) -> None:
+    """Publish versions in quick succession, with more time for some routes."""
+    for _ in range(rng.randint(*SERIES)):
+        name = rng.choice(list(TIMEOUT_S))
+        world.timeouts_s[name] = TIMEOUT_S[name] * rng.uniform(1, 2)
+        world.publish()
+        await anyio.sleep(rng.uniform(0, SHORT_S))
+
+
 async def cut_store(world: World, rng: Random) -> None:
     """Cut one entry from the store, in one direction or in both."""
     entry = _pick(world, rng)
@@ -157,7 +203,16 @@
     """Replace a target as planned."""
     target = world.pick_target()
     with noted(world, 'drain_target'):
-        await world.drain(target)
+        await world.replace(target)
+
+
+async def replace_in_series(world: World, rng: Random) -> None:
+    """Replace targets one after the other; some vanish without a word."""
+    async with anyio.create_task_group() as group:
+        for _ in range(rng.randint(*SERIES)):
+            state = rng.choice((LEAVING, VANISHED))
+            group.start_soon(world.replace, world.pick_target(), state)
+            await anyio.sleep(rng.uniform(*SERIES_S))
 
 
 async def cut_target(world: World, rng: Random) -> None:
@@ -212,7 +267,9 @@
         await anyio.sleep(rng.uniform(0, 0.3))
 
 
-KINDS: dict[FaultKind, int] = {
+#: Kinds of faults with their weights.  New kinds go into plans of their own:
+#: the seeds of a plan that is known to have failed must draw what they drew.
+MIXED: dict[FaultKind, int] = {
     kill_entry: 3,
     kill_all: 1,
     freeze_entry: 3,
@@ -230,14 +287,30 @@
     revoke_key: 3,
     change_timeouts: 2,
 }
+PLANNED: dict[FaultKind, int] = {
+    restart_entry: 8,
+    hang_up_in_series: 3,
+    publish_in_series: 3,
+    replace_in_series: 2,
+    drain_target: 1,
+}
+STANDSTILL: dict[FaultKind, int] = {
+    freeze_reader: 4,
+    replace_in_series: 2,
+    publish_in_series: 1,
+}
+PLANS = MappingProxyType(
+    {'mixed': MIXED, 'planned': PLANNED, 'standstill': STANDSTILL}
+)
 
 
 async def disturb(world: World, rng: Random) -> None:
     """Begin one fault after the other until the run is over."""
-    names = list(KINDS)
+    kinds = PLANS[world.size.plan]
+    names = list(kinds)
     longest_s = rng.choice(LONGEST_GAPS_S)
     async with anyio.create_task_group() as group:
         while not world.over:
             await anyio.sleep(rng.uniform(GAP_S, longest_s))
-            kind = rng.choices(names, list(KINDS.values()))[0]
+            kind = rng.choices(names, list(kinds.values()))[0]
             group.start_soon(kind, world, Random(rng.random()))
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -32,6 +32,7 @@
     path: str = ''
     sizes: str = ''
     events: int = 0
+    digest: int = 0
     timeout_s: float = 5
 
     @property
@@ -46,7 +47,9 @@
 
     `status` is zero where the connection ended before an answer, `last_event`
     the last event in an unbroken row from the first, `problem` says what was
-    wrong with the answer's bytes.
+    wrong with the answer's bytes.  `whole_at` is when the last byte of the
+    request was sent.  `unread` tells of a first request on a connection that
+    ended with a reset: the entry may never have accepted or read it.
     """
 
     ask: Ask
@@ -57,6 +60,8 @@
     whole: bool = False
     last_event: int = 0
     problem: str = ''
+    whole_at: float | None = None
+    unread: bool = False
     left_at: float | None = None
     ended_at: float | None = None
 
@@ -79,6 +84,7 @@
     seal: str = ''
     status: int = 0
     key_seen: bool = False
+    digest: int = 0
     ended_at: float | None = None
 
 
@@ -144,6 +150,14 @@
             for one in (name, ALL)
         )
 
+    def get_stops(self, name: str) -> list[float]:
+        """Return when an entry was asked to end gracefully."""
+        return [
+            one.began_at
+            for one in self.faults
+            if one.entry == f'graceful {name}'
+        ]
+
     def get_runs_by_request(self) -> dict[str, list[Run]]:
         """Return the runs of each request."""
         found: dict[str, list[Run]] = {}
@@ -162,8 +176,12 @@
         return attempt.end - attempt.sent_at >= limit_s
 
     def get_changes(self, what: str) -> dict[str, float]:
-        """Return when changes of a kind were acknowledged, by name."""
-        return {one.name: one.at for one in self.changes if one.what == what}
+        """Return when changes of a kind were first acknowledged, by name."""
+        found: dict[str, float] = {}
+        for one in self.changes:
+            if one.what == what:
+                found.setdefault(one.name, one.at)
+        return found
 
     def write(self, path: Path) -> None:
         """Write the time line, a line of JSON for each thing seen."""
--- a/tests/soak/playing.py
+++ b/tests/soak/playing.py
@@ -6,13 +6,13 @@
 """
 
 import shutil
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from random import Random
 
 import anyio
 
-from tests.soak.checks import OK, run_checks
+from tests.soak.checks import OK, OWN_FAILURES, PROMISES, run_checks
 from tests.soak.faults import disturb
 from tests.soak.world import PRODUCT, Size, World
 
@@ -21,6 +21,11 @@
 SETTLE_S = 16
 #: How long is waited after the last end, for leases to lapse, in seconds.
 LAPSE_S = 4.5
+#: Sizes of runs; among the plans without kills, every so many seeds play with
+#: some dozens of processes.
+FEW = Size(entries=6, engines=8, plain=5, callers=48)
+MANY = Size(entries=24, engines=12, plain=8, callers=72)
+MANY_EVERY = 8
 
 
 @dataclass(frozen=True)
@@ -30,10 +35,20 @@
     requests: int
     answered: int
     refused: int
+    failed: int
+    cut: int
     faults: int
+    changes: int
     violations: tuple[str, ...]
 
 
+def get_size(plan: str, seed: int) -> Size:
+    """Return how large the run of a seed is."""
+    if plan == Size.plan:
+        return Size()
+    return replace(FEW if seed % MANY_EVERY else MANY, plan=plan)
+
+
 def play(
     seed: int,
     size: Size,
@@ -69,8 +84,11 @@
     return Report(
         requests=len(attempts),
         answered=sum(one.status == OK for one in attempts),
-        refused=sum(one.status == 503 for one in attempts),
+        refused=sum(one.status in PROMISES for one in attempts),
+        failed=sum(one.status in OWN_FAILURES - PROMISES for one in attempts),
+        cut=sum(bool(one.ended_at) and not one.whole for one in attempts),
         faults=len(world.ledger.faults),
+        changes=len(world.ledger.changes),
         violations=tuple(violations),
     )
 
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -30,6 +30,14 @@
 PLAIN_S = 0.02
 HEARTBEAT_S = 1.2
 TOKENS_AN_EVENT = 43
+#: A target that has left the store, with or without saying so, serves on for so
+#: long, in seconds.
+LINGER_S = (5.0, 9.0)
+#: States of targets; one that has vanished writes nothing to the store.
+READY, LEAVING, VANISHED = 'ready', 'draining', 'vanished'
+#: Times that the text of a plain answer is repeated: in one answer of so many
+#: it is long, and fills the buffers on the way to a slow caller.
+REPEATS, LONG_REPEATS, LONG_EVERY = 20, 16_000, 5
 #: How long a ticket may lie idle after its last use, and without any, in
 #: seconds (`freeMs` and `idleMaxMs` of the settings).
 FREE_S = 4.0
@@ -65,7 +73,9 @@
 
 def get_body(target_id: str, req_id: str) -> bytes:
     """Return the whole body of a plain answer."""
-    return f'{req_id} by {target_id}; '.encode() * 20
+    is_long = crc32(req_id.encode()) % LONG_EVERY == 0
+    repeats = LONG_REPEATS if is_long else REPEATS
+    return f'{req_id} by {target_id}; '.encode() * repeats
 
 
 def make_event(req_id: str, number: int) -> bytes:
@@ -90,7 +100,7 @@
     rng: Random
     quirks: Quirks = field(default_factory=Quirks)
     tickets: dict[str, Ticket] = field(default_factory=dict)
-    state: str = 'ready'
+    state: str = READY
     running: int = 0
     sequence: int = 0
     link: Link = field(default_factory=lambda: Link(''))
@@ -120,10 +130,22 @@
         await serve_stream(stream, self._handle)
 
     async def _register(self) -> None:
-        while True:
+        while self.state != VANISHED:
             self.write_entry()
             await anyio.sleep(HEARTBEAT_S)
 
+    async def leave(self, state: str) -> None:
+        """Say in the store that it leaves, or vanish from it; serve on."""
+        self.state = state
+        while self.store.status != 200:
+            await anyio.sleep(0.1)
+        if state == VANISHED:
+            self.store.put_json(TARGETS, self.target_id, None)
+        else:
+            self.write_entry()
+        self.ledger.note_change('leaving', self.target_id)
+        await anyio.sleep(self.rng.uniform(*LINGER_S))
+
     def write_entry(self) -> None:
         """Write the own entry, unless the store is down."""
         if self.store.status != 200:
@@ -171,6 +193,7 @@
             sizes=headers.get('trestledock-token-counts', ''),
             seal=get_seal(self.target_id, req_id),
             key_seen='authorization' in headers,
+            digest=crc32(exchange.body),
         )
         self.ledger.runs.append(run)
         try:
--- a/tests/soak/timed_checks.py
+++ b/tests/soak/timed_checks.py
@@ -9,7 +9,8 @@
 
 from typing import Iterator
 
-from tests.soak.ledger import Ledger, Run
+from tests.soak.entries import GRACE_S
+from tests.soak.ledger import Attempt, Ledger, Run
 
 OK = 200
 #: The bound of the settings on targets that leave, in seconds.
@@ -18,6 +19,13 @@
 LATE_S = 0.5
 #: What the driver itself may add, in seconds.
 SLACK_S = 0.3
+#: How long a request may cross the end of its connection, in seconds
+#: (`lossSlackMs` of the settings).
+CROSSING_S = 0.2
+#: Until when a target must have done its work for an entry that ends, in
+#: seconds, and for requests sent until when (the bounds on graceful ends).
+WORK_S = GRACE_S * 5 / 6
+NOTICE_S = 3.0
 #: A target that still works so long after its caller left was not told.
 GONE_S = 0.5
 #: How many late cancellations in a run are still no pattern.
@@ -48,15 +56,16 @@
 
 
 def check_lost(ledger: Ledger) -> Iterator[str]:
-    """A graceful end cuts nothing off."""
+    """What was read whole gets an answer, also around planned work."""
     ran = ledger.get_runs_by_request()
     for req_id, attempt in ledger.attempts.items():
-        cut = attempt.ended_at and not attempt.whole
+        cut = attempt.ended_at and attempt.whole_at and not attempt.whole
         if not cut or ledger.is_timed_out(attempt):
             continue
         is_calm = ledger.is_calm(attempt.entry, attempt.sent_at, attempt.end)
-        if is_calm and _is_sound(ledger, ran.get(req_id, [])):
-            yield f'{req_id} at {attempt.entry} was cut'
+        runs = ran.get(req_id, [])
+        if is_calm and _is_lost(ledger, attempt, runs):
+            yield f'{req_id} at {attempt.entry} was cut after {len(runs)} runs'
 
 
 def check_gone(ledger: Ledger) -> Iterator[str]:
@@ -79,13 +88,29 @@
     )
 
 
-def _is_sound(ledger: Ledger, runs: list[Run]) -> bool:
-    """Whether one target ran a request, and none was disturbed meanwhile."""
-    if len(runs) != 1 or runs[0].status != OK:
-        return False
-    run = runs[0]
-    end = run.ended_at or float('inf')
-    return ledger.is_calm(run.target, run.began_at, end)
+def _is_lost(ledger: Ledger, attempt: Attempt, runs: list[Run]) -> bool:
+    """Whether only the entry can have cut a request."""
+    if not runs:
+        waited_s = attempt.end - (attempt.whole_at or attempt.end)
+        return waited_s > CROSSING_S + SLACK_S and not attempt.unread
+    last = max(runs, key=lambda run: run.began_at)
+    ended_at = ledger.get_changes('ended').get(last.target, float('inf'))
+    return (
+        ledger.is_calm(last.target, last.began_at, attempt.end)
+        and ended_at > attempt.end
+        and not _is_past_grace(ledger, attempt, last)
+    )
+
+
+def _is_past_grace(ledger: Ledger, attempt: Attempt, run: Run) -> bool:
+    """Whether a target took too long for an entry that was asked to end."""
+    run_end = run.ended_at or float('inf')
+    return any(
+        attempt.sent_at <= asked_at + NOTICE_S
+        and asked_at + WORK_S <= min(run_end, attempt.end)
+        and attempt.end <= asked_at + GRACE_S + 1
+        for asked_at in ledger.get_stops(attempt.entry)
+    )
 
 
 def _get_overtime_s(ledger: Ledger, run: Run) -> Iterator[float]:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -22,13 +22,18 @@
 from tests.soak.links import Link
 from tests.soak.serving import serve_stream
 from tests.soak.store import CONFIG, TARGETS, Store
-from tests.soak.targets import HEARTBEAT_S, SLOTS, TICKETS_BY_NAME, Target
+from tests.soak.targets import (
+    HEARTBEAT_S,
+    LEAVING,
+    READY,
+    SLOTS,
+    TICKETS_BY_NAME,
+    Target,
+)
 
 DATA_CENTRES = ('dc-a', 'dc-b', 'dc-c')
 TEAMS = ('kiosks', 'desk', 'audit')
 KEYS_A_TEAM = 4
-#: How long a target that leaves goes on serving, in seconds.
-LINGER_S = 5.0
 #: How often tickets are looked at, in seconds.
 LOOK_S = 0.5
 ENGINE = {
@@ -43,13 +48,17 @@
 
 @dataclass(frozen=True)
 class Size:
-    """How large a run is; `run_s` is how long callers ask."""
+    """How large a run is, and what disturbs it.
+
+    `run_s` is how long callers ask; `plan` is one of `faults.PLANS`.
+    """
 
     entries: int = 4
     engines: int = 6
     plain: int = 3
     callers: int = 20
     run_s: float = 20
+    plan: str = 'mixed'
 
 
 @dataclass
@@ -157,15 +166,10 @@
         self.targets.append(target)
         return target
 
-    async def drain(self, target: Target) -> None:
+    async def replace(self, target: Target, state: str = LEAVING) -> None:
         """Let a target leave as planned, after another has come."""
         await self.add_target(target.service, target.data_centre)
-        target.state = 'draining'
-        while self.store.status != 200:
-            await anyio.sleep(0.1)
-        target.write_entry()
-        self.ledger.note_change('leaving', target.target_id)
-        await anyio.sleep(LINGER_S)
+        await target.leave(state)
         self.remove(target)
         self.store.put_json(TARGETS, target.target_id, None)
 
@@ -180,6 +184,7 @@
     def remove(self, target: Target) -> None:
         """End a target at once."""
         target.gone.set()
+        self.ledger.note_change('ended', target.target_id)
         if target in self.targets:
             self.targets.remove(target)
 
@@ -195,7 +200,7 @@
     def pick_target(self) -> Target:
         """Return a target that is not leaving."""
         return self.rng.choice(
-            [one for one in self.targets if one.state == 'ready']
+            [one for one in self.targets if one.state == READY]
         )
 
     def get_elapsed_s(self) -> float:
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -37,6 +37,7 @@
         'seal': get_seal('i-1', ask.req_id),
         'whole': True,
         'last_event': ask.events,
+        'whole_at': 10,
         'ended_at': 11.2,
     }
     return Attempt(ask, ENTRY, 9.9, **{**known, **fields})
