--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -156,7 +156,9 @@
         while child.poll() is None:
             await anyio.sleep(0.02)
             if time.monotonic() - self.asked_at > GRACE_S:
+                self.ledger.note_change('overrun', self.name)
                 child.kill()
+                child.wait()
 
     async def _look(self, client: httpx.AsyncClient) -> None:
         url = f'http://{self.host}:{PORTS["ready"]}/ready'
--- a/tests/soak/timed_checks.py
+++ b/tests/soak/timed_checks.py
@@ -68,6 +68,14 @@
             yield f'{req_id} at {attempt.entry} was cut after {len(runs)} runs'
 
 
+def check_graces(ledger: Ledger) -> Iterator[str]:
+    """What is asked to end does so within the grace period."""
+    for one in ledger.changes:
+        asked_at = one.at - GRACE_S
+        if one.what == 'overrun' and ledger.is_calm(one.name, asked_at, one.at):
+            yield f'{one.name} was killed'
+
+
 def check_gone(ledger: Ledger) -> Iterator[str]:
     """Targets stop working for callers that have left."""
     late = [
@@ -132,5 +140,6 @@
     check_leaving,
     check_ends,
     check_lost,
+    check_graces,
     check_gone,
 )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,8 @@
-"""A short run of the soak with real processes; no timed checks."""
+"""Short runs of the soak with real processes; no timed checks."""
 
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 
 from tests.soak.playing import play
@@ -13,8 +14,20 @@
 class SoakTest(unittest.TestCase):
     """The promises that hold however busy the machine is."""
 
-    def test_short_run(self):
+    def check(self, size):
         with tempfile.TemporaryDirectory() as folder:
-            report = play(3, SIZE, Path(folder) / 'run', timed=False)
+            report = play(3, size, Path(folder) / 'run', timed=False)
         self.assertEqual(report.violations, ())
         self.assertGreater(report.answered, 0)
+        return report
+
+    def test_short_run(self):
+        self.check(SIZE)
+
+    def test_planned_work_alone(self):
+        report = self.check(replace(SIZE, plan='planned'))
+        self.assertGreater(report.changes, 0)
+
+    def test_reader_stands_still(self):
+        report = self.check(replace(SIZE, plan='standstill'))
+        self.assertGreater(report.changes, 0)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -12,6 +12,7 @@
 )
 BOOKING = Ask('r2', 'non_idempotent', 'k1', 'desk', 'booking')
 ENTRY = 'entry-0'
+CUT_ONCE = f'lost: r1 at {ENTRY} was cut after 1 runs'
 
 
 def make_run(ask, began_at=10, **fields):
@@ -43,6 +44,12 @@
     return Attempt(ask, ENTRY, 9.9, **{**known, **fields})
 
 
+def make_cut(**fields):
+    """Return a request that was sent whole and cut before any answer."""
+    known = {'status': 0, 'whole': False, 'last_event': 0, 'seal': ''}
+    return make_attempt(STREAM, **{**known, **fields})
+
+
 def make_ledger(attempt, *runs):
     """Return a ledger of one request."""
     ledger = Ledger(attempts={attempt.ask.req_id: attempt})
@@ -83,6 +90,41 @@
         ledger.faults.append(Fault('kill_entry', ENTRY, 11, 11.1))
         self.assertEqual(run_checks(ledger), [])
 
+    def test_cut_by_a_kill_of_its_target(self):
+        ledger = make_ledger(make_cut(), make_run(STREAM))
+        ledger.faults.append(Fault('crash_target', '', 11, 11.1, 'i-1'))
+        self.assertEqual(run_checks(ledger), [])
+
+    def test_cut_by_the_end_of_its_target(self):
+        ledger = make_ledger(make_cut(), make_run(STREAM))
+        ledger.changes.append(Change('ended', 'i-1', 11.1))
+        self.assertEqual(run_checks(ledger), [])
+
+    def test_crosses_the_end_of_its_connection(self):
+        ledger = make_ledger(make_cut(ended_at=10.3))
+        self.assertEqual(run_checks(ledger), [])
+
+    def test_cut_before_it_was_whole(self):
+        ledger = make_ledger(make_cut(whole_at=None))
+        self.assertEqual(run_checks(ledger), [])
+
+    def test_never_accepted(self):
+        ledger = make_ledger(make_cut(unread=True))
+        self.assertEqual(run_checks(ledger), [])
+
+    def test_works_past_the_grace_period(self):
+        ledger = make_ledger(make_cut(), make_run(STREAM, ended_at=11.2))
+        self.ask_to_end(ledger, 4.3)
+        self.assertEqual(run_checks(ledger), [CUT_ONCE])
+        ledger = make_ledger(make_cut(), make_run(STREAM, ended_at=11.2))
+        ledger.attempts['r1'].sent_at = 7.2
+        self.ask_to_end(ledger, 4.3)
+        self.assertEqual(run_checks(ledger), [])
+
+    def ask_to_end(self, ledger, at):
+        fault = Fault('restart_entry', f'graceful {ENTRY}', at, at + 8)
+        ledger.faults.append(fault)
+
 
 class BrokenLedgerTest(unittest.TestCase):
     """Each promise that is broken is named."""
@@ -134,6 +176,10 @@
     def test_process_ended(self):
         self.expect('exits', Ledger(exits=['entry-0 ended with 1']))
 
+    def test_body_changed(self):
+        run = make_run(BOOKING, digest=7)
+        self.expect('runs', make_ledger(make_attempt(BOOKING), run))
+
     def test_revoked_key(self):
         ledger = make_ledger(make_attempt(BOOKING), make_run(BOOKING))
         ledger.changes.append(Change('revoked', 'k1', 4.8))
@@ -147,6 +193,13 @@
         ledger.changes.append(Change('leaving', 'i-1', 7.6))
         self.expect('leaving', ledger)
 
+    def test_target_has_left_while_another_entry_stood_still(self):
+        ledger = make_ledger(make_attempt(BOOKING), make_run(BOOKING))
+        ledger.changes.append(Change('leaving', 'i-1', 7.6))
+        ledger.changes.append(Change('leaving', 'i-1', 9.9))
+        ledger.faults.append(Fault('freeze_reader', 'entry-1', 7, 10))
+        self.expect('leaving', ledger)
+
     def test_no_end(self):
         attempt = make_attempt(STREAM, ended_at=15.9)
         self.expect('ends', make_ledger(attempt, make_run(STREAM)))
@@ -159,6 +212,27 @@
         )
         self.expect('lost', ledger)
 
+    def test_cut_in_a_queue(self):
+        self.expect('lost', make_ledger(make_cut()))
+
+    def test_cut_on_a_kept_connection(self):
+        self.expect('lost', make_ledger(make_cut(ended_at=10.6)))
+
+    def test_cut_while_its_target_reads(self):
+        run = replace(make_run(STREAM), status=0)
+        self.expect('lost', make_ledger(make_cut(ended_at=10.2), run))
+
+    def test_cut_after_it_was_resumed(self):
+        runs = (make_run(STREAM), replace(make_run(STREAM, 11), target='i-2'))
+        ledger = make_ledger(make_cut(), *runs)
+        ledger.changes.append(Change('ended', 'i-1', 11))
+        self.expect('lost', ledger)
+
+    def test_killed_after_the_grace_period(self):
+        fault = Fault('freeze_entry', 'entry-1', 19, 20)
+        killed = Change('overrun', ENTRY, 20)
+        self.expect('graces', Ledger(faults=[fault], changes=[killed]))
+
     def test_works_on_for_nobody(self):
         ledger = Ledger()
         for number in range(4):
