--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -90,6 +90,11 @@
         ledger.faults.append(Fault('kill_entry', ENTRY, 11, 11.1))
         self.assertEqual(run_checks(ledger), [])
 
+    def test_taken_slowly(self):
+        attempt = make_attempt(STREAM, slow=True, first_at=11, ended_at=15.9)
+        ledger = make_ledger(attempt, make_run(STREAM))
+        self.assertEqual(run_checks(ledger), [])
+
     def test_cut_by_a_kill_of_its_target(self):
         ledger = make_ledger(make_cut(), make_run(STREAM))
         ledger.faults.append(Fault('crash_target', '', 11, 11.1, 'i-1'))
@@ -212,6 +217,10 @@
         )
         self.expect('lost', ledger)
 
+    def test_no_beginning_for_a_slow_caller(self):
+        attempt = make_attempt(STREAM, slow=True, first_at=15.9, ended_at=16)
+        self.expect('ends', make_ledger(attempt, make_run(STREAM)))
+
     def test_cut_in_a_queue(self):
         self.expect('lost', make_ledger(make_cut()))
 
