--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -234,6 +234,7 @@
     def _make_route(self, name: str) -> dict:
         path, kind, service = KINDS[name]
         streaming = kind == 'streaming'
+        aim_ms = 1000 if streaming else 300
         return {
             'name': name,
             'host': HOST,
@@ -241,7 +242,7 @@
             'kind': kind,
             'service': service,
             'timeoutMs': round(self.timeouts_s[name] * 1000),
-            'sloMs': (1000 if streaming else 300) + self.variant,
+            'sloMs': aim_ms + self.variant,
             'maxAttempts': 1 if kind == 'non_idempotent' else 2,
             'resumable': streaming,
             'gapAimMs': 500 + self.variant,
