soak: planned work begins more often

Change: the longest pause between two pieces of planned work is 0.8, 1.5 or 3 s; the other plans draw as before.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -33,6 +33,8 @@
 #: faults at once, and in others one can be told from the next.
 GAP_S = 0.1
 LONGEST_GAPS_S = (1.2, 3, 6)
+#: The same of planned work, which begins more often.
+PLANNED_GAPS_S = (0.8, 1.5, 3)
 #: Steps of a series, and the pauses between them: between targets that are
 #: replaced, and between versions or changed settings at most, in seconds.
 SERIES = (3, 8)
@@ -309,7 +311,8 @@
     """Begin one fault after the other until the run is over."""
     kinds = PLANS[world.size.plan]
     names = list(kinds)
-    longest_s = rng.choice(LONGEST_GAPS_S)
+    is_planned = kinds is PLANNED
+    longest_s = rng.choice(PLANNED_GAPS_S if is_planned else LONGEST_GAPS_S)
     async with anyio.create_task_group() as group:
         while not world.over:
             await anyio.sleep(rng.uniform(GAP_S, longest_s))
