--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -7,12 +7,14 @@
 whole and never goes back.
 """
 
+from dataclasses import replace
 from typing import Awaitable, Callable
 
 import anyio
 
 from trestledock.entry import _events as events
 from trestledock.entry._dialect import Directory, News
+from trestledock.entry._listing import Listing
 from trestledock.entry._logger import emit
 from trestledock.entry._metrics import METRICS
 from trestledock.entry._news import NewsExchange
@@ -38,8 +40,6 @@
 PEERS_RETRY_S = 1.0
 #: What pauses are multiplied by at random, so that entries don't keep step.
 JITTER = (0.9, 1.1)
-#: How often lapsed entries are looked at, in seconds.
-EXPIRE_S = 0.2
 
 
 class DirectoryError(Exception):
@@ -63,7 +63,7 @@
         """Keep what is read and where it goes."""
         self.state = state
         self.directory = directory
-        self.pool = pool
+        self.listing = Listing(state, pool)
         self.gossip = exchange.gossip
         self.exchange = exchange
         self._lost: set[str] = set()
@@ -77,7 +77,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._follow)
             group.start_soon(self._follow_peers)
-            group.start_soon(self._expire)
+            group.start_soon(self.listing.run)
 
     async def _follow(self) -> None:
         while True:
@@ -98,11 +98,18 @@
             news = await self.exchange.fetch(reader)
             if news:
                 self._apply(news)
+                self._take_list(news)
                 self.exchange.take_proof(reader)
         if self._is_own_read_due(anyio.current_time()):
             await self._read_store()
         await self._sleep(ASK_S)
 
+    def _take_list(self, news: News) -> None:
+        """Take another entry's list, unless a newer one is known."""
+        if news.as_of > self.state.fleet.watch.read_at:
+            self.listing.take(news)
+            self.exchange.note_taken(news)
+
     def _is_own_read_due(self, now: float) -> bool:
         if now - self._tried_at < self._get_retry_s(now):
             return False
@@ -154,6 +161,7 @@
             with anyio.fail_after(TIMEOUT_S):
                 await read()
         except EXPECTED as exc:
+            self.state.fleet.watch.note_trouble(anyio.current_time())
             self._note_lost(step, exc)
             return False
         except Exception:
@@ -170,13 +178,8 @@
 
     async def _read_targets(self) -> None:
         asked_at = anyio.current_time()
-        try:
-            news = await self.directory.read_targets()
-        except EXPECTED:
-            self.state.fleet.note_trouble(anyio.current_time())
-            raise
-        self.state.fleet.note_read(asked_at, anyio.current_time())
-        self._apply(news)
+        news = await self.directory.read_targets()
+        self.listing.take(replace(news, as_of=asked_at))
 
     async def _follow_peers(self) -> None:
         for step in (self._announce, self._meet_peers):
@@ -203,44 +206,6 @@
             self.state.document = news.document
             source = 'store' if news.catalog else 'peer'
             emit(events.VersionApplied(catalog.version, source))
-        if news.targets or news.whole:
-            self._apply_targets(news)
-
-    def _apply_targets(self, news: News) -> None:
-        now = anyio.current_time()
-        fleet = self.state.fleet
-        if news.whole:
-            listed = {
-                one.target_id: one.listed for one in news.targets if one.listed
-            }
-            gone = fleet.keep_only(listed, now, settled=news.settled)
-            self._forget(gone)
-        for one in news.targets:
-            if one.listed is None:
-                is_gone = fleet.drop(one.target_id, now)
-                self._forget([one.target_id] if is_gone else [])
-            elif fleet.put(one.listed):
-                emit(
-                    events.TargetListed(
-                        one.target_id,
-                        one.listed.service,
-                        one.listed.standing.value,
-                    ),
-                )
-                self.state.notify()
-
-    async def _expire(self) -> None:
-        while True:
-            await anyio.sleep(EXPIRE_S)
-            self._forget(self.state.fleet.expire(anyio.current_time()))
-
-    def _forget(self, gone: list[str]) -> None:
-        for target_id in gone:
-            emit(events.TargetGone(target_id))
-            self.pool.drop(target_id)
-            self.state.health.targets.pop(target_id, None)
-        if gone:
-            self.state.notify()
 
     def _note_lost(self, step: str, exc: Exception) -> None:
         if step not in self._lost:
--- a/trestledock/platform/_store.py
+++ b/trestledock/platform/_store.py
@@ -21,6 +21,7 @@
     Head,
     HistoryForgotten,
     News,
+    OldRecord,
     TargetNews,
     Wire,
     emit,
@@ -205,13 +206,16 @@
         return decode_catalog(json.loads(document))
 
     async def read_targets(self) -> News:
-        """Return what is new of the targets, the newest of each."""
+        """Return what is new of the targets, in the order of the log.
+
+        Each record counts: one that is written late is not the newest.
+        """
         batch = await self._targets.read()
-        newest = {record.key: record.text for record in batch.records}
+        _note_old_records(batch)
         return News(
             targets=tuple(
-                TargetNews(key, _read_target(key, text))
-                for key, text in newest.items()
+                TargetNews(record.key, _read_target(record.key, record.text))
+                for record in batch.records
             ),
             whole=batch.whole,
         )
@@ -239,5 +243,18 @@
             raise DirectoryError(f'log-append {PEERS_TOPIC}: {status}')
 
 
+def _note_old_records(batch: Batch) -> None:
+    """Note records that were written after newer ones of the same target."""
+    newest: dict[str, int] = {}
+    for record in batch.records:
+        listed = _read_target(record.key, record.text)
+        if listed is None:
+            continue
+        known = newest.setdefault(record.key, listed.sequence)
+        if listed.sequence < known:
+            emit(OldRecord(record.key, listed.sequence, known))
+        newest[record.key] = max(known, listed.sequence)
+
+
 def _read_target(key: str, text: bytes) -> Listed | None:
     return decode_target(key, json.loads(text)) if text else None
