soak: callers that are idle as an entry is asked to end ask again as it closes

Change: half of the idle callers wait until 2.85 to 3.25 s after the request to end. Faults are drawn as before.

Conclusion: the end itself is now asked at.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -51,6 +51,9 @@
 THINK_S = (0.02, 0.3)
 LONG_THINK_S = (2.5, 4.5)
 LONG_SHARE = 0.06
+#: When callers that are idle as their entry is asked to end ask again, after
+#: that in seconds: around the end of its notice.
+AT_END_S = (2.85, 3.25)
 #: Pieces of a body at most, bytes of a piece at most, and the longest pause
 #: before each, in seconds.
 PIECES = 4
@@ -117,6 +120,7 @@
                 while kept and not self.is_over() and conn.is_open():
                     kept = await self._ask(conn, entry, next(numbers))
                     await self._think()
+                    await self._wait_for_end(entry)
 
     async def _think(self) -> None:
         is_long = self.rng.random() < LONG_SHARE
@@ -124,6 +128,14 @@
             self.rng.uniform(*LONG_THINK_S if is_long else THINK_S)
         )
 
+    async def _wait_for_end(self, entry: Entry) -> None:
+        """Ask an entry just as it closes, at times."""
+        if self.rng.random() < HALF:
+            at = entry.asked_at + self.rng.uniform(*AT_END_S)
+            wait_s = at - time.monotonic()
+            if wait_s < AT_END_S[1]:
+                await anyio.sleep(max(0, wait_s))
+
     def _pick_entry(self) -> Entry | None:
         ready = [one for one in self.entries if one.in_rotation]
         return self.rng.choice(ready) if ready else None
