--- a/tests/test_entry_news.py
+++ b/tests/test_entry_news.py
@@ -99,7 +99,7 @@
                 return {**plain, 'list_age_s': 3, 'targets': []}
 
             exchange._get = get
-            news = await exchange.fetch(READER)
+            news = await exchange.fetch(READER, 1)
             self.assertLess(news.as_of, state.fleet.watch.read_at)
 
         self.run_async(scenario)
@@ -119,7 +119,39 @@
                 return {**plain, 'list_age_s': 0.1}
 
             exchange._get = get
-            news = await exchange.fetch(READER)
+            news = await exchange.fetch(READER, 1)
             self.assertTrue(news.whole)
 
         self.run_async(scenario)
+
+    def test_news_of_an_older_version(self):
+        """It says nothing of held targets, so it vouches for nothing."""
+        news = self.fetch(held=None, settled=None)
+        self.assertTrue(news.whole)
+        self.assertFalse(news.settled)
+        self.assertEqual(news.held, ())
+
+    def test_news_that_makes_no_sense(self):
+        """It is as if nothing had come."""
+        self.assertIsNone(self.fetch(targets=[{'service': 1}]))
+        self.assertIsNone(self.fetch(revision=None))
+
+    def fetch(self, **changes):
+        """Fetch news with some fields changed, or left out where None."""
+        found = []
+
+        async def scenario(exchange):
+            async def get(address):
+                plain = json.loads(exchange.make_news())
+                plain.update(changes)
+                return {
+                    name: what
+                    for name, what in plain.items()
+                    if what is not None
+                }
+
+            exchange._get = get
+            found.append(await exchange.fetch(READER, 1))
+
+        self.run_async(scenario)
+        return found[0]
--- a/trestledock/platform/_store.py
+++ b/trestledock/platform/_store.py
@@ -2,31 +2,30 @@
 The platform's store
 ====================
 
-The client for the log that the platform runs: framed records in topics, of
-which the newest of each key is kept for ever.  One connection, one call at a
-time.
+What stands in the platform's log: configuration, targets and the addresses of
+the entries.
 """
 
-import base64
 import json
-import struct
-from dataclasses import dataclass
-from typing import Any, Iterator
-from urllib.parse import urlencode
-
-import anyio
+from typing import Iterable, Iterator
 
 from trestledock.entry import (
     DirectoryError,
-    Head,
-    HistoryForgotten,
     News,
     OldRecord,
+    RecordIgnored,
     TargetNews,
-    Wire,
     emit,
 )
 from trestledock.platform._documents import decode_catalog, decode_target
+from trestledock.platform._log import (
+    LENGTH,
+    OK,
+    Batch,
+    KeyedTopic,
+    Record,
+    StoreClient,
+)
 from trestledock.relay import Catalog, Listed
 
 CONFIG_TOPIC = 'keyed.op'
@@ -35,147 +34,8 @@
 PEERS_TOPIC = 'keyed.status'
 #: What the record of an entry begins with, under `status/`.
 PEER_PREFIX = 'entry-'
-OK = 200
-TRIMMED = 410
-#: The first bytes of a read: the end and the first retained offset.
-BOUNDS = struct.Struct('>QQ')
-LENGTH = struct.Struct('>I')
-
-
-@dataclass(frozen=True)
-class Record:
-    """One record of a keyed topic; without a value the key is dropped."""
-
-    key: str
-    text: bytes
-
-
-@dataclass(frozen=True)
-class Batch:
-    """Records with the offset at which the next read begins.
-
-    `whole` says that they are the newest of every key.
-    """
-
-    records: tuple[Record, ...]
-    end: int
-    whole: bool = False
-
-
-class StoreClient:
-    """Calls of the store over one connection that is opened when needed."""
-
-    def __init__(self, address: str) -> None:
-        """Keep the address; nothing is sent yet."""
-        self.address = address
-        self._wire: Wire | None = None
-        self._lock = anyio.Lock()
-
-    async def call(
-        self,
-        method: str,
-        path: str,
-        query: dict[str, Any],
-        body: bytes = b'',
-    ) -> tuple[int, bytes]:
-        """Make one call; return its status and body."""
-        async with self._lock:
-            if self._wire is None:
-                self._wire = await Wire.connect(self.address)
-            done = False
-            try:
-                status, answer = await self._exchange(
-                    self._wire, method, f'{path}?{urlencode(query)}', body
-                )
-                done = self._wire.recycle()
-            finally:
-                if not done:
-                    await self._close()
-        return status, answer
-
-    async def _exchange(
-        self,
-        wire: Wire,
-        method: str,
-        target: str,
-        body: bytes,
-    ) -> tuple[int, bytes]:
-        headers = (
-            (b'host', self.address.encode()),
-            (b'content-length', str(len(body)).encode()),
-        )
-        await wire.send(method, target, headers, body)
-        head: Head = await wire.read_head()
-        return head.status, await wire.read_body()
-
-    async def _close(self) -> None:
-        wire, self._wire = self._wire, None
-        if wire:
-            await wire.close()
-
-
-class KeyedTopic:
-    """Reads one keyed topic: all of it first, then what is new."""
-
-    def __init__(self, client: StoreClient, topic: str) -> None:
-        """Keep the topic; the first read brings everything."""
-        self.client = client
-        self.topic = topic
-        self._next: int | None = None
-
-    async def read(self) -> Batch:
-        """Return what is new, or everything where history was forgotten."""
-        if self._next is None:
-            return await self._read_newest()
-        query = {'topic': self.topic, 'part': 0, 'from': self._next}
-        status, body = await self.client.call('GET', '/log-read', query)
-        if status == TRIMMED:
-            emit(HistoryForgotten(self.topic))
-            return await self._read_newest()
-        if status != OK:
-            raise DirectoryError(f'log-read {self.topic}: {status}')
-        records = tuple(split_records(body[BOUNDS.size :]))
-        end = BOUNDS.unpack_from(body)[0]
-        if end < self._next:
-            return await self._read_newest()
-        self._next += len(records)
-        return Batch(records, self._next)
-
-    async def _read_newest(self) -> Batch:
-        """Read all pages; what is written meanwhile is read afterwards."""
-        self._next = None
-        records: list[Record] = []
-        first_end = None
-        query: dict[str, Any] = {'topic': self.topic, 'part': 0}
-        more = True
-        while more:
-            status, body = await self.client.call('GET', '/log-newest', query)
-            if status != OK:
-                raise DirectoryError(f'log-newest {self.topic}: {status}')
-            page = json.loads(body)
-            if first_end is None:
-                first_end = page['endOffset']
-            items = page['items']
-            records.extend(
-                Record(one['key'], base64.b64decode(one['value'] or ''))
-                for one in items
-            )
-            more = bool(page.get('hasMore') and items)
-            if more:
-                query['startAfter'] = items[-1]['key']
-        self._next = first_end
-        return Batch(tuple(records), first_end or 0, whole=True)
-
-
-def split_records(raw: bytes) -> Iterator[Record]:
-    """Yield the keyed records of a read."""
-    position = 0
-    while position + LENGTH.size <= len(raw):
-        start = position + LENGTH.size
-        position = start + LENGTH.unpack_from(raw, position)[0]
-        key_end = start + 1 + raw[start]
-        key = raw[start + 1 : key_end].decode()
-        yield Record(key, raw[key_end:position])
+#: What decoding raises where a record makes no sense.
+UNREADABLE = (ValueError, KeyError, TypeError, AttributeError)
 
 
 class StoreDirectory:
@@ -194,16 +54,15 @@
         newest = News()
         for record in batch.records:
             if record.key == CONFIG_KEY and record.text:
-                document = record.text.decode()
-                found = self.decode_document(document)
-                current = newest.catalog
-                if current is None or found.version > current.version:
-                    newest = News(found, document)
+                newest = _pick_newer(newest, self._decode_record(record))
         return newest
 
     def decode_document(self, document: str) -> Catalog:
         """Read the text of a configuration that another entry passed on."""
-        return decode_catalog(json.loads(document))
+        try:
+            return decode_catalog(json.loads(document))
+        except UNREADABLE as exc:
+            raise DirectoryError(f'configuration: {exc!r}') from exc
 
     async def read_targets(self) -> News:
         """Return what is new of the targets, in the order of the log.
@@ -211,14 +70,9 @@
         Each record counts: one that is written late is not the newest.
         """
         batch = await self._targets.read()
-        _note_old_records(batch)
-        return News(
-            targets=tuple(
-                TargetNews(record.key, _read_target(record.key, record.text))
-                for record in batch.records
-            ),
-            whole=batch.whole,
-        )
+        news = tuple(_read_targets(batch))
+        _note_old_records(news)
+        return News(targets=news, whole=batch.whole)
 
     async def read_peers(self) -> dict[str, str]:
         """Return the addresses that entries have announced."""
@@ -242,19 +96,46 @@
         if status != OK:
             raise DirectoryError(f'log-append {PEERS_TOPIC}: {status}')
 
+    def _decode_record(self, record: Record) -> News:
+        """Return a version, or have it read again: nobody may vouch for it."""
+        document = record.text.decode()
+        try:
+            return News(self.decode_document(document), document)
+        except DirectoryError:
+            self._config.forget()
+            raise
+
+
+def _pick_newer(one: News, other: News) -> News:
+    """Return the newer of two versions of the configuration."""
+    if one.catalog is None or other.catalog is None:
+        return one if other.catalog is None else other
+    return one if one.catalog.version > other.catalog.version else other
+
 
-def _note_old_records(batch: Batch) -> None:
+def _note_old_records(news: Iterable[TargetNews]) -> None:
     """Note records that were written after newer ones of the same target."""
     newest: dict[str, int] = {}
-    for record in batch.records:
-        listed = _read_target(record.key, record.text)
-        if listed is None:
+    for one in news:
+        if one.listed is None:
             continue
-        known = newest.setdefault(record.key, listed.sequence)
-        if listed.sequence < known:
-            emit(OldRecord(record.key, listed.sequence, known))
-        newest[record.key] = max(known, listed.sequence)
+        sequence = one.listed.sequence
+        known = newest.setdefault(one.target_id, sequence)
+        if sequence < known:
+            emit(OldRecord(one.target_id, sequence, known))
+        newest[one.target_id] = max(known, sequence)
+
+
+def _read_targets(batch: Batch) -> Iterator[TargetNews]:
+    """Yield what the records say; one that makes no sense hides no other."""
+    for record in batch.records:
+        try:
+            yield TargetNews(record.key, _read_target(record))
+        except UNREADABLE as exc:
+            emit(RecordIgnored(record.key, repr(exc)))
 
 
-def _read_target(key: str, text: bytes) -> Listed | None:
-    return decode_target(key, json.loads(text)) if text else None
+def _read_target(record: Record) -> Listed | None:
+    if not record.text:
+        return None
+    return decode_target(record.key, json.loads(record.text))
