--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -124,6 +124,7 @@
         """Send a signal to the process, if it lives."""
         if self.child and self.child.poll() is None:
             self.child.send_signal(signum)
+            self.ledger.note_change(signum.name, self.name)
             if signum is signal.SIGHUP:
                 self.hung_up_at = min(self.hung_up_at, time.monotonic())
 
@@ -169,6 +170,7 @@
         self.misses = 0 if ready else self.misses + 1
 
     def _note_exit(self, code: int) -> None:
+        self.ledger.note_change(f'exit {code}', self.name)
         expected = {-signal.SIGKILL}
         if self.ending:
             expected.add(0)
