--- a/tests/soak/playing.py
+++ b/tests/soak/playing.py
@@ -39,6 +39,7 @@
     cut: int
     faults: int
     changes: int
+    late_s: float
     violations: tuple[str, ...]
 
 
@@ -89,6 +90,7 @@
         cut=sum(bool(one.ended_at) and not one.whole for one in attempts),
         faults=len(world.ledger.faults),
         changes=len(world.ledger.changes),
+        late_s=world.late_s,
         violations=tuple(violations),
     )
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -36,6 +36,8 @@
 KEYS_A_TEAM = 4
 #: How often tickets are looked at, in seconds.
 LOOK_S = 0.5
+#: How often the driver looks whether it is held up itself, in seconds.
+BEAT_S = 0.02
 ENGINE = {
     'slots': SLOTS,
     'kvCapacity': 232_000,
@@ -79,6 +81,7 @@
     timeouts_s: dict[str, float] = field(default_factory=dict)
     numbers: int = 0
     variant: int = 0
+    late_s: float = 0
     over: bool = False
 
     async def start(self) -> None:
@@ -104,6 +107,7 @@
             await self._add_entry(number, f'127.0.0.1:{port}')
         self.group.start_soon(run_entries, self.entries, self.group)
         self.group.start_soon(self._look_at_tickets)
+        self.group.start_soon(self._note_lateness)
 
     def start_callers(self) -> None:
         """Let the callers begin."""
@@ -251,6 +255,14 @@
     async def _serve_store(self, stream: anyio.abc.SocketStream) -> None:
         await serve_stream(stream, self.store.handle)
 
+    async def _note_lateness(self) -> None:
+        """Keep the longest time for which the driver itself was held up."""
+        while True:
+            began_at = time.monotonic()
+            await anyio.sleep(BEAT_S)
+            over_s = time.monotonic() - began_at - BEAT_S
+            self.late_s = max(self.late_s, over_s)
+
     async def _look_at_tickets(self) -> None:
         while True:
             await anyio.sleep(LOOK_S)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -109,6 +109,10 @@
         ledger = make_ledger(make_cut(ended_at=10.3))
         self.assertEqual(run_checks(ledger), [])
 
+    def test_crosses_the_end_of_a_slow_callers_connection(self):
+        ledger = make_ledger(make_cut(ended_at=10.3, slow=True))
+        self.assertEqual(run_checks(ledger), [])
+
     def test_cut_before_it_was_whole(self):
         ledger = make_ledger(make_cut(whole_at=None))
         self.assertEqual(run_checks(ledger), [])
@@ -221,6 +225,10 @@
         attempt = make_attempt(STREAM, slow=True, first_at=15.9, ended_at=16)
         self.expect('ends', make_ledger(attempt, make_run(STREAM)))
 
+    def test_no_answer_for_a_slow_caller(self):
+        attempt = make_cut(slow=True, ended_at=None)
+        self.expect('ends', make_ledger(attempt, make_run(STREAM)))
+
     def test_cut_in_a_queue(self):
         self.expect('lost', make_ledger(make_cut()))
 
