--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -17,7 +17,7 @@
 from anyio.abc import SocketAttribute, TaskGroup
 
 from tests.soak.callers import HOST, KINDS, TIMEOUT_S, Caller, Keys
-from tests.soak.entries import Entry, run_entries
+from tests.soak.entries import GRACE_S, Entry, run_entries
 from tests.soak.ledger import Ledger
 from tests.soak.links import Link
 from tests.soak.serving import serve_stream
@@ -52,7 +52,8 @@
 class Size:
     """How large a run is, and what disturbs it.
 
-    `run_s` is how long callers ask; `plan` is one of `faults.PLANS`.
+    `run_s` is how long callers ask; `plan` is one of `faults.PLANS`; `grace_s`
+    is the time that entries are given to stop.
     """
 
     entries: int = 4
@@ -61,6 +62,7 @@
     callers: int = 20
     run_s: float = 20
     plan: str = 'mixed'
+    grace_s: float = GRACE_S
 
 
 @dataclass
@@ -79,6 +81,7 @@
     targets: list[Target] = field(default_factory=list)
     version: int = 0
     timeouts_s: dict[str, float] = field(default_factory=dict)
+    objective_s: float = 1
     numbers: int = 0
     variant: int = 0
     late_s: float = 0
@@ -232,13 +235,14 @@
             self.ledger,
             self.command,
             link,
+            grace_s=self.size.grace_s,
         )
         self.entries.append(entry)
 
     def _make_route(self, name: str) -> dict:
         path, kind, service = KINDS[name]
         streaming = kind == 'streaming'
-        aim_ms = 1000 if streaming else 300
+        aim_ms = round(self.objective_s * 1000) if streaming else 300
         return {
             'name': name,
             'host': HOST,
--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -9,6 +9,8 @@
 import asyncio
 import signal
 import uuid
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
 from random import Random
 from typing import Callable
 
@@ -31,15 +33,18 @@
 from trestledock.entry._state import EntryState
 from trestledock.entry._tickets import Tickets
 
+KINDS = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
 #: How long new connections are taken after the request to stop, in seconds;
 #: the balancer asks once a second and needs two misses.
 NOTICE_S = 3.0
-#: What is kept of the time to stop for the end itself, in seconds.
+#: What is kept of the time to stop for the last word to each request, and for
+#: the end itself, in seconds.
 END_MARGIN_S = 0.7
+LAST_MARGIN_S = 0.3
 #: How long an idle connection of a caller is kept beyond the configured time.
 IDLE_FACTOR = 2.0
-#: How often the end of the last request is looked for, in seconds.
-LOOK_S = 0.05
+#: How long the server itself waits for the last connection.
+FOREVER_S = float('inf')
 #: Requests on one connection before it is closed; none in practice.
 MAX_REQUESTS = 1_000_000
 #: Bytes of a request's head that may be incomplete.
@@ -50,6 +55,14 @@
 MakeDirectory = Callable[[EntrySettings], Directory]
 
 
+@dataclass(frozen=True)
+class Server:
+    """The web server: asked to `stop`, it has `ended` with no connection."""
+
+    stop: anyio.Event = field(default_factory=anyio.Event)
+    ended: anyio.Event = field(default_factory=anyio.Event)
+
+
 async def run_entry(
     read_settings: Callable[[], EntrySettings],
     dialect: Dialect,
@@ -57,32 +70,62 @@
 ) -> None:
     """Run an entry until SIGTERM, then end it gracefully.
 
-    At a hang-up the settings are read again; what a running process can't
-    take over (addresses) is told and left for the next start.
+    At a signal the settings are read again: the time to stop is the newest,
+    what a running process can't take over (addresses) is told and left for
+    the next start.
     """
     settings = read_settings()
-    kinds = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
-    with anyio.open_signal_receiver(*kinds) as signals:
+    executor = ThreadPoolExecutor(initializer=_block_signals)
+    asyncio.get_running_loop().set_default_executor(executor)
+    with anyio.open_signal_receiver(*KINDS) as signals:
         async with anyio.create_task_group() as group:
             member = f'{settings.instance}#{uuid.uuid4().hex[:8]}'
             state = EntryState(settings, member, Random(member), group)
-            stop = anyio.Event()
-            _start(state, dialect, make_directory(settings), stop)
+            server = Server()
+            _start(state, dialect, make_directory(settings), server)
             emit(events.Started(state.member, settings.data_centre))
             async for signum in signals:
+                settings = _read_again(read_settings, settings)
                 if signum != signal.SIGHUP:
                     break
-                emit(events.ReloadAsked(changed=read_settings() != settings))
-            await _drain(state, stop)
+                changed = settings != state.settings
+                emit(events.ReloadAsked(changed=changed))
+            await _drain(state, server, settings.grace_s)
+            _block_signals()
             group.cancel_scope.cancel()
     emit(events.Ended(state.in_progress))
 
 
+def _block_signals() -> None:
+    """Keep signals from a thread: from others always, from the first at last.
+
+    Once the handlers are gone a signal would end the process, which ends by
+    itself.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, KINDS)
+
+
+def _read_again(
+    read_settings: Callable[[], EntrySettings],
+    known: EntrySettings,
+) -> EntrySettings:
+    """Return the newest settings, or those known while they can't be read.
+
+    The file may be half written, and whatever is wrong with it is no reason
+    to end what is under way.
+    """
+    try:
+        return read_settings()
+    except Exception:
+        emit(events.Failed('settings'), failed=True)
+        return known
+
+
 def _start(
     state: EntryState,
     dialect: Dialect,
     directory: Directory,
-    stop: anyio.Event,
+    server: Server,
 ) -> None:
     group: TaskGroup = state.group
     pool = Pool(state.spawn)
@@ -95,13 +138,13 @@
     app = EntryApp(state, relayer, dialect, exchange)
     state.keep_running(follower.run)
     state.keep_running(gossip.run)
-    group.start_soon(_listen, state, app, stop)
+    group.start_soon(_listen, state, app, server)
 
 
 async def _listen(
     state: EntryState,
     app: EntryApp,
-    stop: anyio.Event,
+    server: Server,
 ) -> None:
     config = Config()
     settings = state.settings
@@ -115,18 +158,21 @@
     config.keep_alive_max_requests = MAX_REQUESTS
     config.h11_max_incomplete_size = MAX_HEAD_BYTES
     config.backlog = BACKLOG
-    config.graceful_timeout = state.settings.grace_s - NOTICE_S - END_MARGIN_S
+    # `_drain` says when it is over.
+    config.graceful_timeout = FOREVER_S
     state.spawn(_follow_limits, state, config)
     async with anyio.create_task_group() as group:
-        group.start_soon(_serve, app, config, stop)
+        group.start_soon(_serve, app, config, server)
 
 
-async def _serve(app: EntryApp, config: Config, stop: anyio.Event) -> None:
+async def _serve(app: EntryApp, config: Config, server: Server) -> None:
+    wait_for_stop = server.stop.wait
     try:
-        await serve(app, config, shutdown_trigger=stop.wait)  # type: ignore
+        await serve(app, config, shutdown_trigger=wait_for_stop)  # type: ignore
     except asyncio.InvalidStateError:
         # The server asks for the result of its own cancelled wait.
         emit(events.Failed('server end'))
+    server.ended.set()
 
 
 async def _follow_limits(state: EntryState, config: Config) -> None:
@@ -139,13 +185,19 @@
         await anyio.sleep(1)
 
 
-async def _drain(state: EntryState, stop: anyio.Event) -> None:
-    """Turn unready, serve on until the balancer has turned away, finish."""
+async def _drain(state: EntryState, server: Server, grace_s: float) -> None:
+    """Turn unready, serve on until the balancer has turned away, finish.
+
+    It is over when all connections are closed, since answers may still wait
+    in their buffers.  Whoever has no answer by the end is told so.
+    """
     state.leaving = True
     emit(events.Draining(state.in_progress))
     await anyio.sleep(NOTICE_S)
-    stop.set()
-    left_s = state.settings.grace_s - NOTICE_S - END_MARGIN_S
-    with anyio.move_on_after(left_s):
-        while state.in_progress:
-            await anyio.sleep(LOOK_S)
+    state.closing = True
+    server.stop.set()
+    with anyio.move_on_after(grace_s - NOTICE_S - END_MARGIN_S):
+        await server.ended.wait()
+    state.end_requests()
+    with anyio.move_on_after(END_MARGIN_S - LAST_MARGIN_S):
+        await server.ended.wait()
