--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -125,6 +125,7 @@
         """Send a signal to the process, if it lives."""
         if self.child and self.child.poll() is None:
             self.child.send_signal(signum)
+            self.ledger.note_change(signum.name, self.name)
             if signum is signal.SIGHUP:
                 self.hung_up_at = min(self.hung_up_at, time.monotonic())
 
@@ -157,7 +158,9 @@
         while child.poll() is None:
             await anyio.sleep(0.02)
             if time.monotonic() - self.asked_at > self.grace_s:
+                self.ledger.note_change('overrun', self.name)
                 child.kill()
+                child.wait()
 
     async def _look(self, client: httpx.AsyncClient) -> None:
         url = f'http://{self.host}:{PORTS["ready"]}/ready'
@@ -168,6 +171,7 @@
         self.misses = 0 if ready else self.misses + 1
 
     def _note_exit(self, code: int) -> None:
+        self.ledger.note_change(f'exit {code}', self.name)
         expected = {-signal.SIGKILL}
         if self.ending:
             expected.add(0)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -32,6 +32,7 @@
     path: str = ''
     sizes: str = ''
     events: int = 0
+    digest: int = 0
     timeout_s: float = 5
 
     @property
@@ -46,7 +47,10 @@
 
     `status` is zero where the connection ended before an answer, `last_event`
     the last event in an unbroken row from the first, `problem` says what was
-    wrong with the answer's bytes.
+    wrong with the answer's bytes.  `whole_at` is when the last byte of the
+    request was sent, `first_at` when its answer began; a `slow` caller takes
+    the rest when it likes.  `unread` tells of a first request on a connection
+    that ended with a reset: the entry may never have accepted or read it.
     """
 
     ask: Ask
@@ -57,9 +61,20 @@
     whole: bool = False
     last_event: int = 0
     problem: str = ''
+    whole_at: float | None = None
+    first_at: float | None = None
+    slow: bool = False
+    unread: bool = False
     left_at: float | None = None
     ended_at: float | None = None
 
+    @property
+    def served_at(self) -> float:
+        """When the entry had done all that didn't depend on the caller."""
+        if self.slow and self.first_at:
+            return self.first_at
+        return self.end
+
     @property
     def end(self) -> float:
         """When the caller had all that it got."""
@@ -79,6 +94,7 @@
     seal: str = ''
     status: int = 0
     key_seen: bool = False
+    digest: int = 0
     ended_at: float | None = None
 
 
@@ -144,6 +160,14 @@
             for one in (name, ALL)
         )
 
+    def get_stops(self, name: str) -> list[float]:
+        """Return when an entry was asked to end gracefully."""
+        return [
+            one.began_at
+            for one in self.faults
+            if one.entry == f'graceful {name}'
+        ]
+
     def get_runs_by_request(self) -> dict[str, list[Run]]:
         """Return the runs of each request."""
         found: dict[str, list[Run]] = {}
@@ -162,8 +186,12 @@
         return attempt.end - attempt.sent_at >= limit_s
 
     def get_changes(self, what: str) -> dict[str, float]:
-        """Return when changes of a kind were acknowledged, by name."""
-        return {one.name: one.at for one in self.changes if one.what == what}
+        """Return when changes of a kind were first acknowledged, by name."""
+        found: dict[str, float] = {}
+        for one in self.changes:
+            if one.what == what:
+                found.setdefault(one.name, one.at)
+        return found
 
     def write(self, path: Path) -> None:
         """Write the time line, a line of JSON for each thing seen."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -22,15 +22,22 @@
 from tests.soak.links import Link
 from tests.soak.serving import serve_stream
 from tests.soak.store import CONFIG, TARGETS, Store
-from tests.soak.targets import HEARTBEAT_S, SLOTS, TICKETS_BY_NAME, Target
+from tests.soak.targets import (
+    HEARTBEAT_S,
+    LEAVING,
+    READY,
+    SLOTS,
+    TICKETS_BY_NAME,
+    Target,
+)
 
 DATA_CENTRES = ('dc-a', 'dc-b', 'dc-c')
 TEAMS = ('kiosks', 'desk', 'audit')
 KEYS_A_TEAM = 4
-#: How long a target that leaves goes on serving, in seconds.
-LINGER_S = 5.0
 #: How often tickets are looked at, in seconds.
 LOOK_S = 0.5
+#: How often the driver looks whether it is held up itself, in seconds.
+BEAT_S = 0.02
 ENGINE = {
     'slots': SLOTS,
     'kvCapacity': 232_000,
@@ -43,9 +50,10 @@
 
 @dataclass(frozen=True)
 class Size:
-    """How large a run is; `run_s` is how long callers ask.
+    """How large a run is, and what disturbs it.
 
-    `grace_s` is the time that entries are given to stop.
+    `run_s` is how long callers ask; `plan` is one of `faults.PLANS`; `grace_s`
+    is the time that entries are given to stop.
     """
 
     entries: int = 4
@@ -53,6 +61,7 @@
     plain: int = 3
     callers: int = 20
     run_s: float = 20
+    plan: str = 'mixed'
     grace_s: float = GRACE_S
 
 
@@ -74,6 +83,8 @@
     timeouts_s: dict[str, float] = field(default_factory=dict)
     objective_s: float = 1
     numbers: int = 0
+    variant: int = 0
+    late_s: float = 0
     over: bool = False
 
     async def start(self) -> None:
@@ -99,6 +110,7 @@
             await self._add_entry(number, f'127.0.0.1:{port}')
         self.group.start_soon(run_entries, self.entries, self.group)
         self.group.start_soon(self._look_at_tickets)
+        self.group.start_soon(self._note_lateness)
 
     def start_callers(self) -> None:
         """Let the callers begin."""
@@ -122,7 +134,10 @@
             'version': self.version,
             'routes': [self._make_route(name) for name in KINDS],
             'services': [
-                {'name': 'engines', 'engineKind': ENGINE},
+                {
+                    'name': 'engines',
+                    'engineKind': {**ENGINE, 'stride': 43 + self.variant % 3},
+                },
                 {'name': 'booking'},
             ],
             'limits': {'idleTimeoutMs': 15_000},
@@ -162,15 +177,10 @@
         self.targets.append(target)
         return target
 
-    async def drain(self, target: Target) -> None:
+    async def replace(self, target: Target, state: str = LEAVING) -> None:
         """Let a target leave as planned, after another has come."""
         await self.add_target(target.service, target.data_centre)
-        target.state = 'draining'
-        while self.store.status != 200:
-            await anyio.sleep(0.1)
-        target.write_entry()
-        self.ledger.note_change('leaving', target.target_id)
-        await anyio.sleep(LINGER_S)
+        await target.leave(state)
         self.remove(target)
         self.store.put_json(TARGETS, target.target_id, None)
 
@@ -185,6 +195,7 @@
     def remove(self, target: Target) -> None:
         """End a target at once."""
         target.gone.set()
+        self.ledger.note_change('ended', target.target_id)
         if target in self.targets:
             self.targets.remove(target)
 
@@ -200,7 +211,7 @@
     def pick_target(self) -> Target:
         """Return a target that is not leaving."""
         return self.rng.choice(
-            [one for one in self.targets if one.state == 'ready']
+            [one for one in self.targets if one.state == READY]
         )
 
     def get_elapsed_s(self) -> float:
@@ -231,6 +242,7 @@
     def _make_route(self, name: str) -> dict:
         path, kind, service = KINDS[name]
         streaming = kind == 'streaming'
+        aim_ms = round(self.objective_s * 1000) if streaming else 300
         return {
             'name': name,
             'host': HOST,
@@ -238,15 +250,23 @@
             'kind': kind,
             'service': service,
             'timeoutMs': round(self.timeouts_s[name] * 1000),
-            'sloMs': round(self.objective_s * 1000) if streaming else 300,
+            'sloMs': aim_ms + self.variant,
             'maxAttempts': 1 if kind == 'non_idempotent' else 2,
             'resumable': streaming,
-            'gapAimMs': 500,
+            'gapAimMs': 500 + self.variant,
         }
 
     async def _serve_store(self, stream: anyio.abc.SocketStream) -> None:
         await serve_stream(stream, self.store.handle)
 
+    async def _note_lateness(self) -> None:
+        """Keep the longest time for which the driver itself was held up."""
+        while True:
+            began_at = time.monotonic()
+            await anyio.sleep(BEAT_S)
+            over_s = time.monotonic() - began_at - BEAT_S
+            self.late_s = max(self.late_s, over_s)
+
     async def _look_at_tickets(self) -> None:
         while True:
             await anyio.sleep(LOOK_S)
