--- a/tests/test_entry_closing.py
+++ b/tests/test_entry_closing.py
@@ -134,3 +134,18 @@
                 if passed and not raw.endswith(b'ok'):
                     lost.append(steps)
         self.assertEqual(lost, [])
+
+    def test_no_request_is_left_without_a_word(self):
+        """Whatever comes as the notice ends is answered, or refused.
+
+        Seen on a machine that was busy: a request whose connection was closed
+        0.2 s after it had been sent, without an answer.  The connection was
+        new, and closed as an idle one before its request had been read.
+        """
+        silent = []
+        with patch.object(_daemon, 'NOTICE_S', 0):
+            for steps in range(STEPS):
+                _, raw = anyio.run(cross, steps)
+                if not raw.startswith((b'HTTP/1.1 200', b'HTTP/1.1 503')):
+                    silent.append(steps)
+        self.assertEqual(silent, [])
