--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -12,7 +12,14 @@
 
 import anyio
 
-from trestledock.entry import _app, _daemon, _relaying, _tickets, _wire
+from trestledock.entry import (
+    _app,
+    _daemon,
+    _relaying,
+    _server,
+    _tickets,
+    _wire,
+)
 from trestledock.entry._job import STATUSES, Job, Refusal
 from trestledock.platform import _headers, run
 from trestledock.relay import Fleet, History, Proof
@@ -60,7 +67,7 @@
         await anyio.sleep(8)
         sys.exit(3)
 
-    _daemon._follow_limits = fail
+    _server._follow_limits = fail
 
 
 def revoked() -> None:
--- a/tests/test_entry_closing.py
+++ b/tests/test_entry_closing.py
@@ -19,7 +19,7 @@
 
 from tests.relaying import HOST, SETTINGS
 from trestledock.demo import get_free_port
-from trestledock.entry import _daemon
+from trestledock.entry import _daemon, _server
 from trestledock.entry._app import EntryApp
 from trestledock.entry._state import EntryState
 from trestledock.platform._headers import PlatformDialect
@@ -107,8 +107,8 @@
     async with anyio.create_task_group() as group:
         state = EntryState(settings, 'entry-1#a', Random(1), group)
         app = EntryApp(state, relayer, PlatformDialect(), None)
-        server = _daemon.Server()
-        group.start_soon(_daemon._listen, state, app, server)
+        server = _server.Server()
+        group.start_soon(_server.listen, state, app, server)
         connection = await connect(port)
         group.start_soon(_daemon._drain, state, server, settings.grace_s)
         while not server.stop.is_set():
--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -10,14 +10,11 @@
 import signal
 import uuid
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field
 from random import Random
 from typing import Callable
 
 import anyio
 from anyio.abc import TaskGroup
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
 
 from trestledock.entry._app import EntryApp
 from trestledock.entry import _events as events
@@ -29,6 +26,7 @@
 from trestledock.entry._pool import Pool
 from trestledock.entry._relaying import Relayer
 from trestledock.entry._sending import Sender
+from trestledock.entry._server import Server, listen
 from trestledock.entry._settings import EntrySettings
 from trestledock.entry._state import EntryState
 from trestledock.entry._tickets import Tickets
@@ -41,28 +39,9 @@
 #: the end itself, in seconds.
 END_MARGIN_S = 0.7
 LAST_MARGIN_S = 0.3
-#: How long an idle connection of a caller is kept beyond the configured time.
-IDLE_FACTOR = 2.0
-#: How long the server itself waits for the last connection.
-FOREVER_S = float('inf')
-#: Requests on one connection before it is closed; none in practice.
-MAX_REQUESTS = 1_000_000
-#: Bytes of a request's head that may be incomplete.
-MAX_HEAD_BYTES = 65_536
-#: Connections that may wait to be accepted.
-BACKLOG = 1024
-
 MakeDirectory = Callable[[EntrySettings], Directory]
 
 
-@dataclass(frozen=True)
-class Server:
-    """The web server: asked to `stop`, it has `ended` with no connection."""
-
-    stop: anyio.Event = field(default_factory=anyio.Event)
-    ended: anyio.Event = field(default_factory=anyio.Event)
-
-
 async def run_entry(
     read_settings: Callable[[], EntrySettings],
     dialect: Dialect,
@@ -138,51 +117,7 @@
     app = EntryApp(state, relayer, dialect, exchange)
     state.keep_running(follower.run)
     state.keep_running(gossip.run)
-    group.start_soon(_listen, state, app, server)
-
-
-async def _listen(
-    state: EntryState,
-    app: EntryApp,
-    server: Server,
-) -> None:
-    config = Config()
-    settings = state.settings
-    config.bind = [settings.callers, settings.ready, settings.peers]
-    if settings.metrics:
-        config.bind.append(settings.metrics)
-    config.accesslog = None
-    config.errorlog = None
-    config.include_date_header = False
-    config.include_server_header = False
-    config.keep_alive_max_requests = MAX_REQUESTS
-    config.h11_max_incomplete_size = MAX_HEAD_BYTES
-    config.backlog = BACKLOG
-    # `_drain` says when it is over.
-    config.graceful_timeout = FOREVER_S
-    state.spawn(_follow_limits, state, config)
-    async with anyio.create_task_group() as group:
-        group.start_soon(_serve, app, config, server)
-
-
-async def _serve(app: EntryApp, config: Config, server: Server) -> None:
-    wait_for_stop = server.stop.wait
-    try:
-        await serve(app, config, shutdown_trigger=wait_for_stop)  # type: ignore
-    except asyncio.InvalidStateError:
-        # The server asks for the result of its own cancelled wait.
-        emit(events.Failed('server end'))
-    server.ended.set()
-
-
-async def _follow_limits(state: EntryState, config: Config) -> None:
-    """Keep idle connections longer than callers reuse them."""
-    config.keep_alive_timeout = 60
-    while True:
-        if state.catalog:
-            idle_s = state.catalog.limits.idle_s * IDLE_FACTOR
-            config.keep_alive_timeout = max(idle_s, config.keep_alive_timeout)
-        await anyio.sleep(1)
+    group.start_soon(listen, state, app, server)
 
 
 async def _drain(state: EntryState, server: Server, grace_s: float) -> None:
