--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -250,3 +250,25 @@
     return Listed(
         f't{number}', 'svc', f'127.0.0.1:{port}', 'dc', Standing.ready, 8
     )
+
+
+#: A stream whose target is left after a silence of 0.8 s.
+RESUMABLE = make_route(
+    RouteKind.streaming, resumable=True, objective_s=0.3, pause_s=0.2
+)
+#: Four events, and where the third one begins.
+WHOLE = make_stream(1, 4)
+HALF = WHOLE.index(b'id: 3') - 4
+#: Two events, a silence above that, and two more.
+SILENT = Late(WHOLE[:HALF], WHOLE[HALF:])
+#: Far above what any scenario with stub targets takes, in seconds.
+PATIENCE_S = 30
+
+
+def get_event_ids(found):
+    """Return the ids of the events that a caller has got."""
+    return [
+        int(line.partition(b' ')[2])
+        for line in found.body.splitlines()
+        if line.startswith(b'id:')
+    ]
--- a/tests/test_entry_leaving.py
+++ b/tests/test_entry_leaving.py
@@ -12,9 +12,13 @@
 import anyio
 
 from tests.relaying import (
+    PATIENCE_S,
+    RESUMABLE,
+    WHOLE,
     Late,
     StubTarget,
     Torn,
+    get_event_ids,
     make_answer,
     make_listed,
     make_route,
@@ -34,20 +38,11 @@
     RouteKind,
 )
 
-#: A silence of 0.8 s has it left.
-STREAM = make_route(
-    RouteKind.streaming, resumable=True, objective_s=0.3, pause_s=0.2
-)
 ENGINE = EngineModel(8, 232_000, 0.001, 100_000, stride=40)
-WHOLE = make_stream(1, 4)
-HALF = WHOLE.index(b'id: 3') - 4
-SILENT = Late(WHOLE[:HALF], WHOLE[HALF:])
 ALL = [1, 2, 3, 4]
 #: Above twice the longest silence here, in milliseconds.
 LONG = {'trestledock-request-deadline': '8000'}
 SIZES = {'trestledock-token-counts': '1000,400'}
-#: Far above what anything here takes, in seconds.
-PATIENCE_S = 30
 NO_BUDGET = BudgetTerms(ratio=0, slack=0)
 #: Of the slack a share of 0.7 is used.
 ONE_REPEAT = BudgetTerms(ratio=0, slack=1.5)
@@ -92,15 +87,6 @@
             await anyio.sleep(0.25)
 
 
-def get_ids(found):
-    """Return the ids of the events that a caller has got."""
-    return [
-        int(line.partition(b' ')[2])
-        for line in found.body.splitlines()
-        if line.startswith(b'id:')
-    ]
-
-
 async def ask_all(world, names):
     """Send some requests at once; return what came back by their names."""
     found = {}
@@ -121,6 +107,16 @@
         await anyio.sleep(BEAT_S)
 
 
+def put_elsewhere(state):
+    """Have the targets be in a data centre whose only entry falls silent."""
+    for number in range(2):
+        listed = state.fleet.targets[f't{number}']
+        there = replace(listed, data_centre='dc-2', sequence=1)
+        state.fleet.put(there)
+    state.note_heard('dc-2', 'entry-2', anyio.current_time())
+    state.spawn(look_at_each_beat, state)
+
+
 async def wait_for_request(targets):
     """Wait until a target has got a request."""
     while not any(target.requests for target in targets):
@@ -145,7 +141,7 @@
     def check(self, found):
         """Expect that the caller got all events."""
         self.assertFalse(found.cut)
-        self.assertEqual(get_ids(found), ALL)
+        self.assertEqual(get_event_ids(found), ALL)
         self.assertTrue(found.whole)
 
     def test_two_leave_for_one_repeat(self):
@@ -155,7 +151,7 @@
             world.state.windows['svc'] = RetryWindow(ONE_REPEAT)
             return await ask_all(world, ('r1', 'r2'))
 
-        found = play(STREAM, [StreamTarget(), StreamTarget()], scenario)
+        found = play(RESUMABLE, [StreamTarget(), StreamTarget()], scenario)
         for req_id in ('r1', 'r2'):
             with self.subTest(req_id=req_id):
                 self.check(found[req_id])
@@ -169,7 +165,7 @@
             world.state.windows['svc'] = RetryWindow(terms)
             return await ask_all(world, names)
 
-        found = play(STREAM, [StreamTarget(), StreamTarget()], scenario)
+        found = play(RESUMABLE, [StreamTarget(), StreamTarget()], scenario)
         self.assertEqual([name for name in names if found[name].cut], [])
 
     def test_neighbour_ends(self):
@@ -183,16 +179,11 @@
             state = world.state
             terms = BudgetTerms(slack=BudgetTerms().slack / 6)
             state.windows['svc'] = RetryWindow(terms)
-            for number in range(2):
-                listed = state.fleet.targets[f't{number}']
-                there = replace(listed, data_centre='dc-2', sequence=1)
-                state.fleet.put(there)
-            state.note_heard('dc-2', 'entry-2', anyio.current_time())
-            state.spawn(look_at_each_beat, state)
+            put_elsewhere(state)
             return await ask_all(world, names)
 
         targets = [StreamTarget(0.7), StreamTarget(0.7)]
-        found = play(STREAM, targets, scenario)
+        found = play(RESUMABLE, targets, scenario)
         self.assertEqual([name for name in names if found[name].cut], [])
 
     def test_neighbour_ends_beside_a_flow(self):
@@ -201,15 +192,10 @@
 
         async def scenario(world):
             state = world.state
-            for number in range(2):
-                listed = state.fleet.targets[f't{number}']
-                there = replace(listed, data_centre='dc-2', sequence=1)
-                state.fleet.put(there)
-            state.note_heard('dc-2', 'entry-2', anyio.current_time())
-            state.spawn(look_at_each_beat, state)
+            put_elsewhere(state)
             return await world.ask()
 
-        self.check(play(STREAM, targets, scenario))
+        self.check(play(RESUMABLE, targets, scenario))
         requests = [one for target in targets for one in target.requests]
         self.assertEqual(len(requests), 1)
 
@@ -225,7 +211,7 @@
                 )
             return await world.ask(headers=SIZES)
 
-        self.check(play(STREAM, targets, scenario, engine=ENGINE))
+        self.check(play(RESUMABLE, targets, scenario, engine=ENGINE))
 
     def test_others_are_dead(self):
         """One is not left for a target that can't be reached."""
@@ -245,13 +231,13 @@
             return found[0]
 
         target = StreamTarget()
-        self.check(play(STREAM, [target], scenario))
+        self.check(play(RESUMABLE, [target], scenario))
         self.assertEqual(len(target.requests), 1)
 
     def test_left_for_itself(self):
         """The only usable target is not left in order to ask it again."""
         target = StreamTarget()
-        found = play(STREAM, [target], lambda world: world.ask())
+        found = play(RESUMABLE, [target], lambda world: world.ask())
         self.check(found)
         self.assertEqual(len(target.requests), 1)
 
@@ -282,7 +268,7 @@
                 state.group.start_soon(second.serve, listener)
             return found[0]
 
-        self.check(play(STREAM, [first], scenario))
+        self.check(play(RESUMABLE, [first], scenario))
 
     def test_dead_is_left_once_a_repeat_is_there(self):
         """A silent target is left as soon as another one may go on."""
@@ -357,7 +343,7 @@
     def test_stream_without_budget(self):
         """A stream without an event is given back after its target's limit."""
         late = Late(b'', make_stream(1, 4), pause_s=PATIENCE_S)
-        self.check_given_back(STREAM, [late], prepare=self.spend)
+        self.check_given_back(RESUMABLE, [late], prepare=self.spend)
 
     def test_plain_without_budget(self):
         """So is a plain request."""
--- a/tests/test_entry_limits.py
+++ b/tests/test_entry_limits.py
@@ -16,43 +16,26 @@
 
 from tests.relaying import (
     HOST,
+    PATIENCE_S,
+    RESUMABLE,
+    SILENT,
     Late,
     StubTarget,
     Torn,
+    get_event_ids,
     make_listed,
-    make_route,
     make_stream,
     run_world,
 )
 from trestledock.relay import (
     BudgetTerms,
     RetryWindow,
-    RouteKind,
     Share,
 )
 
-#: A silence of 0.8 s has it left.
-STREAM = make_route(
-    RouteKind.streaming, resumable=True, objective_s=0.3, pause_s=0.2
-)
-#: Two events, a silence above that, and two more.
-WHOLE = make_stream(1, 4)
-HALF = WHOLE.index(b'id: 3') - 4
-SILENT = Late(WHOLE[:HALF], WHOLE[HALF:])
-#: Far above what anything here takes, in seconds.
-PATIENCE_S = 30
 NO_BUDGET = BudgetTerms(ratio=0, slack=0)
 
 
-def get_ids(found):
-    """Return the ids of the events that a caller has got."""
-    return [
-        int(line.partition(b' ')[2])
-        for line in found.body.splitlines()
-        if line.startswith(b'id:')
-    ]
-
-
 class BegunTest(unittest.TestCase):
     """Streams that have begun, by who else might go on with them."""
 
@@ -72,9 +55,9 @@
                     group.start_soon(during, world.state)
                 found.append(await world.ask())
 
-        run_world(STREAM, targets, scenario)
+        run_world(RESUMABLE, targets, scenario)
         self.assertFalse(found[0].cut)
-        self.assertEqual(get_ids(found[0]), [1, 2, 3, 4])
+        self.assertEqual(get_event_ids(found[0]), [1, 2, 3, 4])
         self.assertTrue(found[0].whole)
 
     def test_resumed_at_the_last_target(self):
@@ -114,7 +97,7 @@
         async def move(state):
             while not any(target.requests for target in targets):
                 await anyio.sleep(0.01)
-            route = replace(STREAM, shares=(Share('other'),))
+            route = replace(RESUMABLE, shares=(Share('other'),))
             state.catalog = replace(
                 state.catalog,
                 version=2,
--- a/tests/test_entry_shutdown.py
+++ b/tests/test_entry_shutdown.py
@@ -134,6 +134,12 @@
     world.publish()
 
 
+async def wait_for_version(world, entry):
+    """Wait until an entry has the newest version in force."""
+    wanted = f'"version":{world.version}'
+    await wait_for(lambda: wanted in read_log(entry).replace(' ', ''))
+
+
 class EndTest(unittest.TestCase):
     """The end of the time to stop, for each state of a request."""
 
@@ -143,12 +149,7 @@
         async def run(world):
             entry = world.entries[0]
             give_time(world)
-            await wait_for(
-                lambda: (
-                    f'"version":{world.version}'
-                    in read_log(entry).replace(' ', '')
-                )
-            )
+            await wait_for_version(world, entry)
             async with anyio.create_task_group() as group:
                 await scenario(world, entry, group)
                 group.cancel_scope.cancel()
--- a/tests/test_entry_unread.py
+++ b/tests/test_entry_unread.py
@@ -20,8 +20,8 @@
     give_time,
     make_request,
     open_narrow,
-    read_log,
     wait_for_log,
+    wait_for_version,
 )
 
 
@@ -34,12 +34,7 @@
         async def run(world):
             entry = world.entries[0]
             give_time(world)
-            await wait_for(
-                lambda: (
-                    f'"version":{world.version}'
-                    in read_log(entry).replace(' ', '')
-                )
-            )
+            await wait_for_version(world, entry)
             sock = open_narrow(entry)
             sock.sendall(make_request('GET', '/look/x', LONG_ID))
             await wait_for_log(entry, 'answered')
