One place asks the shared budget for repeats; comments in the product's words

The look at the budget and its spending, with the number of entries that share it, stood three times in limits and relaying, and now stands once in the state. Two comments say what a figure rests on without naming where it was read.

--- a/trestledock/entry/_limits.py
+++ b/trestledock/entry/_limits.py
@@ -122,18 +122,15 @@
         return WireError(step, f'silent for {limit.wait_s:.2f} s')
 
     def _claim(self, job: Job) -> bool:
-        window = self.state.get_window(job.service)
-        peers = self.state.board.count_peers()
-        job.has_repeat = window.spend(anyio.current_time(), peers + 1)
+        now = anyio.current_time()
+        job.has_repeat = self.state.spend_repeat(job.service, now)
         return job.has_repeat
 
     def _is_last(self, job: Job) -> bool:
         """Whether nobody else may, or could, go on with a request now."""
         if job.history.is_last_run(job.route):
             return True
-        window = self.state.get_window(job.service)
-        peers = self.state.board.count_peers()
-        if not window.is_left(anyio.current_time(), peers + 1):
+        if not self.state.is_repeat_left(job.service, anyio.current_time()):
             return True
         # A target that is leaving works on, but takes nothing new.
         usable = any(self.state.fleet.get_usable(job.service))
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -140,9 +140,7 @@
         if job.has_repeat:
             job.has_repeat = False
             return True
-        window = self.state.get_window(job.service)
-        peers = self.state.board.count_peers()
-        return window.spend(anyio.current_time(), peers + 1)
+        return self.state.spend_repeat(job.service, anyio.current_time())
 
     async def _give_up(self, job: Job, reply: Reply, reason: Refusal) -> None:
         """End a request that no target answered."""
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -190,6 +190,16 @@
             self.windows[service] = RetryWindow(self.settings.budget)
         return self.windows[service]
 
+    def is_repeat_left(self, service: str, now: float) -> bool:
+        """Whether the shared budget has a repeat for a service."""
+        window = self.get_window(service)
+        return window.is_left(now, self.board.count_peers() + 1)
+
+    def spend_repeat(self, service: str, now: float) -> bool:
+        """Take a repeat from the shared budget; return whether one was left."""
+        window = self.get_window(service)
+        return window.spend(now, self.board.count_peers() + 1)
+
     def may_leave_early(self, now: float) -> bool:
         """Whether one more request may be given up at its target early."""
         return self.early.is_left(now, self.board.count_peers() + 1)
--- a/trestledock/relay/_view.py
+++ b/trestledock/relay/_view.py
@@ -19,7 +19,7 @@
 from trestledock.relay._fleet import Listed
 from trestledock.relay._health import Health
 
-#: What a late answer loses of its worth (the users' sheets).
+#: What a late answer loses of its worth, as callers value it.
 LATE_LOSS = 0.75
 #: The part of an allowed pause that a pass may fill.
 PAUSE_SHARE = 0.8
--- a/trestledock/relay/_worth.py
+++ b/trestledock/relay/_worth.py
@@ -3,15 +3,15 @@
 =================
 
 What requests are worth to their callers, beside one another.  The wire does
-not say it; the users' sheets are nearly linear in the tokens of a request, so
+not say it; what callers lose is nearly linear in the tokens of a request, so
 its size stands for it.
 """
 
 from trestledock.relay._call import PromptSize
 
 #: Prompt and output tokens that count as one unit of worth, that of a plain
-#: call; an output token weighs as much as ten of the prompt (the users'
-#: sheets).
+#: call; an output token weighs as much as ten of the prompt, as callers value
+#: both.
 TOKENS_PER_WORTH = 14_000
 OUTPUT_WEIGHT = 10
 
