Incarnations of targets; entries of targets and entries checked by field

Cause: a target may start again under its id. Listed had no birth, and all that is believed of a target was kept by its id: a lower sequence counted as old, and one that had said that it leaves stayed out for good. Entries were taken as they came: one with a text as sequence failed the read for all targets.

Change: Listed has `born`; everything that is believed is kept under the incarnation (id@born): standing, flights, health, connections, tickets, what was tried. The fleet knows the newest incarnation of an id, and orders words by birth, then sequence. Tickets of an incarnation that has ended are not renewed at the next. An answer that names a target names the one that was sent to. Each field of an entry is checked in platform/_entries.py; what makes no sense names no target until it is written again; so are the records of entries and keys that can't be read.

Ruled out: refusing every entry without `born`, as the issue words it. Where most targets tell it, an entry without it names none.

--- /dev/null
+++ b/tests/test_entry_incarnations.py
@@ -0,0 +1,233 @@
+"""A target starts again under its id: the whole path of an entry.
+
+Nothing that was believed of the one before may be believed of the next: where
+it is, whether it leaves, how well it answers, what it holds, and what has
+become of requests that went to it.
+"""
+
+import unittest
+from dataclasses import replace
+
+import anyio
+
+from tests.following import Store, run_entries
+from tests.relaying import (
+    Hang,
+    StubTarget,
+    Torn,
+    make_answer,
+    make_listed,
+    make_route,
+    run_world,
+)
+from trestledock.entry import TargetNews
+from trestledock.entry._tickets import RENEW_S, Tickets
+from trestledock.relay import RouteKind, Standing
+
+#: When the incarnations were born, Unix time in milliseconds.
+OLD = 1_775_000_000_000
+NEW = OLD + 5_000
+
+
+def make_born(born, sequence=1, port=80, **fields):
+    """Return the entry of target 1 as one incarnation of it writes it."""
+    listed = make_listed(1, port)
+    return replace(listed, born=born, sequence=sequence, **fields)
+
+
+def write(store, *words):
+    """Append words of target 1 to the store; None removes its entry."""
+    store.records.extend(TargetNews('t1', word) for word in words)
+
+
+def get_births(entry):
+    """Return the births of the usable incarnations of target 1."""
+    usable = entry.state.fleet.get_usable('svc')
+    return [one.born for one in usable if one.target_id == 't1']
+
+
+class ListTest(unittest.TestCase):
+    """Lists from the store and from another entry."""
+
+    def play(self, scenario, *words):
+        """Run two entries that have read some words of target 1."""
+        store = Store()
+        write(store, *words)
+        store.records.append(
+            TargetNews('t2', replace(make_listed(2, 80), born=OLD))
+        )
+        return run_entries(2, store, lambda *some: scenario(store, *some))
+
+    def test_through_another_entry(self):
+        """Who asks learns of the next one, also where the old one left."""
+
+        async def scenario(store, reader, other):
+            write(store, make_born(OLD, 91, standing=Standing.leaving))
+            await reader.read()
+            await other.ask(reader)
+            before = get_births(other)
+            write(store, make_born(NEW))
+            await reader.read()
+            await other.ask(reader)
+            return before, get_births(other)
+
+        self.assertEqual(self.play(scenario, make_born(OLD, 90)), ([], [NEW]))
+
+    def test_entry_that_is_behind(self):
+        """Its older list does not bring the old one back."""
+
+        async def scenario(store, behind, other):
+            write(store, None, make_born(NEW))
+            await other.read()
+            await other.ask(behind)
+            return get_births(other)
+
+        self.assertEqual(self.play(scenario, make_born(OLD, 90)), [NEW])
+
+    def test_both_within_one_read(self):
+        """The order in the log does not matter, births do."""
+        words = [make_born(OLD, 90), None, make_born(NEW)]
+        late = make_born(OLD, 91, standing=Standing.leaving)
+
+        async def scenario(store, reader, _):
+            write(store, make_born(NEW, 2), late)
+            await reader.read()
+            return get_births(reader)
+
+        self.assertEqual(self.play(scenario, *words), [NEW])
+
+    def test_while_held_as_lapsed(self):
+        """The old one's time is up; the new one is not held."""
+
+        async def scenario(store, reader, _):
+            reader.stand_still(3)
+            write(store, None)
+            await reader.read()
+            held = set(reader.state.fleet.held)
+            write(store, make_born(NEW))
+            await reader.read()
+            gone = reader.state.fleet.expire(anyio.current_time() + 60)
+            return held, gone, get_births(reader)
+
+        found = self.play(scenario, make_born(OLD, 90))
+        self.assertEqual(found, ({f't1@{OLD}'}, [], [NEW]))
+
+    def test_held_elsewhere(self):
+        """Another entry that holds the old one brings nothing back."""
+
+        async def scenario(store, holds, other):
+            holds.stand_still(3)
+            write(store, None)
+            await holds.read()
+            write(store, make_born(NEW), None)
+            other.state.fleet.watch.resumed_at = anyio.current_time()
+            await other.read()
+            await other.ask(holds)
+            return get_births(other)
+
+        self.assertEqual(self.play(scenario, make_born(OLD, 90)), [])
+
+    def test_what_was_believed_is_forgotten(self):
+        """Silence and failures of the old one say nothing of the next."""
+
+        async def scenario(store, reader, _):
+            health = reader.state.health
+            now = anyio.current_time()
+            health.note_silence(f't1@{OLD}', now)
+            write(store, make_born(NEW))
+            await reader.read()
+            suspect = health.is_suspect(f't1@{NEW}', now)
+            return suspect, f't1@{OLD}' in health.targets
+
+        found = self.play(scenario, make_born(OLD, 90))
+        self.assertEqual(found, (False, False))
+
+
+class FlightTest(unittest.TestCase):
+    """Requests that are at a target while it starts again."""
+
+    def play(self, kind, old, new):
+        """Ask once; the target starts again while the request is there."""
+        outcomes = []
+
+        async def scenario(world):
+            fleet = world.state.fleet
+            port = old.port
+            fleet.targets.clear()
+            fleet.newest.clear()
+            fleet.put(make_born(OLD, 90, port))
+
+            async def ask():
+                outcomes.append(await world.ask())
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                while not old.requests:
+                    await anyio.sleep(0.01)
+                fleet.put(make_born(NEW, 1, new.port))
+
+        route = make_route(kind, objective_s=0.3)
+        run_world(route, [old, new], scenario)
+        return outcomes[0]
+
+    def test_repeat_at_the_next_one(self):
+        """It is no target that was tried, and gets what may be repeated."""
+        old = StubTarget(Torn(b''))
+        new = StubTarget(make_answer())
+        found = self.play(RouteKind.idempotent, old, new)
+        self.assertEqual(found.status, 200)
+        self.assertEqual(len(new.requests), 1)
+
+    def test_unknown_outcome_stays_unknown(self):
+        """The next one has not refused what the one before may have run."""
+        old = StubTarget(Torn(b''))
+        new = StubTarget(make_answer())
+        found = self.play(RouteKind.non_idempotent, old, new)
+        self.assertEqual(found.status, 502)
+        self.assertEqual(new.requests, [])
+
+    def test_connections_are_not_shared(self):
+        """An idle connection to the one before is not used for the next."""
+        old = StubTarget(make_answer(), make_answer())
+        new = StubTarget(make_answer())
+
+        async def scenario(world):
+            fleet = world.state.fleet
+            fleet.targets.clear()
+            fleet.newest.clear()
+            fleet.put(make_born(OLD, 90, old.port))
+            await world.ask()
+            fleet.put(make_born(NEW, 1, new.port))
+            await world.ask()
+
+        run_world(make_route(), [old, new], scenario)
+        self.assertEqual((len(old.requests), len(new.requests)), (1, 1))
+
+
+class TicketTest(unittest.TestCase):
+    """Memory that was set aside at the one before."""
+
+    def test_not_renewed_at_the_next_one(self):
+        """A renewal would set memory aside there for nobody."""
+        target = StubTarget(Hang)
+        orders = []
+
+        async def scenario(world):
+            fleet = world.state.fleet
+            holder = make_born(OLD, 90, target.port)
+            fleet.put(holder)
+            tickets = Tickets(world.state, None, world.dialect)
+
+            async def order(*_):
+                orders.append(fleet.get_by_id('t1').born)
+                return 200
+
+            tickets._order = order
+            scope = anyio.CancelScope()
+            async with anyio.create_task_group() as group:
+                group.start_soon(tickets._renew, scope, holder, 'r1-1', 9)
+                await anyio.sleep(RENEW_S * 1.5)
+                fleet.put(make_born(NEW, 1, target.port))
+
+        run_world(make_route(), [target], scenario)
+        self.assertEqual(orders, [OLD])
--- a/tests/test_entry_listing.py
+++ b/tests/test_entry_listing.py
@@ -11,6 +11,7 @@
 from trestledock.entry._listing import Listing
 from trestledock.entry._pool import Pool
 from trestledock.entry._state import EntryState
+from trestledock.relay import UNTOLD
 
 #: What stands for a removal among sequences.
 REMOVED = None
@@ -67,7 +68,7 @@
     def test_removal_keeps_the_newest_sequence(self):
         """So that what was read is not taken for new later."""
         fleet = self.check(3, (7, REMOVED, 5), listed=False)
-        self.assertEqual(fleet.gone, {'t1': 7})
+        self.assertEqual(fleet.gone, {'t1': (UNTOLD, 7)})
 
 
 def make_record(sequence):
--- a/tests/test_entry_lists.py
+++ b/tests/test_entry_lists.py
@@ -68,6 +68,7 @@
             store.remove(1)
             await reader.read()
             other.state.fleet.targets.clear()
+            other.state.fleet.newest.clear()
             other.state.fleet.watch.resumed_at = anyio.current_time()
             await other.ask(reader)
             return other.state.fleet.held
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -39,7 +39,8 @@
         directory._targets.read = read
         fleet = Fleet()
         for one in anyio.run(directory.read_targets).targets:
-            fleet.put(one.listed)
+            if one.listed:
+                fleet.put(one.listed)
         return [one.target_id for one in fleet.get_usable('s')]
 
     def test_late_heartbeat_hides_nothing(self):
--- a/trestledock/bench/_sharing.py
+++ b/trestledock/bench/_sharing.py
@@ -177,8 +177,8 @@
         part = Part(
             one.ask.req_id, size.prompt_tokens / one.unread, read_s, helping
         )
-        self.engines[listed.target_id].add_part(part)
-        self._wake(listed.target_id)
+        self.engines[listed.incarnation].add_part(part)
+        self._wake(listed.incarnation)
 
     def _wake(self, target_id: str) -> None:
         engine = self.engines[target_id]
@@ -200,7 +200,7 @@
         if one.unread or one.left or one.placement is None:
             return
         size = one.prompt.size
-        target_id = one.placement.target.target_id
+        target_id = one.placement.target.incarnation
         events = -(-size.output_tokens // self.model.stride)
         self.engines[target_id].writers[one.ask.req_id] = Writer(
             one.ask.req_id, size.total_tokens // 2, max(1, events)
@@ -218,7 +218,7 @@
             pause_s = self.now - one.heard_at
             one.longest_pause_s = max(one.longest_pause_s, pause_s)
         one.heard_at = self.now
-        target_id = one.placement.target.target_id
+        target_id = one.placement.target.incarnation
         if one.ask.req_id not in self.engines[target_id].writers:
             one.done_at = self.now
             self._put(one, None)
@@ -296,7 +296,7 @@
             _make_entry(number, f'dc-{number % places}', terms)
             for number in range(entries)
         ),
-        engines={one.target_id: PassEngine(model) for one in listed},
+        engines={one.incarnation: PassEngine(model) for one in listed},
     )
 
 
--- a/trestledock/entry/__init__.py
+++ b/trestledock/entry/__init__.py
@@ -7,6 +7,7 @@
 for its formats and a `Directory` for its store.
 """
 
+from trestledock.entry._checks import read_count, read_text
 from trestledock.entry._daemon import run_entry
 from trestledock.entry._dialect import (
     AnswerNote,
@@ -47,6 +48,8 @@
     'Wire',
     'WireError',
     'emit',
+    'read_count',
+    'read_text',
     'run_entry',
     'set_up_logs',
 )
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -43,7 +43,6 @@
     ) -> tuple[Sending, float]:
         """Take an answer; return the ending and how long `wire` may idle."""
         limit = self.limits.get_first(job, placement)
-        peer = placement.target.target_id
         head = await self._read_head(job, placement, wire, limit)
         answer = self.dialect.read_head(head)
         if answer.req_id and answer.req_id != job.call.req_id:
@@ -56,7 +55,7 @@
             sending = await passing.run(head, wire.iter_body, limit)
         else:
             sending = await self._take_whole(
-                job, peer, wire, head, answer, reply
+                job, placement, wire, head, answer, reply
             )
         return sending, idle_s
 
@@ -80,20 +79,27 @@
             with self.limits.wait(job, placement, again):
                 return await wire.read_head()
             if self.limits.may_leave(job, placement):
-                peer = placement.target.target_id
+                peer = placement.target.incarnation
                 raise self.limits.give_up('answer', peer, limit)
             again = self.limits.get_again(job)
 
     def _note_silence(self, peer: str) -> None:
         self.state.note_silence(peer, anyio.current_time())
 
-    def _blame(self, job: Job, peer: str, status: int, named: str) -> str:
-        """Have the next sending avoid the target at fault; return its id.
+    def _blame(
+        self,
+        job: Job,
+        placement: Placement,
+        status: int,
+        named: str,
+    ) -> str:
+        """Have the next sending avoid the target at fault; return its name.
 
         A rejection may name a helper, which is then left alone for a while.
         421 says that another incarnation has the address: this one has gone.
         """
-        found = self.state.fleet.get_id_by_address(named)
+        peer = placement.target.incarnation
+        found = self._get_sent_to(placement, named)
         at_fault = found or peer
         job.tried.add(at_fault)
         if found:
@@ -102,18 +108,29 @@
             self.state.fleet.leaving.add(at_fault)
         return at_fault
 
+    def _get_sent_to(self, placement: Placement, named: str) -> str:
+        """Return the incarnation that an answer names by id or address.
+
+        It may have started again since it was sent to.
+        """
+        for one in (placement.target, *placement.helpers):
+            if named in (one.target_id, one.address):
+                return one.incarnation
+        return self.state.fleet.get_incarnation_by_name(named)
+
     async def _take_whole(
         self,
         job: Job,
-        peer: str,
+        placement: Placement,
         wire: Wire,
         head: Head,
         answer: AnswerNote,
         reply: Reply,
     ) -> Sending:
+        peer = placement.target.incarnation
         body = await wire.read_body()
         if answer.not_run:
-            at_fault = self._blame(job, peer, head.status, answer.at_fault)
+            at_fault = self._blame(job, placement, head.status, answer.at_fault)
             detail = f'{head.status} at {at_fault}'
             return Sending(Ending.rejected, 'answer', peer, detail)
         if head.status in PROMISES or not answer.sealed or answer.encoded:
--- /dev/null
+++ b/trestledock/entry/_checks.py
@@ -0,0 +1,57 @@
+"""
+Checks of plain values
+======================
+
+What came from another process and claims to be a text, a number or a flag.
+Each raises a `ValueError` where it is something else.
+"""
+
+import math
+from typing import Any
+
+
+def read_text(plain: Any) -> str:
+    """Return a text."""
+    if isinstance(plain, str):
+        return plain
+    raise ValueError(f'no text: {plain!r}')
+
+
+def read_flag(plain: Any) -> bool:
+    """Return a truth value."""
+    if isinstance(plain, bool):
+        return plain
+    raise ValueError(f'no flag: {plain!r}')
+
+
+def read_whole(plain: Any) -> int:
+    """Return a whole number; a flag is none, though Python counts with it."""
+    if isinstance(plain, int) and not isinstance(plain, bool):
+        return plain
+    raise ValueError(f'no whole number: {plain!r}')
+
+
+def read_count(plain: Any) -> int:
+    """Return a whole number that is not negative."""
+    count = read_whole(plain)
+    if count < 0:
+        raise ValueError(f'negative: {count}')
+    return count
+
+
+def read_amount(plain: Any) -> float:
+    """Return a finite number.
+
+    >>> read_amount(5), read_amount(0.5)
+    (5, 0.5)
+    """
+    if isinstance(plain, float) and math.isfinite(plain):
+        return plain
+    return read_whole(plain)
+
+
+def read_list(plain: Any) -> list[Any]:
+    """Return a list."""
+    if isinstance(plain, list):
+        return plain
+    raise ValueError(f'no list: {plain!r}')
--- a/trestledock/entry/_limits.py
+++ b/trestledock/entry/_limits.py
@@ -86,8 +86,8 @@
             return False
         if not may_go_on(self.state, job):
             return False
-        target_id = placement.target.target_id
-        return could_go_on(self.state, job, target_id) and self._claim(job)
+        peer = placement.target.incarnation
+        return could_go_on(self.state, job, peer) and self._claim(job)
 
     @contextmanager
     def wait(
@@ -102,7 +102,7 @@
                 yield scope
                 return
             helpers = () if job.last_event else placement.helpers
-            names = [one.target_id for one in (placement.target, *helpers)]
+            names = [one.incarnation for one in (placement.target, *helpers)]
             wait = Wait(tuple(names), scope)
             self.state.waits.add(wait)
             try:
--- a/trestledock/entry/_listing.py
+++ b/trestledock/entry/_listing.py
@@ -18,7 +18,7 @@
 from trestledock.entry._logger import emit
 from trestledock.entry._pool import Pool
 from trestledock.entry._state import EntryState
-from trestledock.relay import Listed
+from trestledock.relay import BEFORE_ALL, Listed, Order
 
 #: How often held targets are looked at, in seconds.
 LOOK_S = 0.2
@@ -71,7 +71,20 @@
         news: News,
         now: float,
     ) -> None:
-        """Take the records of one target, in the order of the log.
+        """Take the records of one target, and forget what it was before."""
+        before = self.fleet.get_by_id(target_id)
+        self._fold(target_id, records, news, now)
+        if before and self.fleet.is_superseded(before):
+            self._forget([before.incarnation], news.source)
+
+    def _fold(
+        self,
+        target_id: str,
+        records: list[Listed | None],
+        news: News,
+        now: float,
+    ) -> None:
+        """Fold the records of one target, in the order of the log.
 
         A removal may be long past, where this entry has not read for a while,
         and a record behind it may be an old one that was written late.
@@ -99,8 +112,8 @@
         are none, newer than the last one known.  And the last one known, which
         may be from others, is not newer than all of them.
         """
-        known = self.fleet.get_last_sequence(target_id)
-        newest = _get_newest(present, -1)
+        known = self.fleet.get_last_order(target_id)
+        newest = _get_newest(present, BEFORE_ALL)
         return newest >= known and newest > _get_newest(past, known)
 
     def _hold(self, news: News, now: float) -> None:
@@ -110,11 +123,11 @@
         """
         for held in news.held:
             if self.fleet.hold(held.listed, now + held.left_s):
-                self._note_held(held.listed.target_id, news, now)
+                self._note_held(held.listed, news, now)
 
     def _drop_missing(self, news: News, now: float) -> None:
         present = {one.target_id for one in news.targets if one.listed}
-        for target_id in set(self.fleet.targets) - present:
+        for target_id in set(self.fleet.newest) - present:
             self._drop(target_id, news, now)
 
     def _put(self, listed: Listed, news: News) -> None:
@@ -123,7 +136,7 @@
             return
         emit(
             events.TargetListed(
-                listed.target_id,
+                listed.incarnation,
                 listed.service,
                 listed.standing.value,
                 listed.sequence,
@@ -134,12 +147,15 @@
         self.state.notify()
 
     def _drop(self, target_id: str, news: News, now: float) -> None:
-        known = target_id in self.fleet.held
+        known = self.fleet.get_by_id(target_id)
+        if known is None:
+            return
+        was_held = known.incarnation in self.fleet.held
         until = self._get_grace_end(target_id, news, now)
         if self.fleet.drop(target_id, until, now):
-            self._forget([target_id], news.source)
-        elif target_id in self.fleet.held and not known:
-            self._note_held(target_id, news, now)
+            self._forget([known.incarnation], news.source)
+        elif not was_held:
+            self._note_held(known, news, now)
 
     def _get_grace_end(self, target_id: str, news: News, now: float) -> float:
         """Return until when a missing target may only have lapsed.
@@ -157,15 +173,16 @@
         )
         return next(ends, watch.grace_end)
 
-    def _note_held(self, target_id: str, news: News, now: float) -> None:
-        left_s = self.fleet.held[target_id] - now
-        emit(events.TargetHeld(target_id, news.source, round(left_s * MS)))
+    def _note_held(self, listed: Listed, news: News, now: float) -> None:
+        name = listed.incarnation
+        left_s = self.fleet.held[name] - now
+        emit(events.TargetHeld(name, news.source, round(left_s * MS)))
 
     def _forget(self, gone: list[str], source: str) -> None:
-        for target_id in gone:
-            emit(events.TargetGone(target_id, source))
-            self.pool.drop(target_id)
-            self.state.health.targets.pop(target_id, None)
+        for incarnation in gone:
+            emit(events.TargetGone(incarnation, source))
+            self.pool.drop(incarnation)
+            self.state.health.targets.pop(incarnation, None)
         if gone:
             self.state.notify()
 
@@ -184,8 +201,8 @@
     return _drop_none(records[:split_at]), _drop_none(records[split_at:])
 
 
-def _get_newest(records: list[Listed], least: int) -> int:
-    return max((listed.sequence for listed in records), default=least)
+def _get_newest(records: list[Listed], least: Order) -> Order:
+    return max((listed.order for listed in records), default=least)
 
 
 def _drop_none(records: Iterable[Listed | None]) -> list[Listed]:
--- a/trestledock/entry/_pool.py
+++ b/trestledock/entry/_pool.py
@@ -48,7 +48,7 @@
 
     async def take(self, target: Listed) -> Wire:
         """Return an idle connection or a new one."""
-        waiting = self._idle[target.target_id]
+        waiting = self._idle[target.incarnation]
         while waiting:
             idle = waiting.pop()
             await idle.stop_watching()
@@ -67,23 +67,23 @@
             return
         until = anyio.current_time() + idle_s
         idle = _Idle(wire, until, anyio.CancelScope(), anyio.Event())
-        self._idle[target.target_id].append(idle)
-        self._spawn(self._watch, target.target_id, idle)
+        self._idle[target.incarnation].append(idle)
+        self._spawn(self._watch, target.incarnation, idle)
 
-    def drop(self, target_id: str) -> None:
+    def drop(self, incarnation: str) -> None:
         """Close the idle connections to an incarnation that has gone."""
-        for idle in self._idle.pop(target_id, []):
+        for idle in self._idle.pop(incarnation, []):
             idle.watcher.cancel()
             self._spawn(idle.wire.close)
 
-    async def _watch(self, target_id: str, idle: _Idle) -> None:
+    async def _watch(self, incarnation: str, idle: _Idle) -> None:
         left_s = max(0, idle.until - anyio.current_time())
         try:
             with idle.watcher, anyio.move_on_after(left_s):
                 await idle.wire.wait_for_surplus()
         finally:
             idle.watched.set()
-        waiting = self._idle.get(target_id, [])
+        waiting = self._idle.get(incarnation, [])
         if idle in waiting:
             waiting.remove(idle)
             await idle.wire.close()
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -229,9 +229,9 @@
     """
     if sending.ending is Ending.rejected:
         return
-    job.tried.add(placement.target.target_id)
+    job.tried.add(placement.target.incarnation)
     if sending.ending is Ending.lost:
-        job.tried.update(one.target_id for one in placement.helpers)
+        job.tried.update(one.incarnation for one in placement.helpers)
 
 
 def _note_ending(job: Job, sending: Sending, took_ms: int) -> None:
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -63,7 +63,7 @@
         try:
             if await self.tickets.reserve(job, placement, held):
                 return await self._exchange(job, placement, reply, held)
-            peer = placement.target.target_id
+            peer = placement.target.incarnation
             return Sending(Ending.not_sent, 'reserve', peer)
         finally:
             self._clean_up(flight.flight_id, held)
@@ -80,7 +80,7 @@
         reply: Reply,
         held: dict[str, str],
     ) -> Sending:
-        peer = placement.target.target_id
+        peer = placement.target.incarnation
         try:
             wire = await self.pool.take(placement.target)
         except WireError as exc:
@@ -103,10 +103,12 @@
         if refusal:
             return Sending(Ending.not_sent, refusal.value, 'self')
         if placement.target.service != job.service:
-            return Sending(Ending.not_sent, 'moved', placement.target.target_id)
+            return Sending(
+                Ending.not_sent, 'moved', placement.target.incarnation
+            )
         for one in (placement.target, *placement.helpers):
-            if not self.state.fleet.is_usable(one.target_id):
-                return Sending(Ending.not_sent, 'left', one.target_id)
+            if not self.state.fleet.is_usable(one.incarnation):
+                return Sending(Ending.not_sent, 'left', one.incarnation)
         return None
 
     async def _talk(
@@ -118,7 +120,7 @@
         wire: Wire,
     ) -> Sending:
         """Write the request and take the answer on an open connection."""
-        peer = placement.target.target_id
+        peer = placement.target.incarnation
         idle_s: float = 0
         try:
             await self._write(job, placement, held, wire)
@@ -167,8 +169,8 @@
         emit(
             events.Placed(
                 req=job.call.req_id,
-                peer=placement.target.target_id,
-                helpers=tuple(one.target_id for one in placement.helpers),
+                peer=placement.target.incarnation,
+                helpers=tuple(one.incarnation for one in placement.helpers),
                 tickets=len(placement.tickets),
                 prompt_tokens=size.prompt_tokens if size else 0,
                 predicted_ms=round(placement.first_s * MS),
--- a/trestledock/entry/_streaming.py
+++ b/trestledock/entry/_streaming.py
@@ -44,7 +44,7 @@
         self.limits = Limits(state)
         self.job = job
         self.placement = placement
-        self.peer = placement.target.target_id
+        self.peer = placement.target.incarnation
         self.reply = reply
         self.splitter = Splitter()
         self.count = 0
--- a/trestledock/entry/_tickets.py
+++ b/trestledock/entry/_tickets.py
@@ -59,13 +59,13 @@
         """
         if not placement.tickets:
             return True
-        by_id = {one.target_id: one for one in placement.helpers}
+        by_name = {one.incarnation: one for one in placement.helpers}
         async with anyio.create_task_group() as group:
-            for target_id, tokens in placement.tickets:
+            for name, tokens in placement.tickets:
                 self._count += 1
                 ticket = f'{job.call.req_id}-{self._count}'
                 group.start_soon(
-                    self._reserve_one, by_id[target_id], ticket, tokens, held
+                    self._reserve_one, by_name[name], ticket, tokens, held
                 )
         if len(held) == len(placement.tickets):
             return True
@@ -95,14 +95,14 @@
         )
         # From here on the memory may be set aside, whatever is answered.
         self._holders[ticket] = holder
-        held[holder.target_id] = ticket
+        held[holder.incarnation] = ticket
         status = await self._order(holder, order)
         if status == OK:
             scope = anyio.CancelScope()
             self._renewals[ticket] = scope
             self.state.spawn(self._renew, scope, holder, ticket, tokens)
             return
-        held.pop(holder.target_id)
+        held.pop(holder.incarnation)
         self._holders.pop(ticket, None)
         if status == NO_ANSWER:
             self.state.spawn(self._release_one, holder, ticket)
@@ -114,9 +114,16 @@
         ticket: str,
         tokens: int,
     ) -> None:
+        """Renew a ticket until the scope ends, or the target's incarnation.
+
+        The next incarnation knows nothing of the ticket, and a renewal would
+        set memory aside there for nobody.
+        """
         with scope:
             while True:
                 await anyio.sleep(RENEW_S)
+                if self.state.fleet.is_superseded(holder):
+                    return
                 order = self.dialect.make_reserve(
                     ticket, tokens, HOLD_S, holder.address
                 )
@@ -134,7 +141,7 @@
             with anyio.fail_after(ORDER_S):
                 head = await self._exchange(holder, order)
         except (WireError, TimeoutError) as exc:
-            emit(events.OrderLost(holder.target_id, repr(exc)))
+            emit(events.OrderLost(holder.incarnation, repr(exc)))
             return NO_ANSWER
         return head.status
 
--- a/trestledock/platform/_documents.py
+++ b/trestledock/platform/_documents.py
@@ -2,8 +2,7 @@
 Documents in the store
 ======================
 
-Decodes what the operator and the targets write: the configuration under
-`op/config` and one entry for each target under `servers/`.
+Decodes what the operator writes: the configuration under `op/config`.
 """
 
 from collections import defaultdict
@@ -15,18 +14,15 @@
     Catalog,
     EngineModel,
     Limits,
-    Listed,
     Route,
     RouteKind,
     Service,
     Share,
-    Standing,
     TeamKey,
 )
 
 TOKENS_PER_K = 1000
 PAIRS_PER_M = 1_000_000
-READY = 'ready'
 #: Callers of this platform abandon a stream, also before its first event, after
 #: a gap of so many seconds, or so many times its objective or its longest
 #: pause, whichever is longest.
@@ -37,10 +33,6 @@
 FOREVER_S = float('inf')
 
 
-def _read_standing(state: str) -> Standing:
-    return Standing.ready if state == READY else Standing.leaving
-
-
 def _per_k_seconds_of(milliseconds: float) -> float:
     return seconds_of(milliseconds) / TOKENS_PER_K
 
@@ -49,15 +41,6 @@
     return seconds_of(milliseconds) / PAIRS_PER_M
 
 
-TARGET_FIELDS = (
-    Field('service', 'service'),
-    Field('address', 'address'),
-    Field('zone', 'data_centre'),
-    Field('state', 'standing', _read_standing),
-    Field('slots', 'slots'),
-    Field('sequence', 'sequence'),
-)
-
 ROUTE_FIELDS = (
     Field('name', 'name'),
     Field('host', 'host', str.lower),
@@ -103,11 +86,6 @@
     )
 
 
-def decode_target(target_id: str, plain: dict[str, Any]) -> Listed:
-    """Return a target from its entry; `zone` is a data centre."""
-    return Listed(target_id, **read_fields(plain, TARGET_FIELDS))
-
-
 def _decode_route(row: dict[str, Any]) -> Route:
     found = read_fields(row, ROUTE_FIELDS)
     route = Route(shares=_decode_shares(row), **found)
--- a/trestledock/platform/_headers.py
+++ b/trestledock/platform/_headers.py
@@ -160,7 +160,7 @@
     """Return the helpers as `IP:PORT` or `IP:PORT/TICKET`."""
     parts = []
     for helper in passing.placement.helpers:
-        ticket = passing.tickets.get(helper.target_id)
+        ticket = passing.tickets.get(helper.incarnation)
         parts.append(f'{helper.address}/{ticket}' if ticket else helper.address)
     return ','.join(parts)
 
--- a/trestledock/platform/_log.py
+++ b/trestledock/platform/_log.py
@@ -189,11 +189,19 @@
 
 
 def split_records(raw: bytes) -> Iterator[Record]:
-    """Yield the keyed records of a read."""
+    """Yield the keyed records of a read.
+
+    One without a readable key counts, too, since each has its offset.
+    """
     position = 0
     while position + LENGTH.size <= len(raw):
         start = position + LENGTH.size
         position = start + LENGTH.unpack_from(raw, position)[0]
-        key_end = start + 1 + raw[start]
-        key = raw[start + 1 : key_end].decode()
-        yield Record(key, raw[key_end:position])
+        yield _split_record(raw[start:position])
+
+
+def _split_record(framed: bytes) -> Record:
+    """Return a record; bytes of its key that can't be read are escaped."""
+    key_end = 1 + framed[0] if framed else 0
+    key = framed[1:key_end].decode(errors='backslashreplace')
+    return Record(key, framed[key_end:])
--- a/trestledock/platform/_store.py
+++ b/trestledock/platform/_store.py
@@ -17,7 +17,12 @@
     TargetNews,
     emit,
 )
-from trestledock.platform._documents import decode_catalog, decode_target
+from trestledock.platform._documents import decode_catalog
+from trestledock.platform._entries import (
+    UNREADABLE,
+    decode_address,
+    decode_entry,
+)
 from trestledock.platform._log import (
     LENGTH,
     OK,
@@ -34,8 +39,8 @@
 PEERS_TOPIC = 'keyed.status'
 #: What the record of an entry begins with, under `status/`.
 PEER_PREFIX = 'entry-'
-#: What decoding raises where a record makes no sense.
-UNREADABLE = (ValueError, KeyError, TypeError, AttributeError)
+#: What decoding raises where a configuration makes no sense.
+BAD_DOCUMENT = (*UNREADABLE, KeyError, TypeError, AttributeError)
 
 
 class StoreDirectory:
@@ -61,7 +66,7 @@
         """Read the text of a configuration that another entry passed on."""
         try:
             return decode_catalog(json.loads(document))
-        except UNREADABLE as exc:
+        except BAD_DOCUMENT as exc:
             raise DirectoryError(f'configuration: {exc!r}') from exc
 
     async def read_targets(self) -> News:
@@ -79,8 +84,7 @@
         batch = await self._peers.read()
         for record in batch.records:
             if record.key.startswith(PEER_PREFIX):
-                name = record.key[len(PEER_PREFIX) :]
-                self._known_peers[name] = record.text.decode()
+                self._take_peer(record)
         return dict(self._known_peers)
 
     async def announce(self, name: str, address: str) -> None:
@@ -96,6 +100,16 @@
         if status != OK:
             raise DirectoryError(f'log-append {PEERS_TOPIC}: {status}')
 
+    def _take_peer(self, record: Record) -> None:
+        name = record.key[len(PEER_PREFIX) :]
+        if not record.text:
+            self._known_peers.pop(name, None)
+            return
+        try:
+            self._known_peers[name] = decode_address(record.text)
+        except UNREADABLE as exc:
+            emit(RecordIgnored(record.key, repr(exc)))
+
     def _decode_record(self, record: Record) -> News:
         """Return a version, or have it read again: nobody may vouch for it."""
         document = record.text.decode()
@@ -115,27 +129,32 @@
 
 def _note_old_records(news: Iterable[TargetNews]) -> None:
     """Note records that were written after newer ones of the same target."""
-    newest: dict[str, int] = {}
+    newest: dict[str, Listed] = {}
     for one in news:
         if one.listed is None:
             continue
-        sequence = one.listed.sequence
-        known = newest.setdefault(one.target_id, sequence)
-        if sequence < known:
-            emit(OldRecord(one.target_id, sequence, known))
-        newest[one.target_id] = max(known, sequence)
+        known = newest.setdefault(one.target_id, one.listed)
+        if one.listed.order < known.order:
+            emit(OldRecord(one.listed.incarnation, *one.listed.order))
+        else:
+            newest[one.target_id] = one.listed
 
 
 def _read_targets(batch: Batch) -> Iterator[TargetNews]:
-    """Yield what the records say; one that makes no sense hides no other."""
+    """Yield what the records say; one that makes no sense hides no other.
+
+    It names no target, as little as one that was removed, until the target
+    writes its entry again.
+    """
     for record in batch.records:
-        try:
-            yield TargetNews(record.key, _read_target(record))
-        except UNREADABLE as exc:
-            emit(RecordIgnored(record.key, repr(exc)))
+        yield TargetNews(record.key, _read_target(record))
 
 
 def _read_target(record: Record) -> Listed | None:
     if not record.text:
         return None
-    return decode_target(record.key, json.loads(record.text))
+    try:
+        return decode_entry(record.key, record.text)
+    except UNREADABLE as exc:
+        emit(RecordIgnored(record.key, repr(exc)))
+        return None
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -36,8 +36,9 @@
     decide_without_place,
 )
 from trestledock.relay._events import Event, Splitter
-from trestledock.relay._fleet import Fleet, Listed, Standing
+from trestledock.relay._fleet import BEFORE_ALL, Fleet
 from trestledock.relay._health import Health
+from trestledock.relay._listed import UNTOLD, Listed, Order, Standing
 from trestledock.relay._outcome import Ending, History, Sending
 from trestledock.relay._patience import (
     EARLY_TERMS,
@@ -61,6 +62,7 @@
 
 __all__ = (
     'Ask',
+    'BEFORE_ALL',
     'BEAT_S',
     'Board',
     'BudgetTerms',
@@ -80,6 +82,7 @@
     'Limits',
     'Listed',
     'NoPlace',
+    'Order',
     'PassLoad',
     'Phase',
     'Placement',
@@ -100,6 +103,7 @@
     'TeamKey',
     'Terms',
     'Timing',
+    'UNTOLD',
     'Work',
     'choose_least_busy',
     'choose_reader',
--- a/trestledock/relay/_asking.py
+++ b/trestledock/relay/_asking.py
@@ -21,7 +21,7 @@
     decide_without_place,
     get_come_back_s,
 )
-from trestledock.relay._fleet import Listed
+from trestledock.relay._listed import Listed
 from trestledock.relay._placing import Placer
 from trestledock.relay._problem import Placement, Work
 from trestledock.relay._worth import get_worth
@@ -87,7 +87,7 @@
         """Return what the board is told of a sending."""
         return Flight(
             flight_id=self.req_id,
-            target=placement.target.target_id,
+            target=placement.target.incarnation,
             prompt_tokens=self.size.prompt_tokens,
             output_tokens=self.size.output_tokens,
             phase=phase,
@@ -95,7 +95,7 @@
             pause_s=self.pause_s,
             worth=get_worth(self.size),
             due=self.timing.due,
-            helpers=tuple(one.target_id for one in placement.helpers),
+            helpers=tuple(one.incarnation for one in placement.helpers),
             tickets=placement.tickets,
             gone=self.timing.gone,
             patience_s=self.patience_s,
--- a/trestledock/relay/_fleet.py
+++ b/trestledock/relay/_fleet.py
@@ -5,91 +5,88 @@
 The targets that relayed requests may go to, as the platform's directory lists
 them.  Leaving is final for an incarnation, and so is the removal of its entry,
 but for an entry that vanished while the directory was disturbed: it may only
-have lapsed, so it is held for a little longer.
+have lapsed, so it is held for a little longer.  Of each id only the newest
+incarnation is known, and no word of an older one changes anything of it.
 """
 
 from dataclasses import dataclass, field, replace
-from enum import Enum
 from typing import Iterator
 
+from trestledock.relay._listed import UNTOLD, Listed, Order, Standing
 from trestledock.relay._watch import Watch
 
-
-class Standing(str, Enum):
-    """What the directory says of a target."""
-
-    ready = 'ready'
-    leaving = 'leaving'
-
-
-@dataclass(frozen=True)
-class Listed:
-    """One incarnation of a target, as listed; `sequence` grows with time."""
-
-    target_id: str
-    service: str
-    address: str
-    data_centre: str = ''
-    standing: Standing = Standing.ready
-    slots: int = 1
-    sequence: int = 0
+#: Less than the order of any word.
+BEFORE_ALL: Order = (UNTOLD, -1)
 
 
 @dataclass
 class Fleet:
-    """The targets by id, and until when those are held that are missing.
-
-    `gone` keeps the last known sequence of what was dropped, so that a record
-    that is written late brings nothing back.  `revision` grows with every
-    change that matters to others; that a target is only held is one of them,
-    since others must judge for themselves whether to hold it, too.
+    """The targets by incarnation, and until when those are held that miss.
+
+    `newest` has the incarnation of each id.  `gone` keeps the order of the last
+    word of what was dropped, by id, so that a record that is written late
+    brings nothing back.  `revision` grows with every change that matters to
+    others; that a target is only held is one of them, since others must judge
+    for themselves whether to hold it, too.  `births` is how many of the
+    targets tell when they were born.
     """
 
     targets: dict[str, Listed] = field(default_factory=dict)
+    newest: dict[str, str] = field(default_factory=dict)
     held: dict[str, float] = field(default_factory=dict)
     leaving: set[str] = field(default_factory=set)
-    gone: dict[str, int] = field(default_factory=dict)
+    gone: dict[str, Order] = field(default_factory=dict)
     watch: Watch = field(default_factory=Watch)
     revision: int = 0
+    births: int = 0
 
     def put(self, listed: Listed) -> bool:
         """Take an entry; return whether it changes anything but its age."""
-        name = listed.target_id
-        if listed.standing is Standing.leaving:
-            self.leaving.add(name)
-        known = self.targets.get(name)
-        if listed.sequence < self._get_least_sequence(name):
+        self._note_standing(listed)
+        known = self.get_by_id(listed.target_id)
+        if listed.order < self._get_least_order(listed.target_id):
             return False
-        was_held = self.held.pop(name, None) is not None
-        self.targets[name] = listed
+        was_held = self.held.pop(listed.incarnation, None) is not None
+        self._set(listed)
         same = known and replace(known, sequence=listed.sequence) == listed
         if same and not was_held:
             return False
         self.revision += 1
         return True
 
-    def get_last_sequence(self, target_id: str) -> int:
-        """Return the last known sequence of a target, or less than any."""
-        known = self.targets.get(target_id)
-        return known.sequence if known else self.gone.get(target_id, -1)
+    def get_by_id(self, target_id: str) -> Listed | None:
+        """Return the newest incarnation of a target, if it is known."""
+        return self.targets.get(self.newest.get(target_id, ''))
+
+    def is_superseded(self, listed: Listed) -> bool:
+        """Whether a target has started again since."""
+        return self.get_last_order(listed.target_id)[0] > listed.born
+
+    def get_last_order(self, target_id: str) -> Order:
+        """Return the order of the last word on a target, or less than any."""
+        known = self.get_by_id(target_id)
+        return known.order if known else self.gone.get(target_id, BEFORE_ALL)
 
     def note_past(self, listed: Listed) -> None:
         """Take a record that a removal has followed since."""
-        name = listed.target_id
-        known = self.targets.get(name)
-        if known:
-            newest = max(known.sequence, listed.sequence)
-            self.targets[name] = replace(known, sequence=newest)
-        else:
-            self.gone[name] = max(self.gone.get(name, 0), listed.sequence)
+        self._note_standing(listed)
+        known = self.get_by_id(listed.target_id)
+        if known is None:
+            last = self.get_last_order(listed.target_id)
+            self.gone[listed.target_id] = max(last, listed.order)
+        elif listed.born > known.born:
+            self._set(listed)
+        elif listed.order > known.order:
+            self._set(replace(known, sequence=listed.sequence))
 
     def hold(self, listed: Listed, until: float) -> bool:
         """Take a target that another instance holds, if it is news here."""
         name = listed.target_id
-        if name in self.targets or name in self.gone:
+        is_known = name in self.newest or name in self.gone
+        if is_known and not self._is_newer_birth(listed):
             return False
-        self.targets[name] = listed
-        self.held[name] = until
+        self._set(listed)
+        self.held[listed.incarnation] = until
         self.revision += 1
         return True
 
@@ -98,21 +95,22 @@
 
         It may only have lapsed until the instant `until`.
         """
-        if target_id not in self.targets:
+        known = self.get_by_id(target_id)
+        if known is None:
             return False
         if now >= until:
-            self._remove(target_id)
+            self._remove(known)
             return True
-        if target_id not in self.held:
-            self.held[target_id] = until
+        if known.incarnation not in self.held:
+            self.held[known.incarnation] = until
             self.revision += 1
         return False
 
     def expire(self, now: float) -> list[str]:
-        """Drop held targets that did not come back; return their ids."""
+        """Drop held targets that did not come back; return incarnations."""
         over = [one for one, until in self.held.items() if now >= until]
-        for target_id in over:
-            self._remove(target_id)
+        for incarnation in over:
+            self._remove(self.targets[incarnation])
         return over
 
     def get_listed(self) -> Iterator[Listed]:
@@ -131,33 +129,75 @@
 
     def get_usable(self, service: str) -> Iterator[Listed]:
         """Return the targets of a service that may get new work."""
+        births_are_told = self._are_births_told()
         return (
             listed
-            for listed in self.targets.values()
-            if listed.service == service and self.is_usable(listed.target_id)
+            for name, listed in self.targets.items()
+            if listed.service == service
+            and name not in self.leaving
+            and (listed.born != UNTOLD or not births_are_told)
         )
 
-    def is_usable(self, target_id: str) -> bool:
+    def is_usable(self, incarnation: str) -> bool:
         """Whether a target may get new work now."""
-        return target_id in self.targets and target_id not in self.leaving
+        listed = self.targets.get(incarnation)
+        if listed is None or incarnation in self.leaving:
+            return False
+        return listed.born != UNTOLD or not self._are_births_told()
 
-    def get_id_by_address(self, name: str) -> str:
-        """Return the id of the target that is named by id or by address."""
-        if name in self.targets:
-            return name
+    def get_incarnation_by_name(self, name: str) -> str:
+        """Return the target that is named by id or by address."""
+        if name in self.newest:
+            return self.newest[name]
         for listed in self.targets.values():
             if listed.address == name:
-                return listed.target_id
+                return listed.incarnation
         return ''
 
-    def _get_least_sequence(self, target_id: str) -> int:
-        """Return the least sequence of a record that says something new."""
-        known = self.targets.get(target_id)
-        if known:
-            return known.sequence
-        return self.gone.get(target_id, -1) + 1
+    def _are_births_told(self) -> bool:
+        """Whether targets here tell when they were born, as most show.
+
+        An entry without it is another writer's then, and names no target; on a
+        platform where none tells it, all count as born at the same time.
+        """
+        return self.births * 2 >= len(self.targets)
+
+    def _is_newer_birth(self, listed: Listed) -> bool:
+        return listed.born > self.get_last_order(listed.target_id)[0]
 
-    def _remove(self, target_id: str) -> None:
-        self.gone[target_id] = self.targets.pop(target_id).sequence
-        self.held.pop(target_id, None)
+    def _note_standing(self, listed: Listed) -> None:
+        """Note that a target leaves, whenever it said so."""
+        if listed.standing is Standing.leaving:
+            self.leaving.add(listed.incarnation)
+
+    def _get_least_order(self, target_id: str) -> Order:
+        """Return the least order of a word that says something new."""
+        known = self.get_by_id(target_id)
+        if known:
+            return known.order
+        born, sequence = self.gone.get(target_id, BEFORE_ALL)
+        return born, sequence + 1
+
+    def _set(self, listed: Listed) -> None:
+        """Know an incarnation, and forget the one before it."""
+        before = self.get_by_id(listed.target_id)
+        if before and before.born == listed.born:
+            self.targets[listed.incarnation] = listed
+            return
+        if before:
+            self._forget(before)
+            self.held.pop(before.incarnation, None)
+        self.targets[listed.incarnation] = listed
+        self.newest[listed.target_id] = listed.incarnation
+        self.births += listed.born != UNTOLD
+
+    def _forget(self, listed: Listed) -> None:
+        self.targets.pop(listed.incarnation)
+        self.newest.pop(listed.target_id)
+        self.births -= listed.born != UNTOLD
+
+    def _remove(self, listed: Listed) -> None:
+        self._forget(listed)
+        self.held.pop(listed.incarnation, None)
+        self.gone[listed.target_id] = listed.order
         self.revision += 1
--- a/trestledock/relay/_giants.py
+++ b/trestledock/relay/_giants.py
@@ -35,7 +35,7 @@
     if best is None:
         best = _plan_giant(problem, holders, len(holders) - 1)
     share = _get_share(problem, len(holders))
-    tickets = tuple((view.listed.target_id, share) for view in holders[1:])
+    tickets = tuple((view.listed.incarnation, share) for view in holders[1:])
     return replace(best, tickets=tickets)
 
 
--- a/trestledock/relay/_parts.py
+++ b/trestledock/relay/_parts.py
@@ -64,7 +64,7 @@
     part_s: float,
 ) -> list[View]:
     """Return the other engines, those that lose least first."""
-    taken_ids = {view.listed.target_id for view in taken}
+    taken_ids = {view.listed.incarnation for view in taken}
 
     def cost_of(view: View) -> float:  # noqa: WPS430 - a sort key
         return (
@@ -75,6 +75,8 @@
         )
 
     others = [
-        view for view in problem.views if view.listed.target_id not in taken_ids
+        view
+        for view in problem.views
+        if view.listed.incarnation not in taken_ids
     ]
     return sorted(others, key=cost_of)
--- a/trestledock/relay/_placing.py
+++ b/trestledock/relay/_placing.py
@@ -20,7 +20,7 @@
 )
 from trestledock.relay._board import Board
 from trestledock.relay._catalog import EngineModel
-from trestledock.relay._fleet import Listed
+from trestledock.relay._listed import Listed
 from trestledock.relay._giants import place_giant
 from trestledock.relay._health import Health
 from trestledock.relay._parts import HELPER_COUNTS, plan_parts
@@ -91,7 +91,7 @@
         )
 
     def _get_order(self, listed: Listed) -> int:
-        return crc32(f'{self.member}{listed.target_id}'.encode())
+        return crc32(f'{self.member}{listed.incarnation}'.encode())
 
 
 def _get_planner(problem: Problem) -> Planner:
@@ -113,12 +113,12 @@
     """Pack: the fullest engine on which nobody loses anything."""
     read_s = problem.read_s
     costs = {
-        view.listed.target_id: problem.get_whole_cost(view, read_s)
+        view.listed.incarnation: problem.get_whole_cost(view, read_s)
         for view in problem.views
     }
 
     def cost_of(view: View) -> float:  # noqa: WPS430 - a sort key
-        return costs[view.listed.target_id]
+        return costs[view.listed.incarnation]
 
     easy = [
         view
--- a/trestledock/relay/_plain.py
+++ b/trestledock/relay/_plain.py
@@ -9,7 +9,7 @@
 from typing import Callable, Sequence
 
 from trestledock.relay._board import Board
-from trestledock.relay._fleet import Listed
+from trestledock.relay._listed import Listed
 from trestledock.relay._health import Health
 
 #: How many slots' share of work a failing and a remote plain target seem to
@@ -33,8 +33,8 @@
     """
 
     def load_of(listed: Listed) -> tuple[float, float]:  # noqa: WPS430
-        count = sum(1 for _ in board.get_flights(listed.target_id))
-        known = health.get(listed.target_id)
+        count = sum(1 for _ in board.get_flights(listed.incarnation))
+        known = health.get(listed.incarnation)
         busy = (count + 1) / max(1, listed.slots)
         busy += known.get_failure_share(now) * FAILURE_LOAD
         busy += REMOTE_LOAD * (listed.data_centre != data_centre)
--- a/trestledock/relay/_problem.py
+++ b/trestledock/relay/_problem.py
@@ -12,7 +12,7 @@
 
 from trestledock.relay._call import PromptSize
 from trestledock.relay._catalog import EngineModel
-from trestledock.relay._fleet import Listed
+from trestledock.relay._listed import Listed
 from trestledock.relay._terms import TERMS, Terms
 from trestledock.relay._view import LATE_LOSS, PAUSE_SHARE, View
 
--- a/trestledock/relay/_view.py
+++ b/trestledock/relay/_view.py
@@ -16,7 +16,7 @@
 )
 from trestledock.relay._board import Board, Flight, Phase
 from trestledock.relay._catalog import EngineModel
-from trestledock.relay._fleet import Listed
+from trestledock.relay._listed import Listed
 from trestledock.relay._health import Health
 
 #: What a late answer loses of its worth, as callers value it.
@@ -96,11 +96,11 @@
 
     def view(self, engine: EngineModel, listed: Listed, now: float) -> View:
         """Return what an engine has to do now."""
-        target_id = listed.target_id
-        flights = tuple(self.board.get_flights(target_id))
-        own = [one for one in flights if one.target == target_id]
-        held = sum(one.get_held_tokens(target_id) for one in flights)
-        health = self.health.get(target_id)
+        name = listed.incarnation
+        flights = tuple(self.board.get_flights(name))
+        own = [one for one in flights if one.target == name]
+        held = sum(one.get_held_tokens(name) for one in flights)
+        health = self.health.get(name)
         base_s = get_write_pass_s(engine, PassLoad(len(own) + 1, held))
         return View(
             listed=listed,
