One retry budget for both interfaces

Cause: the core had a token bucket, relayed requests a sliding window with the same purpose. The window, which several instances may share, stays. tests/test_parts.py and test_scenarios.py keep what they proved: a spent budget refuses, and first attempts earn retries.

--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -17,11 +17,11 @@
 from trestledock.process._liveness import Liveness
 from trestledock.process._load import EngineLoad, Sent
 from trestledock.process._queue import FairQueue, Waiting
+from trestledock.relay import BudgetTerms, RetryWindow
 from trestledock.request import (
     Breaker,
     Kind,
     Request,
-    RetryBudget,
     draw_backoff,
 )
 from trestledock.version import (
@@ -209,9 +209,9 @@
         self.assertEqual(failing, Term('zone', Op.present))
 
     def test_retry_bounds(self):
-        budget = RetryBudget(tokens=1)
-        self.assertTrue(budget.spend())
-        self.assertFalse(budget.spend())
+        budget = RetryWindow(BudgetTerms(ratio=0, slack=2))
+        self.assertTrue(budget.spend(0, instances=1))
+        self.assertFalse(budget.spend(0, instances=1))
         rng = Random(1)
         self.assertLessEqual(max(draw_backoff(9, rng) for _ in range(99)), 1)
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -43,10 +43,12 @@
         text = 'fleet a:1:1:1\ntraffic call rate=9 from=9 until=12\nend 8'
         run = read_scenario(text)
         run.world.run_until(8)
-        state = run.world.hosts['entry-a1'].node.state
-        state.get_budget('booking').tokens = 0
-        run.world.run_until(20)
-        self.assertGreater(state.get_budget('booking').tokens, 1)
+        budget = run.world.hosts['entry-a1'].node.state.get_budget('booking')
+        for _ in range(99):
+            budget.spend(8, instances=1)
+        self.assertFalse(budget.is_left(8, instances=1))
+        run.world.run_until(14)
+        self.assertTrue(budget.is_left(14, instances=1))
 
     @params('fly 3', 'at 3 explode', 'traffic call', 'end soon')
     def test_unknown_words(self, line):
--- a/trestledock/process/_answers.py
+++ b/trestledock/process/_answers.py
@@ -272,7 +272,7 @@
         reason = Reason.target_rejected
     if not (live.req.idempotent or message.not_started):
         refuse(state, live, reason, LOST_WAIT_S, message.detail)
-    elif state.get_budget(live.pool).spend():
+    elif state.get_budget(live.pool).spend(now, instances=1):
         state.count('retries', reason.value)
         live.enter(Phase.backoff)
         state.get_queue(live.pool).finish(live.req.req_id)
--- a/trestledock/process/_arrivals.py
+++ b/trestledock/process/_arrivals.py
@@ -88,7 +88,7 @@
     if _refuse_empty(state, live, field):
         return
     live.pool = field.pool.name if field.pool else ''
-    state.get_budget(live.pool).earn()
+    state.get_budget(live.pool).earn(now)
     if live.req.idempotent or not live.req.idempotency_key:
         start_call(state, live, field.candidates, live.req.deadline, now)
         return
@@ -114,7 +114,7 @@
     wait_s = ahead / len(field.candidates)
     if _refuse_late(state, live, best, wait_s, now):
         return
-    state.get_budget(live.pool).earn()
+    state.get_budget(live.pool).earn(now)
     live.least_s = best.prefill_s + best.decode_s
     waiting = make_waiting(state, live)
     queue.push(waiting)
--- a/trestledock/process/_state.py
+++ b/trestledock/process/_state.py
@@ -23,7 +23,7 @@
 from trestledock.process._policy import Policy
 from trestledock.process._queue import FairQueue
 from trestledock.process._timers import Timers
-from trestledock.request import RetryBudget
+from trestledock.relay import BudgetTerms, RetryWindow
 from trestledock.version import Configuration, Reader
 
 
@@ -76,7 +76,7 @@
     permits: dict[tuple[str, ...], Any] = field(default_factory=dict)
     limits: Limits = field(default_factory=Limits)
     queues: dict[str, FairQueue] = field(default_factory=dict)
-    budgets: dict[str, RetryBudget] = field(default_factory=dict)
+    budgets: dict[str, RetryWindow] = field(default_factory=dict)
     live: dict[str, Live] = field(default_factory=dict)
     epochs: dict[str, Epoch] = field(default_factory=dict)
     liveness: Liveness = field(default_factory=Liveness)
@@ -121,9 +121,9 @@
         """Return the fair queue of a pool."""
         return self.queues.setdefault(pool, FairQueue())
 
-    def get_budget(self, pool: str) -> RetryBudget:
-        """Return the retry budget of a pool."""
-        return self.budgets.setdefault(pool, RetryBudget())
+    def get_budget(self, pool: str) -> RetryWindow:
+        """Return the retry budget of a pool at this instance."""
+        return self.budgets.setdefault(pool, RetryWindow(BudgetTerms()))
 
     def get_targets(self) -> Mapping[str, Target]:
         """Return the targets by name."""
--- a/trestledock/request/__init__.py
+++ b/trestledock/request/__init__.py
@@ -22,7 +22,7 @@
     Request,
     get_class_by_tokens,
 )
-from trestledock.request._retry import Breaker, RetryBudget, draw_backoff
+from trestledock.request._retry import Breaker, draw_backoff
 from trestledock.request._stream import Assembler, Chunk
 
 __all__ = (
@@ -40,7 +40,6 @@
     'Outcome',
     'Reason',
     'Request',
-    'RetryBudget',
     'Verdict',
     'derive_outcome',
     'draw_backoff',
--- a/trestledock/request/_retry.py
+++ b/trestledock/request/_retry.py
@@ -2,19 +2,15 @@
 Retries
 =======
 
-Three bounds on retries: a budget that ties them to first attempts, a backoff
-with full jitter inside the deadline, and a breaker per target.  A counter per
-reason is kept by the node.
+Two bounds on retries: a backoff with full jitter inside the deadline, and a
+breaker per target.  The budget that ties them to first attempts is that of
+`trestledock.relay`.  A counter per reason is kept by the node.
 """
 
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
 
-#: Retries allowed for each first attempt.
-BUDGET_RATIO = 0.1
-#: Retries that may be saved up, and that a quiet instance starts with.
-BUDGET_CAP = 20.0
 #: First and largest backoff, in seconds.
 BACKOFF_BASE_S = 0.02
 BACKOFF_CAP_S = 1.0
@@ -25,24 +21,6 @@
 MAX_DOUBLINGS = 4
 
 
-@dataclass
-class RetryBudget:
-    """A token bucket filled by first attempts and drained by retries."""
-
-    tokens: float = BUDGET_CAP
-
-    def earn(self) -> None:
-        """Count a first attempt."""
-        self.tokens = min(BUDGET_CAP, self.tokens + BUDGET_RATIO)
-
-    def spend(self) -> bool:
-        """Take one retry from the budget; False where it is spent."""
-        if self.tokens < 1:
-            return False
-        self.tokens -= 1
-        return True
-
-
 def draw_backoff(number: int, rng: Random) -> float:
     """Return a full-jitter backoff in seconds before attempt `number`."""
     ceiling = min(BACKOFF_CAP_S, BACKOFF_BASE_S * 2**number)
