The reader is asked by the bound on changes, and answers are looked for

Ruled out: longer reads of the store, which the bound on drains needs. Test: read and question take less than half of the bound.

--- a/tests/test_entry_following.py
+++ b/tests/test_entry_following.py
@@ -8,7 +8,6 @@
 from tests.relaying import SETTINGS, make_listed
 from trestledock.entry import DirectoryError, News, TargetNews
 from trestledock.entry._following import (
-    ASK_S,
     FETCH_LEAST_S,
     FETCH_S,
     Follower,
@@ -171,7 +170,7 @@
 
         async def scenario(follower):
             pause_s = follower._get_ask_pause_s(anyio.current_time())
-            self.assertLess(pause_s, ASK_S)
+            self.assertLess(pause_s, follower._pace.ask_s)
 
         self.run_stale(scenario, age_s=1.0)
 
--- a/tests/test_relay_readers.py
+++ b/tests/test_relay_readers.py
@@ -4,6 +4,7 @@
 
 from trestledock.relay import (
     Candidate,
+    ReadPace,
     choose_reader,
     get_own_read_in_s,
     get_retry_s,
@@ -36,6 +37,13 @@
             self.assertGreater(get_own_read_in_s(name, names, 0.8), 0)
             self.assertLess(get_own_read_in_s(name, names, 1.2), 0)
 
+    def test_delays_add_up_within_the_bound(self):
+        """A read, a question and an answer later a change is known."""
+        for settle_s in (2, 3, 4, 10):
+            pace = ReadPace(settle_s)
+            self.assertLess(pace.read_s + pace.ask_s, settle_s / 2)
+            self.assertLessEqual(pace.ask_s, 0.6)
+
     def test_own_reads_are_spread(self):
         """Not all of many instances read at the same moment."""
         names = [f'e{one:03}' for one in range(90)]
--- a/trestledock/entry/_datagrams.py
+++ b/trestledock/entry/_datagrams.py
@@ -11,8 +11,6 @@
 import socket
 from typing import Iterable, Iterator
 
-import anyio
-
 from trestledock.entry import _events as events
 from trestledock.entry._logger import emit
 
@@ -50,10 +48,6 @@
                 emit(events.DatagramDropped(repr(exc)))
                 return
 
-    async def wait(self) -> None:
-        """Wait until something has come in."""
-        await anyio.wait_readable(self._socket)
-
     def close(self) -> None:
         """Close the socket."""
         self._socket.close()
--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -25,8 +25,6 @@
     get_retry_s,
 )
 
-#: How often the others ask the reader, in seconds.
-ASK_S = 0.3
 #: How long the fetch of news from the reader may take, in seconds, and how long
 #: at least where an own read is due soon: some hundred times the way there.
 FETCH_S = 1.0
@@ -129,7 +127,8 @@
     def _get_ask_pause_s(self, now: float) -> float:
         """Return when to ask again: at the latest when an own read is due."""
         due_in_s = self._get_own_read_in_s(now)
-        return min(ASK_S, due_in_s) if due_in_s > 0 else ASK_S
+        pause_s = self._pace.ask_s
+        return min(pause_s, due_in_s) if due_in_s > 0 else pause_s
 
     def _take_list(self, news: News) -> None:
         """Take another entry's list if it is surely newer than the own one."""
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -159,11 +159,9 @@
     async def wait_for(self, event: anyio.Event) -> None:
         """Wait for an event that a word brings."""
         while not event.is_set():
-            if self._datagrams is None:
+            with anyio.move_on_after(LOOK_S):
                 await event.wait()
-            else:
-                await self._datagrams.wait()
-                self.catch_up()
+            self.catch_up()
 
     def take(self, raw: bytes, sender: Address) -> bool:
         """Take a word; return whether it changes what targets have to do.
--- a/trestledock/relay/_readers.py
+++ b/trestledock/relay/_readers.py
@@ -16,6 +16,10 @@
 #: which the store is read again; the rest is for the way to the others, and for
 #: noticing that a reader is gone.
 READ_SHARE = 0.2
+#: The part of that time after which the reader is asked again, and the longest
+#: pause, in seconds: a fifth of the age up to which keys are served.
+ASK_SHARE = 0.15
+ASK_MOST_S = 0.6
 #: A proof up to this age makes an instance fit to be asked, in pauses between
 #: reads.
 FRESH_PAUSES = 2.0
@@ -51,6 +55,11 @@
         """The pause between two reads in seconds."""
         return self.settle_s * READ_SHARE
 
+    @property
+    def ask_s(self) -> float:
+        """The pause between two questions to the reader in seconds."""
+        return min(ASK_MOST_S, self.settle_s * ASK_SHARE)
+
     @property
     def fresh_s(self) -> float:
         """Up to what age of its proof an instance is fit to be asked."""
