--- a/tests/following.py
+++ b/tests/following.py
@@ -10,7 +10,8 @@
 from tests.virtual_loop import run_virtually
 from trestledock.entry import DirectoryError, News, TargetNews
 from trestledock.entry._following import Follower
-from trestledock.entry._gossip import Gossip, Peer
+from trestledock.entry._gossip import Gossip
+from trestledock.entry._peers import Peer
 from trestledock.entry._news import NewsExchange
 from trestledock.entry._pool import Pool
 from trestledock.entry._state import EntryState
@@ -100,7 +101,7 @@
         """Ask another entry a moment later, as is done again and again."""
         await anyio.sleep(STEP_S)
         peer = Peer(reader.address, anyio.current_time(), 0)
-        self.gossip.peers[reader.name] = peer
+        self.gossip.peers.known[reader.name] = peer
         await self.follower._ask(reader.name)
 
     def stand_still(self, pause_s):
--- a/tests/test_entry_following.py
+++ b/tests/test_entry_following.py
@@ -12,7 +12,8 @@
     FETCH_S,
     Follower,
 )
-from trestledock.entry._gossip import Gossip, Peer
+from trestledock.entry._gossip import Gossip
+from trestledock.entry._peers import Peer
 from trestledock.entry._news import NewsExchange
 from trestledock.entry._pool import Pool
 from trestledock.entry._state import EntryState
@@ -111,7 +112,9 @@
             gossip = Gossip(state)
             now = anyio.current_time()
             for number in range(8):
-                gossip.peers[f'entry-{number}'] = Peer(('127.0.0.1', 1), now, 0)
+                gossip.peers.known[f'entry-{number}'] = Peer(
+                    ('127.0.0.1', 1), now, 0
+                )
             exchange = NewsExchange(state, gossip)
             follower = Follower(
                 state, StubDirectory(), Pool(state.spawn), exchange
--- a/tests/test_entry_gossip.py
+++ b/tests/test_entry_gossip.py
@@ -9,14 +9,9 @@
 import anyio
 
 from tests.relaying import SETTINGS, make_listed
-from trestledock.entry._gossip import (
-    PATIENCE_S,
-    PATIENCE_TURNS,
-    WHOLE_S,
-    Gossip,
-    Peer,
-)
+from trestledock.entry._gossip import WHOLE_S, Gossip
 from trestledock.entry._neighbours import MOST_TOLD_ALL
+from trestledock.entry._peers import PATIENCE_S, PATIENCE_TURNS, Peer
 from trestledock.entry._state import EntryState
 from trestledock.entry._words import Beat, write_word
 from trestledock.relay import Flight, Phase
@@ -119,10 +114,10 @@
             gossip = make_gossip(near=1, far=MOST_TOLD_ALL, far_again_ms=3000)
             now = anyio.current_time()
             gossip._drop_silent(now + PATIENCE_S + 0.5)
-            self.assertEqual(len(gossip.peers), MOST_TOLD_ALL)
+            self.assertEqual(len(gossip.peers.known), MOST_TOLD_ALL)
             self.assertEqual(gossip.state.board.count_peers(), MOST_TOLD_ALL)
             gossip._drop_silent(now + 3 * PATIENCE_TURNS + 0.5)
-            self.assertEqual(gossip.peers, {})
+            self.assertEqual(gossip.peers.known, {})
 
         anyio.run(main)
 
--- a/tests/test_entry_lists.py
+++ b/tests/test_entry_lists.py
@@ -19,7 +19,7 @@
 import anyio
 
 from tests.following import Store, run_entries
-from trestledock.entry._gossip import Peer
+from trestledock.entry._peers import Peer
 
 #: How long the reader stands still, in seconds: long enough for a gap between
 #: its reads to count.
@@ -139,7 +139,7 @@
             store.put(3, 1)
             await other.read()
             reader.stand_still(PAUSE_S)
-            other.exchange.gossip.peers[reader.name] = Peer(
+            other.exchange.gossip.peers.known[reader.name] = Peer(
                 reader.address, anyio.current_time(), 0
             )
             news = await other.exchange.fetch(reader.name, 1)
--- a/tests/test_entry_news.py
+++ b/tests/test_entry_news.py
@@ -7,7 +7,8 @@
 import anyio
 
 from tests.relaying import SETTINGS, make_listed
-from trestledock.entry._gossip import Gossip, Peer
+from trestledock.entry._gossip import Gossip
+from trestledock.entry._peers import Peer
 from trestledock.entry._news import NewsExchange
 from trestledock.entry._state import EntryState
 from trestledock.entry._words import Reply
@@ -20,7 +21,7 @@
     """Return an exchange without sockets, with one peer that is heard."""
     state = EntryState(SETTINGS, 'entry-1#a', Random(1), None)
     gossip = Gossip(state)
-    gossip.peers[READER] = Peer(('127.0.0.1', 9), 0, 0)
+    gossip.peers.known[READER] = Peer(('127.0.0.1', 9), 0, 0)
     return NewsExchange(state, gossip)
 
 
--- a/tests/test_entry_stale.py
+++ b/tests/test_entry_stale.py
@@ -8,7 +8,7 @@
 import anyio
 
 from tests.following import Store, run_entries
-from trestledock.entry._gossip import Peer
+from trestledock.entry._peers import Peer
 
 #: How long the reader stands still, in seconds.
 PAUSE_S = 3.3
@@ -20,7 +20,7 @@
 
 def meet(other, entry):
     """Have an entry know where another one is."""
-    other.gossip.peers[entry.name] = Peer(
+    other.gossip.peers.known[entry.name] = Peer(
         entry.address, anyio.current_time(), 0
     )
 
--- a/tests/test_entry_words.py
+++ b/tests/test_entry_words.py
@@ -136,10 +136,12 @@
             for word in WORDS:
                 for name in json.loads(write_word(word, now=2)):
                     gossip.take(spoil(word, name, {}), SENDER)
-            self.assertEqual((gossip.peers, state.board.count_peers()), ({}, 0))
+            self.assertEqual(
+                (gossip.peers.known, state.board.count_peers()), ({}, 0)
+            )
             self.assertFalse(exchange.take_proof('e'))
             gossip.take(write_word(WORDS[0], now=2), SENDER)
-            self.assertEqual(set(gossip.peers), {'e'})
+            self.assertEqual(set(gossip.peers.known), {'e'})
             self.assertEqual(len(list(state.board.get_flights('t1@5'))), 1)
 
         anyio.run(main)
--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -161,7 +161,7 @@
 
     def _get_names(self, now: float) -> list[str]:
         self._end_unfit(now)
-        known = [self.state.member, *self.gossip.get_near_names()]
+        known = [self.state.member, *self.gossip.peers.get_near()]
         return [name for name in known if name not in self._unfit]
 
     def _get_candidates(self, now: float) -> list[Candidate]:
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -8,7 +8,6 @@
 looked at now and then, and before each choice of a target.
 """
 
-from dataclasses import dataclass
 from typing import Any, Callable, Iterable, Mapping, Sequence
 
 import anyio
@@ -17,7 +16,8 @@
 from trestledock.entry._datagrams import Address, Datagrams, split_address
 from trestledock.entry._logger import emit
 from trestledock.entry._metrics import METRICS
-from trestledock.entry._neighbours import MOST_TOLD_ALL, Neighbours
+from trestledock.entry._neighbours import Neighbours
+from trestledock.entry._peers import Peers
 from trestledock.entry._rows import Change
 from trestledock.entry._state import EntryState
 from trestledock.entry._words import (
@@ -40,11 +40,6 @@
 #: near and from far: the more entries, the more rarely each tells it.
 MOST_WHOLE = 20
 MOST_FAR = 13
-#: How long a peer may be silent before its flights are forgotten: so many times
-#: what it said until it tells everything again, so that two may be lost, and at
-#: least, in seconds.
-PATIENCE_TURNS = 2.5
-PATIENCE_S = 1.7
 #: How often is looked for words, in seconds: where beats are listened for or
 #: somebody waits for answers, and where not.  Choices of targets look anyway.
 LOOK_S = 0.02
@@ -58,26 +53,6 @@
 Handler = Callable[[Any, Address], bool]
 
 
-@dataclass
-class Peer:
-    """One entry, with the age of its news when it was last heard."""
-
-    address: Address
-    heard_at: float
-    news_age_s: float
-    data_centre: str = ''
-    again_s: float = WHOLE_S
-
-    def get_news_age_s(self, now: float) -> float:
-        """Return the age of its news if it has heard none since."""
-        return self.news_age_s + now - self.heard_at
-
-    def is_silent(self, now: float) -> bool:
-        """Whether it was silent for longer than lost datagrams explain."""
-        patience_s = max(PATIENCE_S, self.again_s * PATIENCE_TURNS)
-        return now - self.heard_at > patience_s
-
-
 class Gossip:
     """The exchange of datagrams with the other entries."""
 
@@ -86,7 +61,7 @@
         self.state = state
         own = split_address(state.settings.peers)
         self.neighbours = Neighbours(own, state.settings.data_centre)
-        self.peers: dict[str, Peer] = {}
+        self.peers = Peers(state.settings.data_centre)
         self.handlers: dict[type[Word], Handler] = {
             Flights: self._take_flights,
             Beat: self._take_beat,
@@ -103,26 +78,9 @@
         self._tell_whole(self.neighbours.meet(found), self._get_far_s())
 
     def get_candidates(self, now: float) -> list[Candidate]:
-        """Return the entries that may read the store for this one.
-
-        They are heard, this one included; where there are many, each data
-        centre has a reader of its own.
-        """
+        """Return the entries that may read the store, this one included."""
         own = Candidate(self.state.member, self.state.get_offered_age_s(now))
-        near = [
-            Candidate(name, self.peers[name].get_news_age_s(now))
-            for name in self.get_near_names()
-        ]
-        return [own, *near]
-
-    def get_near_names(self) -> list[str]:
-        """Return the names of those that are heard and told at once."""
-        if not self.state.many_entries:
-            return list(self.peers)
-        own = self.state.settings.data_centre
-        return [
-            name for name, peer in self.peers.items() if peer.data_centre == own
-        ]
+        return [own, *self.peers.get_candidates(now)]
 
     async def run(self) -> None:
         """Talk and listen until cancelled."""
@@ -189,12 +147,9 @@
 
     def _take_flights(self, word: Flights, sender: Address) -> bool:
         now = anyio.current_time()
-        is_new = word.sender not in self.peers
         self.neighbours.note(sender, word.data_centre)
-        self.peers[word.sender] = Peer(
-            sender, now, word.news_age_s, word.data_centre, word.again_s
-        )
-        self.state.many_entries = len(self.peers) > MOST_TOLD_ALL
+        is_new = self.peers.hear(word, sender, now)
+        self.state.many_entries = self.peers.are_many
         self._note_heard(word, now)
         if is_new:
             self._welcome(word.sender, sender)
@@ -207,10 +162,8 @@
         return False
 
     def _take_fresh(self, word: Fresh, _: Address) -> bool:
-        peer = self.peers.get(word.sender)
-        if peer:
-            peer.heard_at = anyio.current_time()
-            peer.news_age_s = word.news_age_s
+        now = anyio.current_time()
+        self.peers.note_fresh(word.sender, word.news_age_s, now)
         return False
 
     def _note_heard(self, word: Flights | Beat, now: float) -> None:
@@ -225,14 +178,9 @@
         for as long as everything is told only now and then.
         """
         emit(events.PeerMet(name))
-        before = [
-            known
-            for known, peer in self.peers.items()
-            if peer.address == address and known != name
-        ]
-        for known in before:
-            self._drop(known)
-        is_near = self._is_near(self.peers[name])
+        for before in self.peers.get_others_at(name):
+            self._drop(before)
+        is_near = self.peers.is_near(name)
         again_s = self._get_whole_s() if is_near else self._get_far_s()
         self._tell_whole([address], again_s)
 
@@ -312,21 +260,14 @@
         return max(FAR_S, len(self.neighbours.places) / MOST_FAR)
 
     def _drop_silent(self, now: float) -> None:
-        silent = [
-            name for name, peer in self.peers.items() if peer.is_silent(now)
-        ]
-        for name in silent:
+        for name in self.peers.get_silent(now):
             self._drop(name)
 
     def _drop(self, name: str) -> None:
-        self.peers.pop(name)
+        self.peers.known.pop(name)
         self.state.board.drop_sender(name)
         emit(events.PeerLost(name))
 
-    def _is_near(self, peer: Peer) -> bool:
-        own = self.state.settings.data_centre
-        return not self.state.many_entries or peer.data_centre == own
-
     def _get_near(self) -> list[Address]:
         return self.neighbours.get_near(many=self.state.many_entries)
 
--- a/trestledock/entry/_news.py
+++ b/trestledock/entry/_news.py
@@ -78,7 +78,7 @@
 
     async def ask(self, reader: str) -> None:
         """Ask an entry how fresh it is, and wait a little for its answer."""
-        peer = self.gossip.peers.get(reader)
+        peer = self.gossip.peers.known.get(reader)
         if peer is None:
             return
         self._answered = anyio.Event()
@@ -112,7 +112,7 @@
 
     async def fetch(self, reader: str, limit_s: float) -> News | None:
         """Fetch what the reader knows; None where it can't be had in time."""
-        peer = self.gossip.peers.get(reader)
+        peer = self.gossip.peers.known.get(reader)
         if peer is None:
             return None
         asked_at = anyio.current_time()
