--- a/tests/test_entry_closing.py
+++ b/tests/test_entry_closing.py
@@ -18,8 +18,8 @@
 import anyio
 
 from tests.relaying import HOST, SETTINGS
-from trestledock.demo import get_free_port
 from tests.test_entry_peers import hear
+from trestledock.demo import get_free_port
 from trestledock.entry import _daemon, _server
 from trestledock.entry._app import EntryApp
 from trestledock.entry._peers import Peers
