--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -23,7 +23,6 @@
 from trestledock.entry._gossip import Gossip
 from trestledock.entry._logger import emit
 from trestledock.entry._news import NewsExchange
-from trestledock.entry._peers import Peers
 from trestledock.entry._pool import Pool
 from trestledock.entry._relaying import Relayer
 from trestledock.entry._sending import Sender
@@ -36,10 +35,6 @@
 #: How long new connections are taken after the request to stop, in seconds;
 #: the balancer asks once a second and needs two misses.
 NOTICE_S = 3.0
-#: What is kept of the time to stop for requests that were just taken, in
-#: seconds, and how often is looked whether others take them now.
-FINISH_S = 2.5
-LOOK_S = 0.1
 #: What is kept of the time to stop for the last word to each request, and for
 #: the end itself, in seconds.
 END_MARGIN_S = 0.7
@@ -66,7 +61,7 @@
             member = f'{settings.instance}#{uuid.uuid4().hex[:8]}'
             state = EntryState(settings, member, Random(member), group)
             server = Server()
-            peers = _start(state, dialect, make_directory(settings), server)
+            _start(state, dialect, make_directory(settings), server)
             emit(events.Started(state.member, settings.data_centre))
             async for signum in signals:
                 settings = _read_again(read_settings, settings)
@@ -74,7 +69,7 @@
                     break
                 changed = settings != state.settings
                 emit(events.ReloadAsked(changed=changed))
-            await _drain(state, peers, server, settings.grace_s)
+            await _drain(state, server, settings.grace_s)
             _block_signals()
             group.cancel_scope.cancel()
     emit(events.Ended(state.in_progress))
@@ -110,7 +105,7 @@
     dialect: Dialect,
     directory: Directory,
     server: Server,
-) -> Peers:
+) -> None:
     group: TaskGroup = state.group
     pool = Pool(state.spawn)
     gossip = Gossip(state)
@@ -123,26 +118,9 @@
     state.keep_running(follower.run)
     state.keep_running(gossip.run)
     group.start_soon(listen, state, app, server)
-    return gossip.peers
-
-
-async def stay_while_alone(peers: Peers, limit_s: float) -> None:
-    """Wait for somebody who takes requests, `limit_s` seconds at most.
-
-    Where all entries are asked to end at once, callers find nobody from the
-    moment at which the last one stops to listen.
-    """
-    with anyio.move_on_after(limit_s):
-        while peers.are_all_leaving():
-            await anyio.sleep(LOOK_S)
 
 
-async def _drain(
-    state: EntryState,
-    peers: Peers,
-    server: Server,
-    grace_s: float,
-) -> None:
+async def _drain(state: EntryState, server: Server, grace_s: float) -> None:
     """Turn unready, serve on until the balancer has turned away, finish.
 
     It is over when all connections are closed, since answers may still wait
@@ -151,12 +129,10 @@
     state.leaving = True
     state.notify_own()
     emit(events.Draining(state.in_progress))
-    stop_at = anyio.current_time() + grace_s
     await anyio.sleep(NOTICE_S)
-    await stay_while_alone(peers, stop_at - FINISH_S - anyio.current_time())
     state.closing = True
     server.stop.set()
-    with anyio.move_on_after(stop_at - END_MARGIN_S - anyio.current_time()):
+    with anyio.move_on_after(grace_s - NOTICE_S - END_MARGIN_S):
         await server.ended.wait()
     state.end_requests()
     with anyio.move_on_after(END_MARGIN_S - LAST_MARGIN_S):
--- a/trestledock/entry/_peers.py
+++ b/trestledock/entry/_peers.py
@@ -30,7 +30,6 @@
     news_age_s: float
     data_centre: str = ''
     again_s: float = 0
-    leaving: bool = False
 
     def get_news_age_s(self, now: float) -> float:
         """Return the age of its news if it has heard none since."""
@@ -64,7 +63,6 @@
             word.news_age_s,
             word.data_centre,
             word.again_s,
-            word.leaving,
         )
         return is_new
 
@@ -75,10 +73,6 @@
             peer.heard_at = now
             peer.news_age_s = news_age_s
 
-    def are_all_leaving(self) -> bool:
-        """Whether nobody is heard who goes on taking requests."""
-        return all(peer.leaving for peer in self.known.values())
-
     def is_near(self, name: str) -> bool:
         """Whether an entry is told everything at once."""
         return not self.are_many or (
