The soak restarts targets under their ids and writes strangers' entries

What an entry says beside what is used is checked for its type as well: `version`, `coldLeftMs`, `phase`.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,6 +20,7 @@
 from tests.soak.entries import Entry
 from tests.soak.ledger import ALL, Fault
 from tests.soak.links import Cut
+from tests.soak.store import TARGETS
 from tests.soak.targets import LEAVING, VANISHED
 from tests.soak.world import World
 
@@ -42,6 +43,12 @@
 SHORT_S = 0.3
 #: For how long the entry that reads the store stands still, in seconds.
 STILL_S = (2, 4)
+#: After what pause a target that has crashed starts again, in seconds: before
+#: its entry has lapsed, and after that.
+AGAIN_S = (0.2, 5)
+#: Names of entries that name no target, and what no field of one may be.
+STRANGER = 'x-'
+STRANGE = (None, True, 0.5, [], {'a': 1})
 
 FaultKind = Callable[[World, Random], Awaitable[None]]
 
@@ -198,10 +205,28 @@
 async def crash_target(world: World, rng: Random) -> None:
     """Let a target die, and another come."""
     target = world.pick_target()
-    with noted(world, 'crash_target', target=target.target_id):
+    with noted(world, 'crash_target', target=target.incarnation):
         await world.crash(target)
 
 
+async def restart_target(world: World, rng: Random) -> None:
+    """Let a target crash and start again under the id that it had."""
+    target = world.pick_target()
+    with noted(world, 'restart_target', target=target.incarnation):
+        await world.restart(target, rng.uniform(*AGAIN_S))
+
+
+async def write_strange_entries(world: World, rng: Random) -> None:
+    """Write entries that name no target, beside those of targets."""
+    for _ in range(rng.randint(1, 4)):
+        plain = world.pick_target().make_entry()
+        name = rng.choice(list(plain))
+        plain[name] = rng.choice(STRANGE)
+        key = f'{STRANGER}{rng.randint(1, 5)}'
+        world.store.put_json(TARGETS, key, plain)
+        await anyio.sleep(rng.uniform(0, 0.5))
+
+
 async def drain_target(world: World, rng: Random) -> None:
     """Replace a target as planned."""
     target = world.pick_target()
@@ -222,7 +247,7 @@
     """Cut a target off, in one direction or in both."""
     target = world.pick_target()
     link = target.link
-    with noted(world, 'cut_target', target=target.target_id):
+    with noted(world, 'cut_target', target=target.incarnation):
         link.set_cut(rng.choice((Cut.up, Cut.down, Cut.both)))
         await _last(rng)
         link.set_cut(Cut.none)
@@ -232,7 +257,7 @@
     """Reset, silence or delay the connections of a target."""
     target = world.pick_target()
     link = target.link
-    with noted(world, 'shake_target', target=target.target_id):
+    with noted(world, 'shake_target', target=target.incarnation):
         how = rng.choice(('reset', 'silence', 'delay'))
         if how == 'reset':
             link.reset_all()
@@ -249,7 +274,7 @@
     target = world.pick_target()
     quirks = target.quirks
     name = rng.choice(('fails', 'sheds', 'loses', 'breaks', 'mixes', 'mute'))
-    with noted(world, f'spoil_target {name}', target=target.target_id):
+    with noted(world, f'spoil_target {name}', target=target.incarnation):
         setattr(quirks, name, rng.uniform(0.1, 0.8))
         await _last(rng)
         setattr(quirks, name, 0)
@@ -302,8 +327,23 @@
     replace_in_series: 2,
     publish_in_series: 1,
 }
+AGAIN: dict[FaultKind, int] = {
+    restart_target: 8,
+    write_strange_entries: 4,
+    drain_target: 2,
+    replace_in_series: 1,
+    freeze_reader: 2,
+    cut_store: 2,
+    store_down: 2,
+    restart_entry: 2,
+}
 PLANS = MappingProxyType(
-    {'mixed': MIXED, 'planned': PLANNED, 'standstill': STANDSTILL}
+    {
+        'mixed': MIXED,
+        'planned': PLANNED,
+        'standstill': STANDSTILL,
+        'again': AGAIN,
+    }
 )
 
 
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -11,6 +11,7 @@
 import time
 from dataclasses import dataclass, field
 from random import Random
+from typing import Any
 from zlib import crc32
 
 import anyio
@@ -46,6 +47,12 @@
 #: seconds (`freeMs` and `idleMaxMs` of the settings).
 FREE_S = 4.0
 UNUSED_S = 9.0
+NS_IN_MS = 1_000_000
+
+
+def get_unix_ms() -> int:
+    """Return the time of day in whole milliseconds."""
+    return time.time_ns() // NS_IN_MS
 
 
 @dataclass
@@ -70,16 +77,16 @@
     mute: float = 0
 
 
-def get_seal(target_id: str, req_id: str) -> str:
+def get_seal(incarnation: str, req_id: str) -> str:
     """Return what proves that a target made an answer."""
-    return f'{target_id}.{crc32(req_id.encode()):08x}'
+    return f'{incarnation}.{crc32(req_id.encode()):08x}'
 
 
-def get_body(target_id: str, req_id: str) -> bytes:
+def get_body(incarnation: str, req_id: str) -> bytes:
     """Return the whole body of a plain answer."""
     is_long = crc32(req_id.encode()) % LONG_EVERY == 0
     repeats = LONG_REPEATS if is_long else REPEATS
-    return f'{req_id} by {target_id}; '.encode() * repeats
+    return f'{req_id} by {incarnation}; '.encode() * repeats
 
 
 def make_event(req_id: str, number: int) -> bytes:
@@ -109,6 +116,12 @@
     sequence: int = 0
     link: Link = field(default_factory=lambda: Link(''))
     gone: anyio.Event = field(default_factory=anyio.Event)
+    born: int = field(default_factory=get_unix_ms)
+
+    @property
+    def incarnation(self) -> str:
+        """The name of this start of the target, for the ledger."""
+        return f'{self.target_id}@{self.born}'
 
     async def live(self, group: TaskGroup) -> None:
         """Start, register, and end when `gone` is set."""
@@ -147,15 +160,12 @@
             self.store.put_json(TARGETS, self.target_id, None)
         else:
             self.write_entry()
-        self.ledger.note_change('leaving', self.target_id)
+        self.ledger.note_change('leaving', self.incarnation)
         await anyio.sleep(self.rng.uniform(*LINGER_S))
 
-    def write_entry(self) -> None:
-        """Write the own entry, unless the store is down."""
-        if self.store.status != 200:
-            return
-        self.sequence += 1
-        plain = {
+    def make_entry(self) -> dict[str, Any]:
+        """Return the own entry."""
+        return {
             'service': self.service,
             'address': self.link.listed,
             'zone': self.data_centre,
@@ -163,7 +173,15 @@
             'slots': SLOTS,
             'state': self.state,
             'sequence': self.sequence,
+            'born': self.born,
         }
+
+    def write_entry(self) -> None:
+        """Write the own entry, unless the store is down."""
+        if self.store.status != 200:
+            return
+        self.sequence += 1
+        plain = self.make_entry()
         self.store.put_json(TARGETS, self.target_id, plain)
 
     async def _handle(self, exchange: Exchange) -> None:
@@ -193,12 +211,12 @@
         req_id = headers.get('trestledock-request-id', '')
         run = Run(
             req_id=req_id,
-            target=self.target_id,
+            target=self.incarnation,
             service=self.service,
             began_at=time.monotonic(),
             team=headers.get('trestledock-tenant', ''),
             sizes=headers.get('trestledock-token-counts', ''),
-            seal=get_seal(self.target_id, req_id),
+            seal=get_seal(self.incarnation, req_id),
             key_seen='authorization' in headers,
             digest=crc32(exchange.body),
         )
@@ -334,7 +352,7 @@
             idle_s = min(now, ticket.until) - ticket.free_since
             limit_s = FREE_S if ticket.used else UNUSED_S
             if not ticket.users and idle_s > limit_s:
-                self.ledger.ticket_leaks.add(f'{name} at {self.target_id}')
+                self.ledger.ticket_leaks.add(f'{name} at {self.incarnation}')
 
 
 #: All tickets of a run by name, so that the first target can note their use.
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -165,8 +165,17 @@
     async def add_target(self, service: str, data_centre: str) -> Target:
         """Add a new incarnation of a target."""
         self.numbers += 1
+        name = f'i-{self.numbers}'
+        return await self._start_target(name, service, data_centre)
+
+    async def _start_target(
+        self,
+        target_id: str,
+        service: str,
+        data_centre: str,
+    ) -> Target:
         target = Target(
-            f'i-{self.numbers}',
+            target_id,
             service,
             data_centre,
             self.ledger,
@@ -189,13 +198,24 @@
         self.remove(target)
         await anyio.sleep(HEARTBEAT_S * 3)
         self.store.put_json(TARGETS, target.target_id, None)
-        self.ledger.note_change('leaving', target.target_id)
+        self.ledger.note_change('leaving', target.incarnation)
         await self.add_target(target.service, target.data_centre)
 
+    async def restart(self, target: Target, pause_s: float) -> None:
+        """Let a target die and start again under its id, after a pause.
+
+        It knows nothing of before, and its entry may never have gone.
+        """
+        self.remove(target)
+        await anyio.sleep(pause_s)
+        await self._start_target(
+            target.target_id, target.service, target.data_centre
+        )
+
     def remove(self, target: Target) -> None:
         """End a target at once."""
         target.gone.set()
-        self.ledger.note_change('ended', target.target_id)
+        self.ledger.note_change('ended', target.incarnation)
         if target in self.targets:
             self.targets.remove(target)
 
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -183,6 +183,8 @@
             'slots': (None, 'x', 0, -1, 1.5, True),
             'sequence': ('8', None, -1, 1.0, False),
             'born': (None, '5', 5.5, True, -5, 0, [OLD]),
+            'version': (None, 1, ['v1']),
+            'coldLeftMs': (None, '0', True),
         }
         for name, values in wrong.items():
             for plain in values:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,10 @@
         report = self.check(replace(SIZE, plan='planned'))
         self.assertGreater(report.changes, 0)
 
+    def test_targets_start_again(self):
+        report = self.check(replace(SIZE, plan='again'))
+        self.assertGreater(report.changes, 0)
+
     def test_reader_stands_still(self):
         report = self.check(replace(SIZE, plan='standstill'))
         self.assertGreater(report.changes, 0)
--- a/trestledock/entry/__init__.py
+++ b/trestledock/entry/__init__.py
@@ -7,7 +7,7 @@
 for its formats and a `Directory` for its store.
 """
 
-from trestledock.entry._checks import read_count, read_text
+from trestledock.entry._checks import read_amount, read_count, read_text
 from trestledock.entry._daemon import run_entry
 from trestledock.entry._dialect import (
     AnswerNote,
@@ -48,6 +48,7 @@
     'Wire',
     'WireError',
     'emit',
+    'read_amount',
     'read_count',
     'read_text',
     'run_entry',
--- a/trestledock/platform/_entries.py
+++ b/trestledock/platform/_entries.py
@@ -11,9 +11,9 @@
 import re
 from ipaddress import IPv4Address
 from types import MappingProxyType
-from typing import Any, Mapping
+from typing import Any, Callable, Mapping
 
-from trestledock.entry import read_count, read_text
+from trestledock.entry import read_amount, read_count, read_text
 from trestledock.platform._fields import Field, read_fields
 from trestledock.relay import UNTOLD, Listed, Standing
 
@@ -68,6 +68,11 @@
     Field('sequence', 'sequence', read_count),
     Field('born', 'born', _read_positive),
 )
+#: What else an entry may say; nothing here is believed, but what another writer
+#: has put there tells it apart from a target's.
+BESIDE: Mapping[str, Callable[[Any], Any]] = MappingProxyType(
+    {'version': read_text, 'coldLeftMs': read_amount, 'phase': read_text}
+)
 #: Platforms that give each start of a target a new id don't tell its birth.
 OPTIONAL = MappingProxyType({'born': UNTOLD})
 
@@ -80,6 +85,8 @@
     if not TARGET_ID.fullmatch(key):
         raise ValueError('no id')
     found = {**OPTIONAL, **read_fields(plain, ENTRY_FIELDS)}
+    for name in BESIDE.keys() & plain.keys():
+        BESIDE[name](plain[name])
     missing = [one.wire for one in ENTRY_FIELDS if one.name not in found]
     if missing:
         raise ValueError(f'missing: {missing}')
