--- a/tests/test_entry_metrics.py
+++ b/tests/test_entry_metrics.py
@@ -25,6 +25,15 @@
         self.assertIn('trestledock_answered_took_seconds_sum 0.25', text)
         self.assertNotIn('peer_met', text)
 
+    def test_words_count_by_kind(self):
+        """What entries tell one another counts in words and in bytes."""
+        metrics = Metrics()
+        metrics.count_words('sent', 'Beat', 60, 3)
+        text = metrics.render(dict.fromkeys(GAUGES, 1)).decode()
+        labels = '{kind="Beat",way="sent"}'
+        self.assertIn(f'trestledock_words_total{labels} 3.0', text)
+        self.assertIn(f'trestledock_word_bytes_total{labels} 180.0', text)
+
     def test_port_of_the_deploy_file(self):
         """The platform asks at the port on which the process listens."""
         roles = tomllib.loads(DEPLOY.read_text(encoding='utf-8'))['roles']
--- a/trestledock/entry/_exposition.py
+++ b/trestledock/entry/_exposition.py
@@ -25,6 +25,7 @@
     GAUGES,
     TIMES,
     WORDS_LABELS,
+    WORD_BYTES_TEXT,
     WORDS_TEXT,
     Counts,
     Metrics,
@@ -52,6 +53,12 @@
                 kind.get_name(), counting.text, counting.labels, counts
             )
         yield _count('words', WORDS_TEXT, WORDS_LABELS, self.metrics.words)
+        yield _count(
+            'word_bytes',
+            WORD_BYTES_TEXT,
+            WORDS_LABELS,
+            self.metrics.word_bytes,
+        )
         for name, text in TIMES.items():
             yield _observe(name, text, self.metrics.times[name])
         for name, level in self.gauges.items():
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -101,7 +101,8 @@
         if self._datagrams is None or not where:
             return
         raw = write_word(word, anyio.current_time())
-        METRICS.count_words('sent', type(word).__name__, len(where))
+        name = type(word).__name__
+        METRICS.count_words('sent', name, len(raw), len(where))
         self._datagrams.send(raw, where)
 
     def catch_up(self) -> None:
@@ -132,7 +133,7 @@
         except BadWord as exc:
             emit(events.DatagramDropped(repr(exc)))
             return False
-        METRICS.count_words('heard', type(word).__name__)
+        METRICS.count_words('heard', type(word).__name__, len(raw), 1)
         return bool(self.handlers[type(word)](word, sender))
 
     def tell_fresh(self) -> None:
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -94,6 +94,7 @@
 
 #: What is counted of the words between entries, and under which labels.
 WORDS_TEXT = 'Words between entries'
+WORD_BYTES_TEXT = 'Bytes of words between entries'
 WORDS_LABELS = ('way', 'kind')
 
 #: Gauges, set when they are read.
@@ -146,6 +147,7 @@
             kind: _make_first(counting) for kind, counting in COUNTINGS.items()
         }
         self.words: Counts = {}
+        self.word_bytes: Counts = {}
         self.times: dict[str, Times] = {name: Times() for name in TIMES}
 
     def take(self, event: events.Event) -> None:
@@ -165,9 +167,12 @@
         """Observe a time on one of the direct histograms."""
         self.times[name].add(seconds)
 
-    def count_words(self, way: str, kind: str, count: int = 1) -> None:
-        """Count words between entries, sent or heard."""
-        self.words[way, kind] = self.words.get((way, kind), 0) + count
+    def count_words(self, way: str, kind: str, size: int, count: int) -> None:
+        """Count words between entries, sent or heard, of `size` bytes each."""
+        labels = (way, kind)
+        self.words[labels] = self.words.get(labels, 0) + count
+        known = self.word_bytes.get(labels, 0)
+        self.word_bytes[labels] = known + size * count
 
     def render(self, gauges: Mapping[str, float]) -> bytes:
         """Return everything as text, with the gauges as of now."""
