--- a/trestledock/entry/_listing.py
+++ b/trestledock/entry/_listing.py
@@ -49,7 +49,10 @@
         for one in news.targets:
             records[one.target_id].append(one.listed)
         for target_id, of_one in records.items():
+            before = self.fleet.get_by_id(target_id)
             self._take_records(target_id, of_one, news, now)
+            if before and self.fleet.is_superseded(before):
+                self._forget([before.incarnation], news.source)
         if not self.fleet.watch.is_settled(now):
             self._hold(news, now)
 
@@ -71,20 +74,7 @@
         news: News,
         now: float,
     ) -> None:
-        """Take the records of one target, and forget what it was before."""
-        before = self.fleet.get_by_id(target_id)
-        self._fold(target_id, records, news, now)
-        if before and self.fleet.is_superseded(before):
-            self._forget([before.incarnation], news.source)
-
-    def _fold(
-        self,
-        target_id: str,
-        records: list[Listed | None],
-        news: News,
-        now: float,
-    ) -> None:
-        """Fold the records of one target, in the order of the log.
+        """Take the records of one target, in the order of the log.
 
         A removal may be long past, where this entry has not read for a while,
         and a record behind it may be an old one that was written late.
