--- a/trestledock/entry/_datagrams.py
+++ b/trestledock/entry/_datagrams.py
@@ -3,8 +3,8 @@
 =========
 
 The socket on which entries speak to one another.  Sending and receiving never
-wait: what comes in is kept by the operating system until somebody looks.  Among
-76 entries an idle one got 68 datagrams a second; not to be woken by them, and to
+wait: what comes in is kept by the operating system until somebody looks.  An
+idle entry among 76 got 68 datagrams a second; not to be woken by them, and to
 get fewer, took its wake-ups from 290 to 62 a second and halved its processor
 time (a profile of one process over six seconds).
 """
