Sight: fingerprints of requests, and signs of how a sending ended

Two of the three hypotheses could not be told from the log: ids are new for each attempt, so nothing says that two are the same request; and the end of a connection was an exception's text.

Ruled out: BLAKE2 (4.0 ms a megabyte here).

--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -16,6 +16,7 @@
 from trestledock.entry._tickets import Tickets
 from trestledock.platform._headers import PlatformDialect
 from trestledock.relay import (
+    Body,
     Catalog,
     Listed,
     Route,
@@ -186,7 +187,9 @@
         self.relayer = relayer
         self.dialect = PlatformDialect()
 
-    async def ask(self, req_id='r1', method='POST', key=KEY, headers=()):
+    async def ask(
+        self, req_id='r1', method='POST', key=KEY, headers=(), body=b''
+    ):
         """Send a request through the relayer; return what came back."""
         found = {
             'host': HOST,
@@ -205,7 +208,7 @@
         }
         outcome = Outcome()
         now = anyio.current_time()
-        call = self.dialect.read_call(scope, b'', now)
+        call = self.dialect.read_call(scope, Body.of(body), now)
         try:
             await self.relayer.relay(
                 call, Reply(outcome.take, lambda: self.state.leaving)
--- a/tests/test_entry_admission.py
+++ b/tests/test_entry_admission.py
@@ -8,9 +8,9 @@
 from trestledock.entry._admission import admit, check_again
 from trestledock.entry._job import Refusal
 from trestledock.entry._state import EntryState
-from trestledock.relay import Call, Catalog, Service, TeamKey
+from trestledock.relay import Body, Call, Catalog, Service, TeamKey
 
-CALL = Call('r1', 'GET', '/p/x', '', HOST, (), b'', arrived_at=10, key=KEY)
+CALL = Call('r1', 'GET', '/p/x', '', HOST, (), Body(), arrived_at=10, key=KEY)
 
 
 def make_state(route):
--- /dev/null
+++ b/tests/test_entry_signs.py
@@ -0,0 +1,81 @@
+"""What is seen of a target where a sending ends without its answer."""
+
+import unittest
+
+import anyio
+
+from tests.relaying import (
+    Hang,
+    Reset,
+    StubTarget,
+    Torn,
+    make_answer,
+    make_route,
+    make_stream,
+    run_world,
+)
+from trestledock.entry._wire import Wire, WireError
+from trestledock.relay import RouteKind, Sign
+
+STREAM = make_route(
+    RouteKind.streaming, resumable=True, objective_s=0.1, pause_s=0.1
+)
+BEGUN = make_stream(1, 2, end=b'')
+
+
+class SignTest(unittest.TestCase):
+    """Each way in which a sending ends has a sign of its own."""
+
+    def check(self, answer, sign):
+        """The first sending to a target ends with a sign."""
+        found = []
+
+        async def scenario(world):
+            send = world.relayer.sender.send
+
+            async def note(*args):
+                found.append(await send(*args))
+                return found[-1]
+
+            world.relayer.sender.send = note
+            await world.ask()
+
+        target = StubTarget(answer, make_answer(status=500))
+        run_world(STREAM, [target], scenario)
+        self.assertIs(found[0].sign, sign)
+
+    def test_reset_before_the_head(self):
+        self.check(Reset, Sign.closed)
+
+    def test_closed_before_the_head(self):
+        self.check(Torn(b'', 0), Sign.closed)
+
+    def test_closed_in_the_head(self):
+        self.check(Torn(BEGUN[:20], 0), Sign.closed)
+
+    def test_closed_in_the_middle_of_a_stream(self):
+        self.check(Torn(BEGUN, 0), Sign.closed)
+
+    def test_silent(self):
+        self.check(Hang, Sign.silent)
+
+    def test_no_answer_in_the_protocol(self):
+        self.check(b'what?\r\n\r\n', Sign.garbled)
+
+    def test_an_answer_has_none(self):
+        self.check(make_answer(status=500), Sign.none)
+
+
+class ConnectTest(unittest.TestCase):
+    """Where no connection comes about."""
+
+    def test_nobody_listens(self):
+        async def main():
+            listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            await listener.aclose()
+            await Wire.connect(f'127.0.0.1:{port}')
+
+        with self.assertRaises(WireError) as found:
+            anyio.run(main)
+        self.assertIs(found.exception.sign, Sign.refused)
--- a/trestledock/entry/_admission.py
+++ b/trestledock/entry/_admission.py
@@ -9,7 +9,13 @@
 
 from trestledock.entry._job import Job, Refusal
 from trestledock.entry._state import EntryState
-from trestledock.relay import Call, Catalog, Route, TeamKey
+from trestledock.relay import (
+    Call,
+    Catalog,
+    Route,
+    TeamKey,
+    get_fingerprint,
+)
 
 NO_TEAM = TeamKey('')
 
@@ -26,12 +32,14 @@
     if refusal or route is None:
         return refusal or Refusal.no_route
     deadline = call.arrived_at + route.timeout_s
+    team = _get_team(catalog, route, call)
     return Job(
         call=call,
         route=route,
         service=route.draw_service(state.rng),
-        team=_get_team(catalog, route, call),
+        team=team,
         deadline=min(deadline, call.deadline or deadline),
+        fingerprint=get_fingerprint(call, team.team),
     )
 
 
--- a/trestledock/entry/_app.py
+++ b/trestledock/entry/_app.py
@@ -7,6 +7,7 @@
 """
 
 from http import HTTPStatus
+from hashlib import sha256
 from typing import Any, Awaitable, Callable, Mapping
 from urllib.parse import parse_qs
 
@@ -21,7 +22,7 @@
 from trestledock.entry._relaying import Relayer
 from trestledock.entry._reply import CutReply, Reply, Send
 from trestledock.entry._state import NO_VERSION, EntryState
-from trestledock.relay import Call
+from trestledock.relay import Body, Call
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Scope = Mapping[str, Any]
@@ -140,15 +141,18 @@
     return int(found) if found.isdigit() else NO_VERSION
 
 
-async def _read_body(receive: Receive) -> bytes:
+async def _read_body(receive: Receive) -> Body:
     parts = []
+    digest = sha256()
     while True:
         message = await receive()
         if message['type'] == 'http.disconnect':
             raise NoRequest
-        parts.append(message.get('body', b''))
+        part = message.get('body', b'')
+        parts.append(part)
+        digest.update(part)
         if not message.get('more_body'):
-            return b''.join(parts)
+            return Body(b''.join(parts), digest.digest())
 
 
 async def _cancel_when_left(
--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -10,7 +10,7 @@
 from typing import Any, Mapping, Protocol
 
 from trestledock.entry._wire import Head, Headers
-from trestledock.relay import Call, Catalog, Listed, Placement
+from trestledock.relay import Body, Call, Catalog, Listed, Placement
 
 
 @dataclass(frozen=True)
@@ -102,7 +102,7 @@
     """Formats of callers and targets."""
 
     def read_call(
-        self, scope: Mapping[str, Any], body: bytes, now: float
+        self, scope: Mapping[str, Any], body: Body, now: float
     ) -> Call:
         """Read a caller's request."""
 
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -56,7 +56,10 @@
 
 
 class Admitted(Event):
-    """A request has a route and a team, and times that it is judged by."""
+    """A request has a route and a team, and times that it is judged by.
+
+    Its `fingerprint` is that of each attempt at the same request.
+    """
 
     req: str
     route: str
@@ -67,6 +70,7 @@
     objective_ms: int
     pause_ms: int
     worth: float
+    fingerprint: str
 
 
 class Placed(Event):
@@ -102,7 +106,10 @@
 
 
 class SendingEnded(Event):
-    """A sending ended without an answer that can be passed on."""
+    """A sending ended without an answer that can be passed on.
+
+    `sign` says how the way to its target ended, if it did.
+    """
 
     req: str
     ending: str
@@ -110,6 +117,8 @@
     peer: str
     detail: str
     took_ms: int
+    sign: str
+    fingerprint: str
 
 
 class Repeated(Event):
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -85,6 +85,7 @@
     service: str
     team: TeamKey
     deadline: float
+    fingerprint: str = ''
     history: History = field(default_factory=History)
     tried: set[str] = field(default_factory=set)
     last_event: str = ''
--- a/trestledock/entry/_limits.py
+++ b/trestledock/entry/_limits.py
@@ -20,6 +20,7 @@
 from trestledock.entry._wire import WireError
 from trestledock.relay import (
     Placement,
+    Sign,
     get_first_patience_s,
     get_pause_patience_s,
 )
@@ -118,8 +119,8 @@
         else:
             self.state.note_silence(peer, now)
         if self.state.is_cut_off(peer, now):
-            return WireError(step, 'its data centre is silent')
-        return WireError(step, f'silent for {limit.wait_s:.2f} s')
+            return WireError(step, 'its data centre is silent', Sign.silent)
+        return WireError(step, f'silent for {limit.wait_s:.2f} s', Sign.silent)
 
     def _claim(self, job: Job) -> bool:
         now = anyio.current_time()
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -41,7 +41,7 @@
         events.Admitted: Counting('Requests with a route and a team'),
         events.Refused: Counting('Requests given up', ('reason',)),
         events.SendingEnded: Counting(
-            'Sendings without an answer', ('ending', 'step')
+            'Sendings without an answer', ('ending', 'step', 'sign')
         ),
         events.Repeated: Counting('Requests that went to another target'),
         events.Answered: Counting('Answers passed on whole'),
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -201,6 +201,7 @@
                 objective_ms=round(job.route.objective_s * MS),
                 pause_ms=round(job.route.pause_s * MS),
                 worth=round(get_worth(job.ask.size), 2),
+                fingerprint=job.fingerprint,
             ),
         )
 
@@ -247,6 +248,8 @@
             peer=sending.peer,
             detail=sending.detail,
             took_ms=took_ms,
+            sign=sending.sign.value,
+            fingerprint=job.fingerprint,
         )
     )
 
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -85,7 +85,9 @@
             wire = await self.pool.take(placement.target)
         except WireError as exc:
             self.state.note_silence(peer, anyio.current_time())
-            return Sending(Ending.not_sent, exc.step, peer, exc.detail)
+            return Sending(
+                Ending.not_sent, exc.step, peer, exc.detail, exc.sign
+            )
         obstacle = self._find_obstacle(job, placement)
         if obstacle:
             await wire.close()
@@ -131,7 +133,7 @@
             self.state.health.note_failure(peer, anyio.current_time())
             # Connections that go silent do so together, while new ones work.
             self.pool.drop(peer)
-            return Sending(Ending.lost, exc.step, peer, exc.detail)
+            return Sending(Ending.lost, exc.step, peer, exc.detail, exc.sign)
         finally:
             await self.pool.give(placement.target, wire, idle_s)
         return sending
@@ -157,7 +159,7 @@
             job.call.method,
             f'{job.call.path}{job.call.query}',
             self.dialect.make_headers(job.call, passing),
-            job.call.body,
+            job.call.body.raw,
             self.state.spawn,
         )
 
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -16,6 +16,8 @@
 import h11
 from anyio.abc import SocketAttribute, SocketStream
 
+from trestledock.relay import Sign
+
 #: How long a target may take to accept a connection, in seconds: some hundred
 #: times the way there, and short beside the objectives of short requests.
 CONNECT_S = 0.2
@@ -36,17 +38,23 @@
     anyio.ClosedResourceError,
 )
 
+#: The errors of a connection that the other side has ended.
+ENDED_BY_PEER = (ConnectionResetError, BrokenPipeError)
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
 class WireError(Exception):
     """A connection failed at a step."""
 
-    def __init__(self, step: str, detail: str) -> None:
-        """Keep the step and what went wrong."""
+    def __init__(
+        self, step: str, detail: str, sign: Sign = Sign.garbled
+    ) -> None:
+        """Keep the step, what went wrong, and what it was a sign of."""
         super().__init__(f'{step}: {detail}')
         self.step = step
         self.detail = detail
+        self.sign = sign
 
 
 @dataclass(frozen=True)
@@ -73,6 +81,7 @@
         self.http = h11.Connection(h11.CLIENT)
         self.written = True
         self.broken = False
+        self._is_at_end = False
 
     @classmethod
     async def connect(cls, address: str) -> 'Wire':
@@ -82,7 +91,9 @@
             with anyio.fail_after(CONNECT_S):
                 stream = await anyio.connect_tcp(host, int(port))
         except (OSError, TimeoutError) as exc:
-            raise WireError('connect', repr(exc)) from exc
+            raise WireError(
+                'connect', repr(exc), _get_connect_sign(exc)
+            ) from exc
         _set_options(stream)
         return cls(stream)
 
@@ -118,7 +129,7 @@
             if isinstance(event, h11.Response):
                 return Head(event.status_code, tuple(event.headers))
             if isinstance(event, h11.ConnectionClosed):
-                raise WireError('answer', 'connection closed')
+                raise WireError('answer', 'connection closed', Sign.closed)
 
     async def iter_body(self) -> AsyncIterator[bytes]:
         """Yield the body's bytes; raise a `WireError` where it is cut."""
@@ -163,7 +174,7 @@
         try:
             await self.stream.send(raw)
         except STREAM_ENDS as exc:
-            raise WireError('write', repr(exc)) from exc
+            raise WireError('write', repr(exc), _get_end_sign(exc)) from exc
         self.written = True
 
     async def _write_quietly(self, raw: bytes) -> None:
@@ -180,7 +191,8 @@
                 event = self.http.next_event()
         except h11.RemoteProtocolError as exc:
             self.broken = True
-            raise WireError(step, repr(exc)) from exc
+            sign = Sign.closed if self._is_at_end else Sign.garbled
+            raise WireError(step, repr(exc), sign) from exc
         if isinstance(event, type):
             raise WireError(step, 'answer out of turn')
         return event
@@ -189,10 +201,11 @@
         try:
             return await self.stream.receive(READ_BYTES)
         except anyio.EndOfStream:
+            self._is_at_end = True
             return b''
         except STREAM_ENDS as exc:
             self.broken = True
-            raise WireError(step, repr(exc)) from exc
+            raise WireError(step, repr(exc), _get_end_sign(exc)) from exc
 
 
 def _set_options(stream: SocketStream) -> None:
@@ -207,3 +220,15 @@
     )
     for level, option, number in options:
         raw.setsockopt(level, option, number)
+
+
+def _get_connect_sign(exc: Exception) -> Sign:
+    """Tell a port where nobody listens from an address that is not reached."""
+    is_refused = isinstance(exc.__cause__, ConnectionRefusedError)
+    return Sign.refused if is_refused else Sign.unreachable
+
+
+def _get_end_sign(exc: Exception) -> Sign:
+    """Tell the end by the other side from one by our own time-outs."""
+    is_ended = isinstance(exc.__cause__, ENDED_BY_PEER)
+    return Sign.closed if is_ended else Sign.silent
--- a/trestledock/platform/_headers.py
+++ b/trestledock/platform/_headers.py
@@ -10,7 +10,7 @@
 from typing import Any, Mapping
 
 from trestledock.entry import AnswerNote, Head, Headers, Order, Passing
-from trestledock.relay import Call, PromptSize
+from trestledock.relay import Body, Call, PromptSize
 
 REQUEST_ID = b'trestledock-request-id'
 #: Milliseconds that the caller will wait, or that a target may take.
@@ -64,7 +64,7 @@
     def read_call(
         self,
         scope: Mapping[str, Any],
-        body: bytes,
+        body: Body,
         now: float,
     ) -> Call:
         """Read a caller's request from its ASGI scope."""
@@ -104,8 +104,8 @@
             added.append((LAST_EVENT, passing.resume_after.encode()))
         if passing.placement.helpers:
             added.append((HELPERS, _write_helpers(passing).encode()))
-        if call.body or call.method not in {'GET', 'HEAD'}:
-            added.append((b'content-length', str(len(call.body)).encode()))
+        if call.body.raw or call.method not in {'GET', 'HEAD'}:
+            added.append((b'content-length', str(len(call.body.raw)).encode()))
         return (*call.headers, *added)
 
     def read_head(self, head: Head) -> AnswerNote:
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -17,7 +17,7 @@
 from trestledock.relay._asking import Ask, NoPlace
 from trestledock.relay._board import Board, Flight, Phase
 from trestledock.relay._budget import BudgetTerms, RetryWindow
-from trestledock.relay._call import Call, PromptSize
+from trestledock.relay._call import Body, Call, PromptSize
 from trestledock.relay._catalog import (
     Catalog,
     EngineModel,
@@ -36,6 +36,7 @@
     decide_without_place,
 )
 from trestledock.relay._events import Event, Splitter
+from trestledock.relay._fingerprint import get_fingerprint
 from trestledock.relay._fleet import BEFORE_ALL, Fleet
 from trestledock.relay._health import Health
 from trestledock.relay._listed import UNTOLD, Listed, Order, Standing
@@ -57,6 +58,7 @@
     get_own_read_in_s,
     get_retry_s,
 )
+from trestledock.relay._signs import Sign
 from trestledock.relay._terms import TERMS, Terms
 from trestledock.relay._worth import get_worth
 
@@ -65,6 +67,7 @@
     'BEFORE_ALL',
     'BEAT_S',
     'Board',
+    'Body',
     'BudgetTerms',
     'Call',
     'Candidate',
@@ -97,6 +100,7 @@
     'Sending',
     'Service',
     'Share',
+    'Sign',
     'Splitter',
     'Standing',
     'TERMS',
@@ -109,6 +113,7 @@
     'choose_reader',
     'decide',
     'decide_without_place',
+    'get_fingerprint',
     'get_first_patience_s',
     'get_own_read_in_s',
     'get_pause_patience_s',
--- a/trestledock/relay/_call.py
+++ b/trestledock/relay/_call.py
@@ -7,6 +7,7 @@
 """
 
 from dataclasses import dataclass
+from hashlib import sha256
 
 
 @dataclass(frozen=True)
@@ -22,6 +23,22 @@
         return self.prompt_tokens + self.output_tokens
 
 
+@dataclass(frozen=True)
+class Body:
+    """A body with its SHA-256, which is taken as the body comes in.
+
+    That costs 1.4 ms a megabyte; taken piece by piece it holds nobody else up.
+    """
+
+    raw: bytes = b''
+    digest: bytes = sha256().digest()
+
+    @classmethod
+    def of(cls, raw: bytes) -> 'Body':
+        """Return a body that is there already."""
+        return cls(raw, sha256(raw).digest())
+
+
 @dataclass(frozen=True)
 class Call:
     """One attempt of a caller, whole.
@@ -37,7 +54,7 @@
     query: str
     host: str
     headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
+    body: Body
     arrived_at: float
     deadline: float | None = None
     key: str = ''
--- a/trestledock/relay/_outcome.py
+++ b/trestledock/relay/_outcome.py
@@ -11,6 +11,7 @@
 from enum import Enum
 
 from trestledock.relay._catalog import Route
+from trestledock.relay._signs import Sign
 
 
 class Ending(str, Enum):
@@ -35,6 +36,7 @@
     step: str
     peer: str
     detail: str = ''
+    sign: Sign = Sign.none
 
     @property
     def may_have_run(self) -> bool:
