--- /dev/null
+++ b/tests/crashing.py
@@ -0,0 +1,269 @@
+"""Entries before targets that crash under a request that is marked so.
+
+A target that begins to run such a request ends with all its connections, and
+another start of it is listed at all entries: under its id with a new birth, or
+under a new id.  What entries tell one another arrives at once.
+"""
+
+from contextlib import suppress
+from dataclasses import dataclass, field
+from random import Random
+
+import anyio
+from anyio.abc import SocketAttribute
+
+from tests.relaying import (
+    HOST,
+    KEY,
+    SETTINGS,
+    World,
+    make_answer,
+    make_stream,
+)
+from tests.soak.serving import reset
+from trestledock.entry._gossip import Gossip
+from trestledock.entry._pool import Pool
+from trestledock.entry._relaying import Relayer
+from trestledock.entry._sending import Sender
+from trestledock.entry._state import EntryState
+from trestledock.entry._tickets import Tickets
+from trestledock.entry._words import write_word
+from trestledock.platform._headers import PlatformDialect
+from trestledock.relay import (
+    Catalog,
+    Listed,
+    RouteKind,
+    Service,
+    Standing,
+    TeamKey,
+)
+
+#: The body that ends whatever runs it, and what a sound one has.
+DEADLY = b'deadly'
+SOUND = b'sound'
+#: What runs beside it takes so long, in seconds.
+WORK_S = 0.05
+#: After a crash the next start is listed so much later, in seconds.
+AGAIN_S = 0.01
+
+
+@dataclass(frozen=True)
+class Crash:
+    """What is written of the answer before the end, and how it ends."""
+
+    written: bytes = b''
+    resets: bool = True
+
+
+HEAD_END = b'\r\n\r\n'
+BEGUN = make_stream(1, 2, end=b'')
+#: The ways in which a crash is seen by whoever waits for the answer.
+CRASHES = {
+    'reset before the head': Crash(),
+    'closed before the head': Crash(resets=False),
+    'closed within the head': Crash(BEGUN[:20], resets=False),
+    'reset between head and body': Crash(
+        BEGUN[: BEGUN.index(HEAD_END) + len(HEAD_END)]
+    ),
+    'closed in the middle of a stream': Crash(BEGUN, resets=False),
+    'reset in the middle of a stream': Crash(BEGUN),
+}
+
+
+@dataclass(eq=False)
+class Target:
+    """One start of a target."""
+
+    fleet: 'Fleet'
+    target_id: str
+    born: int
+    port: int = 0
+    streams: set = field(default_factory=set)
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+
+    async def live(self, *, task_status):
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        self.port = listener.extra(SocketAttribute.local_port)
+        task_status.started()
+        with self.scope:
+            await listener.serve(self._handle)
+        with anyio.CancelScope(shield=True):
+            await listener.aclose()
+
+    def get_listed(self):
+        return Listed(
+            self.target_id,
+            'svc',
+            f'127.0.0.1:{self.port}',
+            'dc',
+            Standing.ready,
+            8,
+            sequence=1,
+            born=self.born,
+        )
+
+    async def crash(self):
+        """End with all connections, as a process does."""
+        for stream in tuple(self.streams):
+            if self.fleet.crash.resets:
+                reset(stream)
+            with suppress(OSError, anyio.ClosedResourceError):
+                await stream.aclose()
+        self.scope.cancel()
+
+    async def _handle(self, stream):
+        self.streams.add(stream)
+        async with stream:
+            with suppress(
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ):
+                while True:
+                    await self._talk(stream)
+
+    async def _talk(self, stream):
+        head, body = await _read(stream)
+        req_id = _get_header(head, 'trestledock-request-id')
+        if body == DEADLY:
+            self.fleet.note_end(self)
+            with anyio.CancelScope(shield=True):
+                if self.fleet.crash.written:
+                    await stream.send(self.fleet.crash.written)
+                await self.crash()
+            return
+        self.fleet.sound_runs += 1
+        await anyio.sleep(WORK_S)
+        if self.fleet.route.kind is RouteKind.streaming:
+            await stream.send(make_stream(1, 4, req_id=req_id))
+        else:
+            await stream.send(make_answer(req_id=req_id))
+
+
+@dataclass
+class Fleet:
+    """Some entries, and the targets that they share."""
+
+    route: object
+    crash: Crash
+    group: anyio.abc.TaskGroup
+    new_ids: bool = False
+    entries: list = field(default_factory=list)
+    targets: list = field(default_factory=list)
+    ended: list = field(default_factory=list)
+    sound_runs: int = 0
+    numbers: int = 0
+
+    def add_entry(self):
+        """Start an entry that knows the others."""
+        number = len(self.entries)
+        state = EntryState(
+            SETTINGS, f'entry-{number}', Random(number), self.group
+        )
+        state.catalog = Catalog(
+            1, {HOST: (self.route,)}, {'svc': Service('svc')}, _make_keys()
+        )
+        state.proof.renew(anyio.current_time())
+        gossip = Gossip(state)
+        gossip.neighbours.own = ('127.0.0.1', number)
+        gossip.send = self._send_from(number)
+        pool = Pool(state.spawn)
+        dialect = PlatformDialect()
+        tickets = Tickets(state, pool, dialect)
+        sender = Sender(state, pool, dialect, tickets)
+        world = World(state, Relayer(state, dialect, sender))
+        world.gossip = gossip
+        self.entries.append(world)
+        for one in self.entries:
+            one.gossip.meet(
+                {
+                    other.state.member: f'127.0.0.1:{port}'
+                    for port, other in enumerate(self.entries)
+                }
+            )
+        for target in self.targets:
+            state.fleet.put(target.get_listed())
+        return world
+
+    async def add_target(self, target_id='', born=1):
+        """Start a target, and list it everywhere."""
+        self.numbers += 1
+        name = target_id or f't{self.numbers}'
+        target = Target(self, name, born)
+        await self.group.start(target.live)
+        self.targets.append(target)
+        for entry in self.entries:
+            entry.state.fleet.put(target.get_listed())
+            entry.state.notify()
+
+    def note_end(self, target):
+        """Note that a target ends; it starts again."""
+        self.ended.append(target)
+        self.targets.remove(target)
+        self.group.start_soon(self._start_again, target)
+
+    async def ask_in_turn(self, tries, body=DEADLY):
+        """Ask once after the other, each time at the next entry."""
+        return [
+            await self.entries[number % len(self.entries)].ask(
+                f'r{number}', body=body
+            )
+            for number in range(tries)
+        ]
+
+    async def _start_again(self, target):
+        await anyio.sleep(AGAIN_S)
+        if self.new_ids:
+            await self.add_target()
+        else:
+            await self.add_target(target.target_id, target.born + 1)
+
+    def _send_from(self, number):
+        def send(word, where):
+            raw = write_word(word, anyio.current_time())
+            for _, port in where:
+                self.entries[port].gossip.take(raw, ('127.0.0.1', number))
+
+        return send
+
+
+def run_fleet(scenario, route, crash, *, entries=3, targets=6, new_ids=False):
+    """Run `scenario(fleet)`; return the fleet."""
+    found = []
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            fleet = Fleet(route, crash, group, new_ids)
+            found.append(fleet)
+            for _ in range(entries):
+                fleet.add_entry()
+            for _ in range(targets):
+                await fleet.add_target()
+            await scenario(fleet)
+            group.cancel_scope.cancel()
+
+    anyio.run(main)
+    return found[0]
+
+
+def _make_keys():
+    return {KEY: TeamKey('kiosks')}
+
+
+async def _read(stream):
+    raw = b''
+    while HEAD_END not in raw:
+        raw += await stream.receive()
+    head, _, body = raw.partition(HEAD_END)
+    length = int(_get_header(head, 'content-length') or 0)
+    while len(body) < length:
+        body += await stream.receive()
+    return head, body
+
+
+def _get_header(head, name):
+    for line in head.decode().split('\r\n'):
+        found, _, text = line.partition(':')
+        if found.lower() == name:
+            return text.strip()
+    return ''
