--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -8,6 +8,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from random import Random
+from typing import Callable
 
 import anyio
 from anyio.abc import SocketAttribute
@@ -47,26 +48,41 @@
 AGAIN_S = 0.01
 
 
+def _write_nothing(_):
+    return b''
+
+
 @dataclass(frozen=True)
 class Crash:
-    """What is written of the answer before the end, and how it ends."""
+    """How much is written of the answer before the end, and how it ends."""
 
-    written: bytes = b''
+    get_written: Callable = _write_nothing
     resets: bool = True
 
 
 HEAD_END = b'\r\n\r\n'
-BEGUN = make_stream(1, 2, end=b'')
+
+
+def _write_part_of_head(answer):
+    return answer[:20]
+
+
+def _write_head(answer):
+    return answer[: answer.index(HEAD_END) + len(HEAD_END)]
+
+
+def _write_all(answer):
+    return answer
+
+
 #: The ways in which a crash is seen by whoever waits for the answer.
 CRASHES = {
     'reset before the head': Crash(),
     'closed before the head': Crash(resets=False),
-    'closed within the head': Crash(BEGUN[:20], resets=False),
-    'reset between head and body': Crash(
-        BEGUN[: BEGUN.index(HEAD_END) + len(HEAD_END)]
-    ),
-    'closed in the middle of a stream': Crash(BEGUN, resets=False),
-    'reset in the middle of a stream': Crash(BEGUN),
+    'closed within the head': Crash(_write_part_of_head, resets=False),
+    'reset between head and body': Crash(_write_head),
+    'closed in the middle of a stream': Crash(_write_all, resets=False),
+    'reset in the middle of a stream': Crash(_write_all),
 }
 
 
@@ -128,8 +144,10 @@
         if body == DEADLY:
             self.fleet.note_end(self)
             with anyio.CancelScope(shield=True):
-                if self.fleet.crash.written:
-                    await stream.send(self.fleet.crash.written)
+                answer = make_stream(1, 2, end=b'', req_id=req_id)
+                written = self.fleet.crash.get_written(answer)
+                if written:
+                    await stream.send(written)
                 await self.crash()
             return
         self.fleet.sound_runs += 1
@@ -169,6 +187,7 @@
         gossip.send = self._send_from(number)
         pool = Pool(state.spawn)
         dialect = PlatformDialect()
+        state.isolation.ways.look = pool.look
         tickets = Tickets(state, pool, dialect)
         sender = Sender(state, pool, dialect, tickets)
         world = World(state, Relayer(state, dialect, sender))
--- a/tests/test_query_of_death.py
+++ b/tests/test_query_of_death.py
@@ -18,6 +18,7 @@
 """
 
 import unittest
+from itertools import product
 
 import anyio
 
@@ -39,17 +40,17 @@
 BESIDE = 6
 
 
-#: Routes, with the ways in which a crash of their targets is seen, and whether
-#: they come back under new ids.
+#: Routes, with the ways in which a crash of their targets is seen.
 CASES = [
-    (route, name, new_ids)
-    for route, names in (
-        (PLAIN, ('reset before the head', 'closed before the head')),
-        (ONCE, ('reset before the head', 'closed before the head')),
-        (STREAM, CRASHES),
-    )
-    for name in names
-    for new_ids in (False, True)
+    *(
+        (PLAIN, name)
+        for name in ('reset before the head', 'closed before the head')
+    ),
+    *(
+        (ONCE, name)
+        for name in ('reset before the head', 'closed before the head')
+    ),
+    *((STREAM, name) for name in CRASHES),
 ]
 
 
@@ -69,7 +70,7 @@
 
     def test_few_targets_end(self):
         """Whether they come back under their ids or under new ones."""
-        for route, name, new_ids in CASES:
+        for (route, name), new_ids in product(CASES, (False, True)):
             with self.subTest(kind=route.kind, crash=name, new_ids=new_ids):
                 self.check(route, CRASHES[name], new_ids=new_ids)
 
--- a/trestledock/entry/__init__.py
+++ b/trestledock/entry/__init__.py
@@ -7,7 +7,12 @@
 for its formats and a `Directory` for its store.
 """
 
-from trestledock.entry._checks import read_amount, read_count, read_text
+from trestledock.entry._checks import (
+    read_amount,
+    read_count,
+    read_list,
+    read_text,
+)
 from trestledock.entry._daemon import run_entry
 from trestledock.entry._dialect import (
     AnswerNote,
@@ -50,6 +55,7 @@
     'emit',
     'read_amount',
     'read_count',
+    'read_list',
     'read_text',
     'run_entry',
     'set_up_logs',
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -106,6 +106,7 @@
             self._note_silence(found)
         if status == HTTPStatus.MISDIRECTED_REQUEST:
             self.state.fleet.leaving.add(at_fault)
+            self.state.isolation.note_replaced(at_fault)
         return at_fault
 
     def _get_sent_to(self, placement: Placement, named: str) -> str:
--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -21,6 +21,7 @@
 from trestledock.entry._dialect import Dialect, Directory
 from trestledock.entry._following import Follower
 from trestledock.entry._gossip import Gossip
+from trestledock.entry._keeping import Keeping
 from trestledock.entry._logger import emit
 from trestledock.entry._news import NewsExchange
 from trestledock.entry._pool import Pool
@@ -115,7 +116,10 @@
     sender = Sender(state, pool, dialect, tickets)
     relayer = Relayer(state, dialect, sender)
     app = EntryApp(state, relayer, dialect, exchange)
+    keeping = Keeping(state.isolation, directory.quarantine, follower.is_reader)
+    state.isolation.ways.look = pool.look
     state.keep_running(follower.run)
+    state.keep_running(keeping.run)
     state.keep_running(gossip.run)
     group.start_soon(listen, state, app, server)
 
--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -10,7 +10,7 @@
 from typing import Any, Mapping, Protocol
 
 from trestledock.entry._wire import Head, Headers
-from trestledock.relay import Body, Call, Catalog, Listed, Placement
+from trestledock.relay import Body, Call, Catalog, Held, Listed, Placement
 
 
 @dataclass(frozen=True)
@@ -124,9 +124,26 @@
         """Return the order that gives memory back."""
 
 
+class QuarantineStore(Protocol):
+    """What the platform's store remembers of held requests."""
+
+    async def read_held(self, wait_s: float) -> tuple[Held, ...]:
+        """Return what is new, once there is something or the time is over."""
+
+    async def write_held(self, records: list[Held]) -> None:
+        """Write what is held from now on, or no more."""
+
+    async def claim_trial(self, held: Held) -> bool:
+        """Write that a request is tried now, unless somebody else did."""
+
+
 class Directory(Protocol):
     """The platform's store, as far as the entry reads it."""
 
+    @property
+    def quarantine(self) -> QuarantineStore:
+        """Return the part that holds requests."""
+
     async def read_catalog(self) -> News:
         """Return the newest configuration where it changed."""
 
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -243,6 +243,50 @@
     data_centre: str
 
 
+class TargetEnded(Event):
+    """A target ended while it ran a request.
+
+    `sign` is what was seen of it after that, where another start of it was not
+    listed; `ends` is how many the request is answerable for by now.
+    """
+
+    peer: str
+    fingerprint: str
+    sign: str
+    ends: int
+
+
+class RequestHeld(Event):
+    """A request goes to no target from now on: too many ended under it.
+
+    `source` is who told of the last one: this entry, another one or the store.
+    """
+
+    fingerprint: str
+    ends: int
+    source: str
+
+
+class RequestCleared(Event):
+    """A request under which targets had ended was answered by one."""
+
+    fingerprint: str
+    ends: int
+    source: str
+
+
+class TrialGranted(Event):
+    """A held request is given to one target, to see if that ends as well."""
+
+    fingerprint: str
+
+
+class SuspectForgotten(Event):
+    """The ends of a request were forgotten, since there are too many others."""
+
+    fingerprint: str
+
+
 class DataCentreQuiet(Event):
     """All entries of a data centre are silent; its targets are left alone."""
 
--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -72,6 +72,10 @@
             group.start_soon(self._follow_peers)
             group.start_soon(self.listing.run)
 
+    def is_reader(self) -> bool:
+        """Whether this entry reads the store for itself and for others."""
+        return self._reader == self.state.member
+
     async def _follow(self) -> None:
         while True:
             now = anyio.current_time()
--- /dev/null
+++ b/trestledock/entry/_isolation.py
@@ -0,0 +1,328 @@
+"""
+Isolation of deadly requests
+============================
+
+Finds out why a connection to a target ended in the middle of a request, puts it
+down to the request where the target ended with it, and has the other entries
+and the store know.  A target that merely closes its connections takes new ones
+at once; where one has ended nobody listens, and another start of it is listed
+later.
+"""
+
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Any, Awaitable, Callable, Iterable, Iterator, Mapping
+
+import anyio
+
+from trestledock.entry import _events as events
+from trestledock.entry._logger import emit
+from trestledock.relay import (
+    End,
+    Health,
+    Held,
+    Listed,
+    Quarantine,
+    Sign,
+)
+
+#: How a sending ends whose target may have ended with it: by the target's close
+#: of its connection, or by bytes that are no answer, as a process may write in
+#: its last moment.  Silence is not among them: whoever was left for it is not
+#: known to have run the request, and cuts and crowds make more of it than ends.
+MAY_BE_END = frozenset((Sign.closed, Sign.garbled))
+#: After which of them the target is connected to once more.
+LOOKED_AT = frozenset((Sign.closed,))
+#: Whether a target has ended that closed a connection in the middle of a
+#: request, by what is seen when it is connected to once more; None where that
+#: can't be told yet.  A port where nobody listens is the sign of a process that
+#: has gone; one that listens may be that of its next start, and an address that
+#: isn't reached that of one that lives.
+IS_END: Mapping[Sign, bool | None] = MappingProxyType(
+    {
+        Sign.none: None,
+        Sign.closed: None,
+        Sign.refused: True,
+        Sign.unreachable: None,
+    }
+)
+#: For how long it may be told by a list that a target had ended, in seconds:
+#: three heartbeats, and the time that a process takes to start.
+OPEN_S = 10.0
+#: Targets whose end may be open at once.
+MOST_OPEN = 500
+#: An end of which another entry tells keeps this one from a target where it is
+#: no older than this, in seconds: its next start has another name.
+FRESH_S = 1.0
+#: Requests with so many ends are told of again, and when they are answered: one
+#: end says little, and each word goes to everybody.
+LEAST_TOLD = 2
+SELF = 'self'
+STORE = 'store'
+
+Look = Callable[[Listed], Awaitable[Sign]]
+Claim = Callable[[Held], Awaitable[bool]]
+TellEnds = Callable[[Iterable[End]], None]
+TellCleared = Callable[[str], None]
+
+
+async def _see_nothing(_: Listed) -> Sign:
+    """Stand for a look at a target where nobody can."""
+    return Sign.unreachable
+
+
+async def _grant_nothing(_: Held) -> bool:
+    """Stand for a claim where there is no store."""
+    return False
+
+
+def _tell_nobody(_: Any) -> None:
+    """Stand for telling where nobody speaks."""
+
+
+@dataclass
+class Ways:
+    """How an isolation learns and tells.
+
+    `look` connects to a target once more; `claim` takes the right to try a held
+    request from all other entries; the others tell these at once.
+    """
+
+    look: Look = _see_nothing
+    claim: Claim = _grant_nothing
+    tell_ends: TellEnds = _tell_nobody
+    tell_cleared: TellCleared = _tell_nobody
+
+
+@dataclass(frozen=True)
+class Open:
+    """What may be the end of a target, until another start is listed."""
+
+    end: End
+    address: str
+    until: float
+
+
+class Isolation:
+    """Keeps requests from targets that would end under them.
+
+    `to_keep` has what the store is to know, and `kept` is set with it.
+    """
+
+    def __init__(self, health: Health) -> None:
+        """Begin with no end."""
+        self.health = health
+        self.quarantine = Quarantine()
+        self.ways = Ways()
+        self.to_keep: set[str] = set()
+        self.wants_keeping = anyio.Event()
+        self._open: dict[str, list[Open]] = {}
+        self._witnessed: set[str] = set()
+        self._claiming: set[str] = set()
+
+    def is_held(self, fingerprint: str) -> bool:
+        """Whether a request goes to no target."""
+        return self.quarantine.is_held(fingerprint)
+
+    def count_held(self) -> int:
+        """Return how many requests go to no target."""
+        return sum(map(self.is_held, self.quarantine.suspects))
+
+    def get_due_in_s(self, fingerprint: str) -> float:
+        """Return when a held request may be tried again, in seconds."""
+        now = anyio.current_time()
+        return self.quarantine.get_due_in_s(fingerprint, now)
+
+    async def may_try(self, fingerprint: str) -> bool:
+        """Whether a held request may be given to one target now.
+
+        Of all such requests at all entries one may; the others don't wait.
+        """
+        now = anyio.current_time()
+        is_due = self.quarantine.is_due(fingerprint, now)
+        if not is_due or fingerprint in self._claiming:
+            return False
+        self._claiming.add(fingerprint)
+        try:
+            granted = await self.ways.claim(
+                self.quarantine.make_held(fingerprint, now)
+            )
+        finally:
+            self._claiming.discard(fingerprint)
+        if granted:
+            self.quarantine.note_trial(fingerprint, now)
+            emit(events.TrialGranted(fingerprint))
+        return granted
+
+    async def note_lost(
+        self,
+        fingerprint: str,
+        sign: Sign,
+        targets: Iterable[Listed],
+    ) -> None:
+        """Find out whether a target has ended with a request.
+
+        Of all that work on a request one end counts: its reader and its
+        helpers may have ended together.
+        """
+        if sign not in MAY_BE_END:
+            return
+        for target in targets:
+            seen = Sign.none
+            if sign in LOOKED_AT:
+                seen = await self.ways.look(target)
+            end = End(fingerprint, target.incarnation)
+            if IS_END.get(seen):
+                self._note_own([end], seen)
+                return
+            self._keep_open(end, target.address)
+
+    def note_replaced(self, incarnation: str) -> None:
+        """Note that another start of a target is known: this one has ended."""
+        now = anyio.current_time()
+        found = self._open.pop(incarnation, [])
+        ends = [one.end for one in found if now < one.until]
+        if ends:
+            self._note_own(ends, Sign.none)
+
+    def note_listed(self, listed: Listed) -> None:
+        """Note a target: what had its address before has ended."""
+        before = [
+            incarnation
+            for incarnation, found in self._open.items()
+            if found[0].address == listed.address
+        ]
+        for incarnation in before:
+            if incarnation != listed.incarnation:
+                self.note_replaced(incarnation)
+
+    def note_answered(self, fingerprint: str) -> None:
+        """Note that a target has answered a request: it ends none."""
+        if fingerprint not in self.quarantine.suspects:
+            return
+        was_held = self.is_held(fingerprint)
+        count = self._clear(fingerprint, SELF)
+        if count >= LEAST_TOLD:
+            self.ways.tell_cleared(fingerprint)
+        if was_held:
+            self._keep(fingerprint)
+
+    def take_ends(
+        self,
+        ends: Iterable[tuple[End, float]],
+        source: str,
+    ) -> None:
+        """Take ends that another entry knows, with their ages in seconds."""
+        now = anyio.current_time()
+        for end, age_s in ends:
+            self._add(end, now - age_s, source)
+            if age_s < FRESH_S:
+                self.health.note_silence(end.incarnation, now)
+
+    def take_cleared(self, fingerprint: str, source: str) -> None:
+        """Take another's word that a request was answered."""
+        self._clear(fingerprint, source)
+
+    def take_held(self, records: Iterable[Held], source: str) -> None:
+        """Take what the store, or the list of another entry, holds."""
+        now = anyio.current_time()
+        for held in records:
+            if held.incarnations:
+                was_held = self.is_held(held.fingerprint)
+                self.quarantine.take(held, now)
+                self._look_at(held.fingerprint, source, was_held=was_held)
+            else:
+                self._clear(held.fingerprint, source)
+
+    def get_known(self) -> Iterator[tuple[End, float]]:
+        """Yield what an entry is told that is new, with ages."""
+        now = anyio.current_time()
+        for fingerprint, suspect in self.quarantine.suspects.items():
+            if len(suspect.incarnations) < LEAST_TOLD:
+                continue
+            age_s = now - suspect.ended_at
+            for incarnation in suspect.incarnations:
+                yield End(fingerprint, incarnation), age_s
+
+    def is_told_again(self, end: End) -> bool:
+        """Whether a lost word of an end would matter."""
+        return self.quarantine.count_ends(end.fingerprint) >= LEAST_TOLD
+
+    def take_to_keep(self) -> list[Held]:
+        """Return what the store is to know; nothing waits any more."""
+        now = anyio.current_time()
+        found = sorted(self.to_keep)
+        self.to_keep = set()
+        self.wants_keeping = anyio.Event()
+        known = self.quarantine.suspects
+        return [
+            self.quarantine.make_held(one, now)
+            if one in known
+            else Held(one, ())
+            for one in found
+        ]
+
+    def keep_again(self, records: Iterable[Held]) -> None:
+        """Have the store know later what it did not take."""
+        for held in records:
+            self._keep(held.fingerprint)
+
+    def _note_own(self, ends: list[End], sign: Sign) -> None:
+        now = anyio.current_time()
+        for end in ends:
+            self._witnessed.add(end.fingerprint)
+            self.health.note_silence(end.incarnation, now)
+            if self._add(end, now, SELF):
+                count = self.quarantine.count_ends(end.fingerprint)
+                emit(
+                    events.TargetEnded(
+                        end.incarnation, end.fingerprint, sign.value, count
+                    )
+                )
+        self.ways.tell_ends(ends)
+
+    def _add(self, end: End, ended_at: float, source: str) -> bool:
+        was_held = self.is_held(end.fingerprint)
+        is_new = self.quarantine.note_end(end, ended_at)
+        if is_new:
+            self._look_at(end.fingerprint, source, was_held=was_held)
+        return is_new
+
+    def _look_at(
+        self, fingerprint: str, source: str, *, was_held: bool
+    ) -> None:
+        """Note whether a request is held from now on.
+
+        An entry that has seen one of its ends has the store know, for those
+        that start later.  So up to three do, as any of them may be gone.
+        """
+        if self.is_held(fingerprint) and not was_held:
+            count = self.quarantine.count_ends(fingerprint)
+            emit(events.RequestHeld(fingerprint, count, source))
+            if source != STORE and fingerprint in self._witnessed:
+                self._keep(fingerprint)
+        for forgotten in self.quarantine.trim():
+            self._witnessed.discard(forgotten)
+            emit(events.SuspectForgotten(forgotten))
+
+    def _clear(self, fingerprint: str, source: str) -> int:
+        count = self.quarantine.clear(fingerprint)
+        self._witnessed.discard(fingerprint)
+        if count:
+            emit(events.RequestCleared(fingerprint, count, source))
+        return count
+
+    def _keep(self, fingerprint: str) -> None:
+        self.to_keep.add(fingerprint)
+        self.wants_keeping.set()
+
+    def _keep_open(self, end: End, address: str) -> None:
+        now = anyio.current_time()
+        self._open = {
+            incarnation: found
+            for incarnation, found in self._open.items()
+            if now < found[-1].until
+        }
+        if len(self._open) < MOST_OPEN:
+            found = self._open.setdefault(end.incarnation, [])
+            found.append(Open(end, address, now + OPEN_S))
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -33,6 +33,7 @@
     no_memory = 'no_memory'
     no_time = 'no_time'
     no_room = 'no_room'
+    held = 'held'
     not_run = 'not_run'
     failed = 'failed'
     timeout = 'timeout'
@@ -50,6 +51,7 @@
         Refusal.no_memory: 503,
         Refusal.no_time: 503,
         Refusal.no_room: 503,
+        Refusal.held: 503,
         Refusal.not_run: 503,
         Refusal.failed: 502,
         Refusal.timeout: 504,
@@ -76,7 +78,8 @@
     failure that is passed on if nothing better comes.
     `writing` is true from before the first byte of a sending leaves until its
     ending stands in the history.  `has_repeat` says that a repeat was taken
-    from the budget before the target was left.  `come_back_s` is when there may
+    from the budget before the target was left.  `is_trial` says that one target
+    may get the request though it is held.  `come_back_s` is when there may
     be room for it, where it is refused.
     """
 
@@ -95,6 +98,7 @@
     fallback: Answer | None = None
     writing: bool = False
     has_repeat: bool = False
+    is_trial: bool = False
     come_back_s: float = 0
 
     @property
--- /dev/null
+++ b/trestledock/entry/_keeping.py
@@ -0,0 +1,100 @@
+"""
+Keeping the quarantine
+======================
+
+The platform's store remembers which requests are held, for entries that start
+later, or when all have ended at the same moment.  Only what is held is written:
+some records for each such request, and one for each trial.  Whoever reads the
+store for others waits in one long call for what is new, which costs a call each
+few seconds; the others are told with the list of targets.
+"""
+
+from typing import Callable
+
+import anyio
+
+from trestledock.entry import _events as events
+from trestledock.entry._dialect import QuarantineStore
+from trestledock.entry._isolation import STORE, Isolation
+from trestledock.entry._logger import emit
+from trestledock.entry._reading import EXPECTED
+from trestledock.relay import Held
+
+#: How long one read waits for something new, in seconds: an open connection may
+#: fall silent for good, and its time-out ends another two seconds later.
+WAIT_S = 5.0
+#: How long a call may take beside that, in seconds.
+TIMEOUT_S = 1.0
+#: After a call in vain the next one comes so much later, in seconds: at first,
+#: and at most as that doubles.  Each call has a price, a refused one too.
+RETRY_S = 1.0
+RETRY_MOST_S = 8.0
+#: How often is looked whether this entry reads the store by now, in seconds.
+LOOK_S = 0.5
+
+
+class Keeping:
+    """Reads and writes the quarantine for one entry."""
+
+    def __init__(
+        self,
+        isolation: Isolation,
+        store: QuarantineStore,
+        is_reader: Callable[[], bool],
+    ) -> None:
+        """Keep the store; `is_reader` says whether others are told by it."""
+        self.isolation = isolation
+        self.store = store
+        self.is_reader = is_reader
+        self._vain = 0
+        isolation.ways.claim = self.claim
+
+    async def run(self) -> None:
+        """Read and write until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._follow)
+            group.start_soon(self._write)
+
+    async def claim(self, held: Held) -> bool:
+        """Take the right to try a request; nobody has it without the store."""
+        try:
+            with anyio.fail_after(TIMEOUT_S):
+                return await self.store.claim_trial(held)
+        except EXPECTED as exc:
+            emit(events.StoreLost('claim_trial', repr(exc)))
+            return False
+
+    async def _follow(self) -> None:
+        while True:
+            if self.is_reader():
+                await self._read()
+            else:
+                await anyio.sleep(LOOK_S)
+
+    async def _read(self) -> None:
+        try:
+            with anyio.fail_after(WAIT_S + TIMEOUT_S):
+                records = await self.store.read_held(WAIT_S)
+        except EXPECTED as exc:
+            await self._pause('read_held', exc)
+            return
+        self._vain = 0
+        self.isolation.take_held(records, STORE)
+
+    async def _write(self) -> None:
+        while True:
+            await self.isolation.wants_keeping.wait()
+            records = self.isolation.take_to_keep()
+            try:
+                with anyio.fail_after(TIMEOUT_S):
+                    await self.store.write_held(records)
+            except EXPECTED as exc:
+                self.isolation.keep_again(records)
+                await self._pause('write_held', exc)
+
+    async def _pause(self, step: str, exc: Exception) -> None:
+        if not self._vain:
+            emit(events.StoreLost(step, repr(exc)))
+        wait_s = min(RETRY_MOST_S, RETRY_S * 2**self._vain)
+        self._vain = min(self._vain + 1, 10)
+        await anyio.sleep(wait_s)
--- a/trestledock/entry/_listing.py
+++ b/trestledock/entry/_listing.py
@@ -52,6 +52,7 @@
             before = self.fleet.get_by_id(target_id)
             self._take_records(target_id, of_one, news, now)
             if before and self.fleet.is_superseded(before):
+                self.state.isolation.note_replaced(before.incarnation)
                 self._forget([before.incarnation], news.source)
         if not self.fleet.watch.is_settled(now):
             self._hold(news, now)
@@ -124,6 +125,7 @@
         again = listed.target_id in self.fleet.gone
         if not self.fleet.put(listed):
             return
+        self.state.isolation.note_listed(listed)
         emit(
             events.TargetListed(
                 listed.incarnation,
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -53,6 +53,15 @@
         events.MemoryRefused: Counting('Prompts whose memory was not granted'),
         events.OrderLost: Counting('Orders to engines without an answer'),
         events.TargetSuspected: Counting('Targets that fell silent'),
+        events.TargetEnded: Counting(
+            'Ends of targets while they ran a request', ('sign',)
+        ),
+        events.RequestHeld: Counting('Requests that are held back'),
+        events.RequestCleared: Counting(
+            'Requests under which targets had ended, and that were answered'
+        ),
+        events.TrialGranted: Counting('Trials of requests that are held'),
+        events.SuspectForgotten: Counting('Requests whose ends were forgotten'),
         events.StoreLost: Counting('Losses of the store', ('step',)),
         events.TargetHeld: Counting('Missing targets that may have lapsed'),
         events.ListDisturbed: Counting('Lists of targets after a disturbance'),
@@ -107,6 +116,8 @@
         'targets_held': 'Targets that are missing but may have lapsed',
         'list_age_seconds': 'Age of what is known of the targets',
         'peers': 'Other entries that are heard',
+        'requests_held': 'Requests that go to no target',
+        'requests_suspected': 'Requests under which a target has ended',
     }
 )
 
--- a/trestledock/entry/_pool.py
+++ b/trestledock/entry/_pool.py
@@ -12,14 +12,19 @@
 
 import anyio
 
-from trestledock.entry._wire import Wire
-from trestledock.relay import Listed
+from trestledock.entry._wire import Wire, WireError
+from trestledock.relay import Listed, Sign
 
 #: How long a connection may be idle where the target does not say, in seconds.
 IDLE_S = 4.0
 #: How long before a target's own timeout a connection is dropped, in seconds.
 IDLE_MARGIN_S = 0.6
 
+#: How long a connection has to stay open to show that its target lives, in
+#: seconds, and how many are tried: a target resets those that are too many.
+SETTLE_S = 0.03
+LOOKS = 3
+
 Spawn = Callable[..., Any]
 
 
@@ -57,6 +62,26 @@
             await idle.wire.close()
         return await Wire.connect(target.address)
 
+    async def look(self, target: Listed) -> Sign:
+        """Connect to a target once more; return what is seen of it.
+
+        A process that ends closes its sockets one after the other, so what it
+        still accepts is watched for a moment.  A connection that stays open is
+        kept for the next request.
+        """
+        for _ in range(LOOKS):
+            try:
+                wire = await Wire.connect(target.address)
+            except WireError as exc:
+                return exc.sign
+            with anyio.move_on_after(SETTLE_S) as settled:
+                await wire.wait_for_surplus()
+            if settled.cancelled_caught:
+                self._keep(target, wire, IDLE_S)
+                return Sign.none
+            await wire.close()
+        return Sign.closed
+
     async def give(self, target: Listed, wire: Wire, idle_s: float) -> None:
         """Take a connection back after an answer.
 
@@ -65,10 +90,7 @@
         if idle_s <= 0 or not wire.recycle():
             await wire.close()
             return
-        until = anyio.current_time() + idle_s
-        idle = _Idle(wire, until, anyio.CancelScope(), anyio.Event())
-        self._idle[target.incarnation].append(idle)
-        self._spawn(self._watch, target.incarnation, idle)
+        self._keep(target, wire, idle_s)
 
     def drop(self, incarnation: str) -> None:
         """Close the idle connections to an incarnation that has gone."""
@@ -76,6 +98,12 @@
             idle.watcher.cancel()
             self._spawn(idle.wire.close)
 
+    def _keep(self, target: Listed, wire: Wire, idle_s: float) -> None:
+        until = anyio.current_time() + idle_s
+        idle = _Idle(wire, until, anyio.CancelScope(), anyio.Event())
+        self._idle[target.incarnation].append(idle)
+        self._spawn(self._watch, target.incarnation, idle)
+
     async def _watch(self, incarnation: str, idle: _Idle) -> None:
         left_s = max(0, idle.until - anyio.current_time())
         try:
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -21,7 +21,7 @@
 from trestledock.entry._state import MOST_AGE_S, EntryState
 from trestledock.entry._tickets import Tickets
 from trestledock.entry._wire import Wire, WireError
-from trestledock.relay import Ending, Placement, Sending
+from trestledock.relay import Ending, Placement, Sending, Sign
 
 MS = 1000
 
@@ -133,11 +133,24 @@
             self.state.health.note_failure(peer, anyio.current_time())
             # Connections that go silent do so together, while new ones work.
             self.pool.drop(peer)
+            await self._find_out(job, placement, exc.sign)
             return Sending(Ending.lost, exc.step, peer, exc.detail, exc.sign)
         finally:
             await self.pool.give(placement.target, wire, idle_s)
         return sending
 
+    async def _find_out(
+        self, job: Job, placement: Placement, sign: Sign
+    ) -> None:
+        """Have it found out whether a target has ended under a request.
+
+        Once the answer has begun, those that helped to read it are done.
+        """
+        helpers = () if job.begun else placement.helpers
+        await self.state.isolation.note_lost(
+            job.fingerprint, sign, (placement.target, *helpers)
+        )
+
     async def _write(
         self,
         job: Job,
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -15,6 +15,7 @@
 from anyio.abc import TaskGroup
 
 from trestledock.entry import _events as events
+from trestledock.entry._isolation import Isolation
 from trestledock.entry._logger import emit
 from trestledock.entry._reply import Reply
 from trestledock.entry._settings import EntrySettings
@@ -95,11 +96,13 @@
     changed: anyio.Event = field(default_factory=anyio.Event)
     own_changed: anyio.Event = field(default_factory=anyio.Event)
     catch_up: Callable[[], None] = _do_nothing
+    isolation: Isolation = field(init=False)
     proof: Proof = field(init=False)
     placer: Placer = field(init=False)
 
     def __post_init__(self) -> None:
         """Build the parts that share others."""
+        self.isolation = Isolation(self.health)
         self.proof = Proof(self.settings.revoke_s)
         self.placer = Placer(
             self.board,
@@ -142,8 +145,13 @@
             await self.changed.wait()
 
     def note_silence(self, target_id: str, now: float) -> None:
-        """Note that a target could not be reached or said nothing."""
+        """Note that a target could not be reached or said nothing.
+
+        Where it ended under a request, that says nothing of its data centre.
+        """
         place = self._get_place(target_id)
+        if self.isolation.quarantine.was_ended(target_id):
+            place = ''
         if not self.health.is_suspect(target_id, now, place):
             emit(events.TargetSuspected(target_id, place))
         self.health.note_silence(target_id, now, place)
@@ -259,6 +267,8 @@
             'targets_held': len(self.fleet.held),
             'list_age_seconds': self.get_list_age_s(now),
             'peers': self.board.count_peers(),
+            'requests_held': self.isolation.count_held(),
+            'requests_suspected': len(self.isolation.quarantine.suspects),
         }
 
     @contextmanager
--- a/trestledock/entry/_words.py
+++ b/trestledock/entry/_words.py
@@ -16,12 +16,14 @@
 
 from trestledock.entry._checks import (
     read_amount,
+    read_count,
     read_flag,
     read_list,
     read_text,
     read_whole,
 )
 from trestledock.entry._rows import Change, read_change, write_change
+from trestledock.relay import End
 
 MS = 1000
 #: How often an entry of an older version tells everything, in milliseconds.
@@ -92,7 +94,23 @@
     revision: int
 
 
-Word = Flights | Beat | Fresh | Question | Reply
+@dataclass(frozen=True)
+class Ends:
+    """Targets that ended under requests, each with the age of the end."""
+
+    sender: str
+    ends: tuple[tuple[End, float], ...]
+
+
+@dataclass(frozen=True)
+class Cleared:
+    """A request under which targets had ended was answered by one."""
+
+    sender: str
+    fingerprint: str
+
+
+Word = Flights | Beat | Fresh | Question | Reply | Ends | Cleared
 Plain = Mapping[str, Any]
 
 
@@ -147,6 +165,20 @@
     }
 
 
+@_write.register
+def _(word: Ends, now: float) -> dict[str, Any]:
+    rows = [
+        (end.fingerprint, end.incarnation, round(age_s * MS))
+        for end, age_s in word.ends
+    ]
+    return {'kind': 'ends', 'ends': rows}
+
+
+@_write.register
+def _(word: Cleared, now: float) -> dict[str, Any]:
+    return {'kind': 'cleared', 'fingerprint': word.fingerprint}
+
+
 def write_word(word: Word, now: float) -> bytes:
     """Return a word as it is sent."""
     plain = _write(word, now)
@@ -195,6 +227,22 @@
     )
 
 
+def _read_ends(plain: Plain, sender: str, now: float) -> Ends:
+    rows = map(read_list, read_list(plain['ends']))
+    return Ends(sender, tuple([_read_end(*row) for row in rows]))
+
+
+def _read_end(
+    fingerprint: Any, incarnation: Any, age_ms: Any
+) -> tuple[End, float]:
+    end = End(read_text(fingerprint), read_text(incarnation))
+    return end, read_count(age_ms) / MS
+
+
+def _read_cleared(plain: Plain, sender: str, now: float) -> Cleared:
+    return Cleared(sender, read_text(plain['fingerprint']))
+
+
 READERS: Mapping[str, Callable[[Plain, str, float], Word]] = MappingProxyType(
     {
         'flights': _read_flights,
@@ -202,6 +250,8 @@
         'fresh': _read_fresh,
         'ask': _read_question,
         'reply': _read_reply,
+        'ends': _read_ends,
+        'cleared': _read_cleared,
     }
 )
 
--- a/trestledock/platform/_log.py
+++ b/trestledock/platform/_log.py
@@ -11,7 +11,7 @@
 import json
 import struct
 from dataclasses import dataclass
-from typing import Any, Iterator
+from typing import Any, Iterable, Iterator
 from urllib.parse import urlencode
 
 import anyio
@@ -34,6 +34,7 @@
 #: The first bytes of a read: the end and the first retained offset.
 BOUNDS = struct.Struct('>QQ')
 LENGTH = struct.Struct('>I')
+MS = 1000
 
 
 @dataclass(frozen=True)
@@ -85,6 +86,21 @@
                     raise
             return await self._call_once(method, target, body)
 
+    async def append(
+        self,
+        topic: str,
+        framed: Iterable[bytes],
+        **query: int,
+    ) -> int:
+        """Append records to a topic, all or none; return the status."""
+        status, _ = await self.call(
+            'POST',
+            '/log-append',
+            {'topic': topic, 'part': 0, **query},
+            b''.join(framed),
+        )
+        return status
+
     async def _call_once(
         self,
         method: str,
@@ -134,8 +150,11 @@
         self.topic = topic
         self._next: int | None = None
 
-    async def read(self) -> Batch:
-        """Return what is new, or everything where history was forgotten."""
+    async def read(self, wait_s: float = 0) -> Batch:
+        """Return what is new, or everything where history was forgotten.
+
+        Where nothing is new the store waits for `wait_s` until something is.
+        """
         if self._next is None:
             return await self._read_newest()
         query = {
@@ -144,6 +163,8 @@
             'from': self._next,
             'maxKb': MOST_KB,
         }
+        if wait_s:
+            query['waitMs'] = round(wait_s * MS)
         status, body = await self.client.call('GET', '/log-read', query)
         if status == TRIMMED:
             emit(HistoryForgotten(self.topic))
@@ -188,6 +209,17 @@
         return Batch(tuple(records), first_end or 0, whole=True)
 
 
+def frame_record(key: str, text: bytes) -> bytes:
+    """Return a keyed record as it is appended.
+
+    >>> frame_record('k', b'text')
+    b'\x00\x00\x00\x06\x01ktext'
+    """
+    raw = key.encode()
+    record = bytes((len(raw),)) + raw + text
+    return LENGTH.pack(len(record)) + record
+
+
 def split_records(raw: bytes) -> Iterator[Record]:
     """Yield the keyed records of a read.
 
--- /dev/null
+++ b/trestledock/platform/_quarantine.py
@@ -0,0 +1,126 @@
+"""
+Quarantine in the store
+=======================
+
+What entries remember of held requests, as records of a topic of their own, by
+fingerprint.  A record without a value is of one that is held no more.
+"""
+
+import json
+import time
+from dataclasses import replace
+from typing import Any, Iterable
+
+from trestledock.entry import (
+    DirectoryError,
+    RecordIgnored,
+    emit,
+    read_amount,
+    read_list,
+    read_text,
+)
+from trestledock.platform._entries import UNREADABLE
+from trestledock.platform._log import (
+    OK,
+    KeyedTopic,
+    Record,
+    StoreClient,
+    frame_record,
+)
+from trestledock.relay import Held
+
+TOPIC = 'keyed.quarantine'
+#: What the store answers where a partition has grown meanwhile.
+GROWN = 412
+MS = 1000
+
+
+class QuarantineTopic:
+    """The topic of held requests; reads wait on a connection of their own."""
+
+    def __init__(self, address: str) -> None:
+        """Keep the address; nothing is sent yet."""
+        self._followed = KeyedTopic(StoreClient(address), TOPIC)
+        self._writer = StoreClient(address)
+
+    async def read_held(self, wait_s: float) -> tuple[Held, ...]:
+        """Return what is new, once there is something or the time is over."""
+        batch = await self._followed.read(wait_s)
+        return _read_records(batch.records)
+
+    async def write_held(self, records: list[Held]) -> None:
+        """Write what is held from now on, or no more."""
+        status = await self._append(records)
+        if status != OK:
+            raise DirectoryError(f'log-append {TOPIC}: {status}')
+
+    async def claim_trial(self, held: Held) -> bool:
+        """Write that a request is tried now, unless somebody else wrote.
+
+        The store takes the record only where the topic still ends where it was
+        read to, so of several claims one succeeds.
+        """
+        batch = await KeyedTopic(self._writer, TOPIC).read()
+        for stored in _read_records(batch.records):
+            if stored.fingerprint == held.fingerprint and not stored.is_due:
+                return False
+        tried = replace(held, tried_age_s=0)
+        status = await self._append([tried], expectedEnd=batch.end)
+        if status not in {OK, GROWN}:
+            raise DirectoryError(f'log-append {TOPIC}: {status}')
+        return status == OK
+
+    async def _append(self, records: list[Held], **query: int) -> int:
+        now_ms = time.time() * MS
+        framed = [
+            frame_record(held.fingerprint, _write_record(held, now_ms))
+            for held in records
+        ]
+        return await self._writer.append(TOPIC, framed, **query)
+
+
+def _write_record(held: Held, now_ms: float) -> bytes:
+    """Return a record; one that is held no more has no value."""
+    if not held.incarnations:
+        return b''
+    tried_at = held.tried_age_s
+    if tried_at is not None:
+        tried_at = round(now_ms - tried_at * MS)
+    plain = {
+        'ends': held.incarnations,
+        'ended_at_ms': round(now_ms - held.age_s * MS),
+        'tried_at_ms': tried_at,
+    }
+    return json.dumps(plain, separators=(',', ':')).encode()
+
+
+def _read_records(records: Iterable[Record]) -> tuple[Held, ...]:
+    """Return what records say; one that makes no sense says nothing."""
+    now_ms = time.time() * MS
+    found = []
+    for record in records:
+        try:
+            found.append(_read_record(record, now_ms))
+        except UNREADABLE as exc:
+            emit(RecordIgnored(record.key, repr(exc)))
+    return tuple(found)
+
+
+def _read_record(record: Record, now_ms: float) -> Held:
+    """Return a held request; times of day differ, but by seconds."""
+    if not record.text:
+        return Held(record.key, ())
+    plain = json.loads(record.text)
+    if not isinstance(plain, dict):
+        raise ValueError('no object')
+    tried_at = plain.get('tried_at_ms')
+    return Held(
+        record.key,
+        tuple(map(read_text, read_list(plain.get('ends')))),
+        _get_age_s(plain.get('ended_at_ms'), now_ms),
+        None if tried_at is None else _get_age_s(tried_at, now_ms),
+    )
+
+
+def _get_age_s(told_ms: Any, now_ms: float) -> float:
+    return max(0, now_ms - read_amount(told_ms)) / MS
--- a/trestledock/platform/_store.py
+++ b/trestledock/platform/_store.py
@@ -24,13 +24,14 @@
     decode_entry,
 )
 from trestledock.platform._log import (
-    LENGTH,
     OK,
     Batch,
     KeyedTopic,
     Record,
     StoreClient,
+    frame_record,
 )
+from trestledock.platform._quarantine import QuarantineTopic
 from trestledock.relay import Catalog, Listed
 
 CONFIG_TOPIC = 'keyed.op'
@@ -52,6 +53,7 @@
         self._targets = KeyedTopic(StoreClient(address), TARGETS_TOPIC)
         self._peers = KeyedTopic(StoreClient(address), PEERS_TOPIC)
         self._known_peers: dict[str, str] = {}
+        self.quarantine = QuarantineTopic(address)
 
     async def read_catalog(self) -> News:
         """Return the newest configuration among what is new."""
@@ -89,14 +91,8 @@
 
     async def announce(self, name: str, address: str) -> None:
         """Write the own address under the own name."""
-        key = f'{PEER_PREFIX}{name}'.encode()
-        record = bytes((len(key),)) + key + address.encode()
-        status, _ = await self._peers.client.call(
-            'POST',
-            '/log-append',
-            {'topic': PEERS_TOPIC, 'part': 0},
-            LENGTH.pack(len(record)) + record,
-        )
+        record = frame_record(f'{PEER_PREFIX}{name}', address.encode())
+        status = await self._peers.client.append(PEERS_TOPIC, [record])
         if status != OK:
             raise DirectoryError(f'log-append {PEERS_TOPIC}: {status}')
 
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -50,6 +50,11 @@
 from trestledock.relay._plain import choose_least_busy
 from trestledock.relay._problem import Placement, Work
 from trestledock.relay._proof import Proof
+from trestledock.relay._quarantine import (
+    End,
+    Held,
+    Quarantine,
+)
 from trestledock.relay._reach import BEAT_S, Reach
 from trestledock.relay._readers import (
     Candidate,
@@ -74,12 +79,14 @@
     'Catalog',
     'Decision',
     'EARLY_TERMS',
+    'End',
     'Ending',
     'EngineModel',
     'Event',
     'Fleet',
     'Flight',
     'Health',
+    'Held',
     'History',
     'LOOK_S',
     'Limits',
@@ -93,6 +100,7 @@
     'PromptSize',
     'Proof',
     'Reach',
+    'Quarantine',
     'ReadPace',
     'RetryWindow',
     'Route',
--- /dev/null
+++ b/trestledock/relay/_quarantine.py
@@ -0,0 +1,214 @@
+"""
+Quarantine
+==========
+
+Requests that end the targets that run them: queries of death.  What is known is
+a set of ends, each a target that ended while it ran a request, and a set grows
+in the same way in whichever order its parts are heard.  Whether a request is
+held back follows from the set alone, so that all instances come to the same
+answer.
+"""
+
+from dataclasses import dataclass, field
+from typing import Iterator
+
+#: So many targets have to end under a request before no other one gets it.  One
+#: end says little, since it is shared by all that the target ran, up to eight
+#: requests; three in common are a chance of some 0.1% for a request that is
+#: repeated once a try, where a third of the targets end by themselves.
+MOST_ENDS = 3
+#: After how many seconds a held request is given to one target again, and how
+#: long after that once more: whoever was held by mistake is free again within a
+#: minute, and a request that still ends its target costs one target a day, in
+#: case its targets have been mended.
+TRIAL_S = 60.0
+RETRIAL_S = 86_400.0
+#: How many requests are kept of which a target ended, some 300 bytes each.  A
+#: flood of different ones pushes out those with the fewest ends first.
+MOST_KNOWN = 1_000
+
+
+@dataclass(frozen=True)
+class End:
+    """A target's incarnation that ended while it ran a request."""
+
+    fingerprint: str
+    incarnation: str
+
+
+@dataclass(frozen=True)
+class Held:
+    """A request that is held, as it is kept and handed on.
+
+    Instants are told as ages, since clocks differ.  Without `incarnations` it
+    is held no more.
+    """
+
+    fingerprint: str
+    incarnations: tuple[str, ...]
+    age_s: float = 0
+    tried_age_s: float | None = None
+
+    @property
+    def is_due(self) -> bool:
+        """Whether it may be tried again."""
+        if self.tried_age_s is not None and self.tried_age_s < RETRIAL_S:
+            return False
+        return self.age_s >= TRIAL_S
+
+
+@dataclass
+class Suspect:
+    """A request with the targets that ended under it.
+
+    The last one ended at `ended_at`; one was given the request again, on
+    purpose, at `tried_at`.
+    """
+
+    incarnations: set[str] = field(default_factory=set)
+    ended_at: float = float('-inf')
+    tried_at: float = float('-inf')
+
+    def get_due_in_s(self, now: float) -> float:
+        """Return after how many seconds it may be tried again."""
+        due_at = max(self.ended_at + TRIAL_S, self.tried_at + RETRIAL_S)
+        return max(0, due_at - now)
+
+
+class Quarantine:
+    """The requests under which targets have ended.
+
+    >>> held = Quarantine()
+    >>> for name in ('t1', 't2', 't3'):
+    ...     _ = held.note_end(End('f', name), now=0)
+    >>> held.is_held('f'), held.is_held('g')
+    (True, False)
+    >>> held.is_due('f', now=1), held.is_due('f', now=TRIAL_S)
+    (False, True)
+    """
+
+    def __init__(self) -> None:
+        """Begin with no end."""
+        self.suspects: dict[str, Suspect] = {}
+        self.revision = 0
+        self._by_target: dict[str, set[str]] = {}
+
+    def note_end(self, end: End, now: float) -> bool:
+        """Note an end; return whether it was new."""
+        suspect = self.suspects.setdefault(end.fingerprint, Suspect())
+        if end.incarnation in suspect.incarnations:
+            return False
+        suspect.incarnations.add(end.incarnation)
+        suspect.ended_at = max(suspect.ended_at, now)
+        beside = self._by_target.setdefault(end.incarnation, set())
+        beside.add(end.fingerprint)
+        self.revision += 1
+        return True
+
+    def count_ends(self, fingerprint: str) -> int:
+        """Return how many ends a request is answerable for.
+
+        All that a target ran is suspected of its end, and the request that was
+        there at more ends than any other explains it: those beside it are not
+        blamed for that one.
+        """
+        suspect = self.suspects.get(fingerprint)
+        if suspect is None:
+            return 0
+        count = len(suspect.incarnations)
+        return sum(
+            not self._is_explained(incarnation, count)
+            for incarnation in suspect.incarnations
+        )
+
+    def is_held(self, fingerprint: str) -> bool:
+        """Whether a request is known for ending its targets."""
+        return self.count_ends(fingerprint) >= MOST_ENDS
+
+    def is_due(self, fingerprint: str, now: float) -> bool:
+        """Whether a held request may be given to one target again."""
+        return not self.get_due_in_s(fingerprint, now)
+
+    def get_due_in_s(self, fingerprint: str, now: float) -> float:
+        """Return after how many seconds a request may be tried again."""
+        suspect = self.suspects.get(fingerprint, Suspect())
+        return suspect.get_due_in_s(now)
+
+    def note_trial(self, fingerprint: str, now: float) -> None:
+        """Note that a held request is given to one target."""
+        self.suspects[fingerprint].tried_at = now
+        self.revision += 1
+
+    def clear(self, fingerprint: str) -> int:
+        """Forget a request that was answered; return how many ends it had.
+
+        What a target has run to its end does not end targets.
+        """
+        suspect = self.suspects.pop(fingerprint, None)
+        if suspect is None:
+            return 0
+        for incarnation in suspect.incarnations:
+            beside = self._by_target[incarnation]
+            beside.discard(fingerprint)
+            if not beside:
+                self._by_target.pop(incarnation)
+        self.revision += 1
+        return len(suspect.incarnations)
+
+    def take(self, held: Held, now: float) -> bool:
+        """Take what another instance knows; return whether it was news."""
+        if not held.incarnations:
+            return bool(self.clear(held.fingerprint))
+        ended_at = now - held.age_s
+        is_news = [
+            self.note_end(End(held.fingerprint, incarnation), ended_at)
+            for incarnation in held.incarnations
+        ]
+        suspect = self.suspects[held.fingerprint]
+        suspect.ended_at = max(suspect.ended_at, ended_at)
+        if held.tried_age_s is not None:
+            tried_at = now - held.tried_age_s
+            suspect.tried_at = max(suspect.tried_at, tried_at)
+        return any(is_news)
+
+    def get_held(self, now: float) -> Iterator[Held]:
+        """Yield what is held, to be kept or handed on."""
+        for fingerprint in self.suspects:
+            if self.is_held(fingerprint):
+                yield self.make_held(fingerprint, now)
+
+    def make_held(self, fingerprint: str, now: float) -> Held:
+        """Return a request with its ends, to be kept or handed on."""
+        suspect = self.suspects[fingerprint]
+        never = suspect.tried_at == float('-inf')
+        return Held(
+            fingerprint,
+            tuple(sorted(suspect.incarnations)),
+            max(0, now - suspect.ended_at),
+            None if never else max(0, now - suspect.tried_at),
+        )
+
+    def was_ended(self, incarnation: str) -> bool:
+        """Whether a target ended while it ran a request."""
+        return incarnation in self._by_target
+
+    def trim(self) -> list[str]:
+        """Forget what is too much, least ends first; return fingerprints."""
+        surplus = len(self.suspects) - MOST_KNOWN
+        if surplus <= 0:
+            return []
+        least = sorted(self.suspects, key=self._get_rank)[:surplus]
+        for fingerprint in least:
+            self.clear(fingerprint)
+        return least
+
+    def _get_rank(self, fingerprint: str) -> tuple[int, float]:
+        suspect = self.suspects[fingerprint]
+        return len(suspect.incarnations), suspect.ended_at
+
+    def _is_explained(self, incarnation: str, count: int) -> bool:
+        """Whether another request was there at more ends than `count`."""
+        return any(
+            len(self.suspects[other].incarnations) > count
+            for other in self._by_target[incarnation]
+        )
