--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -83,7 +83,8 @@
     there are, `settled` that its `source` followed the store
     closely enough to know that what is missing has not only lapsed.  `held` has
     what is missing and may have lapsed, for those that never knew it;
-    `revision` is that of the list at its source.
+    `revision` is that of the list at its source.  `quarantine` has the requests
+    that go to no target.
     """
 
     catalog: Catalog | None = None
@@ -96,6 +97,7 @@
     settled: bool = False
     source: str = 'store'
     revision: int = 0
+    quarantine: tuple[Held, ...] = ()
 
 
 class Dialect(Protocol):
--- a/trestledock/entry/_isolation.py
+++ b/trestledock/entry/_isolation.py
@@ -106,7 +106,8 @@
 class Isolation:
     """Keeps requests from targets that would end under them.
 
-    `to_keep` has what the store is to know, and `kept` is set with it.
+    `to_keep` has what the store is to know, and `wants_keeping` is set with it;
+    `revision` grows with each change of what is held.
     """
 
     def __init__(self, health: Health) -> None:
@@ -116,6 +117,7 @@
         self.ways = Ways()
         self.to_keep: set[str] = set()
         self.wants_keeping = anyio.Event()
+        self.revision = 0
         self._open: dict[str, list[Open]] = {}
         self._witnessed: set[str] = set()
         self._claiming: set[str] = set()
@@ -151,6 +153,7 @@
             self._claiming.discard(fingerprint)
         if granted:
             self.quarantine.note_trial(fingerprint, now)
+            self.revision += 1
             emit(events.TrialGranted(fingerprint))
         return granted
 
@@ -298,6 +301,7 @@
         """
         if self.is_held(fingerprint) and not was_held:
             count = self.quarantine.count_ends(fingerprint)
+            self.revision += 1
             emit(events.RequestHeld(fingerprint, count, source))
             if source != STORE and fingerprint in self._witnessed:
                 self._keep(fingerprint)
@@ -307,6 +311,7 @@
 
     def _clear(self, fingerprint: str, source: str) -> int:
         count = self.quarantine.clear(fingerprint)
+        self.revision += bool(count)
         self._witnessed.discard(fingerprint)
         if count:
             emit(events.RequestCleared(fingerprint, count, source))
--- a/trestledock/entry/_news.py
+++ b/trestledock/entry/_news.py
@@ -29,7 +29,7 @@
 from trestledock.entry._state import MOST_AGE_S, NO_VERSION, EntryState
 from trestledock.entry._wire import Wire, WireError
 from trestledock.entry._words import Question, Reply
-from trestledock.relay import UNTOLD, Listed, Standing
+from trestledock.relay import UNTOLD, Held, Listed, Standing
 
 #: The fields of a target as they are passed on, with what reads them.
 TARGET_FIELDS: Mapping[str, Callable[[Any], Any]] = MappingProxyType(
@@ -146,13 +146,18 @@
             {'listed': write_target(listed), 'left_s': until - now}
             for listed, until in fleet.get_held()
         ]
+        quarantine = [
+            _write_quarantined(one)
+            for one in self.state.isolation.quarantine.get_held(now)
+        ]
         plain = {
             'list_age_s': min(self.state.get_list_age_s(now), MOST_AGE_S),
-            'revision': fleet.revision,
+            'revision': self.state.revision,
             'settled': fleet.watch.is_settled(now),
             'document': self._get_document(version),
             'targets': [write_target(one) for one in fleet.get_listed()],
             'held': held,
+            'quarantine': quarantine,
         }
         return json.dumps(plain, separators=(',', ':')).encode()
 
@@ -168,7 +173,7 @@
             proof_age_s=min(self.state.proof.get_age_s(now), MOST_AGE_S),
             list_age_s=min(self.state.get_list_age_s(now), MOST_AGE_S),
             version=self.state.version,
-            revision=self.state.fleet.revision,
+            revision=self.state.revision,
         )
         self.gossip.send(reply, [sender])
         return False
@@ -218,6 +223,25 @@
     )
 
 
+def _write_quarantined(held: Held) -> dict[str, Any]:
+    return {
+        'fingerprint': held.fingerprint,
+        'ends': held.incarnations,
+        'age_s': held.age_s,
+        'tried_age_s': held.tried_age_s,
+    }
+
+
+def _read_quarantined(plain: Mapping[str, Any]) -> Held:
+    tried_age_s = plain['tried_age_s']
+    return Held(
+        read_text(plain['fingerprint']),
+        tuple(map(read_text, read_list(plain['ends']))),
+        read_amount(plain['age_s']),
+        None if tried_age_s is None else read_amount(tried_age_s),
+    )
+
+
 def _read_news(
     plain: dict[str, Any],
     asked_at: float,
@@ -226,10 +250,11 @@
 ) -> News:
     """Return what an entry knows, or raise where it makes no sense.
 
-    An older one says nothing of held targets.
+    An older one says nothing of held targets, nor of requests.
     """
     listed = map(read_target, read_list(plain['targets']))
     age_s = read_amount(plain['list_age_s'])
+    quarantined = read_list(plain.get('quarantine', []))
     return News(
         document=read_text(plain['document']),
         targets=tuple([TargetNews(one.target_id, one) for one in listed]),
@@ -240,4 +265,5 @@
         settled=read_flag(plain.get('settled', False)),
         source=reader,
         revision=read_whole(plain['revision']),
+        quarantine=tuple(map(_read_quarantined, quarantined)),
     )
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -116,6 +116,11 @@
         """The version of the configuration in force."""
         return self.catalog.version if self.catalog else NO_VERSION
 
+    @property
+    def revision(self) -> int:
+        """The number of changes in what other entries are told on demand."""
+        return self.fleet.revision + self.isolation.revision
+
     def spawn(self, work: Callable[..., Awaitable[Any]], *args: Any) -> None:
         """Run something in the background; its failure ends nothing else."""
         self.group.start_soon(_run_guarded, work, args)
--- a/trestledock/relay/_quarantine.py
+++ b/trestledock/relay/_quarantine.py
@@ -90,7 +90,6 @@
     def __init__(self) -> None:
         """Begin with no end."""
         self.suspects: dict[str, Suspect] = {}
-        self.revision = 0
         self._by_target: dict[str, set[str]] = {}
 
     def note_end(self, end: End, now: float) -> bool:
@@ -102,7 +101,6 @@
         suspect.ended_at = max(suspect.ended_at, now)
         beside = self._by_target.setdefault(end.incarnation, set())
         beside.add(end.fingerprint)
-        self.revision += 1
         return True
 
     def count_ends(self, fingerprint: str) -> int:
@@ -137,7 +135,6 @@
     def note_trial(self, fingerprint: str, now: float) -> None:
         """Note that a held request is given to one target."""
         self.suspects[fingerprint].tried_at = now
-        self.revision += 1
 
     def clear(self, fingerprint: str) -> int:
         """Forget a request that was answered; return how many ends it had.
@@ -152,7 +149,6 @@
             beside.discard(fingerprint)
             if not beside:
                 self._by_target.pop(incarnation)
-        self.revision += 1
         return len(suspect.incarnations)
 
     def take(self, held: Held, now: float) -> bool:
