--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -2,7 +2,7 @@
 Stand-in of the store
 =====================
 
-The platform's log with its three keyed topics.  It can be down, slow, lose
+The platform's log with its keyed topics.  It can be down, slow, lose
 answers of writes that it has carried out, and forget its history.
 """
 
@@ -29,6 +29,7 @@
     newest: dict[str, tuple[int, bytes]] = field(default_factory=dict)
     end: int = 0
     first: int = 0
+    grown: anyio.Event = field(default_factory=anyio.Event)
 
     def put(self, key: str, text: bytes) -> None:
         """Append a record; without a text the key is dropped."""
@@ -38,6 +39,8 @@
         else:
             self.newest.pop(key, None)
         self.end += 1
+        self.grown.set()
+        self.grown = anyio.Event()
 
     def forget(self) -> None:
         """Drop the history, but for the newest record of each key."""
@@ -77,6 +80,7 @@
         """Answer one call."""
         self.calls += 1
         await anyio.sleep(self.delay_s)
+        await self._wait_for_news(exchange)
         if self.status != 200:
             await exchange.answer(self.status)
             return
@@ -85,6 +89,14 @@
             raise Reset
         await exchange.answer(status, body)
 
+    async def _wait_for_news(self, exchange: Exchange) -> None:
+        """Keep a read that is to wait until there is something new."""
+        wait_s = int(exchange.query.get('waitMs', 0)) / 1000
+        topic = self.get_topic(exchange.query['topic'])
+        if wait_s and int(exchange.query['from']) == topic.end:
+            with anyio.move_on_after(wait_s):
+                await topic.grown.wait()
+
     def _call(self, exchange: Exchange) -> tuple[int, bytes]:
         topic = self.get_topic(exchange.query['topic'])
         if exchange.path == '/log-append':
@@ -106,8 +118,11 @@
         return 200, topic.read(start)
 
     def _append(self, topic: Topic, exchange: Exchange) -> tuple[int, bytes]:
-        if not exchange.query['topic'].startswith('keyed.status'):
+        if exchange.query['topic'] in {CONFIG[0], TARGETS}:
             return 403, b''
+        expected = int(exchange.query.get('expectedEnd', topic.end))
+        if expected != topic.end:
+            return 412, json.dumps({'endOffset': topic.end}).encode()
         raw = exchange.body
         while raw:
             size = LENGTH.unpack_from(raw)[0]
--- /dev/null
+++ b/tests/test_entry_isolation.py
@@ -0,0 +1,224 @@
+"""What is put down to a request where a sending ends without its answer."""
+
+import unittest
+from random import Random
+
+import anyio
+
+from tests.relaying import SETTINGS, make_listed
+from tests.virtual_loop import run_virtually
+from trestledock.entry._isolation import OPEN_S
+from trestledock.entry._state import EntryState
+from trestledock.relay import End, Held, Listed, Sign, Standing
+
+TARGETS = tuple(make_listed(number, 80 + number) for number in range(6))
+
+
+def run_isolation(scenario, seen=Sign.refused):
+    """Run `scenario(isolation)`, where each look at a target sees the same."""
+
+    async def look(target):
+        isolation.looks.append(target.incarnation)
+        return seen
+
+    async def main():
+        await scenario(isolation)
+
+    isolation = EntryState(SETTINGS, 'e#a', Random(1), None).isolation
+    isolation.looks = []
+    isolation.told = []
+    isolation.ways.look = look
+    isolation.ways.tell_ends = isolation.told.extend
+    run_virtually(main)
+    return isolation
+
+
+class SignTest(unittest.TestCase):
+    """Which ends of a sending are ends of targets."""
+
+    def count(self, sign, seen):
+        """Return how many ends three sendings make, and looks."""
+
+        async def scenario(isolation):
+            for target in TARGETS[:3]:
+                await isolation.note_lost('f', sign, [target])
+
+        isolation = run_isolation(scenario, seen)
+        return isolation.quarantine.count_ends('f'), len(isolation.looks)
+
+    def test_closed_and_nobody_listens(self):
+        self.assertEqual(self.count(Sign.closed, Sign.refused), (3, 3))
+
+    def test_closed_by_one_that_lives(self):
+        """Connections that are reset say nothing of the request."""
+        self.assertEqual(self.count(Sign.closed, Sign.none), (0, 3))
+
+    def test_closed_by_one_that_is_not_reached(self):
+        """It may be cut off."""
+        self.assertEqual(self.count(Sign.closed, Sign.unreachable), (0, 3))
+
+    def test_silence_and_wrong_bytes(self):
+        """Nobody is connected to for them."""
+        self.assertEqual(self.count(Sign.silent, Sign.refused), (0, 0))
+        self.assertEqual(self.count(Sign.garbled, Sign.refused), (0, 0))
+
+    def test_one_end_a_sending(self):
+        """Whoever reads a prompt and those that help may end together."""
+
+        async def scenario(isolation):
+            await isolation.note_lost('f', Sign.closed, TARGETS)
+
+        isolation = run_isolation(scenario)
+        self.assertEqual(isolation.quarantine.count_ends('f'), 1)
+
+    def test_helper_that_ended(self):
+        """A target may close since one that helped it has ended."""
+
+        async def scenario(isolation):
+            async def look(target):
+                is_first = target is TARGETS[0]
+                return Sign.none if is_first else Sign.refused
+
+            isolation.ways.look = look
+            await isolation.note_lost('f', Sign.closed, TARGETS)
+
+        isolation = run_isolation(scenario)
+        self.assertEqual(isolation.told, [End('f', TARGETS[1].incarnation)])
+
+
+class LaterTest(unittest.TestCase):
+    """Ends that are known only as another start is listed."""
+
+    def check(self, count, step, sign=Sign.closed, after_s=1.0):
+        """One sending ends, and something is learnt after a while."""
+
+        async def scenario(isolation):
+            await isolation.note_lost('f', sign, [TARGETS[0]])
+            await anyio.sleep(after_s)
+            step(isolation)
+
+        isolation = run_isolation(scenario, Sign.none)
+        self.assertEqual(isolation.quarantine.count_ends('f'), count)
+
+    def test_started_again_under_its_id(self):
+        def step(isolation):
+            isolation.note_replaced(TARGETS[0].incarnation)
+
+        self.check(1, step)
+        self.check(1, step, Sign.garbled)
+        self.check(0, step, Sign.silent)
+        self.check(0, step, after_s=OPEN_S)
+
+    def test_another_has_its_address(self):
+        listed = Listed(
+            'new', 'svc', TARGETS[0].address, 'dc', Standing.ready, 8
+        )
+        self.check(1, lambda isolation: isolation.note_listed(listed))
+
+    def test_its_own_entry_changes(self):
+        self.check(0, lambda isolation: isolation.note_listed(TARGETS[0]))
+
+
+class TellingTest(unittest.TestCase):
+    """What the others and the store are to know."""
+
+    def test_store_is_told_by_whoever_has_seen_an_end(self):
+        async def scenario(isolation):
+            await isolation.note_lost('f', Sign.closed, [TARGETS[0]])
+            others = [
+                (End(name, f'o{one}'), 0) for name in 'fg' for one in '123'
+            ]
+            isolation.take_ends(others, 'e#b')
+
+        isolation = run_isolation(scenario)
+        self.assertTrue(isolation.is_held('f'))
+        self.assertTrue(isolation.is_held('g'))
+        self.assertEqual(isolation.to_keep, {'f'})
+
+    def test_store_is_not_told_what_it_told(self):
+        async def scenario(isolation):
+            isolation.take_held([Held('f', ('a', 'b', 'c'))], 'store')
+
+        isolation = run_isolation(scenario)
+        self.assertTrue(isolation.is_held('f'))
+        self.assertFalse(isolation.to_keep)
+
+    def test_answer_is_told_where_others_may_count(self):
+        told = []
+
+        async def scenario(isolation):
+            isolation.ways.tell_cleared = told.append
+            isolation.take_ends([(End('one', 'a'), 0)], 'e#b')
+            isolation.take_ends([(End('two', x), 0) for x in 'ab'], 'e#b')
+            isolation.take_ends([(End('held', x), 0) for x in 'abc'], 'e#b')
+            for name in ('none', 'one', 'two', 'held'):
+                isolation.note_answered(name)
+
+        isolation = run_isolation(scenario)
+        self.assertEqual(told, ['two', 'held'])
+        self.assertEqual(isolation.to_keep, {'held'})
+
+        async def main():
+            return isolation.take_to_keep()
+
+        self.assertEqual(run_virtually(main), [Held('held', ())])
+
+    def test_target_that_others_saw_ending_is_left_alone(self):
+        async def scenario(isolation):
+            isolation.take_ends([(End('f', 't0'), 0), (End('f', 't1'), 9)], 'b')
+            now = anyio.current_time()
+            isolation.found = [
+                isolation.health.is_suspect(name, now) for name in ('t0', 't1')
+            ]
+
+        self.assertEqual(run_isolation(scenario).found, [True, False])
+
+    def test_cut_off_target_says_nothing_of_its_data_centre(self):
+        """Ends under requests don't make others there suspect."""
+        found = []
+
+        async def main():
+            state = EntryState(SETTINGS, 'e#a', Random(1), None)
+            for number in range(3):
+                listed = Listed(f't{number}', 'svc', 'a:1', 'far')
+                state.fleet.put(listed)
+                state.isolation.take_ends([(End('f', f't{number}'), 9)], 'b')
+                state.note_silence(f't{number}', anyio.current_time())
+            found.extend(state.health.places)
+
+        run_virtually(main)
+        self.assertEqual(found, [])
+
+
+class TrialTest(unittest.TestCase):
+    """Who may give a held request to one target."""
+
+    def run_trials(self, granted):
+        """Return who may, of two that ask at once, and again after that."""
+        found = []
+
+        async def claim(_):
+            await anyio.sleep(0.1)
+            return granted
+
+        async def scenario(isolation):
+            async def ask():
+                found.append(await isolation.may_try('f'))
+
+            isolation.ways.claim = claim
+            isolation.take_ends([(End('f', x), 0) for x in 'abc'], 'e#b')
+            await ask()
+            await anyio.sleep(isolation.get_due_in_s('f'))
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                group.start_soon(ask)
+            await ask()
+
+        run_isolation(scenario)
+        return found
+
+    def test_one_after_a_while(self):
+        self.assertEqual(self.run_trials(True), [False, False, True, False])
+
+    def test_nobody_without_the_store(self):
+        self.assertEqual(self.run_trials(False), [False, False, False, False])
--- /dev/null
+++ b/tests/test_entry_keeping.py
@@ -0,0 +1,139 @@
+"""What is held outlives the entries that have seen it."""
+
+import unittest
+
+import anyio
+
+from tests.relaying import make_listed
+from tests.virtual_loop import run_virtually
+from trestledock.entry import DirectoryError
+from trestledock.entry._isolation import Isolation
+from trestledock.entry._keeping import WAIT_S, Keeping
+from trestledock.relay import Health, Sign
+
+TARGETS = tuple(make_listed(number, 80 + number) for number in range(5))
+
+
+class Topic:
+    """The store's part that holds requests, in memory."""
+
+    def __init__(self):
+        self.records = {}
+        self.down = False
+        self.calls = 0
+        self.grown = anyio.Event()
+
+    async def read_held(self, wait_s):
+        self._check()
+        with anyio.move_on_after(wait_s):
+            await self.grown.wait()
+        self._check()
+        return tuple(self.records.values())
+
+    async def write_held(self, records):
+        self._check()
+        for held in records:
+            self.records[held.fingerprint] = held
+        self.grown.set()
+        self.grown = anyio.Event()
+
+    async def claim_trial(self, held):
+        self._check()
+        return True
+
+    def _check(self):
+        self.calls += 1
+        if self.down:
+            raise DirectoryError('down')
+
+
+class Entry:
+    """The part of an entry that keeps requests from targets."""
+
+    def __init__(self, topic, *, reads):
+        self.isolation = Isolation(Health())
+        self.isolation.ways.look = self._look
+        self.keeping = Keeping(self.isolation, topic, lambda: reads)
+
+    async def see_ends(self, count):
+        """See so many targets end under a request."""
+        for target in TARGETS[:count]:
+            await self.isolation.note_lost('f', Sign.closed, [target])
+
+    async def _look(self, _):
+        return Sign.refused
+
+
+def run_entries(scenario, *reads):
+    """Run `scenario(topic, *entries)` with entries that read, or don't."""
+
+    async def main():
+        topic = Topic()
+        entries = [Entry(topic, reads=one) for one in reads]
+        async with anyio.create_task_group() as group:
+            for entry in entries:
+                group.start_soon(entry.keeping.run)
+            await scenario(topic, *entries)
+            group.cancel_scope.cancel()
+
+    run_virtually(main)
+
+
+class KeepingTest(unittest.TestCase):
+    """Writing once, reading by who reads, and a store that is away."""
+
+    def test_who_starts_later_knows(self):
+        async def scenario(topic, one, other):
+            await one.see_ends(2)
+            await anyio.sleep(1)
+            self.assertEqual(topic.records, {})
+            await one.see_ends(3)
+            await anyio.sleep(1)
+            self.assertTrue(other.isolation.is_held('f'))
+
+        run_entries(scenario, False, True)
+
+    def test_store_that_is_away_is_told_later(self):
+        async def scenario(topic, one):
+            topic.down = True
+            await one.see_ends(3)
+            await anyio.sleep(20)
+            calls = topic.calls
+            self.assertLess(calls, 10)
+            topic.down = False
+            await anyio.sleep(10)
+            self.assertEqual(list(topic.records), ['f'])
+
+        run_entries(scenario, False)
+
+    def test_reader_that_finds_the_store_away(self):
+        """It asks ever more rarely, and reads as the store is back."""
+
+        async def scenario(topic, one, other):
+            topic.down = True
+            await anyio.sleep(60)
+            self.assertLess(topic.calls, 20)
+            topic.down = False
+            await other.see_ends(3)
+            await anyio.sleep(10)
+            self.assertTrue(one.isolation.is_held('f'))
+
+        run_entries(scenario, True, False)
+
+    def test_one_call_in_a_long_while(self):
+        async def scenario(topic, one):
+            await anyio.sleep(WAIT_S * 10.5)
+            self.assertLessEqual(topic.calls, 22)
+
+        run_entries(scenario, True)
+
+    def test_no_trial_while_the_store_is_away(self):
+        async def scenario(topic, one):
+            await one.see_ends(3)
+            await anyio.sleep(one.isolation.get_due_in_s('f'))
+            topic.down = True
+            self.assertFalse(await one.isolation.may_try('f'))
+            topic.down = False
+            self.assertTrue(await one.isolation.may_try('f'))
+
+        run_entries(scenario, False)
--- a/tests/test_entry_words.py
+++ b/tests/test_entry_words.py
@@ -21,6 +21,8 @@
     READERS,
     BadWord,
     Beat,
+    Cleared,
+    Ends,
     Flights,
     Fresh,
     Question,
@@ -28,7 +30,7 @@
     read_word,
     write_word,
 )
-from trestledock.relay import Flight, Phase
+from trestledock.relay import End, Flight, Phase
 
 FLIGHT = Flight(
     flight_id='r1',
@@ -48,6 +50,8 @@
 WORDS = (
     Flights('e', 3, True, 'dc', False, 0.5, 2, (('r1', FLIGHT), ('r2', None))),
     Beat('e', 'dc', leaving=True),
+    Ends('e', ((End('f', 't1@5'), 0.25), (End('g', 't2'), 0))),
+    Cleared('e', 'f'),
     Fresh('e', 0.25),
     Question('e', 17.5),
     Reply('e', 17.5, 0.25, 0.5, 7, 40),
--- /dev/null
+++ b/tests/test_platform_quarantine.py
@@ -0,0 +1,126 @@
+"""What the store remembers of held requests."""
+
+import json
+import unittest
+
+import anyio
+
+from tests.soak.serving import serve_stream
+from tests.soak.store import Store
+from trestledock.entry import DirectoryError
+from trestledock.platform._quarantine import TOPIC, QuarantineTopic
+from trestledock.relay import Held
+
+HELD = Held('f', ('t1@1', 't2@1', 't3@2'), age_s=70)
+
+
+def run_with_store(scenario):
+    """Run `scenario(store, *topics)` with the topics of two entries."""
+
+    async def main():
+        store = Store()
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+
+        async def serve(stream):
+            await serve_stream(stream, store.handle)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve)
+            topics = [QuarantineTopic(f'127.0.0.1:{port}') for _ in range(2)]
+            await scenario(store, *topics)
+            group.cancel_scope.cancel()
+        await listener.aclose()
+
+    anyio.run(main)
+
+
+class QuarantineTopicTest(unittest.TestCase):
+    """Records, trials and what makes no sense."""
+
+    def test_later_start_reads_what_was_written(self):
+        async def scenario(store, one, other):
+            await one.write_held([HELD, Held('g', ())])
+            found = await other.read_held(0)
+            self.assertEqual([held.fingerprint for held in found], ['f'])
+            self.assertEqual(found[0].incarnations, HELD.incarnations)
+            self.assertLess(abs(found[0].age_s - HELD.age_s), 30)
+            self.assertIsNone(found[0].tried_age_s)
+            await one.write_held([Held('f', ())])
+            self.assertEqual(await other.read_held(0), (Held('f', ()),))
+
+        run_with_store(scenario)
+
+    def test_long_read_ends_as_something_is_written(self):
+        async def scenario(store, one, other):
+            await other.read_held(0)
+            async with anyio.create_task_group() as group:
+                group.start_soon(one.write_held, [HELD])
+                found = await other.read_held(600)
+            self.assertEqual([held.fingerprint for held in found], ['f'])
+
+        run_with_store(scenario)
+
+    def test_one_trial_of_all(self):
+        async def scenario(store, one, other):
+            await one.write_held([HELD])
+            granted = [
+                await topic.claim_trial(HELD) for topic in (one, other, one)
+            ]
+            self.assertEqual(granted, [True, False, False])
+            found = await other.read_held(0)
+            self.assertLess(found[0].tried_age_s, 30)
+
+        run_with_store(scenario)
+
+    def test_one_of_two_trials_at_the_same_moment(self):
+        granted = []
+
+        async def scenario(store, one, other):
+            await one.write_held([HELD])
+            append = one._append
+
+            async def append_later(*args, **query):
+                granted.append(await other.claim_trial(HELD))
+                return await append(*args, **query)
+
+            one._append = append_later
+            granted.append(await one.claim_trial(HELD))
+
+        run_with_store(scenario)
+        self.assertEqual(granted, [True, False])
+
+    def test_ends_that_others_have_seen_since(self):
+        """Nobody tries what has just ended another target."""
+
+        async def scenario(store, one, other):
+            await one.write_held([Held('f', ('t1', 't2', 't3', 't4'), 1)])
+            self.assertFalse(await other.claim_trial(HELD))
+
+        run_with_store(scenario)
+
+    def test_record_without_sense(self):
+        """It says nothing, and hides no other."""
+
+        async def scenario(store, one, other):
+            topic = store.get_topic(TOPIC)
+            for number, plain in enumerate(
+                ([], {}, {'ends': 5}, {'ends': ['t'], 'ended_at_ms': 'x'})
+            ):
+                topic.put(f'bad{number}', json.dumps(plain).encode())
+            topic.put('worse', b'\xff')
+            await one.write_held([HELD])
+            found = await other.read_held(0)
+            self.assertEqual([held.fingerprint for held in found], ['f'])
+
+        run_with_store(scenario)
+
+    def test_store_that_refuses(self):
+        async def scenario(store, one, other):
+            store.status = 503
+            with self.assertRaises(DirectoryError):
+                await one.write_held([HELD])
+            with self.assertRaises(DirectoryError):
+                await one.claim_trial(HELD)
+
+        run_with_store(scenario)
--- a/tests/test_query_of_death.py
+++ b/tests/test_query_of_death.py
@@ -81,6 +81,19 @@
         self.assertEqual(last.status, NOT_RUN)
         self.assertGreater(float(last.headers['retry-after']), 10)
 
+    def test_entry_that_starts_later(self):
+        """It is told by the first that hears it."""
+
+        async def scenario(fleet):
+            await fleet.ask_in_turn(TRIES)
+            later = fleet.add_entry()
+            for number in range(TRIES):
+                found = await later.ask(f'later{number}', body=DEADLY)
+                self.assertEqual(found.status, NOT_RUN)
+
+        fleet = run_fleet(scenario, STREAM, CRASHES['reset before the head'])
+        self.assertEqual(len(fleet.ended), MOST_ENDS)
+
     def test_others_are_served_meanwhile(self):
         """Whoever runs beside it may lose a target, and is not refused."""
         found = []
