What was answered lately is not blamed; trials come sooner; the soak has deadly requests

An answer at this entry within a minute now excuses three ends, which are then not told either.

Ruled out: a higher count for all (each deadly request would end more targets).

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -22,7 +22,7 @@
 from tests.soak.entries import Entry
 from tests.soak.ledger import Ask, Attempt, Ledger
 from tests.soak.serving import ENDS
-from tests.soak.targets import count_events, get_body, make_event
+from tests.soak.targets import DEADLY, count_events, get_body, make_event
 
 HOST = 'a.example'
 #: Paths by kind of request; the configuration has a route for each.
@@ -54,6 +54,12 @@
 #: When callers that are idle as their entry is asked to end ask again, after
 #: that in seconds: around the end of its notice.
 AT_END_S = (2.85, 3.25)
+#: Requests that end their targets, their tokens, and the pauses between two
+#: series of them, in seconds; they are as short as others beside.
+DEADLY_KINDS = ('short', 'look', 'book')
+DEADLY_SIZES = '3000,600'
+DEADLY_REST_SHARE = 0.4
+DEADLY_REST_S = (0.5, 4)
 #: Pieces of a body at most, bytes of a piece at most, and the longest pause
 #: before each, in seconds.
 PIECES = 4
@@ -161,12 +167,15 @@
             timeout_s=TIMEOUT_S[kind],
         )
 
-    async def _ask(self, conn: Connection, entry: Entry, number: int) -> bool:
-        """Send one request; return whether the connection may be kept."""
-        pieces = [
+    def _draw_pieces(self) -> list[bytes]:
+        return [
             self.rng.randbytes(self.rng.randint(1, PIECE_BYTES))
             for _ in range(self.rng.randint(0, PIECES))
         ]
+
+    async def _ask(self, conn: Connection, entry: Entry, number: int) -> bool:
+        """Send one request; return whether the connection may be kept."""
+        pieces = self._draw_pieces()
         ask = self._draw(f'{self.name}-{number}', b''.join(pieces))
         now = time.monotonic()
         attempt = Attempt(ask, entry.name, now, slow=conn.slow)
@@ -214,6 +223,44 @@
             attempt.whole_at = time.monotonic()
 
 
+@dataclass
+class DeadlyCaller(Caller):
+    """A caller that asks for one request that ends whatever runs it.
+
+    It asks now and then, in series, with keys of one team.
+    """
+
+    which: int = 0
+
+    def _draw(self, req_id: str, body: bytes) -> Ask:
+        kind = DEADLY_KINDS[self.which]
+        path, route_kind, service = KINDS[kind]
+        team = min(self.keys.by_key.values())
+        mine = [key for key, one in self.keys.by_key.items() if one == team]
+        sizes = DEADLY_SIZES if kind in SIZES else ''
+        return Ask(
+            req_id=req_id,
+            kind=route_kind,
+            key=min(mine),
+            team=team,
+            service=service,
+            path=f'{path}-{DEADLY}',
+            sizes=sizes,
+            events=count_events(sizes) if sizes else 0,
+            digest=0 if route_kind == 'idempotent' else crc32(body),
+            timeout_s=TIMEOUT_S[kind],
+        )
+
+    def _draw_pieces(self) -> list[bytes]:
+        return [DEADLY.encode()]
+
+    async def _think(self) -> None:
+        is_long = self.rng.random() < DEADLY_REST_SHARE
+        await anyio.sleep(
+            self.rng.uniform(*DEADLY_REST_S if is_long else THINK_S)
+        )
+
+
 def _frame(pieces: list[bytes], *, chunked: bool) -> dict[str, str]:
     if chunked:
         return {'Transfer-Encoding': 'chunked'}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -337,12 +337,25 @@
     store_down: 2,
     restart_entry: 2,
 }
+DEADLY: dict[FaultKind, int] = {
+    kill_entry: 4,
+    kill_all: 2,
+    freeze_entry: 2,
+    restart_entry: 2,
+    cut_store: 2,
+    store_down: 2,
+    forget_history: 1,
+    crash_target: 2,
+    shake_target: 2,
+    hang_up: 1,
+}
 PLANS = MappingProxyType(
     {
         'mixed': MIXED,
         'planned': PLANNED,
         'standstill': STANDSTILL,
         'again': AGAIN,
+        'deadly': DEADLY,
     }
 )
 
@@ -356,5 +369,7 @@
     async with anyio.create_task_group() as group:
         while not world.over:
             await anyio.sleep(rng.uniform(GAP_S, longest_s))
+            while not world.has_targets():
+                await anyio.sleep(GAP_S)
             kind = rng.choices(names, list(kinds.values()))[0]
             group.start_soon(kind, world, Random(rng.random()))
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -107,6 +107,15 @@
     at: float
 
 
+@dataclass(frozen=True)
+class End:
+    """A target that ended as it began to run a request, by its path."""
+
+    path: str
+    target: str
+    at: float
+
+
 @dataclass
 class Fault:
     """An injected fault on an entry (or all of them), or on a target."""
@@ -134,6 +143,7 @@
     runs: list[Run] = field(default_factory=list)
     changes: list[Change] = field(default_factory=list)
     faults: list[Fault] = field(default_factory=list)
+    ends: list[End] = field(default_factory=list)
     ticket_clashes: set[str] = field(default_factory=set)
     ticket_leaks: set[str] = field(default_factory=set)
     exits: list[str] = field(default_factory=list)
@@ -144,6 +154,10 @@
         """Note a change that has just been acknowledged."""
         self.changes.append(Change(what, name, time.monotonic()))
 
+    def note_end(self, path: str, target: str) -> None:
+        """Note that a target has just ended under a request."""
+        self.ends.append(End(path, target, time.monotonic()))
+
     def begin_fault(
         self, kind: str, entry: str = '', target: str = ''
     ) -> Fault:
@@ -199,6 +213,7 @@
         for kind, at, seen in (
             ('fault', 'began_at', self.faults),
             ('change', 'at', self.changes),
+            ('end', 'at', self.ends),
             ('run', 'began_at', self.runs),
             ('attempt', 'sent_at', self.attempts.values()),
         ):
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -11,7 +11,12 @@
 from enum import Flag
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+from anyio.abc import (
+    SocketAttribute,
+    SocketListener,
+    SocketStream,
+    TaskGroup,
+)
 
 from tests.soak.serving import ENDS, READ_BYTES, reset
 
@@ -44,7 +49,7 @@
     port: int = 0
     cut: Cut = Cut.none
     delay_s: float = 0
-    refusing: bool = False
+    closed: anyio.Event = field(default_factory=anyio.Event)
     pairs: set[_Pair] = field(default_factory=set)
     healed: anyio.Event = field(default_factory=anyio.Event)
 
@@ -59,7 +64,12 @@
             local_host=self.host, local_port=0
         )
         self.port = listener.extra(SocketAttribute.local_port)
-        group.start_soon(listener.serve, self._forward)
+        group.start_soon(self._serve, listener)
+
+    def close(self) -> None:
+        """Refuse connections from now on, and reset the open ones."""
+        self.closed.set()
+        self.reset_all()
 
     def set_cut(self, cut: Cut) -> None:
         """Hold back what goes in some directions, or let it go on."""
@@ -77,11 +87,16 @@
         for pair in self.pairs:
             pair.silent = True
 
+    async def _serve(self, listener: SocketListener) -> None:
+        """Listen until the link is closed; what is open then goes on."""
+        async with listener, anyio.create_task_group() as group:
+            async with anyio.create_task_group() as listening:
+                listening.start_soon(listener.serve, self._forward, group)
+                await self.closed.wait()
+                listening.cancel_scope.cancel()
+            await listener.aclose()
+
     async def _forward(self, near: SocketStream) -> None:
-        if self.refusing:
-            reset(near)
-            await near.aclose()
-            return
         host, _, port = self.address.rpartition(':')
         try:
             far = await anyio.connect_tcp(host, int(port))
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -22,7 +22,7 @@
 )
 from trestledock.entry._job import STATUSES, Job, Refusal
 from trestledock.platform import _headers, run
-from trestledock.relay import Fleet, History, Proof
+from trestledock.relay import Fleet, History, Proof, Quarantine
 
 
 def once() -> None:
@@ -111,6 +111,11 @@
     _app._cancel_when_left = _sleep_on
 
 
+def budget() -> None:
+    """Hold no request for the targets that ended under it."""
+    Quarantine.is_held = lambda quarantine, fingerprint: False
+
+
 async def _sleep_on(*args: Any) -> None:
     await anyio.sleep_forever()
 
@@ -130,6 +135,7 @@
         ends,
         lost,
         gone,
+        budget,
     )
 }
 
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -11,7 +11,7 @@
 import time
 from dataclasses import dataclass, field
 from random import Random
-from typing import Any
+from typing import Any, Callable
 from zlib import crc32
 
 import anyio
@@ -39,6 +39,10 @@
 STORE_PATHS = '/log-'
 #: States of targets; one that has vanished writes nothing to the store.
 READY, LEAVING, VANISHED = 'ready', 'draining', 'vanished'
+#: What the path of a request holds that ends whatever begins to run it.
+DEADLY = 'deadly'
+#: How much of its answer is written before: nothing, the head, an event.
+LAST_WORDS = ('', 'head', 'events')
 #: Times that the text of a plain answer is repeated: in one answer of so many
 #: it is long, four megabytes, more than the system's buffers hold on the way to
 #: a slow caller.
@@ -89,6 +93,10 @@
     return f'{req_id} by {incarnation}; '.encode() * repeats
 
 
+def _do_nothing(_: 'Target') -> None:
+    """Stand for what follows the end of a target."""
+
+
 def make_event(req_id: str, number: int) -> bytes:
     """Return one event of a stream."""
     return f'id: {number}\ndata: {req_id} {number}\n\n'.encode()
@@ -117,6 +125,7 @@
     link: Link = field(default_factory=lambda: Link(''))
     gone: anyio.Event = field(default_factory=anyio.Event)
     born: int = field(default_factory=get_unix_ms)
+    on_crash: Callable[['Target'], None] = _do_nothing
 
     @property
     def incarnation(self) -> str:
@@ -138,8 +147,7 @@
             group.start_soon(listener.serve, self._serve)
             group.start_soon(self._register)
             await self.gone.wait()
-            self.link.refusing = True
-            self.link.reset_all()
+            self.link.close()
             group.cancel_scope.cancel()
         await listener.aclose()
 
@@ -248,7 +256,9 @@
             ('Trestledock-Request-Id', own_id),
             ('Trestledock-Response-Seal', run.seal),
         ]
-        if drawn() < self.quirks.fails:
+        if DEADLY in exchange.path:
+            await self._crash(exchange, run, headers)
+        elif drawn() < self.quirks.fails:
             run.status = 500
             await exchange.answer(500, b'failed', headers)
         elif run.sizes:
@@ -256,6 +266,21 @@
         else:
             await self._answer_plain(exchange, run, headers)
 
+    async def _crash(
+        self, exchange: Exchange, run: Run, headers: Headers
+    ) -> None:
+        """End with the request that is begun, and with all others."""
+        if run.sizes:
+            await self._read_prompt(exchange, run)
+        words = self.rng.choice(LAST_WORDS)
+        if words:
+            await exchange.start(200, headers)
+        if words == 'events' and run.sizes:
+            await exchange.write(make_event(run.req_id, 1))
+        self.ledger.note_end(exchange.path, self.incarnation)
+        self.on_crash(self)
+        await anyio.sleep_forever()
+
     async def _answer_plain(
         self, exchange: Exchange, run: Run, headers: Headers
     ) -> None:
--- a/tests/soak/timed_checks.py
+++ b/tests/soak/timed_checks.py
@@ -10,7 +10,7 @@
 from typing import Iterator
 
 from tests.soak.entries import GRACE_S
-from tests.soak.ledger import Attempt, Ledger, Run
+from tests.soak.ledger import CONTACT_S, Attempt, Ledger, Run
 
 OK = 200
 #: The bound of the settings on targets that leave, in seconds.
@@ -30,6 +30,10 @@
 GONE_S = 0.5
 #: How many late cancellations in a run are still no pattern.
 GONE_MOST = 3
+#: So many targets may end under a request, and so many more may get it later
+#: than an entry needs to be in touch.
+MOST_ENDS = 3
+MOST_LATE = 3
 
 
 def check_leaks(ledger: Ledger) -> Iterator[str]:
@@ -87,6 +91,32 @@
         yield from late
 
 
+def check_budget(ledger: Ledger) -> Iterator[str]:
+    """A request that ends its targets reaches few more after the third end."""
+    ends: dict[str, list[float]] = {}
+    for end in ledger.ends:
+        ends.setdefault(end.path, []).append(end.at)
+    for path, times in ends.items():
+        if len(times) < MOST_ENDS:
+            continue
+        known_at = sorted(times)[MOST_ENDS - 1] + CONTACT_S
+        late = [
+            run
+            for run in ledger.runs
+            if run.began_at > known_at and _is_run_of(ledger, run, path)
+        ]
+        if len(late) > MOST_LATE:
+            yield f'{path} reached {len(late)} targets more, ended {len(times)}'
+
+
+def _is_run_of(ledger: Ledger, run: Run, path: str) -> bool:
+    """Whether a run is of a request, sent by an entry in touch."""
+    attempt = ledger.attempts.get(run.req_id)
+    if attempt is None or attempt.ask.path != path:
+        return False
+    return ledger.is_calm(attempt.entry, run.began_at, run.began_at)
+
+
 def _is_sent_calmly(ledger: Ledger, run: Run) -> bool:
     """Whether the entry and the way to the target were in order."""
     attempt = ledger.attempts.get(run.req_id)
@@ -142,4 +172,5 @@
     check_lost,
     check_graces,
     check_gone,
+    check_budget,
 )
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -16,7 +16,14 @@
 import anyio
 from anyio.abc import SocketAttribute, TaskGroup
 
-from tests.soak.callers import HOST, KINDS, TIMEOUT_S, Caller, Keys
+from tests.soak.callers import (
+    HOST,
+    KINDS,
+    TIMEOUT_S,
+    Caller,
+    DeadlyCaller,
+    Keys,
+)
 from tests.soak.entries import GRACE_S, Entry, run_entries
 from tests.soak.ledger import Ledger
 from tests.soak.links import Link
@@ -34,8 +41,14 @@
 DATA_CENTRES = ('dc-a', 'dc-b', 'dc-c')
 TEAMS = ('kiosks', 'desk', 'audit')
 KEYS_A_TEAM = 4
+#: How long a target takes to start again under its id, in seconds.
+RECOVERY_S = (0.3, 2.5)
+HALF = 0.5
 #: How often tickets are looked at, in seconds.
 LOOK_S = 0.5
+#: Different requests that end their targets, and who asks for each.
+DEADLY_REQUESTS = 3
+DEADLY_CALLERS = 4
 #: How often the driver looks whether it is held up itself, in seconds.
 BEAT_S = 0.02
 ENGINE = {
@@ -124,6 +137,25 @@
                 lambda: self.over,
             )
             self.group.start_soon(caller.run)
+        if self.size.plan == 'deadly':
+            self._start_deadly_callers()
+
+    def _start_deadly_callers(self) -> None:
+        """Let some callers ask for requests that end their targets.
+
+        Each such request is asked for by several, as by callers that repeat.
+        """
+        for number in range(DEADLY_REQUESTS * DEADLY_CALLERS):
+            caller = DeadlyCaller(
+                f'd{number}',
+                self.entries,
+                self.ledger,
+                self.keys,
+                Random(self.rng.random()),
+                lambda: self.over,
+                which=number % DEADLY_REQUESTS,
+            )
+            self.group.start_soon(caller.run)
 
     def publish(self) -> None:
         """Write the configuration as it should be now."""
@@ -181,6 +213,7 @@
             self.ledger,
             self.store,
             Random(self.rng.random()),
+            on_crash=self._recover_later,
         )
         await target.live(self.group)
         self.targets.append(target)
@@ -212,6 +245,18 @@
             target.target_id, target.service, target.data_centre
         )
 
+    def _recover_later(self, target: Target) -> None:
+        """Have a target that a request has ended start again."""
+        fault = self.ledger.begin_fault('deadly', target=target.incarnation)
+        fault.ended_at = time.monotonic()
+        rng = Random(self.rng.random())
+        if rng.random() < HALF:
+            pause_s = rng.uniform(*RECOVERY_S)
+            self.group.start_soon(self.restart, target, pause_s)
+        else:
+            self.group.start_soon(self.crash, target)
+        self.remove(target)
+
     def remove(self, target: Target) -> None:
         """End a target at once."""
         target.gone.set()
@@ -234,6 +279,10 @@
             [one for one in self.targets if one.state == READY]
         )
 
+    def has_targets(self) -> bool:
+        """Whether any target is not leaving."""
+        return any(one.state == READY for one in self.targets)
+
     def get_elapsed_s(self) -> float:
         """Return the seconds since the run began."""
         return time.monotonic() - self.ledger.began_at
--- a/tests/test_entry_isolation.py
+++ b/tests/test_entry_isolation.py
@@ -10,6 +10,7 @@
 from trestledock.entry._isolation import OPEN_S
 from trestledock.entry._state import EntryState
 from trestledock.relay import End, Held, Listed, Sign, Standing
+from trestledock.relay._proven import PROVEN_S
 
 TARGETS = tuple(make_listed(number, 80 + number) for number in range(6))
 
@@ -86,6 +87,39 @@
         self.assertEqual(isolation.told, [End('f', TARGETS[1].incarnation)])
 
 
+class ProvenTest(unittest.TestCase):
+    """What many callers ask for is at each target that ends."""
+
+    def test_what_was_answered_is_not_blamed(self):
+        async def scenario(isolation):
+            isolation.note_answered('f')
+            for target in TARGETS[:3]:
+                await isolation.note_lost('f', Sign.closed, [target])
+
+        isolation = run_isolation(scenario)
+        self.assertFalse(isolation.is_held('f'))
+        self.assertEqual(isolation.told, [])
+
+    def test_what_has_become_deadly_is_known_soon(self):
+        """Its targets may have another version since it was answered."""
+
+        async def scenario(isolation):
+            isolation.note_answered('f')
+            for target in TARGETS:
+                await isolation.note_lost('f', Sign.closed, [target])
+
+        self.assertTrue(run_isolation(scenario).is_held('f'))
+
+    def test_an_answer_does_not_speak_for_ever(self):
+        async def scenario(isolation):
+            isolation.note_answered('f')
+            await anyio.sleep(PROVEN_S + 1)
+            for target in TARGETS[:3]:
+                await isolation.note_lost('f', Sign.closed, [target])
+
+        self.assertTrue(run_isolation(scenario).is_held('f'))
+
+
 class LaterTest(unittest.TestCase):
     """Ends that are known only as another start is listed."""
 
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -45,7 +45,7 @@
             self.assertEqual([held.fingerprint for held in found], ['f'])
             self.assertEqual(found[0].incarnations, HELD.incarnations)
             self.assertLess(abs(found[0].age_s - HELD.age_s), 30)
-            self.assertIsNone(found[0].tried_age_s)
+            self.assertEqual(found[0].trials, 0)
             await one.write_held([Held('f', ())])
             self.assertEqual(await other.read_held(0), (Held('f', ()),))
 
@@ -69,7 +69,8 @@
             ]
             self.assertEqual(granted, [True, False, False])
             found = await other.read_held(0)
-            self.assertLess(found[0].tried_age_s, 30)
+            self.assertEqual(found[0].trials, 1)
+            self.assertLess(found[0].age_s, 30)
 
         run_with_store(scenario)
 
@@ -105,7 +106,12 @@
         async def scenario(store, one, other):
             topic = store.get_topic(TOPIC)
             for number, plain in enumerate(
-                ([], {}, {'ends': 5}, {'ends': ['t'], 'ended_at_ms': 'x'})
+                (
+                    [],
+                    {},
+                    {'ends': 5},
+                    {'ends': ['t'], 'since_ms': 'x', 'trials': 0},
+                )
             ):
                 topic.put(f'bad{number}', json.dumps(plain).encode())
             topic.put('worse', b'\xff')
--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -8,8 +8,7 @@
 from trestledock.relay._quarantine import (
     MOST_ENDS,
     MOST_KNOWN,
-    RETRIAL_S,
-    TRIAL_S,
+    TRIALS_S,
 )
 
 DEADLY, BESIDE = 'deadly', 'beside'
@@ -75,16 +74,18 @@
 class TrialTest(unittest.TestCase):
     """When a held request is given to one target again."""
 
-    def test_after_a_while_and_then_once_a_day(self):
+    def test_each_trial_later_than_the_last(self):
         quarantine = make_held('t1', 't2', 't3')
-        self.assertFalse(quarantine.is_due(DEADLY, TRIAL_S - 1))
-        self.assertTrue(quarantine.is_due(DEADLY, TRIAL_S))
-        quarantine.note_trial(DEADLY, TRIAL_S)
-        note(quarantine, DEADLY, 't4', now=TRIAL_S + 1)
-        self.assertFalse(quarantine.is_due(DEADLY, RETRIAL_S))
-        self.assertTrue(quarantine.is_due(DEADLY, TRIAL_S + RETRIAL_S))
-
-    def test_handed_on_with_its_ages(self):
+        now = 0
+        for number, wait_s in enumerate((*TRIALS_S, TRIALS_S[-1])):
+            self.assertFalse(quarantine.is_due(DEADLY, now + wait_s - 1))
+            now += wait_s
+            self.assertTrue(quarantine.is_due(DEADLY, now))
+            quarantine.note_trial(DEADLY, now)
+            now += 1
+            note(quarantine, DEADLY, f'u{number}', now=now)
+
+    def test_handed_on_with_its_age(self):
         """A later start knows as much as who was there."""
         known = make_held('t1', 't2', 't3')
         known.note_trial(DEADLY, 70)
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -156,8 +156,10 @@
             age_s = self.state.get_offered_age_s(anyio.current_time())
             self.send(Fresh(self.state.member, age_s), self._get_near())
 
-    def tell_ends(self, ends: Iterable[End]) -> None:
+    def tell_ends(self, ends: Sequence[End]) -> None:
         """Have all others know of targets that have just ended."""
+        if not ends:
+            return
         told = tuple((end, float(0)) for end in ends)
         self._send_ends(told, list(self.neighbours.places))
         again = self.state.isolation.is_told_again
--- a/trestledock/entry/_isolation.py
+++ b/trestledock/entry/_isolation.py
@@ -11,7 +11,15 @@
 
 from dataclasses import dataclass
 from types import MappingProxyType
-from typing import Any, Awaitable, Callable, Iterable, Iterator, Mapping
+from typing import (
+    Any,
+    Awaitable,
+    Callable,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 
 import anyio
 
@@ -22,6 +30,7 @@
     Health,
     Held,
     Listed,
+    Proven,
     Quarantine,
     Sign,
 )
@@ -62,7 +71,7 @@
 
 Look = Callable[[Listed], Awaitable[Sign]]
 Claim = Callable[[Held], Awaitable[bool]]
-TellEnds = Callable[[Iterable[End]], None]
+TellEnds = Callable[[Sequence[End]], None]
 TellCleared = Callable[[str], None]
 
 
@@ -114,6 +123,7 @@
         """Begin with no end."""
         self.health = health
         self.quarantine = Quarantine()
+        self.proven = Proven()
         self.ways = Ways()
         self.to_keep: set[str] = set()
         self.wants_keeping = anyio.Event()
@@ -201,6 +211,7 @@
 
     def note_answered(self, fingerprint: str) -> None:
         """Note that a target has answered a request: it ends none."""
+        self.proven.note_answered(fingerprint, anyio.current_time())
         if fingerprint not in self.quarantine.suspects:
             return
         was_held = self.is_held(fingerprint)
@@ -243,7 +254,7 @@
         for fingerprint, suspect in self.quarantine.suspects.items():
             if len(suspect.incarnations) < LEAST_TOLD:
                 continue
-            age_s = now - suspect.ended_at
+            age_s = now - suspect.since
             for incarnation in suspect.incarnations:
                 yield End(fingerprint, incarnation), age_s
 
@@ -272,9 +283,13 @@
 
     def _note_own(self, ends: list[End], sign: Sign) -> None:
         now = anyio.current_time()
-        for end in ends:
+        for one in ends:
+            self.health.note_silence(one.incarnation, now)
+        blamed = [
+            one for one in ends if not self.proven.excuses(one.fingerprint, now)
+        ]
+        for end in blamed:
             self._witnessed.add(end.fingerprint)
-            self.health.note_silence(end.incarnation, now)
             if self._add(end, now, SELF):
                 count = self.quarantine.count_ends(end.fingerprint)
                 emit(
@@ -282,7 +297,7 @@
                         end.incarnation, end.fingerprint, sign.value, count
                     )
                 )
-        self.ways.tell_ends(ends)
+        self.ways.tell_ends(blamed)
 
     def _add(self, end: End, ended_at: float, source: str) -> bool:
         was_held = self.is_held(end.fingerprint)
--- a/trestledock/entry/_news.py
+++ b/trestledock/entry/_news.py
@@ -17,6 +17,7 @@
 from trestledock.entry import _events as events
 from trestledock.entry._checks import (
     read_amount,
+    read_count,
     read_flag,
     read_list,
     read_text,
@@ -228,17 +229,16 @@
         'fingerprint': held.fingerprint,
         'ends': held.incarnations,
         'age_s': held.age_s,
-        'tried_age_s': held.tried_age_s,
+        'trials': held.trials,
     }
 
 
 def _read_quarantined(plain: Mapping[str, Any]) -> Held:
-    tried_age_s = plain['tried_age_s']
     return Held(
         read_text(plain['fingerprint']),
         tuple(map(read_text, read_list(plain['ends']))),
         read_amount(plain['age_s']),
-        None if tried_age_s is None else read_amount(tried_age_s),
+        read_count(plain['trials']),
     )
 
 
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -35,8 +35,8 @@
 #: The most that is added to it by chance, in seconds.
 COME_BACK_JITTER_S = 0.25
 #: When to come back at the earliest with a request that is held, in seconds:
-#: at once would cost an answer each time and bring nothing.
-HELD_S = 10.0
+#: after the first trial of it, which somebody else may make.
+HELD_S = 15.0
 #: The pause before what was not sent is tried again, in seconds.
 TRY_AGAIN_S = 0.1
 #: Refusals in whose place a target's own failure is told: it is the truer word.
--- a/trestledock/platform/_quarantine.py
+++ b/trestledock/platform/_quarantine.py
@@ -9,13 +9,14 @@
 import json
 import time
 from dataclasses import replace
-from typing import Any, Iterable
+from typing import Iterable
 
 from trestledock.entry import (
     DirectoryError,
     RecordIgnored,
     emit,
     read_amount,
+    read_count,
     read_list,
     read_text,
 )
@@ -64,7 +65,7 @@
         for stored in _read_records(batch.records):
             if stored.fingerprint == held.fingerprint and not stored.is_due:
                 return False
-        tried = replace(held, tried_age_s=0)
+        tried = replace(held, age_s=0, trials=held.trials + 1)
         status = await self._append([tried], expectedEnd=batch.end)
         if status not in {OK, GROWN}:
             raise DirectoryError(f'log-append {TOPIC}: {status}')
@@ -83,13 +84,10 @@
     """Return a record; one that is held no more has no value."""
     if not held.incarnations:
         return b''
-    tried_at = held.tried_age_s
-    if tried_at is not None:
-        tried_at = round(now_ms - tried_at * MS)
     plain = {
         'ends': held.incarnations,
-        'ended_at_ms': round(now_ms - held.age_s * MS),
-        'tried_at_ms': tried_at,
+        'since_ms': round(now_ms - held.age_s * MS),
+        'trials': held.trials,
     }
     return json.dumps(plain, separators=(',', ':')).encode()
 
@@ -113,14 +111,10 @@
     plain = json.loads(record.text)
     if not isinstance(plain, dict):
         raise ValueError('no object')
-    tried_at = plain.get('tried_at_ms')
+    since_ms = read_amount(plain.get('since_ms'))
     return Held(
         record.key,
         tuple(map(read_text, read_list(plain.get('ends')))),
-        _get_age_s(plain.get('ended_at_ms'), now_ms),
-        None if tried_at is None else _get_age_s(tried_at, now_ms),
+        max(0, now_ms - since_ms) / MS,
+        read_count(plain.get('trials')),
     )
-
-
-def _get_age_s(told_ms: Any, now_ms: float) -> float:
-    return max(0, now_ms - read_amount(told_ms)) / MS
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -50,6 +50,7 @@
 from trestledock.relay._plain import choose_least_busy
 from trestledock.relay._problem import Placement, Work
 from trestledock.relay._proof import Proof
+from trestledock.relay._proven import Proven
 from trestledock.relay._quarantine import (
     End,
     Held,
@@ -100,6 +101,7 @@
     'PromptSize',
     'Proof',
     'Reach',
+    'Proven',
     'Quarantine',
     'ReadPace',
     'RetryWindow',
--- a/trestledock/relay/_quarantine.py
+++ b/trestledock/relay/_quarantine.py
@@ -22,17 +22,27 @@
 #: request was at more of them halves that, but let one in two deadly ones go on
 #: beside crashes of a third of the targets.
 MOST_ENDS = 3
-#: After how many seconds a held request is given to one target again, and how
-#: long after that once more: whoever was held by mistake is free again within a
-#: minute, and a request that still ends its target costs one target a day, in
-#: case its targets have been mended.
-TRIAL_S = 60.0
-RETRIAL_S = 86_400.0
+#: A held request is given to one target again so long after the last target
+#: that ended under it, or after the last such trial, in seconds, and each time
+#: later.  Whoever is held by mistake, as what many ask for may be where all
+#: targets of a service end at once, is free after the first trial, or after the
+#: second where targets still end.  A deadly request costs two targets more on
+#: its first day and one on each day after, in case its targets were mended.
+TRIALS_S = (10.0, 300.0, 86_400.0)
 #: How many requests are kept of which a target ended, some 300 bytes each.  A
 #: flood of different ones pushes out those with the fewest ends first.
 MOST_KNOWN = 1_000
 
 
+def get_trial_s(trials: int) -> float:
+    """Return how long after an end or a trial the next trial may be.
+
+    >>> [get_trial_s(trials) for trials in (0, 1, 2, 9)]
+    [10.0, 300.0, 86400.0, 86400.0]
+    """
+    return TRIALS_S[min(trials, len(TRIALS_S) - 1)]
+
+
 @dataclass(frozen=True)
 class End:
     """A target's incarnation that ended while it ran a request."""
@@ -45,39 +55,36 @@
 class Held:
     """A request that is held, as it is kept and handed on.
 
-    Instants are told as ages, since clocks differ.  Without `incarnations` it
-    is held no more.
+    `age_s` is the time since its last end or trial: instants are told as ages,
+    since clocks differ.  Without `incarnations` it is held no more.
     """
 
     fingerprint: str
     incarnations: tuple[str, ...]
     age_s: float = 0
-    tried_age_s: float | None = None
+    trials: int = 0
 
     @property
     def is_due(self) -> bool:
         """Whether it may be tried again."""
-        if self.tried_age_s is not None and self.tried_age_s < RETRIAL_S:
-            return False
-        return self.age_s >= TRIAL_S
+        return self.age_s >= get_trial_s(self.trials)
 
 
 @dataclass
 class Suspect:
     """A request with the targets that ended under it.
 
-    The last one ended at `ended_at`; one was given the request again, on
-    purpose, at `tried_at`.
+    One was given the request again, on purpose, `trials` times; `since` is when
+    that was, or the last one ended.
     """
 
     incarnations: set[str] = field(default_factory=set)
-    ended_at: float = float('-inf')
-    tried_at: float = float('-inf')
+    since: float = float('-inf')
+    trials: int = 0
 
     def get_due_in_s(self, now: float) -> float:
         """Return after how many seconds it may be tried again."""
-        due_at = max(self.ended_at + TRIAL_S, self.tried_at + RETRIAL_S)
-        return max(0, due_at - now)
+        return max(0, self.since + get_trial_s(self.trials) - now)
 
 
 class Quarantine:
@@ -88,7 +95,7 @@
     ...     _ = held.note_end(End('f', name), now=0)
     >>> held.is_held('f'), held.is_held('g')
     (True, False)
-    >>> held.is_due('f', now=1), held.is_due('f', now=TRIAL_S)
+    >>> held.is_due('f', now=1), held.is_due('f', now=10)
     (False, True)
     """
 
@@ -103,7 +110,7 @@
         if end.incarnation in suspect.incarnations:
             return False
         suspect.incarnations.add(end.incarnation)
-        suspect.ended_at = max(suspect.ended_at, now)
+        suspect.since = max(suspect.since, now)
         self._ended[end.incarnation] += 1
         return True
 
@@ -127,7 +134,9 @@
 
     def note_trial(self, fingerprint: str, now: float) -> None:
         """Note that a held request is given to one target."""
-        self.suspects[fingerprint].tried_at = now
+        suspect = self.suspects[fingerprint]
+        suspect.trials += 1
+        suspect.since = now
 
     def clear(self, fingerprint: str) -> int:
         """Forget a request that was answered; return how many ends it had.
@@ -147,16 +156,14 @@
         """Take what another instance knows; return whether it was news."""
         if not held.incarnations:
             return bool(self.clear(held.fingerprint))
-        ended_at = now - held.age_s
+        since = now - held.age_s
         is_news = [
-            self.note_end(End(held.fingerprint, incarnation), ended_at)
+            self.note_end(End(held.fingerprint, incarnation), since)
             for incarnation in held.incarnations
         ]
         suspect = self.suspects[held.fingerprint]
-        suspect.ended_at = max(suspect.ended_at, ended_at)
-        if held.tried_age_s is not None:
-            tried_at = now - held.tried_age_s
-            suspect.tried_at = max(suspect.tried_at, tried_at)
+        suspect.since = max(suspect.since, since)
+        suspect.trials = max(suspect.trials, held.trials)
         return any(is_news)
 
     def get_held(self, now: float) -> Iterator[Held]:
@@ -168,12 +175,11 @@
     def make_held(self, fingerprint: str, now: float) -> Held:
         """Return a request with its ends, to be kept or handed on."""
         suspect = self.suspects[fingerprint]
-        never = suspect.tried_at == float('-inf')
         return Held(
             fingerprint,
             tuple(sorted(suspect.incarnations)),
-            max(0, now - suspect.ended_at),
-            None if never else max(0, now - suspect.tried_at),
+            max(0, now - suspect.since),
+            suspect.trials,
         )
 
     def was_ended(self, incarnation: str) -> bool:
@@ -192,4 +198,4 @@
 
     def _get_rank(self, fingerprint: str) -> tuple[int, float]:
         suspect = self.suspects[fingerprint]
-        return len(suspect.incarnations), suspect.ended_at
+        return len(suspect.incarnations), suspect.since
