--- a/tests/test_relay_fingerprint.py
+++ b/tests/test_relay_fingerprint.py
@@ -2,13 +2,27 @@
 
 import unittest
 from dataclasses import replace
+from random import Random
 
-from trestledock.relay import Body, Call, get_fingerprint
+from tests.relaying import HOST, SETTINGS, make_route
+from trestledock.entry._admission import admit
+from trestledock.entry._state import EntryState
+from trestledock.relay import Body, Call, Catalog, Service, TeamKey
 
 CALL = Call(
-    'r1', 'POST', '/notes/7', '?a=1', 'a.example', (), Body.of(b'text'), 5
+    'r1', 'POST', '/p/7', '?a=1', HOST, (), Body.of(b'text'), 5, key='k'
 )
-TEAM = 'kiosks'
+KEYS = {'k': TeamKey('kiosks'), 'new': TeamKey('kiosks'), 'o': TeamKey('desk')}
+
+
+def get_fingerprint(call):
+    """Return the fingerprint with which an entry admits a call."""
+    state = EntryState(SETTINGS, 'e#a', Random(1), None)
+    state.catalog = Catalog(
+        1, {HOST: (make_route(),)}, {'svc': Service('svc')}, KEYS
+    )
+    state.proof.renew(0)
+    return admit(state, call, 1).fingerprint
 
 
 class FingerprintTest(unittest.TestCase):
@@ -19,20 +33,17 @@
         again = replace(
             CALL, req_id='r2', arrived_at=90, key='new', resume_after='4'
         )
-        self.assertEqual(
-            get_fingerprint(again, TEAM), get_fingerprint(CALL, TEAM)
-        )
+        self.assertEqual(get_fingerprint(again), get_fingerprint(CALL))
 
     def test_another_request_does_not(self):
         """Each thing that a target works by counts, and where it stands."""
         others = [
             replace(CALL, method='PUT'),
-            replace(CALL, host='b.example'),
-            replace(CALL, path='/notes/8'),
+            replace(CALL, key='o'),
+            replace(CALL, path='/p/8'),
             replace(CALL, query=''),
             replace(CALL, body=Body.of(b'text2')),
-            replace(CALL, path='/notes/7?a', query='=1'),
+            replace(CALL, path='/p/7?a', query='=1'),
         ]
-        found = {get_fingerprint(one, TEAM) for one in (CALL, *others)}
-        found.add(get_fingerprint(CALL, 'desk'))
-        self.assertEqual(len(found), len(others) + 2)
+        found = {get_fingerprint(one) for one in (CALL, *others)}
+        self.assertEqual(len(found), len(others) + 1)
--- a/trestledock/connection/_caller.py
+++ b/trestledock/connection/_caller.py
@@ -27,6 +27,7 @@
 from trestledock.connection._parsing import (
     BadRequest,
     make_call,
+    make_fingerprint,
     make_generation,
     read_body,
     read_completion,
@@ -84,6 +85,7 @@
             envelope,
             completion,
             self.hub.settings,
+            make_fingerprint(http, envelope.team, body),
         )
         exchange = self.hub.open_exchange(req.req_id)
         exchange.prompt = completion.prompt
@@ -101,7 +103,8 @@
         body = await read_body(http, self.hub.settings)
         cfg = self._get_cfg()
         envelope = read_envelope(http, cfg, anyio.current_time())
-        req = make_call(_make_req_id(), envelope, http, cfg)
+        fingerprint = make_fingerprint(http, envelope.team, body)
+        req = make_call(_make_req_id(), envelope, http, cfg, fingerprint)
         exchange = self.hub.open_exchange(req.req_id)
         exchange.body = body
         exchange.method = http.method
--- a/trestledock/connection/_parsing.py
+++ b/trestledock/connection/_parsing.py
@@ -15,6 +15,7 @@
 
 from trestledock.connection._settings import Settings
 from trestledock.process import rank_by_key
+from trestledock.relay import Traits, get_fingerprint
 from trestledock.request import Kind, Model, Request
 from trestledock.version import Configuration, Team
 
@@ -141,6 +142,7 @@
     envelope: Envelope,
     completion: Completion,
     settings: Settings,
+    fingerprint: str,
 ) -> Request:
     """Return the core's request for a completion."""
     tokens = len(completion.prompt) / settings.chars_per_token
@@ -153,6 +155,7 @@
         prompt_tokens=max(1, round(tokens)),
         max_tokens=completion.max_tokens,
         prefix=hash_prefix(completion.prompt, settings.chars_per_token),
+        fingerprint=fingerprint,
     )
 
 
@@ -161,6 +164,7 @@
     envelope: Envelope,
     http: HttpRequest,
     cfg: Configuration | None,
+    fingerprint: str,
 ) -> Request:
     """Return the core's request for a call of a plain service."""
     service = http.path_params['service']
@@ -180,6 +184,21 @@
         idempotency_key=envelope.idempotency_key,
         home=envelope.home,
         first_attempt=envelope.first_attempt,
+        fingerprint=fingerprint,
+    )
+
+
+def make_fingerprint(http: HttpRequest, team: str, body: bytes) -> str:
+    """Return what a request shares with its repeats, whoever takes them."""
+    return get_fingerprint(
+        Traits(
+            http.method,
+            http.url.hostname or '',
+            http.url.path,
+            http.url.query,
+            team,
+        ),
+        hashlib.sha256(body).digest(),
     )
 
 
--- a/trestledock/connection/_target.py
+++ b/trestledock/connection/_target.py
@@ -29,6 +29,7 @@
     StartJob,
     StreamDone,
 )
+from trestledock.relay import Sign, get_connect_sign
 from trestledock.request import Chunk
 from trestledock.version import CONVERTER, DecodeError, load_json
 
@@ -38,6 +39,10 @@
 REJECTED_STATUS = 503
 OLD_NUMBER_STATUS = 409
 MS = 1000
+#: What the client raises where a target has closed the connection.
+CLOSED = (httpx.RemoteProtocolError, httpx.ReadError, httpx.WriteError)
+#: How long after that is looked whether it has ended, in seconds.
+SETTLE_S = 0.03
 
 
 @dataclass(frozen=True)
@@ -129,8 +134,7 @@
                 timeout=self._get_timeout(left_s),
             )
         except httpx.HTTPError as exc:
-            proof = isinstance(exc, (httpx.ConnectError, httpx.ConnectTimeout))
-            await self._fail(action, 'call', repr(exc), proof=proof)
+            await self._fail_on(action, 'call', exc)
             return
         await self.hub.tell(
             CallDone(
@@ -261,12 +265,31 @@
 
     async def _fail_on(
         self,
-        action: StartJob | ResumeStream,
+        action: StartJob | ResumeStream | CallService,
         step: str,
         exc: httpx.HTTPError,
     ) -> None:
         proof = isinstance(exc, (httpx.ConnectError, httpx.ConnectTimeout))
-        await self._fail(action, step, repr(exc), proof=proof)
+        ended = isinstance(exc, CLOSED) and await self._has_ended(action)
+        await self._fail(action, step, repr(exc), proof=proof, ended=ended)
+
+    async def _has_ended(
+        self, action: StartJob | ResumeStream | CallService
+    ) -> bool:
+        """Whether nobody listens any more at a target that closed.
+
+        A process that ends closes its sockets one after the other, so there is
+        a moment's pause before the look.
+        """
+        await anyio.sleep(SETTLE_S)
+        host, _, port = action.address.rpartition(':')
+        try:
+            with anyio.fail_after(self.hub.settings.target_connect_s):
+                conn = await anyio.connect_tcp(host, int(port))
+        except (OSError, TimeoutError) as exc:
+            return get_connect_sign(exc) is Sign.refused
+        await conn.aclose()
+        return False
 
     async def _fail(
         self,
@@ -275,6 +298,7 @@
         detail: str,
         *,
         proof: bool,
+        ended: bool = False,
     ) -> None:
         await self.hub.tell(
             AttemptFailed(
@@ -284,6 +308,7 @@
                 step=step,
                 peer=action.target,
                 detail=detail,
+                ended=ended,
             ),
         )
 
--- a/trestledock/entry/_admission.py
+++ b/trestledock/entry/_admission.py
@@ -14,6 +14,7 @@
     Catalog,
     Route,
     TeamKey,
+    Traits,
     get_fingerprint,
 )
 
@@ -39,7 +40,7 @@
         service=route.draw_service(state.rng),
         team=team,
         deadline=min(deadline, call.deadline or deadline),
-        fingerprint=get_fingerprint(call, team.team),
+        fingerprint=_make_fingerprint(call, team),
     )
 
 
@@ -78,6 +79,11 @@
     return job.service in {share.service for share in route.shares}
 
 
+def _make_fingerprint(call: Call, team: TeamKey) -> str:
+    traits = Traits(call.method, call.host, call.path, call.query, team.team)
+    return get_fingerprint(traits, call.body.digest)
+
+
 def _move(
     state: EntryState,
     job: Job,
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -16,7 +16,7 @@
 import h11
 from anyio.abc import SocketAttribute, SocketStream
 
-from trestledock.relay import Sign
+from trestledock.relay import Sign, get_connect_sign, get_end_sign
 
 #: How long a target may take to accept a connection, in seconds: some hundred
 #: times the way there, and short beside the objectives of short requests.
@@ -38,9 +38,6 @@
     anyio.ClosedResourceError,
 )
 
-#: The errors of a connection that the other side has ended.
-ENDED_BY_PEER = (ConnectionResetError, BrokenPipeError)
-
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -92,7 +89,7 @@
                 stream = await anyio.connect_tcp(host, int(port))
         except (OSError, TimeoutError) as exc:
             raise WireError(
-                'connect', repr(exc), _get_connect_sign(exc)
+                'connect', repr(exc), get_connect_sign(exc)
             ) from exc
         _set_options(stream)
         return cls(stream)
@@ -174,7 +171,7 @@
         try:
             await self.stream.send(raw)
         except STREAM_ENDS as exc:
-            raise WireError('write', repr(exc), _get_end_sign(exc)) from exc
+            raise WireError('write', repr(exc), get_end_sign(exc)) from exc
         self.written = True
 
     async def _write_quietly(self, raw: bytes) -> None:
@@ -205,7 +202,7 @@
             return b''
         except STREAM_ENDS as exc:
             self.broken = True
-            raise WireError(step, repr(exc), _get_end_sign(exc)) from exc
+            raise WireError(step, repr(exc), get_end_sign(exc)) from exc
 
 
 def _set_options(stream: SocketStream) -> None:
@@ -220,15 +217,3 @@
     )
     for level, option, number in options:
         raw.setsockopt(level, option, number)
-
-
-def _get_connect_sign(exc: Exception) -> Sign:
-    """Tell a port where nobody listens from an address that is not reached."""
-    is_refused = isinstance(exc.__cause__, ConnectionRefusedError)
-    return Sign.refused if is_refused else Sign.unreachable
-
-
-def _get_end_sign(exc: Exception) -> Sign:
-    """Tell the end by the other side from one by our own time-outs."""
-    is_ended = isinstance(exc.__cause__, ENDED_BY_PEER)
-    return Sign.closed if is_ended else Sign.silent
--- a/trestledock/process/_answers.py
+++ b/trestledock/process/_answers.py
@@ -21,6 +21,11 @@
     refuse,
     release_attempt,
 )
+from trestledock.process._isolating import (
+    is_held,
+    note_answered,
+    note_end,
+)
 from trestledock.process._live import Live, Phase
 from trestledock.process._messages import (
     AttemptFailed,
@@ -146,6 +151,7 @@
         return
     target = state.get_targets()[live.attempt.target]
     target.breaker.succeed()
+    note_answered(state, live.req, now)
     verdict = Verdict(
         Outcome.answered,
         peer=live.attempt.target,
@@ -166,6 +172,8 @@
         return
     if message.attempt != live.attempt.number:
         return
+    if message.ended:
+        note_end(state, live, message.peer, now)
     if _resume(state, live, message):
         return
     event = AttemptEvent.reject if message.not_started else AttemptEvent.lose
@@ -232,6 +240,7 @@
     live.note(live.attempt.number, AttemptEvent.finish)
     name = live.shares[-1].target
     state.get_targets()[name].breaker.succeed()
+    note_answered(state, live.req, now)
     verdict = Verdict(Outcome.answered, peer=name, tokens=live.emitted)
     end(state, live, verdict)
     pump_soon(state, live.pool, now)
@@ -242,6 +251,8 @@
     started = live.first_token_at is not None and live.shares
     if not started or live.resumed or message.not_started:
         return False
+    if message.ended:
+        return False
     if message.step != STREAM_STEP:
         return False
     live.resumed = True
@@ -270,7 +281,9 @@
     reason = Reason.target_lost
     if message.not_started:
         reason = Reason.target_rejected
-    if not (live.req.idempotent or message.not_started):
+    if is_held(state, live):
+        refuse(state, live, Reason.held, detail=message.detail)
+    elif not (live.req.idempotent or message.not_started):
         refuse(state, live, reason, LOST_WAIT_S, message.detail)
     elif state.get_budget(live.pool).spend(now, instances=1):
         state.count('retries', reason.value)
@@ -285,7 +298,9 @@
 def _call_again(state: State, live: Live, now: float) -> None:
     not_after = live.claim.not_after if live.claim else live.req.deadline
     field = choose_service(state, live.req, now)
-    if not field.candidates:
+    if is_held(state, live):
+        refuse(state, live, Reason.held)
+    elif not field.candidates:
         refuse(state, live, field.reason, LOST_WAIT_S, field.detail)
     elif now >= not_after:
         refuse(state, live, Reason.deadline_passed, LOST_WAIT_S)
--- a/trestledock/process/_dispatching.py
+++ b/trestledock/process/_dispatching.py
@@ -22,6 +22,7 @@
 from trestledock.process._fleet import Target
 from trestledock.process._groups import plan_group
 from trestledock.process._guarding import take_hold
+from trestledock.process._isolating import is_held
 from trestledock.process._live import Live, Phase, Share
 from trestledock.process._load import Sent
 from trestledock.process._queue import Waiting, get_rank
@@ -54,9 +55,9 @@
         shape = get_shape(waiting.req)
         if live is None:
             queue.remove(waiting.req.req_id)
-        elif _is_hopeless(state, waiting, now):
-            refuse(state, live, Reason.deadline_unreachable, live.cost)
-        elif shape not in without_place:
+            continue
+        is_refused = _refuse_waiting(state, live, waiting, now)
+        if not is_refused and shape not in without_place:
             if place(state, live, now):
                 queue.charge(waiting)
             else:
@@ -346,6 +347,19 @@
     return live.attempt.target != one.target.info.name
 
 
+def _refuse_waiting(
+    state: State, live: Live, waiting: Waiting, now: float
+) -> bool:
+    """Refuse a request that need not wait any more; return whether it was."""
+    if is_held(state, live):
+        refuse(state, live, Reason.held)
+        return True
+    if _is_hopeless(state, waiting, now):
+        refuse(state, live, Reason.deadline_unreachable, live.cost)
+        return True
+    return False
+
+
 def _is_hopeless(state: State, waiting: Waiting, now: float) -> bool:
     late = now + waiting.least_s > waiting.req.deadline
     return state.policy.admission and late
--- /dev/null
+++ b/trestledock/process/_isolating.py
@@ -0,0 +1,94 @@
+"""
+Isolating deadly requests
+=========================
+
+Requests that end the targets that run them go to no other: instances tell their
+peers of each end, and those that they hear for the first time of all that is
+held.  What is held is tried again now and then, by one instance.
+"""
+
+from trestledock.process._ending import send
+from trestledock.process._fleet import Peer
+from trestledock.process._live import Live
+from trestledock.process._payloads import TargetEnds
+from trestledock.process._rendezvous import rank_by_key
+from trestledock.process._state import State
+from trestledock.relay import End
+from trestledock.request import Request
+
+
+def note_end(state: State, live: Live, target_name: str, now: float) -> None:
+    """Put the end of a target down to a request that it ran."""
+    target = state.get_targets().get(target_name)
+    fingerprint = live.req.fingerprint
+    if target is None or not fingerprint:
+        return
+    if state.proven.excuses(fingerprint, now):
+        return
+    ends = TargetEnds(fingerprint, (target.info.key,))
+    take_ends(state, ends, now)
+    for peer in _get_peers(state):
+        send(state, peer.info.member, ends)
+
+
+def take_ends(state: State, ends: TargetEnds, now: float) -> None:
+    """Note the targets that ended under a request."""
+    was_held = state.quarantine.is_held(ends.fingerprint)
+    for incarnation in ends.targets:
+        state.quarantine.note_end(End(ends.fingerprint, incarnation), now)
+    if state.quarantine.is_held(ends.fingerprint) and not was_held:
+        state.note('request_held', detail=ends.fingerprint)
+    for forgotten in state.quarantine.trim():
+        state.note('suspect_forgotten', detail=forgotten)
+
+
+def tell_new_peer(state: State, peer: Peer, now: float) -> None:
+    """Have a peer that is heard for the first time know what is held."""
+    if peer.is_told_held:
+        return
+    peer.is_told_held = True
+    for held in state.quarantine.get_held(now):
+        ends = TargetEnds(held.fingerprint, held.incarnations)
+        send(state, peer.info.member, ends)
+
+
+def note_answered(state: State, req: Request, now: float) -> None:
+    """Note that a target has answered a request: it ends none."""
+    if not req.fingerprint:
+        return
+    state.proven.note_answered(req.fingerprint, now)
+    if state.quarantine.clear(req.fingerprint):
+        state.note('request_cleared', detail=req.fingerprint)
+
+
+def is_held(state: State, live: Live) -> bool:
+    """Whether a request goes to no target; a trial is for its first one."""
+    is_tried = live.is_trial and not live.attempts
+    return not is_tried and state.quarantine.is_held(live.req.fingerprint)
+
+
+def try_again(state: State, live: Live, now: float) -> None:
+    """Give a held request to one target where a trial is due.
+
+    Of all instances that hear one another the same one does.
+    """
+    fingerprint = live.req.fingerprint
+    if not is_held(state, live) or get_due_in_s(state, live.req, now):
+        return
+    members = [state.member, *(one.info.member for one in _get_peers(state))]
+    if rank_by_key(fingerprint, members)[0] == state.member:
+        live.is_trial = True
+        state.quarantine.note_trial(fingerprint, now)
+
+
+def get_due_in_s(state: State, req: Request, now: float) -> float:
+    """Return when a held request may be tried again, in seconds."""
+    return state.quarantine.get_due_in_s(req.fingerprint, now)
+
+
+def _get_peers(state: State) -> list[Peer]:
+    return [
+        peer
+        for member, peer in state.fleet.peers.items()
+        if member != state.member and not peer.gone
+    ]
--- a/trestledock/process/_live.py
+++ b/trestledock/process/_live.py
@@ -91,6 +91,7 @@
     claim: ClaimWait | None = None
     first_token_at: float | None = None
     heard_at: float = 0
+    is_trial: bool = False
 
     @property
     def attempt(self) -> Attempt:
--- a/trestledock/process/_messages.py
+++ b/trestledock/process/_messages.py
@@ -76,7 +76,8 @@
     """An attempt failed.
 
     `not_started` is true only with proof that the target did not start: the
-    connection was never made, or the target itself says so.
+    connection was never made, or the target itself says so.  `ended` is true
+    where the target closed the connection and nobody listens there any more.
     """
 
     req_id: str
@@ -85,6 +86,7 @@
     step: str
     peer: str
     detail: str = ''
+    ended: bool = False
 
 
 @dataclass(frozen=True)
--- a/trestledock/process/_payloads.py
+++ b/trestledock/process/_payloads.py
@@ -195,6 +195,14 @@
     first: int
 
 
+@dataclass(frozen=True)
+class TargetEnds:
+    """Incarnations of targets that ended while they ran a request."""
+
+    fingerprint: str
+    targets: tuple[str, ...]
+
+
 Payload = (
     Heartbeat
     | StateAsk
@@ -208,6 +216,7 @@
     | SealAnswer
     | HoldBlock
     | HoldBlockKept
+    | TargetEnds
 )
 
 PAYLOADS: tuple[type, ...] = Payload.__args__
--- a/trestledock/process/_peering.py
+++ b/trestledock/process/_peering.py
@@ -14,6 +14,7 @@
 from trestledock.process._ending import send
 from trestledock.process._epoch import Epoch
 from trestledock.process._guarding import mark_gone, note_kept, take_block
+from trestledock.process._isolating import take_ends, tell_new_peer
 from trestledock.process._messages import PeerMessage
 from trestledock.process._state import State
 from trestledock.process._targets import LoadReport, PeerInfo
@@ -54,6 +55,7 @@
     for earlier in state.fleet.get_superseded(info):
         mark_gone(state, earlier)
     peer = state.fleet.hear_peer(info, now)
+    tell_new_peer(state, peer, now)
     peer.demands = {one.team: one.demand for one in payload.demands}
     for key in payload.leaving_targets:
         if state.fleet.mark_leaving(key):
@@ -186,6 +188,16 @@
     note_kept(state, sender, payload)
 
 
+@take.register
+def _(
+    payload: payloads.TargetEnds,
+    sender: str,
+    state: State,
+    now: float,
+) -> None:
+    take_ends(state, payload, now)
+
+
 def has_support(state: State, now: float) -> bool:
     """Whether this member may grant: it is surely not cut off alone.
 
--- a/trestledock/proof/_callers.py
+++ b/trestledock/proof/_callers.py
@@ -11,7 +11,7 @@
 from typing import Callable
 
 from trestledock.process import Finish
-from trestledock.proof._hosts import Host
+from trestledock.proof._hosts import DEADLY, Host
 from trestledock.proof._world import World
 from trestledock.request import Kind, Model, Outcome, Reason, Request
 
@@ -39,6 +39,7 @@
     deadline_s: float = 15
     home: str = ''
     first_attempt: bool = False
+    deadly: bool = False
 
 
 @dataclass
@@ -94,6 +95,7 @@
             idempotency_key=key if is_call else '',
             home=home,
             first_attempt=traffic.first_attempt and not repeat,
+            fingerprint=DEADLY if traffic.deadly else key,
         )
         self.sent[req.req_id] = (traffic, req)
         world.invoke(host, req, seed=key)
--- a/trestledock/proof/_hosts.py
+++ b/trestledock/proof/_hosts.py
@@ -38,6 +38,10 @@
         return self.node.state.member
 
 
+#: The fingerprint of requests that end the engines that run them.
+DEADLY = 'deadly'
+
+
 @dataclass
 class Route:
     """Where an engine's events of a hold go."""
--- a/trestledock/proof/_performing.py
+++ b/trestledock/proof/_performing.py
@@ -35,7 +35,7 @@
 )
 from trestledock.proof._feeds import feed_list, feed_loads, feed_log
 from trestledock.proof._history import EventType
-from trestledock.proof._hosts import Host, Route
+from trestledock.proof._hosts import DEADLY, Host, Route
 from trestledock.proof._world import (
     CONNECT_TIMEOUT_S,
     PLATFORM,
@@ -103,6 +103,9 @@
                 req_id=action.req_id,
                 key=name,
             )
+        if _is_deadly(action, host):
+            world.end_engine(name)
+            return
         try:
             engine.model.submit(action.job, seed, prefix, world.now)
         except Rejected as exc:
@@ -120,6 +123,14 @@
     world.at(world.now + world.get_delay(host.name, name), submit)
 
 
+def _is_deadly(action: StartJob, host: Host) -> bool:
+    """Whether an engine ends as it begins to write for a request."""
+    req = host.requests.get(action.req_id)
+    if req is None or req.fingerprint != DEADLY:
+        return False
+    return action.job.generate
+
+
 @perform.register
 def _(action: ResumeStream, world: World, host: Host) -> None:
     name = action.target
--- a/trestledock/proof/_scenario.py
+++ b/trestledock/proof/_scenario.py
@@ -172,6 +172,7 @@
             deadline_s=float(options.get('deadline', 15)),
             home=options.get('home', ''),
             first_attempt=options.get('first') == 'declared',
+            deadly=options.get('deadly') == 'yes',
         ),
     )
 
@@ -396,11 +397,20 @@
     return check
 
 
+def _expect_most(run: Run, words: tuple[str, ...]) -> list[str]:
+    count = run.get_world().counts.get((words[0], words[1]), 0)
+    most = int(words[2])
+    if count <= most:
+        return []
+    return [f'{words[0]} {words[1]}: {count} > {most}']
+
+
 _EXPECTATIONS: Mapping[str, Expectation] = MappingProxyType(
     {
         **{outcome.value: _make_share_check(outcome) for outcome in Outcome},
         'refused': _expect_refused,
         'count': _expect_count,
+        'most': _expect_most,
         'conflicts': _expect_conflicts,
     }
 )
--- a/trestledock/proof/_world.py
+++ b/trestledock/proof/_world.py
@@ -58,6 +58,10 @@
 FAR_S = 0.001
 #: How long a connection attempt into a cut takes to fail, in seconds.
 CONNECT_TIMEOUT_S = 1.0
+#: How long an engine that a request has ended takes to start again, in seconds.
+REVIVAL_S = 3.0
+#: Under what the ends of engines under deadly requests are counted.
+DEADLY_ENDS = ('ends', 'deadly')
 #: The band that delays are drawn from, as factors.
 JITTER = (0.5, 1.5)
 #: How often the end of a graceful shutdown is looked for, in seconds.
@@ -249,7 +253,7 @@
         engine.alive = False
         self.refresh_list()
         for route in engine.routes.values():
-            self.fail(route, name, not_started=False)
+            self.fail(route, name, not_started=False, ended=True)
         engine.routes.clear()
 
     def revive_engine(self, name: str) -> None:
@@ -358,17 +362,35 @@
                     lambda: self._wake_engine(engine, name),
                 )
 
-    def fail(self, route: Route, name: str, *, not_started: bool) -> None:
-        """Tell an instance, after a while, that an attempt has failed."""
+    def end_engine(self, name: str) -> None:
+        """Let an engine end under a request; it is back after a while."""
+        known = self.counts.get(DEADLY_ENDS, 0)
+        self.counts[DEADLY_ENDS] = known + 1
+        self.kill_engine(name)
+        self.at(self.now + REVIVAL_S, lambda: self.revive_engine(name))
+
+    def fail(
+        self,
+        route: Route,
+        name: str,
+        *,
+        not_started: bool,
+        ended: bool = False,
+    ) -> None:
+        """Tell an instance that an attempt has failed.
+
+        That an engine has ended is seen at once, all else after a while.
+        """
         message = AttemptFailed(
             route.req_id,
             route.attempt,
             not_started,
             step='stream',
             peer=name,
+            ended=ended,
         )
-        moment = self.now + CONNECT_TIMEOUT_S
-        self.at(moment, lambda: self.tell(route.host, message))
+        wait_s = NEAR_S if ended else CONNECT_TIMEOUT_S
+        self.at(self.now + wait_s, lambda: self.tell(route.host, message))
 
     def _wake_engine(self, engine: EngineHost, name: str) -> None:
         if self.engines.get(name) is engine and engine.alive:
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -36,7 +36,7 @@
     decide_without_place,
 )
 from trestledock.relay._events import Event, Splitter
-from trestledock.relay._fingerprint import get_fingerprint
+from trestledock.relay._fingerprint import Traits, get_fingerprint
 from trestledock.relay._fleet import BEFORE_ALL, Fleet
 from trestledock.relay._health import Health
 from trestledock.relay._listed import UNTOLD, Listed, Order, Standing
@@ -64,7 +64,7 @@
     get_own_read_in_s,
     get_retry_s,
 )
-from trestledock.relay._signs import Sign
+from trestledock.relay._signs import Sign, get_connect_sign, get_end_sign
 from trestledock.relay._terms import TERMS, Terms
 from trestledock.relay._worth import get_worth
 
@@ -117,12 +117,15 @@
     'TeamKey',
     'Terms',
     'Timing',
+    'Traits',
     'UNTOLD',
     'Work',
     'choose_least_busy',
     'choose_reader',
     'decide',
     'decide_without_place',
+    'get_connect_sign',
+    'get_end_sign',
     'get_fingerprint',
     'get_first_patience_s',
     'get_own_read_in_s',
--- a/trestledock/relay/_fingerprint.py
+++ b/trestledock/relay/_fingerprint.py
@@ -7,29 +7,38 @@
 """
 
 from hashlib import sha256
-
-from trestledock.relay._call import Call
+from typing import NamedTuple
 
 #: Hexadecimal digits that are kept, 96 bits: of a million requests two share
 #: them by chance once in 10^17 fleets.
 DIGITS = 24
 
 
-def get_fingerprint(call: Call, team: str) -> str:
-    """Return what a request shares with its repeats, whoever takes them.
+class Traits(NamedTuple):
+    """What a target works by, beside the body.
 
-    That is what a target works by: method, host, path, query, team and body,
-    each after its length, so that no two different requests read the same.
     The team stands for the caller, whose key may be replaced meanwhile.
+    """
+
+    method: str
+    host: str
+    path: str
+    query: str
+    team: str
+
+
+def get_fingerprint(traits: Traits, body_digest: bytes) -> str:
+    """Return what a request shares with its repeats, whoever takes them.
+
+    Each part counts with its length, so that no two different requests read
+    the same.
 
-    >>> from trestledock.relay._call import Body
-    >>> call = Call('r1', 'GET', '/x', '', 'a.example', (), Body(), 0)
-    >>> len(get_fingerprint(call, 'kiosks'))
+    >>> traits = Traits('GET', 'a.example', '/x', '', 'kiosks')
+    >>> len(get_fingerprint(traits, sha256(b'').digest()))
     24
     """
-    parts = (call.method, call.host, call.path, call.query, team)
-    found = sha256(call.body.digest)
-    for part in parts:
+    found = sha256(body_digest)
+    for part in traits:
         raw = part.encode()
         found.update(b'%d:' % len(raw))
         found.update(raw)
--- a/trestledock/relay/_signs.py
+++ b/trestledock/relay/_signs.py
@@ -22,3 +22,19 @@
     refused = 'refused'
     unreachable = 'unreachable'
     garbled = 'garbled'
+
+
+#: The errors of a connection that the other side has ended.
+ENDED_BY_PEER = (ConnectionResetError, BrokenPipeError)
+
+
+def get_connect_sign(exc: Exception) -> Sign:
+    """Tell a port where nobody listens from an address that is not reached."""
+    is_refused = isinstance(exc.__cause__, ConnectionRefusedError)
+    return Sign.refused if is_refused else Sign.unreachable
+
+
+def get_end_sign(exc: Exception) -> Sign:
+    """Tell the end by the other side from one by our own time-outs."""
+    is_ended = isinstance(exc.__cause__, ENDED_BY_PEER)
+    return Sign.closed if is_ended else Sign.silent
--- a/trestledock/request/_outcome.py
+++ b/trestledock/request/_outcome.py
@@ -47,6 +47,7 @@
     claim_pending = 'claim_pending'
     claim_taken = 'claim_taken'
     caller_gone = 'caller_gone'
+    held = 'held'
 
 
 @dataclass(frozen=True)
--- a/trestledock/request/_request.py
+++ b/trestledock/request/_request.py
@@ -89,7 +89,8 @@
     `deadline` is a monotonic instant of the instance that admitted it.
     `idempotency_key` is empty where the caller gave none; `home` names the
     data centre whose members decide on the key.  `prefix` holds hashes of the
-    prompt's leading blocks, longest prefix last.
+    prompt's leading blocks, longest prefix last.  `fingerprint` is that of each
+    attempt at the same request, empty where it is not known.
     """
 
     req_id: str
@@ -106,6 +107,7 @@
     idempotency_key: str = ''
     home: str = ''
     first_attempt: bool = False
+    fingerprint: str = ''
 
     @cached_property
     def length_class(self) -> LengthClass:
