Stand-ins of the own interface end under marked requests; real processes before real instances

A stand-in service or engine exits as it begins to run what holds the text that its control route was given, so that tests and the demo's programs can have a crash as it is: connections end with the process.

Ruled out: to begin anew inside the process; hypercorn answers 500 for what is cancelled, which is no crash.

--- a/trestledock/standin/_engine.py
+++ b/trestledock/standin/_engine.py
@@ -4,6 +4,7 @@
 
 Serves an `EngineModel` over HTTP: jobs, streams that can be resumed, cancels,
 load reports that lag, cache events that come late and with gaps, and orders.
+Prompts that are marked end its process as it begins to write.
 """
 
 import hashlib
@@ -76,6 +77,7 @@
             cut_streams=0,
             lose_cancels=0,
             leaving=False,
+            crash_on='',
         ),
     )
     rng: random.Random = field(init=False)
@@ -138,6 +140,7 @@
         self.listeners[job.hold] = send
         self.changed.set()
         if job.generate:
+            self.faults.end_if_marked(body['prompt'])
             return StreamingResponse(
                 self._stream(receive),
                 media_type='text/event-stream',
--- a/trestledock/standin/_service.py
+++ b/trestledock/standin/_service.py
@@ -3,7 +3,8 @@
 ================
 
 A plain service, such as the booking service, that counts each run by key.  It
-can be slow, and it can lose answers after the call has taken effect.
+can be slow, it can lose answers after the call has taken effect, and calls that
+are marked end its process.
 """
 
 from dataclasses import dataclass, field
@@ -27,6 +28,7 @@
             delay_s=0,
             lose_answers=0,
             leaving=False,
+            crash_on='',
         ),
     )
 
@@ -56,6 +58,7 @@
         key = request.headers.get('idempotency-key', '')
         name = key or request.url.path
         self.runs[name] = self.runs.get(name, 0) + 1
+        self.faults.end_if_marked(f'{request.url.path} {body!r}')
         await anyio.sleep(self.faults.get('delay_s'))
         if self.faults.take('lose_answers'):
             raise ConnectionAbortedError('lost by the control route')
--- a/trestledock/standin/_web.py
+++ b/trestledock/standin/_web.py
@@ -6,6 +6,7 @@
 of its own, whose faults are switched on through a control route.
 """
 
+import os
 from http import HTTPStatus
 from typing import Any, Awaitable, Callable
 
@@ -21,6 +22,9 @@
 #: Status of an answer that proves that nothing was started.
 NOT_STARTED_STATUS = 503
 
+#: How a stand-in exits that a request has ended.
+CRASHED = 70
+
 #: What a stand-in waits for before it ends.
 Stop = Callable[[], Awaitable[None]]
 
@@ -43,6 +47,16 @@
             self._faults[name] = left - 1
         return left
 
+    def end_if_marked(self, text: str) -> None:
+        """End the process at once if a request holds the text `crash_on`.
+
+        Its connections end with it, as in a crash, and whoever started it
+        starts it again.
+        """
+        mark = self._faults['crash_on']
+        if mark and mark in text:
+            os._exit(CRASHED)
+
     async def control(self, request: Request) -> JSONResponse:
         """Set faults by name; an unknown name is an error."""
         wanted = await request.json()
