--- a/tests/test_entry_isolation.py
+++ b/tests/test_entry_isolation.py
@@ -198,14 +198,21 @@
         self.assertEqual(run_virtually(main), [Held('held', ())])
 
     def test_target_that_others_saw_ending_is_left_alone(self):
+        """One that is not listed any more leaves nothing behind."""
+
         async def scenario(isolation):
+            for number in range(2):
+                isolation.fleet.put(make_listed(number, 80))
+            isolation.take_ends([(End('f', 't9'), 0)], 'b')
             isolation.take_ends([(End('f', 't0'), 0), (End('f', 't1'), 9)], 'b')
             now = anyio.current_time()
             isolation.found = [
                 isolation.health.is_suspect(name, now) for name in ('t0', 't1')
             ]
 
-        self.assertEqual(run_isolation(scenario).found, [True, False])
+        isolation = run_isolation(scenario)
+        self.assertEqual(isolation.found, [True, False])
+        self.assertEqual(list(isolation.health.targets), ['t0'])
 
     def test_cut_off_target_says_nothing_of_its_data_centre(self):
         """Ends under requests don't make others there suspect."""
--- a/tests/test_entry_keeping.py
+++ b/tests/test_entry_keeping.py
@@ -9,7 +9,7 @@
 from trestledock.entry import DirectoryError
 from trestledock.entry._isolation import Isolation
 from trestledock.entry._keeping import WAIT_S, Keeping
-from trestledock.relay import Health, Sign
+from trestledock.relay import Fleet, Health, Sign
 
 TARGETS = tuple(make_listed(number, 80 + number) for number in range(5))
 
@@ -51,7 +51,7 @@
     """The part of an entry that keeps requests from targets."""
 
     def __init__(self, topic, *, reads):
-        self.isolation = Isolation(Health())
+        self.isolation = Isolation(Health(), Fleet())
         self.isolation.ways.look = self._look
         self.keeping = Keeping(self.isolation, topic, lambda: reads)
 
--- a/trestledock/entry/_isolation.py
+++ b/trestledock/entry/_isolation.py
@@ -27,6 +27,7 @@
 from trestledock.entry._logger import emit
 from trestledock.relay import (
     End,
+    Fleet,
     Health,
     Held,
     Listed,
@@ -119,9 +120,10 @@
     `revision` grows with each change of what is held.
     """
 
-    def __init__(self, health: Health) -> None:
+    def __init__(self, health: Health, fleet: Fleet) -> None:
         """Begin with no end."""
         self.health = health
+        self.fleet = fleet
         self.quarantine = Quarantine()
         self.proven = Proven()
         self.ways = Ways()
@@ -231,7 +233,7 @@
         for end, age_s in ends:
             self._add(end, now - age_s, source)
             if age_s < FRESH_S:
-                self.health.note_silence(end.incarnation, now)
+                self._avoid(end.incarnation, now)
 
     def take_cleared(self, fingerprint: str, source: str) -> None:
         """Take another's word that a request was answered."""
@@ -284,7 +286,7 @@
     def _note_own(self, ends: list[End], sign: Sign) -> None:
         now = anyio.current_time()
         for one in ends:
-            self.health.note_silence(one.incarnation, now)
+            self._avoid(one.incarnation, now)
         blamed = [
             one for one in ends if not self.proven.excuses(one.fingerprint, now)
         ]
@@ -299,6 +301,11 @@
                 )
         self.ways.tell_ends(blamed)
 
+    def _avoid(self, incarnation: str, now: float) -> None:
+        """Leave a target alone that has ended, until its entry goes."""
+        if incarnation in self.fleet.targets:
+            self.health.note_silence(incarnation, now)
+
     def _add(self, end: End, ended_at: float, source: str) -> bool:
         was_held = self.is_held(end.fingerprint)
         is_new = self.quarantine.note_end(end, ended_at)
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -102,7 +102,7 @@
 
     def __post_init__(self) -> None:
         """Build the parts that share others."""
-        self.isolation = Isolation(self.health)
+        self.isolation = Isolation(self.health, self.fleet)
         self.proof = Proof(self.settings.revoke_s)
         self.placer = Placer(
             self.board,
