--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -17,6 +17,7 @@
 from trestledock.process._lease import Lease
 from trestledock.process._state import State
 from trestledock.proof import run_scenario
+from trestledock.relay import Quarantine
 from trestledock.request import Assembler, Outcome
 from trestledock.version import Fold
 
@@ -119,6 +120,11 @@
         'old_holder_unchecked',
         (mock.patch.object(Lease, 'get_order_limit', return_value=1e9),),
     ),
+    (
+        'ends deadly',
+        'query_of_death',
+        (mock.patch.object(Quarantine, 'is_held', return_value=False),),
+    ),
 )
 
 
