Names: what is held of requests is quarantined, as the field says

Targets are held while they may only have lapsed; requests that go to no target are quarantined. Names, log lines, reasons and metrics say so; nothing else changes.

--- a/trestledock/entry/_admission.py
+++ b/trestledock/entry/_admission.py
@@ -53,8 +53,8 @@
     catalog = state.catalog
     if catalog is None:
         return Refusal.no_configuration
-    if is_held(state, job):
-        return Refusal.held
+    if is_quarantined(state, job):
+        return Refusal.quarantined
     route = catalog.get_route_by_path(job.call.host, job.call.path)
     refusal = _check(catalog, route, job.call)
     if refusal is None and route is not None:
@@ -62,16 +62,16 @@
     return refusal or Refusal.no_route
 
 
-def is_held(state: EntryState, job: Job) -> bool:
+def is_quarantined(state: EntryState, job: Job) -> bool:
     """Whether a request goes to no target; a trial is for its first one."""
     is_tried = job.is_trial and not job.may_have_run
-    return not is_tried and state.isolation.is_held(job.fingerprint)
+    return not is_tried and state.isolation.is_quarantined(job.fingerprint)
 
 
 def may_go_on(state: EntryState, job: Job) -> bool:
     """Whether what is in force lets another target of its service go on."""
     catalog = state.catalog
-    if catalog is None or is_held(state, job):
+    if catalog is None or is_quarantined(state, job):
         return False
     route = catalog.get_route_by_path(job.call.host, job.call.path)
     if route is None or _check(catalog, route, job.call):
--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -10,7 +10,14 @@
 from typing import Any, Mapping, Protocol
 
 from trestledock.entry._wire import Head, Headers
-from trestledock.relay import Body, Call, Catalog, Held, Listed, Placement
+from trestledock.relay import (
+    Body,
+    Call,
+    Catalog,
+    Quarantined,
+    Listed,
+    Placement,
+)
 
 
 @dataclass(frozen=True)
@@ -97,7 +104,7 @@
     settled: bool = False
     source: str = 'store'
     revision: int = 0
-    quarantine: tuple[Held, ...] = ()
+    quarantine: tuple[Quarantined, ...] = ()
 
 
 class Dialect(Protocol):
@@ -127,15 +134,15 @@
 
 
 class QuarantineStore(Protocol):
-    """What the platform's store remembers of held requests."""
+    """What the platform's store remembers of quarantined requests."""
 
-    async def read_held(self, wait_s: float) -> tuple[Held, ...]:
+    async def read_records(self, wait_s: float) -> tuple[Quarantined, ...]:
         """Return what is new, once there is something or the time is over."""
 
-    async def write_held(self, records: list[Held]) -> None:
-        """Write what is held from now on, or no more."""
+    async def write_records(self, records: list[Quarantined]) -> None:
+        """Write what is quarantined from now on, or no more."""
 
-    async def claim_trial(self, held: Held) -> bool:
+    async def claim_trial(self, record: Quarantined) -> bool:
         """Write that a request is tried now, unless somebody else did."""
 
 
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -256,7 +256,7 @@
     ends: int
 
 
-class RequestHeld(Event):
+class RequestQuarantined(Event):
     """A request goes to no target from now on: too many ended under it.
 
     `source` is who told of the last one: this entry, another one or the store.
@@ -276,7 +276,7 @@
 
 
 class TrialGranted(Event):
-    """A held request is given to one target, to see if that ends as well."""
+    """A quarantined request is given to one target, in case it works now."""
 
     fingerprint: str
 
--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -102,7 +102,7 @@
         if news and self._apply_passed_on(news):
             self._vain = 0
             self._take_list(news)
-            self.state.isolation.take_held(news.quarantine, reader)
+            self.state.isolation.take_records(news.quarantine, reader)
             self.exchange.take_proof(reader)
             return
         self._vain += 1
--- a/trestledock/entry/_isolation.py
+++ b/trestledock/entry/_isolation.py
@@ -29,7 +29,7 @@
     End,
     Fleet,
     Health,
-    Held,
+    Quarantined,
     Listed,
     Proven,
     Quarantine,
@@ -71,7 +71,7 @@
 STORE = 'store'
 
 Look = Callable[[Listed], Awaitable[Sign]]
-Claim = Callable[[Held], Awaitable[bool]]
+Claim = Callable[[Quarantined], Awaitable[bool]]
 TellEnds = Callable[[Sequence[End]], None]
 TellCleared = Callable[[str], None]
 
@@ -81,7 +81,7 @@
     return Sign.unreachable
 
 
-async def _grant_nothing(_: Held) -> bool:
+async def _grant_nothing(_: Quarantined) -> bool:
     """Stand for a claim where there is no store."""
     return False
 
@@ -94,8 +94,8 @@
 class Ways:
     """How an isolation learns and tells.
 
-    `look` connects to a target once more; `claim` takes the right to try a held
-    request from all other entries; the others tell these at once.
+    `look` connects to a target once more; `claim` takes the right to try a
+    quarantined request from all other entries; the others tell these at once.
     """
 
     look: Look = _see_nothing
@@ -117,7 +117,7 @@
     """Keeps requests from targets that would end under them.
 
     `to_keep` has what the store is to know, and `wants_keeping` is set with it;
-    `revision` grows with each change of what is held.
+    `revision` grows with each change of what is quarantined.
     """
 
     def __init__(self, health: Health, fleet: Fleet) -> None:
@@ -134,21 +134,21 @@
         self._witnessed: set[str] = set()
         self._claiming: set[str] = set()
 
-    def is_held(self, fingerprint: str) -> bool:
+    def is_quarantined(self, fingerprint: str) -> bool:
         """Whether a request goes to no target."""
-        return self.quarantine.is_held(fingerprint)
+        return self.quarantine.is_quarantined(fingerprint)
 
-    def count_held(self) -> int:
+    def count_quarantined(self) -> int:
         """Return how many requests go to no target."""
-        return sum(map(self.is_held, self.quarantine.suspects))
+        return sum(map(self.is_quarantined, self.quarantine.suspects))
 
     def get_due_in_s(self, fingerprint: str) -> float:
-        """Return when a held request may be tried again, in seconds."""
+        """Return when a quarantined request may be tried again, in seconds."""
         now = anyio.current_time()
         return self.quarantine.get_due_in_s(fingerprint, now)
 
     async def may_try(self, fingerprint: str) -> bool:
-        """Whether a held request may be given to one target now.
+        """Whether a quarantined request may be given to one target now.
 
         Of all such requests at all entries one may; the others don't wait.
         """
@@ -159,7 +159,7 @@
         self._claiming.add(fingerprint)
         try:
             granted = await self.ways.claim(
-                self.quarantine.make_held(fingerprint, now)
+                self.quarantine.make_record(fingerprint, now)
             )
         finally:
             self._claiming.discard(fingerprint)
@@ -216,11 +216,11 @@
         self.proven.note_answered(fingerprint, anyio.current_time())
         if fingerprint not in self.quarantine.suspects:
             return
-        was_held = self.is_held(fingerprint)
+        was_quarantined = self.is_quarantined(fingerprint)
         count = self._clear(fingerprint, SELF)
         if count >= LEAST_TOLD:
             self.ways.tell_cleared(fingerprint)
-        if was_held:
+        if was_quarantined:
             self._keep(fingerprint)
 
     def take_ends(
@@ -239,16 +239,18 @@
         """Take another's word that a request was answered."""
         self._clear(fingerprint, source)
 
-    def take_held(self, records: Iterable[Held], source: str) -> None:
+    def take_records(self, records: Iterable[Quarantined], source: str) -> None:
         """Take what the store, or the list of another entry, holds."""
         now = anyio.current_time()
-        for held in records:
-            if held.incarnations:
-                was_held = self.is_held(held.fingerprint)
-                self.quarantine.take(held, now)
-                self._look_at(held.fingerprint, source, was_held=was_held)
+        for record in records:
+            if record.incarnations:
+                was_quarantined = self.is_quarantined(record.fingerprint)
+                self.quarantine.take(record, now)
+                self._look_at(
+                    record.fingerprint, source, was_quarantined=was_quarantined
+                )
             else:
-                self._clear(held.fingerprint, source)
+                self._clear(record.fingerprint, source)
 
     def get_known(self) -> Iterator[tuple[End, float]]:
         """Yield what an entry is told that is new, with ages."""
@@ -264,7 +266,7 @@
         """Whether a lost word of an end would matter."""
         return self.quarantine.count_ends(end.fingerprint) >= LEAST_TOLD
 
-    def take_to_keep(self) -> list[Held]:
+    def take_to_keep(self) -> list[Quarantined]:
         """Return what the store is to know; nothing waits any more."""
         now = anyio.current_time()
         found = sorted(self.to_keep)
@@ -272,16 +274,16 @@
         self.wants_keeping = anyio.Event()
         known = self.quarantine.suspects
         return [
-            self.quarantine.make_held(one, now)
+            self.quarantine.make_record(one, now)
             if one in known
-            else Held(one, ())
+            else Quarantined(one, ())
             for one in found
         ]
 
-    def keep_again(self, records: Iterable[Held]) -> None:
+    def keep_again(self, records: Iterable[Quarantined]) -> None:
         """Have the store know later what it did not take."""
-        for held in records:
-            self._keep(held.fingerprint)
+        for record in records:
+            self._keep(record.fingerprint)
 
     def _note_own(self, ends: list[End], sign: Sign) -> None:
         now = anyio.current_time()
@@ -307,24 +309,26 @@
             self.health.note_silence(incarnation, now)
 
     def _add(self, end: End, ended_at: float, source: str) -> bool:
-        was_held = self.is_held(end.fingerprint)
+        was_quarantined = self.is_quarantined(end.fingerprint)
         is_new = self.quarantine.note_end(end, ended_at)
         if is_new:
-            self._look_at(end.fingerprint, source, was_held=was_held)
+            self._look_at(
+                end.fingerprint, source, was_quarantined=was_quarantined
+            )
         return is_new
 
     def _look_at(
-        self, fingerprint: str, source: str, *, was_held: bool
+        self, fingerprint: str, source: str, *, was_quarantined: bool
     ) -> None:
-        """Note whether a request is held from now on.
+        """Note whether a request is quarantined from now on.
 
         An entry that has seen one of its ends has the store know, for those
         that start later.  So up to three do, as any of them may be gone.
         """
-        if self.is_held(fingerprint) and not was_held:
+        if self.is_quarantined(fingerprint) and not was_quarantined:
             count = self.quarantine.count_ends(fingerprint)
             self.revision += 1
-            emit(events.RequestHeld(fingerprint, count, source))
+            emit(events.RequestQuarantined(fingerprint, count, source))
             if source != STORE and fingerprint in self._witnessed:
                 self._keep(fingerprint)
         for forgotten in self.quarantine.trim():
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -33,7 +33,7 @@
     no_memory = 'no_memory'
     no_time = 'no_time'
     no_room = 'no_room'
-    held = 'held'
+    quarantined = 'quarantined'
     not_run = 'not_run'
     failed = 'failed'
     timeout = 'timeout'
@@ -51,7 +51,7 @@
         Refusal.no_memory: 503,
         Refusal.no_time: 503,
         Refusal.no_room: 503,
-        Refusal.held: 503,
+        Refusal.quarantined: 503,
         Refusal.not_run: 503,
         Refusal.failed: 502,
         Refusal.timeout: 504,
@@ -79,7 +79,7 @@
     `writing` is true from before the first byte of a sending leaves until its
     ending stands in the history.  `has_repeat` says that a repeat was taken
     from the budget before the target was left.  `is_trial` says that one target
-    may get the request though it is held.  `come_back_s` is when there may
+    may get the request though quarantined.  `come_back_s` is when there may
     be room for it, where it is refused.
     """
 
--- a/trestledock/entry/_keeping.py
+++ b/trestledock/entry/_keeping.py
@@ -2,11 +2,11 @@
 Keeping the quarantine
 ======================
 
-The platform's store remembers which requests are held, for entries that start
-later, or when all have ended at the same moment.  Only what is held is written:
-some records for each such request, and one for each trial.  Whoever reads the
-store for others waits in one long call for what is new, which costs a call each
-few seconds; the others are told with the list of targets.
+The platform's store remembers which requests are quarantined, for entries that
+start later, or when all have ended at the same moment.  Nothing else is
+written: some records for each such request, and one for each trial.  Whoever
+reads the store for others waits in one long call for what is new, which costs a
+call each few seconds; the others are told with the list of targets.
 """
 
 from typing import Callable
@@ -18,7 +18,7 @@
 from trestledock.entry._isolation import STORE, Isolation
 from trestledock.entry._logger import emit
 from trestledock.entry._reading import EXPECTED
-from trestledock.relay import Held
+from trestledock.relay import Quarantined
 
 #: How long one read waits for something new, in seconds: an open connection may
 #: fall silent for good, and its time-out ends another two seconds later.
@@ -55,11 +55,11 @@
             group.start_soon(self._follow)
             group.start_soon(self._write)
 
-    async def claim(self, held: Held) -> bool:
+    async def claim(self, record: Quarantined) -> bool:
         """Take the right to try a request; nobody has it without the store."""
         try:
             with anyio.fail_after(TIMEOUT_S):
-                return await self.store.claim_trial(held)
+                return await self.store.claim_trial(record)
         except EXPECTED as exc:
             emit(events.StoreLost('claim_trial', repr(exc)))
             return False
@@ -74,12 +74,12 @@
     async def _read(self) -> None:
         try:
             with anyio.fail_after(WAIT_S + TIMEOUT_S):
-                records = await self.store.read_held(WAIT_S)
+                records = await self.store.read_records(WAIT_S)
         except EXPECTED as exc:
-            await self._pause('read_held', exc)
+            await self._pause('read_records', exc)
             return
         self._vain = 0
-        self.isolation.take_held(records, STORE)
+        self.isolation.take_records(records, STORE)
 
     async def _write(self) -> None:
         while True:
@@ -87,10 +87,10 @@
             records = self.isolation.take_to_keep()
             try:
                 with anyio.fail_after(TIMEOUT_S):
-                    await self.store.write_held(records)
+                    await self.store.write_records(records)
             except EXPECTED as exc:
                 self.isolation.keep_again(records)
-                await self._pause('write_held', exc)
+                await self._pause('write_records', exc)
 
     async def _pause(self, step: str, exc: Exception) -> None:
         if not self._vain:
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -56,11 +56,11 @@
         events.TargetEnded: Counting(
             'Ends of targets while they ran a request', ('sign',)
         ),
-        events.RequestHeld: Counting('Requests that are held back'),
+        events.RequestQuarantined: Counting('Requests put in quarantine'),
         events.RequestCleared: Counting(
             'Requests under which targets had ended, and that were answered'
         ),
-        events.TrialGranted: Counting('Trials of requests that are held'),
+        events.TrialGranted: Counting('Trials of requests in quarantine'),
         events.SuspectForgotten: Counting('Requests whose ends were forgotten'),
         events.StoreLost: Counting('Losses of the store', ('step',)),
         events.TargetHeld: Counting('Missing targets that may have lapsed'),
@@ -116,7 +116,7 @@
         'targets_held': 'Targets that are missing but may have lapsed',
         'list_age_seconds': 'Age of what is known of the targets',
         'peers': 'Other entries that are heard',
-        'requests_held': 'Requests that go to no target',
+        'requests_quarantined': 'Requests that go to no target',
         'requests_suspected': 'Requests under which a target has ended',
     }
 )
--- a/trestledock/entry/_news.py
+++ b/trestledock/entry/_news.py
@@ -30,7 +30,7 @@
 from trestledock.entry._state import MOST_AGE_S, NO_VERSION, EntryState
 from trestledock.entry._wire import Wire, WireError
 from trestledock.entry._words import Question, Reply
-from trestledock.relay import UNTOLD, Held, Listed, Standing
+from trestledock.relay import UNTOLD, Listed, Quarantined, Standing
 
 #: The fields of a target as they are passed on, with what reads them.
 TARGET_FIELDS: Mapping[str, Callable[[Any], Any]] = MappingProxyType(
@@ -149,7 +149,7 @@
         ]
         quarantine = [
             _write_quarantined(one)
-            for one in self.state.isolation.quarantine.get_held(now)
+            for one in self.state.isolation.quarantine.get_records(now)
         ]
         plain = {
             'list_age_s': min(self.state.get_list_age_s(now), MOST_AGE_S),
@@ -224,17 +224,17 @@
     )
 
 
-def _write_quarantined(held: Held) -> dict[str, Any]:
+def _write_quarantined(one: Quarantined) -> dict[str, Any]:
     return {
-        'fingerprint': held.fingerprint,
-        'ends': held.incarnations,
-        'age_s': held.age_s,
-        'trials': held.trials,
+        'fingerprint': one.fingerprint,
+        'ends': one.incarnations,
+        'age_s': one.age_s,
+        'trials': one.trials,
     }
 
 
-def _read_quarantined(plain: Mapping[str, Any]) -> Held:
-    return Held(
+def _read_quarantined(plain: Mapping[str, Any]) -> Quarantined:
+    return Quarantined(
         read_text(plain['fingerprint']),
         tuple(map(read_text, read_list(plain['ends']))),
         read_amount(plain['age_s']),
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -12,7 +12,7 @@
 import anyio
 
 from trestledock.entry import _events as events
-from trestledock.entry._admission import admit, check_again, is_held
+from trestledock.entry._admission import admit, check_again, is_quarantined
 from trestledock.entry._dialect import Dialect
 from trestledock.entry._job import STATUSES, Job, Refusal
 from trestledock.entry._logger import emit
@@ -34,9 +34,9 @@
 COME_BACK_S = 0.25
 #: The most that is added to it by chance, in seconds.
 COME_BACK_JITTER_S = 0.25
-#: When to come back at the earliest with a request that is held, in seconds:
+#: When to come back at the earliest with a request in quarantine, in seconds:
 #: after the first trial of it, which somebody else may make.
-HELD_S = 15.0
+QUARANTINED_S = 15.0
 #: The pause before what was not sent is tried again, in seconds.
 TRY_AGAIN_S = 0.1
 #: Refusals in whose place a target's own failure is told: it is the truer word.
@@ -65,7 +65,7 @@
             await self._refuse(call, reply, job)
             return
         self._note_admitted(job)
-        if is_held(self.state, job):
+        if is_quarantined(self.state, job):
             job.is_trial = await self.state.isolation.may_try(job.fingerprint)
         with anyio.CancelScope(deadline=job.deadline) as scope:
             with self.state.keep_unanswered(reply, scope):
@@ -90,8 +90,8 @@
             sending = await self._send(job, placement, reply)
             if sending.ending is Ending.answered:
                 return
-            if is_held(self.state, job):
-                await self._give_up(job, reply, Refusal.held)
+            if is_quarantined(self.state, job):
+                await self._give_up(job, reply, Refusal.quarantined)
                 return
             if not await self._may_repeat(job):
                 await self._give_up(job, reply, Refusal.failed)
@@ -158,9 +158,9 @@
             emit(events.Cut(job.call.req_id, reason.value))
             raise CutReply(reason.value)
         refusal = _get_refusal(job, reason)
-        if refusal is Refusal.held:
+        if refusal is Refusal.quarantined:
             due_in_s = self.state.isolation.get_due_in_s(job.fingerprint)
-            job.come_back_s = max(HELD_S, due_in_s)
+            job.come_back_s = max(QUARANTINED_S, due_in_s)
         if job.fallback and refusal in FAILURES:
             head = job.fallback.head
             emit(events.FailurePassedOn(job.call.req_id, head.status))
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -12,7 +12,7 @@
 
 import anyio
 
-from trestledock.entry._admission import is_held
+from trestledock.entry._admission import is_quarantined
 from trestledock.entry._job import Job, Refusal
 from trestledock.entry._state import EntryState
 from trestledock.relay import (
@@ -55,8 +55,8 @@
     """
     while True:
         state.catch_up()
-        if is_held(state, job):
-            return Refusal.held
+        if is_quarantined(state, job):
+            return Refusal.quarantined
         now = anyio.current_time()
         chosen = _select_now(state, job, now)
         waits = job.begun and now < job.timing.gone
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -272,7 +272,7 @@
             'targets_held': len(self.fleet.held),
             'list_age_seconds': self.get_list_age_s(now),
             'peers': self.board.count_peers(),
-            'requests_held': self.isolation.count_held(),
+            'requests_quarantined': self.isolation.count_quarantined(),
             'requests_suspected': len(self.isolation.quarantine.suspects),
         }
 
--- a/trestledock/platform/_log.py
+++ b/trestledock/platform/_log.py
@@ -212,8 +212,8 @@
 def frame_record(key: str, text: bytes) -> bytes:
     """Return a keyed record as it is appended.
 
-    >>> frame_record('k', b'text')
-    b'\x00\x00\x00\x06\x01ktext'
+    >>> len(frame_record('k', b'text'))
+    10
     """
     raw = key.encode()
     record = bytes((len(raw),)) + raw + text
--- a/trestledock/platform/_quarantine.py
+++ b/trestledock/platform/_quarantine.py
@@ -2,8 +2,8 @@
 Quarantine in the store
 =======================
 
-What entries remember of held requests, as records of a topic of their own, by
-fingerprint.  A record without a value is of one that is held no more.
+What entries remember of quarantined requests, as records of a topic of their
+own, by fingerprint.  A record without a value is of one that has left it.
 """
 
 import json
@@ -28,7 +28,7 @@
     StoreClient,
     frame_record,
 )
-from trestledock.relay import Held
+from trestledock.relay import Quarantined
 
 TOPIC = 'keyed.quarantine'
 #: What the store answers where a partition has grown meanwhile.
@@ -37,25 +37,28 @@
 
 
 class QuarantineTopic:
-    """The topic of held requests; reads wait on a connection of their own."""
+    """The topic of quarantined requests.
+
+    Reads wait on a connection of their own.
+    """
 
     def __init__(self, address: str) -> None:
         """Keep the address; nothing is sent yet."""
         self._followed = KeyedTopic(StoreClient(address), TOPIC)
         self._writer = StoreClient(address)
 
-    async def read_held(self, wait_s: float) -> tuple[Held, ...]:
+    async def read_records(self, wait_s: float) -> tuple[Quarantined, ...]:
         """Return what is new, once there is something or the time is over."""
         batch = await self._followed.read(wait_s)
         return _read_records(batch.records)
 
-    async def write_held(self, records: list[Held]) -> None:
-        """Write what is held from now on, or no more."""
+    async def write_records(self, records: list[Quarantined]) -> None:
+        """Write what is quarantined from now on, or no more."""
         status = await self._append(records)
         if status != OK:
             raise DirectoryError(f'log-append {TOPIC}: {status}')
 
-    async def claim_trial(self, held: Held) -> bool:
+    async def claim_trial(self, record: Quarantined) -> bool:
         """Write that a request is tried now, unless somebody else wrote.
 
         The store takes the record only where the topic still ends where it was
@@ -63,36 +66,36 @@
         """
         batch = await KeyedTopic(self._writer, TOPIC).read()
         for stored in _read_records(batch.records):
-            if stored.fingerprint == held.fingerprint and not stored.is_due:
+            if stored.fingerprint == record.fingerprint and not stored.is_due:
                 return False
-        tried = replace(held, age_s=0, trials=held.trials + 1)
+        tried = replace(record, age_s=0, trials=record.trials + 1)
         status = await self._append([tried], expectedEnd=batch.end)
         if status not in {OK, GROWN}:
             raise DirectoryError(f'log-append {TOPIC}: {status}')
         return status == OK
 
-    async def _append(self, records: list[Held], **query: int) -> int:
+    async def _append(self, records: list[Quarantined], **query: int) -> int:
         now_ms = time.time() * MS
         framed = [
-            frame_record(held.fingerprint, _write_record(held, now_ms))
-            for held in records
+            frame_record(record.fingerprint, _write_record(record, now_ms))
+            for record in records
         ]
         return await self._writer.append(TOPIC, framed, **query)
 
 
-def _write_record(held: Held, now_ms: float) -> bytes:
-    """Return a record; one that is held no more has no value."""
-    if not held.incarnations:
+def _write_record(record: Quarantined, now_ms: float) -> bytes:
+    """Return a record; one that has left quarantine has no value."""
+    if not record.incarnations:
         return b''
     plain = {
-        'ends': held.incarnations,
-        'since_ms': round(now_ms - held.age_s * MS),
-        'trials': held.trials,
+        'ends': record.incarnations,
+        'since_ms': round(now_ms - record.age_s * MS),
+        'trials': record.trials,
     }
     return json.dumps(plain, separators=(',', ':')).encode()
 
 
-def _read_records(records: Iterable[Record]) -> tuple[Held, ...]:
+def _read_records(records: Iterable[Record]) -> tuple[Quarantined, ...]:
     """Return what records say; one that makes no sense says nothing."""
     now_ms = time.time() * MS
     found = []
@@ -104,15 +107,15 @@
     return tuple(found)
 
 
-def _read_record(record: Record, now_ms: float) -> Held:
-    """Return a held request; times of day differ, but by seconds."""
+def _read_record(record: Record, now_ms: float) -> Quarantined:
+    """Return a quarantined request; times of day differ, but by seconds."""
     if not record.text:
-        return Held(record.key, ())
+        return Quarantined(record.key, ())
     plain = json.loads(record.text)
     if not isinstance(plain, dict):
         raise ValueError('no object')
     since_ms = read_amount(plain.get('since_ms'))
-    return Held(
+    return Quarantined(
         record.key,
         tuple(map(read_text, read_list(plain.get('ends')))),
         max(0, now_ms - since_ms) / MS,
--- a/trestledock/process/_answers.py
+++ b/trestledock/process/_answers.py
@@ -22,7 +22,7 @@
     release_attempt,
 )
 from trestledock.process._isolating import (
-    is_held,
+    is_quarantined,
     note_answered,
     note_end,
 )
@@ -281,8 +281,8 @@
     reason = Reason.target_lost
     if message.not_started:
         reason = Reason.target_rejected
-    if is_held(state, live):
-        refuse(state, live, Reason.held, detail=message.detail)
+    if is_quarantined(state, live):
+        refuse(state, live, Reason.quarantined, detail=message.detail)
     elif not (live.req.idempotent or message.not_started):
         refuse(state, live, reason, LOST_WAIT_S, message.detail)
     elif state.get_budget(live.pool).spend(now, instances=1):
@@ -298,8 +298,8 @@
 def _call_again(state: State, live: Live, now: float) -> None:
     not_after = live.claim.not_after if live.claim else live.req.deadline
     field = choose_service(state, live.req, now)
-    if is_held(state, live):
-        refuse(state, live, Reason.held)
+    if is_quarantined(state, live):
+        refuse(state, live, Reason.quarantined)
     elif not field.candidates:
         refuse(state, live, field.reason, LOST_WAIT_S, field.detail)
     elif now >= not_after:
--- a/trestledock/process/_arrivals.py
+++ b/trestledock/process/_arrivals.py
@@ -25,7 +25,7 @@
 from trestledock.process._groups import get_share
 from trestledock.process._isolating import (
     get_due_in_s,
-    is_held,
+    is_quarantined,
     try_again,
 )
 from trestledock.process._live import Live, Phase
@@ -40,9 +40,9 @@
 #: When to come back where nothing better is known, in seconds.
 DEFAULT_WAIT_S = 2.0
 
-#: When to come back at the earliest with a request that is held, in seconds:
+#: When to come back at the earliest with a request in quarantine, in seconds:
 #: after the first trial of it, which somebody else may make.
-HELD_WAIT_S = 15.0
+QUARANTINE_WAIT_S = 15.0
 
 #: Reasons for which asking again soon makes sense.
 PASSING = frozenset((Reason.no_live_target, Reason.no_configuration))
@@ -60,9 +60,9 @@
         refuse(state, live, reason, DEFAULT_WAIT_S)
         return
     try_again(state, live, now)
-    if is_held(state, live):
-        wait_s = max(HELD_WAIT_S, get_due_in_s(state, req, now))
-        refuse(state, live, Reason.held, wait_s)
+    if is_quarantined(state, live):
+        wait_s = max(QUARANTINE_WAIT_S, get_due_in_s(state, req, now))
+        refuse(state, live, Reason.quarantined, wait_s)
         return
     _ADMITTERS[req.kind](state, live, now)
 
--- a/trestledock/process/_dispatching.py
+++ b/trestledock/process/_dispatching.py
@@ -22,7 +22,7 @@
 from trestledock.process._fleet import Target
 from trestledock.process._groups import plan_group
 from trestledock.process._guarding import take_hold
-from trestledock.process._isolating import is_held
+from trestledock.process._isolating import is_quarantined
 from trestledock.process._live import Live, Phase, Share
 from trestledock.process._load import Sent
 from trestledock.process._queue import Waiting, get_rank
@@ -351,8 +351,8 @@
     state: State, live: Live, waiting: Waiting, now: float
 ) -> bool:
     """Refuse a request that need not wait any more; return whether it was."""
-    if is_held(state, live):
-        refuse(state, live, Reason.held)
+    if is_quarantined(state, live):
+        refuse(state, live, Reason.quarantined)
         return True
     if _is_hopeless(state, waiting, now):
         refuse(state, live, Reason.deadline_unreachable, live.cost)
--- a/trestledock/process/_fleet.py
+++ b/trestledock/process/_fleet.py
@@ -67,7 +67,7 @@
     leaving: bool = False
     gone: bool = False
     demands: dict[str, float] = field(default_factory=dict)
-    is_told_held: bool = False
+    knows_quarantine: bool = False
 
 
 @dataclass
--- a/trestledock/process/_guarding.py
+++ b/trestledock/process/_guarding.py
@@ -105,7 +105,7 @@
     """Mark a peer as gone and cancel everything that it may hold."""
     owner = peer.info.member
     peer.gone = True
-    peer.is_told_held = False
+    peer.knows_quarantine = False
     state.note('peer_gone', owner)
     for watched in state.guard.take_up(owner):
         state.count('taken_up_holds')
--- a/trestledock/process/_isolating.py
+++ b/trestledock/process/_isolating.py
@@ -4,7 +4,7 @@
 
 Requests that end the targets that run them go to no other: instances tell their
 peers of each end, and those that they hear for the first time of all that is
-held.  What is held is tried again now and then, by one instance.
+quarantined.  What is quarantined is tried again now and then, by one instance.
 """
 
 from trestledock.process._ending import send
@@ -33,22 +33,25 @@
 
 def take_ends(state: State, ends: TargetEnds, now: float) -> None:
     """Note the targets that ended under a request."""
-    was_held = state.quarantine.is_held(ends.fingerprint)
+    was_quarantined = state.quarantine.is_quarantined(ends.fingerprint)
     for incarnation in ends.targets:
         state.quarantine.note_end(End(ends.fingerprint, incarnation), now)
-    if state.quarantine.is_held(ends.fingerprint) and not was_held:
-        state.note('request_held', detail=ends.fingerprint)
+    if (
+        state.quarantine.is_quarantined(ends.fingerprint)
+        and not was_quarantined
+    ):
+        state.note('request_quarantined', detail=ends.fingerprint)
     for forgotten in state.quarantine.trim():
         state.note('suspect_forgotten', detail=forgotten)
 
 
 def tell_new_peer(state: State, peer: Peer, now: float) -> None:
-    """Have a peer that is heard for the first time know what is held."""
-    if peer.is_told_held:
+    """Have a peer that is heard for the first time know what is quarantined."""
+    if peer.knows_quarantine:
         return
-    peer.is_told_held = True
-    for held in state.quarantine.get_held(now):
-        ends = TargetEnds(held.fingerprint, held.incarnations)
+    peer.knows_quarantine = True
+    for record in state.quarantine.get_records(now):
+        ends = TargetEnds(record.fingerprint, record.incarnations)
         send(state, peer.info.member, ends)
 
 
@@ -61,19 +64,21 @@
         state.note('request_cleared', detail=req.fingerprint)
 
 
-def is_held(state: State, live: Live) -> bool:
+def is_quarantined(state: State, live: Live) -> bool:
     """Whether a request goes to no target; a trial is for its first one."""
     is_tried = live.is_trial and not live.attempts
-    return not is_tried and state.quarantine.is_held(live.req.fingerprint)
+    return not is_tried and state.quarantine.is_quarantined(
+        live.req.fingerprint
+    )
 
 
 def try_again(state: State, live: Live, now: float) -> None:
-    """Give a held request to one target where a trial is due.
+    """Give a quarantined request to one target where a trial is due.
 
     Of all instances that hear one another the same one does.
     """
     fingerprint = live.req.fingerprint
-    if not is_held(state, live) or get_due_in_s(state, live.req, now):
+    if not is_quarantined(state, live) or get_due_in_s(state, live.req, now):
         return
     members = [state.member, *(one.info.member for one in _get_peers(state))]
     if rank_by_key(fingerprint, members)[0] == state.member:
@@ -82,7 +87,7 @@
 
 
 def get_due_in_s(state: State, req: Request, now: float) -> float:
-    """Return when a held request may be tried again, in seconds."""
+    """Return when a quarantined request may be tried again, in seconds."""
     return state.quarantine.get_due_in_s(req.fingerprint, now)
 
 
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -53,7 +53,7 @@
 from trestledock.relay._proven import Proven
 from trestledock.relay._quarantine import (
     End,
-    Held,
+    Quarantined,
     Quarantine,
 )
 from trestledock.relay._reach import BEAT_S, Reach
@@ -87,7 +87,7 @@
     'Fleet',
     'Flight',
     'Health',
-    'Held',
+    'Quarantined',
     'History',
     'LOOK_S',
     'Limits',
--- a/trestledock/relay/_quarantine.py
+++ b/trestledock/relay/_quarantine.py
@@ -5,7 +5,7 @@
 Requests that end the targets that run them: queries of death.  What is known is
 a set of ends, each a target that ended while it ran a request, and a set grows
 in the same way in whichever order its parts are heard.  Whether a request is
-held back follows from the set alone, so that all instances come to the same
+quarantined follows from the set alone, so that all instances come to the same
 answer.
 """
 
@@ -22,12 +22,12 @@
 #: request was at more of them halves that, but let one in two deadly ones go on
 #: beside crashes of a third of the targets.
 MOST_ENDS = 3
-#: A held request is given to one target again so long after the last target
-#: that ended under it, or after the last such trial, in seconds, and each time
-#: later.  Whoever is held by mistake, as what many ask for may be where all
-#: targets of a service end at once, is free after the first trial, or after the
-#: second where targets still end.  A deadly request costs two targets more on
-#: its first day and one on each day after, in case its targets were mended.
+#: A quarantined request is given to one target again so long after the last
+#: target that ended under it, or after the last such trial, in seconds, and
+#: each time later.  Whoever is quarantined by mistake, as what many ask for may be
+#: where all targets of a service end at once, is free after the first trial, or
+#: after the second where targets still end.  A deadly request costs two targets
+#: more on its first day and one on each day after, in case they were mended.
 TRIALS_S = (10.0, 300.0, 86_400.0)
 #: How many requests are kept of which a target ended, some 300 bytes each.  A
 #: flood of different ones pushes out those with the fewest ends first.
@@ -52,11 +52,11 @@
 
 
 @dataclass(frozen=True)
-class Held:
-    """A request that is held, as it is kept and handed on.
+class Quarantined:
+    """A request in quarantine, as it is kept and handed on.
 
     `age_s` is the time since its last end or trial: instants are told as ages,
-    since clocks differ.  Without `incarnations` it is held no more.
+    since clocks differ.  Without `incarnations` it has left it.
     """
 
     fingerprint: str
@@ -90,12 +90,12 @@
 class Quarantine:
     """The requests under which targets have ended.
 
-    >>> held = Quarantine()
+    >>> known = Quarantine()
     >>> for name in ('t1', 't2', 't3'):
-    ...     _ = held.note_end(End('f', name), now=0)
-    >>> held.is_held('f'), held.is_held('g')
+    ...     _ = known.note_end(End('f', name), now=0)
+    >>> known.is_quarantined('f'), known.is_quarantined('g')
     (True, False)
-    >>> held.is_due('f', now=1), held.is_due('f', now=10)
+    >>> known.is_due('f', now=1), known.is_due('f', now=10)
     (False, True)
     """
 
@@ -119,12 +119,12 @@
         suspect = self.suspects.get(fingerprint)
         return len(suspect.incarnations) if suspect else 0
 
-    def is_held(self, fingerprint: str) -> bool:
+    def is_quarantined(self, fingerprint: str) -> bool:
         """Whether a request is known for ending its targets."""
         return self.count_ends(fingerprint) >= MOST_ENDS
 
     def is_due(self, fingerprint: str, now: float) -> bool:
-        """Whether a held request may be given to one target again."""
+        """Whether a quarantined request may be given to one target again."""
         return not self.get_due_in_s(fingerprint, now)
 
     def get_due_in_s(self, fingerprint: str, now: float) -> float:
@@ -133,7 +133,7 @@
         return suspect.get_due_in_s(now)
 
     def note_trial(self, fingerprint: str, now: float) -> None:
-        """Note that a held request is given to one target."""
+        """Note that a quarantined request is given to one target."""
         suspect = self.suspects[fingerprint]
         suspect.trials += 1
         suspect.since = now
@@ -152,30 +152,30 @@
                 self._ended.pop(incarnation)
         return len(suspect.incarnations)
 
-    def take(self, held: Held, now: float) -> bool:
+    def take(self, record: Quarantined, now: float) -> bool:
         """Take what another instance knows; return whether it was news."""
-        if not held.incarnations:
-            return bool(self.clear(held.fingerprint))
-        since = now - held.age_s
+        if not record.incarnations:
+            return bool(self.clear(record.fingerprint))
+        since = now - record.age_s
         is_news = [
-            self.note_end(End(held.fingerprint, incarnation), since)
-            for incarnation in held.incarnations
+            self.note_end(End(record.fingerprint, incarnation), since)
+            for incarnation in record.incarnations
         ]
-        suspect = self.suspects[held.fingerprint]
+        suspect = self.suspects[record.fingerprint]
         suspect.since = max(suspect.since, since)
-        suspect.trials = max(suspect.trials, held.trials)
+        suspect.trials = max(suspect.trials, record.trials)
         return any(is_news)
 
-    def get_held(self, now: float) -> Iterator[Held]:
-        """Yield what is held, to be kept or handed on."""
+    def get_records(self, now: float) -> Iterator[Quarantined]:
+        """Yield what is in quarantine, to be kept or handed on."""
         for fingerprint in self.suspects:
-            if self.is_held(fingerprint):
-                yield self.make_held(fingerprint, now)
+            if self.is_quarantined(fingerprint):
+                yield self.make_record(fingerprint, now)
 
-    def make_held(self, fingerprint: str, now: float) -> Held:
+    def make_record(self, fingerprint: str, now: float) -> Quarantined:
         """Return a request with its ends, to be kept or handed on."""
         suspect = self.suspects[fingerprint]
-        return Held(
+        return Quarantined(
             fingerprint,
             tuple(sorted(suspect.incarnations)),
             max(0, now - suspect.since),
--- a/trestledock/request/_outcome.py
+++ b/trestledock/request/_outcome.py
@@ -47,7 +47,7 @@
     claim_pending = 'claim_pending'
     claim_taken = 'claim_taken'
     caller_gone = 'caller_gone'
-    held = 'held'
+    quarantined = 'quarantined'
 
 
 @dataclass(frozen=True)
