--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -15,11 +15,12 @@
 from hypothesis import strategies as st
 
 from tests.test_platform_store import make_heartbeat
+from trestledock.entry._isolation import Isolation
 from trestledock.entry._listing import Listing
 from trestledock.entry._pool import Pool
 from trestledock.platform._log import Batch, Record, split_records
 from trestledock.platform._store import PEER_PREFIX, StoreDirectory
-from trestledock.relay import Fleet
+from trestledock.relay import Fleet, Health
 
 #: When the incarnations of these tests were born, Unix time in milliseconds.
 OLD = 1_775_000_000_000
@@ -61,7 +62,8 @@
 
     def __init__(self):
         self.fleet = Fleet()
-        self.health = type('Health', (), {'targets': {}})()
+        self.health = Health()
+        self.isolation = Isolation(self.health, self.fleet)
 
     def note_list(self, as_of, now, source, latest_at):
         """Note the age of a list that nobody asks for here."""
--- a/trestledock/relay/_quarantine.py
+++ b/trestledock/relay/_quarantine.py
@@ -24,10 +24,11 @@
 MOST_ENDS = 3
 #: A quarantined request is given to one target again so long after the last
 #: target that ended under it, or after the last such trial, in seconds, and
-#: each time later.  Whoever is quarantined by mistake, as what many ask for may be
-#: where all targets of a service end at once, is free after the first trial, or
-#: after the second where targets still end.  A deadly request costs two targets
-#: more on its first day and one on each day after, in case they were mended.
+#: each time later.  Whoever is quarantined by mistake, as what many ask for may
+#: be where all targets of a service end at once, is free after the first trial,
+#: or after the second where targets still end.  A deadly request costs two
+#: targets more on its first day and one on each day after, in case they were
+#: mended.
 TRIALS_S = (10.0, 300.0, 86_400.0)
 #: How many requests are kept of which a target ended, some 300 bytes each.  A
 #: flood of different ones pushes out those with the fewest ends first.
