Open ends and the telling of ends are modules of their own

The exchange of datagrams knew of ends, and the isolation kept what may have been one; each is a part with one job and a test now. No decision changes.

--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -22,6 +22,7 @@
     make_stream,
 )
 from tests.soak.serving import reset
+from trestledock.entry._ends import EndsExchange
 from trestledock.entry._gossip import Gossip
 from trestledock.entry._pool import Pool
 from trestledock.entry._relaying import Relayer
@@ -183,6 +184,7 @@
         )
         state.proof.renew(anyio.current_time())
         gossip = Gossip(state)
+        EndsExchange(gossip)
         gossip.neighbours.own = ('127.0.0.1', number)
         gossip.send = self._send_from(number)
         pool = Pool(state.spawn)
--- /dev/null
+++ b/tests/test_relay_open_ends.py
@@ -0,0 +1,50 @@
+"""Targets that may have ended, until a list tells."""
+
+import unittest
+
+from trestledock.relay import Listed, OpenEnds
+from trestledock.relay._open_ends import MOST_OPEN, OPEN_S
+
+FIRST = Listed('t1', 's', 'a:1', born=1)
+AGAIN = Listed('t1', 's', 'a:2', born=2)
+AT_ITS_ADDRESS = Listed('t2', 's', 'a:1', born=1)
+
+
+def make_open(*fingerprints):
+    """Return what is open of the first start of a target."""
+    found = OpenEnds()
+    for fingerprint in fingerprints:
+        found.keep(fingerprint, FIRST, now=0)
+    return found
+
+
+def get_names(ends):
+    """Return the fingerprints of ends."""
+    return [end.fingerprint for end in ends]
+
+
+class OpenEndsTest(unittest.TestCase):
+    """By whom an end is told, for how long, and how many are kept."""
+
+    def test_all_that_ran_there(self):
+        found = make_open('f', 'g')
+        self.assertEqual(get_names(found.take('t1@1', 1)), ['f', 'g'])
+        self.assertEqual(found.take('t1@1', 1), [])
+
+    def test_another_target_at_its_address(self):
+        found = make_open('f')
+        self.assertEqual(found.take_replaced_by(FIRST, 1), [])
+        self.assertEqual(found.take_replaced_by(AGAIN, 1), [])
+        ends = found.take_replaced_by(AT_ITS_ADDRESS, 1)
+        self.assertEqual(get_names(ends), ['f'])
+
+    def test_not_for_ever(self):
+        self.assertEqual(make_open('f').take('t1@1', OPEN_S), [])
+
+    def test_so_many_at_most(self):
+        found = OpenEnds()
+        for number in range(MOST_OPEN + 1):
+            found.keep('f', Listed(f't{number}', 's', 'a:1'), now=0)
+        self.assertEqual(found.take(f't{MOST_OPEN}', 1), [])
+        found.keep('f', FIRST, now=OPEN_S + 1)
+        self.assertEqual(get_names(found.take('t1@1', OPEN_S + 2)), ['f'])
--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -19,6 +19,7 @@
 from trestledock.entry._app import EntryApp
 from trestledock.entry import _events as events
 from trestledock.entry._dialect import Dialect, Directory
+from trestledock.entry._ends import EndsExchange
 from trestledock.entry._following import Follower
 from trestledock.entry._gossip import Gossip
 from trestledock.entry._keeping import Keeping
@@ -110,6 +111,7 @@
     group: TaskGroup = state.group
     pool = Pool(state.spawn)
     gossip = Gossip(state)
+    EndsExchange(gossip)
     exchange = NewsExchange(state, gossip)
     follower = Follower(state, directory, pool, exchange)
     tickets = Tickets(state, pool, dialect)
--- /dev/null
+++ b/trestledock/entry/_ends.py
@@ -0,0 +1,78 @@
+"""
+Ends between entries
+====================
+
+Tells the other entries at once which targets have ended under which requests,
+and which such requests were answered after all.
+"""
+
+from typing import Iterable, Sequence
+
+import anyio
+
+from trestledock.entry._datagrams import Address
+from trestledock.entry._gossip import Gossip
+from trestledock.entry._words import Cleared, Ends
+from trestledock.relay import End
+
+#: Ends in one datagram.
+MAX_ENDS = 100
+#: When an end is told again that others must not miss, in seconds after it was
+#: told last: words may be lost, or an entry be cut off for a while.
+AGAIN_S = (0.3, 0.7, 2.0)
+
+#: An end with its age, in seconds.
+AgedEnd = tuple[End, float]
+
+
+class EndsExchange:
+    """Tells and hears of ends for one entry."""
+
+    def __init__(self, gossip: Gossip) -> None:
+        """Take part in the gossip."""
+        self.gossip = gossip
+        self.isolation = gossip.state.isolation
+        self.isolation.ways.tell_ends = self.tell
+        self.isolation.ways.tell_cleared = self._tell_cleared
+        gossip.handlers[Ends] = self._take
+        gossip.handlers[Cleared] = self._take_cleared
+        gossip.on_met.append(self._tell_known)
+
+    def tell(self, ends: Sequence[End]) -> None:
+        """Have all others know of targets that have just ended."""
+        if not ends:
+            return
+        self._send([(end, 0) for end in ends], self._get_all())
+        if any(map(self.isolation.is_told_again, ends)):
+            self.gossip.state.spawn(self._tell_again, ends)
+
+    async def _tell_again(self, ends: Iterable[End]) -> None:
+        age_s: float = 0
+        for wait_s in AGAIN_S:
+            await anyio.sleep(wait_s)
+            age_s += wait_s
+            self._send([(end, age_s) for end in ends], self._get_all())
+
+    def _tell_known(self, address: Address) -> None:
+        """Have an entry that is new know what matters of what is known."""
+        self._send(list(self.isolation.get_known()), [address])
+
+    def _tell_cleared(self, fingerprint: str) -> None:
+        word = Cleared(self.gossip.state.member, fingerprint)
+        self.gossip.send(word, self._get_all())
+
+    def _take(self, word: Ends, _: Address) -> bool:
+        self.isolation.take_ends(word.ends, word.sender)
+        return True
+
+    def _take_cleared(self, word: Cleared, _: Address) -> bool:
+        self.isolation.take_cleared(word.fingerprint, word.sender)
+        return False
+
+    def _send(self, ends: Sequence[AgedEnd], where: Sequence[Address]) -> None:
+        for start in range(0, len(ends), MAX_ENDS):
+            part = tuple(ends[start : start + MAX_ENDS])
+            self.gossip.send(Ends(self.gossip.state.member, part), where)
+
+    def _get_all(self) -> list[Address]:
+        return list(self.gossip.neighbours.places)
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -23,15 +23,13 @@
 from trestledock.entry._words import (
     BadWord,
     Beat,
-    Cleared,
-    Ends,
     Flights,
     Fresh,
     Word,
     read_word,
     write_word,
 )
-from trestledock.relay import BEAT_S, Candidate, End, Flight
+from trestledock.relay import BEAT_S, Candidate, Flight
 
 #: How long changes are gathered, in seconds.
 GATHER_S = 0.004
@@ -51,20 +49,15 @@
 #: Flights in one datagram.
 MAX_FLIGHTS = 100
 
-#: Ends in one datagram.
-MAX_ENDS = 100
-#: When an end is told again that others must not miss, in seconds: words may be
-#: lost, or an entry be cut off for a while.
-ENDS_AGAIN_S = (0.3, 0.7, 2.0)
-
-#: An end with its age, in seconds.
-AgedEnd = tuple[End, float]
 #: Takes a word; true where it changes what targets have to do.
 Handler = Callable[[Any, Address], bool]
 
 
 class Gossip:
-    """The exchange of datagrams with the other entries."""
+    """The exchange of datagrams with the other entries.
+
+    What is in `on_met` is called with the address of each entry that is new.
+    """
 
     def __init__(self, state: EntryState) -> None:
         """Begin without peers."""
@@ -76,11 +69,8 @@
             Flights: self._take_flights,
             Beat: self._take_beat,
             Fresh: self._take_fresh,
-            Ends: self._take_ends,
-            Cleared: self._take_cleared,
         }
-        state.isolation.ways.tell_ends = self.tell_ends
-        state.isolation.ways.tell_cleared = self._tell_cleared
+        self.on_met: list[Callable[[Address], None]] = []
         self.sequence = 0
         self._datagrams: Datagrams | None = None
         self._attentive_until = float('-inf')
@@ -156,16 +146,6 @@
             age_s = self.state.get_offered_age_s(anyio.current_time())
             self.send(Fresh(self.state.member, age_s), self._get_near())
 
-    def tell_ends(self, ends: Sequence[End]) -> None:
-        """Have all others know of targets that have just ended."""
-        if not ends:
-            return
-        told = tuple((end, float(0)) for end in ends)
-        self._send_ends(told, list(self.neighbours.places))
-        again = self.state.isolation.is_told_again
-        if any(again(end) for end, _ in told):
-            self.state.spawn(self._tell_ends_again, told)
-
     def be_attentive(self) -> None:
         """Look for words more often for a while: others wait for answers."""
         self._attentive_until = anyio.current_time() + ATTENTIVE_S
@@ -191,35 +171,6 @@
         self.peers.note_fresh(word.sender, word.news_age_s, now)
         return False
 
-    def _take_ends(self, word: Ends, _: Address) -> bool:
-        self.state.isolation.take_ends(word.ends, word.sender)
-        return True
-
-    def _take_cleared(self, word: Cleared, _: Address) -> bool:
-        self.state.isolation.take_cleared(word.fingerprint, word.sender)
-        return False
-
-    def _tell_cleared(self, fingerprint: str) -> None:
-        word = Cleared(self.state.member, fingerprint)
-        self.send(word, list(self.neighbours.places))
-
-    async def _tell_ends_again(self, told: Iterable[AgedEnd]) -> None:
-        waited_s: float = 0
-        for wait_s in ENDS_AGAIN_S:
-            await anyio.sleep(wait_s)
-            waited_s += wait_s
-            aged = [(end, waited_s) for end, _ in told]
-            self._send_ends(aged, list(self.neighbours.places))
-
-    def _send_ends(
-        self,
-        ends: Sequence[AgedEnd],
-        where: Sequence[Address],
-    ) -> None:
-        for start in range(0, len(ends), MAX_ENDS):
-            part = tuple(ends[start : start + MAX_ENDS])
-            self.send(Ends(self.state.member, part), where)
-
     def _note_heard(self, word: Flights | Beat, now: float) -> None:
         self.state.note_heard(
             word.data_centre, word.sender, now, leaving=word.leaving
@@ -237,7 +188,8 @@
         is_near = self.peers.is_near(name)
         again_s = self._get_whole_s() if is_near else self._get_far_s()
         self._tell_whole([address], again_s)
-        self._send_ends(list(self.state.isolation.get_known()), [address])
+        for tell in self.on_met:
+            tell(address)
 
     def _tell_whole(self, where: Sequence[Address], again_s: float) -> None:
         own = list(self.state.board.own.items())[:MAX_FLIGHTS]
--- a/trestledock/entry/_isolation.py
+++ b/trestledock/entry/_isolation.py
@@ -31,6 +31,7 @@
     Health,
     Quarantined,
     Listed,
+    OpenEnds,
     Proven,
     Quarantine,
     Sign,
@@ -56,11 +57,6 @@
         Sign.unreachable: None,
     }
 )
-#: For how long it may be told by a list that a target had ended, in seconds:
-#: three heartbeats, and the time that a process takes to start.
-OPEN_S = 10.0
-#: Targets whose end may be open at once.
-MOST_OPEN = 500
 #: An end of which another entry tells keeps this one from a target where it is
 #: no older than this, in seconds: its next start has another name.
 FRESH_S = 1.0
@@ -104,15 +100,6 @@
     tell_cleared: TellCleared = _tell_nobody
 
 
-@dataclass(frozen=True)
-class Open:
-    """What may be the end of a target, until another start is listed."""
-
-    end: End
-    address: str
-    until: float
-
-
 class Isolation:
     """Keeps requests from targets that would end under them.
 
@@ -130,7 +117,7 @@
         self.to_keep: set[str] = set()
         self.wants_keeping = anyio.Event()
         self.revision = 0
-        self._open: dict[str, list[Open]] = {}
+        self._open = OpenEnds()
         self._witnessed: set[str] = set()
         self._claiming: set[str] = set()
 
@@ -190,26 +177,17 @@
             if IS_END.get(seen):
                 self._note_own([end], seen)
                 return
-            self._keep_open(end, target.address)
+            self._open.keep(fingerprint, target, anyio.current_time())
 
     def note_replaced(self, incarnation: str) -> None:
         """Note that another start of a target is known: this one has ended."""
         now = anyio.current_time()
-        found = self._open.pop(incarnation, [])
-        ends = [one.end for one in found if now < one.until]
-        if ends:
-            self._note_own(ends, Sign.none)
+        self._note_own(self._open.take(incarnation, now), Sign.none)
 
     def note_listed(self, listed: Listed) -> None:
         """Note a target: what had its address before has ended."""
-        before = [
-            incarnation
-            for incarnation, found in self._open.items()
-            if found[0].address == listed.address
-        ]
-        for incarnation in before:
-            if incarnation != listed.incarnation:
-                self.note_replaced(incarnation)
+        now = anyio.current_time()
+        self._note_own(self._open.take_replaced_by(listed, now), Sign.none)
 
     def note_answered(self, fingerprint: str) -> None:
         """Note that a target has answered a request: it ends none."""
@@ -346,14 +324,3 @@
     def _keep(self, fingerprint: str) -> None:
         self.to_keep.add(fingerprint)
         self.wants_keeping.set()
-
-    def _keep_open(self, end: End, address: str) -> None:
-        now = anyio.current_time()
-        self._open = {
-            incarnation: found
-            for incarnation, found in self._open.items()
-            if now < found[-1].until
-        }
-        if len(self._open) < MOST_OPEN:
-            found = self._open.setdefault(end.incarnation, [])
-            found.append(Open(end, address, now + OPEN_S))
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -40,6 +40,7 @@
 from trestledock.relay._fleet import BEFORE_ALL, Fleet
 from trestledock.relay._health import Health
 from trestledock.relay._listed import UNTOLD, Listed, Order, Standing
+from trestledock.relay._open_ends import OpenEnds
 from trestledock.relay._outcome import Ending, History, Sending
 from trestledock.relay._patience import (
     EARLY_TERMS,
@@ -93,6 +94,7 @@
     'Limits',
     'Listed',
     'NoPlace',
+    'OpenEnds',
     'Order',
     'PassLoad',
     'Phase',
