What an answer has cleared stays cleared, whoever tells of it late

Ends that an answer has cleared are kept as such, told with the answer, with the list of targets and in the store; words of them bring nothing back, in whatever order they come. The own interface tells of answers as well, without which all but one instance would have gone on refusing.

--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -89,13 +89,17 @@
 
     async def _serve(self, listener: SocketListener) -> None:
         """Listen until the link is closed; what is open then goes on."""
-        async with listener, anyio.create_task_group() as group:
-            async with anyio.create_task_group() as listening:
-                listening.start_soon(listener.serve, self._forward, group)
-                await self.closed.wait()
-                listening.cancel_scope.cancel()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._listen, listener, group)
+            await self.closed.wait()
             await listener.aclose()
 
+    async def _listen(self, listener: SocketListener, group: TaskGroup) -> None:
+        try:
+            await listener.serve(self._forward, group)
+        except* anyio.ClosedResourceError:
+            self.closed.set()
+
     async def _forward(self, near: SocketStream) -> None:
         host, _, port = self.address.rpartition(':')
         try:
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -56,5 +56,11 @@
         'check was wrong',
         ('planned', 511): 'the same as 508',
         ('planned', 602): _HUNG_UP,
+        (
+            'deadly',
+            103,
+        ): 'a request was answered at one entry while another asked '
+        'the store for a trial of it: 500; and entries that had not heard of the '
+        'answer told the old ends on',
     }
 )
--- a/tests/test_entry_isolation.py
+++ b/tests/test_entry_isolation.py
@@ -181,7 +181,7 @@
         told = []
 
         async def scenario(isolation):
-            isolation.ways.tell_cleared = told.append
+            isolation.ways.tell_cleared = lambda name, _: told.append(name)
             isolation.take_ends([(End('one', 'a'), 0)], 'e#b')
             isolation.take_ends([(End('two', x), 0) for x in 'ab'], 'e#b')
             isolation.take_ends([(End('held', x), 0) for x in 'abc'], 'e#b')
@@ -195,7 +195,9 @@
         async def main():
             return isolation.take_to_keep()
 
-        self.assertEqual(run_virtually(main), [Quarantined('held', ())])
+        records = run_virtually(main)
+        self.assertEqual(records[0].incarnations, ())
+        self.assertEqual(records[0].cleared, ('a', 'b', 'c'))
 
     def test_target_that_others_saw_ending_is_left_alone(self):
         """One that is not listed any more leaves nothing behind."""
@@ -261,5 +263,23 @@
     def test_one_after_a_while(self):
         self.assertEqual(self.run_trials(True), [False, False, True, False])
 
+    def test_answered_elsewhere_while_it_is_claimed(self):
+        """A trial of another entry had its answer meanwhile."""
+        found = []
+
+        async def scenario(isolation):
+            async def claim(_):
+                isolation.take_cleared('f', ('a', 'b', 'c'), 'e#b')
+                return True
+
+            isolation.ways.claim = claim
+            isolation.take_ends([(End('f', x), 0) for x in 'abc'], 'e#b')
+            await anyio.sleep(isolation.get_due_in_s('f'))
+            found.append(await isolation.may_try('f'))
+            found.append(isolation.is_quarantined('f'))
+
+        run_isolation(scenario)
+        self.assertEqual(found, [False, False])
+
     def test_nobody_without_the_store(self):
         self.assertEqual(self.run_trials(False), [False, False, False, False])
--- a/tests/test_entry_words.py
+++ b/tests/test_entry_words.py
@@ -51,7 +51,7 @@
     Flights('e', 3, True, 'dc', False, 0.5, 2, (('r1', FLIGHT), ('r2', None))),
     Beat('e', 'dc', leaving=True),
     Ends('e', ((End('f', 't1@5'), 0.25), (End('g', 't2'), 0))),
-    Cleared('e', 'f'),
+    Cleared('e', 'f', ('t1@5', 't2')),
     Fresh('e', 0.25),
     Question('e', 17.5),
     Reply('e', 17.5, 0.25, 0.5, 7, 40),
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -40,16 +40,17 @@
 
     def test_later_start_reads_what_was_written(self):
         async def scenario(store, one, other):
-            await one.write_records([RECORD, Quarantined('g', ())])
+            await one.write_records([RECORD])
             found = await other.read_records(0)
             self.assertEqual([record.fingerprint for record in found], ['f'])
             self.assertEqual(found[0].incarnations, RECORD.incarnations)
             self.assertLess(abs(found[0].age_s - RECORD.age_s), 30)
             self.assertEqual(found[0].trials, 0)
-            await one.write_records([Quarantined('f', ())])
-            self.assertEqual(
-                await other.read_records(0), (Quarantined('f', ()),)
-            )
+            answered = Quarantined('f', (), cleared=RECORD.incarnations)
+            await one.write_records([answered])
+            found = await other.read_records(0)
+            self.assertEqual(found[0].incarnations, ())
+            self.assertEqual(found[0].cleared, RECORD.incarnations)
 
         run_with_store(scenario)
 
--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -4,7 +4,7 @@
 from itertools import permutations
 from random import Random
 
-from trestledock.relay import End, Quarantined, Quarantine
+from trestledock.relay import End, Quarantine
 from trestledock.relay._quarantine import (
     MOST_ENDS,
     MOST_KNOWN,
@@ -20,7 +20,7 @@
         quarantine.note_end(End(fingerprint, target), now)
 
 
-def make_record(*targets):
+def make_quarantine(*targets):
     """Return a quarantine with one request under which targets ended."""
     quarantine = Quarantine()
     note(quarantine, DEADLY, *targets)
@@ -32,27 +32,27 @@
 
     def test_held_from_the_third_on(self):
         known = [
-            make_record(*(f't{one}' for one in range(count))).is_quarantined(
-                DEADLY
-            )
+            make_quarantine(
+                *(f't{one}' for one in range(count))
+            ).is_quarantined(DEADLY)
             for count in range(MOST_ENDS + 2)
         ]
         self.assertEqual(known, [False, False, False, True, True])
 
     def test_the_same_end_counts_once(self):
         """It is told by words that are repeated, and by the store."""
-        quarantine = make_record('t1', 't2')
+        quarantine = make_quarantine('t1', 't2')
         note(quarantine, DEADLY, 't1', 't2')
         self.assertFalse(quarantine.is_quarantined(DEADLY))
 
     def test_another_start_of_a_target_is_another_end(self):
         self.assertTrue(
-            make_record('t1@1', 't1@2', 't1@3').is_quarantined(DEADLY)
+            make_quarantine('t1@1', 't1@2', 't1@3').is_quarantined(DEADLY)
         )
 
     def test_who_was_beside_does_not_hide_it(self):
         """What was at more ends, by crashes of other causes, explains none."""
-        quarantine = make_record('t1', 't2', 't3')
+        quarantine = make_quarantine('t1', 't2', 't3')
         note(quarantine, BESIDE, 't1', 't2', 't3', 't4')
         self.assertTrue(quarantine.is_quarantined(DEADLY))
 
@@ -74,8 +74,8 @@
         self.assertEqual(found, {(True, True)})
 
     def test_an_answer_clears(self):
-        quarantine = make_record('t1', 't2', 't3')
-        self.assertEqual(quarantine.clear(DEADLY), MOST_ENDS)
+        quarantine = make_quarantine('t1', 't2', 't3')
+        self.assertEqual(len(quarantine.clear(DEADLY)), MOST_ENDS)
         self.assertFalse(quarantine.is_quarantined(DEADLY))
         self.assertFalse(quarantine.was_ended('t1'))
 
@@ -84,7 +84,7 @@
     """When a quarantined request is given to one target again."""
 
     def test_each_trial_later_than_the_last(self):
-        quarantine = make_record('t1', 't2', 't3')
+        quarantine = make_quarantine('t1', 't2', 't3')
         now = 0
         for number, wait_s in enumerate((*TRIALS_S, TRIALS_S[-1])):
             self.assertFalse(quarantine.is_due(DEADLY, now + wait_s - 1))
@@ -96,7 +96,7 @@
 
     def test_handed_on_with_its_age(self):
         """A later start knows as much as who was there."""
-        known = make_record('t1', 't2', 't3')
+        known = make_quarantine('t1', 't2', 't3')
         known.note_trial(DEADLY, 70)
         later = Quarantine()
         for record in known.get_records(now=100):
@@ -106,17 +106,48 @@
             later.get_due_in_s(DEADLY, 0), known.get_due_in_s(DEADLY, 100)
         )
 
-    def test_handed_on_as_held_no_more(self):
-        later = make_record('t1', 't2', 't3')
-        self.assertTrue(later.take(Quarantined(DEADLY, ()), 0))
-        self.assertFalse(later.is_quarantined(DEADLY))
+
+class ClearedTest(unittest.TestCase):
+    """What an answer has cleared stays so, however late others hear of it."""
+
+    def test_late_words_bring_nothing_back(self):
+        """Whoever has not heard of the answer tells the old ends on."""
+        known = make_quarantine('t1', 't2', 't3')
+        stale = list(known.get_records(now=0))
+        known.clear(DEADLY)
+        for record in stale:
+            known.take(record, now=1)
+        note(known, DEADLY, 't1', 't2', 't3')
+        self.assertFalse(known.is_quarantined(DEADLY))
+
+    def test_new_ends_count(self):
+        known = make_quarantine('t1', 't2', 't3')
+        known.clear(DEADLY)
+        note(known, DEADLY, 't4', 't5', 't6')
+        self.assertTrue(known.is_quarantined(DEADLY))
+
+    def test_handed_on(self):
+        """Who missed the word learns of it with the list of another."""
+        known = make_quarantine('t1', 't2', 't3')
+        known.clear(DEADLY)
+        other = make_quarantine('t1', 't2', 't3', 't4')
+        for record in known.get_records(now=0):
+            other.take(record, now=0)
+        self.assertEqual(other.count_ends(DEADLY), 1)
+
+    def test_first_forgotten(self):
+        known = make_quarantine('t1', 't2', 't3')
+        known.clear(DEADLY)
+        for number in range(MOST_KNOWN):
+            note(known, f'f{number}', f'u{number}')
+        self.assertEqual(known.trim(), [DEADLY])
 
 
 class BoundTest(unittest.TestCase):
     """A flood of different requests, each of which ends targets."""
 
     def test_fewest_ends_are_forgotten_first(self):
-        quarantine = make_record('t1', 't2', 't3')
+        quarantine = make_quarantine('t1', 't2', 't3')
         for number in range(MOST_KNOWN * 2):
             note(quarantine, f'f{number}', f'u{number}', now=number)
             quarantine.trim()
--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -140,7 +140,7 @@
         """Return what is new, once there is something or the time is over."""
 
     async def write_records(self, records: list[Quarantined]) -> None:
-        """Write what is quarantined from now on, or no more."""
+        """Write what is quarantined from now on, or was answered."""
 
     async def claim_trial(self, record: Quarantined) -> bool:
         """Write that a request is tried now, unless somebody else did."""
--- a/trestledock/entry/_ends.py
+++ b/trestledock/entry/_ends.py
@@ -57,8 +57,8 @@
         """Have an entry that is new know what matters of what is known."""
         self._send(list(self.isolation.get_known()), [address])
 
-    def _tell_cleared(self, fingerprint: str) -> None:
-        word = Cleared(self.gossip.state.member, fingerprint)
+    def _tell_cleared(self, fingerprint: str, ends: Sequence[str]) -> None:
+        word = Cleared(self.gossip.state.member, fingerprint, tuple(ends))
         self.gossip.send(word, self._get_all())
 
     def _take(self, word: Ends, _: Address) -> bool:
@@ -66,7 +66,7 @@
         return True
 
     def _take_cleared(self, word: Cleared, _: Address) -> bool:
-        self.isolation.take_cleared(word.fingerprint, word.sender)
+        self.isolation.take_cleared(word.fingerprint, word.ends, word.sender)
         return False
 
     def _send(self, ends: Sequence[AgedEnd], where: Sequence[Address]) -> None:
--- a/trestledock/entry/_isolation.py
+++ b/trestledock/entry/_isolation.py
@@ -69,7 +69,7 @@
 Look = Callable[[Listed], Awaitable[Sign]]
 Claim = Callable[[Quarantined], Awaitable[bool]]
 TellEnds = Callable[[Sequence[End]], None]
-TellCleared = Callable[[str], None]
+TellCleared = Callable[[str, Sequence[str]], None]
 
 
 async def _see_nothing(_: Listed) -> Sign:
@@ -82,7 +82,7 @@
     return False
 
 
-def _tell_nobody(_: Any) -> None:
+def _tell_nobody(*_: Any) -> None:
     """Stand for telling where nobody speaks."""
 
 
@@ -150,11 +150,13 @@
             )
         finally:
             self._claiming.discard(fingerprint)
-        if granted:
-            self.quarantine.note_trial(fingerprint, now)
-            self.revision += 1
-            emit(events.TrialGranted(fingerprint))
-        return granted
+        # It may have been answered elsewhere while the store was asked.
+        if not granted or not self.is_quarantined(fingerprint):
+            return False
+        self.quarantine.note_trial(fingerprint, now)
+        self.revision += 1
+        emit(events.TrialGranted(fingerprint))
+        return True
 
     async def note_lost(
         self,
@@ -192,12 +194,11 @@
     def note_answered(self, fingerprint: str) -> None:
         """Note that a target has answered a request: it ends none."""
         self.proven.note_answered(fingerprint, anyio.current_time())
-        if fingerprint not in self.quarantine.suspects:
-            return
         was_quarantined = self.is_quarantined(fingerprint)
-        count = self._clear(fingerprint, SELF)
-        if count >= LEAST_TOLD:
-            self.ways.tell_cleared(fingerprint)
+        ends = self.quarantine.clear(fingerprint)
+        self._note_cleared(fingerprint, len(ends), SELF)
+        if len(ends) >= LEAST_TOLD:
+            self.ways.tell_cleared(fingerprint, ends)
         if was_quarantined:
             self._keep(fingerprint)
 
@@ -213,22 +214,29 @@
             if age_s < FRESH_S:
                 self._avoid(end.incarnation, now)
 
-    def take_cleared(self, fingerprint: str, source: str) -> None:
-        """Take another's word that a request was answered."""
-        self._clear(fingerprint, source)
+    def take_cleared(
+        self,
+        fingerprint: str,
+        ends: Iterable[str],
+        source: str,
+    ) -> None:
+        """Take another's word that a request with some ends was answered."""
+        count = self.quarantine.clear_ends(fingerprint, ends)
+        self._note_cleared(fingerprint, count, source)
 
-    def take_records(self, records: Iterable[Quarantined], source: str) -> None:
-        """Take what the store, or the list of another entry, holds."""
+    def take_records(
+        self,
+        records: Iterable[Quarantined],
+        source: str,
+    ) -> None:
+        """Take what the store, or the list of another entry, has."""
         now = anyio.current_time()
         for record in records:
-            if record.incarnations:
-                was_quarantined = self.is_quarantined(record.fingerprint)
-                self.quarantine.take(record, now)
-                self._look_at(
-                    record.fingerprint, source, was_quarantined=was_quarantined
-                )
-            else:
-                self._clear(record.fingerprint, source)
+            fingerprint = record.fingerprint
+            self.take_cleared(fingerprint, record.cleared, source)
+            was_quarantined = self.is_quarantined(fingerprint)
+            self.quarantine.take(record, now)
+            self._look_at(fingerprint, source, was_quarantined=was_quarantined)
 
     def get_known(self) -> Iterator[tuple[End, float]]:
         """Yield what an entry is told that is new, with ages."""
@@ -247,16 +255,10 @@
     def take_to_keep(self) -> list[Quarantined]:
         """Return what the store is to know; nothing waits any more."""
         now = anyio.current_time()
-        found = sorted(self.to_keep)
+        found = sorted(self.to_keep & self.quarantine.suspects.keys())
         self.to_keep = set()
         self.wants_keeping = anyio.Event()
-        known = self.quarantine.suspects
-        return [
-            self.quarantine.make_record(one, now)
-            if one in known
-            else Quarantined(one, ())
-            for one in found
-        ]
+        return [self.quarantine.make_record(one, now) for one in found]
 
     def keep_again(self, records: Iterable[Quarantined]) -> None:
         """Have the store know later what it did not take."""
@@ -313,13 +315,12 @@
             self._witnessed.discard(forgotten)
             emit(events.SuspectForgotten(forgotten))
 
-    def _clear(self, fingerprint: str, source: str) -> int:
-        count = self.quarantine.clear(fingerprint)
-        self.revision += bool(count)
+    def _note_cleared(self, fingerprint: str, count: int, source: str) -> None:
+        if not count:
+            return
+        self.revision += 1
         self._witnessed.discard(fingerprint)
-        if count:
-            emit(events.RequestCleared(fingerprint, count, source))
-        return count
+        emit(events.RequestCleared(fingerprint, count, source))
 
     def _keep(self, fingerprint: str) -> None:
         self.to_keep.add(fingerprint)
--- a/trestledock/entry/_news.py
+++ b/trestledock/entry/_news.py
@@ -230,6 +230,7 @@
         'ends': one.incarnations,
         'age_s': one.age_s,
         'trials': one.trials,
+        'cleared': one.cleared,
     }
 
 
@@ -239,6 +240,7 @@
         tuple(map(read_text, read_list(plain['ends']))),
         read_amount(plain['age_s']),
         read_count(plain['trials']),
+        tuple(map(read_text, read_list(plain['cleared']))),
     )
 
 
--- a/trestledock/entry/_words.py
+++ b/trestledock/entry/_words.py
@@ -108,6 +108,7 @@
 
     sender: str
     fingerprint: str
+    ends: tuple[str, ...]
 
 
 Word = Flights | Beat | Fresh | Question | Reply | Ends | Cleared
@@ -176,7 +177,11 @@
 
 @_write.register
 def _(word: Cleared, now: float) -> dict[str, Any]:
-    return {'kind': 'cleared', 'fingerprint': word.fingerprint}
+    return {
+        'kind': 'cleared',
+        'fingerprint': word.fingerprint,
+        'ends': word.ends,
+    }
 
 
 def write_word(word: Word, now: float) -> bytes:
@@ -240,7 +245,8 @@
 
 
 def _read_cleared(plain: Plain, sender: str, now: float) -> Cleared:
-    return Cleared(sender, read_text(plain['fingerprint']))
+    ends = map(read_text, read_list(plain['ends']))
+    return Cleared(sender, read_text(plain['fingerprint']), tuple(ends))
 
 
 READERS: Mapping[str, Callable[[Plain, str, float], Word]] = MappingProxyType(
--- a/trestledock/platform/_quarantine.py
+++ b/trestledock/platform/_quarantine.py
@@ -3,7 +3,8 @@
 =======================
 
 What entries remember of quarantined requests, as records of a topic of their
-own, by fingerprint.  A record without a value is of one that has left it.
+own, by fingerprint.  What was answered after all keeps its record, since others
+may still know the ends that it was cleared of.
 """
 
 import json
@@ -53,7 +54,7 @@
         return _read_records(batch.records)
 
     async def write_records(self, records: list[Quarantined]) -> None:
-        """Write what is quarantined from now on, or no more."""
+        """Write what is quarantined from now on, or was answered."""
         status = await self._append(records)
         if status != OK:
             raise DirectoryError(f'log-append {TOPIC}: {status}')
@@ -84,13 +85,12 @@
 
 
 def _write_record(record: Quarantined, now_ms: float) -> bytes:
-    """Return a record; one that has left quarantine has no value."""
-    if not record.incarnations:
-        return b''
+    """Return the value of a record."""
     plain = {
         'ends': record.incarnations,
         'since_ms': round(now_ms - record.age_s * MS),
         'trials': record.trials,
+        'cleared': record.cleared,
     }
     return json.dumps(plain, separators=(',', ':')).encode()
 
@@ -109,8 +109,6 @@
 
 def _read_record(record: Record, now_ms: float) -> Quarantined:
     """Return a quarantined request; times of day differ, but by seconds."""
-    if not record.text:
-        return Quarantined(record.key, ())
     plain = json.loads(record.text)
     if not isinstance(plain, dict):
         raise ValueError('no object')
@@ -120,4 +118,5 @@
         tuple(map(read_text, read_list(plain.get('ends')))),
         max(0, now_ms - since_ms) / MS,
         read_count(plain.get('trials')),
+        tuple(map(read_text, read_list(plain.get('cleared', [])))),
     )
--- a/trestledock/process/_isolating.py
+++ b/trestledock/process/_isolating.py
@@ -27,12 +27,12 @@
         return
     ends = TargetEnds(fingerprint, (target.info.key,))
     take_ends(state, ends, now)
-    for peer in _get_peers(state):
-        send(state, peer.info.member, ends)
+    _tell_all(state, ends)
 
 
 def take_ends(state: State, ends: TargetEnds, now: float) -> None:
     """Note the targets that ended under a request."""
+    state.quarantine.clear_ends(ends.fingerprint, ends.cleared)
     was_quarantined = state.quarantine.is_quarantined(ends.fingerprint)
     for incarnation in ends.targets:
         state.quarantine.note_end(End(ends.fingerprint, incarnation), now)
@@ -51,7 +51,9 @@
         return
     peer.knows_quarantine = True
     for record in state.quarantine.get_records(now):
-        ends = TargetEnds(record.fingerprint, record.incarnations)
+        ends = TargetEnds(
+            record.fingerprint, record.incarnations, record.cleared
+        )
         send(state, peer.info.member, ends)
 
 
@@ -60,8 +62,10 @@
     if not req.fingerprint:
         return
     state.proven.note_answered(req.fingerprint, now)
-    if state.quarantine.clear(req.fingerprint):
+    cleared = state.quarantine.clear(req.fingerprint)
+    if cleared:
         state.note('request_cleared', detail=req.fingerprint)
+        _tell_all(state, TargetEnds(req.fingerprint, (), cleared))
 
 
 def is_quarantined(state: State, live: Live) -> bool:
@@ -91,6 +95,11 @@
     return state.quarantine.get_due_in_s(req.fingerprint, now)
 
 
+def _tell_all(state: State, ends: TargetEnds) -> None:
+    for peer in _get_peers(state):
+        send(state, peer.info.member, ends)
+
+
 def _get_peers(state: State) -> list[Peer]:
     return [
         peer
--- a/trestledock/process/_payloads.py
+++ b/trestledock/process/_payloads.py
@@ -197,10 +197,15 @@
 
 @dataclass(frozen=True)
 class TargetEnds:
-    """Incarnations of targets that ended while they ran a request."""
+    """Incarnations of targets that ended while they ran a request.
+
+    Of those that are `cleared` the request is not suspected any more, since it
+    was answered after that.
+    """
 
     fingerprint: str
     targets: tuple[str, ...]
+    cleared: tuple[str, ...] = ()
 
 
 Payload = (
--- a/trestledock/relay/_quarantine.py
+++ b/trestledock/relay/_quarantine.py
@@ -11,7 +11,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
-from typing import Iterator
+from typing import Iterable, Iterator
 
 #: So many targets have to end under a request before no other one gets it.  An
 #: end says little, since it is shared by all that the target ran, some seven
@@ -57,13 +57,14 @@
     """A request in quarantine, as it is kept and handed on.
 
     `age_s` is the time since its last end or trial: instants are told as ages,
-    since clocks differ.  Without `incarnations` it has left it.
+    since clocks differ.  `cleared` are the ends before it was answered.
     """
 
     fingerprint: str
     incarnations: tuple[str, ...]
     age_s: float = 0
     trials: int = 0
+    cleared: tuple[str, ...] = ()
 
     @property
     def is_due(self) -> bool:
@@ -76,10 +77,12 @@
     """A request with the targets that ended under it.
 
     One was given the request again, on purpose, `trials` times; `since` is when
-    that was, or the last one ended.
+    that was, or the last one ended.  What an answer has `cleared` is kept: some
+    instances hear of it late, and tell the old ends on meanwhile.
     """
 
     incarnations: set[str] = field(default_factory=set)
+    cleared: set[str] = field(default_factory=set)
     since: float = float('-inf')
     trials: int = 0
 
@@ -108,7 +111,7 @@
     def note_end(self, end: End, now: float) -> bool:
         """Note an end; return whether it was new."""
         suspect = self.suspects.setdefault(end.fingerprint, Suspect())
-        if end.incarnation in suspect.incarnations:
+        if end.incarnation in suspect.incarnations | suspect.cleared:
             return False
         suspect.incarnations.add(end.incarnation)
         suspect.since = max(suspect.since, now)
@@ -139,38 +142,44 @@
         suspect.trials += 1
         suspect.since = now
 
-    def clear(self, fingerprint: str) -> int:
-        """Forget a request that was answered; return how many ends it had.
+    def clear(self, fingerprint: str) -> tuple[str, ...]:
+        """Clear a request that was answered; return the ends that it had.
 
         What a target has run to its end does not end targets.
         """
-        suspect = self.suspects.pop(fingerprint, None)
-        if suspect is None:
-            return 0
-        for incarnation in suspect.incarnations:
-            self._ended[incarnation] -= 1
-            if not self._ended[incarnation]:
-                self._ended.pop(incarnation)
-        return len(suspect.incarnations)
+        suspect = self.suspects.get(fingerprint, Suspect())
+        ends = tuple(sorted(suspect.incarnations))
+        self.clear_ends(fingerprint, ends)
+        return ends
 
-    def take(self, record: Quarantined, now: float) -> bool:
-        """Take what another instance knows; return whether it was news."""
-        if not record.incarnations:
-            return bool(self.clear(record.fingerprint))
+    def clear_ends(self, fingerprint: str, ends: Iterable[str]) -> int:
+        """Clear a request of some ends; return how many were known."""
+        if not ends:
+            return 0
+        suspect = self.suspects.setdefault(fingerprint, Suspect())
+        known = suspect.incarnations.intersection(ends)
+        suspect.incarnations -= known
+        suspect.cleared.update(ends)
+        suspect.trials = 0
+        self._forget_ends(known)
+        return len(known)
+
+    def take(self, record: Quarantined, now: float) -> None:
+        """Take what another instance knows of a request."""
+        self.clear_ends(record.fingerprint, record.cleared)
         since = now - record.age_s
-        is_news = [
+        for incarnation in record.incarnations:
             self.note_end(End(record.fingerprint, incarnation), since)
-            for incarnation in record.incarnations
-        ]
-        suspect = self.suspects[record.fingerprint]
-        suspect.since = max(suspect.since, since)
-        suspect.trials = max(suspect.trials, record.trials)
-        return any(is_news)
+        suspect = self.suspects.get(record.fingerprint)
+        if suspect and suspect.incarnations:
+            suspect.since = max(suspect.since, since)
+            suspect.trials = max(suspect.trials, record.trials)
 
     def get_records(self, now: float) -> Iterator[Quarantined]:
-        """Yield what is in quarantine, to be kept or handed on."""
-        for fingerprint in self.suspects:
-            if self.is_quarantined(fingerprint):
+        """Yield what is in quarantine or was, to be handed on."""
+        for fingerprint, suspect in self.suspects.items():
+            known = max(len(suspect.incarnations), len(suspect.cleared))
+            if known >= MOST_ENDS:
                 yield self.make_record(fingerprint, now)
 
     def make_record(self, fingerprint: str, now: float) -> Quarantined:
@@ -181,6 +190,7 @@
             tuple(sorted(suspect.incarnations)),
             max(0, now - suspect.since),
             suspect.trials,
+            tuple(sorted(suspect.cleared)),
         )
 
     def was_ended(self, incarnation: str) -> bool:
@@ -194,9 +204,15 @@
             return []
         least = sorted(self.suspects, key=self._get_rank)[:surplus]
         for fingerprint in least:
-            self.clear(fingerprint)
+            self._forget_ends(self.suspects.pop(fingerprint).incarnations)
         return least
 
     def _get_rank(self, fingerprint: str) -> tuple[int, float]:
         suspect = self.suspects[fingerprint]
         return len(suspect.incarnations), suspect.since
+
+    def _forget_ends(self, incarnations: Iterable[str]) -> None:
+        self._ended.subtract(incarnations)
+        for incarnation in incarnations:
+            if not self._ended[incarnation]:
+                self._ended.pop(incarnation)
