The right to a trial is asked for each two seconds at most

Read in the diff: while the store is away, or another entry has the trial, each repeat of a quarantined request that is due asked the store again, and each call has a price. The test asks a hundred times: 100 calls before, 1 now.

--- a/tests/test_entry_isolation.py
+++ b/tests/test_entry_isolation.py
@@ -8,7 +8,7 @@
 from tests.relaying import SETTINGS, make_listed
 from tests.virtual_loop import run_virtually
 from trestledock.entry._state import EntryState
-from trestledock.relay import End, Quarantined, Listed, Sign, Standing
+from trestledock.relay import End, Listed, Quarantined, Sign, Standing
 from trestledock.relay._open_ends import OPEN_S
 from trestledock.relay._proven import PROVEN_S
 
--- a/tests/test_entry_keeping.py
+++ b/tests/test_entry_keeping.py
@@ -8,7 +8,7 @@
 from tests.virtual_loop import run_virtually
 from trestledock.entry import DirectoryError
 from trestledock.entry._isolation import Isolation
-from trestledock.entry._keeping import WAIT_S, Keeping
+from trestledock.entry._keeping import CLAIM_S, WAIT_S, Keeping
 from trestledock.relay import Fleet, Health, Sign
 
 TARGETS = tuple(make_listed(number, 80 + number) for number in range(5))
@@ -132,8 +132,12 @@
             await one.see_ends(3)
             await anyio.sleep(one.isolation.get_due_in_s('f'))
             topic.down = True
-            self.assertFalse(await one.isolation.may_try('f'))
+            calls = topic.calls
+            for _ in range(100):
+                self.assertFalse(await one.isolation.may_try('f'))
+            self.assertEqual(topic.calls - calls, 1)
             topic.down = False
+            await anyio.sleep(CLAIM_S)
             self.assertTrue(await one.isolation.may_try('f'))
 
         run_entries(scenario, False)
--- a/trestledock/entry/_isolation.py
+++ b/trestledock/entry/_isolation.py
@@ -29,11 +29,11 @@
     End,
     Fleet,
     Health,
-    Quarantined,
     Listed,
     OpenEnds,
     Proven,
     Quarantine,
+    Quarantined,
     Sign,
 )
 
--- a/trestledock/entry/_keeping.py
+++ b/trestledock/entry/_keeping.py
@@ -29,6 +29,9 @@
 #: and at most as that doubles.  Each call has a price, a refused one too.
 RETRY_S = 1.0
 RETRY_MOST_S = 8.0
+#: How often an entry asks for the right to a trial at most, in seconds: what is
+#: quarantined may come many times a second, and each call has a price.
+CLAIM_S = 2.0
 #: How often is looked whether this entry reads the store by now, in seconds.
 LOOK_S = 0.5
 
@@ -47,6 +50,7 @@
         self.store = store
         self.is_reader = is_reader
         self._vain = 0
+        self._claim_at = float('-inf')
         isolation.ways.claim = self.claim
 
     async def run(self) -> None:
@@ -57,6 +61,10 @@
 
     async def claim(self, record: Quarantined) -> bool:
         """Take the right to try a request; nobody has it without the store."""
+        now = anyio.current_time()
+        if now < self._claim_at:
+            return False
+        self._claim_at = now + CLAIM_S
         try:
             with anyio.fail_after(TIMEOUT_S):
                 return await self.store.claim_trial(record)
