A look at a target is finished whoever leaves, and leaves no connection behind

Read in the diff: a caller that leaves, or a deadline, while a target is looked at cancelled that, so an end stayed uncounted and the new connection open.

--- a/tests/test_query_of_death.py
+++ b/tests/test_query_of_death.py
@@ -23,7 +23,7 @@
 import anyio
 
 from tests.crashing import CRASHES, DEADLY, SOUND, run_fleet
-from tests.relaying import make_route
+from tests.relaying import KEY, make_route
 from trestledock.relay import RouteKind
 
 PLAIN = make_route()
@@ -81,6 +81,25 @@
         self.assertEqual(last.status, NOT_RUN)
         self.assertGreater(float(last.headers['retry-after']), 10)
 
+    def test_caller_leaves_as_the_target_ends(self):
+        """The end counts all the same."""
+
+        async def scenario(fleet):
+            entry = fleet.entries[0]
+            look = entry.state.isolation.ways.look
+
+            async def look_late(target):
+                group.cancel_scope.cancel()
+                return await look(target)
+
+            entry.state.isolation.ways.look = look_late
+            async with anyio.create_task_group() as group:
+                group.start_soon(entry.ask, 'r1', 'POST', KEY, (), DEADLY)
+            fleet.found = entry.state.isolation.quarantine.suspects
+
+        fleet = run_fleet(scenario, STREAM, CRASHES['reset before the head'])
+        self.assertEqual(len(fleet.found), 1)
+
     def test_entry_that_starts_later(self):
         """It is told by the first that hears it."""
 
--- a/trestledock/entry/_pool.py
+++ b/trestledock/entry/_pool.py
@@ -74,12 +74,9 @@
                 wire = await Wire.connect(target.address)
             except WireError as exc:
                 return exc.sign
-            with anyio.move_on_after(SETTLE_S) as settled:
-                await wire.wait_for_surplus()
-            if settled.cancelled_caught:
+            if await self._is_settled(wire):
                 self._keep(target, wire, IDLE_S)
                 return Sign.none
-            await wire.close()
         return Sign.closed
 
     async def give(self, target: Listed, wire: Wire, idle_s: float) -> None:
@@ -104,6 +101,18 @@
         self._idle[target.incarnation].append(idle)
         self._spawn(self._watch, target.incarnation, idle)
 
+    async def _is_settled(self, wire: Wire) -> bool:
+        """Whether a connection stays open for a moment; else it is closed."""
+        settled = False
+        try:
+            with anyio.move_on_after(SETTLE_S) as scope:
+                await wire.wait_for_surplus()
+            settled = scope.cancelled_caught
+        finally:
+            if not settled:
+                await wire.close()
+        return settled
+
     async def _watch(self, incarnation: str, idle: _Idle) -> None:
         left_s = max(0, idle.until - anyio.current_time())
         try:
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -144,12 +144,14 @@
     ) -> None:
         """Have it found out whether a target has ended under a request.
 
-        Once the answer has begun, those that helped to read it are done.
+        Once the answer has begun, those that helped to read it are done.  A
+        caller that leaves, or a deadline, would leave an end uncounted.
         """
         helpers = () if job.begun else placement.helpers
-        await self.state.isolation.note_lost(
-            job.fingerprint, sign, (placement.target, *helpers)
-        )
+        with anyio.CancelScope(shield=True):
+            await self.state.isolation.note_lost(
+                job.fingerprint, sign, (placement.target, *helpers)
+            )
 
     async def _write(
         self,
