Cleared ends of a request are bounded

Read in the diff: what many ask for is cleared of some ends with each crash of a target, and all were kept; now the newest 50 are.

--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -6,6 +6,7 @@
 
 from trestledock.relay import End, Quarantine
 from trestledock.relay._quarantine import (
+    MOST_CLEARED,
     MOST_ENDS,
     MOST_KNOWN,
     TRIALS_S,
@@ -135,6 +136,16 @@
             other.take(record, now=0)
         self.assertEqual(other.count_ends(DEADLY), 1)
 
+    def test_newest_are_kept(self):
+        """What many ask for is cleared of some ends with each crash."""
+        known = Quarantine()
+        for number in range(MOST_CLEARED * 2):
+            note(known, DEADLY, f't{number}')
+            known.clear(DEADLY)
+        cleared = known.make_record(DEADLY, 0).cleared
+        self.assertEqual(len(cleared), MOST_CLEARED)
+        self.assertEqual(cleared[-1], f't{MOST_CLEARED * 2 - 1}')
+
     def test_first_forgotten(self):
         known = make_quarantine('t1', 't2', 't3')
         known.clear(DEADLY)
--- a/trestledock/relay/_quarantine.py
+++ b/trestledock/relay/_quarantine.py
@@ -33,6 +33,9 @@
 #: How many requests are kept of which a target ended, some 300 bytes each.  A
 #: flood of different ones pushes out those with the fewest ends first.
 MOST_KNOWN = 1_000
+#: How many cleared ends of a request are kept, the newest: words of them come
+#: late by seconds, and what many ask for is cleared of some with each crash.
+MOST_CLEARED = 50
 
 
 def get_trial_s(trials: int) -> float:
@@ -78,11 +81,12 @@
 
     One was given the request again, on purpose, `trials` times; `since` is when
     that was, or the last one ended.  What an answer has `cleared` is kept: some
-    instances hear of it late, and tell the old ends on meanwhile.
+    instances hear of it late, and tell the old ends on meanwhile.  It is in the
+    order in which it was cleared.
     """
 
     incarnations: set[str] = field(default_factory=set)
-    cleared: set[str] = field(default_factory=set)
+    cleared: dict[str, None] = field(default_factory=dict)
     since: float = float('-inf')
     trials: int = 0
 
@@ -111,7 +115,9 @@
     def note_end(self, end: End, now: float) -> bool:
         """Note an end; return whether it was new."""
         suspect = self.suspects.setdefault(end.fingerprint, Suspect())
-        if end.incarnation in suspect.incarnations | suspect.cleared:
+        if end.incarnation in suspect.incarnations:
+            return False
+        if end.incarnation in suspect.cleared:
             return False
         suspect.incarnations.add(end.incarnation)
         suspect.since = max(suspect.since, now)
@@ -159,7 +165,9 @@
         suspect = self.suspects.setdefault(fingerprint, Suspect())
         known = suspect.incarnations.intersection(ends)
         suspect.incarnations -= known
-        suspect.cleared.update(ends)
+        suspect.cleared.update(dict.fromkeys(ends))
+        while len(suspect.cleared) > MOST_CLEARED:
+            suspect.cleared.pop(next(iter(suspect.cleared)))
         suspect.trials = 0
         self._forget_ends(known)
         return len(known)
@@ -190,7 +198,7 @@
             tuple(sorted(suspect.incarnations)),
             max(0, now - suspect.since),
             suspect.trials,
-            tuple(sorted(suspect.cleared)),
+            tuple(suspect.cleared),
         )
 
     def was_ended(self, incarnation: str) -> bool:
