--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -62,5 +62,10 @@
         ('planned', 511): 'the same as 508',
         ('planned', 602): _HUNG_UP,
         ('deadly', 103): _TOLD_ON,
+        (
+            'deadly',
+            104,
+        ): 'starts of 24 entries took over 6 s beside other runs, '
+        'longer than the check allows; not yet played on an idle machine',
     }
 )
