Who may try a quarantined request is decided by the entry, not by the adapter

Read in the diff: the platform's topic looked whether a trial was due before it wrote. It reads and writes now, where asked only if nothing came between; the entry decides. One writer in place of two. Behaviour and assertions unchanged.

--- a/tests/test_entry_keeping.py
+++ b/tests/test_entry_keeping.py
@@ -6,7 +6,7 @@
 
 from tests.relaying import make_listed
 from tests.virtual_loop import run_virtually
-from trestledock.entry import DirectoryError
+from trestledock.entry import DirectoryError, StoredQuarantine
 from trestledock.entry._isolation import Isolation
 from trestledock.entry._keeping import CLAIM_S, WAIT_S, Keeping
 from trestledock.relay import Fleet, Health, Sign
@@ -30,16 +30,17 @@
         self._check()
         return tuple(self.records.values())
 
-    async def write_records(self, records):
+    async def write_records(self, records, expected_end=None):
         self._check()
         for record in records:
             self.records[record.fingerprint] = record
         self.grown.set()
         self.grown = anyio.Event()
+        return True
 
-    async def claim_trial(self, record):
+    async def read_whole(self):
         self._check()
-        return True
+        return StoredQuarantine((), 0)
 
     def _check(self):
         self.calls += 1
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -8,8 +8,10 @@
 from tests.soak.serving import serve_stream
 from tests.soak.store import Store
 from trestledock.entry import DirectoryError
+from trestledock.entry._isolation import Isolation
+from trestledock.entry._keeping import Keeping
 from trestledock.platform._quarantine import TOPIC, QuarantineTopic
-from trestledock.relay import Quarantined
+from trestledock.relay import Fleet, Health, Quarantined
 
 RECORD = Quarantined('f', ('t1@1', 't2@1', 't3@2'), age_s=70)
 
@@ -35,6 +37,12 @@
     anyio.run(main)
 
 
+async def claim_trial(topic, record):
+    """Take the right to a trial, as an entry does that never asked before."""
+    isolation = Isolation(Health(), Fleet())
+    return await Keeping(isolation, topic, bool)._claim(record)
+
+
 class QuarantineTopicTest(unittest.TestCase):
     """Records, trials and what makes no sense."""
 
@@ -68,7 +76,7 @@
         async def scenario(store, one, other):
             await one.write_records([RECORD])
             granted = [
-                await topic.claim_trial(RECORD) for topic in (one, other, one)
+                await claim_trial(topic, RECORD) for topic in (one, other, one)
             ]
             self.assertEqual(granted, [True, False, False])
             found = await other.read_records(0)
@@ -82,14 +90,14 @@
 
         async def scenario(store, one, other):
             await one.write_records([RECORD])
-            append = one._append
+            write = one.write_records
 
-            async def append_later(*args, **query):
-                granted.append(await other.claim_trial(RECORD))
-                return await append(*args, **query)
+            async def write_later(*args):
+                granted.append(await claim_trial(other, RECORD))
+                return await write(*args)
 
-            one._append = append_later
-            granted.append(await one.claim_trial(RECORD))
+            one.write_records = write_later
+            granted.append(await claim_trial(one, RECORD))
 
         run_with_store(scenario)
         self.assertEqual(granted, [True, False])
@@ -101,7 +109,7 @@
             await one.write_records(
                 [Quarantined('f', ('t1', 't2', 't3', 't4'), 1)]
             )
-            self.assertFalse(await other.claim_trial(RECORD))
+            self.assertFalse(await claim_trial(other, RECORD))
 
         run_with_store(scenario)
 
@@ -132,6 +140,6 @@
             with self.assertRaises(DirectoryError):
                 await one.write_records([RECORD])
             with self.assertRaises(DirectoryError):
-                await one.claim_trial(RECORD)
+                await claim_trial(one, RECORD)
 
         run_with_store(scenario)
--- a/trestledock/entry/__init__.py
+++ b/trestledock/entry/__init__.py
@@ -21,6 +21,7 @@
     News,
     Order,
     Passing,
+    StoredQuarantine,
     TargetNews,
 )
 from trestledock.entry._events import (
@@ -49,6 +50,7 @@
     'Order',
     'Passing',
     'RecordIgnored',
+    'StoredQuarantine',
     'TargetNews',
     'Wire',
     'WireError',
--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -7,7 +7,7 @@
 """
 
 from dataclasses import dataclass
-from typing import Any, Mapping, Protocol
+from typing import Any, Iterable, Mapping, Protocol
 
 from trestledock.entry._wire import Head, Headers
 from trestledock.relay import (
@@ -133,17 +133,29 @@
         """Return the order that gives memory back."""
 
 
+@dataclass(frozen=True)
+class StoredQuarantine:
+    """All records of quarantined requests; `end` is the offset behind them."""
+
+    records: tuple[Quarantined, ...]
+    end: int
+
+
 class QuarantineStore(Protocol):
     """What the platform's store remembers of quarantined requests."""
 
     async def read_records(self, wait_s: float) -> tuple[Quarantined, ...]:
         """Return what is new, once there is something or the time is over."""
 
-    async def write_records(self, records: list[Quarantined]) -> None:
-        """Write what is quarantined from now on, or was answered."""
+    async def read_whole(self) -> StoredQuarantine:
+        """Return all records, with the offset at which they end."""
 
-    async def claim_trial(self, record: Quarantined) -> bool:
-        """Write that a request is tried now, unless somebody else did."""
+    async def write_records(
+        self,
+        records: Iterable[Quarantined],
+        expected_end: int | None = None,
+    ) -> bool:
+        """Write records; return whether none had come behind that offset."""
 
 
 class Directory(Protocol):
--- a/trestledock/entry/_keeping.py
+++ b/trestledock/entry/_keeping.py
@@ -9,6 +9,7 @@
 call each few seconds; the others are told with the list of targets.
 """
 
+from dataclasses import replace
 from typing import Callable
 
 import anyio
@@ -67,11 +68,24 @@
         self._claim_at = now + CLAIM_S
         try:
             with anyio.fail_after(TIMEOUT_S):
-                return await self.store.claim_trial(record)
+                return await self._claim(record)
         except EXPECTED as exc:
             emit(events.StoreLost('claim_trial', repr(exc)))
             return False
 
+    async def _claim(self, record: Quarantined) -> bool:
+        """Write that a request is tried now, unless somebody else wrote.
+
+        Of several claims one succeeds: each holds only where the records still
+        end where they were read to.
+        """
+        stored = await self.store.read_whole()
+        for known in stored.records:
+            if known.fingerprint == record.fingerprint and not known.is_due:
+                return False
+        tried = replace(record, age_s=0, trials=record.trials + 1)
+        return await self.store.write_records([tried], stored.end)
+
     async def _follow(self) -> None:
         while True:
             if self.is_reader():
--- a/trestledock/platform/_quarantine.py
+++ b/trestledock/platform/_quarantine.py
@@ -9,12 +9,12 @@
 
 import json
 import time
-from dataclasses import replace
 from typing import Iterable
 
 from trestledock.entry import (
     DirectoryError,
     RecordIgnored,
+    StoredQuarantine,
     emit,
     read_amount,
     read_count,
@@ -53,35 +53,27 @@
         batch = await self._followed.read(wait_s)
         return _read_records(batch.records)
 
-    async def write_records(self, records: list[Quarantined]) -> None:
-        """Write what is quarantined from now on, or was answered."""
-        status = await self._append(records)
-        if status != OK:
-            raise DirectoryError(f'log-append {TOPIC}: {status}')
-
-    async def claim_trial(self, record: Quarantined) -> bool:
-        """Write that a request is tried now, unless somebody else wrote.
-
-        The store takes the record only where the topic still ends where it was
-        read to, so of several claims one succeeds.
-        """
+    async def read_whole(self) -> StoredQuarantine:
+        """Return all records, with the offset at which the topic ends."""
         batch = await KeyedTopic(self._writer, TOPIC).read()
-        for stored in _read_records(batch.records):
-            if stored.fingerprint == record.fingerprint and not stored.is_due:
-                return False
-        tried = replace(record, age_s=0, trials=record.trials + 1)
-        status = await self._append([tried], expectedEnd=batch.end)
-        if status not in {OK, GROWN}:
-            raise DirectoryError(f'log-append {TOPIC}: {status}')
-        return status == OK
-
-    async def _append(self, records: list[Quarantined], **query: int) -> int:
+        return StoredQuarantine(_read_records(batch.records), batch.end)
+
+    async def write_records(
+        self,
+        records: Iterable[Quarantined],
+        expected_end: int | None = None,
+    ) -> bool:
+        """Write records; return whether the topic still had `expected_end`."""
+        query = {} if expected_end is None else {'expectedEnd': expected_end}
         now_ms = time.time() * MS
         framed = [
             frame_record(record.fingerprint, _write_record(record, now_ms))
             for record in records
         ]
-        return await self._writer.append(TOPIC, framed, **query)
+        status = await self._writer.append(TOPIC, framed, **query)
+        if status not in {OK, GROWN}:
+            raise DirectoryError(f'log-append {TOPIC}: {status}')
+        return status == OK
 
 
 def _write_record(record: Quarantined, now_ms: float) -> bytes:
