What excuses a request, and when to come back with one, stand once for both cores

Read in the diff: the entry and the own interface each kept the answers beside the quarantine, asked both in the same order, and had a constant of 15 s of their own for refused callers. The quarantine has the answers and that time itself.

--- a/tests/test_entry_isolation.py
+++ b/tests/test_entry_isolation.py
@@ -251,7 +251,7 @@
             isolation.ways.claim = claim
             isolation.take_ends([(End('f', x), 0) for x in 'abc'], 'e#b')
             await ask()
-            await anyio.sleep(isolation.get_due_in_s('f'))
+            await anyio.sleep(isolation.get_come_back_s('f'))
             async with anyio.create_task_group() as group:
                 group.start_soon(ask)
                 group.start_soon(ask)
@@ -274,7 +274,7 @@
 
             isolation.ways.claim = claim
             isolation.take_ends([(End('f', x), 0) for x in 'abc'], 'e#b')
-            await anyio.sleep(isolation.get_due_in_s('f'))
+            await anyio.sleep(isolation.get_come_back_s('f'))
             found.append(await isolation.may_try('f'))
             found.append(isolation.is_quarantined('f'))
 
--- a/tests/test_entry_keeping.py
+++ b/tests/test_entry_keeping.py
@@ -131,7 +131,7 @@
     def test_no_trial_while_the_store_is_away(self):
         async def scenario(topic, one):
             await one.see_ends(3)
-            await anyio.sleep(one.isolation.get_due_in_s('f'))
+            await anyio.sleep(one.isolation.get_come_back_s('f'))
             topic.down = True
             calls = topic.calls
             for _ in range(100):
--- a/tests/test_relay_proven.py
+++ b/tests/test_relay_proven.py
@@ -2,8 +2,12 @@
 
 import unittest
 
-from trestledock.relay import Proven
-from trestledock.relay._proven import MOST_ANSWERED, MOST_EXCUSED, PROVEN_S
+from trestledock.relay._proven import (
+    MOST_ANSWERED,
+    MOST_EXCUSED,
+    PROVEN_S,
+    Proven,
+)
 
 
 class ProvenTest(unittest.TestCase):
--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -76,7 +76,7 @@
 
     def test_an_answer_clears(self):
         quarantine = make_quarantine('t1', 't2', 't3')
-        self.assertEqual(len(quarantine.clear(DEADLY)), MOST_ENDS)
+        self.assertEqual(len(quarantine.note_answered(DEADLY, 0)), MOST_ENDS)
         self.assertFalse(quarantine.is_quarantined(DEADLY))
         self.assertFalse(quarantine.was_ended('t1'))
 
@@ -115,7 +115,7 @@
         """Whoever has not heard of the answer tells the old ends on."""
         known = make_quarantine('t1', 't2', 't3')
         stale = list(known.get_records(now=0))
-        known.clear(DEADLY)
+        known.note_answered(DEADLY, 0)
         for record in stale:
             known.take(record, now=1)
         note(known, DEADLY, 't1', 't2', 't3')
@@ -123,14 +123,14 @@
 
     def test_new_ends_count(self):
         known = make_quarantine('t1', 't2', 't3')
-        known.clear(DEADLY)
+        known.note_answered(DEADLY, 0)
         note(known, DEADLY, 't4', 't5', 't6')
         self.assertTrue(known.is_quarantined(DEADLY))
 
     def test_handed_on(self):
         """Who missed the word learns of it with the list of another."""
         known = make_quarantine('t1', 't2', 't3')
-        known.clear(DEADLY)
+        known.note_answered(DEADLY, 0)
         other = make_quarantine('t1', 't2', 't3', 't4')
         for record in known.get_records(now=0):
             other.take(record, now=0)
@@ -141,14 +141,14 @@
         known = Quarantine()
         for number in range(MOST_CLEARED * 2):
             note(known, DEADLY, f't{number}')
-            known.clear(DEADLY)
+            known.note_answered(DEADLY, 0)
         cleared = known.make_record(DEADLY, 0).cleared
         self.assertEqual(len(cleared), MOST_CLEARED)
         self.assertEqual(cleared[-1], f't{MOST_CLEARED * 2 - 1}')
 
     def test_first_forgotten(self):
         known = make_quarantine('t1', 't2', 't3')
-        known.clear(DEADLY)
+        known.note_answered(DEADLY, 0)
         for number in range(MOST_KNOWN):
             note(known, f'f{number}', f'u{number}')
         self.assertEqual(known.trim(), [DEADLY])
--- a/trestledock/entry/_isolation.py
+++ b/trestledock/entry/_isolation.py
@@ -31,7 +31,6 @@
     Health,
     Listed,
     OpenEnds,
-    Proven,
     Quarantine,
     Quarantined,
     Sign,
@@ -112,7 +111,6 @@
         self.health = health
         self.fleet = fleet
         self.quarantine = Quarantine()
-        self.proven = Proven()
         self.ways = Ways()
         self.to_keep: set[str] = set()
         self.wants_keeping = anyio.Event()
@@ -129,10 +127,10 @@
         """Return how many requests go to no target."""
         return sum(map(self.is_quarantined, self.quarantine.suspects))
 
-    def get_due_in_s(self, fingerprint: str) -> float:
-        """Return when a quarantined request may be tried again, in seconds."""
+    def get_come_back_s(self, fingerprint: str) -> float:
+        """Return when to come back with a quarantined request, in seconds."""
         now = anyio.current_time()
-        return self.quarantine.get_due_in_s(fingerprint, now)
+        return self.quarantine.get_come_back_s(fingerprint, now)
 
     async def may_try(self, fingerprint: str) -> bool:
         """Whether a quarantined request may be given to one target now.
@@ -193,9 +191,9 @@
 
     def note_answered(self, fingerprint: str) -> None:
         """Note that a target has answered a request: it ends none."""
-        self.proven.note_answered(fingerprint, anyio.current_time())
         was_quarantined = self.is_quarantined(fingerprint)
-        ends = self.quarantine.clear(fingerprint)
+        now = anyio.current_time()
+        ends = self.quarantine.note_answered(fingerprint, now)
         self._note_cleared(fingerprint, len(ends), SELF)
         if len(ends) >= LEAST_TOLD:
             self.ways.tell_cleared(fingerprint, ends)
@@ -269,9 +267,7 @@
         now = anyio.current_time()
         for one in ends:
             self._avoid(one.incarnation, now)
-        blamed = [
-            one for one in ends if not self.proven.excuses(one.fingerprint, now)
-        ]
+        blamed = [one for one in ends if self.quarantine.blames(one, now)]
         for end in blamed:
             self._witnessed.add(end.fingerprint)
             if self._add(end, now, SELF):
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -34,9 +34,6 @@
 COME_BACK_S = 0.25
 #: The most that is added to it by chance, in seconds.
 COME_BACK_JITTER_S = 0.25
-#: When to come back at the earliest with a request in quarantine, in seconds:
-#: after the first trial of it, which somebody else may make.
-QUARANTINED_S = 15.0
 #: The pause before what was not sent is tried again, in seconds.
 TRY_AGAIN_S = 0.1
 #: Refusals in whose place a target's own failure is told: it is the truer word.
@@ -159,8 +156,8 @@
             raise CutReply(reason.value)
         refusal = _get_refusal(job, reason)
         if refusal is Refusal.quarantined:
-            due_in_s = self.state.isolation.get_due_in_s(job.fingerprint)
-            job.come_back_s = max(QUARANTINED_S, due_in_s)
+            isolation = self.state.isolation
+            job.come_back_s = isolation.get_come_back_s(job.fingerprint)
         if job.fallback and refusal in FAILURES:
             head = job.fallback.head
             emit(events.FailurePassedOn(job.call.req_id, head.status))
--- a/trestledock/process/_arrivals.py
+++ b/trestledock/process/_arrivals.py
@@ -23,11 +23,7 @@
 )
 from trestledock.process._ending import refuse
 from trestledock.process._groups import get_share
-from trestledock.process._isolating import (
-    get_due_in_s,
-    is_quarantined,
-    try_again,
-)
+from trestledock.process._isolating import is_quarantined, try_again
 from trestledock.process._live import Live, Phase
 from trestledock.process._messages import Arrive, CallerGone
 from trestledock.process._queue import MAX_QUEUED
@@ -40,10 +36,6 @@
 #: When to come back where nothing better is known, in seconds.
 DEFAULT_WAIT_S = 2.0
 
-#: When to come back at the earliest with a request in quarantine, in seconds:
-#: after the first trial of it, which somebody else may make.
-QUARANTINE_WAIT_S = 15.0
-
 #: Reasons for which asking again soon makes sense.
 PASSING = frozenset((Reason.no_live_target, Reason.no_configuration))
 
@@ -61,7 +53,7 @@
         return
     try_again(state, live, now)
     if is_quarantined(state, live):
-        wait_s = max(QUARANTINE_WAIT_S, get_due_in_s(state, req, now))
+        wait_s = state.quarantine.get_come_back_s(req.fingerprint, now)
         refuse(state, live, Reason.quarantined, wait_s)
         return
     _ADMITTERS[req.kind](state, live, now)
--- a/trestledock/process/_isolating.py
+++ b/trestledock/process/_isolating.py
@@ -23,11 +23,11 @@
     fingerprint = live.req.fingerprint
     if target is None or not fingerprint:
         return
-    if state.proven.excuses(fingerprint, now):
-        return
-    ends = TargetEnds(fingerprint, (target.info.key,))
-    take_ends(state, ends, now)
-    _tell_all(state, ends)
+    end = End(fingerprint, target.info.key)
+    if state.quarantine.blames(end, now):
+        ends = TargetEnds(fingerprint, (end.incarnation,))
+        take_ends(state, ends, now)
+        _tell_all(state, ends)
 
 
 def take_ends(state: State, ends: TargetEnds, now: float) -> None:
@@ -61,8 +61,7 @@
     """Note that a target has answered a request: it ends none."""
     if not req.fingerprint:
         return
-    state.proven.note_answered(req.fingerprint, now)
-    cleared = state.quarantine.clear(req.fingerprint)
+    cleared = state.quarantine.note_answered(req.fingerprint, now)
     if cleared:
         state.note('request_cleared', detail=req.fingerprint)
         _tell_all(state, TargetEnds(req.fingerprint, (), cleared))
@@ -82,7 +81,8 @@
     Of all instances that hear one another the same one does.
     """
     fingerprint = live.req.fingerprint
-    if not is_quarantined(state, live) or get_due_in_s(state, live.req, now):
+    is_due = state.quarantine.is_due(fingerprint, now)
+    if not is_due or not is_quarantined(state, live):
         return
     members = [state.member, *(one.info.member for one in _get_peers(state))]
     if rank_by_key(fingerprint, members)[0] == state.member:
@@ -90,11 +90,6 @@
         state.quarantine.note_trial(fingerprint, now)
 
 
-def get_due_in_s(state: State, req: Request, now: float) -> float:
-    """Return when a quarantined request may be tried again, in seconds."""
-    return state.quarantine.get_due_in_s(req.fingerprint, now)
-
-
 def _tell_all(state: State, ends: TargetEnds) -> None:
     for peer in _get_peers(state):
         send(state, peer.info.member, ends)
--- a/trestledock/process/_state.py
+++ b/trestledock/process/_state.py
@@ -23,7 +23,7 @@
 from trestledock.process._policy import Policy
 from trestledock.process._queue import FairQueue
 from trestledock.process._timers import Timers
-from trestledock.relay import BudgetTerms, Proven, Quarantine, RetryWindow
+from trestledock.relay import BudgetTerms, Quarantine, RetryWindow
 from trestledock.version import Configuration, Reader
 
 
@@ -85,7 +85,6 @@
     publishing: dict[str, PublishWait] = field(default_factory=dict)
     duties: Duties = field(default_factory=Duties)
     quarantine: Quarantine = field(default_factory=Quarantine)
-    proven: Proven = field(default_factory=Proven)
     shutting_down: bool = False
     out: list[Action] = field(default_factory=list)
     claims: ClaimTable = field(init=False)
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -51,7 +51,6 @@
 from trestledock.relay._plain import choose_least_busy
 from trestledock.relay._problem import Placement, Work
 from trestledock.relay._proof import Proof
-from trestledock.relay._proven import Proven
 from trestledock.relay._quarantine import (
     End,
     Quarantined,
@@ -103,7 +102,6 @@
     'PromptSize',
     'Proof',
     'Reach',
-    'Proven',
     'Quarantine',
     'ReadPace',
     'RetryWindow',
--- a/trestledock/relay/_quarantine.py
+++ b/trestledock/relay/_quarantine.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass, field
 from typing import Iterable, Iterator
 
+from trestledock.relay._proven import Proven
+
 #: So many targets have to end under a request before no other one gets it.  An
 #: end says little, since it is shared by all that the target ran, some seven
 #: requests.  Three catch each request that ends whatever runs it; of others
@@ -30,6 +32,9 @@
 #: targets more on its first day and one on each day after, in case they were
 #: mended.
 TRIALS_S = (10.0, 300.0, 86_400.0)
+#: When a caller should come back with a quarantined request at the earliest, in
+#: seconds: after the first trial of it, which somebody else may make.
+COME_BACK_S = 15.0
 #: How many requests are kept of which a target ended, some 300 bytes each.  A
 #: flood of different ones pushes out those with the fewest ends first.
 MOST_KNOWN = 1_000
@@ -111,6 +116,11 @@
         """Begin with no end."""
         self.suspects: dict[str, Suspect] = {}
         self._ended: Counter[str] = Counter()
+        self._proven = Proven()
+
+    def blames(self, end: End, now: float) -> bool:
+        """Whether an end that was seen here is put down to its request."""
+        return not self._proven.excuses(end.fingerprint, now)
 
     def note_end(self, end: End, now: float) -> bool:
         """Note an end; return whether it was new."""
@@ -142,17 +152,22 @@
         suspect = self.suspects.get(fingerprint, Suspect())
         return suspect.get_due_in_s(now)
 
+    def get_come_back_s(self, fingerprint: str, now: float) -> float:
+        """Return when a refused caller should come back, in seconds."""
+        return max(COME_BACK_S, self.get_due_in_s(fingerprint, now))
+
     def note_trial(self, fingerprint: str, now: float) -> None:
         """Note that a quarantined request is given to one target."""
         suspect = self.suspects[fingerprint]
         suspect.trials += 1
         suspect.since = now
 
-    def clear(self, fingerprint: str) -> tuple[str, ...]:
-        """Clear a request that was answered; return the ends that it had.
+    def note_answered(self, fingerprint: str, now: float) -> tuple[str, ...]:
+        """Clear a request that was answered here; return the ends it had.
 
         What a target has run to its end does not end targets.
         """
+        self._proven.note_answered(fingerprint, now)
         suspect = self.suspects.get(fingerprint, Suspect())
         ends = tuple(sorted(suspect.incarnations))
         self.clear_ends(fingerprint, ends)
