What a sign says of a target is one table

Read in the diff: two sets and a map with three values of which one was asked stood for it. Each sign has its inquiry now. Behaviour and tests unchanged.

--- a/trestledock/entry/_isolation.py
+++ b/trestledock/entry/_isolation.py
@@ -10,6 +10,7 @@
 """
 
 from dataclasses import dataclass
+from enum import Enum
 from types import MappingProxyType
 from typing import (
     Any,
@@ -36,26 +37,36 @@
     Sign,
 )
 
-#: How a sending ends whose target may have ended with it: by the target's close
-#: of its connection, or by bytes that are no answer, as a process may write in
-#: its last moment.  Silence is not among them: whoever was left for it is not
-#: known to have run the request, and cuts and crowds make more of it than ends.
-MAY_BE_END = frozenset((Sign.closed, Sign.garbled))
-#: After which of them the target is connected to once more.
-LOOKED_AT = frozenset((Sign.closed,))
-#: Whether a target has ended that closed a connection in the middle of a
-#: request, by what is seen when it is connected to once more; None where that
-#: can't be told yet.  A port where nobody listens is the sign of a process that
-#: has gone; one that listens may be that of its next start, and an address that
-#: isn't reached that of one that lives.
-IS_END: Mapping[Sign, bool | None] = MappingProxyType(
+
+class Inquiry(Enum):
+    """How it is found out whether a target has ended with a request.
+
+    `look` connects to it once more, `listing` waits for another start of it.
+    """
+
+    none = 'none'
+    listing = 'listing'
+    look = 'look'
+
+
+#: What is done by how a sending ended.  A process closes its connections as it
+#: ends, and may write bytes that are no answer in its last moment.  Silence
+#: says nothing: whoever was left for it is not known to have run the request,
+#: and cuts and crowds make more of it than ends.
+INQUIRIES: Mapping[Sign, Inquiry] = MappingProxyType(
     {
-        Sign.none: None,
-        Sign.closed: None,
-        Sign.refused: True,
-        Sign.unreachable: None,
+        Sign.none: Inquiry.none,
+        Sign.closed: Inquiry.look,
+        Sign.silent: Inquiry.none,
+        Sign.refused: Inquiry.none,
+        Sign.unreachable: Inquiry.none,
+        Sign.garbled: Inquiry.listing,
     }
 )
+#: What shows at a look that a process has gone.  All else waits for a listing:
+#: one that listens may be its next start, and an address that isn't reached may
+#: be that of one that lives.
+ENDED = Sign.refused
 #: An end of which another entry tells keeps this one from a target where it is
 #: no older than this, in seconds: its next start has another name.
 FRESH_S = 1.0
@@ -167,15 +178,14 @@
         Of all that work on a request one end counts: its reader and its
         helpers may have ended together.
         """
-        if sign not in MAY_BE_END:
+        inquiry = INQUIRIES[sign]
+        if inquiry is Inquiry.none:
             return
         for target in targets:
-            seen = Sign.none
-            if sign in LOOKED_AT:
-                seen = await self.ways.look(target)
-            end = End(fingerprint, target.incarnation)
-            if IS_END.get(seen):
-                self._note_own([end], seen)
+            looks = inquiry is Inquiry.look
+            if looks and await self.ways.look(target) is ENDED:
+                end = End(fingerprint, target.incarnation)
+                self._note_own([end], ENDED)
                 return
             self._open.keep(fingerprint, target, anyio.current_time())
 
