The store comes back from an older copy: what is believed, and tests of each row

Cause: offsets are given out again after a restore, and what entries believe or have written is missing from the copy; nothing reads the number that tells it.

--- /dev/null
+++ b/tests/restoring.py
@@ -0,0 +1,242 @@
+"""Entries with the platform's adapter on a store that goes back in time.
+
+Everything runs on a virtual clock: the store is the soak's, its wire and the
+network between entries are calls within the process.
+"""
+
+import json
+from dataclasses import replace
+from random import Random
+from unittest.mock import patch
+from urllib.parse import parse_qsl, urlsplit
+
+import anyio
+
+from tests.relaying import SETTINGS
+from tests.soak.serving import Exchange, Reset
+from tests.soak.store import CONFIG, TARGETS, Store
+from tests.virtual_loop import run_virtually
+from trestledock.entry import Head, WireError
+from trestledock.entry._following import Follower
+from trestledock.entry._gossip import Gossip
+from trestledock.entry._keeping import Keeping
+from trestledock.entry._news import NewsExchange
+from trestledock.entry._pool import Pool
+from trestledock.entry._restoring import Restoring
+from trestledock.entry._state import EntryState
+from trestledock.entry._words import write_word
+from trestledock.platform import _log
+from trestledock.platform._store import StoreDirectory
+
+#: One way between two entries, in seconds.
+WAY_S = 0.0005
+#: Between two heartbeats of a target, in seconds.
+HEARTBEAT_S = 1.2
+KEY = 'key-1'
+
+
+class StoreWire:
+    """A connection to the store that is a call within the process."""
+
+    store = None
+    requests = []
+
+    def __init__(self):
+        self._answer = None
+
+    @classmethod
+    async def connect(cls, address):
+        await anyio.sleep(WAY_S)
+        return cls()
+
+    async def send(self, method, target, headers, body):
+        parts = urlsplit(target)
+        query = dict(parse_qsl(parts.query))
+        self.requests.append((parts.path, query['topic']))
+        exchange = Exchange(None, None, method, parts.path, query, {}, body)
+        exchange.answer = self._take
+        try:
+            await self.store.handle(exchange)
+        except Reset as exc:
+            raise WireError('answer', 'reset') from exc
+
+    async def _take(self, status, body=b'', headers=()):
+        raw = tuple((one.encode(), two.encode()) for one, two in headers)
+        self._answer = Head(status, raw), body
+
+    async def read_head(self):
+        return self._answer[0]
+
+    async def read_body(self):
+        return self._answer[1]
+
+    def recycle(self):
+        return True
+
+    async def close(self):
+        """Nothing is open."""
+
+
+class RestoringEntry:
+    """One entry with all that follows the store."""
+
+    def __init__(self, number, network, group, life=1):
+        self.number = number
+        self.address = ('127.0.0.1', number + 1)
+        self.network = network
+        self.settings = replace(
+            SETTINGS,
+            instance=f'entry-{number}',
+            peers=f'127.0.0.1:{number + 1}',
+        )
+        member = f'entry-{number}#{life}'
+        self.state = EntryState(self.settings, member, Random(number), group)
+        self.directory = StoreDirectory('store')
+        self.gossip = Gossip(self.state)
+        self.exchange = NewsExchange(self.state, self.gossip)
+        self.gossip.send = self._send
+        self.exchange._get = self._get
+        self.follower = Follower(
+            self.state, self.directory, Pool(self.state.spawn), self.exchange
+        )
+        is_reader = self.follower.is_reader
+        quarantine = self.directory.quarantine
+        self.keeping = Keeping(self.state, quarantine, is_reader)
+        self.restoring = Restoring(
+            self.state, self.directory, self.gossip, is_reader
+        )
+        self.scope = anyio.CancelScope()
+
+    async def live(self):
+        """Run until killed."""
+        self.network[self.address] = self
+        with self.scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.follower.run)
+                group.start_soon(self.keeping.run)
+                group.start_soon(self.restoring.run)
+                group.start_soon(self.gossip._tell_all)
+
+    def kill(self):
+        """End without a word."""
+        self.network.pop(self.address, None)
+        self.scope.cancel()
+
+    def is_ready(self):
+        return self.state.is_ready(anyio.current_time())
+
+    def is_key_served(self):
+        """Whether requests with the key go to targets now."""
+        fresh = self.state.proof.is_fresh(anyio.current_time())
+        return fresh and KEY in self.state.catalog.keys
+
+    def get_usable(self):
+        """Return the targets that may get new work."""
+        return {one.target_id for one in self.state.fleet.get_usable('svc')}
+
+    def _send(self, word, where):
+        raw = write_word(word, anyio.current_time())
+        for address in where:
+            self.state.group.start_soon(self._deliver, raw, address)
+
+    async def _deliver(self, raw, address):
+        await anyio.sleep(WAY_S)
+        other = self.network.get(address)
+        if other and self.network.get(self.address) is self:
+            other.gossip.take(raw, self.address)
+
+    async def _get(self, address, asked):
+        await anyio.sleep(WAY_S)
+        other = self.network.get(address)
+        if other is None:
+            raise WireError('connect', 'refused')
+        news = other.exchange.make_news(
+            self.state.version, with_past=bool(asked)
+        )
+        await anyio.sleep(WAY_S)
+        return json.loads(news)
+
+
+class World:
+    """A store with its operator and targets, and entries that come and go."""
+
+    def __init__(self, group):
+        self.group = group
+        self.store = Store(era=1)
+        self.network = {}
+        self.entries = []
+        self.version = 0
+        self.keys = [KEY]
+        self.targets = {}
+
+    def publish(self, version=None):
+        """Write the configuration, a newer one unless a version is given."""
+        self.version = version or self.version + 1
+        plain = {
+            'version': self.version,
+            'tenants': [{'name': 'team', 'apiKeys': self.keys}],
+        }
+        self.store.put_json(*CONFIG, plain)
+
+    def beat(self, target_id, state='ready', *, counts=True):
+        """Write a word of a target."""
+        self.targets[target_id] = self.targets.get(target_id, 0) + counts
+        plain = {
+            'service': 'svc',
+            'address': '10.0.0.1:80',
+            'zone': 'dc',
+            'state': state,
+            'slots': 8,
+            'sequence': self.targets[target_id],
+            'born': 1000,
+        }
+        self.store.put_json(TARGETS, target_id, plain)
+
+    def leave(self, target_id):
+        """Remove a target's entry; it writes no more."""
+        self.targets.pop(target_id)
+        self.store.put_json(TARGETS, target_id, None)
+
+    async def run_targets(self):
+        """Let all targets write as they do."""
+        while True:
+            await anyio.sleep(HEARTBEAT_S)
+            for target_id in list(self.targets):
+                self.beat(target_id)
+
+    async def start(self, number, life=1):
+        """Start an entry; return it a moment later."""
+        entry = RestoringEntry(number, self.network, self.group, life)
+        self.entries.append(entry)
+        self.group.start_soon(entry.live)
+        await anyio.sleep(0.2)
+        return entry
+
+    def kill_all(self):
+        """Kill all entries."""
+        for entry in self.entries:
+            entry.kill()
+        self.entries = []
+
+
+def run_world(count, scenario):
+    """Run `scenario(world, *entries)` with entries that have run a while."""
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            world = World(group)
+            StoreWire.store = world.store
+            StoreWire.requests = []
+            world.publish()
+            for number in range(3):
+                world.beat(f't{number}')
+            group.start_soon(world.run_targets)
+            for number in range(count):
+                await world.start(number)
+            await anyio.sleep(10)
+            found = await scenario(world, *world.entries)
+            group.cancel_scope.cancel()
+        return found
+
+    with patch.object(_log, 'Wire', StoreWire):
+        return run_virtually(main)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -46,6 +46,11 @@
 #: After what pause a target that has crashed starts again, in seconds: before
 #: its entry has lapsed, and after that.
 AGAIN_S = (0.2, 5)
+#: For how long the store is away before it comes back from a copy, how old that
+#: is, and after how long its writers have written again, in seconds.
+AWAY_S = (0.05, 1.5)
+OLD_S = (1, 8)
+REWRITTEN_S = (0, 1.8)
 #: Names of entries that name no target, and what no field of one may be.
 STRANGER = 'x-'
 STRANGE = (None, True, 0.5, [], {'a': 1})
@@ -202,6 +207,26 @@
     await anyio.sleep(0)
 
 
+async def restore_store(world: World, rng: Random) -> None:
+    """Let the store be away for a moment and come back from an older copy.
+
+    The operator and the targets write again what they had written.  A key may
+    have been taken away in a version that is lost before anybody has read it.
+    """
+    store = world.store
+    with noted(world, 'restore_store', ALL):
+        await anyio.sleep(rng.uniform(0, 1))
+        if rng.random() < HALF:
+            world.revoke()
+            await anyio.sleep(rng.uniform(0, 1))
+        store.status = 503
+        await anyio.sleep(rng.uniform(*AWAY_S))
+        store.go_back(rng.uniform(*OLD_S))
+        store.status = 200
+        await anyio.sleep(rng.uniform(*REWRITTEN_S))
+        store.write_again()
+
+
 async def crash_target(world: World, rng: Random) -> None:
     """Let a target die, and another come."""
     target = world.pick_target()
@@ -349,6 +374,19 @@
     shake_target: 2,
     hang_up: 1,
 }
+RESTORED: dict[FaultKind, int] = {
+    restore_store: 6,
+    kill_entry: 3,
+    kill_all: 2,
+    freeze_reader: 2,
+    cut_store: 2,
+    reset_store: 1,
+    restart_entry: 2,
+    crash_target: 2,
+    restart_target: 1,
+    drain_target: 3,
+    revoke_key: 2,
+}
 PLANS = MappingProxyType(
     {
         'mixed': MIXED,
@@ -356,6 +394,7 @@
         'standstill': STANDSTILL,
         'again': AGAIN,
         'deadly': DEADLY,
+        'restored': RESTORED,
     }
 )
 
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -3,22 +3,30 @@
 =====================
 
 The platform's log with its keyed topics.  It can be down, slow, lose
-answers of writes that it has carried out, and forget its history.
+answers of writes that it has carried out, forget its history, and come back
+from an older copy of itself.
 """
 
 import base64
 import json
 import struct
 from dataclasses import dataclass, field
+from typing import Any
 
 import anyio
 
-from tests.soak.serving import Exchange, Reset
+from tests.soak.serving import Exchange, Headers, Reset
 
 CONFIG = ('keyed.op', 'config')
 TARGETS = 'keyed.servers'
+#: Topics that only the operator and the targets write.
+OTHERS = (CONFIG[0], TARGETS)
 BOUNDS = struct.Struct('>QQ')
 LENGTH = struct.Struct('>I')
+#: The header that tells how often the store came back from a copy.
+ERA = 'Store-Era'
+#: Records on one page of the newest ones.
+PAGE = 500
 
 
 @dataclass
@@ -47,6 +55,20 @@
         self.records.clear()
         self.first = self.end
 
+    def get_page(self, after: str) -> dict[str, Any]:
+        """Return a page of the newest records, by their keys."""
+        later = sorted(key for key in self.newest if key > after)
+        items = [
+            {
+                'key': key,
+                'value': base64.b64encode(self.newest[key][1]).decode(),
+                'offset': self.newest[key][0],
+            }
+            for key in later[:PAGE]
+        ]
+        has_more = len(later) > PAGE
+        return {'items': items, 'hasMore': has_more, 'endOffset': self.end}
+
     def read(self, start: int) -> bytes:
         """Return the framed records from an offset on."""
         parts = [BOUNDS.pack(self.end, self.first)]
@@ -66,6 +88,9 @@
     delay_s: float = 0.002
     losing: bool = False
     calls: int = 0
+    era: int | None = None
+    written: list[tuple[float, str, str, bytes]] = field(default_factory=list)
+    lost: dict[tuple[str, str], bytes] = field(default_factory=dict)
 
     def get_topic(self, name: str) -> Topic:
         """Return a topic, made at its first use."""
@@ -74,20 +99,53 @@
     def put_json(self, topic: str, key: str, plain: dict | None) -> None:
         """Write as the operator or a target does."""
         text = json.dumps(plain).encode() if plain else b''
+        self.put(topic, key, text)
+
+    def put(self, topic: str, key: str, text: bytes) -> None:
+        """Append a record, and remember when."""
+        self.written.append((anyio.current_time(), topic, key, text))
+        self.lost.pop((topic, key), None)
         self.get_topic(topic).put(key, text)
 
+    def go_back(self, back_s: float) -> None:
+        """Come back from a copy that is `back_s` seconds old.
+
+        What was written since is gone, its offsets are given out again, and
+        reads that wait go on at what is there now.
+        """
+        until = anyio.current_time() - back_s
+        before, self.topics = self.topics, {}
+        for written_at, topic, key, text in self.written:
+            if written_at > until and topic in OTHERS:
+                self.lost[topic, key] = text
+        self.written = [one for one in self.written if one[0] <= until]
+        for _, topic, key, text in self.written:
+            self.get_topic(topic).put(key, text)
+        if self.era is not None:
+            self.era += 1
+        for topic in before.values():
+            topic.grown.set()
+
+    def write_again(self) -> None:
+        """Write what operator and targets have lost, and not written since."""
+        for (topic, key), text in list(self.lost.items()):
+            self.put(topic, key, text)
+
     async def handle(self, exchange: Exchange) -> None:
         """Answer one call."""
         self.calls += 1
         await anyio.sleep(self.delay_s)
         await self._wait_for_news(exchange)
         if self.status != 200:
-            await exchange.answer(self.status)
+            await exchange.answer(self.status, headers=self._get_headers())
             return
         status, body = self._call(exchange)
         if self.losing:
             raise Reset
-        await exchange.answer(status, body)
+        await exchange.answer(status, body, self._get_headers())
+
+    def _get_headers(self) -> Headers:
+        return [] if self.era is None else [(ERA, str(self.era))]
 
     async def _wait_for_news(self, exchange: Exchange) -> None:
         """Keep a read that is to wait until there is something new."""
@@ -102,18 +160,10 @@
         if exchange.path == '/log-append':
             return self._append(topic, exchange)
         if exchange.path == '/log-newest':
-            items = [
-                {
-                    'key': key,
-                    'value': base64.b64encode(text).decode(),
-                    'offset': offset,
-                }
-                for key, (offset, text) in topic.newest.items()
-            ]
-            page = {'items': items, 'hasMore': False, 'endOffset': topic.end}
+            page = topic.get_page(exchange.query.get('startAfter', ''))
             return 200, json.dumps(page).encode()
         start = int(exchange.query['from'])
-        if start < topic.first:
+        if not topic.first <= start <= topic.end:
             return 410, json.dumps({'firstOffset': topic.first}).encode()
         return 200, topic.read(start)
 
@@ -128,5 +178,9 @@
             size = LENGTH.unpack_from(raw)[0]
             record, raw = raw[4 : 4 + size], raw[4 + size :]
             key_end = 1 + record[0]
-            topic.put(record[1:key_end].decode(), record[key_end:])
+            self.put(
+                exchange.query['topic'],
+                record[1:key_end].decode(),
+                record[key_end:],
+            )
         return 200, json.dumps({'endOffset': topic.end}).encode()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -103,6 +103,8 @@
     async def start(self) -> None:
         """Start everything but the callers."""
         TICKETS_BY_NAME.clear()
+        if self.size.plan == 'restored':
+            self.store.era = 1
         self.timeouts_s = dict(TIMEOUT_S)
         for team in TEAMS:
             for number in range(KEYS_A_TEAM):
