Epochs of the store: what is of one copy says nothing of another

Cause: a read went on at an offset that another copy had given out again; a copy that lacked the version that took a key away proved that the key was good; entries that started after a restore took what was in the copy for the newest; addresses, quarantine and spent trials were gone. Ruled out: each topic noticing by itself, which can't see a log that has grown again to the same end; taking the copy's word at once; each entry writing its own address again. Change: the adapter reads the epoch of each answer; offsets, pages and claims belong to one; an answer that is older, or tells none, proves nothing. A new epoch's copy proves nothing for 2.2 s; what it lacks is held; readers write again what is missing, once, and record the epochs that were waited in; an entry that starts then asks three neighbours. Stores that tell no epoch are read as before, call for call. Not done: the stand-in of the own interface's log does not go back.

--- a/tests/following.py
+++ b/tests/following.py
@@ -48,6 +48,8 @@
 class Reading:
     """One entry's reads of the store, each from where the last one ended."""
 
+    epoch = None
+
     def __init__(self, store):
         self.store = store
         self.position = 0
@@ -123,7 +125,7 @@
         """Take a datagram."""
         self.gossip.take(raw, sender)
 
-    async def _get(self, address):
+    async def _get(self, address, asked):
         return json.loads(self.network[address].exchange.make_news())
 
 
--- a/tests/living.py
+++ b/tests/living.py
@@ -75,13 +75,13 @@
         await other.running.wait()
         other.take(raw, self.address)
 
-    async def _get(self, address):
+    async def _get(self, address, asked):
         await anyio.sleep(WAY_S)
         if self.network[address].closed:
             raise WireError('connect', 'refused')
         await self.network[address].running.wait()
         await anyio.sleep(WAY_S)
-        return await FollowingEntry._get(self, address)
+        return await FollowingEntry._get(self, address, asked)
 
 
 class SlowStore(Store):
--- a/tests/stub_store.py
+++ b/tests/stub_store.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from trestledock.platform._epochs import StoreEpochs
 from trestledock.platform._log import LENGTH, StoreClient
 
 
@@ -54,7 +55,7 @@
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         async with anyio.create_task_group() as group:
             group.start_soon(serve_quietly, listener, stub)
-            await scenario(StoreClient(f'127.0.0.1:{port}'))
+            await scenario(StoreClient(f'127.0.0.1:{port}', StoreEpochs()))
             group.cancel_scope.cancel()
         await listener.aclose()
 
--- a/tests/test_entry_following.py
+++ b/tests/test_entry_following.py
@@ -24,6 +24,8 @@
 class StubDirectory:
     """A store whose parts answer or fail, and that counts its calls."""
 
+    epoch = None
+
     def __init__(self):
         self.down = {'catalog': False, 'targets': False}
         self.calls = []
--- a/tests/test_entry_keeping.py
+++ b/tests/test_entry_keeping.py
@@ -1,15 +1,16 @@
 """What is quarantined outlives the entries that have seen it."""
 
 import unittest
+from random import Random
 
 import anyio
 
-from tests.relaying import make_listed
+from tests.relaying import SETTINGS, make_listed
 from tests.virtual_loop import run_virtually
-from trestledock.entry import DirectoryError, StoredQuarantine
-from trestledock.entry._isolation import Isolation
+from trestledock.entry import DirectoryError, Place, StoredQuarantine
 from trestledock.entry._keeping import CLAIM_S, WAIT_S, Keeping
-from trestledock.relay import Fleet, Health, Sign
+from trestledock.entry._state import EntryState
+from trestledock.relay import Sign
 
 TARGETS = tuple(make_listed(number, 80 + number) for number in range(5))
 
@@ -40,7 +41,7 @@
 
     async def read_whole(self):
         self._check()
-        return StoredQuarantine((), 0)
+        return StoredQuarantine((), Place(0, None))
 
     def _check(self):
         self.calls += 1
@@ -52,9 +53,10 @@
     """The part of an entry that keeps requests from targets."""
 
     def __init__(self, topic, *, reads):
-        self.isolation = Isolation(Health(), Fleet())
+        state = EntryState(SETTINGS, 'entry-1#a', Random(1), None)
+        self.isolation = state.isolation
         self.isolation.ways.look = self._look
-        self.keeping = Keeping(self.isolation, topic, lambda: reads)
+        self.keeping = Keeping(state, topic, lambda: reads)
 
     async def see_ends(self, count):
         """See so many targets end under a request."""
--- a/tests/test_entry_news.py
+++ b/tests/test_entry_news.py
@@ -26,7 +26,7 @@
 
 
 def make_reply(asked_at, age_s=0.1, version=1, revision=7):
-    return Reply(READER, asked_at, age_s, age_s, version, revision)
+    return Reply(READER, asked_at, age_s, age_s, age_s, version, revision)
 
 
 class AgeTest(unittest.TestCase):
@@ -89,7 +89,7 @@
             exchange._take_reply(make_reply(now, age_s=3), None)
             self.assertFalse(exchange.take_proof(READER))
 
-            async def get(address):
+            async def get(address, asked):
                 plain = json.loads(exchange.make_news())
                 return {**plain, 'list_age_s': 3, 'targets': []}
 
@@ -109,7 +109,7 @@
             exchange._take_reply(make_reply(now), None)
             self.assertTrue(exchange.take_proof(READER))
 
-            async def get(address):
+            async def get(address, asked):
                 plain = json.loads(exchange.make_news())
                 return {**plain, 'list_age_s': 0.1}
 
@@ -147,7 +147,7 @@
         found = []
 
         async def scenario(exchange):
-            async def get(address):
+            async def get(address, asked):
                 plain = json.loads(exchange.make_news())
                 plain.update(changes)
                 return {
--- a/tests/test_entry_stale.py
+++ b/tests/test_entry_stale.py
@@ -69,14 +69,14 @@
             news = other.exchange.fetch(first.name, 1)
             get = other.exchange._get
 
-            async def get_slowly(address):
+            async def get_slowly(address, asked):
                 await anyio.sleep(STEP_S)
                 await second.read()
                 await anyio.sleep(STEP_S)
                 change(store)
                 await first.read()
                 await anyio.sleep(BUSY_S)
-                return await get(address)
+                return await get(address, asked)
 
             other.exchange._get = get_slowly
             other.follower._take_list(await news)
--- a/tests/test_entry_words.py
+++ b/tests/test_entry_words.py
@@ -54,7 +54,7 @@
     Cleared('e', 'f', ('t1@5', 't2')),
     Fresh('e', 0.25),
     Question('e', 17.5),
-    Reply('e', 17.5, 0.25, 0.5, 7, 40),
+    Reply('e', 17.5, 0.25, 0.125, 0.5, 7, 40),
 )
 ANY_JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -242,7 +242,7 @@
             Record('other', b'{}'),
         ]
         found = anyio.run(make_directory(records).read_peers)
-        self.assertEqual(found, {'e1': '10.0.0.1:7000'})
+        self.assertEqual(found.addresses, {'e1': '10.0.0.1:7000'})
 
 
 class SplitTest(unittest.TestCase):
--- a/tests/test_platform_log.py
+++ b/tests/test_platform_log.py
@@ -11,6 +11,7 @@
     run_with_stub,
 )
 from trestledock.entry import DirectoryError, WireError
+from trestledock.platform._epochs import StoreEpochs
 from trestledock.platform._log import (
     BOUNDS,
     KeyedTopic,
@@ -148,7 +149,8 @@
             port = listener.extra(anyio.abc.SocketAttribute.local_port)
             async with anyio.create_task_group() as group:
                 group.start_soon(listener.serve, stub.serve)
-                topic = KeyedTopic(StoreClient(f'127.0.0.1:{port}'), 'keyed.op')
+                client = StoreClient(f'127.0.0.1:{port}', StoreEpochs())
+                topic = KeyedTopic(client, 'keyed.op')
                 await topic.read()
                 await anyio.sleep(0.1)
                 batch = await topic.read()
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -2,16 +2,19 @@
 
 import json
 import unittest
+from random import Random
 
 import anyio
 
+from tests.relaying import SETTINGS
 from tests.soak.serving import serve_stream
 from tests.soak.store import Store
 from trestledock.entry import DirectoryError
-from trestledock.entry._isolation import Isolation
 from trestledock.entry._keeping import Keeping
+from trestledock.entry._state import EntryState
+from trestledock.platform._epochs import StoreEpochs
 from trestledock.platform._quarantine import TOPIC, QuarantineTopic
-from trestledock.relay import Fleet, Health, Quarantined
+from trestledock.relay import Quarantined
 
 RECORD = Quarantined('f', ('t1@1', 't2@1', 't3@2'), age_s=70)
 
@@ -29,7 +32,10 @@
 
         async with anyio.create_task_group() as group:
             group.start_soon(listener.serve, serve)
-            topics = [QuarantineTopic(f'127.0.0.1:{port}') for _ in range(2)]
+            topics = [
+                QuarantineTopic(f'127.0.0.1:{port}', StoreEpochs())
+                for _ in range(2)
+            ]
             await scenario(store, *topics)
             group.cancel_scope.cancel()
         await listener.aclose()
@@ -39,8 +45,8 @@
 
 async def claim_trial(topic, record):
     """Take the right to a trial, as an entry does that never asked before."""
-    isolation = Isolation(Health(), Fleet())
-    return await Keeping(isolation, topic, bool)._claim(record)
+    state = EntryState(SETTINGS, 'entry-1#a', Random(1), None)
+    return await Keeping(state, topic, bool)._claim(record)
 
 
 class QuarantineTopicTest(unittest.TestCase):
--- a/trestledock/entry/__init__.py
+++ b/trestledock/entry/__init__.py
@@ -15,17 +15,20 @@
 )
 from trestledock.entry._daemon import run_entry
 from trestledock.entry._dialect import (
+    Announced,
     AnswerNote,
     Dialect,
     Directory,
     News,
     Order,
     Passing,
+    Place,
     StoredQuarantine,
     TargetNews,
 )
 from trestledock.entry._events import (
     EVENTS,
+    EpochDoubted,
     HistoryForgotten,
     OldRecord,
     RecordIgnored,
@@ -37,11 +40,13 @@
 
 __all__ = (
     'EVENTS',
+    'Announced',
     'AnswerNote',
     'Dialect',
     'Directory',
     'DirectoryError',
     'EntrySettings',
+    'EpochDoubted',
     'Head',
     'Headers',
     'HistoryForgotten',
@@ -49,6 +54,7 @@
     'OldRecord',
     'Order',
     'Passing',
+    'Place',
     'RecordIgnored',
     'StoredQuarantine',
     'TargetNews',
--- a/trestledock/entry/_app.py
+++ b/trestledock/entry/_app.py
@@ -18,7 +18,7 @@
 from trestledock.entry._datagrams import split_address
 from trestledock.entry._logger import emit
 from trestledock.entry._metrics import METRICS
-from trestledock.entry._news import VERSION_FIELD, NewsExchange
+from trestledock.entry._news import PAST_FIELD, VERSION_FIELD, NewsExchange
 from trestledock.entry._relaying import Relayer
 from trestledock.entry._reply import CutReply, Reply, Send
 from trestledock.entry._state import NO_VERSION, EntryState
@@ -95,8 +95,11 @@
         reply = Reply(send)
         headers = ((b'content-type', b'application/json'),)
         await reply.start(HTTPStatus.OK, headers)
-        version = _read_version(scope['query_string'])
-        await reply.finish(self.exchange.make_news(version))
+        query = scope['query_string']
+        news = self.exchange.make_news(
+            _read_version(query), with_past=_asks_for_past(query)
+        )
+        await reply.finish(news)
 
     async def _serve(
         self,
@@ -141,6 +144,15 @@
     return int(found) if found.isdigit() else NO_VERSION
 
 
+def _asks_for_past(query: bytes) -> bool:
+    """Whether a peer asks for the targets that have left, too.
+
+    >>> _asks_for_past(b'version=7&past=1'), _asks_for_past(b'version=7')
+    (True, False)
+    """
+    return PAST_FIELD in parse_qs(query.decode('latin-1'))
+
+
 async def _read_body(receive: Receive) -> Body:
     parts = []
     digest = sha256()
--- a/trestledock/entry/_checks.py
+++ b/trestledock/entry/_checks.py
@@ -39,6 +39,15 @@
     return count
 
 
+def read_optional_count(plain: Any) -> int | None:
+    """Return a whole number that is not negative, or None where there is none.
+
+    >>> read_optional_count(None), read_optional_count(3)
+    (None, 3)
+    """
+    return None if plain is None else read_count(plain)
+
+
 def read_amount(plain: Any) -> float:
     """Return a finite number.
 
--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -28,6 +28,7 @@
 from trestledock.entry._pool import Pool
 from trestledock.entry._relaying import Relayer
 from trestledock.entry._sending import Sender
+from trestledock.entry._restoring import Restoring
 from trestledock.entry._server import Server, listen
 from trestledock.entry._settings import EntrySettings
 from trestledock.entry._state import EntryState
@@ -118,10 +119,12 @@
     sender = Sender(state, pool, dialect, tickets)
     relayer = Relayer(state, dialect, sender)
     app = EntryApp(state, relayer, dialect, exchange)
-    keeping = Keeping(state.isolation, directory.quarantine, follower.is_reader)
+    keeping = Keeping(state, directory.quarantine, follower.is_reader)
+    restoring = Restoring(state, directory, gossip, follower.is_reader)
     state.isolation.ways.look = pool.look
     state.keep_running(follower.run)
     state.keep_running(keeping.run)
+    state.keep_running(restoring.run)
     state.keep_running(gossip.run)
     group.start_soon(listen, state, app, server)
 
--- a/trestledock/entry/_datagrams.py
+++ b/trestledock/entry/_datagrams.py
@@ -54,6 +54,16 @@
         self._socket.close()
 
 
+def join_address(address: Address) -> str:
+    """Return an address as `IP:PORT`.
+
+    >>> join_address(('10.0.0.1', 80))
+    '10.0.0.1:80'
+    """
+    host, port = address
+    return f'{host}:{port}'
+
+
 def split_address(address: str) -> Address:
     """Return the parts of `IP:PORT`."""
     host, _, port = address.rpartition(':')
--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -14,9 +14,10 @@
     Body,
     Call,
     Catalog,
-    Quarantined,
+    GoneTarget,
     Listed,
     Placement,
+    Quarantined,
 )
 
 
@@ -91,7 +92,10 @@
     closely enough to know that what is missing has not only lapsed.  `held` has
     what is missing and may have lapsed, for those that never knew it;
     `revision` is that of the list at its source.  `quarantine` has the requests
-    that go to no target.
+    that go to no target.  `epoch` is that of the copy of the store that was
+    read, None for a store that tells none; `gone` and `leaving` have the
+    targets that are gone and the incarnations that said that they leave, where
+    somebody asked for them.
     """
 
     catalog: Catalog | None = None
@@ -105,6 +109,9 @@
     source: str = 'store'
     revision: int = 0
     quarantine: tuple[Quarantined, ...] = ()
+    epoch: int | None = None
+    gone: tuple[GoneTarget, ...] = ()
+    leaving: tuple[str, ...] = ()
 
 
 class Dialect(Protocol):
@@ -133,12 +140,33 @@
         """Return the order that gives memory back."""
 
 
+@dataclass(frozen=True)
+class Place:
+    """A place between records, in the copy of the store of an epoch."""
+
+    offset: int
+    epoch: int | None
+
+
 @dataclass(frozen=True)
 class StoredQuarantine:
-    """All records of quarantined requests; `end` is the offset behind them."""
+    """All records of quarantined requests; `end` is the place behind them."""
 
     records: tuple[Quarantined, ...]
-    end: int
+    end: Place
+
+
+@dataclass(frozen=True)
+class Announced:
+    """What entries have written: their addresses by name.
+
+    `settled_epoch` is the newest epoch of the store in which one of them has
+    waited for what was lost, None where none ever has.
+    """
+
+    addresses: Mapping[str, str]
+    epoch: int | None = None
+    settled_epoch: int | None = None
 
 
 class QuarantineStore(Protocol):
@@ -153,9 +181,9 @@
     async def write_records(
         self,
         records: Iterable[Quarantined],
-        expected_end: int | None = None,
+        expected: Place | None = None,
     ) -> bool:
-        """Write records; return whether none had come behind that offset."""
+        """Write records; return whether none had come behind that place."""
 
 
 class Directory(Protocol):
@@ -165,6 +193,10 @@
     def quarantine(self) -> QuarantineStore:
         """Return the part that holds requests."""
 
+    @property
+    def epoch(self) -> int | None:
+        """Return the newest epoch of the store that was heard, if any."""
+
     async def read_catalog(self) -> News:
         """Return the newest configuration where it changed."""
 
@@ -174,8 +206,11 @@
     async def read_targets(self) -> News:
         """Return what changed among the targets."""
 
-    async def read_peers(self) -> dict[str, str]:
-        """Return the addresses of the entries, by name."""
+    async def read_peers(self) -> Announced:
+        """Return what the entries have written."""
+
+    async def announce(self, addresses: Mapping[str, str]) -> None:
+        """Publish addresses of entries, by name."""
 
-    async def announce(self, name: str, address: str) -> None:
-        """Publish the own address."""
+    async def announce_settled(self, epoch: int) -> None:
+        """Publish that what the store lost before an epoch is there again."""
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -337,6 +337,32 @@
     topic: str
 
 
+class StoreRestored(Event):
+    """The store came back from an older copy, as its answers or others say.
+
+    `version` is that of the configuration in force, which stays.
+    """
+
+    source: str
+    before: int | None
+    epoch: int | None
+    version: int
+
+
+class EpochDoubted(Event):
+    """An answer of the store has an epoch that can't follow the one before."""
+
+    before: str
+    told: str
+
+
+class WrittenAgain(Event):
+    """What a restored store lacked was written once more."""
+
+    what: str
+    keys: list[str]
+
+
 class DatagramDropped(Event):
     """A datagram could not be sent, or made no sense."""
 
--- a/trestledock/entry/_following.py
+++ b/trestledock/entry/_following.py
@@ -40,6 +40,12 @@
 PEERS_S = 120.0
 #: How long to wait after the first list of peers could not be read, in seconds.
 PEERS_RETRY_S = 1.0
+#: How many neighbours an entry asks that starts after a restore of the store:
+#: some of them may have started just now, too, and know no more.
+MOST_CONSULTED = 3
+#: How long it waits for their answers to its greeting first, in seconds: some
+#: tens of times the way there and back.
+GREETING_S = 0.06
 #: What pauses are multiplied by at random, so that entries don't keep step.
 JITTER = (0.9, 1.1)
 
@@ -76,6 +82,17 @@
         """Whether this entry reads the store for itself and for others."""
         return self._reader == self.state.member
 
+    async def consult(self) -> None:
+        """Ask neighbours for what a store may lack that was just restored.
+
+        They may know a newer configuration, and targets that have left; and
+        what they have proven of the store before counts for this entry, too.
+        """
+        await anyio.sleep(GREETING_S)
+        for name in self.gossip.peers.get_near()[:MOST_CONSULTED]:
+            await self.exchange.ask(name)
+            await self._fetch(name, with_past=True)
+
     async def _follow(self) -> None:
         while True:
             now = anyio.current_time()
@@ -96,9 +113,11 @@
             await self.reading.read()
         await self._sleep(self._get_ask_pause_s(anyio.current_time()))
 
-    async def _fetch(self, reader: str) -> None:
+    async def _fetch(self, reader: str, *, with_past: bool = False) -> None:
         now = anyio.current_time()
-        news = await self.exchange.fetch(reader, self._get_fetch_s(now))
+        news = await self.exchange.fetch(
+            reader, self._get_fetch_s(now), with_past=with_past
+        )
         if news and self._apply_passed_on(news):
             self._vain = 0
             self._take_list(news)
@@ -136,7 +155,13 @@
         return min(pause_s, due_in_s) if due_in_s > 0 else pause_s
 
     def _take_list(self, news: News) -> None:
-        """Take another entry's list if it is surely newer than the own one."""
+        """Take another entry's list if it is surely newer than the own one.
+
+        What it knows of the past counts in any case.
+        """
+        now = anyio.current_time()
+        self.state.note_told_epoch(news.epoch, now, news.source)
+        self.listing.take_past(news)
         if news.as_of > self.state.fleet.watch.latest_at:
             self.listing.take(news)
             self.exchange.note_taken(news)
@@ -187,6 +212,8 @@
         for step in (self.reading.announce, self.reading.meet_peers):
             while not await step():
                 await self._sleep(PEERS_RETRY_S)
+        if not self.state.restores.is_settled(anyio.current_time()):
+            await self.consult()
         while True:
             await self._sleep(PEERS_S)
             await self.reading.meet_peers()
--- a/trestledock/entry/_isolation.py
+++ b/trestledock/entry/_isolation.py
@@ -74,6 +74,7 @@
 #: end says little, and each word goes to everybody.
 LEAST_TOLD = 2
 SELF = 'self'
+#: Who says something where that is the platform's store.
 STORE = 'store'
 
 Look = Callable[[Listed], Awaitable[Sign]]
@@ -129,6 +130,7 @@
         self._open = OpenEnds()
         self._witnessed: set[str] = set()
         self._claiming: set[str] = set()
+        self._tried: set[str] = set()
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Whether a request goes to no target."""
@@ -163,6 +165,7 @@
         if not granted or not self.is_quarantined(fingerprint):
             return False
         self.quarantine.note_trial(fingerprint, now)
+        self._tried.add(fingerprint)
         self.revision += 1
         emit(events.TrialGranted(fingerprint))
         return True
@@ -260,6 +263,14 @@
         """Whether a lost word of an end would matter."""
         return self.quarantine.count_ends(end.fingerprint) >= LEAST_TOLD
 
+    def note_restore(self) -> None:
+        """Have the store know again of trials that it may have lost.
+
+        Others need not have heard of them yet, and would try once more.
+        """
+        for fingerprint in filter(self.is_quarantined, self._tried):
+            self._keep(fingerprint)
+
     def take_to_keep(self) -> list[Quarantined]:
         """Return what the store is to know; nothing waits any more."""
         now = anyio.current_time()
--- a/trestledock/entry/_keeping.py
+++ b/trestledock/entry/_keeping.py
@@ -16,9 +16,10 @@
 
 from trestledock.entry import _events as events
 from trestledock.entry._dialect import QuarantineStore
-from trestledock.entry._isolation import STORE, Isolation
+from trestledock.entry._isolation import STORE
 from trestledock.entry._logger import emit
 from trestledock.entry._reading import EXPECTED
+from trestledock.entry._state import EntryState
 from trestledock.relay import Quarantined
 
 #: How long one read waits for something new, in seconds: an open connection may
@@ -42,17 +43,18 @@
 
     def __init__(
         self,
-        isolation: Isolation,
+        state: EntryState,
         store: QuarantineStore,
         is_reader: Callable[[], bool],
     ) -> None:
         """Keep the store; `is_reader` says whether others are told by it."""
-        self.isolation = isolation
+        self.state = state
+        self.isolation = state.isolation
         self.store = store
         self.is_reader = is_reader
         self._vain = 0
         self._claim_at = float('-inf')
-        isolation.ways.claim = self.claim
+        self.isolation.ways.claim = self.claim
 
     async def run(self) -> None:
         """Read and write until cancelled."""
@@ -77,9 +79,14 @@
         """Write that a request is tried now, unless somebody else wrote.
 
         Of several claims one succeeds: each holds only where the records still
-        end where they were read to.
+        end where they were read to.  After a restore of the store there is none
+        until others have had the time to write again what they tried.
         """
         stored = await self.store.read_whole()
+        now = anyio.current_time()
+        self.state.note_epoch(stored.end.epoch, now)
+        if not self.state.restores.is_settled(now):
+            return False
         for known in stored.records:
             if known.fingerprint == record.fingerprint and not known.is_due:
                 return False
--- a/trestledock/entry/_listing.py
+++ b/trestledock/entry/_listing.py
@@ -57,6 +57,12 @@
         if not self.fleet.watch.is_settled(now):
             self._hold(news, now)
 
+    def take_past(self, news: News) -> None:
+        """Take what another entry knows of targets that have left."""
+        self.fleet.leaving.update(news.leaving)
+        dropped = self.fleet.take_gone(news.gone)
+        self._forget(dropped, news.source)
+
     async def run(self) -> None:
         """Drop held targets whose time is over, until cancelled."""
         looked_at = anyio.current_time()
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -63,6 +63,11 @@
         events.TrialGranted: Counting('Trials of requests in quarantine'),
         events.SuspectForgotten: Counting('Requests whose ends were forgotten'),
         events.StoreLost: Counting('Losses of the store', ('step',)),
+        events.StoreRestored: Counting('Restores of the store from a copy'),
+        events.EpochDoubted: Counting('Answers of the store without sense'),
+        events.WrittenAgain: Counting(
+            'Writes of what the store had lost', ('what',)
+        ),
         events.TargetHeld: Counting('Missing targets that may have lapsed'),
         events.ListDisturbed: Counting('Lists of targets after a disturbance'),
         events.OldRecord: Counting('Records of targets after newer ones'),
@@ -111,6 +116,8 @@
     {
         'in_progress': 'Requests in progress',
         'proof_age_seconds': 'Age of what is known of the configuration',
+        'read_age_seconds': 'Time since the configuration was read',
+        'store_epoch': 'Epoch of the store, -1 for one that tells none',
         'version': 'Version of the configuration in force',
         'targets': 'Targets that are listed',
         'targets_held': 'Targets that are missing but may have lapsed',
--- a/trestledock/entry/_news.py
+++ b/trestledock/entry/_news.py
@@ -12,6 +12,7 @@
 import json
 from types import MappingProxyType
 from typing import Any, Callable, Mapping
+from urllib.parse import urlencode
 
 import anyio
 from trestledock.entry import _events as events
@@ -20,6 +21,7 @@
     read_count,
     read_flag,
     read_list,
+    read_optional_count,
     read_text,
     read_whole,
 )
@@ -30,7 +32,13 @@
 from trestledock.entry._state import MOST_AGE_S, NO_VERSION, EntryState
 from trestledock.entry._wire import Wire, WireError
 from trestledock.entry._words import Question, Reply
-from trestledock.relay import UNTOLD, Listed, Quarantined, Standing
+from trestledock.relay import (
+    UNTOLD,
+    GoneTarget,
+    Listed,
+    Quarantined,
+    Standing,
+)
 
 #: The fields of a target as they are passed on, with what reads them.
 TARGET_FIELDS: Mapping[str, Callable[[Any], Any]] = MappingProxyType(
@@ -50,6 +58,8 @@
 OK = 200
 NEWS_PATH = '/news'
 VERSION_FIELD = 'version'
+#: Asks for the targets that have left, too.
+PAST_FIELD = 'past'
 #: Whose list the own one is, and at which revision, where it is nobody's.
 NOBODY = ('', -1)
 
@@ -98,28 +108,41 @@
         reply = self._reply
         if reply is None or reply.sender != reader:
             return False
+        now = anyio.current_time()
+        self.state.note_told_epoch(reply.epoch, now, reader)
         is_behind = reply.version > self.state.version
         if not is_behind:
             self.state.proof.renew(reply.asked_at - reply.proof_age_s)
+            self.state.proof.note_read(reply.asked_at - reply.read_age_s)
         listed_at = reply.asked_at - reply.list_age_s
         if listed_at <= self.state.fleet.watch.read_at:
             return is_behind
         if self._taken != (reader, reply.revision):
             return True
-        now = anyio.current_time()
         latest_at = now - reply.list_age_s
         self.state.note_list(listed_at, now, reader, latest_at)
         return is_behind
 
-    async def fetch(self, reader: str, limit_s: float) -> News | None:
-        """Fetch what the reader knows; None where it can't be had in time."""
+    async def fetch(
+        self,
+        reader: str,
+        limit_s: float,
+        *,
+        with_past: bool = False,
+    ) -> News | None:
+        """Fetch what the reader knows; None where it can't be had in time.
+
+        With its past it tells of the targets that have left, too.
+        """
         peer = self.gossip.peers.known.get(reader)
         if peer is None:
             return None
         asked_at = anyio.current_time()
         try:
             with anyio.fail_after(limit_s):
-                plain = await self._get(peer.address)
+                plain = await self._get(
+                    peer.address, {PAST_FIELD: 1} if with_past else {}
+                )
             now = anyio.current_time()
             return _read_news(plain, asked_at, now, reader)
         except BAD_NEWS as exc:
@@ -134,7 +157,9 @@
         """Note that the own list is nobody else's any more."""
         self._taken = NOBODY
 
-    def make_news(self, version: int = NO_VERSION) -> bytes:
+    def make_news(
+        self, version: int = NO_VERSION, *, with_past: bool = False
+    ) -> bytes:
         """Return what this entry knows, for one that has a version.
 
         The document is left out where that is the own one: lists change with
@@ -159,7 +184,13 @@
             'targets': [write_target(one) for one in fleet.get_listed()],
             'held': held,
             'quarantine': quarantine,
+            'epoch': self.state.restores.epoch,
         }
+        if with_past:
+            plain['gone'] = [
+                (one.target_id, *one.order) for one in fleet.get_gone()
+            ]
+            plain['leaving'] = sorted(fleet.leaving)
         return json.dumps(plain, separators=(',', ':')).encode()
 
     def _get_document(self, version: int) -> str:
@@ -172,9 +203,11 @@
             sender=self.state.member,
             asked_at=question.asked_at,
             proof_age_s=min(self.state.proof.get_age_s(now), MOST_AGE_S),
+            read_age_s=min(self.state.proof.get_read_age_s(now), MOST_AGE_S),
             list_age_s=min(self.state.get_list_age_s(now), MOST_AGE_S),
             version=self.state.version,
             revision=self.state.revision,
+            epoch=self.state.restores.epoch,
         )
         self.gossip.send(reply, [sender])
         return False
@@ -184,9 +217,12 @@
         self._answered.set()
         return False
 
-    async def _get(self, address: Address) -> dict[str, Any]:
+    async def _get(
+        self, address: Address, asked: Mapping[str, int]
+    ) -> dict[str, Any]:
         host, port = address
-        path = f'{NEWS_PATH}?{VERSION_FIELD}={self.state.version}'
+        query = urlencode({VERSION_FIELD: self.state.version, **asked})
+        path = f'{NEWS_PATH}?{query}'
         wire = await Wire.connect(f'{host}:{port}')
         try:
             headers = ((b'host', host.encode()),)
@@ -224,6 +260,13 @@
     )
 
 
+def _read_gone(plain: Any) -> GoneTarget:
+    target_id, born, sequence = read_list(plain)
+    return GoneTarget(
+        read_text(target_id), (read_whole(born), read_whole(sequence))
+    )
+
+
 def _write_quarantined(one: Quarantined) -> dict[str, Any]:
     return {
         'fingerprint': one.fingerprint,
@@ -252,7 +295,7 @@
 ) -> News:
     """Return what an entry knows, or raise where it makes no sense.
 
-    An older one says nothing of held targets, nor of requests.
+    An older one says nothing of held targets, of requests, nor of epochs.
     """
     listed = map(read_target, read_list(plain['targets']))
     age_s = read_amount(plain['list_age_s'])
@@ -268,4 +311,7 @@
         source=reader,
         revision=read_whole(plain['revision']),
         quarantine=tuple(map(_read_quarantined, quarantined)),
+        epoch=read_optional_count(plain.get('epoch')),
+        gone=tuple(map(_read_gone, read_list(plain.get('gone', [])))),
+        leaving=tuple(map(read_text, read_list(plain.get('leaving', [])))),
     )
--- a/trestledock/entry/_reading.py
+++ b/trestledock/entry/_reading.py
@@ -50,6 +50,7 @@
         self.exchange = exchange
         self.failed_at = float('-inf')
         self._lost: set[str] = set()
+        self._unproven_at = float('-inf')
         self._steps = [self._read_targets, self._read_catalog]
 
     async def read(self) -> None:
@@ -115,12 +116,29 @@
 
     async def _read_catalog(self) -> None:
         asked_at = anyio.current_time()
-        self.apply(await self.directory.read_catalog())
-        self.state.proof.renew(asked_at)
+        news = await self.directory.read_catalog()
+        self._note_epoch()
+        self.apply(news)
+        self.state.proof.note_read(asked_at)
+        if news.epoch == self.state.restores.epoch:
+            self._unproven_at = asked_at
+            self._prove()
+
+    def _prove(self) -> None:
+        """Renew the proof by the last read, unless its copy may lack something.
+
+        A key may have been taken away by a version that the store has lost.
+        """
+        if self.state.restores.is_settled(anyio.current_time()):
+            self.state.proof.renew(self._unproven_at)
+
+    def _note_epoch(self) -> None:
+        self.state.note_epoch(self.directory.epoch, anyio.current_time())
 
     async def _read_targets(self) -> None:
         asked_at = anyio.current_time()
         news = await self.directory.read_targets()
+        self._note_epoch()
         known = self.state.fleet.revision
         self.listing.take(replace(news, as_of=asked_at))
         if self.state.fleet.revision != known:
@@ -128,10 +146,15 @@
 
     async def _announce(self) -> None:
         settings = self.state.settings
-        await self.directory.announce(settings.instance, settings.peers)
+        await self.directory.announce({settings.instance: settings.peers})
 
     async def _meet_peers(self) -> None:
-        self.exchange.gossip.meet(await self.directory.read_peers())
+        announced = await self.directory.read_peers()
+        self.exchange.gossip.meet(announced.addresses)
+        self._note_epoch()
+        if announced.epoch == self.state.restores.epoch:
+            self.state.restores.note_recorded(announced.settled_epoch)
+            self._prove()
 
     def _note_lost(self, step: str, exc: Exception) -> None:
         if step not in self._lost:
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -15,7 +15,7 @@
 from anyio.abc import TaskGroup
 
 from trestledock.entry import _events as events
-from trestledock.entry._isolation import Isolation
+from trestledock.entry._isolation import STORE, Isolation
 from trestledock.entry._logger import emit
 from trestledock.entry._reply import Reply
 from trestledock.entry._settings import EntrySettings
@@ -28,6 +28,7 @@
     Placer,
     Proof,
     Reach,
+    Restores,
     RetryWindow,
 )
 
@@ -37,6 +38,8 @@
 MOST_AGE_S = 1_000_000
 #: What stands for the version where none is in force.
 NO_VERSION = -1
+#: What is shown as the epoch of a store that tells none.
+NO_EPOCH = -1
 MS = 1000
 
 
@@ -84,6 +87,7 @@
     board: Board = field(default_factory=Board)
     health: Health = field(default_factory=Health)
     reach: Reach = field(default_factory=Reach)
+    restores: Restores = field(default_factory=Restores)
     waits: set[Wait] = field(default_factory=set)
     windows: dict[str, RetryWindow] = field(default_factory=dict)
     early: RetryWindow = field(default_factory=_make_early_window)
@@ -95,6 +99,7 @@
     many_entries: bool = False
     changed: anyio.Event = field(default_factory=anyio.Event)
     own_changed: anyio.Event = field(default_factory=anyio.Event)
+    restored: anyio.Event = field(default_factory=anyio.Event)
     catch_up: Callable[[], None] = _do_nothing
     isolation: Isolation = field(init=False)
     proof: Proof = field(init=False)
@@ -240,13 +245,27 @@
         if watch.disturbed_at == now:
             emit(events.ListDisturbed(source, round(gap_s * MS)))
 
+    def note_epoch(self, epoch: int | None, now: float) -> None:
+        """Note which copy of the store was read."""
+        before = self.restores.epoch
+        if self.restores.note(epoch, now):
+            self._note_restore(STORE, before, epoch, now)
+
+    def note_told_epoch(
+        self, epoch: int | None, now: float, source: str
+    ) -> None:
+        """Note which copy of the store another entry knows."""
+        before = self.restores.epoch
+        if self.restores.note_told(epoch):
+            self._note_restore(source, before, epoch, now)
+
     def get_news_age_s(self, now: float) -> float:
-        """Return the age of the older of what is known from the store.
+        """Return how long ago the older of what is known was read.
 
         A reader is only as good as the older of its configuration and its
         list of targets.
         """
-        return max(self.proof.get_age_s(now), self.get_list_age_s(now))
+        return max(self.proof.get_read_age_s(now), self.get_list_age_s(now))
 
     def get_offered_age_s(self, now: float) -> float:
         """Return the age of the news for those who might ask for it.
@@ -264,9 +283,12 @@
 
     def get_gauges(self, now: float) -> dict[str, float]:
         """Return the levels that the metrics show."""
+        epoch = self.restores.epoch
         return {
             'in_progress': self.in_progress,
             'proof_age_seconds': self.proof.get_age_s(now),
+            'read_age_seconds': self.proof.get_read_age_s(now),
+            'store_epoch': NO_EPOCH if epoch is None else epoch,
             'version': self.version,
             'targets': len(self.fleet.targets),
             'targets_held': len(self.fleet.held),
@@ -306,6 +328,20 @@
         known = self.catalog is not None and bool(self.fleet.targets)
         return known and not self.leaving and self.proof.is_ready(now)
 
+    def _note_restore(
+        self,
+        source: str,
+        before: int | None,
+        epoch: int | None,
+        now: float,
+    ) -> None:
+        """Hold what the copy lacks, and have what was lost written again."""
+        self.fleet.watch.note_restore(now)
+        self.isolation.note_restore()
+        emit(events.StoreRestored(source, before, epoch, self.version))
+        self.restored.set()
+        self.restored = anyio.Event()
+
     def _end_waits(self, place: str) -> None:
         """End the waits for targets of a data centre."""
         for wait in tuple(self.waits):
--- a/trestledock/entry/_words.py
+++ b/trestledock/entry/_words.py
@@ -19,6 +19,7 @@
     read_count,
     read_flag,
     read_list,
+    read_optional_count,
     read_text,
     read_whole,
 )
@@ -84,14 +85,20 @@
 
 @dataclass(frozen=True)
 class Reply:
-    """The answer: the age and the version of what its sender knows."""
+    """The answer: the age and the version of what its sender knows.
+
+    `read_age_s` is how long ago it read, whether that proved anything or not;
+    `epoch` is that of the copy of the store that it read, if it tells any.
+    """
 
     sender: str
     asked_at: float
     proof_age_s: float
+    read_age_s: float
     list_age_s: float
     version: int
     revision: int
+    epoch: int | None = None
 
 
 @dataclass(frozen=True)
@@ -160,9 +167,11 @@
         'kind': 'reply',
         'asked_at': word.asked_at,
         'proof_age_s': word.proof_age_s,
+        'read_age_s': word.read_age_s,
         'list_age_s': word.list_age_s,
         'version': word.version,
         'revision': word.revision,
+        'epoch': word.epoch,
     }
 
 
@@ -222,13 +231,17 @@
 
 
 def _read_reply(plain: Plain, sender: str, now: float) -> Reply:
+    """Read an answer; for older versions each read is a proof."""
+    proof_age_s = read_amount(plain['proof_age_s'])
     return Reply(
         sender=sender,
         asked_at=read_amount(plain['asked_at']),
-        proof_age_s=read_amount(plain['proof_age_s']),
+        proof_age_s=proof_age_s,
+        read_age_s=read_amount(plain.get('read_age_s', proof_age_s)),
         list_age_s=read_amount(plain['list_age_s']),
         version=read_whole(plain['version']),
         revision=read_whole(plain['revision']),
+        epoch=read_optional_count(plain.get('epoch')),
     )
 
 
--- a/trestledock/platform/_quarantine.py
+++ b/trestledock/platform/_quarantine.py
@@ -13,6 +13,7 @@
 
 from trestledock.entry import (
     DirectoryError,
+    Place,
     RecordIgnored,
     StoredQuarantine,
     emit,
@@ -22,6 +23,7 @@
     read_text,
 )
 from trestledock.platform._entries import UNREADABLE
+from trestledock.platform._epochs import StoreEpochs
 from trestledock.platform._log import (
     OK,
     KeyedTopic,
@@ -43,10 +45,10 @@
     Reads wait on a connection of their own.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, epochs: StoreEpochs) -> None:
         """Keep the address; nothing is sent yet."""
-        self._followed = KeyedTopic(StoreClient(address), TOPIC)
-        self._writer = StoreClient(address)
+        self._followed = KeyedTopic(StoreClient(address, epochs), TOPIC)
+        self._writer = StoreClient(address, epochs)
 
     async def read_records(self, wait_s: float) -> tuple[Quarantined, ...]:
         """Return what is new, once there is something or the time is over."""
@@ -54,26 +56,33 @@
         return _read_records(batch.records)
 
     async def read_whole(self) -> StoredQuarantine:
-        """Return all records, with the offset at which the topic ends."""
+        """Return all records, with the place at which the topic ends."""
         batch = await KeyedTopic(self._writer, TOPIC).read()
-        return StoredQuarantine(_read_records(batch.records), batch.end)
+        place = Place(batch.end, batch.epoch)
+        return StoredQuarantine(_read_records(batch.records), place)
 
     async def write_records(
         self,
         records: Iterable[Quarantined],
-        expected_end: int | None = None,
+        expected: Place | None = None,
     ) -> bool:
-        """Write records; return whether the topic still had `expected_end`."""
-        query = {} if expected_end is None else {'expectedEnd': expected_end}
+        """Write records; return whether the topic still ended at a place.
+
+        An offset that another copy of the store has given out is another place,
+        also where it has the same number.
+        """
+        query = {} if expected is None else {'expectedEnd': expected.offset}
         now_ms = time.time() * MS
         framed = [
             frame_record(record.fingerprint, _write_record(record, now_ms))
             for record in records
         ]
-        status = await self._writer.append(TOPIC, framed, **query)
-        if status not in {OK, GROWN}:
-            raise DirectoryError(f'log-append {TOPIC}: {status}')
-        return status == OK
+        answer = await self._writer.append(TOPIC, framed, **query)
+        if answer.status not in {OK, GROWN}:
+            raise DirectoryError(f'log-append {TOPIC}: {answer.status}')
+        if expected and answer.epoch != expected.epoch:
+            return False
+        return answer.status == OK
 
 
 def _write_record(record: Quarantined, now_ms: float) -> bytes:
--- a/trestledock/platform/_store.py
+++ b/trestledock/platform/_store.py
@@ -2,20 +2,23 @@
 The platform's store
 ====================
 
-What stands in the platform's log: configuration, targets and the addresses of
-the entries.
+What stands in the platform's log: configuration, targets, the addresses of the
+entries, and up to which copy of the store these have waited for what was lost.
 """
 
 import json
-from typing import Iterable, Iterator
+from dataclasses import replace
+from typing import Iterable, Iterator, Mapping
 
 from trestledock.entry import (
+    Announced,
     DirectoryError,
     News,
     OldRecord,
     RecordIgnored,
     TargetNews,
     emit,
+    read_count,
 )
 from trestledock.platform._documents import decode_catalog
 from trestledock.platform._entries import (
@@ -23,6 +26,7 @@
     decode_address,
     decode_entry,
 )
+from trestledock.platform._epochs import Epoch, StoreEpochs
 from trestledock.platform._log import (
     OK,
     Batch,
@@ -40,6 +44,9 @@
 PEERS_TOPIC = 'keyed.status'
 #: What the record of an entry begins with, under `status/`.
 PEER_PREFIX = 'entry-'
+#: The record, also under `status/`, of the newest epoch of the store that some
+#: entry has waited in until the others had written again what was lost.
+EPOCH_KEY = 'epoch'
 #: What decoding raises where a configuration makes no sense.
 BAD_DOCUMENT = (*UNREADABLE, KeyError, TypeError, AttributeError)
 
@@ -49,11 +56,18 @@
 
     def __init__(self, address: str) -> None:
         """Keep the topics; each has a connection of its own."""
-        self._config = KeyedTopic(StoreClient(address), CONFIG_TOPIC)
-        self._targets = KeyedTopic(StoreClient(address), TARGETS_TOPIC)
-        self._peers = KeyedTopic(StoreClient(address), PEERS_TOPIC)
+        self._epochs = StoreEpochs()
+        self._config = self._make_topic(address, CONFIG_TOPIC)
+        self._targets = self._make_topic(address, TARGETS_TOPIC)
+        self._peers = self._make_topic(address, PEERS_TOPIC)
         self._known_peers: dict[str, str] = {}
-        self.quarantine = QuarantineTopic(address)
+        self._settled_epoch: Epoch = None
+        self.quarantine = QuarantineTopic(address, self._epochs)
+
+    @property
+    def epoch(self) -> Epoch:
+        """The newest epoch that any call has heard."""
+        return self._epochs.current
 
     async def read_catalog(self) -> News:
         """Return the newest configuration among what is new."""
@@ -62,7 +76,7 @@
         for record in batch.records:
             if record.key == CONFIG_KEY and record.text:
                 newest = _pick_newer(newest, self._decode_record(record))
-        return newest
+        return replace(newest, epoch=batch.epoch)
 
     def decode_document(self, document: str) -> Catalog:
         """Read the text of a configuration that another entry passed on."""
@@ -79,22 +93,45 @@
         batch = await self._targets.read()
         news = tuple(_read_targets(batch))
         _note_old_records(news)
-        return News(targets=news, whole=batch.whole)
+        return News(targets=news, whole=batch.whole, epoch=batch.epoch)
+
+    async def read_peers(self) -> Announced:
+        """Return what entries have announced.
 
-    async def read_peers(self) -> dict[str, str]:
-        """Return the addresses that entries have announced."""
+        Of what another copy of the store held nothing counts.
+        """
         batch = await self._peers.read()
+        if batch.whole:
+            self._known_peers.clear()
+            self._settled_epoch = None
         for record in batch.records:
             if record.key.startswith(PEER_PREFIX):
                 self._take_peer(record)
-        return dict(self._known_peers)
-
-    async def announce(self, name: str, address: str) -> None:
-        """Write the own address under the own name."""
-        record = frame_record(f'{PEER_PREFIX}{name}', address.encode())
-        status = await self._peers.client.append(PEERS_TOPIC, [record])
-        if status != OK:
-            raise DirectoryError(f'log-append {PEERS_TOPIC}: {status}')
+            elif record.key == EPOCH_KEY:
+                self._settled_epoch = _read_settled(record)
+        return Announced(
+            dict(self._known_peers), batch.epoch, self._settled_epoch
+        )
+
+    async def announce(self, addresses: Mapping[str, str]) -> None:
+        """Write addresses of entries under their names."""
+        await self._write_peers(
+            frame_record(f'{PEER_PREFIX}{name}', address.encode())
+            for name, address in addresses.items()
+        )
+
+    async def announce_settled(self, epoch: int) -> None:
+        """Write that what the store lost before an epoch is there again."""
+        text = str(epoch).encode()
+        await self._write_peers([frame_record(EPOCH_KEY, text)])
+
+    def _make_topic(self, address: str, topic: str) -> KeyedTopic:
+        return KeyedTopic(StoreClient(address, self._epochs), topic)
+
+    async def _write_peers(self, framed: Iterable[bytes]) -> None:
+        answer = await self._peers.client.append(PEERS_TOPIC, framed)
+        if answer.status != OK:
+            raise DirectoryError(f'log-append {PEERS_TOPIC}: {answer.status}')
 
     def _take_peer(self, record: Record) -> None:
         name = record.key[len(PEER_PREFIX) :]
@@ -116,6 +153,18 @@
             raise
 
 
+def _read_settled(record: Record) -> Epoch:
+    """Return the epoch of a record; one without sense is the safe side.
+
+    No epoch of a store is before that, so whoever reads it waits.
+    """
+    try:
+        return read_count(json.loads(record.text))
+    except UNREADABLE as exc:
+        emit(RecordIgnored(record.key, repr(exc)))
+        return -1
+
+
 def _pick_newer(one: News, other: News) -> News:
     """Return the newer of two versions of the configuration."""
     if one.catalog is None or other.catalog is None:
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -37,7 +37,7 @@
 )
 from trestledock.relay._events import Event, Splitter
 from trestledock.relay._fingerprint import Traits, get_fingerprint
-from trestledock.relay._fleet import BEFORE_ALL, Fleet
+from trestledock.relay._fleet import BEFORE_ALL, Fleet, GoneTarget
 from trestledock.relay._health import Health
 from trestledock.relay._listed import UNTOLD, Listed, Order, Standing
 from trestledock.relay._open_ends import OpenEnds
@@ -57,6 +57,7 @@
     Quarantine,
 )
 from trestledock.relay._reach import BEAT_S, Reach
+from trestledock.relay._restores import REWRITE_S, Restores
 from trestledock.relay._readers import (
     Candidate,
     ReadPace,
@@ -86,6 +87,7 @@
     'Event',
     'Fleet',
     'Flight',
+    'GoneTarget',
     'Health',
     'Quarantined',
     'History',
@@ -104,6 +106,8 @@
     'Reach',
     'Quarantine',
     'ReadPace',
+    'REWRITE_S',
+    'Restores',
     'RetryWindow',
     'Route',
     'RouteKind',
--- a/trestledock/relay/_fleet.py
+++ b/trestledock/relay/_fleet.py
@@ -10,7 +10,7 @@
 """
 
 from dataclasses import dataclass, field, replace
-from typing import Iterator
+from typing import Iterable, Iterator
 
 from trestledock.relay._listed import UNTOLD, Listed, Order, Standing
 from trestledock.relay._watch import Watch
@@ -19,6 +19,14 @@
 BEFORE_ALL: Order = (UNTOLD, -1)
 
 
+@dataclass(frozen=True)
+class GoneTarget:
+    """A target that is gone, with the order of its last word."""
+
+    target_id: str
+    order: Order
+
+
 @dataclass
 class Fleet:
     """The targets by incarnation, and until when those are held that miss.
@@ -127,6 +135,27 @@
             (self.targets[name], until) for name, until in self.held.items()
         )
 
+    def get_gone(self) -> Iterator[GoneTarget]:
+        """Yield the targets that are gone, for one that never knew them."""
+        for target_id, order in self.gone.items():
+            yield GoneTarget(target_id, order)
+
+    def take_gone(self, gone: Iterable[GoneTarget]) -> list[str]:
+        """Take what another instance knows to be gone.
+
+        Return the incarnations that were known here, by older words.
+        """
+        dropped = []
+        for one in gone:
+            known = self.get_by_id(one.target_id)
+            if known and known.order <= one.order:
+                self._remove(known)
+                dropped.append(known.incarnation)
+            if known is None or known.order <= one.order:
+                last = self.gone.get(one.target_id, BEFORE_ALL)
+                self.gone[one.target_id] = max(last, one.order)
+        return dropped
+
     def get_usable(self, service: str) -> Iterator[Listed]:
         """Return the targets of a service that may get new work."""
         births_are_told = self._are_births_told()
--- a/trestledock/relay/_proof.py
+++ b/trestledock/relay/_proof.py
@@ -21,6 +21,10 @@
 class Proof:
     """The newest proof; `bound_s` of zero asks for none.
 
+    `read_at` is when the configuration was read for the last time, by this
+    instance or the one it asks: a read need not prove anything, and where it
+    doesn't, more reads would not either.
+
     >>> proof = Proof(bound_s=4.0)
     >>> proof.renew(asked_at=1.0)
     >>> proof.is_fresh(3.9), proof.is_fresh(4.1)
@@ -29,10 +33,20 @@
 
     bound_s: float = 0
     proven_at: float = float('-inf')
+    read_at: float = float('-inf')
 
     def renew(self, asked_at: float) -> None:
         """Take an answer to a question that was sent at `asked_at`."""
         self.proven_at = max(self.proven_at, asked_at)
+        self.note_read(asked_at)
+
+    def note_read(self, asked_at: float) -> None:
+        """Take an answer that may lack something newer."""
+        self.read_at = max(self.read_at, asked_at)
+
+    def get_read_age_s(self, now: float) -> float:
+        """Return how long ago the configuration was read, in seconds."""
+        return now - self.read_at
 
     def get_age_s(self, now: float) -> float:
         """Return the age of the newest proof in seconds."""
--- /dev/null
+++ b/trestledock/relay/_restores.py
@@ -0,0 +1,93 @@
+"""
+Restores of the store
+=====================
+
+The platform's store may come back from a copy that is some seconds old.  What
+was acknowledged since is missing there until its writers have written it again,
+so for that long the copy's word that nothing newer exists proves nothing.
+"""
+
+from dataclasses import dataclass
+
+#: For how long after the first word of an epoch its copy may still lack what
+#: was lost, in seconds: targets write again within two seconds of the store's
+#: return, and the operator is taken to be no slower.
+REWRITE_S = 2.2
+
+
+@dataclass
+class Restores:
+    """Which copy of the store this instance knows, and what its word is worth.
+
+    An `epoch` is the number of one copy; a store without any is never restored.
+    `told` is the newest one that another instance knew, `recorded` the newest
+    one of which the store says that somebody has waited there for what was
+    lost, and `settled_epoch` the newest one of which that is known.
+
+    >>> restores = Restores()
+    >>> restores.note(3, now=0), restores.is_settled(0)
+    (False, False)
+    >>> restores.note_recorded(3)
+    >>> restores.is_settled(0)
+    True
+    >>> restores.note(4, now=9), restores.is_settled(9), restores.is_settled(12)
+    (True, False, True)
+    """
+
+    epoch: int | None = None
+    told: int | None = None
+    recorded: int | None = None
+    settled_epoch: int | None = None
+    noted_at: float = float('-inf')
+    has_lived_through: bool = False
+
+    def note(self, epoch: int | None, now: float) -> bool:
+        """Take the epoch of what was read; return whether it is another one."""
+        if epoch == self.epoch:
+            return False
+        is_restored = self.epoch is not None
+        self.has_lived_through = is_restored
+        self.epoch = epoch
+        self.noted_at = now
+        return is_restored and epoch != self.told
+
+    def note_told(self, epoch: int | None) -> bool:
+        """Take what another instance knows; return whether that is newer.
+
+        It never keeps this one from serving: only what was read does.
+        """
+        known = max(_rank(self.epoch), _rank(self.told))
+        if known < 0 or _rank(epoch) <= known:
+            return False
+        self.told = epoch
+        return True
+
+    def note_recorded(self, recorded: int | None) -> None:
+        """Take the store's record of the newest epoch that was waited in.
+
+        Where there is none nobody has ever waited: an instance that has known
+        no other epoch is of the first start, and nothing was lost.
+        """
+        self.recorded = recorded
+        if recorded is not None:
+            self.settled_epoch = recorded
+        elif not self.has_lived_through:
+            self.settled_epoch = self.epoch
+
+    def needs_record(self, now: float) -> bool:
+        """Whether the store is to know that this epoch was waited in."""
+        is_recorded = _rank(self.recorded) >= _rank(self.epoch)
+        return not is_recorded and self.is_settled(now)
+
+    def is_settled(self, now: float) -> bool:
+        """Whether the copy's word is whole again."""
+        if self.epoch is None:
+            return True
+        if _rank(self.settled_epoch) >= self.epoch:
+            return True
+        return now - self.noted_at >= REWRITE_S
+
+
+def _rank(epoch: int | None) -> int:
+    """Return the place of an epoch; none comes before all."""
+    return -1 if epoch is None else epoch
--- a/trestledock/relay/_watch.py
+++ b/trestledock/relay/_watch.py
@@ -75,6 +75,15 @@
                 )
         self.read_at = max(self.read_at, as_of)
 
+    def note_restore(self, now: float) -> None:
+        """Note that the directory came back from an older copy.
+
+        What came since is missing there until it is written again.
+        """
+        self.resumed_at = now
+        self.disturbed_at = now
+        self.grace_end = now + LAPSE_GRACE_S
+
     def note_trouble(self, began_at: float) -> None:
         """Note a read that failed, or the end of a time without any."""
         self.troubled_at = began_at
