A long prompt without a good place nearby sees the engines of other data centres

Change: such a prompt asks one entry of each other data centre what its targets have to do (relay/_elsewhere.py, entry/_loads.py) and is placed among all of them; what goes there is told there at once. Calls between entries are one module (entry/_peer_calls.py).

--- a/tests/test_entry_closing.py
+++ b/tests/test_entry_closing.py
@@ -106,7 +106,7 @@
     relayer = StubRelayer()
     async with anyio.create_task_group() as group:
         state = EntryState(settings, 'entry-1#a', Random(1), group)
-        app = EntryApp(state, relayer, PlatformDialect(), None)
+        app = EntryApp(state, relayer, PlatformDialect(), None, None)
         server = _server.Server()
         group.start_soon(_server.listen, state, app, server)
         connection = await connect(port)
--- a/trestledock/entry/_app.py
+++ b/trestledock/entry/_app.py
@@ -16,6 +16,7 @@
 from trestledock.entry import _events as events
 from trestledock.entry._dialect import Dialect
 from trestledock.entry._datagrams import split_address
+from trestledock.entry._loads import LOAD_PATH, PLACE_FIELD, LoadExchange
 from trestledock.entry._logger import emit
 from trestledock.entry._metrics import METRICS
 from trestledock.entry._news import PAST_FIELD, VERSION_FIELD, NewsExchange
@@ -41,12 +42,14 @@
         relayer: Relayer,
         dialect: Dialect,
         exchange: NewsExchange,
+        loads: LoadExchange,
     ) -> None:
         """Keep what requests are relayed by, and what peers ask for."""
         self.state = state
         self.relayer = relayer
         self.dialect = dialect
         self.exchange = exchange
+        self.loads = loads
         settings = state.settings
         self._ports = {
             split_address(settings.ready)[1]: self._answer_ready,
@@ -95,11 +98,15 @@
         reply = Reply(send)
         headers = ((b'content-type', b'application/json'),)
         await reply.start(HTTPStatus.OK, headers)
+        await reply.finish(self._tell_peer(scope))
+
+    def _tell_peer(self, scope: Scope) -> bytes:
         query = scope['query_string']
-        news = self.exchange.make_news(
-            _read_version(query), with_past=_asks_for_past(query)
+        if scope['path'] == LOAD_PATH:
+            return self.loads.make_load(_read_field(query, PLACE_FIELD))
+        return self.exchange.make_news(
+            _read_version(query), with_past=bool(_read_field(query, PAST_FIELD))
         )
-        await reply.finish(news)
 
     async def _serve(
         self,
@@ -140,17 +147,17 @@
     >>> _read_version(b'version=7'), _read_version(b'') == NO_VERSION
     (7, True)
     """
-    found = parse_qs(query.decode('latin-1')).get(VERSION_FIELD, [''])[0]
+    found = _read_field(query, VERSION_FIELD)
     return int(found) if found.isdigit() else NO_VERSION
 
 
-def _asks_for_past(query: bytes) -> bool:
-    """Whether a peer asks for the targets that have left, too.
+def _read_field(query: bytes, name: str) -> str:
+    """Return what a peer says in a field of its question.
 
-    >>> _asks_for_past(b'version=7&past=1'), _asks_for_past(b'version=7')
-    (True, False)
+    >>> _read_field(b'version=7&past=1', 'past'), _read_field(b'', 'past')
+    ('1', '')
     """
-    return PAST_FIELD in parse_qs(query.decode('latin-1'))
+    return parse_qs(query.decode('latin-1')).get(name, [''])[0]
 
 
 async def _read_body(receive: Receive) -> Body:
--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -23,6 +23,7 @@
 from trestledock.entry._following import Follower
 from trestledock.entry._gossip import Gossip
 from trestledock.entry._keeping import Keeping
+from trestledock.entry._loads import LoadExchange
 from trestledock.entry._logger import emit
 from trestledock.entry._news import NewsExchange
 from trestledock.entry._pool import Pool
@@ -114,11 +115,12 @@
     gossip = Gossip(state)
     EndsExchange(gossip)
     exchange = NewsExchange(state, gossip)
+    loads = LoadExchange(state, gossip)
     follower = Follower(state, directory, pool, exchange)
     tickets = Tickets(state, pool, dialect)
     sender = Sender(state, pool, dialect, tickets)
     relayer = Relayer(state, dialect, sender)
-    app = EntryApp(state, relayer, dialect, exchange)
+    app = EntryApp(state, relayer, dialect, exchange, loads)
     keeping = Keeping(state, directory.quarantine, follower.is_reader)
     restoring = Restoring(state, directory, gossip, follower.is_reader)
     state.isolation.ways.look = pool.look
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -331,6 +331,13 @@
     detail: str
 
 
+class LoadLost(Event):
+    """What targets of another data centre have to do could not be asked."""
+
+    data_centre: str
+    detail: str
+
+
 class HistoryForgotten(Event):
     """The store has dropped records; everything is read anew."""
 
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -75,6 +75,7 @@
         self._datagrams: Datagrams | None = None
         self._attentive_until = float('-inf')
         self._is_end_told = False
+        self._told_far: dict[str, set[str]] = {}
 
     def meet(self, addresses: Mapping[str, str]) -> None:
         """Take the addresses of the other entries by name, and greet them."""
@@ -231,8 +232,30 @@
                 self._tell(
                     changes, self._get_near(), whole=False, again_s=again_s
                 )
+                self._tell_changes_far(changes)
             self._tell_end()
 
+    def _tell_changes_far(self, changes: Sequence[Change]) -> None:
+        """Tell other data centres at once of what goes to their targets.
+
+        That is rare where there are many entries: only long prompts go there.
+        An end names no target, so it is told where its beginning was.
+        """
+        far = self.neighbours.get_far(many=self.state.many_entries)
+        for flight_id, flight in changes:
+            before = self._told_far.pop(flight_id, set())
+            places = self._get_places(flight) if flight else set()
+            there = places & far.keys()
+            if there:
+                self._told_far[flight_id] = there
+            for place in before | there:
+                self._tell(
+                    [(flight_id, flight)],
+                    far[place],
+                    whole=False,
+                    again_s=self._get_far_s(),
+                )
+
     def _tell_end(self) -> None:
         """Tell at once that this entry is ending."""
         if self.state.leaving and not self._is_end_told:
--- a/trestledock/entry/_news.py
+++ b/trestledock/entry/_news.py
@@ -29,8 +29,8 @@
 from trestledock.entry._dialect import HeldTarget, News, TargetNews
 from trestledock.entry._gossip import Gossip
 from trestledock.entry._logger import emit
+from trestledock.entry._peer_calls import BAD_ANSWER, call_peer
 from trestledock.entry._state import MOST_AGE_S, NO_VERSION, EntryState
-from trestledock.entry._wire import Wire, WireError
 from trestledock.entry._words import Question, Reply
 from trestledock.relay import (
     UNTOLD,
@@ -55,7 +55,6 @@
 )
 #: How long an answer to a question is waited for, in seconds.
 ANSWER_S = 0.1
-OK = 200
 NEWS_PATH = '/news'
 VERSION_FIELD = 'version'
 #: Asks for the targets that have left, too.
@@ -63,16 +62,6 @@
 #: Whose list the own one is, and at which revision, where it is nobody's.
 NOBODY = ('', -1)
 
-#: What a fetch raises that fails, or brings what makes no sense.
-BAD_NEWS = (
-    WireError,
-    TimeoutError,
-    ValueError,
-    LookupError,
-    TypeError,
-    RecursionError,
-)
-
 
 class NewsExchange:
     """Asks the reader for news, and answers those who ask."""
@@ -145,7 +134,7 @@
                 )
             now = anyio.current_time()
             return _read_news(plain, asked_at, now, reader)
-        except BAD_NEWS as exc:
+        except BAD_ANSWER as exc:
             emit(events.NewsLost(reader, repr(exc)))
             return None
 
@@ -220,23 +209,8 @@
     async def _get(
         self, address: Address, asked: Mapping[str, int]
     ) -> dict[str, Any]:
-        host, port = address
         query = urlencode({VERSION_FIELD: self.state.version, **asked})
-        path = f'{NEWS_PATH}?{query}'
-        wire = await Wire.connect(f'{host}:{port}')
-        try:
-            headers = ((b'host', host.encode()),)
-            await wire.send('GET', path, headers, b'')
-            head = await wire.read_head()
-            body = await wire.read_body()
-        finally:
-            await wire.close()
-        if head.status != OK:
-            raise ValueError(f'status {head.status}')
-        plain = json.loads(body)
-        if not isinstance(plain, dict):
-            raise ValueError('no object')
-        return plain
+        return await call_peer(address, f'{NEWS_PATH}?{query}')
 
 
 def write_target(listed: Listed) -> dict[str, Any]:
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -25,6 +25,7 @@
     Placement,
     choose_least_busy,
     decide_without_place,
+    is_worth_asking,
 )
 
 #: How many targets of the own data centre suffice where entries are many.
@@ -59,12 +60,31 @@
             return Refusal.quarantined
         now = anyio.current_time()
         chosen = _select_now(state, job, now)
+        if _needs_loads(state, job, chosen, now):
+            await state.learn_loads()
+            now = anyio.current_time()
+            chosen = _select_now(state, job, now)
         waits = job.begun and now < job.timing.gone
         if isinstance(chosen, Placement) or (chosen and not waits):
             return chosen
         await state.wait_for_change(LOOK_S)
 
 
+def _needs_loads(
+    state: EntryState,
+    job: Job,
+    chosen: Placement | Refusal | None,
+    now: float,
+) -> bool:
+    """Whether to ask other data centres before a request is placed."""
+    if not state.many_entries or job.call.size is None:
+        return False
+    if state.get_loads(now):
+        return False
+    cost = chosen.cost if isinstance(chosen, Placement) else None
+    return state.placer.terms.elsewhere and is_worth_asking(job.ask.worth, cost)
+
+
 def could_go_on(state: EntryState, job: Job, peer: str) -> bool:
     """Whether another target than `peer` would take a request now.
 
@@ -106,7 +126,7 @@
 
 def get_candidates(state: EntryState, job: Job, now: float) -> list[Listed]:
     """Return the targets that may get the request, better ones if any."""
-    usable = _get_near_enough(state, job)
+    usable = _get_near_enough(state, job, now)
     small = job.ask.is_small
     sound = [
         one
@@ -121,17 +141,19 @@
     return fresh or usable
 
 
-def _get_near_enough(state: EntryState, job: Job) -> list[Listed]:
+def _get_near_enough(state: EntryState, job: Job, now: float) -> list[Listed]:
     """Return the usable targets, of the own data centre where those suffice.
 
     Where there are many entries, those elsewhere are told too late of this
-    one's requests to share targets well.
+    one's requests to share targets well; for a prompt that asked them what
+    their targets have to do these count as well.
     """
     usable = list(state.fleet.get_usable(job.service))
     if not state.many_entries:
         return usable
-    place = state.settings.data_centre
-    near = [one for one in usable if one.data_centre == place]
+    known = set() if job.ask.is_small else state.get_loads(now)
+    places = {state.settings.data_centre, *known}
+    near = [one for one in usable if one.data_centre in places]
     return near if len(near) >= LEAST_NEAR else usable
 
 
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -25,6 +25,7 @@
     Catalog,
     Fleet,
     Health,
+    Load,
     Placer,
     Proof,
     Reach,
@@ -52,6 +53,10 @@
     """Stand for what takes the others' words where nobody speaks."""
 
 
+async def _learn_nothing() -> None:
+    """Stand for what asks other data centres where nobody does."""
+
+
 @dataclass(frozen=True, eq=False)
 class Wait:
     """A wait for targets that may be left, with the scope that ends it."""
@@ -74,7 +79,8 @@
 
     It is `leaving` once it was asked to stop, `closing` once idle connections
     are being closed, and `ending` once nothing may go on any more.  `catch_up`
-    takes the words of the other entries that have come in.
+    takes the words of the other entries that have come in; `learn_loads` asks
+    other data centres for theirs, and `loads` has what they answered.
     """
 
     settings: EntrySettings
@@ -101,6 +107,8 @@
     own_changed: anyio.Event = field(default_factory=anyio.Event)
     restored: anyio.Event = field(default_factory=anyio.Event)
     catch_up: Callable[[], None] = _do_nothing
+    learn_loads: Callable[[], Awaitable[None]] = _learn_nothing
+    loads: dict[str, Load] = field(default_factory=dict)
     isolation: Isolation = field(init=False)
     proof: Proof = field(init=False)
     placer: Placer = field(init=False)
@@ -208,6 +216,14 @@
         """Whether all entries of a target's data centre are silent."""
         return self._get_place(target_id) in self.reach.get_quiet(now)
 
+    def get_loads(self, now: float) -> set[str]:
+        """Return the data centres whose loads are known now; forget others."""
+        for place, load in tuple(self.loads.items()):
+            if not load.is_fresh(now):
+                self.loads.pop(place)
+                self.board.set_elsewhere(place, ())
+        return set(self.loads)
+
     def get_window(self, service: str) -> RetryWindow:
         """Return the shared retry budget's window of a service."""
         if service not in self.windows:
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -37,6 +37,11 @@
 )
 from trestledock.relay._events import Event, Splitter
 from trestledock.relay._fingerprint import Traits, get_fingerprint
+from trestledock.relay._elsewhere import (
+    Load,
+    is_worth_asking,
+    summarize,
+)
 from trestledock.relay._fleet import BEFORE_ALL, Fleet, GoneTarget
 from trestledock.relay._health import Health
 from trestledock.relay._listed import UNTOLD, Listed, Order, Standing
@@ -94,6 +99,7 @@
     'LOOK_S',
     'Limits',
     'Listed',
+    'Load',
     'NoPlace',
     'OpenEnds',
     'Order',
@@ -139,4 +145,6 @@
     'get_worth',
     'get_write_pass_s',
     'get_write_s',
+    'is_worth_asking',
+    'summarize',
 )
--- a/trestledock/relay/_asking.py
+++ b/trestledock/relay/_asking.py
@@ -50,10 +50,15 @@
     pause_s: float
     patience_s: float = float('inf')
 
+    @property
+    def worth(self) -> float:
+        """What the request is worth, in units of a plain call."""
+        return get_worth(self.size)
+
     @property
     def is_small(self) -> bool:
         """Whether little is lost where the request has to be repeated."""
-        return get_worth(self.size) <= SMALL_WORTH
+        return self.worth <= SMALL_WORTH
 
     def choose(
         self,
--- a/trestledock/relay/_board.py
+++ b/trestledock/relay/_board.py
@@ -10,7 +10,7 @@
 from collections import defaultdict
 from dataclasses import dataclass, field, replace
 from enum import Enum
-from typing import Iterable, Iterator
+from typing import Container, Iterable, Iterator
 
 
 class Phase(str, Enum):
@@ -97,6 +97,7 @@
         """Begin with nothing in flight."""
         self._senders: dict[str, _Sender] = {OWN: _Sender()}
         self._by_target: dict[str, dict[str, Flight]] = defaultdict(dict)
+        self._elsewhere: dict[str, dict[str, list[Flight]]] = {}
         self.changed: dict[str, Flight | None] = {}
 
     @property
@@ -167,7 +168,29 @@
 
     def get_flights(self, target: str) -> Iterator[Flight]:
         """Return everything that a target is working on."""
-        return iter(tuple(self._by_target.get(target, {}).values()))
+        told = [
+            flight
+            for by_target in self._elsewhere.values()
+            for flight in by_target.get(target, ())
+        ]
+        return iter((*self._by_target.get(target, {}).values(), *told))
+
+    def set_elsewhere(self, place: str, flights: Iterable[Flight]) -> None:
+        """Take what instances elsewhere have at the targets of a data centre.
+
+        It replaces what was told before; nothing of it is from senders that
+        this instance hears itself.
+        """
+        by_target: dict[str, list[Flight]] = defaultdict(list)
+        for flight in flights:
+            by_target[flight.target].append(flight)
+        self._elsewhere[place] = by_target
+
+    def get_all_but(self, senders: Container[str]) -> Iterator[Flight]:
+        """Yield the flights of this instance and of all but some peers."""
+        for sender, peer in self._senders.items():
+            if sender not in senders:
+                yield from peer.flights.values()
 
     def _set(self, sender: str, flight: Flight) -> None:
         self._unset(sender, flight.flight_id)
--- a/trestledock/relay/_terms.py
+++ b/trestledock/relay/_terms.py
@@ -20,7 +20,8 @@
     what those lose who are at an engine counts.  `departure`: nobody waits
     longer than its patience.  `waiting`: what costs much waits for a better
     place while it can still be in time.  `queueing`: what can't waits for
-    others.
+    others.  `elsewhere`: what finds no good place in the own data centre, where
+    instances are many, asks the others for what their targets have to do.
 
     `engine_cost` is the cost of a second of the last idle engine for a request
     that is late anyway, in units of worth: an engine that is packed with short
@@ -40,6 +41,7 @@
     departure: bool = True
     waiting: bool = True
     queueing: bool = True
+    elsewhere: bool = True
     engine_cost: float = 3.0
     harm_limit: float = 0.7
 
