A prompt that waits for an engine's memory is not taken for silence

Cause: of two prompts at an engine with memory for one, the second was given up after 5.9 s, 0.1 s before its first event, and read again from the start elsewhere. Change: while older flights at the engine hold the memory that a prompt needs, its silence counts for nothing; the limit runs from the moment at which there is room. Seen: without it test_it_is_waited_for fails (two sendings in place of one).

--- a/tests/test_entry_limits.py
+++ b/tests/test_entry_limits.py
@@ -23,12 +23,17 @@
     StubTarget,
     Torn,
     get_event_ids,
+    make_answer,
     make_listed,
+    make_route,
     make_stream,
     run_world,
 )
 from trestledock.relay import (
     BudgetTerms,
+    EngineModel,
+    Flight,
+    Phase,
     RetryWindow,
     Share,
 )
@@ -150,3 +155,41 @@
     while state.board.own:
         await anyio.sleep(0.01)
     await anyio.sleep(0.4)
+
+
+#: Longer than a prompt is waited for that an engine of these reads, in seconds.
+HELD_S = 2.5
+ENGINE = EngineModel(8, 100_000, 0.001, 500_000)
+
+
+class MemoryTest(unittest.TestCase):
+    """An engine says nothing: it has no memory until another prompt ends."""
+
+    def play(self, tokens):
+        """Return how many sendings a prompt took beside another one."""
+        first = Late(b'', make_answer(), HELD_S)
+        targets = [StubTarget(first, make_answer())]
+        targets.append(StubTarget(make_answer()))
+        found = []
+
+        async def scenario(world):
+            other = Flight('o', 't0', tokens, 10, Phase.reading, since=0)
+            world.state.board.hear('p', 1, [('o', other)], whole=True)
+            world.state.fleet.drop('t1', 0, 0)
+            with anyio.fail_after(PATIENCE_S):
+                found.append(await world.ask(headers=SIZES))
+
+        run_world(make_route(timeout_s=8), targets, scenario, engine=ENGINE)
+        self.assertEqual(found[0].status, 200)
+        return len(targets[0].requests)
+
+    def test_it_is_waited_for(self):
+        """It was given up after 0.8 s, and sent once more."""
+        self.assertEqual(self.play(tokens=90_000), 1)
+
+    def test_silence_without_a_reason(self):
+        """With room for both the engine is left as ever."""
+        self.assertEqual(self.play(tokens=1_000), 2)
+
+
+SIZES = {'trestledock-token-counts': '20000,400'}
--- a/tests/test_relay_patience.py
+++ b/tests/test_relay_patience.py
@@ -4,12 +4,15 @@
 
 from trestledock.relay import (
     EARLY_TERMS,
+    Flight,
     Health,
+    Phase,
     RetryWindow,
     Route,
     RouteKind,
     get_first_patience_s,
     get_pause_patience_s,
+    is_held_up,
 )
 
 
@@ -111,3 +114,25 @@
         health.note_success('t', 0.3)
         health.note_doubt('t', 0.5)
         self.assertFalse(health.is_suspect('t', 0.6))
+
+
+class MemoryTest(unittest.TestCase):
+    """Two prompts at an engine that has memory for one of them.
+
+    The second one begins once the first has been answered, some seconds later
+    than predicted: 540,889 tokens at an engine with 382,500.
+    """
+
+    def setUp(self):
+        self.first = Flight('a', 't', 279_967, 600, Phase.reading, since=1)
+        self.second = Flight('b', 't', 260_922, 600, Phase.reading, since=2)
+
+    def check(self, own, capacity_tokens):
+        return is_held_up(own, [self.first, self.second], capacity_tokens)
+
+    def test_younger_one_waits(self):
+        self.assertTrue(self.check(self.second, 382_500))
+        self.assertFalse(self.check(self.first, 382_500))
+
+    def test_room_for_both(self):
+        self.assertFalse(self.check(self.second, 600_000))
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -76,8 +76,12 @@
     ) -> Head:
         again = limit
         while True:
-            with self.limits.wait(job, placement, again):
+            held_up = self.limits.is_held_up(job, placement)
+            step = self.limits.get_again(job) if held_up else again
+            with self.limits.wait(job, placement, step):
                 return await wire.read_head()
+            if held_up and not self.limits.is_over(job, placement):
+                continue
             if self.limits.may_leave(job, placement):
                 peer = placement.target.incarnation
                 raise self.limits.give_up('answer', peer, limit)
--- a/trestledock/entry/_limits.py
+++ b/trestledock/entry/_limits.py
@@ -15,7 +15,7 @@
 
 from trestledock.entry._admission import may_go_on
 from trestledock.entry._job import Job
-from trestledock.entry._selecting import could_go_on
+from trestledock.entry._selecting import could_go_on, get_engine
 from trestledock.entry._state import EntryState, Wait
 from trestledock.entry._wire import WireError
 from trestledock.relay import (
@@ -23,6 +23,7 @@
     Sign,
     get_first_patience_s,
     get_pause_patience_s,
+    is_held_up,
 )
 
 #: How often it is looked again whether a silent target may be left, in seconds.
@@ -74,6 +75,21 @@
             return Limit(left_s)
         return Limit(min(LOOK_AGAIN_S, left_s))
 
+    def is_over(self, job: Job, placement: Placement) -> bool:
+        """Whether there is nothing more to wait for."""
+        now = anyio.current_time()
+        peer = placement.target.incarnation
+        return not _get_left_s(job) or self.state.is_cut_off(peer, now)
+
+    def is_held_up(self, job: Job, placement: Placement) -> bool:
+        """Whether a target's silence is known to be a wait for memory."""
+        engine = get_engine(self.state, job)
+        own = self.state.board.own.get(job.call.req_id)
+        if engine is None or own is None:
+            return False
+        flights = self.state.board.get_flights(placement.target.incarnation)
+        return is_held_up(own, flights, engine.capacity_tokens)
+
     def may_leave(self, job: Job, placement: Placement) -> bool:
         """Whether a target that was silent for too long is left now.
 
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -51,6 +51,7 @@
     EARLY_TERMS,
     get_first_patience_s,
     get_pause_patience_s,
+    is_held_up,
 )
 from trestledock.relay._placing import Placer
 from trestledock.relay._plain import choose_least_busy
@@ -145,6 +146,7 @@
     'get_worth',
     'get_write_pass_s',
     'get_write_s',
+    'is_held_up',
     'is_worth_asking',
     'summarize',
 )
--- a/trestledock/relay/_patience.py
+++ b/trestledock/relay/_patience.py
@@ -12,6 +12,9 @@
 long as it takes to be sure.
 """
 
+from typing import Iterable
+
+from trestledock.relay._board import Flight
 from trestledock.relay._budget import BudgetTerms
 from trestledock.relay._catalog import Route, RouteKind
 
@@ -72,6 +75,26 @@
     return min(early_s, late_s) if early else late_s
 
 
+def is_held_up(
+    own: Flight,
+    flights: Iterable[Flight],
+    capacity_tokens: int,
+) -> bool:
+    """Whether an engine has no memory for a prompt until others have ended.
+
+    It admits in the order in which prompts came, so what is older goes first.
+    Its silence says nothing then: a prompt that was given up after 5.9 s, and
+    sent elsewhere, was 0.1 s from its first event.
+    """
+    name = own.target
+    held = sum(
+        one.get_held_tokens(name)
+        for one in flights
+        if one.since < own.since and one.flight_id != own.flight_id
+    )
+    return held + own.get_held_tokens(name) > capacity_tokens
+
+
 def get_pause_patience_s(route: Route) -> float:
     """Return how long a stream may be silent between events."""
     if not route.repeatable:
