A long prompt is told to the others before it is sent

Cause: two entries gave the same engines to two prompts 20 and 35 ms apart (281 and 261 thousand tokens at an engine for 382), each before the other's word had come: it was gathered for 4 ms, queued behind the prompt's own bytes (30 KB, 12 ms at 20 Mbit/s), and the second choice takes some ms on half a core. Ruled out: an engine's reservation as a lock (an order more for each prompt, and only beyond its memory); telling at once without a wait, which still loses by the way. Change: what takes ten times the wait or more is told first, and sent 30 ms later, unless a prompt that goes before it at one of its engines was told of meanwhile; then it is placed anew. Ids decide among those of one moment, so both sides agree.

--- a/tests/test_entry_sending.py
+++ b/tests/test_entry_sending.py
@@ -11,7 +11,14 @@
     make_route,
     run_world,
 )
-from trestledock.relay import Catalog, Service, Share, Standing, TeamKey
+from trestledock.relay import (
+    Catalog,
+    EngineModel,
+    Service,
+    Share,
+    Standing,
+    TeamKey,
+)
 
 
 class LastLookTest(unittest.TestCase):
@@ -103,3 +110,54 @@
         run_world(route, targets, scenario)
         counts = [len(one.requests) for one in targets]
         self.assertEqual(counts, [0, 1])
+
+
+ENGINE = EngineModel(8, 382_500, 0.001, 50_000)
+#: A prompt that an engine reads for 1.2 s.
+LONG = {'trestledock-token-counts': '60000,400'}
+
+
+class ClaimTest(unittest.TestCase):
+    """Another entry gives a long prompt to the same engine meanwhile."""
+
+    def play(self, make_other):
+        """Ask once; another's word comes while this one is claimed."""
+        answers = [StubTarget(make_answer()) for _ in range(2)]
+        found = []
+
+        async def scenario(world):
+            board = world.state.board
+            tell = world.state.tell_own
+
+            def tell_and_hear():
+                tell()
+                if not found:
+                    flight = next(iter(board.own.values()))
+                    found.append(flight)
+                    other = make_other(flight)
+                    board.hear('p', 1, [(other.flight_id, other)], whole=True)
+
+            world.state.tell_own = tell_and_hear
+            found.append(await world.ask(headers=LONG))
+
+        route = make_route(objective_s=4, timeout_s=15)
+        run_world(route, answers, scenario, engine=ENGINE)
+        flight, outcome = found
+        self.assertEqual(outcome.status, 200)
+        first = answers[int(flight.target.removeprefix('t'))]
+        return len(first.requests)
+
+    def test_other_goes_first(self):
+        """The engine gets one of them; this one goes elsewhere."""
+        count = self.play(lambda own: replace(own, flight_id='0', helpers=()))
+        self.assertEqual(count, 0)
+
+    def test_own_goes_first(self):
+        count = self.play(lambda own: replace(own, flight_id='z'))
+        self.assertEqual(count, 1)
+
+    def test_other_is_at_another_engine(self):
+        count = self.play(
+            lambda own: replace(own, flight_id='0', target='t9', helpers=())
+        )
+        self.assertEqual(count, 1)
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -91,6 +91,7 @@
         """Talk and listen until cancelled."""
         self._datagrams = Datagrams(self.neighbours.own)
         self.state.catch_up = self.catch_up
+        self.state.tell_own = self.tell_own
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._listen)
@@ -147,6 +148,14 @@
             age_s = self.state.get_offered_age_s(anyio.current_time())
             self.send(Fresh(self.state.member, age_s), self._get_near())
 
+    def tell_own(self) -> None:
+        """Tell what has changed of the own flights since the last time."""
+        changes = list(self.state.board.take_changes().items())
+        if changes:
+            again_s = self._get_whole_s()
+            self._tell(changes, self._get_near(), whole=False, again_s=again_s)
+            self._tell_changes_far(changes)
+
     def be_attentive(self) -> None:
         """Look for words more often for a while: others wait for answers."""
         self._attentive_until = anyio.current_time() + ATTENTIVE_S
@@ -226,13 +235,7 @@
         while True:
             await self.state.wait_for_own_change()
             await anyio.sleep(GATHER_S)
-            changes = list(self.state.board.take_changes().items())
-            if changes:
-                again_s = self._get_whole_s()
-                self._tell(
-                    changes, self._get_near(), whole=False, again_s=again_s
-                )
-                self._tell_changes_far(changes)
+            self.tell_own()
             self._tell_end()
 
     def _tell_changes_far(self, changes: Sequence[Change]) -> None:
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -21,7 +21,16 @@
 from trestledock.entry._state import MOST_AGE_S, EntryState
 from trestledock.entry._tickets import Tickets
 from trestledock.entry._wire import Wire, WireError
-from trestledock.relay import Ending, Placement, Sending, Sign
+from trestledock.relay import (
+    CLAIM_S,
+    Ending,
+    Flight,
+    Placement,
+    Sending,
+    Sign,
+    find_prior,
+    needs_claim,
+)
 
 MS = 1000
 
@@ -57,16 +66,53 @@
             self.state.get_window(job.service).earn(now)
             self.state.early.earn(now)
         held: dict[str, str] = {}
+        known = {one.flight_id for one in self._get_beside(flight)}
         self.state.board.put(flight)
         self.state.note_sent(flight.target, now)
         self.state.notify_own()
         try:
-            if await self.tickets.reserve(job, placement, held):
-                return await self._exchange(job, placement, reply, held)
-            peer = placement.target.incarnation
-            return Sending(Ending.not_sent, 'reserve', peer)
+            prior = await self._claim(flight, placement, known)
+            if not prior:
+                return await self._reserve(job, placement, reply, held)
         finally:
             self._clean_up(flight.flight_id, held)
+        return Sending(Ending.not_sent, 'claim', flight.target, prior.flight_id)
+
+    async def _reserve(
+        self,
+        job: Job,
+        placement: Placement,
+        reply: Reply,
+        held: dict[str, str],
+    ) -> Sending:
+        if await self.tickets.reserve(job, placement, held):
+            return await self._exchange(job, placement, reply, held)
+        return Sending(Ending.not_sent, 'reserve', placement.target.incarnation)
+
+    async def _claim(
+        self,
+        flight: Flight,
+        placement: Placement,
+        known: set[str],
+    ) -> Flight | None:
+        """Have others know of a long prompt before it is sent.
+
+        Return what goes before it at an engine, if anything does.
+        """
+        claims = self.state.placer.terms.claims
+        if not claims or not needs_claim(placement, flight.worth):
+            return None
+        self.state.tell_own()
+        await anyio.sleep(CLAIM_S)
+        self.state.catch_up()
+        return find_prior(flight, self._get_beside(flight), known)
+
+    def _get_beside(self, flight: Flight) -> list[Flight]:
+        """Return what the engines of a flight have to do."""
+        board = self.state.board
+        return [
+            one for name in flight.engaged for one in board.get_flights(name)
+        ]
 
     def _clean_up(self, flight_id: str, held: dict[str, str]) -> None:
         self.state.board.remove(flight_id)
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -50,7 +50,7 @@
 
 
 def _do_nothing() -> None:
-    """Stand for what takes the others' words where nobody speaks."""
+    """Stand for what takes and tells words where nobody speaks."""
 
 
 async def _learn_nothing() -> None:
@@ -79,7 +79,8 @@
 
     It is `leaving` once it was asked to stop, `closing` once idle connections
     are being closed, and `ending` once nothing may go on any more.  `catch_up`
-    takes the words of the other entries that have come in; `learn_loads` asks
+    takes the words of the other entries that have come in, `tell_own` tells
+    them at once of what has changed here; `learn_loads` asks
     other data centres for theirs, and `loads` has what they answered.
     """
 
@@ -107,6 +108,7 @@
     own_changed: anyio.Event = field(default_factory=anyio.Event)
     restored: anyio.Event = field(default_factory=anyio.Event)
     catch_up: Callable[[], None] = _do_nothing
+    tell_own: Callable[[], None] = _do_nothing
     learn_loads: Callable[[], Awaitable[None]] = _learn_nothing
     loads: dict[str, Load] = field(default_factory=dict)
     isolation: Isolation = field(init=False)
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -28,6 +28,7 @@
     Share,
     TeamKey,
 )
+from trestledock.relay._claims import CLAIM_S, find_prior, needs_claim
 from trestledock.relay._deciding import (
     LOOK_S,
     Decision,
@@ -82,6 +83,7 @@
     'Board',
     'Body',
     'BudgetTerms',
+    'CLAIM_S',
     'Call',
     'Candidate',
     'Catalog',
@@ -135,6 +137,7 @@
     'choose_reader',
     'decide',
     'decide_without_place',
+    'find_prior',
     'get_connect_sign',
     'get_end_sign',
     'get_fingerprint',
@@ -148,5 +151,6 @@
     'get_write_s',
     'is_held_up',
     'is_worth_asking',
+    'needs_claim',
     'summarize',
 )
--- a/trestledock/relay/_terms.py
+++ b/trestledock/relay/_terms.py
@@ -23,6 +23,8 @@
     others.  `elsewhere`: what finds no good place in the own data centre, where
     instances are many, asks the others for what their targets have to do.
 
+    `claims`: a long prompt is told to the others before it is sent.
+
     `engine_cost` is the cost of a second of the last idle engine for a request
     that is late anyway, in units of worth: an engine that is packed with short
     requests answers 3.5 of them a second, which lose 1 each by lateness.
@@ -42,6 +44,7 @@
     waiting: bool = True
     queueing: bool = True
     elsewhere: bool = True
+    claims: bool = True
     engine_cost: float = 3.0
     harm_limit: float = 0.7
 
