One clock that counts the time for which a machine was suspended

Cause: every age, lease, bound and deadline was a difference of the steady clock, which stands still while the machine is suspended: a proof about keys, a list of targets, a neighbour's word were taken for as much younger, and a key that was taken away meanwhile was served on. Ruled out: two clocks with a detector (whoever forgets the check is wrong); the time of day, which jumps.

--- a/trestledock/cli/_serve.py
+++ b/trestledock/cli/_serve.py
@@ -12,6 +12,7 @@
 import click
 from pythonjsonlogger.json import JsonFormatter
 
+from trestledock import clock
 from trestledock.cli._files import read_settings
 from trestledock.connection import run_until_signal
 from trestledock.standin import (
@@ -40,7 +41,7 @@
     """Run an entry instance."""
     checked = read_settings(settings)
     set_up_logs()
-    anyio.run(run_until_signal, checked)
+    clock.run(run_until_signal, checked)
 
 
 @click.group()
--- a/trestledock/connection/_daemon.py
+++ b/trestledock/connection/_daemon.py
@@ -8,7 +8,6 @@
 
 import logging
 import signal
-import time
 import uuid
 from random import Random
 from typing import Awaitable, Callable
@@ -18,6 +17,7 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from trestledock.clock import read_unix_ms
 from trestledock.connection._caller import CallerApp
 from trestledock.connection._hub import Hub
 from trestledock.connection._lifespan import WithoutLifespan
@@ -44,14 +44,13 @@
 DRAIN_LOOK_S = 0.1
 #: Connections to targets that one instance may have open.
 MAX_CONNECTIONS = 2000
-MS = 1000
 
 log = logging.getLogger('trestledock')
 
 
 def make_incarnation() -> str:
     """Return a name for this start; names sort by time."""
-    return f'{round(time.time() * MS):012x}{uuid.uuid4().hex[:6]}'
+    return f'{round(read_unix_ms()):012x}{uuid.uuid4().hex[:6]}'
 
 
 async def run_until_signal(settings: Settings) -> None:
--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -16,6 +16,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from trestledock.clock import counts_suspension
 from trestledock.entry._app import EntryApp
 from trestledock.entry import _events as events
 from trestledock.entry._dialect import Dialect, Directory
@@ -66,7 +67,11 @@
             state = EntryState(settings, member, Random(member), group)
             server = Server()
             _start(state, dialect, make_directory(settings), server)
-            emit(events.Started(state.member, settings.data_centre))
+            emit(
+                events.Started(
+                    state.member, settings.data_centre, counts_suspension()
+                )
+            )
             async for signum in signals:
                 settings = _read_again(read_settings, settings)
                 if signum != signal.SIGHUP:
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -390,10 +390,22 @@
 
 
 class Started(Event):
-    """The process has its settings."""
+    """The process has its settings.
+
+    Without `counts_suspension` the system has no clock that goes on while the
+    machine is suspended: a pause is not noticed, and what is believed is
+    younger by it than it should be.
+    """
 
     member: str
     data_centre: str
+    counts_suspension: bool
+
+
+class Suspended(Event):
+    """The machine stood still for a while, which the clock has counted."""
+
+    pause_ms: int
 
 
 class ReloadAsked(Event):
--- a/trestledock/entry/_listing.py
+++ b/trestledock/entry/_listing.py
@@ -13,6 +13,7 @@
 
 import anyio
 
+from trestledock.clock import PauseWatch
 from trestledock.entry import _events as events
 from trestledock.entry._dialect import News
 from trestledock.entry._logger import emit
@@ -66,9 +67,13 @@
     async def run(self) -> None:
         """Drop held targets whose time is over, until cancelled."""
         looked_at = anyio.current_time()
+        pauses = PauseWatch()
         while True:
             await anyio.sleep(LOOK_S)
             now = anyio.current_time()
+            pause_s = pauses.look()
+            if pause_s:
+                emit(events.Suspended(round(pause_s * MS)))
             if now - looked_at > LOOK_S + STOOD_STILL_S:
                 self.fleet.watch.note_trouble(now)
             looked_at = now
--- a/trestledock/entry/_logger.py
+++ b/trestledock/entry/_logger.py
@@ -11,13 +11,13 @@
 import logging
 import os
 import sys
-import time
 from collections import deque
 from dataclasses import dataclass, field
 from typing import Callable
 
 from pythonjsonlogger.json import JsonFormatter
 
+from trestledock.clock import read_clock
 from trestledock.entry import _events as events
 from trestledock.entry._metrics import METRICS
 
@@ -60,7 +60,7 @@
     True
     """
 
-    clock: Callable[[], float] = time.monotonic
+    clock: Callable[[], float] = read_clock
     second: int = -1
     counts: dict[str, int] = field(default_factory=dict)
 
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -68,6 +68,7 @@
         events.WrittenAgain: Counting(
             'Writes of what the store had lost', ('what',)
         ),
+        events.Suspended: Counting('Pauses of the machine'),
         events.TargetHeld: Counting('Missing targets that may have lapsed'),
         events.ListDisturbed: Counting('Lists of targets after a disturbance'),
         events.OldRecord: Counting('Records of targets after newer ones'),
--- a/trestledock/platform/_quarantine.py
+++ b/trestledock/platform/_quarantine.py
@@ -8,9 +8,9 @@
 """
 
 import json
-import time
 from typing import Iterable
 
+from trestledock.clock import read_unix_ms
 from trestledock.entry import (
     DirectoryError,
     Place,
@@ -72,7 +72,7 @@
         also where it has the same number.
         """
         query = {} if expected is None else {'expectedEnd': expected.offset}
-        now_ms = time.time() * MS
+        now_ms = read_unix_ms()
         framed = [
             frame_record(record.fingerprint, _write_record(record, now_ms))
             for record in records
@@ -98,7 +98,7 @@
 
 def _read_records(records: Iterable[Record]) -> tuple[Quarantined, ...]:
     """Return what records say; one that makes no sense says nothing."""
-    now_ms = time.time() * MS
+    now_ms = read_unix_ms()
     found = []
     for record in records:
         try:
--- a/trestledock/platform/_run.py
+++ b/trestledock/platform/_run.py
@@ -7,8 +7,7 @@
 
 import sys
 
-import anyio
-
+from trestledock import clock
 from trestledock.entry import EntrySettings, run_entry, set_up_logs
 from trestledock.platform._headers import PlatformDialect
 from trestledock.platform._settings import SettingsError, read_settings
@@ -19,7 +18,7 @@
     """Run an entry; leave with a message where the settings are of no use."""
     set_up_logs()
     try:
-        anyio.run(run_entry, read_settings, PlatformDialect(), _make_directory)
+        clock.run(run_entry, read_settings, PlatformDialect(), _make_directory)
     except SettingsError as exc:
         sys.exit(f'trestledock: {exc}')
 
