--- a/tests/test_bench_sharing.py
+++ b/tests/test_bench_sharing.py
@@ -6,8 +6,13 @@
 
 from tests.engines import LARGE_ENGINE as ENGINE
 from trestledock.bench._bursts import LONG, SHORT, make_bursts
-from trestledock.bench._sharing import Prompt, get_share, make_fleet
-from trestledock.relay import Decision, PromptSize
+from trestledock.bench._sharing import (
+    LATE_KEEPS,
+    Prompt,
+    get_share,
+    make_fleet,
+)
+from trestledock.relay import TERMS, Decision, PromptSize
 
 GIANT = PromptSize(790_000, 600)
 LARGE = PromptSize(300_000, 600)
@@ -92,3 +97,48 @@
             for _ in range(2)
         )
         self.assertEqual(first, second)
+
+
+class ManyEntriesTest(unittest.TestCase):
+    """A wave of long prompts reaches one data centre, where entries are many.
+
+    Its engines are taken; those of the two others are idle.
+    """
+
+    def play(self, **terms):
+        """Return what came of eight long prompts at one of three places."""
+        fleet = make_fleet(
+            ENGINE,
+            engines=18,
+            entries=9,
+            places=3,
+            terms=replace(TERMS, **terms),
+            many=True,
+        )
+        prompts = [
+            make_long(0.1 * number, LARGE, entry=number % 3 * 3)
+            for number in range(8)
+        ]
+        return fleet.play(prompts)
+
+    def test_engines_elsewhere(self):
+        """All are in time with them, and hardly any without."""
+        found = get_share(self.play())
+        without = get_share(self.play(elsewhere=False))
+        self.assertGreater(found, without + 0.2)
+
+    def test_two_at_the_same_moment(self):
+        """Two entries choose within the way of a word: one is in time.
+
+        Each takes all four engines, and both are late where neither gives way.
+        """
+        size = PromptSize(250_000, 600)
+        earned = []
+        for claims in (True, False):
+            terms = replace(TERMS, claims=claims)
+            fleet = make_fleet(ENGINE, engines=4, entries=2, terms=terms)
+            asked = fleet.play(
+                [make_long(0.0, size), make_long(0.002, size, 1)]
+            )
+            earned.append(max(one.earned for one in asked))
+        self.assertEqual(earned, [1, LATE_KEEPS])
--- a/trestledock/bench/_bursts.py
+++ b/trestledock/bench/_bursts.py
@@ -17,6 +17,10 @@
 SHORT = Kind('short', 0.3, 0.25, 2.0, 10.0)
 LONGER = Kind('longer', 1.5, 0.6, 6.0, 10.0)
 LONG = Kind('long', 3.0, 1.0, 12.0, 15.0)
+#: The same kinds as they have become: longer prompts, shorter pauses.
+NOW_SHORT = Kind('short', 0.3, 0.2, 2.0, 10.0)
+NOW_LONGER = Kind('longer', 1.5, 0.5, 6.0, 10.0)
+NOW_LONG = Kind('long', 4.0, 0.8, 16.0, 15.0)
 
 
 @dataclass(frozen=True)
@@ -44,14 +48,30 @@
 )
 
 
+#: The shifted work on a fleet of 60 engines: two and a half times as many
+#: disputes beside the questions, ledgers of 300,000 tokens.
+NOW_SOURCES = (
+    Source(NOW_SHORT, 38.3, 4_960, 0.9, 23_800, 1_700, (0.4, 2.4, 0.3)),
+    Source(NOW_LONGER, 6.1, 45_000, 0.5, 110_000, 1_030, (1.3, 0.5, 1.3)),
+    Source(NOW_LONG, 1.04, 300_000, 0.55, 1_000_000, 860, (2.8, 0.05, 2.6)),
+)
+#: Callers of each data centre come in waves: the one whose turn it is gets so
+#: much more of what comes, for so long, in seconds.
+WAVE_X = 1.5
+WAVE_S = 3.7
+
+
 def make_bursts(
     seed: int,
     seconds: float = 30,
     entries: int = 9,
     sources: tuple[Source, ...] = SOURCES,
+    waves: int = 1,
 ) -> list[Prompt]:
     """Return the arrivals of all kinds, in order of time.
 
+    With `waves` the data centres, as many, take turns in having more callers.
+
     >>> make_bursts(1)[0] == make_bursts(1)[0]
     True
     """
@@ -60,12 +80,22 @@
     for source in sources:
         at = rng.expovariate(source.rate * source.turns[0])
         while at < seconds:
-            found.append(_draw(rng, source, at, rng.randrange(entries)))
+            entry = _draw_entry(rng, entries, waves, at)
+            found.append(_draw(rng, source, at, entry))
             turn = source.turns[int(at / seconds * len(source.turns))]
             at += rng.expovariate(source.rate * turn)
     return sorted(found, key=lambda prompt: prompt.at)
 
 
+def _draw_entry(rng: Random, entries: int, waves: int, at: float) -> int:
+    """Return which entry a caller comes to; those of a place are spread."""
+    if waves == 1:
+        return rng.randrange(entries)
+    turn = int(at / WAVE_S) % waves
+    weights = [WAVE_X if one % waves == turn else 1 for one in range(entries)]
+    return rng.choices(range(entries), weights)[0]
+
+
 def _draw(rng: Random, source: Source, at: float, entry: int) -> Prompt:
     """Return one arrival; lengths are gamma-distributed about their mean."""
     shape = 1 / source.spread**2
--- a/trestledock/bench/_sharing.py
+++ b/trestledock/bench/_sharing.py
@@ -21,6 +21,7 @@
 
 from trestledock.bench._passes import Part, PassEnd, PassEngine, Writer
 from trestledock.relay import (
+    CLAIM_S,
     LOOK_S,
     TERMS,
     Ask,
@@ -37,8 +38,11 @@
     PromptSize,
     Terms,
     Timing,
+    find_prior,
     get_read_s,
     get_worth,
+    is_worth_asking,
+    needs_claim,
 )
 
 #: How long until other entries know of a flight, in seconds: what is gathered,
@@ -101,10 +105,15 @@
 
 @dataclass
 class Entry:
-    """One entry: its board, and the sequence of its messages."""
+    """One entry: its board, and the sequence of its messages.
+
+    Of many entries each sees only the targets of its own data centre, `near`,
+    and asks for the others; of few all see all.
+    """
 
     board: Board
     placer: Placer
+    near: tuple[Listed, ...]
     sequence: int = 0
 
 
@@ -140,15 +149,66 @@
 
     def _try(self, one: Asked) -> None:
         """Place a request, or have it wait or refused."""
-        entry = self.entries[one.prompt.entry]
-        chosen = one.ask.choose(entry.placer, self.model, self.listed, self.now)
+        chosen = self._choose(one, self.entries[one.prompt.entry])
         if isinstance(chosen, Placement):
-            self._send(one, chosen)
+            self._claim(one, chosen)
         elif chosen.decision is Decision.wait:
             self._at(self.now + LOOK_S, partial(self._try, one))
         elif one.refused is None:
             self._come_back(one, chosen)
 
+    def _choose(self, one: Asked, entry: Entry) -> Placement | NoPlace:
+        """Return the best place nearby, or a better one elsewhere."""
+        chosen = self._choose_among(one, entry, entry.near)
+        cost = chosen.cost if isinstance(chosen, Placement) else None
+        may_ask = entry.placer.terms.elsewhere
+        if not may_ask or not is_worth_asking(one.ask.worth, cost):
+            return chosen
+        groups: dict[str, list[Listed]] = defaultdict(list)
+        for listed in self.listed:
+            if listed not in entry.near:
+                groups[listed.data_centre].append(listed)
+        found = [chosen]
+        for group in groups.values():
+            found.append(self._choose_among(one, entry, tuple(group)))
+        places = [place for place in found if isinstance(place, Placement)]
+        return min(places, key=lambda place: place.cost, default=chosen)
+
+    def _choose_among(
+        self, one: Asked, entry: Entry, targets: tuple[Listed, ...]
+    ) -> Placement | NoPlace:
+        return one.ask.choose(entry.placer, self.model, targets, self.now)
+
+    def _claim(self, one: Asked, placement: Placement) -> None:
+        """Tell of a long prompt, and send it a moment later."""
+        entry = self.entries[one.prompt.entry]
+        claims = entry.placer.terms.claims
+        if not claims or not needs_claim(placement, one.ask.worth):
+            self._send(one, placement)
+            return
+        flight = one.ask.make_flight(placement, Phase.reading, self.now)
+        known = {beside.flight_id for beside in _get_beside(entry, flight)}
+        self._put(one, flight)
+        self._at(
+            self.now + CLAIM_S,
+            partial(self._end_claim, one, placement, flight, known),
+        )
+
+    def _end_claim(
+        self,
+        one: Asked,
+        placement: Placement,
+        flight: Flight,
+        known: set[str],
+    ) -> None:
+        """Send what was told of, unless another prompt goes before it."""
+        entry = self.entries[one.prompt.entry]
+        if find_prior(flight, _get_beside(entry, flight), known):
+            self._put(one, None)
+            self._try(one)
+        else:
+            self._send(one, placement)
+
     def _come_back(self, one: Asked, refusal: NoPlace) -> None:
         """Have a refused caller try once more, if it has the time."""
         one.refused = refusal.decision
@@ -271,14 +331,26 @@
                 )
 
 
+def _get_beside(entry: Entry, flight: Flight) -> list[Flight]:
+    """Return what an entry knows to be at the engines of a flight."""
+    return [
+        one for name in flight.engaged for one in entry.board.get_flights(name)
+    ]
+
+
 def make_fleet(
     model: EngineModel,
     engines: int,
     entries: int,
     places: int = 1,
     terms: Terms = TERMS,
+    *,
+    many: bool = False,
 ) -> SharedFleet:
-    """Return an idle fleet, spread evenly over some data centres."""
+    """Return an idle fleet, spread evenly over some data centres.
+
+    With `many` entries each sees only the engines of its own data centre.
+    """
     listed = tuple(
         Listed(
             f't{one:02}',
@@ -293,7 +365,12 @@
         model,
         listed,
         tuple(
-            _make_entry(number, f'dc-{number % places}', terms)
+            _make_entry(
+                number,
+                f'dc-{number % places}',
+                terms,
+                _get_near(listed, f'dc-{number % places}') if many else listed,
+            )
             for number in range(entries)
         ),
         engines={one.incarnation: PassEngine(model) for one in listed},
@@ -311,10 +388,16 @@
     return worths[True] / worths[False]
 
 
-def _make_entry(number: int, place: str, terms: Terms) -> Entry:
+def _get_near(listed: tuple[Listed, ...], place: str) -> tuple[Listed, ...]:
+    return tuple([one for one in listed if one.data_centre == place])
+
+
+def _make_entry(
+    number: int, place: str, terms: Terms, near: tuple[Listed, ...]
+) -> Entry:
     board = Board()
     name = f'entry-{number}'
-    return Entry(board, Placer(board, Health(), name, place, terms))
+    return Entry(board, Placer(board, Health(), name, place, terms), near)
 
 
 def _make_ask(req_id: str, prompt: Prompt) -> Ask:
