--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -21,7 +21,7 @@
     _wire,
 )
 from trestledock.entry._job import STATUSES, Job, Refusal
-from trestledock.platform import _headers, run
+from trestledock.platform import _epochs, _headers, run
 from trestledock.relay import Fleet, History, Proof, Quarantine
 
 
@@ -116,6 +116,11 @@
     Quarantine.is_quarantined = lambda quarantine, fingerprint: False
 
 
+def copies() -> None:
+    """Take the word of any copy of the store, as if it were the only one."""
+    _epochs.StoreEpochs.take = lambda epochs, head: None
+
+
 async def _sleep_on(*args: Any) -> None:
     await anyio.sleep_forever()
 
@@ -136,6 +141,7 @@
         lost,
         gone,
         budget,
+        copies,
     )
 }
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -39,3 +39,7 @@
     def test_reader_stands_still(self):
         report = self.check(replace(SIZE, plan='standstill'))
         self.assertGreater(report.changes, 0)
+
+    def test_store_comes_back_from_a_copy(self):
+        report = self.check(replace(SIZE, plan='restored'))
+        self.assertGreater(report.faults, 0)
