A store that is away again is not asked in vain for what it lacks

Cause: found by reading: a reader that had not yet written again asked each 0.5 s while the store was away; each call has a price. Change: it looks only where the store was read within 1.8 s.

--- a/tests/test_entry_restoring.py
+++ b/tests/test_entry_restoring.py
@@ -283,6 +283,21 @@
 
         self.assertFalse(run_world(3, scenario))
 
+    def test_store_that_is_away_again(self):
+        """It is not asked in vain again and again for what is missing."""
+
+        async def scenario(world, *entries):
+            world.store.go_back(2)
+            while entries[0].state.restores.epoch == 1:
+                await anyio.sleep(0.01)
+            world.store.status = 503
+            await anyio.sleep(3)
+            StoreWire.requests.clear()
+            await anyio.sleep(8)
+            return StoreWire.requests.count(('/log-newest', PEERS))
+
+        self.assertEqual(run_world(1, scenario), 0)
+
     def test_calls_after_a_restore(self):
         """Two reads of each topic at most, however many entries there are."""
 
--- a/trestledock/entry/_loads.py
+++ b/trestledock/entry/_loads.py
@@ -2,8 +2,8 @@
 Loads of other data centres
 ===========================
 
-Asks an entry of each other data centre, when a prompt needs it, what the
-targets there have to do, and answers those that ask.
+Asks entries of other data centres, when a prompt needs it, what the targets
+there have to do, and answers those that ask.
 """
 
 import json
@@ -34,7 +34,7 @@
 #: bytes between data centres from 35 to 93 MB on a quiet day of 195 entries.
 MOST_ASKED = 2
 #: For how long a data centre that did not answer is left alone, in seconds:
-#: each prompt that waits would ask it, some 30 times a second, while it is cut.
+#: each prompt that waits would ask it ten times a second while it is cut off.
 LEFT_ALONE_S = 1.0
 LONG_AGO = float('-inf')
 
--- a/trestledock/entry/_restoring.py
+++ b/trestledock/entry/_restoring.py
@@ -29,6 +29,9 @@
 LOOK_S = 0.5
 #: How long all calls for one thing may take, in seconds.
 TIMEOUT_S = 1.0
+#: Up to what age of its last read the store counts as there, in seconds: some
+#: three pauses between reads.  Calls are priced, those in vain too.
+THERE_S = 1.8
 
 
 class Restoring:
@@ -53,7 +56,7 @@
         while True:
             with anyio.move_on_after(LOOK_S):
                 await self.state.restored.wait()
-            if self.is_reader():
+            if self.is_reader() and self._is_store_there():
                 await self.look()
 
     async def look(self) -> None:
@@ -65,6 +68,10 @@
         except EXPECTED as exc:
             emit(events.StoreLost('write_again', repr(exc)))
 
+    def _is_store_there(self) -> bool:
+        now = anyio.current_time()
+        return self.state.proof.get_read_age_s(now) <= THERE_S
+
     async def _write_again(self) -> None:
         """Write once in each epoch what its copy lacks."""
         restores = self.state.restores
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -80,8 +80,8 @@
     It is `leaving` once it was asked to stop, `closing` once idle connections
     are being closed, and `ending` once nothing may go on any more.  `catch_up`
     takes the words of the other entries that have come in, `tell_own` tells
-    them at once of what has changed here; `learn_loads` asks
-    other data centres for theirs, and `loads` has what they answered.
+    them at once of what has changed here; `learn_loads` asks other data centres
+    what their targets have to do, and `loads` has what they answered.
     """
 
     settings: EntrySettings
