--- a/tests/test_platform_epochs.py
+++ b/tests/test_platform_epochs.py
@@ -215,6 +215,23 @@
         found = self.read('9', '1', '1', '1', pause_s=DOUBT_S * 0.6)
         self.assertEqual(found, [9, 'doubt', 'doubt', 1])
 
+    def test_refusals_without_one(self):
+        """Something in front of the store refuses for longer than a doubt.
+
+        They were taken for another store, and its return for a restore.
+        """
+
+        async def main():
+            epochs = StoreEpochs()
+            epochs.take(Head(200, ((b'Store-Era', b'4'),)))
+            for _ in range(3):
+                await anyio.sleep(DOUBT_S * 0.6)
+                epochs.take(Head(503, ()))
+            return epochs.current
+
+        self.assertEqual(run_virtually(main), 4)
+        self.assertEqual(self.lines, [])
+
     def test_refusals_tell_as_well(self):
         """What refuses a call tells of its epoch, too."""
 
--- a/trestledock/platform/_epochs.py
+++ b/trestledock/platform/_epochs.py
@@ -8,6 +8,7 @@
 """
 
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import anyio
 
@@ -36,9 +37,12 @@
         """Return the epoch of an answer.
 
         Raises a `DirectoryError` for one that is older than what was heard, or
-        that tells none where others did: it proves nothing.
+        that tells none where others did: it proves nothing.  A refusal proves
+        nothing in any case, and whoever refuses need not be the store itself.
         """
         told = _read_epoch(head.get_header(HEADER))
+        if told is None and head.status >= HTTPStatus.BAD_REQUEST:
+            return self.current
         if self._is_sound(told):
             self.doubted_at = None
         elif self._is_in_doubt(told):
