--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -26,8 +26,8 @@
         'wsproto',
     )
 )
-#: Our own packages and modules, of which the others belong to other commands; the
-#: clock is the event loop's, so an entry needs it from its first step.
+#: Our own packages and modules, of which the others belong to other commands;
+#: the clock is the event loop's, so an entry needs it from its first step.
 OWN = frozenset(('clock', 'entry', 'platform', 'relay'))
 #: Modules of the standard library that cost much and serve nothing here.
 DEAR = frozenset(
