--- a/trestledock/entry/_loads.py
+++ b/trestledock/entry/_loads.py
@@ -30,8 +30,8 @@
 #: that ask.
 LIMIT_S = 0.06
 #: How many data centres are asked, drawn anew each time: the better one of two
-#: is nearly as good as the best of all.  To ask all of four others took the
-#: bytes between data centres from 35 to 93 MB on a quiet day of 195 entries.
+#: is nearly as good as the best of all, for half of the questions where there
+#: are four others.
 MOST_ASKED = 2
 #: For how long a data centre that did not answer is left alone, in seconds:
 #: each prompt that waits would ask it ten times a second while it is cut off.
