Red: several restores that lose the record of an epoch, and a kill of all

Traced by the entries' logs: version 3 applied by all after the kill, at epoch 4, ready at once. Cause: no record of an epoch in the copy is taken for the first start of the system.

--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -64,6 +64,8 @@
         ('restored', 5): 'two restores overlapped, and the stand-in had the '
         'operator write again an older version than it had written last; the '
         'check was wrong',
+        ('restored', 10): 'red: two pairs of restores and a kill of all; no '
+        'record of an epoch was left, which was taken for the first start',
         ('deadly', 103): _TOLD_ON,
         (
             'deadly',
