One place for what stands beside a flight, and for the cheapest of several plans

Found on reading the change: the entry and the simulation each had their own look at the engines of a flight and their own choice among data centres; and every request, a short one too, looked at all flights at its engine for a claim that only long prompts make. Change: Board.get_beside and pick_cheapest serve both; what a claim reckons with is gathered only for what makes one. No decision changes. Seen: 66 tests of sending, selecting, claims, loads and the simulation; format, lint, types.

--- a/trestledock/bench/_sharing.py
+++ b/trestledock/bench/_sharing.py
@@ -43,6 +43,7 @@
     get_worth,
     is_worth_asking,
     needs_claim,
+    pick_cheapest,
 )
 
 #: How long until other entries know of a flight, in seconds: what is gathered,
@@ -171,8 +172,7 @@
         found = [chosen]
         for group in groups.values():
             found.append(self._choose_among(one, entry, tuple(group)))
-        places = [place for place in found if isinstance(place, Placement)]
-        return min(places, key=lambda place: place.cost, default=chosen)
+        return pick_cheapest(found)
 
     def _choose_among(
         self, one: Asked, entry: Entry, targets: tuple[Listed, ...]
@@ -187,7 +187,7 @@
             self._send(one, placement)
             return
         flight = one.ask.make_flight(placement, Phase.reading, self.now)
-        known = {beside.flight_id for beside in _get_beside(entry, flight)}
+        known = {beside.flight_id for beside in entry.board.get_beside(flight)}
         self._put(one, flight)
         self._at(
             self.now + CLAIM_S,
@@ -203,7 +203,7 @@
     ) -> None:
         """Send what was told of, unless another prompt goes before it."""
         entry = self.entries[one.prompt.entry]
-        if find_prior(flight, _get_beside(entry, flight), known):
+        if find_prior(flight, entry.board.get_beside(flight), known):
             self._put(one, None)
             self._try(one)
         else:
@@ -331,13 +331,6 @@
                 )
 
 
-def _get_beside(entry: Entry, flight: Flight) -> list[Flight]:
-    """Return what an entry knows to be at the engines of a flight."""
-    return [
-        one for name in flight.engaged for one in entry.board.get_flights(name)
-    ]
-
-
 def make_fleet(
     model: EngineModel,
     engines: int,
--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -176,7 +176,7 @@
         """Return what is new, once there is something or the time is over."""
 
     async def read_whole(self) -> StoredQuarantine:
-        """Return all records, with the offset at which they end."""
+        """Return all records, with the place at which they end."""
 
     async def write_records(
         self,
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -21,12 +21,12 @@
     EngineModel,
     Flight,
     Listed,
-    NoPlace,
     Phase,
     Placement,
     choose_least_busy,
     decide_without_place,
     is_worth_asking,
+    pick_cheapest,
 )
 
 #: How many targets of the own data centre suffice where entries are many.
@@ -122,13 +122,12 @@
         job.ask.choose(state.placer, engine, group, now)
         for group in _split_by_place(state, targets, job)
     ]
-    placements = [one for one in options if isinstance(one, Placement)]
-    if placements:
-        return min(placements, key=lambda one: one.cost)
+    chosen = pick_cheapest(options)
+    if isinstance(chosen, Placement):
+        return chosen
     # Nothing elsewhere is better: what binds is the own data centre.
-    first = next(one for one in options if isinstance(one, NoPlace))
-    job.come_back_s = first.come_back_s
-    return REFUSALS.get(first.decision)
+    job.come_back_s = chosen.come_back_s
+    return REFUSALS.get(chosen.decision)
 
 
 def _split_by_place(
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -66,12 +66,12 @@
             self.state.get_window(job.service).earn(now)
             self.state.early.earn(now)
         held: dict[str, str] = {}
-        known = {one.flight_id for one in self._get_beside(flight)}
+        known = self._get_known(flight, placement)
         self.state.board.put(flight)
         self.state.note_sent(flight.target, now)
         self.state.notify_own()
         try:
-            prior = await self._claim(flight, placement, known)
+            prior = await self._claim(flight, known)
             if not prior:
                 return await self._reserve(job, placement, reply, held)
         finally:
@@ -89,30 +89,28 @@
             return await self._exchange(job, placement, reply, held)
         return Sending(Ending.not_sent, 'reserve', placement.target.incarnation)
 
+    def _get_known(
+        self, flight: Flight, placement: Placement
+    ) -> set[str] | None:
+        """Return what a claim reckons with; None for what needs no claim."""
+        claims = self.state.placer.terms.claims
+        if not claims or not needs_claim(placement, flight.worth):
+            return None
+        return {one.flight_id for one in self.state.board.get_beside(flight)}
+
     async def _claim(
-        self,
-        flight: Flight,
-        placement: Placement,
-        known: set[str],
+        self, flight: Flight, known: set[str] | None
     ) -> Flight | None:
         """Have others know of a long prompt before it is sent.
 
         Return what goes before it at an engine, if anything does.
         """
-        claims = self.state.placer.terms.claims
-        if not claims or not needs_claim(placement, flight.worth):
+        if known is None:
             return None
         self.state.tell_own()
         await anyio.sleep(CLAIM_S)
         self.state.catch_up()
-        return find_prior(flight, self._get_beside(flight), known)
-
-    def _get_beside(self, flight: Flight) -> list[Flight]:
-        """Return what the engines of a flight have to do."""
-        board = self.state.board
-        return [
-            one for name in flight.engaged for one in board.get_flights(name)
-        ]
+        return find_prior(flight, self.state.board.get_beside(flight), known)
 
     def _clean_up(self, flight_id: str, held: dict[str, str]) -> None:
         self.state.board.remove(flight_id)
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -14,7 +14,7 @@
     get_write_pass_s,
     get_write_s,
 )
-from trestledock.relay._asking import Ask, NoPlace
+from trestledock.relay._asking import Ask, NoPlace, pick_cheapest
 from trestledock.relay._board import Board, Flight, Phase
 from trestledock.relay._budget import BudgetTerms, RetryWindow
 from trestledock.relay._call import Body, Call, PromptSize
@@ -152,5 +152,6 @@
     'is_held_up',
     'is_worth_asking',
     'needs_claim',
+    'pick_cheapest',
     'summarize',
 )
--- a/trestledock/relay/_asking.py
+++ b/trestledock/relay/_asking.py
@@ -40,6 +40,14 @@
     come_back_s: float = 0
 
 
+def pick_cheapest(
+    options: Sequence[Placement | NoPlace],
+) -> Placement | NoPlace:
+    """Return the placement that costs least; without any the first's word."""
+    placements = [one for one in options if isinstance(one, Placement)]
+    return min(placements, key=lambda one: one.cost, default=options[0])
+
+
 @dataclass(frozen=True)
 class Ask:
     """One request; `pause_s` and `patience_s` are those of its route."""
--- a/trestledock/relay/_board.py
+++ b/trestledock/relay/_board.py
@@ -175,6 +175,12 @@
         ]
         return iter((*self._by_target.get(target, {}).values(), *told))
 
+    def get_beside(self, flight: Flight) -> list[Flight]:
+        """Return what the targets of a flight have to do, itself included."""
+        return [
+            one for name in flight.engaged for one in self.get_flights(name)
+        ]
+
     def set_elsewhere(self, place: str, flights: Iterable[Flight]) -> None:
         """Take what instances elsewhere have at the targets of a data centre.
 
