Log and count what targets say of the requests a second that they take

Callers saw nothing; on call, no line or metric told that a target had asked for fewer requests, who knew it, or what was sent there afterwards. Now an answer's header is read (in the adapter), its word is believed in an order that overtaking answers don't upset, and lines, counters and a gauge show it. No decision uses it yet.

--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -15,6 +15,7 @@
 from trestledock.entry._job import Answer, Job
 from trestledock.entry._limits import Limit, Limits
 from trestledock.entry._pool import get_idle_s
+from trestledock.entry._rates import note_answer
 from trestledock.entry._reply import Reply
 from trestledock.entry._state import EntryState
 from trestledock.entry._streaming import StreamPassing
@@ -40,13 +41,19 @@
         placement: Placement,
         wire: Wire,
         reply: Reply,
+        asked_at: float,
     ) -> tuple[Sending, float]:
-        """Take an answer; return the ending and how long `wire` may idle."""
+        """Take an answer; return the ending and how long `wire` may idle.
+
+        The request was written at the instant `asked_at` or later.
+        """
         limit = self.limits.get_first(job, placement)
         head = await self._read_head(job, placement, wire, limit)
         answer = self.dialect.read_head(head)
         if answer.req_id and answer.req_id != job.call.req_id:
             raise WireError('answer', 'of another request')
+        peer = placement.target.incarnation
+        note_answer(self.state, peer, head.status, answer, asked_at)
         idle_s = get_idle_s(answer.keep_alive, answer.connection)
         if _is_stream(job, head, answer):
             passing = StreamPassing(
--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -38,6 +38,19 @@
     priority: int | None = None
 
 
+@dataclass(frozen=True)
+class NamedLimit:
+    """How many requests a second an answer's target takes from all entries.
+
+    `per_s` is None where no number was given; `is_named` says that there was
+    a word on it, and `unreadable` has what made no sense.
+    """
+
+    per_s: float | None = None
+    is_named: bool = False
+    unreadable: str = ''
+
+
 @dataclass(frozen=True)
 class AnswerNote:
     """What an answer's head says beside its status.
@@ -53,6 +66,7 @@
     keep_alive: str
     connection: str
     at_fault: str = ''
+    limit: NamedLimit = NamedLimit()
 
 
 @dataclass(frozen=True)
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -243,6 +243,38 @@
     data_centre: str
 
 
+class LimitHeard(Event):
+    """What a target says of how many requests a second it takes from all.
+
+    `change` is learnt, changed or lifted; the numbers are None where it takes
+    any number.  `source` is who heard it, this entry (`self`) or another one,
+    and the target may have said it `age_ms` ago.
+    """
+
+    peer: str
+    change: str
+    before_per_s: float | None
+    per_s: float | None
+    source: str
+    age_ms: int
+
+
+class LimitIgnored(Event):
+    """A target names a limit that makes no sense."""
+
+    peer: str
+    detail: str
+
+
+class SentUnderLimit(Event):
+    """A request was sent to a target that takes only so many a second."""
+
+    req: str
+    peer: str
+    per_s: float
+    age_ms: int
+
+
 class TargetEnded(Event):
     """A target ended while it ran a request.
 
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -53,6 +53,11 @@
         events.MemoryRefused: Counting('Prompts whose memory was not granted'),
         events.OrderLost: Counting('Orders to engines without an answer'),
         events.TargetSuspected: Counting('Targets that fell silent'),
+        events.LimitHeard: Counting(
+            'Changes of what targets take a second', ('change',)
+        ),
+        events.LimitIgnored: Counting('Rate limits of targets without sense'),
+        events.SentUnderLimit: Counting('Requests sent under a rate limit'),
         events.TargetEnded: Counting(
             'Ends of targets while they ran a request', ('sign',)
         ),
@@ -124,6 +129,7 @@
         'targets_held': 'Targets that are missing but may have lapsed',
         'list_age_seconds': 'Age of what is known of the targets',
         'peers': 'Other entries that are heard',
+        'rate_limits': 'Targets that take only so many requests a second',
         'requests_quarantined': 'Requests that go to no target',
         'requests_suspected': 'Requests under which a target has ended',
     }
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -16,6 +16,7 @@
 from trestledock.entry._job import Job
 from trestledock.entry._logger import emit
 from trestledock.entry._pool import Pool
+from trestledock.entry._rates import note_sent
 from trestledock.entry._reply import Reply
 from trestledock.entry._selecting import make_flight
 from trestledock.entry._state import MOST_AGE_S, EntryState
@@ -168,10 +169,12 @@
         """Write the request and take the answer on an open connection."""
         peer = placement.target.incarnation
         idle_s: float = 0
+        asked_at = anyio.current_time()
+        note_sent(self.state, job.call.req_id, placement)
         try:
             await self._write(job, placement, held, wire)
             sending, idle_s = await self.answering.receive(
-                job, placement, wire, reply
+                job, placement, wire, reply, asked_at
             )
         except WireError as exc:
             self.state.health.note_failure(peer, anyio.current_time())
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -30,6 +30,7 @@
     Proof,
     Reach,
     Restores,
+    RateLimits,
     RetryWindow,
 )
 
@@ -94,6 +95,8 @@
     board: Board = field(default_factory=Board)
     health: Health = field(default_factory=Health)
     reach: Reach = field(default_factory=Reach)
+    rate_limits: RateLimits = field(default_factory=RateLimits)
+    unreadable_limits: dict[str, str] = field(default_factory=dict)
     restores: Restores = field(default_factory=Restores)
     waits: set[Wait] = field(default_factory=set)
     windows: dict[str, RetryWindow] = field(default_factory=dict)
@@ -312,6 +315,7 @@
             'targets_held': len(self.fleet.held),
             'list_age_seconds': self.get_list_age_s(now),
             'peers': self.board.count_peers(),
+            'rate_limits': len(self.rate_limits.get_in_force()),
             'requests_quarantined': self.isolation.count_quarantined(),
             'requests_suspected': len(self.isolation.quarantine.suspects),
         }
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -63,10 +63,15 @@
 
     def get_header(self, name: bytes) -> str:
         """Return a header by its name in lower case, or an empty text."""
-        for known, text in self.headers:
-            if known.lower() == name:
-                return text.decode('latin-1')
-        return ''
+        return next(iter(self.get_headers(name)), '')
+
+    def get_headers(self, name: bytes) -> list[str]:
+        """Return all headers of a name in lower case, in their order."""
+        return [
+            text.decode('latin-1')
+            for known, text in self.headers
+            if known.lower() == name
+        ]
 
 
 class Wire:
--- a/trestledock/platform/_headers.py
+++ b/trestledock/platform/_headers.py
@@ -10,6 +10,7 @@
 from typing import Any, Mapping
 
 from trestledock.entry import AnswerNote, Head, Headers, Order, Passing
+from trestledock.platform._rates import read_limit
 from trestledock.relay import Body, Call, PromptSize
 
 REQUEST_ID = b'trestledock-request-id'
@@ -119,6 +120,7 @@
             keep_alive=head.get_header(b'keep-alive'),
             connection=head.get_header(b'connection'),
             at_fault=head.get_header(AT_FAULT),
+            limit=read_limit(head),
         )
 
     def make_reply_headers(self, head: Head) -> Headers:
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -63,6 +63,7 @@
     Quarantined,
     Quarantine,
 )
+from trestledock.relay._rate_limits import Change, RateLimit, RateLimits
 from trestledock.relay._reach import BEAT_S, Reach
 from trestledock.relay._restores import REWRITE_S, Restores
 from trestledock.relay._readers import (
@@ -87,6 +88,7 @@
     'Call',
     'Candidate',
     'Catalog',
+    'Change',
     'Decision',
     'EARLY_TERMS',
     'End',
@@ -114,6 +116,8 @@
     'Proof',
     'Reach',
     'Quarantine',
+    'RateLimit',
+    'RateLimits',
     'ReadPace',
     'REWRITE_S',
     'Restores',
