A target's rate limit is shared by all entries, and nobody sends above its part

Callers saw nothing; a target in need got what it would have got anyway.

Cause: what a target asks of all entries together was nobody's to decide. Class: an aim that all share is kept by each alone, here not even that. Ruled out: a belief that came too late or ended too early (no entry had any).

A limit is believed by incarnation, in the order that requests and answers prove, and told to all entries: a change at once, all with every whole word. Of the entries that hear one another a few hold the right to send to a limited target, by rendezvous, those of its data centre first; each has an equal part, in a token bucket. Who hears only a share of all entries shares only that part of the limit, so both sides of a cut together stay within it. Where all targets of a service are under a limit, requests wait for their turn (urgency, then team by team) if it comes in time, and are refused at once otherwise.

The three tests failed before: 35, 73 and 81 requests in 4 s, 11 allowed; they pass now.

Words between entries are split from their wire form, as the file had grown; rendezvous hashing moved to relay, where both cores find it.

--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -29,7 +29,7 @@
 from trestledock.entry._sending import Sender
 from trestledock.entry._state import EntryState
 from trestledock.entry._tickets import Tickets
-from trestledock.entry._words import write_word
+from trestledock.entry._word_codec import write_word
 from trestledock.platform._headers import PlatformDialect
 from trestledock.relay import (
     Catalog,
--- a/tests/following.py
+++ b/tests/following.py
@@ -15,7 +15,7 @@
 from trestledock.entry._news import NewsExchange
 from trestledock.entry._pool import Pool
 from trestledock.entry._state import EntryState
-from trestledock.entry._words import write_word
+from trestledock.entry._word_codec import write_word
 from trestledock.relay import Catalog
 
 CATALOG = Catalog(1, {}, {}, None)
--- a/tests/limiting.py
+++ b/tests/limiting.py
@@ -17,11 +17,12 @@
 from trestledock.entry import Head, WireError
 from trestledock.entry._gossip import Gossip
 from trestledock.entry._logger import logger
+from trestledock.entry._rates_exchange import RatesExchange
 from trestledock.entry._relaying import Relayer
 from trestledock.entry._sending import Sender
 from trestledock.entry._state import EntryState
 from trestledock.entry._tickets import Tickets
-from trestledock.entry._words import write_word
+from trestledock.entry._word_codec import write_word
 from trestledock.platform._headers import HELPERS, REQUEST_ID, PlatformDialect
 from trestledock.relay import Catalog, Listed, Service, Standing, TeamKey
 
@@ -203,7 +204,7 @@
         super().__init__(state, Relayer(state, dialect, sender))
         self.gossip = Gossip(state)
         self.gossip.send = self._send
-        fleet.take_part(self)
+        RatesExchange(self.gossip)
         for target in fleet.targets:
             state.fleet.put(target.get_listed())
 
@@ -298,9 +299,6 @@
         service = Service('svc', engine=self.engine)
         return Catalog(1, {HOST: self.routes}, {'svc': service}, keys)
 
-    def take_part(self, entry):
-        """Hook for what an entry has beside the parts above."""
-
     def get_addresses(self):
         """Return the addresses of all entries, as the store lists them."""
         return {
--- a/tests/living.py
+++ b/tests/living.py
@@ -12,7 +12,7 @@
 from tests.following import FollowingEntry, Store
 from tests.virtual_loop import run_virtually
 from trestledock.entry import WireError
-from trestledock.entry._words import write_word
+from trestledock.entry._word_codec import write_word
 
 #: One way between two entries, and a call of the store, in seconds.
 WAY_S = 0.001
--- a/tests/restoring.py
+++ b/tests/restoring.py
@@ -24,7 +24,7 @@
 from trestledock.entry._pool import Pool
 from trestledock.entry._restoring import Restoring
 from trestledock.entry._state import EntryState
-from trestledock.entry._words import write_word
+from trestledock.entry._word_codec import write_word
 from trestledock.platform import _log
 from trestledock.platform._store import StoreDirectory
 
--- a/tests/test_entry_gossip.py
+++ b/tests/test_entry_gossip.py
@@ -13,7 +13,8 @@
 from trestledock.entry._neighbours import MOST_TOLD_ALL
 from trestledock.entry._peers import PATIENCE_S, PATIENCE_TURNS, Peer
 from trestledock.entry._state import EntryState
-from trestledock.entry._words import Beat, write_word
+from trestledock.entry._word_codec import write_word
+from trestledock.entry._words import Beat
 from trestledock.relay import Flight, Phase
 
 
--- a/tests/test_entry_words.py
+++ b/tests/test_entry_words.py
@@ -17,18 +17,22 @@
 from trestledock.entry._gossip import Gossip
 from trestledock.entry._news import NewsExchange
 from trestledock.entry._state import EntryState
-from trestledock.entry._words import (
+from trestledock.entry._word_codec import (
     READERS,
     BadWord,
+    read_word,
+    write_word,
+)
+from trestledock.entry._words import (
     Beat,
     Cleared,
     Ends,
     Flights,
     Fresh,
+    Limits,
     Question,
     Reply,
-    read_word,
-    write_word,
+    ToldLimit,
 )
 from trestledock.relay import End, Flight, Phase
 
@@ -52,6 +56,7 @@
     Beat('e', 'dc', leaving=True),
     Ends('e', ((End('f', 't1@5'), 0.25), (End('g', 't2'), 0))),
     Cleared('e', 'f', ('t1@5', 't2')),
+    Limits('e', (ToldLimit('t1', 1.5, 2, 1), ToldLimit('t2', None, 0, 0))),
     Fresh('e', 0.25),
     Question('e', 17.5),
     Reply('e', 17.5, 0.25, 0.125, 0.5, 7, 40),
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -267,11 +267,15 @@
 
 
 class SentUnderLimit(Event):
-    """A request was sent to a target that takes only so many a second."""
+    """A request was sent to a target that takes only so many a second.
+
+    `quota_per_s` is the part of it that this entry may send.
+    """
 
     req: str
     peer: str
     per_s: float
+    quota_per_s: float
     age_ms: int
 
 
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -20,15 +20,8 @@
 from trestledock.entry._peers import Peers
 from trestledock.entry._rows import Change
 from trestledock.entry._state import EntryState
-from trestledock.entry._words import (
-    BadWord,
-    Beat,
-    Flights,
-    Fresh,
-    Word,
-    read_word,
-    write_word,
-)
+from trestledock.entry._word_codec import BadWord, read_word, write_word
+from trestledock.entry._words import Beat, Flights, Fresh, Word
 from trestledock.relay import BEAT_S, Candidate, Flight
 
 #: How long changes are gathered, in seconds.
@@ -56,7 +49,8 @@
 class Gossip:
     """The exchange of datagrams with the other entries.
 
-    What is in `on_met` is called with the address of each entry that is new.
+    What is in `on_met` is called with the address of each entry that is new,
+    what is in `on_told` with the addresses that were just told everything.
     """
 
     def __init__(self, state: EntryState) -> None:
@@ -71,6 +65,7 @@
             Fresh: self._take_fresh,
         }
         self.on_met: list[Callable[[Address], None]] = []
+        self.on_told: list[Callable[[Sequence[Address]], None]] = []
         self.sequence = 0
         self._datagrams: Datagrams | None = None
         self._attentive_until = float('-inf')
@@ -80,7 +75,8 @@
     def meet(self, addresses: Mapping[str, str]) -> None:
         """Take the addresses of the other entries by name, and greet them."""
         found = map(split_address, addresses.values())
-        self._tell_whole(self.neighbours.meet(found), self._get_far_s())
+        new = self.neighbours.meet(found, anyio.current_time())
+        self._tell_whole(new, self._get_far_s())
 
     def get_candidates(self, now: float) -> list[Candidate]:
         """Return the entries that may read the store, this one included."""
@@ -162,7 +158,7 @@
 
     def _take_flights(self, word: Flights, sender: Address) -> bool:
         now = anyio.current_time()
-        self.neighbours.note(sender, word.data_centre)
+        self.neighbours.note(sender, word.data_centre, now)
         is_new = self.peers.hear(word, sender, now)
         self.state.many_entries = self.peers.are_many
         self._note_heard(word, now)
@@ -271,6 +267,7 @@
         while True:
             now = anyio.current_time()
             self._tell_whole(self._get_near(), self._get_whole_s())
+            self._note_told(self._get_near())
             if now >= far_at:
                 self._tell_far()
                 far_at = now + self._get_far_s()
@@ -285,6 +282,11 @@
         for place, where in far.items():
             flights = [one for one in own if place in self._get_places(one[1])]
             self._tell(flights, where, whole=True, again_s=self._get_far_s())
+            self._note_told(where)
+
+    def _note_told(self, where: Sequence[Address]) -> None:
+        for tell in self.on_told:
+            tell(where)
 
     def _get_whole_s(self) -> float:
         return max(WHOLE_S, len(self._get_near()) / MOST_WHOLE)
@@ -297,7 +299,9 @@
             self._drop(name)
 
     def _drop(self, name: str) -> None:
-        self.peers.known.pop(name)
+        peer = self.peers.known.pop(name)
+        if peer.leaving:
+            self.neighbours.note_left(peer.address)
         self.state.board.drop_sender(name)
         emit(events.PeerLost(name))
 
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -19,6 +19,7 @@
     Route,
     TeamKey,
     Timing,
+    Turn,
 )
 
 
@@ -33,6 +34,7 @@
     no_memory = 'no_memory'
     no_time = 'no_time'
     no_room = 'no_room'
+    limited = 'limited'
     quarantined = 'quarantined'
     not_run = 'not_run'
     failed = 'failed'
@@ -51,6 +53,7 @@
         Refusal.no_memory: 503,
         Refusal.no_time: 503,
         Refusal.no_room: 503,
+        Refusal.limited: 503,
         Refusal.quarantined: 503,
         Refusal.not_run: 503,
         Refusal.failed: 502,
@@ -123,6 +126,17 @@
             return self.route.priority
         return self.team.priority
 
+    @property
+    def turn(self) -> Turn:
+        """The request as it waits where targets take only so many."""
+        return Turn(
+            req_id=self.call.req_id,
+            service=self.service,
+            team=self.team.team,
+            arrived_at=self.call.arrived_at,
+            priority=self.priority,
+        )
+
     def note_event(self, now: float) -> None:
         """Note that the caller is sent a part of its answer."""
         if self.last_event_at is None:
--- a/trestledock/entry/_limits.py
+++ b/trestledock/entry/_limits.py
@@ -149,9 +149,11 @@
             return True
         if not self.state.is_repeat_left(job.service, anyio.current_time()):
             return True
-        # A target that is leaving works on, but takes nothing new.
-        usable = any(self.state.fleet.get_usable(job.service))
-        return not usable or not may_go_on(self.state, job)
+        # A target that is leaving, or has had its share, takes nothing new.
+        usable = self.state.fleet.get_usable(job.service)
+        now = anyio.current_time()
+        free = any(self.state.throttle.is_free(one, now) for one in usable)
+        return not free or not may_go_on(self.state, job)
 
 
 def _get_left_s(job: Job) -> float:
--- a/trestledock/entry/_listing.py
+++ b/trestledock/entry/_listing.py
@@ -186,7 +186,7 @@
             emit(events.TargetGone(incarnation, source))
             self.pool.drop(incarnation)
             self.state.health.targets.pop(incarnation, None)
-            self.state.rate_limits.forget(incarnation)
+            self.state.throttle.forget(incarnation)
             self.state.unreadable_limits.pop(incarnation, None)
         if gone:
             self.state.notify()
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -130,6 +130,7 @@
         'list_age_seconds': 'Age of what is known of the targets',
         'peers': 'Other entries that are heard',
         'rate_limits': 'Targets that take only so many requests a second',
+        'rate_quota_per_second': 'Requests a second to such targets from here',
         'requests_quarantined': 'Requests that go to no target',
         'requests_suspected': 'Requests under which a target has ended',
     }
--- a/trestledock/entry/_neighbours.py
+++ b/trestledock/entry/_neighbours.py
@@ -16,6 +16,9 @@
 MOST_TOLD_ALL = 16
 #: What stands for the data centre of an entry that was not heard yet.
 UNKNOWN = ''
+#: For how long an entry that is not heard counts as one of all, in seconds: it
+#: may be cut off, or start again.
+FORGET_S = 600
 
 
 class Neighbours:
@@ -26,9 +29,10 @@
         self.own = own
         self.data_centre = data_centre
         self.places: dict[Address, str] = {}
+        self._seen_at: dict[Address, float] = {}
         self._near: list[Address] | None = None
 
-    def meet(self, addresses: Iterable[Address]) -> list[Address]:
+    def meet(self, addresses: Iterable[Address], now: float) -> list[Address]:
         """Take addresses; return those that are new."""
         new = [
             one
@@ -36,15 +40,26 @@
             if one not in self.places and one != self.own
         ]
         for one in new:
-            self.note(one, UNKNOWN)
+            self.note(one, UNKNOWN, now)
         return new
 
-    def note(self, address: Address, place: str) -> None:
-        """Note in which data centre an entry is."""
+    def note(self, address: Address, place: str, now: float) -> None:
+        """Note in which data centre an entry is that is heard or met."""
+        self._seen_at[address] = now
         if self.places.get(address) != place:
             self.places[address] = place
             self._near = None
 
+    def note_left(self, address: Address) -> None:
+        """Note that an entry has ended as planned."""
+        self._seen_at.pop(address, None)
+
+    def count(self, now: float) -> int:
+        """Return how many others there are, heard or not."""
+        return sum(
+            now - seen_at <= FORGET_S for seen_at in self._seen_at.values()
+        )
+
     def get_near(self, *, many: bool) -> list[Address]:
         """Return who is told at once: all, if there are not many."""
         if not many:
--- a/trestledock/entry/_peers.py
+++ b/trestledock/entry/_peers.py
@@ -30,6 +30,7 @@
     news_age_s: float
     data_centre: str = ''
     again_s: float = 0
+    leaving: bool = False
 
     def get_news_age_s(self, now: float) -> float:
         """Return the age of its news if it has heard none since."""
@@ -63,6 +64,7 @@
             word.news_age_s,
             word.data_centre,
             word.again_s,
+            word.leaving,
         )
         return is_new
 
--- a/trestledock/entry/_rates.py
+++ b/trestledock/entry/_rates.py
@@ -17,6 +17,8 @@
 from trestledock.relay import Change, Placement, RateLimit
 
 MS = 1000
+#: A limit that falls below this part of the one before is told at once.
+URGENT_SHARE = 0.8
 #: Who has heard what this entry heard itself.
 OWN = 'self'
 
@@ -41,8 +43,12 @@
     )
     if limit.per_s is None and (limit.is_named or not speaks):
         return Change.nothing
+    before = state.rate_limits.get(peer)
     word = RateLimit(limit.per_s, asked_at, anyio.current_time())
-    return take_word(state, peer, word, OWN)
+    change = take_word(state, peer, word, OWN)
+    if change is not Change.nothing and _is_urgent(before, word):
+        state.tell_limit(peer)
+    return change
 
 
 def take_word(
@@ -80,11 +86,22 @@
                     req=req,
                     peer=one.incarnation,
                     per_s=limit.per_s,
+                    quota_per_s=round(state.throttle.get_quota(one), 3),
                     age_ms=round(age_s * MS),
                 )
             )
 
 
+def _is_urgent(before: RateLimit | None, word: RateLimit) -> bool:
+    """Whether others must know at once, not with the next whole word.
+
+    A number that changes a little with each answer would be told as often.
+    """
+    if before is None or before.per_s is None or word.per_s is None:
+        return True
+    return word.per_s < before.per_s * URGENT_SHARE
+
+
 def _note_unreadable(state: EntryState, peer: str, detail: str) -> None:
     """Write down what makes no sense, once for each target and text."""
     if state.unreadable_limits.get(peer) != detail:
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -13,6 +13,11 @@
 import anyio
 
 from trestledock.entry._admission import is_quarantined
+from trestledock.entry._holding_back import (
+    decide_held_back,
+    get_free,
+    get_limited,
+)
 from trestledock.entry._job import Job, Refusal
 from trestledock.entry._state import EntryState
 from trestledock.relay import (
@@ -55,6 +60,13 @@
     An answer that has begun can't be refused, only cut: it waits for a place
     for as long as its caller does.
     """
+    try:
+        return await _select_in_turn(state, job)
+    finally:
+        state.turns.leave(job.call.req_id)
+
+
+async def _select_in_turn(state: EntryState, job: Job) -> Placement | Refusal:
     while True:
         state.catch_up()
         if is_quarantined(state, job):
@@ -68,6 +80,8 @@
         waits = job.begun and now < job.timing.gone
         if isinstance(chosen, Placement) or (chosen and not waits):
             return chosen
+        if _is_held_back(state, job, now):
+            state.turns.join(job.turn)
         await state.wait_for_change(LOOK_S)
 
 
@@ -112,6 +126,8 @@
 ) -> Placement | Refusal | None:
     """Return a choice, or None where it is better to wait."""
     targets = get_candidates(state, job, now)
+    if not targets and get_limited(state, job):
+        return decide_held_back(state, job, now)
     engine = get_engine(state, job)
     if targets and (engine is None or job.call.size is None):
         return _choose_plain(state, targets, now)
@@ -151,7 +167,7 @@
 
 def get_candidates(state: EntryState, job: Job, now: float) -> list[Listed]:
     """Return the targets that may get the request, better ones if any."""
-    usable = _get_near_enough(state, job, now)
+    usable = _get_free(state, job, now)
     small = job.ask.is_small
     sound = [
         one
@@ -166,6 +182,23 @@
     return fresh or usable
 
 
+def _is_held_back(state: EntryState, job: Job, now: float) -> bool:
+    """Whether a request waits for nothing but the limits of its targets."""
+    if get_candidates(state, job, now):
+        return False
+    return bool(get_limited(state, job))
+
+
+def _get_free(state: EntryState, job: Job, now: float) -> list[Listed]:
+    """Return the targets that may get a request now, near ones if any."""
+    near = _get_near_enough(state, job, now)
+    free = get_free(state, job, near, now)
+    if free:
+        return free
+    usable = list(state.fleet.get_usable(job.service))
+    return get_free(state, job, usable, now)
+
+
 def _get_near_enough(state: EntryState, job: Job, now: float) -> list[Listed]:
     """Return the usable targets, of the own data centre where those suffice.
 
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -133,7 +133,9 @@
             return Sending(
                 Ending.not_sent, exc.step, peer, exc.detail, exc.sign
             )
-        obstacle = self._find_obstacle(job, placement)
+        obstacle = self._find_obstacle(job, placement) or self._find_limited(
+            job, placement
+        )
         if obstacle:
             await wire.close()
             return obstacle
@@ -158,6 +160,21 @@
                 return Sending(Ending.not_sent, 'left', one.incarnation)
         return None
 
+    def _find_limited(self, job: Job, placement: Placement) -> Sending | None:
+        """Take the request's part of what its targets take a second.
+
+        Return why nothing may be written, where nothing is left of it: others
+        may have been faster, or a target may have asked for less meanwhile.
+        """
+        now = anyio.current_time()
+        engaged = (placement.target, *placement.helpers)
+        limited = self.state.throttle.take(engaged, now)
+        if limited:
+            return Sending(Ending.not_sent, 'limited', limited.incarnation)
+        if any(map(self.state.throttle.is_limited, engaged)):
+            self.state.turns.note_served(job.turn, now)
+        return None
+
     async def _talk(
         self,
         job: Job,
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -26,12 +26,15 @@
     Fleet,
     Health,
     Load,
+    Member,
     Placer,
     Proof,
     Reach,
     Restores,
     RateLimits,
     RetryWindow,
+    Throttle,
+    Turns,
 )
 
 #: How long to wait before a duty that failed is begun again, in seconds.
@@ -54,6 +57,10 @@
     """Stand for what takes and tells words where nobody speaks."""
 
 
+def _tell_nobody(_: str) -> None:
+    """Stand for what tells the others of a target's limit."""
+
+
 async def _learn_nothing() -> None:
     """Stand for what asks other data centres where nobody does."""
 
@@ -81,8 +88,9 @@
     It is `leaving` once it was asked to stop, `closing` once idle connections
     are being closed, and `ending` once nothing may go on any more.  `catch_up`
     takes the words of the other entries that have come in, `tell_own` tells
-    them at once of what has changed here; `learn_loads` asks other data centres
-    what their targets have to do, and `loads` has what they answered.
+    them at once of what has changed here, `tell_limit` of how much a target has
+    said that it takes; `learn_loads` asks other data centres what their targets
+    have to do, and `loads` has what they answered.
     """
 
     settings: EntrySettings
@@ -96,6 +104,7 @@
     health: Health = field(default_factory=Health)
     reach: Reach = field(default_factory=Reach)
     rate_limits: RateLimits = field(default_factory=RateLimits)
+    turns: Turns = field(default_factory=Turns)
     unreadable_limits: dict[str, str] = field(default_factory=dict)
     restores: Restores = field(default_factory=Restores)
     waits: set[Wait] = field(default_factory=set)
@@ -112,11 +121,13 @@
     restored: anyio.Event = field(default_factory=anyio.Event)
     catch_up: Callable[[], None] = _do_nothing
     tell_own: Callable[[], None] = _do_nothing
+    tell_limit: Callable[[str], None] = _tell_nobody
     learn_loads: Callable[[], Awaitable[None]] = _learn_nothing
     loads: dict[str, Load] = field(default_factory=dict)
     isolation: Isolation = field(init=False)
     proof: Proof = field(init=False)
     placer: Placer = field(init=False)
+    throttle: Throttle = field(init=False)
 
     def __post_init__(self) -> None:
         """Build the parts that share others."""
@@ -128,6 +139,11 @@
             self.member,
             self.settings.data_centre,
         )
+        self.throttle = Throttle(
+            Member(self.settings.peers, self.settings.data_centre),
+            self.rate_limits,
+            self.rng.random,
+        )
 
     @property
     def version(self) -> int:
@@ -316,6 +332,7 @@
             'list_age_seconds': self.get_list_age_s(now),
             'peers': self.board.count_peers(),
             'rate_limits': len(self.rate_limits.get_in_force()),
+            'rate_quota_per_second': self._get_quota_sum(),
             'requests_quarantined': self.isolation.count_quarantined(),
             'requests_suspected': len(self.isolation.quarantine.suspects),
         }
@@ -364,6 +381,12 @@
         self.restored.set()
         self.restored = anyio.Event()
 
+    def _get_quota_sum(self) -> float:
+        """Return how many requests a second go from here to limited targets."""
+        limited = self.rate_limits.get_in_force()
+        listed = [self.fleet.targets.get(name) for name in limited]
+        return sum(self.throttle.get_quota(one) for one in listed if one)
+
     def _end_waits(self, place: str) -> None:
         """End the waits for targets of a data centre."""
         for wait in tuple(self.waits):
--- a/trestledock/process/__init__.py
+++ b/trestledock/process/__init__.py
@@ -51,7 +51,7 @@
 from trestledock.process._node import Node
 from trestledock.process._payloads import PAYLOADS, ClaimAsk, Payload
 from trestledock.process._policy import PLAIN, Chooser, Policy
-from trestledock.process._rendezvous import rank_by_key
+from trestledock.relay import rank_by_key
 from trestledock.process._targets import (
     CacheEvent,
     LoadReport,
--- a/trestledock/process/_choosing.py
+++ b/trestledock/process/_choosing.py
@@ -11,7 +11,7 @@
 
 from trestledock.process._fleet import STALE_S, Target
 from trestledock.process._policy import Chooser
-from trestledock.process._rendezvous import rank_by_key
+from trestledock.relay import rank_by_key
 from trestledock.process._state import State
 from trestledock.request import (
     CLASS_PRIORITY,
--- a/trestledock/process/_epoch.py
+++ b/trestledock/process/_epoch.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 
 from trestledock.process._payloads import Blind
-from trestledock.process._rendezvous import rank_by_key
+from trestledock.relay import rank_by_key
 from trestledock.version import EpochBody
 
 #: How long the members of an earlier epoch are asked at least, in seconds.
--- a/trestledock/process/_guarding.py
+++ b/trestledock/process/_guarding.py
@@ -19,7 +19,7 @@
     Watched,
 )
 from trestledock.process._payloads import HoldBlock, HoldBlockKept
-from trestledock.process._rendezvous import rank_by_key
+from trestledock.relay import rank_by_key
 from trestledock.process._state import State
 
 
--- a/trestledock/process/_isolating.py
+++ b/trestledock/process/_isolating.py
@@ -11,7 +11,7 @@
 from trestledock.process._fleet import Peer
 from trestledock.process._live import Live
 from trestledock.process._payloads import TargetEnds
-from trestledock.process._rendezvous import rank_by_key
+from trestledock.relay import rank_by_key
 from trestledock.process._state import State
 from trestledock.relay import End
 from trestledock.request import Request
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -35,6 +35,7 @@
     Timing,
     decide,
     decide_without_place,
+    get_come_back_s,
 )
 from trestledock.relay._events import Event, Splitter
 from trestledock.relay._fingerprint import Traits, get_fingerprint
@@ -63,8 +64,10 @@
     Quarantined,
     Quarantine,
 )
+from trestledock.relay._quotas import Member, Members
 from trestledock.relay._rate_limits import Change, RateLimit, RateLimits
 from trestledock.relay._reach import BEAT_S, Reach
+from trestledock.relay._rendezvous import rank_by_key
 from trestledock.relay._restores import REWRITE_S, Restores
 from trestledock.relay._readers import (
     Candidate,
@@ -75,6 +78,8 @@
 )
 from trestledock.relay._signs import Sign, get_connect_sign, get_end_sign
 from trestledock.relay._terms import TERMS, Terms
+from trestledock.relay._throttle import Throttle
+from trestledock.relay._turns import Turn, Turns
 from trestledock.relay._worth import get_worth
 
 __all__ = (
@@ -105,6 +110,8 @@
     'Limits',
     'Listed',
     'Load',
+    'Member',
+    'Members',
     'NoPlace',
     'OpenEnds',
     'Order',
@@ -133,8 +140,11 @@
     'TERMS',
     'TeamKey',
     'Terms',
+    'Throttle',
     'Timing',
     'Traits',
+    'Turn',
+    'Turns',
     'UNTOLD',
     'Work',
     'choose_least_busy',
@@ -142,6 +152,7 @@
     'decide',
     'decide_without_place',
     'find_prior',
+    'get_come_back_s',
     'get_connect_sign',
     'get_end_sign',
     'get_fingerprint',
@@ -157,5 +168,6 @@
     'is_worth_asking',
     'needs_claim',
     'pick_cheapest',
+    'rank_by_key',
     'summarize',
 )
--- /dev/null
+++ b/trestledock/relay/_throttle.py
@@ -0,0 +1,109 @@
+"""
+Throttle
+========
+
+Whether a request may go to a target that takes only so many a second from all
+entries together.  Targets without a limit are free.
+"""
+
+from heapq import nsmallest
+from math import inf
+from typing import Callable, Sequence
+
+from trestledock.relay._listed import Listed
+from trestledock.relay._pacing import Bucket
+from trestledock.relay._quotas import (
+    LEAST_PER_S,
+    Demand,
+    Member,
+    Members,
+    Quotas,
+)
+from trestledock.relay._rate_limits import RateLimits
+
+
+class Throttle:
+    """Limits what one entry sends to targets.
+
+    `get_members` returns which entries there are.  A quota begins with a part
+    of a request that `draw` gives: entries that learn of a limit at the same
+    moment don't send at the same moment.
+    """
+
+    def __init__(
+        self, own: Member, limits: RateLimits, draw: Callable[[], float]
+    ) -> None:
+        """Begin without other entries."""
+        self.limits = limits
+        self.get_members: Callable[[], Members] = lambda: Members(own)
+        self._draw = draw
+        self._quotas = Quotas(Members(own))
+        self._buckets: dict[str, Bucket] = {}
+
+    def is_limited(self, target: Listed) -> bool:
+        """Whether a target takes only so many requests."""
+        return self.limits.get(target.incarnation) is not None
+
+    def is_free(self, target: Listed, now: float) -> bool:
+        """Whether a request may go to a target now."""
+        if not self.is_limited(target):
+            return True
+        quota = self.get_quota(target)
+        return self._get_bucket(target, now).is_free(now, quota)
+
+    def get_quota(self, target: Listed) -> float:
+        """Return how many requests a second this entry may send to a target."""
+        limit = self.limits.get(target.incarnation)
+        if limit is None or limit.per_s is None:
+            return inf
+        self._quotas.set_members(self.get_members())
+        return self._quotas.get(
+            Demand(target.incarnation, target.data_centre, limit.per_s)
+        )
+
+    def take(self, targets: Sequence[Listed], now: float) -> Listed | None:
+        """Have a request go to some targets; return the one that has no room.
+
+        It goes to all of them or to none.
+        """
+        for target in targets:
+            if not self.is_free(target, now):
+                return target
+        for limited in filter(self.is_limited, targets):
+            quota = self.get_quota(limited)
+            self._get_bucket(limited, now).take(now, quota)
+        return None
+
+    def get_wait_s(
+        self, targets: Sequence[Listed], ahead: int, now: float
+    ) -> float:
+        """Return when a request may go to one of some limited targets.
+
+        As many as are `ahead` of it go first.
+        """
+        waits = [
+            self._get_bucket(target, now).get_wait_s(
+                count, now, self.get_quota(target)
+            )
+            for target in targets
+            for count in range(1, ahead + 2)
+        ]
+        return max(nsmallest(ahead + 1, waits), default=inf)
+
+    def get_limit(self, targets: Sequence[Listed]) -> float:
+        """Return what some limited targets take a second, from all entries."""
+        found = [self.limits.get(target.incarnation) for target in targets]
+        return sum(
+            max(limit.per_s or 0, LEAST_PER_S) for limit in found if limit
+        )
+
+    def forget(self, target: str) -> None:
+        """Forget a target that is gone, with its limit."""
+        self.limits.forget(target)
+        self._buckets.pop(target, None)
+
+    def _get_bucket(self, target: Listed, now: float) -> Bucket:
+        name = target.incarnation
+        if name not in self._buckets:
+            self._buckets[name] = Bucket(self._draw(), now)
+        return self._buckets[name]
