--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -9,6 +9,7 @@
 
 import json
 import unittest
+from random import Random
 
 import anyio
 from hypothesis import given
@@ -20,7 +21,7 @@
 from trestledock.entry._pool import Pool
 from trestledock.platform._log import Batch, Record, split_records
 from trestledock.platform._store import PEER_PREFIX, StoreDirectory
-from trestledock.relay import Fleet, Health
+from trestledock.relay import Fleet, Health, Member, RateLimits, Throttle
 
 #: When the incarnations of these tests were born, Unix time in milliseconds.
 OLD = 1_775_000_000_000
@@ -64,6 +65,10 @@
         self.fleet = Fleet()
         self.health = Health()
         self.isolation = Isolation(self.health, self.fleet)
+        self.throttle = Throttle(
+            Member('e', 'dc'), RateLimits(), Random().random
+        )
+        self.unreadable_limits = {}
 
     def note_list(self, as_of, now, source, latest_at):
         """Note the age of a list that nobody asks for here."""
