--- /dev/null
+++ b/tests/test_entry_rates_exchange.py
@@ -0,0 +1,217 @@
+"""Entries that share what targets take, as they come, go and are cut off."""
+
+import unittest
+from math import inf
+
+import anyio
+
+from tests.limiting import (
+    BINDS_S,
+    STRETCH_S,
+    TOLD_S,
+    get_allowed,
+    run_fleet,
+)
+from tests.relaying import make_route
+
+ROUTE = make_route()
+#: How soon an entry that is heard must know what is in force, in seconds.
+SOON_S = 0.3
+
+
+def get_limits(fleet, number=0):
+    """Return what each entry believes of a target."""
+    name = fleet.targets[number].get_listed().incarnation
+    found = [one.state.rate_limits.get(name) for one in fleet.entries]
+    return [limit and limit.per_s for limit in found]
+
+
+class ToldTest(unittest.TestCase):
+    """How a limit comes to all entries."""
+
+    def test_learnt_raised_and_lifted_everywhere(self):
+        async def scenario(fleet):
+            target = fleet.targets[0]
+            found = []
+            for per_s in (2, 9, None):
+                target.name(per_s)
+                # One entry sends; what it hears comes to the others.
+                await fleet.ask_for(3, 8, entries=[0])
+                await anyio.sleep(SOON_S)
+                found.append(get_limits(fleet))
+            return found
+
+        found = run_fleet(scenario, [ROUTE], targets=1)
+        self.assertEqual([set(one) for one in found], [{2}, {9}, {None}])
+
+    def test_started_entry_knows_before_it_sends(self):
+        async def scenario(fleet):
+            fleet.targets[0].name(1)
+            await fleet.ask_for(1, 8, entries=[0])
+            fleet.entries[3].kill()
+            again = fleet.start(3)
+            fleet.group.start_soon(again.live)
+            await anyio.sleep(SOON_S)
+            return get_limits(fleet)[3]
+
+        self.assertEqual(run_fleet(scenario, [ROUTE], targets=1), 1)
+
+    def test_lost_words_are_made_good(self):
+        async def scenario(fleet):
+            fleet.targets[0].name(1)
+            fleet.cut = {5}
+            await fleet.ask_for(1, 8, entries=[0])
+            before = get_limits(fleet)[5]
+            fleet.cut = set()
+            await anyio.sleep(1)
+            return before, get_limits(fleet)[5]
+
+        self.assertEqual(run_fleet(scenario, [ROUTE], targets=1), (None, 1))
+
+    def test_number_that_jitters_is_told_with_whole_words(self):
+        """Else each answer of a target would be a word to every entry."""
+
+        async def scenario(fleet):
+            target = fleet.targets[0]
+            target.name(40)
+            await fleet.ask_for(1, 20, entries=[0])
+            before = fleet.words
+            await anyio.sleep(2)
+            idle = fleet.words - before
+            before = fleet.words
+            for step in range(40):
+                target.name(40 + step % 2)
+                await fleet.ask_for(0.05, 40, entries=[0])
+            busy = fleet.words - before
+            return busy, idle, fleet.asked
+
+        busy, idle, asked = run_fleet(scenario, [ROUTE], targets=1)
+        # Each request is two words of its own to the five others.
+        self.assertLess(busy, idle + asked * 2 * 5 + 5)
+
+
+class LimitHeldTest(unittest.TestCase):
+    """What a target gets while entries are cut off, die and start."""
+
+    def check(self, disturb, per_s=1, entries=6, rate=8, for_s=20):
+        async def scenario(fleet):
+            target = fleet.targets[0]
+            target.name(per_s)
+            demands = []
+
+            async def ask():
+                demands.append(await fleet.ask_for(for_s, rate))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                await anyio.sleep(5)
+                await disturb(fleet)
+            since = target.named_at + BINDS_S
+            most = target.get_most(target.count, since, inf)
+            used = target.count(since, since + for_s - BINDS_S)
+            return most, used / (for_s - BINDS_S) / per_s
+
+        most, used = run_fleet(scenario, [ROUTE], entries=entries, targets=2)
+        self.assertLessEqual(most, get_allowed(per_s))
+        return used
+
+    def test_undisturbed(self):
+        async def disturb(fleet):
+            """Leave all as it is."""
+
+        self.assertGreater(self.check(disturb), 0.5)
+
+    def test_two_sides_of_a_cut(self):
+        async def disturb(fleet):
+            fleet.cut = {0, 1, 2}
+            await anyio.sleep(8)
+            fleet.cut = set()
+
+        for per_s in (1, 4):
+            self.assertGreater(self.check(disturb, per_s), 0.5)
+
+    def test_holders_die_and_start_again(self):
+        async def disturb(fleet):
+            for number in (0, 3):
+                fleet.entries[number].kill()
+                await anyio.sleep(2)
+                fleet.group.start_soon(fleet.start(number).live)
+
+        self.check(disturb)
+
+    def test_entry_that_hears_nobody_for_a_while(self):
+        async def disturb(fleet):
+            for entry in fleet.entries[:3]:
+                await entry.stand_still_for(2.5)
+
+        self.check(disturb)
+
+    def test_dead_entries_leave_most_to_the_others(self):
+        """What two of six entries held is not used, the rest is."""
+
+        async def disturb(fleet):
+            for entry in fleet.entries[:2]:
+                entry.kill()
+
+        self.assertGreater(self.check(disturb, per_s=2), 0.4)
+
+
+class ComeBackTest(unittest.TestCase):
+    """What callers get under a limit, and after it."""
+
+    def test_lifted_limit_is_over_within_seconds(self):
+        async def scenario(fleet):
+            target = fleet.targets[0]
+            target.name(1)
+            await fleet.ask_for(6, 8)
+            target.name(None)
+            lifted_at = anyio.current_time()
+            await fleet.ask_for(6, 8)
+            return [one.at - lifted_at for one in target.arrivals]
+
+        at = run_fleet(scenario, [ROUTE])
+        before = sum(-3 < one < 0 for one in at)
+        after = sum(3 < one < 6 for one in at)
+        self.assertGreater(after, before * 3)
+
+    def test_changed_mind_before_the_write(self):
+        """A request that was chosen for a target is looked at once more."""
+
+        async def scenario(fleet):
+            entry = fleet.entries[0]
+            target = fleet.targets[1]
+            pool = entry.relayer.sender.pool
+            take = pool.take
+
+            async def take_slowly(listed):
+                await anyio.sleep(1)
+                return await take(listed)
+
+            pool.take = take_slowly
+            async with anyio.create_task_group() as group:
+                for number in range(20):
+                    group.start_soon(entry.ask, f'x{number}')
+                target.name(1)
+                await fleet.ask_for(0.3, 20, entries=[1])
+            told_at = target.told[fleet.entries[1].name]
+            return sum(
+                one.entry == entry.name and one.at > told_at + TOLD_S
+                for one in target.arrivals
+            )
+
+        sent = run_fleet(scenario, [ROUTE], targets=2, entries=2)
+        self.assertLessEqual(sent, 2)
+
+    def test_refused_at_once_with_when_to_come_back(self):
+        """What the only target takes decides both."""
+
+        async def scenario(fleet):
+            fleet.targets[0].name(0.5)
+            await fleet.ask_for(2, 8)
+            return await fleet.ask_for(10, 8)
+
+        demand = run_fleet(scenario, [ROUTE], targets=1, entries=2)
+        self.assertEqual(set(demand.statuses), {200, 503})
+        self.assertLess(max(demand.took_s), 1)
+        self.assertGreater(min(demand.come_back_s), 0.2)
+        self.assertLess(max(demand.come_back_s), STRETCH_S)
