--- a/tests/test_entry_rates_exchange.py
+++ b/tests/test_entry_rates_exchange.py
@@ -93,7 +93,7 @@
 class LimitHeldTest(unittest.TestCase):
     """What a target gets while entries are cut off, die and start."""
 
-    def check(self, disturb, per_s=1, entries=6, rate=8, for_s=20):
+    def check(self, disturb, per_s=1, targets=2, rate=8, for_s=20):
         async def scenario(fleet):
             target = fleet.targets[0]
             target.name(per_s)
@@ -111,7 +111,7 @@
             used = target.count(since, since + for_s - BINDS_S)
             return most, used / (for_s - BINDS_S) / per_s
 
-        most, used = run_fleet(scenario, [ROUTE], entries=entries, targets=2)
+        most, used = run_fleet(scenario, [ROUTE], targets=targets)
         self.assertLessEqual(most, get_allowed(per_s))
         return used
 
@@ -127,8 +127,9 @@
             await anyio.sleep(8)
             fleet.cut = set()
 
-        for per_s in (1, 4):
-            self.assertGreater(self.check(disturb, per_s), 0.5)
+        for per_s in (1, 10):
+            used = self.check(disturb, per_s, targets=1, rate=16)
+            self.assertGreater(used, 0.5)
 
     def test_holders_die_and_start_again(self):
         async def disturb(fleet):
