--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -116,6 +116,18 @@
     at: float
 
 
+@dataclass(frozen=True)
+class Naming:
+    """A target asks for another number of requests a second from now on.
+
+    `per_s` is None where it takes any number.
+    """
+
+    target: str
+    per_s: float | None
+    at: float
+
+
 @dataclass
 class Fault:
     """An injected fault on an entry (or all of them), or on a target."""
@@ -144,6 +156,7 @@
     changes: list[Change] = field(default_factory=list)
     faults: list[Fault] = field(default_factory=list)
     ends: list[End] = field(default_factory=list)
+    namings: list[Naming] = field(default_factory=list)
     ticket_clashes: set[str] = field(default_factory=set)
     ticket_leaks: set[str] = field(default_factory=set)
     exits: list[str] = field(default_factory=list)
@@ -158,6 +171,10 @@
         """Note that a target has just ended under a request."""
         self.ends.append(End(path, target, time.monotonic()))
 
+    def note_naming(self, target: str, per_s: float | None) -> None:
+        """Note what a target asks for from now on."""
+        self.namings.append(Naming(target, per_s, time.monotonic()))
+
     def begin_fault(
         self, kind: str, entry: str = '', target: str = ''
     ) -> Fault:
@@ -214,6 +231,7 @@
             ('fault', 'began_at', self.faults),
             ('change', 'at', self.changes),
             ('end', 'at', self.ends),
+            ('naming', 'at', self.namings),
             ('run', 'began_at', self.runs),
             ('attempt', 'sent_at', self.attempts.values()),
         ):
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -22,7 +22,7 @@
 )
 from trestledock.entry._job import STATUSES, Job, Refusal
 from trestledock.platform import _epochs, _headers, run
-from trestledock.relay import Fleet, History, Proof, Quarantine
+from trestledock.relay import Fleet, History, Proof, Quarantine, Throttle
 
 
 def once() -> None:
@@ -121,6 +121,11 @@
     _epochs.StoreEpochs.take = lambda epochs, head: None
 
 
+def limit() -> None:
+    """Send to targets whatever they ask for."""
+    Throttle.is_free = lambda throttle, target, now: True
+
+
 async def _sleep_on(*args: Any) -> None:
     await anyio.sleep_forever()
 
@@ -142,6 +147,7 @@
         gone,
         budget,
         copies,
+        limit,
     )
 }
 
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -121,6 +121,7 @@
     tickets: dict[str, Ticket] = field(default_factory=dict)
     state: str = READY
     running: int = 0
+    limit: str = ''
     sequence: int = 0
     link: Link = field(default_factory=lambda: Link(''))
     gone: anyio.Event = field(default_factory=anyio.Event)
@@ -206,7 +207,8 @@
             return
         full = self.running >= SLOTS + QUEUE
         if full or self.rng.random() < self.quirks.sheds:
-            await exchange.answer(503, b'', [('Trestledock-Not-Executed', '1')])
+            refused = [('Trestledock-Not-Executed', '1'), *self._name_limit()]
+            await exchange.answer(503, b'', refused)
             return
         self.running += 1
         try:
@@ -214,6 +216,14 @@
         finally:
             self.running -= 1
 
+    def name_limit(self, text: str, per_s: float | None) -> None:
+        """Name a limit in all answers from now on; no text for none."""
+        self.limit = text
+        self.ledger.note_naming(self.incarnation, per_s)
+
+    def _name_limit(self) -> Headers:
+        return [('Server-Limit', self.limit)] if self.limit else []
+
     async def _run(self, exchange: Exchange) -> None:
         headers = exchange.headers
         req_id = headers.get('trestledock-request-id', '')
@@ -255,6 +265,7 @@
         headers = [
             ('Trestledock-Request-Id', own_id),
             ('Trestledock-Response-Seal', run.seal),
+            *self._name_limit(),
         ]
         if DEADLY in exchange.path:
             await self._crash(exchange, run, headers)
--- a/tests/soak/timed_checks.py
+++ b/tests/soak/timed_checks.py
@@ -10,7 +10,7 @@
 from typing import Iterator
 
 from tests.soak.entries import GRACE_S
-from tests.soak.ledger import CONTACT_S, Attempt, Ledger, Run
+from tests.soak.ledger import CONTACT_S, Attempt, Ledger, Naming, Run
 
 OK = 200
 #: The bound of the settings on targets that leave, in seconds.
@@ -34,6 +34,11 @@
 #: than an entry needs to be in touch.
 MOST_ENDS = 3
 MOST_LATE = 3
+#: In such a stretch a target that asks for fewer requests may get so many times
+#: as many, and so many more.
+STRETCH_S = 4.0
+OVER_SHARE = 1.5
+OVER_COUNT = 5
 
 
 def check_leaks(ledger: Ledger) -> Iterator[str]:
@@ -109,6 +114,52 @@
             yield f'{path} reached {len(late)} targets more, ended {len(times)}'
 
 
+def check_limit(ledger: Ledger) -> Iterator[str]:
+    """A target gets no more than it asks for, from a moment later on."""
+    ends = _get_naming_ends(ledger)
+    for naming, until in zip(ledger.namings, ends, strict=True):
+        if naming.per_s is None:
+            continue
+        times = _get_calm_arrivals(ledger, naming, until)
+        most = max(
+            (sum(at <= one <= at + STRETCH_S for one in times) for at in times),
+            default=0,
+        )
+        if most > OVER_SHARE * STRETCH_S * naming.per_s + OVER_COUNT:
+            yield f'{naming.target} takes {naming.per_s} a second, got {most}'
+
+
+def _get_naming_ends(ledger: Ledger) -> list[float]:
+    """Return until when each number is named."""
+    ends: list[float] = []
+    next_at: dict[str, float] = {}
+    for naming in reversed(ledger.namings):
+        ends.append(next_at.get(naming.target, float('inf')))
+        next_at[naming.target] = naming.at
+    return list(reversed(ends))
+
+
+def _get_calm_arrivals(
+    ledger: Ledger, naming: Naming, until: float
+) -> list[float]:
+    """Return when requests came that entries in touch had sent."""
+    since = naming.at + CONTACT_S
+    return sorted(
+        run.began_at
+        for run in ledger.runs
+        if run.target == naming.target
+        and since <= run.began_at < until
+        and _is_sender_calm(ledger, run)
+    )
+
+
+def _is_sender_calm(ledger: Ledger, run: Run) -> bool:
+    attempt = ledger.attempts.get(run.req_id)
+    if attempt is None:
+        return False
+    return ledger.is_calm(attempt.entry, run.began_at - CONTACT_S, run.began_at)
+
+
 def _is_run_of(ledger: Ledger, run: Run, path: str) -> bool:
     """Whether a run is of a request, sent by an entry in touch."""
     attempt = ledger.attempts.get(run.req_id)
@@ -173,4 +224,5 @@
     check_graces,
     check_gone,
     check_budget,
+    check_limit,
 )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -40,6 +40,10 @@
         report = self.check(replace(SIZE, plan='standstill'))
         self.assertGreater(report.changes, 0)
 
+    def test_targets_that_ask_for_fewer_requests(self):
+        report = self.check(replace(SIZE, plan='limited'))
+        self.assertGreater(report.changes, 0)
+
     def test_store_comes_back_from_a_copy(self):
         report = self.check(replace(SIZE, plan='restored'))
         self.assertGreater(report.faults, 0)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -11,6 +11,7 @@
     End,
     Fault,
     Ledger,
+    Naming,
     Run,
 )
 from tests.soak.targets import get_seal
@@ -283,3 +284,16 @@
         ledger.runs.pop()
         ledger.attempts.popitem()
         self.assertEqual(run_checks(ledger), [])
+
+    def test_limited_target_gets_too_much(self):
+        """From contact on; twelve in 4 s, where eleven are allowed."""
+        ledger = Ledger(namings=[Naming('i-1', 1, 6), Naming('i-1', None, 20)])
+        for number in range(12):
+            ask = replace(STREAM, req_id=f'r{number}')
+            ledger.attempts[ask.req_id] = make_attempt(ask)
+            ledger.runs.append(make_run(ask, 10 + number / 4))
+        self.assertEqual(
+            run_checks(ledger), ['limit: i-1 takes 1 a second, got 12']
+        )
+        ledger.namings[1] = Naming('i-1', None, 12.7)
+        self.assertEqual(run_checks(ledger), [])
