The budget for repeats counts the entries that are not heard, too

What callers saw: nothing. Two groups of entries that are cut off from each other each took the whole slack of the shared budget: 24 repeats at once where 20 are allowed, in six entries on a virtual clock. Cause: the same as of rate limits, each takes its part of what all share by those that it hears. Now it is by all that are known, as the parts of a rate limit are; the test failed before.

--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -201,7 +201,7 @@
 
     def note_early(self, target_id: str, now: float) -> None:
         """Note that a request was given up early at a target."""
-        self.early.spend(now, self.board.count_peers() + 1)
+        self.early.spend(now, self.count_entries())
         emit(events.TargetDoubted(target_id))
         self.health.note_doubt(target_id, now, self._get_place(target_id))
 
@@ -245,6 +245,15 @@
                 self.board.set_elsewhere(place, ())
         return set(self.loads)
 
+    def count_entries(self) -> int:
+        """Return how many entries there are, this one included.
+
+        Those that are not heard share what all share, too: they may only be
+        cut off.
+        """
+        heard = self.board.count_peers() + 1
+        return max(heard, self.throttle.get_members().known)
+
     def get_window(self, service: str) -> RetryWindow:
         """Return the shared retry budget's window of a service."""
         if service not in self.windows:
@@ -254,16 +263,16 @@
     def is_repeat_left(self, service: str, now: float) -> bool:
         """Whether the shared budget has a repeat for a service."""
         window = self.get_window(service)
-        return window.is_left(now, self.board.count_peers() + 1)
+        return window.is_left(now, self.count_entries())
 
     def spend_repeat(self, service: str, now: float) -> bool:
         """Take a repeat from the shared budget; return whether one was left."""
         window = self.get_window(service)
-        return window.spend(now, self.board.count_peers() + 1)
+        return window.spend(now, self.count_entries())
 
     def may_leave_early(self, now: float) -> bool:
         """Whether one more request may be given up at its target early."""
-        return self.early.is_left(now, self.board.count_peers() + 1)
+        return self.early.is_left(now, self.count_entries())
 
     def note_list(
         self,
