A copy of the store without a record of any epoch is no proof of a first start

What callers saw: keys that had been taken away 8 to 12 s before were served, after restores within seconds that took the store back to before its first record of an epoch, and a kill of all entries. Cause: those that started then took the missing record for the first start of all and the copy for whole. Now it is one only in the first epoch; in a later one they wait until the writers have written again. The test on a virtual clock failed before: the key was served at once. Ruled out: writing the record earlier, which only narrows the gap. Where a store counts from a higher number the first start of all takes 2.2 s longer.

--- a/tests/test_entry_restoring.py
+++ b/tests/test_entry_restoring.py
@@ -16,6 +16,8 @@
 AGAIN_S = 1.0
 #: The pause between two reads, with what jitter adds, in seconds.
 READ_S = 0.5
+#: When the store has a version, and no record of an epoch yet, in seconds.
+BEFORE_RECORD_S = 0.15
 RECORD = Quarantined('f', ('t1@1', 't2@1', 't3@2'), age_s=70)
 #: Where entries write their addresses.
 PEERS = 'keyed.status'
@@ -143,6 +145,37 @@
 
         self.assertEqual(run_world(3, scenario), (False, {True}, {2}))
 
+    def test_all_killed_beside_a_copy_without_any_record(self):
+        """That nobody is known to have waited is no first start.
+
+        Seen: keys were served 8 to 12 s after they had been taken away.  How:
+        restores within seconds took the store back to before its first record
+        of an epoch, and all entries were killed.  Cause: those that started
+        took the missing record for the first start of all, and the copy for
+        whole.  An epoch above the first proves that something was lost.
+        """
+
+        async def scenario(world, *entries):
+            world.keys = []
+            world.publish()
+            world.kill_all()
+            world.store.go_back(anyio.current_time() - BEFORE_RECORD_S)
+            began_at = anyio.current_time()
+            for number in range(3):
+                await world.start(number, life=2)
+            versions = {one.state.version for one in world.entries}
+            served = await watch(
+                world.entries,
+                REWRITE_S - (anyio.current_time() - began_at) - 0.1,
+                lambda one: one.is_key_served(),
+            )
+            world.publish(version=2)
+            await anyio.sleep(2)
+            ready = {one.is_ready() for one in world.entries}
+            return versions, any(served), ready
+
+        self.assertEqual(run_world(3, scenario), ({1}, False, {True}))
+
     def test_all_killed_while_the_restored_store_is_young(self):
         """That somebody lived then does not say that all is there again."""
 
--- a/trestledock/relay/_restores.py
+++ b/trestledock/relay/_restores.py
@@ -13,6 +13,8 @@
 #: was lost, in seconds: targets write again within two seconds of the store's
 #: return, and the operator is taken to be no slower.
 REWRITE_S = 2.2
+#: The epoch of a store that was never restored, at most.
+FIRST_EPOCH = 1
 
 
 @dataclass
@@ -65,13 +67,14 @@
     def note_recorded(self, recorded: int | None) -> None:
         """Take the store's record of the newest epoch that was waited in.
 
-        Where there is none nobody has ever waited: an instance that has known
-        no other epoch is of the first start, and nothing was lost.
+        Where there is none nobody has ever waited: in the first epoch that is
+        the first start, and nothing was lost.  In a later one the record itself
+        may be among what was lost.
         """
         self.recorded = recorded
         if recorded is not None:
             self.settled_epoch = recorded
-        elif not self.has_lived_through:
+        elif _rank(self.epoch) <= FIRST_EPOCH and not self.has_lived_through:
             self.settled_epoch = self.epoch
 
     def needs_record(self, now: float) -> bool:
