Only a target's success takes its limit back

A refusal or a failure without a number may come from something before the target's work, or beside it, that knows of no limit; taken for the end of the limit it would let all entries send at will. The new test failed before: lifted by a 503.

--- a/tests/test_entry_rates.py
+++ b/tests/test_entry_rates.py
@@ -67,6 +67,16 @@
         ignored = [one for one in lines if isinstance(one, events.LimitIgnored)]
         self.assertEqual([one.detail for one in ignored], ["'-3'"])
 
+    def test_refusal_or_failure_lifts_nothing(self):
+        """Whatever refuses may know of no limit."""
+        for status, more in ((503, NOT_RUN), (500, ())):
+            lines = ask_in_turn(
+                make_answer(req_id='r0', more=LIMITED),
+                make_answer(status=status, req_id='r1', more=more),
+                pause_s=1.2,
+            )
+            self.assertEqual(get_changes(lines), [('learnt', 2)], status)
+
     def test_what_is_not_its_own_lifts_nothing(self):
         lines = ask_in_turn(
             make_answer(req_id='r0', more=LIMITED),
--- a/trestledock/entry/_rates.py
+++ b/trestledock/entry/_rates.py
@@ -32,15 +32,14 @@
 ) -> Change:
     """Note what an answer to a request of the instant `asked_at` says.
 
-    One without a word takes a limit back only if it is the target's own: at a
-    failing one anything may answer, and 421 comes from another incarnation.
+    One without a word takes a limit back only if it is the target's own and a
+    success: a refusal or a failure may come from a part of it, or from what
+    stands before it, that knows of no limit.
     """
     limit = answer.limit
     if limit.unreadable:
         _note_unreadable(state, peer, limit.unreadable)
-    speaks = answer.sealed or (
-        answer.not_run and status != HTTPStatus.MISDIRECTED_REQUEST
-    )
+    speaks = answer.sealed and status < HTTPStatus.BAD_REQUEST
     if limit.per_s is None and (limit.is_named or not speaks):
         return Change.nothing
     before = state.rate_limits.get(peer)
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -184,7 +184,7 @@
 
 def _is_held_back(state: EntryState, job: Job, now: float) -> bool:
     """Whether a request waits for nothing but the limits of its targets."""
-    if get_candidates(state, job, now):
+    if not state.rate_limits.known or get_candidates(state, job, now):
         return False
     return bool(get_limited(state, job))
 
