--- a/tests/test_entry_leaving.py
+++ b/tests/test_entry_leaving.py
@@ -148,7 +148,7 @@
         """Two that fall silent at once don't both leave for one repeat."""
 
         async def scenario(world):
-            world.state.windows['svc'] = RetryWindow(ONE_REPEAT)
+            world.state.budgets.windows['svc'] = RetryWindow(ONE_REPEAT)
             return await ask_all(world, ('r1', 'r2'))
 
         found = play(RESUMABLE, [StreamTarget(), StreamTarget()], scenario)
@@ -162,7 +162,7 @@
 
         async def scenario(world):
             terms = BudgetTerms(slack=BudgetTerms().slack / 6)
-            world.state.windows['svc'] = RetryWindow(terms)
+            world.state.budgets.windows['svc'] = RetryWindow(terms)
             return await ask_all(world, names)
 
         found = play(RESUMABLE, [StreamTarget(), StreamTarget()], scenario)
@@ -178,7 +178,7 @@
         async def scenario(world):
             state = world.state
             terms = BudgetTerms(slack=BudgetTerms().slack / 6)
-            state.windows['svc'] = RetryWindow(terms)
+            state.budgets.windows['svc'] = RetryWindow(terms)
             put_elsewhere(state)
             return await ask_all(world, names)
 
@@ -282,12 +282,12 @@
 
         async def scenario(world):
             state = world.state
-            state.windows['svc'] = RetryWindow(NO_BUDGET)
+            state.budgets.windows['svc'] = RetryWindow(NO_BUDGET)
 
             def look_again(limits, job):
                 """Let a repeat be there from the first look on."""
                 waits.append(get_again(limits, job).wait_s)
-                state.windows['svc'] = RetryWindow(BudgetTerms())
+                state.budgets.windows['svc'] = RetryWindow(BudgetTerms())
                 return get_again(limits, job)
 
             with patch.object(Limits, 'get_again', look_again):
@@ -331,7 +331,7 @@
 
     def spend(self, state):
         """Leave no repeat in the budget."""
-        state.windows['svc'] = RetryWindow(NO_BUDGET)
+        state.budgets.windows['svc'] = RetryWindow(NO_BUDGET)
 
     def check_given_back(self, route, answers, **how):
         """Expect a word that promises nothing, before the deadline."""
--- a/tests/test_entry_limits.py
+++ b/tests/test_entry_limits.py
@@ -80,7 +80,7 @@
         """It is not left where no repeat is left."""
 
         def prepare(state):
-            state.windows['svc'] = RetryWindow(NO_BUDGET)
+            state.budgets.windows['svc'] = RetryWindow(NO_BUDGET)
 
         self.check([StubTarget(SILENT), StubTarget(SILENT)], prepare)
 
@@ -119,11 +119,11 @@
             target.answers = shared
 
         def prepare(state):
-            state.windows['svc'] = RetryWindow(NO_BUDGET)
+            state.budgets.windows['svc'] = RetryWindow(NO_BUDGET)
 
         async def earn(state):
             await wait_for_loss(state, targets)
-            state.windows['svc'] = RetryWindow(BudgetTerms())
+            state.budgets.windows['svc'] = RetryWindow(BudgetTerms())
 
         self.check(targets, prepare, earn)
 
--- a/tests/test_entry_logs.py
+++ b/tests/test_entry_logs.py
@@ -15,7 +15,7 @@
     MOST_LINES,
     MOST_WAITING,
     PipeHandler,
-    RateLimit,
+    LineLimit,
 )
 
 PAGE = Path(__file__).parent.parent / 'docs' / 'OPERATIONS.md'
@@ -32,7 +32,7 @@
 
     def __init__(self, clock):
         self.read_end, write_end = os.pipe()
-        self.handler = PipeHandler(write_end, RateLimit(clock))
+        self.handler = PipeHandler(write_end, LineLimit(clock))
         self.handler.setFormatter(JsonFormatter('%(message)s'))
 
     def read_lines(self):
--- a/trestledock/entry/_limits.py
+++ b/trestledock/entry/_limits.py
@@ -48,7 +48,7 @@
     def get_first(self, job: Job, placement: Placement) -> Limit:
         """Return how long a target may be silent before another is asked."""
         is_last = self._is_last(job)
-        may_leave = self.state.may_leave_early(anyio.current_time())
+        may_leave = self.state.budgets.may_leave_early(anyio.current_time())
         early = may_leave and not is_last and not placement.helpers
         patience_s = get_first_patience_s(
             job.route,
@@ -140,14 +140,16 @@
 
     def _claim(self, job: Job) -> bool:
         now = anyio.current_time()
-        job.has_repeat = self.state.spend_repeat(job.service, now)
+        job.has_repeat = self.state.budgets.spend_repeat(job.service, now)
         return job.has_repeat
 
     def _is_last(self, job: Job) -> bool:
         """Whether nobody else may, or could, go on with a request now."""
         if job.history.is_last_run(job.route):
             return True
-        if not self.state.is_repeat_left(job.service, anyio.current_time()):
+        if not self.state.budgets.is_repeat_left(
+            job.service, anyio.current_time()
+        ):
             return True
         # A target that is leaving, or has had its share, takes nothing new.
         usable = self.state.fleet.get_usable(job.service)
--- a/trestledock/entry/_logger.py
+++ b/trestledock/entry/_logger.py
@@ -52,10 +52,10 @@
 
 
 @dataclass
-class RateLimit:
+class LineLimit:
     """Counts the lines of each kind in the current second.
 
-    >>> limit = RateLimit(clock=lambda: 0.0)
+    >>> limit = LineLimit(clock=lambda: 0.0)
     >>> sum(limit.allows('answered') for _ in range(1000)) == MOST_LINES
     True
     """
@@ -89,11 +89,11 @@
 class PipeHandler(logging.Handler):
     """Writes lines to a file descriptor without ever waiting for it."""
 
-    def __init__(self, descriptor: int, limit: RateLimit | None = None) -> None:
+    def __init__(self, descriptor: int, limit: LineLimit | None = None) -> None:
         """Make the descriptor non-blocking."""
         super().__init__()
         self.descriptor = descriptor
-        self.limit = limit or RateLimit()
+        self.limit = limit or LineLimit()
         self.waiting: deque[bytes] = deque()
         self.dropped = 0
         os.set_blocking(descriptor, False)
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -147,7 +147,9 @@
         if job.has_repeat:
             job.has_repeat = False
             return True
-        return self.state.spend_repeat(job.service, anyio.current_time())
+        return self.state.budgets.spend_repeat(
+            job.service, anyio.current_time()
+        )
 
     async def _give_up(self, job: Job, reply: Reply, reason: Refusal) -> None:
         """End a request that no target answered."""
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -64,8 +64,7 @@
         flight = make_flight(job, placement, now)
         self._note_placed(job, placement, now)
         if not job.history.sendings:
-            self.state.get_window(job.service).earn(now)
-            self.state.early.earn(now)
+            self.state.budgets.earn(job.service, now)
         held: dict[str, str] = {}
         known = self._get_known(flight, placement)
         self.state.board.put(flight)
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -15,12 +15,12 @@
 from anyio.abc import TaskGroup
 
 from trestledock.entry import _events as events
+from trestledock.entry._budgets import Budgets
 from trestledock.entry._isolation import STORE, Isolation
 from trestledock.entry._logger import emit
 from trestledock.entry._reply import Reply
 from trestledock.entry._settings import EntrySettings
 from trestledock.relay import (
-    EARLY_TERMS,
     Board,
     Catalog,
     Fleet,
@@ -32,7 +32,6 @@
     Reach,
     Restores,
     RateLimits,
-    RetryWindow,
     Throttle,
     Turns,
 )
@@ -48,11 +47,6 @@
 MS = 1000
 
 
-def _make_early_window() -> RetryWindow:
-    """Return the window of requests that are given up early."""
-    return RetryWindow(EARLY_TERMS)
-
-
 def _do_nothing() -> None:
     """Stand for what takes and tells words where nobody speaks."""
 
@@ -108,8 +102,6 @@
     unreadable_limits: dict[str, str] = field(default_factory=dict)
     restores: Restores = field(default_factory=Restores)
     waits: set[Wait] = field(default_factory=set)
-    windows: dict[str, RetryWindow] = field(default_factory=dict)
-    early: RetryWindow = field(default_factory=_make_early_window)
     unanswered: set[Unanswered] = field(default_factory=set)
     leaving: bool = False
     closing: bool = False
@@ -128,6 +120,7 @@
     proof: Proof = field(init=False)
     placer: Placer = field(init=False)
     throttle: Throttle = field(init=False)
+    budgets: Budgets = field(init=False)
 
     def __post_init__(self) -> None:
         """Build the parts that share others."""
@@ -144,6 +137,7 @@
             self.rate_limits,
             self.rng.random,
         )
+        self.budgets = Budgets(self.settings.budget, self.count_entries)
 
     @property
     def version(self) -> int:
@@ -201,7 +195,7 @@
 
     def note_early(self, target_id: str, now: float) -> None:
         """Note that a request was given up early at a target."""
-        self.early.spend(now, self.count_entries())
+        self.budgets.note_early(now)
         emit(events.TargetDoubted(target_id))
         self.health.note_doubt(target_id, now, self._get_place(target_id))
 
@@ -254,26 +248,6 @@
         heard = self.board.count_peers() + 1
         return max(heard, self.throttle.get_members().known)
 
-    def get_window(self, service: str) -> RetryWindow:
-        """Return the shared retry budget's window of a service."""
-        if service not in self.windows:
-            self.windows[service] = RetryWindow(self.settings.budget)
-        return self.windows[service]
-
-    def is_repeat_left(self, service: str, now: float) -> bool:
-        """Whether the shared budget has a repeat for a service."""
-        window = self.get_window(service)
-        return window.is_left(now, self.count_entries())
-
-    def spend_repeat(self, service: str, now: float) -> bool:
-        """Take a repeat from the shared budget; return whether one was left."""
-        window = self.get_window(service)
-        return window.spend(now, self.count_entries())
-
-    def may_leave_early(self, now: float) -> bool:
-        """Whether one more request may be given up at its target early."""
-        return self.early.is_left(now, self.count_entries())
-
     def note_list(
         self,
         as_of: float,
