--- a/trestledock/entry/_ends.py
+++ b/trestledock/entry/_ends.py
@@ -75,4 +75,4 @@
             self.gossip.send(Ends(self.gossip.state.member, part), where)
 
     def _get_all(self) -> list[Address]:
-        return list(self.gossip.neighbours.places)
+        return self.gossip.neighbours.get_all()
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -259,8 +259,7 @@
         """Tell at once that this entry is ending."""
         if self.state.leaving and not self._is_end_told:
             self._is_end_told = True
-            everybody = list(self.neighbours.places)
-            self._tell_whole(everybody, self._get_far_s())
+            self._tell_whole(self.neighbours.get_all(), self._get_far_s())
 
     async def _tell_all(self) -> None:
         far_at = float('-inf')
--- a/trestledock/entry/_neighbours.py
+++ b/trestledock/entry/_neighbours.py
@@ -60,10 +60,14 @@
             now - seen_at <= FORGET_S for seen_at in self._seen_at.values()
         )
 
+    def get_all(self) -> list[Address]:
+        """Return the addresses of all others."""
+        return list(self.places)
+
     def get_near(self, *, many: bool) -> list[Address]:
         """Return who is told at once: all, if there are not many."""
         if not many:
-            return list(self.places)
+            return self.get_all()
         if self._near is None:
             near = (self.data_centre, UNKNOWN)
             self._near = [
--- a/trestledock/entry/_rates_exchange.py
+++ b/trestledock/entry/_rates_exchange.py
@@ -70,8 +70,7 @@
 
     def _tell_limit(self, target: str) -> None:
         """Have all others know what a target has just said."""
-        everybody = list(self.gossip.neighbours.places)
-        self._send([target], everybody)
+        self._send([target], self.gossip.neighbours.get_all())
 
     def _tell_known(self, address: Address) -> None:
         """Have an entry that is new know what is in force, and what is not."""
