What targets say of themselves is kept in one place, and both new words have lines

RateLimits and the fleet's set of leaving incarnations become rows of one small engine (relay/_notices.py: a type for each kind with its rule of belief); the wire form between entries keeps its first list, so older versions read on. The adapter reads Server-Leaving and the Retry-After of 429 and 503; lines leave_heard, rest_heard, notice_ignored, sent_against_notice, and leaves in target_listed tell the three hypotheses apart. Nothing is decided by them yet.

--- a/tests/limiting.py
+++ b/tests/limiting.py
@@ -17,7 +17,7 @@
 from trestledock.entry import Head, WireError
 from trestledock.entry._gossip import Gossip
 from trestledock.entry._logger import logger
-from trestledock.entry._rates_exchange import RatesExchange
+from trestledock.entry._notices_exchange import NoticesExchange
 from trestledock.entry._relaying import Relayer
 from trestledock.entry._sending import Sender
 from trestledock.entry._state import EntryState
@@ -204,7 +204,7 @@
         super().__init__(state, Relayer(state, dialect, sender))
         self.gossip = Gossip(state)
         self.gossip.send = self._send
-        RatesExchange(self.gossip)
+        NoticesExchange(self.gossip)
         for target in fleet.targets:
             state.fleet.put(target.get_listed())
 
--- a/tests/test_entry_leaving.py
+++ b/tests/test_entry_leaving.py
@@ -28,6 +28,7 @@
 )
 from trestledock.demo import get_free_port
 from trestledock.entry._limits import LOOK_AGAIN_S, Limits
+from trestledock.relay import Leave
 from trestledock.relay import (
     BEAT_S,
     BudgetTerms,
@@ -250,7 +251,7 @@
         async def scenario(world):
             state = world.state
             state.fleet.put(make_listed(1, port))
-            state.fleet.leaving.add('t1')
+            state.fleet.note_leaving('t1', 0)
             found = []
 
             async def ask():
@@ -259,8 +260,8 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(ask)
                 await wait_for_request([first])
-                state.fleet.leaving.clear()
-                state.fleet.leaving.add('t0')
+                state.notices.drop(Leave, 't1')
+                state.fleet.note_leaving('t0', 0)
                 await anyio.sleep(1)
                 listener = await anyio.create_tcp_listener(
                     local_host='127.0.0.1', local_port=port
@@ -362,7 +363,8 @@
         route = make_route()
 
         def leave(state):
-            state.fleet.leaving.update(('t0', 't1'))
+            for name in ('t0', 't1'):
+                state.fleet.note_leaving(name, 0)
 
         answers = [Late(b'', make_answer(b'bad', 500), pause_s=0.3)]
         found = self.ask(route, answers, during=leave)
--- a/tests/test_entry_limits.py
+++ b/tests/test_entry_limits.py
@@ -91,7 +91,7 @@
         async def leave(state):
             while not target.requests:
                 await anyio.sleep(0.01)
-            state.fleet.leaving.add('t0')
+            state.fleet.note_leaving('t0', 0)
 
         self.check([target], during=leave)
 
@@ -136,12 +136,12 @@
         second.answers = [make_stream(3, 4)]
 
         def prepare(state):
-            state.fleet.leaving.add('t1')
+            state.fleet.note_leaving('t1', 0)
 
         async def come(state):
             while not first.requests:
                 await anyio.sleep(0.01)
-            state.fleet.leaving.add('t0')
+            state.fleet.note_leaving('t0', 0)
             await wait_for_loss(state, [first])
             state.fleet.put(make_listed(2, second.port))
 
--- a/tests/test_entry_rates.py
+++ b/tests/test_entry_notices.py
@@ -7,7 +7,7 @@
 
 from tests.relaying import StubTarget, make_answer, make_route, run_world
 from trestledock.entry import _events as events
-from trestledock.entry import _rates
+from trestledock.entry import _notices
 
 LIMITED = ('Server-Limit: 2',)
 NOT_RUN = ('Trestledock-Not-Executed: 1',)
@@ -22,7 +22,7 @@
             await world.ask(f'r{number}')
             await anyio.sleep(pause_s)
 
-    with patch.object(_rates, 'emit', lines.append):
+    with patch.object(_notices, 'emit', lines.append):
         run_world(make_route(max_attempts=1), [StubTarget(*answers)], scenario)
     return lines
 
@@ -64,7 +64,9 @@
             pause_s=1.2,
         )
         self.assertEqual(get_changes(lines), [('learnt', 2)])
-        ignored = [one for one in lines if isinstance(one, events.LimitIgnored)]
+        ignored = [
+            one for one in lines if isinstance(one, events.NoticeIgnored)
+        ]
         self.assertEqual([one.detail for one in ignored], ["'-3'"])
 
     def test_refusal_or_failure_lifts_nothing(self):
--- a/tests/test_entry_rates_exchange.py
+++ b/tests/test_entry_notices_exchange.py
@@ -13,6 +13,7 @@
     run_fleet,
 )
 from tests.relaying import make_route
+from trestledock.relay import RateLimit
 
 ROUTE = make_route()
 #: How soon an entry that is heard must know what is in force, in seconds.
@@ -22,7 +23,7 @@
 def get_limits(fleet, number=0):
     """Return what each entry believes of a target."""
     name = fleet.targets[number].get_listed().incarnation
-    found = [one.state.rate_limits.get(name) for one in fleet.entries]
+    found = [one.state.notices.get(RateLimit, name) for one in fleet.entries]
     return [limit and limit.per_s for limit in found]
 
 
--- a/tests/test_entry_words.py
+++ b/tests/test_entry_words.py
@@ -29,12 +29,12 @@
     Ends,
     Flights,
     Fresh,
-    Limits,
     Question,
     Reply,
-    ToldLimit,
+    TargetNotice,
+    ToldNotices,
 )
-from trestledock.relay import End, Flight, Phase
+from trestledock.relay import End, Flight, Leave, Phase, RateLimit
 
 FLIGHT = Flight(
     flight_id='r1',
@@ -56,7 +56,14 @@
     Beat('e', 'dc', leaving=True),
     Ends('e', ((End('f', 't1@5'), 0.25), (End('g', 't2'), 0))),
     Cleared('e', 'f', ('t1@5', 't2')),
-    Limits('e', (ToldLimit('t1', 1.5, 2, 1), ToldLimit('t2', None, 0, 0))),
+    ToldNotices(
+        'e',
+        (
+            TargetNotice('t1', RateLimit(1.5, 0, 1, is_told=True)),
+            TargetNotice('t2', RateLimit(None, 2, 2, is_told=True)),
+            TargetNotice('t2', Leave(0.5, 1, is_told=True)),
+        ),
+    ),
     Fresh('e', 0.25),
     Question('e', 17.5),
     Reply('e', 17.5, 0.25, 0.125, 0.5, 7, 40),
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -21,7 +21,7 @@
 from trestledock.entry._pool import Pool
 from trestledock.platform._log import Batch, Record, split_records
 from trestledock.platform._store import PEER_PREFIX, StoreDirectory
-from trestledock.relay import Fleet, Health, Member, RateLimits, Throttle
+from trestledock.relay import Fleet, Health, Member, Notices, Throttle
 
 #: When the incarnations of these tests were born, Unix time in milliseconds.
 OLD = 1_775_000_000_000
@@ -65,10 +65,8 @@
         self.fleet = Fleet()
         self.health = Health()
         self.isolation = Isolation(self.health, self.fleet)
-        self.throttle = Throttle(
-            Member('e', 'dc'), RateLimits(), Random().random
-        )
-        self.unreadable_limits = {}
+        self.throttle = Throttle(Member('e', 'dc'), Notices(), Random().random)
+        self.unreadable_notices = {}
 
     def note_list(self, as_of, now, source, latest_at):
         """Note the age of a list that nobody asks for here."""
--- a/tests/test_platform_rates.py
+++ b/tests/test_platform_notices.py
@@ -7,7 +7,7 @@
 
 from trestledock.entry import Head
 from trestledock.platform._headers import PlatformDialect
-from trestledock.platform._rates import MOST_PER_S, read_limit
+from trestledock.platform._notices import MOST_PER_S, read_limit
 
 
 def read(*texts):
--- a/tests/test_relay_rate_limits.py
+++ b/tests/test_relay_rate_limits.py
@@ -2,16 +2,16 @@
 
 import unittest
 
-from trestledock.relay import Change, RateLimit, RateLimits
+from trestledock.relay import Change, RateLimit, Notices
 
 TARGET = 't1@5'
 
 
 def note(*words):
     """Return what each of some words changes, and what is believed then."""
-    limits = RateLimits()
+    limits = Notices()
     changes = [limits.note(TARGET, RateLimit(*word)) for word in words]
-    return changes, limits.get(TARGET)
+    return changes, limits.get(RateLimit, TARGET)
 
 
 class OrderTest(unittest.TestCase):
@@ -26,9 +26,9 @@
         self.assertEqual(last.per_s, 1)
 
     def test_unlimited_from_the_start_is_nothing(self):
-        limits = RateLimits()
+        limits = Notices()
         limits.note(TARGET, RateLimit(None, 0, 1))
-        self.assertEqual(limits.known, {})
+        self.assertEqual(limits.get_all(RateLimit), {})
 
     def test_answer_to_what_was_asked_before_lifts_nothing(self):
         """It may have been said before the limit was."""
@@ -60,7 +60,7 @@
         self.assertIsNone(last)
 
     def test_forgotten_with_its_target(self):
-        limits = RateLimits()
+        limits = Notices()
         limits.note(TARGET, RateLimit(2, 0, 1))
         limits.forget(TARGET)
-        self.assertIsNone(limits.get(TARGET))
+        self.assertIsNone(limits.get(RateLimit, TARGET))
--- a/tests/test_relay_throttle.py
+++ b/tests/test_relay_throttle.py
@@ -3,7 +3,7 @@
 import unittest
 from math import inf
 
-from trestledock.relay import Listed, Member, RateLimit, RateLimits, Throttle
+from trestledock.relay import Listed, Member, Notices, RateLimit, Throttle
 
 ONE, TWO, FREE = (
     Listed(name, 'svc', f'{name}:80', 'dc') for name in ('t1', 't2', 't3')
@@ -12,7 +12,7 @@
 
 def make_throttle(draw=lambda: 1, **per_s):
     """Return the throttle of the only entry, and limits of some targets."""
-    limits = RateLimits()
+    limits = Notices()
     for name, number in per_s.items():
         limits.note(name, RateLimit(number, 0, 0))
     return Throttle(Member('e', 'dc'), limits, draw)
@@ -43,7 +43,7 @@
     def test_raised_limit_counts_at_once(self):
         throttle = make_throttle(t1=0.1)
         throttle.take([ONE], now=0)
-        throttle.limits.note('t1', RateLimit(10, 1, 1))
+        throttle.notices.note('t1', RateLimit(10, 1, 1))
         self.assertTrue(throttle.is_free(ONE, now=1.2))
 
     def test_gone_with_its_target(self):
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -15,7 +15,7 @@
 from trestledock.entry._job import Answer, Job
 from trestledock.entry._limits import Limit, Limits
 from trestledock.entry._pool import get_idle_s
-from trestledock.entry._rates import note_answer
+from trestledock.entry._notices import note_answer
 from trestledock.entry._reply import Reply
 from trestledock.entry._state import EntryState
 from trestledock.entry._streaming import StreamPassing
@@ -52,8 +52,7 @@
         answer = self.dialect.read_head(head)
         if answer.req_id and answer.req_id != job.call.req_id:
             raise WireError('answer', 'of another request')
-        peer = placement.target.incarnation
-        note_answer(self.state, peer, head.status, answer, asked_at)
+        note_answer(self.state, job, placement, head.status, answer, asked_at)
         idle_s = get_idle_s(answer.keep_alive, answer.connection)
         if _is_stream(job, head, answer):
             passing = StreamPassing(
@@ -116,7 +115,8 @@
         if found:
             self._note_silence(found)
         if status == HTTPStatus.MISDIRECTED_REQUEST:
-            self.state.fleet.leaving.add(at_fault)
+            now = anyio.current_time()
+            self.state.fleet.note_leaving(at_fault, now)
             self.state.isolation.note_replaced(at_fault)
         return at_fault
 
--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -28,7 +28,7 @@
 from trestledock.entry._logger import emit
 from trestledock.entry._news import NewsExchange
 from trestledock.entry._pool import Pool
-from trestledock.entry._rates_exchange import RatesExchange
+from trestledock.entry._notices_exchange import NoticesExchange
 from trestledock.entry._relaying import Relayer
 from trestledock.entry._sending import Sender
 from trestledock.entry._restoring import Restoring
@@ -120,7 +120,7 @@
     pool = Pool(state.spawn)
     gossip = Gossip(state)
     EndsExchange(gossip)
-    RatesExchange(gossip)
+    NoticesExchange(gossip)
     exchange = NewsExchange(state, gossip)
     loads = LoadExchange(state, gossip)
     follower = Follower(state, directory, pool, exchange)
--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -51,12 +51,25 @@
     unreadable: str = ''
 
 
+@dataclass(frozen=True)
+class NamedRest:
+    """For how many seconds an answer's target wants nothing more from here.
+
+    `unreadable` has what made no sense.
+    """
+
+    rest_s: float = 0
+    unreadable: str = ''
+
+
 @dataclass(frozen=True)
 class AnswerNote:
     """What an answer's head says beside its status.
 
     `not_run` is the target's word that it did not run the request; `sealed`
-    says that the answer is the target's own.
+    says that the answer is the target's own, and `at_fault` and `instance` name
+    the target that is at fault and the one that answers.  One that `leaves`
+    takes nothing new.
     """
 
     req_id: str
@@ -66,7 +79,10 @@
     keep_alive: str
     connection: str
     at_fault: str = ''
+    instance: str = ''
     limit: NamedLimit = NamedLimit()
+    leaves: bool = False
+    rest: NamedRest = NamedRest()
 
 
 @dataclass(frozen=True)
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -183,11 +183,15 @@
 
 
 class TargetListed(Event):
-    """A target is new, or its entry has changed; `again` after it was gone."""
+    """A target is new, or its entry has changed; `again` after it was gone.
+
+    `leaves` says that it has said so, in whatever way.
+    """
 
     peer: str
     service: str
     standing: str
+    leaves: bool
     sequence: int
     source: str
     again: bool
@@ -259,13 +263,53 @@
     age_ms: int
 
 
-class LimitIgnored(Event):
-    """A target names a limit that makes no sense."""
+class NoticeIgnored(Event):
+    """An answer of a target says what makes no sense, or for somebody else.
+
+    `notice` is what it is about: limit, rest or leave.
+    """
 
     peer: str
+    notice: str
     detail: str
 
 
+class LeaveHeard(Event):
+    """A target says in an answer that it leaves.
+
+    `source` is who heard it, this entry (`self`) or another one, and the target
+    may have said it `age_ms` ago.
+    """
+
+    peer: str
+    source: str
+    age_ms: int
+
+
+class RestHeard(Event):
+    """A target turns a request away and wants nothing from this entry.
+
+    That is for `rest_ms` from now on; `before_ms` was left of an earlier word.
+    """
+
+    peer: str
+    rest_ms: int
+    before_ms: int
+    status: int
+
+
+class SentAgainstNotice(Event):
+    """A request was sent to a target that leaves or rests.
+
+    `notice` says which, as it was heard `age_ms` ago.
+    """
+
+    req: str
+    peer: str
+    notice: str
+    age_ms: int
+
+
 class SentUnderLimit(Event):
     """A request was sent to a target that takes only so many a second.
 
--- a/trestledock/entry/_holding_back.py
+++ b/trestledock/entry/_holding_back.py
@@ -11,7 +11,7 @@
 
 from trestledock.entry._job import Job, Refusal
 from trestledock.entry._state import EntryState
-from trestledock.relay import Listed, get_come_back_s
+from trestledock.relay import Listed, RateLimit, get_come_back_s
 
 #: The part of its time left that a request may wait for its turn.
 TURN_SHARE = 0.5
@@ -24,7 +24,7 @@
 
     Where each of them is under a limit, those go first that wait already.
     """
-    if not state.rate_limits.known:
+    if not state.notices.get_all(RateLimit):
         return list(targets)
     free = [one for one in targets if state.throttle.is_free(one, now)]
     if all(map(state.throttle.is_limited, free)):
--- a/trestledock/entry/_listing.py
+++ b/trestledock/entry/_listing.py
@@ -60,7 +60,9 @@
 
     def take_past(self, news: News) -> None:
         """Take what another entry knows of targets that have left."""
-        self.fleet.leaving.update(news.leaving)
+        now = anyio.current_time()
+        for incarnation in news.leaving:
+            self.fleet.note_leaving(incarnation, now)
         dropped = self.fleet.take_gone(news.gone)
         self._forget(dropped, news.source)
 
@@ -142,6 +144,7 @@
                 listed.incarnation,
                 listed.service,
                 listed.standing.value,
+                self.fleet.is_leaving(listed.incarnation),
                 listed.sequence,
                 news.source,
                 again,
@@ -187,7 +190,7 @@
             self.pool.drop(incarnation)
             self.state.health.targets.pop(incarnation, None)
             self.state.throttle.forget(incarnation)
-            self.state.unreadable_limits.pop(incarnation, None)
+            self.state.unreadable_notices.pop(incarnation, None)
         if gone:
             self.state.notify()
 
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -56,7 +56,14 @@
         events.LimitHeard: Counting(
             'Changes of what targets take a second', ('change',)
         ),
-        events.LimitIgnored: Counting('Rate limits of targets without sense'),
+        events.NoticeIgnored: Counting(
+            'Notices of targets without sense', ('notice',)
+        ),
+        events.LeaveHeard: Counting('Targets that said that they leave'),
+        events.RestHeard: Counting('Times that a target asked for rest'),
+        events.SentAgainstNotice: Counting(
+            'Requests sent to a target that leaves or rests', ('notice',)
+        ),
         events.SentUnderLimit: Counting('Requests sent under a rate limit'),
         events.TargetEnded: Counting(
             'Ends of targets while they ran a request', ('sign',)
--- /dev/null
+++ b/trestledock/entry/_notices.py
@@ -0,0 +1,208 @@
+"""
+Notices that targets give
+=========================
+
+Notes what answers, and other entries, say of a target (that it leaves, that it
+wants rest, how many requests a second it takes) and writes down what that
+changes.
+"""
+
+from functools import singledispatch
+from http import HTTPStatus
+
+import anyio
+
+from trestledock.entry import _events as events
+from trestledock.entry._dialect import AnswerNote
+from trestledock.entry._job import Job
+from trestledock.entry._logger import emit
+from trestledock.entry._state import EntryState
+from trestledock.relay import (
+    Change,
+    Leave,
+    Notice,
+    Placement,
+    RateLimit,
+    Rest,
+)
+
+MS = 1000
+#: A limit that falls below this part of the one before is told at once.
+URGENT_SHARE = 0.8
+#: Who has heard what this entry heard itself.
+OWN = 'self'
+
+
+def note_answer(
+    state: EntryState,
+    job: Job,
+    placement: Placement,
+    status: int,
+    answer: AnswerNote,
+    asked_at: float,
+) -> None:
+    """Note what an answer to a request of the instant `asked_at` says."""
+    peer = placement.target.incarnation
+    _note_limit(state, peer, status, answer, asked_at)
+    _note_rest(state, peer, status, answer, asked_at)
+    if answer.leaves and not state.fleet.is_leaving(peer):
+        age_s = anyio.current_time() - asked_at
+        emit(events.LeaveHeard(peer, OWN, round(age_s * MS)))
+
+
+def _note_limit(
+    state: EntryState,
+    peer: str,
+    status: int,
+    answer: AnswerNote,
+    asked_at: float,
+) -> None:
+    """Note how many requests a second a target takes.
+
+    An answer without a word takes a limit back only if it is the target's own
+    and a success: a refusal or a failure may come from a part of it, or from
+    what stands before it, that knows of no limit.
+    """
+    limit = answer.limit
+    _note_unreadable(state, peer, 'limit', limit.unreadable)
+    speaks = answer.sealed and status < HTTPStatus.BAD_REQUEST
+    if limit.per_s is None and (limit.is_named or not speaks):
+        return
+    before = state.notices.get(RateLimit, peer)
+    notice = RateLimit(limit.per_s, asked_at, anyio.current_time())
+    change = take_notice(state, peer, notice, OWN)
+    if change is not Change.nothing and _is_urgent(before, notice):
+        state.tell_notices(peer)
+
+
+def _note_rest(
+    state: EntryState,
+    peer: str,
+    status: int,
+    answer: AnswerNote,
+    asked_at: float,
+) -> None:
+    """Note for how long a target wants nothing more from this entry."""
+    now = anyio.current_time()
+    rest = answer.rest
+    _note_unreadable(state, peer, 'rest', rest.unreadable)
+    if not rest.rest_s:
+        return
+    before = state.notices.get(Rest, peer)
+    notice = Rest(now + rest.rest_s, asked_at, now)
+    if state.notices.note(peer, notice) is Change.nothing:
+        return
+    left_s = max(0, before.until - now) if before else 0
+    rest_ms = round(rest.rest_s * MS)
+    emit(events.RestHeard(peer, rest_ms, round(left_s * MS), status))
+
+
+def take_notice(
+    state: EntryState, peer: str, notice: Notice, source: str
+) -> Change:
+    """Believe a notice of a target, if it is news; return what it changed."""
+    if peer not in state.fleet.targets:
+        return Change.nothing
+    before = state.notices.get(type(notice), peer)
+    change = state.notices.note(peer, notice)
+    if change is Change.nothing:
+        return change
+    emit(_make_heard(notice, before, peer, change, source))
+    state.notify()
+    return change
+
+
+@singledispatch
+def _make_heard(
+    notice: Notice,
+    before: Notice | None,
+    peer: str,
+    change: Change,
+    source: str,
+) -> events.Event:
+    """Return the line on a notice that changed what is believed."""
+    raise TypeError(f'no notice: {notice!r}')
+
+
+@_make_heard.register
+def _(
+    notice: RateLimit,
+    before: RateLimit | None,
+    peer: str,
+    change: Change,
+    source: str,
+) -> events.Event:
+    return events.LimitHeard(
+        peer=peer,
+        change=change.value,
+        before_per_s=before.per_s if before else None,
+        per_s=notice.per_s,
+        source=source,
+        age_ms=_get_age_ms(notice),
+    )
+
+
+@_make_heard.register
+def _(
+    notice: Leave,
+    before: Leave | None,
+    peer: str,
+    change: Change,
+    source: str,
+) -> events.Event:
+    return events.LeaveHeard(peer, source, _get_age_ms(notice))
+
+
+def note_sent(state: EntryState, req: str, placement: Placement) -> None:
+    """Write down that a request goes to targets that asked for something."""
+    for one in (placement.target, *placement.helpers):
+        peer = one.incarnation
+        limit = state.notices.get(RateLimit, peer)
+        if limit and limit.per_s is not None:
+            age_s = anyio.current_time() - limit.heard_at
+            emit(
+                events.SentUnderLimit(
+                    req=req,
+                    peer=peer,
+                    per_s=limit.per_s,
+                    quota_per_s=round(state.throttle.get_quota(one), 3),
+                    age_ms=round(age_s * MS),
+                )
+            )
+        _note_against(state, req, peer)
+
+
+def _note_against(state: EntryState, req: str, peer: str) -> None:
+    """Write down that a request goes where nothing should."""
+    leave = state.notices.get(Leave, peer)
+    rest = state.notices.get(Rest, peer)
+    if leave:
+        age_ms = _get_age_ms(leave)
+        emit(events.SentAgainstNotice(req, peer, 'leave', age_ms))
+    if rest and not rest.is_over(anyio.current_time()):
+        age_ms = _get_age_ms(rest)
+        emit(events.SentAgainstNotice(req, peer, 'rest', age_ms))
+
+
+def _get_age_ms(notice: Notice) -> int:
+    """Return how long ago a target may have said something."""
+    return round((anyio.current_time() - notice.asked_at) * MS)
+
+
+def _is_urgent(before: RateLimit | None, notice: RateLimit) -> bool:
+    """Whether others must know at once, not with the next whole word.
+
+    A number that changes a little with each answer would be told as often.
+    """
+    if before is None or before.per_s is None or notice.per_s is None:
+        return True
+    return notice.per_s < before.per_s * URGENT_SHARE
+
+
+def _note_unreadable(
+    state: EntryState, peer: str, notice: str, detail: str
+) -> None:
+    """Write down what makes no sense, once for each target and text."""
+    if detail and state.unreadable_notices.get(peer) != detail:
+        state.unreadable_notices[peer] = detail
+        emit(events.NoticeIgnored(peer, notice, detail))
--- a/trestledock/entry/_rates_exchange.py
+++ b/trestledock/entry/_notices_exchange.py
@@ -1,10 +1,10 @@
 """
-Rate limits between entries
-===========================
+Notices between entries
+=======================
 
-Tells the other entries what targets said of how many requests a second they
-take: each change at once, what was heard here with every whole word, and all to
-an entry that is met.  It also says which entries share a limit.
+Tells the other entries what targets have said of themselves: each change that
+matters at once, what was heard here with every whole word, and all to an entry
+that is met.  It also says which entries share a target's rate limit.
 """
 
 from typing import Iterable, Sequence
@@ -13,21 +13,23 @@
 
 from trestledock.entry._datagrams import Address, join_address
 from trestledock.entry._gossip import Gossip
-from trestledock.entry._rates import take_word
-from trestledock.entry._words import Limits, ToldLimit
-from trestledock.relay import Member, Members, RateLimit
-
-#: Limits in one datagram.
-MAX_LIMITS = 100
-#: For how long it is told again that a limit was taken back, in seconds.
+from trestledock.entry._notices import take_notice
+from trestledock.entry._words import TargetNotice, ToldNotices
+from trestledock.relay import Leave, Member, Members, Notice, RateLimit
+
+#: The kinds of notices that concern all entries.
+SHARED = (RateLimit, Leave)
+#: Notices in one datagram.
+MAX_NOTICES = 100
+#: For how long it is told again that something was taken back, in seconds.
 LIFTED_S = 30.0
 #: How often is looked which entries there are, in seconds, while their number
 #: stays: that takes half a millisecond among 195.
 LOOK_S = 5.0
 
 
-class RatesExchange:
-    """Tells and hears of limits for one entry."""
+class NoticesExchange:
+    """Tells and hears of notices for one entry."""
 
     def __init__(self, gossip: Gossip) -> None:
         """Take part in the gossip."""
@@ -37,8 +39,8 @@
         self._counts = (0, 0)
         self._looked_at = float('-inf')
         self.state.throttle.get_members = self.get_members
-        self.state.tell_limit = self._tell_limit
-        gossip.handlers[Limits] = self._take
+        self.state.tell_notices = self._tell
+        gossip.handlers[ToldNotices] = self._take
         gossip.on_met.append(self._tell_known)
         gossip.on_told.append(self._tell_again)
 
@@ -68,13 +70,14 @@
             self.gossip.neighbours.count(now) + 1,
         )
 
-    def _tell_limit(self, target: str) -> None:
+    def _tell(self, target: str) -> None:
         """Have all others know what a target has just said."""
-        self._send([target], self.gossip.neighbours.get_all())
+        known = [one for one in self._get_known() if one.target == target]
+        self._send(known, self.gossip.neighbours.get_all())
 
     def _tell_known(self, address: Address) -> None:
         """Have an entry that is new know what is in force, and what is not."""
-        self._send(self.state.rate_limits.known, [address])
+        self._send(self._get_known(), [address])
 
     def _tell_again(self, where: Sequence[Address]) -> None:
         """Tell what this entry heard itself: what is, or was, in force.
@@ -83,34 +86,34 @@
         """
         now = anyio.current_time()
         matters = [
-            target
-            for target, limit in self.state.rate_limits.known.items()
-            if not limit.is_told
-            and (limit.is_in_force or now - limit.heard_at <= LIFTED_S)
+            one for one in self._get_known() if _is_told_again(one.notice, now)
         ]
         self._send(matters, where)
 
-    def _send(self, targets: Iterable[str], where: Sequence[Address]) -> None:
-        now = anyio.current_time()
-        told = [self._make_told(target, now) for target in targets]
-        for start in range(0, len(told), MAX_LIMITS):
-            part = tuple(told[start : start + MAX_LIMITS])
-            self.gossip.send(Limits(self.state.member, part), where)
-
-    def _make_told(self, target: str, now: float) -> ToldLimit:
-        limit = self.state.rate_limits.known[target]
-        return ToldLimit(
-            target, limit.per_s, now - limit.asked_at, now - limit.heard_at
-        )
+    def _get_known(self) -> list[TargetNotice]:
+        """Return what targets have said that are still there."""
+        return [
+            TargetNotice(target, notice)
+            for kind in SHARED
+            for target, notice in self.state.notices.get_all(kind).items()
+            if target in self.state.fleet.targets
+        ]
 
-    def _take(self, word: Limits, _: Address) -> bool:
-        now = anyio.current_time()
-        for one in word.limits:
-            limit = RateLimit(
-                one.per_s,
-                now - one.asked_age_s,
-                now - one.heard_age_s,
-                is_told=True,
-            )
-            take_word(self.state, one.target, limit, word.sender)
+    def _send(
+        self, notices: Iterable[TargetNotice], where: Sequence[Address]
+    ) -> None:
+        told = tuple(notices)
+        for start in range(0, len(told), MAX_NOTICES):
+            part = told[start : start + MAX_NOTICES]
+            self.gossip.send(ToldNotices(self.state.member, part), where)
+
+    def _take(self, word: ToldNotices, _: Address) -> bool:
+        for one in word.notices:
+            take_notice(self.state, one.target, one.notice, word.sender)
+        return False
+
+
+def _is_told_again(notice: Notice, now: float) -> bool:
+    if notice.is_told:
         return False
+    return notice.asks_for is not None or now - notice.heard_at <= LIFTED_S
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -28,6 +28,7 @@
     Listed,
     Phase,
     Placement,
+    RateLimit,
     choose_least_busy,
     decide_without_place,
     is_worth_asking,
@@ -184,7 +185,7 @@
 
 def _is_held_back(state: EntryState, job: Job, now: float) -> bool:
     """Whether a request waits for nothing but the limits of its targets."""
-    if not state.rate_limits.known or get_candidates(state, job, now):
+    if not state.notices.get_all(RateLimit) or get_candidates(state, job, now):
         return False
     return bool(get_limited(state, job))
 
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -16,7 +16,7 @@
 from trestledock.entry._job import Job
 from trestledock.entry._logger import emit
 from trestledock.entry._pool import Pool
-from trestledock.entry._rates import note_sent
+from trestledock.entry._notices import note_sent
 from trestledock.entry._reply import Reply
 from trestledock.entry._selecting import make_flight
 from trestledock.entry._state import MOST_AGE_S, EntryState
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -27,11 +27,12 @@
     Health,
     Load,
     Member,
+    Notices,
     Placer,
     Proof,
     Reach,
     Restores,
-    RateLimits,
+    RateLimit,
     Throttle,
     Turns,
 )
@@ -52,7 +53,7 @@
 
 
 def _tell_nobody(_: str) -> None:
-    """Stand for what tells the others of a target's limit."""
+    """Stand for what tells the others of a target's notices."""
 
 
 async def _learn_nothing() -> None:
@@ -82,8 +83,8 @@
     It is `leaving` once it was asked to stop, `closing` once idle connections
     are being closed, and `ending` once nothing may go on any more.  `catch_up`
     takes the words of the other entries that have come in, `tell_own` tells
-    them at once of what has changed here, `tell_limit` of how much a target has
-    said that it takes; `learn_loads` asks other data centres what their targets
+    them at once of what has changed here, `tell_notices` of what a target has
+    said of itself; `learn_loads` asks other data centres what their targets
     have to do, and `loads` has what they answered.
     """
 
@@ -97,9 +98,8 @@
     board: Board = field(default_factory=Board)
     health: Health = field(default_factory=Health)
     reach: Reach = field(default_factory=Reach)
-    rate_limits: RateLimits = field(default_factory=RateLimits)
     turns: Turns = field(default_factory=Turns)
-    unreadable_limits: dict[str, str] = field(default_factory=dict)
+    unreadable_notices: dict[str, str] = field(default_factory=dict)
     restores: Restores = field(default_factory=Restores)
     waits: set[Wait] = field(default_factory=set)
     unanswered: set[Unanswered] = field(default_factory=set)
@@ -113,7 +113,7 @@
     restored: anyio.Event = field(default_factory=anyio.Event)
     catch_up: Callable[[], None] = _do_nothing
     tell_own: Callable[[], None] = _do_nothing
-    tell_limit: Callable[[str], None] = _tell_nobody
+    tell_notices: Callable[[str], None] = _tell_nobody
     learn_loads: Callable[[], Awaitable[None]] = _learn_nothing
     loads: dict[str, Load] = field(default_factory=dict)
     isolation: Isolation = field(init=False)
@@ -134,7 +134,7 @@
         )
         self.throttle = Throttle(
             Member(self.settings.peers, self.settings.data_centre),
-            self.rate_limits,
+            self.notices,
             self.rng.random,
         )
         self.budgets = Budgets(self.settings.budget, self.count_entries)
@@ -149,6 +149,11 @@
         """The number of changes in what other entries are told on demand."""
         return self.fleet.revision + self.isolation.revision
 
+    @property
+    def notices(self) -> Notices:
+        """What targets have said of themselves."""
+        return self.fleet.notices
+
     def spawn(self, work: Callable[..., Awaitable[Any]], *args: Any) -> None:
         """Run something in the background; its failure ends nothing else."""
         self.group.start_soon(_run_guarded, work, args)
@@ -314,7 +319,7 @@
             'targets_held': len(self.fleet.held),
             'list_age_seconds': self.get_list_age_s(now),
             'peers': self.board.count_peers(),
-            'rate_limits': len(self.rate_limits.get_in_force()),
+            'rate_limits': len(self.notices.get_in_force(RateLimit)),
             'rate_quota_per_second': self._get_quota_sum(),
             'requests_quarantined': self.isolation.count_quarantined(),
             'requests_suspected': len(self.isolation.quarantine.suspects),
@@ -366,7 +371,7 @@
 
     def _get_quota_sum(self) -> float:
         """Return how many requests a second go from here to limited targets."""
-        limited = self.rate_limits.get_in_force()
+        limited = self.notices.get_in_force(RateLimit)
         listed = [self.fleet.targets.get(name) for name in limited]
         return sum(self.throttle.get_quota(one) for one in listed if one)
 
--- a/trestledock/entry/_word_codec.py
+++ b/trestledock/entry/_word_codec.py
@@ -21,6 +21,7 @@
     read_text,
     read_whole,
 )
+from trestledock.entry._notice_rows import read_notices, write_notices
 from trestledock.entry._rows import read_change, write_change
 from trestledock.entry._words import (
     Beat,
@@ -28,10 +29,9 @@
     Ends,
     Flights,
     Fresh,
-    Limits,
     Question,
     Reply,
-    ToldLimit,
+    ToldNotices,
     Word,
 )
 from trestledock.relay import End
@@ -122,17 +122,8 @@
 
 
 @_write.register
-def _(word: Limits, now: float) -> dict[str, Any]:
-    rows = [
-        (
-            one.target,
-            one.per_s,
-            round(one.asked_age_s * MS),
-            round(one.heard_age_s * MS),
-        )
-        for one in word.limits
-    ]
-    return {'kind': 'limits', 'limits': rows}
+def _(word: ToldNotices, now: float) -> dict[str, Any]:
+    return {'kind': 'limits', **write_notices(word.notices, now)}
 
 
 def write_word(word: Word, now: float) -> bytes:
@@ -204,20 +195,8 @@
     return Cleared(sender, read_text(plain['fingerprint']), tuple(ends))
 
 
-def _read_limits(plain: Plain, sender: str, now: float) -> Limits:
-    rows = map(read_list, read_list(plain['limits']))
-    return Limits(sender, tuple([_read_limit(*row) for row in rows]))
-
-
-def _read_limit(
-    target: Any, per_s: Any, asked_ms: Any, heard_ms: Any
-) -> ToldLimit:
-    return ToldLimit(
-        read_text(target),
-        None if per_s is None else max(0, read_amount(per_s)),
-        read_count(asked_ms) / MS,
-        read_count(heard_ms) / MS,
-    )
+def _read_notices(plain: Plain, sender: str, now: float) -> ToldNotices:
+    return ToldNotices(sender, read_notices(plain, now))
 
 
 READERS: Mapping[str, Callable[[Plain, str, float], Word]] = MappingProxyType(
@@ -229,7 +208,7 @@
         'reply': _read_reply,
         'ends': _read_ends,
         'cleared': _read_cleared,
-        'limits': _read_limits,
+        'limits': _read_notices,
     }
 )
 
--- a/trestledock/entry/_words.py
+++ b/trestledock/entry/_words.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from trestledock.entry._rows import Change
-from trestledock.relay import End
+from trestledock.relay import End, Notice
 
 
 @dataclass(frozen=True)
@@ -91,24 +91,19 @@
 
 
 @dataclass(frozen=True)
-class ToldLimit:
-    """What a target takes a second, None for any number of requests.
-
-    The target said so between `asked_age_s` and `heard_age_s` ago.
-    """
+class TargetNotice:
+    """What a target has said of itself."""
 
     target: str
-    per_s: float | None
-    asked_age_s: float
-    heard_age_s: float
+    notice: Notice
 
 
 @dataclass(frozen=True)
-class Limits:
-    """How many requests a second some targets take from all entries."""
+class ToldNotices:
+    """What some targets have said of themselves."""
 
     sender: str
-    limits: tuple[ToldLimit, ...]
+    notices: tuple[TargetNotice, ...]
 
 
-Word = Limits | Flights | Beat | Fresh | Question | Reply | Ends | Cleared
+Word = ToldNotices | Flights | Beat | Fresh | Question | Reply | Ends | Cleared
--- a/trestledock/platform/_headers.py
+++ b/trestledock/platform/_headers.py
@@ -10,7 +10,11 @@
 from typing import Any, Mapping
 
 from trestledock.entry import AnswerNote, Head, Headers, Order, Passing
-from trestledock.platform._rates import read_limit
+from trestledock.platform._notices import (
+    read_leaving,
+    read_limit,
+    read_rest,
+)
 from trestledock.relay import Body, Call, PromptSize
 
 REQUEST_ID = b'trestledock-request-id'
@@ -24,6 +28,8 @@
 HELPERS = b'trestledock-helpers'
 LAST_EVENT = b'last-event-id'
 AT_FAULT = b'at-server'
+#: The target that answers, where that is not the one that was asked.
+INSTANCE = b'trestledock-instance-id'
 AUTHORIZATION = b'authorization'
 SCHEME = 'bearer '
 #: The rank of a request where it waits at a target, from 0 (first) to 9.
@@ -120,7 +126,10 @@
             keep_alive=head.get_header(b'keep-alive'),
             connection=head.get_header(b'connection'),
             at_fault=head.get_header(AT_FAULT),
+            instance=head.get_header(INSTANCE),
             limit=read_limit(head),
+            leaves=read_leaving(head),
+            rest=read_rest(head),
         )
 
     def make_reply_headers(self, head: Head) -> Headers:
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -47,6 +47,13 @@
 from trestledock.relay._fleet import BEFORE_ALL, Fleet, GoneTarget
 from trestledock.relay._health import Health
 from trestledock.relay._listed import UNTOLD, Listed, Order, Standing
+from trestledock.relay._notices import (
+    Change,
+    Leave,
+    Notice,
+    Notices,
+    Rest,
+)
 from trestledock.relay._open_ends import OpenEnds
 from trestledock.relay._outcome import Ending, History, Sending
 from trestledock.relay._patience import (
@@ -65,7 +72,7 @@
     Quarantine,
 )
 from trestledock.relay._quotas import Member, Members
-from trestledock.relay._rate_limits import Change, RateLimit, RateLimits
+from trestledock.relay._rate_limits import RateLimit
 from trestledock.relay._reach import BEAT_S, Reach
 from trestledock.relay._rendezvous import rank_by_key
 from trestledock.relay._restores import REWRITE_S, Restores
@@ -107,12 +114,15 @@
     'Quarantined',
     'History',
     'LOOK_S',
+    'Leave',
     'Limits',
     'Listed',
     'Load',
     'Member',
     'Members',
     'NoPlace',
+    'Notice',
+    'Notices',
     'OpenEnds',
     'Order',
     'PassLoad',
@@ -124,9 +134,9 @@
     'Reach',
     'Quarantine',
     'RateLimit',
-    'RateLimits',
     'ReadPace',
     'REWRITE_S',
+    'Rest',
     'Restores',
     'RetryWindow',
     'Route',
--- a/trestledock/relay/_fleet.py
+++ b/trestledock/relay/_fleet.py
@@ -10,9 +10,10 @@
 """
 
 from dataclasses import dataclass, field, replace
-from typing import Iterable, Iterator
+from typing import Collection, Iterable, Iterator
 
 from trestledock.relay._listed import UNTOLD, Listed, Order, Standing
+from trestledock.relay._notices import Change, Leave, Notices
 from trestledock.relay._watch import Watch
 
 #: Less than the order of any word.
@@ -36,18 +37,33 @@
     brings nothing back.  `revision` grows with every change that matters to
     others; that a target is only held is one of them, since others must judge
     for themselves whether to hold it, too.  `births` is how many of the
-    targets tell when they were born.
+    targets tell when they were born.  `notices` has what targets said of
+    themselves, here or to others.
     """
 
     targets: dict[str, Listed] = field(default_factory=dict)
     newest: dict[str, str] = field(default_factory=dict)
     held: dict[str, float] = field(default_factory=dict)
-    leaving: set[str] = field(default_factory=set)
+    notices: Notices = field(default_factory=Notices)
     gone: dict[str, Order] = field(default_factory=dict)
     watch: Watch = field(default_factory=Watch)
     revision: int = 0
     births: int = 0
 
+    @property
+    def leaving(self) -> Collection[str]:
+        """The incarnations that take nothing new, whoever said so."""
+        return self.notices.get_all(Leave).keys()
+
+    def is_leaving(self, incarnation: str) -> bool:
+        """Whether an incarnation has said that it leaves."""
+        return incarnation in self.leaving
+
+    def note_leaving(self, incarnation: str, heard_at: float) -> bool:
+        """Note what all entries learn themselves; return whether it is news."""
+        notice = Leave(heard_at, heard_at, is_told=True)
+        return self.notices.note(incarnation, notice) is Change.learnt
+
     def put(self, listed: Listed) -> bool:
         """Take an entry; return whether it changes anything but its age."""
         self._note_standing(listed)
@@ -159,18 +175,19 @@
     def get_usable(self, service: str) -> Iterator[Listed]:
         """Return the targets of a service that may get new work."""
         births_are_told = self._are_births_told()
+        leaving = self.leaving
         return (
             listed
             for name, listed in self.targets.items()
             if listed.service == service
-            and name not in self.leaving
+            and name not in leaving
             and (listed.born != UNTOLD or not births_are_told)
         )
 
     def is_usable(self, incarnation: str) -> bool:
         """Whether a target may get new work now."""
         listed = self.targets.get(incarnation)
-        if listed is None or incarnation in self.leaving:
+        if listed is None or self.is_leaving(incarnation):
             return False
         return listed.born != UNTOLD or not self._are_births_told()
 
@@ -197,7 +214,7 @@
     def _note_standing(self, listed: Listed) -> None:
         """Note that a target leaves, whenever it said so."""
         if listed.standing is Standing.leaving:
-            self.leaving.add(listed.incarnation)
+            self.note_leaving(listed.incarnation, self.watch.read_at)
 
     def _get_least_order(self, target_id: str) -> Order:
         """Return the least order of a word that says something new."""
--- a/trestledock/relay/_throttle.py
+++ b/trestledock/relay/_throttle.py
@@ -11,6 +11,7 @@
 from typing import Callable, Sequence
 
 from trestledock.relay._listed import Listed
+from trestledock.relay._notices import Notices
 from trestledock.relay._pacing import Bucket
 from trestledock.relay._quotas import (
     LEAST_PER_S,
@@ -19,7 +20,7 @@
     Members,
     Quotas,
 )
-from trestledock.relay._rate_limits import RateLimits
+from trestledock.relay._rate_limits import RateLimit
 
 
 class Throttle:
@@ -31,10 +32,10 @@
     """
 
     def __init__(
-        self, own: Member, limits: RateLimits, draw: Callable[[], float]
+        self, own: Member, notices: Notices, draw: Callable[[], float]
     ) -> None:
         """Begin without other entries."""
-        self.limits = limits
+        self.notices = notices
         self.get_members: Callable[[], Members] = lambda: Members(own)
         self._draw = draw
         self._quotas = Quotas(Members(own))
@@ -42,7 +43,7 @@
 
     def is_limited(self, target: Listed) -> bool:
         """Whether a target takes only so many requests."""
-        return self.limits.get(target.incarnation) is not None
+        return self._get_rate_limit(target) is not None
 
     def is_free(self, target: Listed, now: float) -> bool:
         """Whether a request may go to a target now."""
@@ -53,7 +54,7 @@
 
     def get_quota(self, target: Listed) -> float:
         """Return how many requests a second this entry may send to a target."""
-        limit = self.limits.get(target.incarnation)
+        limit = self._get_rate_limit(target)
         if limit is None or limit.per_s is None:
             return inf
         self._quotas.set_members(self.get_members())
@@ -92,16 +93,19 @@
 
     def get_limit(self, targets: Sequence[Listed]) -> float:
         """Return what some limited targets take a second, from all entries."""
-        found = [self.limits.get(target.incarnation) for target in targets]
+        found = map(self._get_rate_limit, targets)
         return sum(
             max(limit.per_s or 0, LEAST_PER_S) for limit in found if limit
         )
 
     def forget(self, target: str) -> None:
         """Forget a target that is gone, with its limit."""
-        self.limits.forget(target)
+        self.notices.forget(target)
         self._buckets.pop(target, None)
 
+    def _get_rate_limit(self, target: Listed) -> RateLimit | None:
+        return self.notices.get(RateLimit, target.incarnation)
+
     def _get_bucket(self, target: Listed, now: float) -> Bucket:
         name = target.incarnation
         if name not in self._buckets:
