Red: targets that leave, or want rest, get requests all the same

Six entries before five targets, undisturbed, on a virtual clock. A target that says in its answers that it leaves, its record in the list unchanged, gets requests up to 9.8 s (plain) and 10.1 s (engines) after the entry was told, 2 allowed; one that turns all away for 9 s and asks for 3 s of rest gets 17 from one entry within one rest, 2 allowed.

--- a/tests/limiting.py
+++ b/tests/limiting.py
@@ -1,8 +1,10 @@
-"""Whole entries before targets that name rate limits, on a virtual clock.
+"""Whole entries before targets that give notices, on a virtual clock.
 
 The network between entries and the connections to targets are calls within the
-process.  What a target gets is counted as its own operators would: from the
-entries that had heard of its limit half a second before, and from all.
+process.  What a target gets is counted as its own operators would: of its rate
+limit, from the entries that had heard of it half a second before, and from all;
+of its leave, from each entry since that was told; of a rest, from the entry
+that it was asked of.
 """
 
 from contextlib import contextmanager
@@ -39,6 +41,13 @@
 STRETCH_S = 4.0
 OVER_SHARE = 1.5
 OVER_COUNT = 5
+#: For how long after an entry was told of it requests may reach a target that
+#: leaves, in seconds.
+DRAIN_S = 2.0
+#: From so long after a target has asked an entry for rest, in seconds, until
+#: the rest is over, so many requests may come from there.
+REST_BINDS_S = 0.5
+REST_COUNT = 2
 
 
 @dataclass(frozen=True)
@@ -50,15 +59,34 @@
     team: str = ''
 
 
+@dataclass(frozen=True)
+class AskedRest:
+    """A target has turned an entry away until an instant."""
+
+    entry: str
+    at: float
+    until: float
+
+
 @dataclass
 class LimitedTarget:
-    """A target with what it asks for, and what it got."""
+    """A target with what it asks for, and what it got.
+
+    While it rests, it turns away all that comes, with `rest` as the text that
+    says for how long; with `leaves` it says that it leaves, and `sealed` says
+    whether its answers bear its seal.
+    """
 
     number: int
     data_centre: str
     born: int = 1
     per_s: float | str | None = None
     status: int = 200
+    rest: str = ''
+    leaves: str = ''
+    sealed: bool = True
+    left_told: dict = field(default_factory=dict)
+    rests: list = field(default_factory=list)
     arrivals: list = field(default_factory=list)
     told: dict = field(default_factory=dict)
     named_at: float = float('inf')
@@ -97,6 +125,37 @@
             for one in self.arrivals
         )
 
+    def leave(self):
+        """Say in all answers from now on that it leaves."""
+        self.leaves = '1'
+
+    def shed(self, rest):
+        """Turn all away from now on, and ask for rest; none to serve again."""
+        self.status = 503 if rest else 200
+        self.rest = rest
+
+    def get_late_s(self):
+        """Return how long after an entry was told the last request came."""
+        return max(
+            (
+                one.at - self.left_told[one.entry]
+                for one in self.arrivals
+                if one.entry in self.left_told
+            ),
+            default=0,
+        )
+
+    def get_most_in_rest(self):
+        """Return the most that came from an entry within one rest."""
+        return max(map(self._count_in_rest, self.rests), default=0)
+
+    def _count_in_rest(self, rest):
+        return sum(
+            rest.at + REST_BINDS_S < one.at <= rest.until
+            for one in self.arrivals
+            if one.entry == rest.entry
+        )
+
     def get_most(self, count, since, until):
         """Return the most that came within any stretch."""
         starts = [one.at for one in self.arrivals if since <= one.at < until]
@@ -135,14 +194,24 @@
         headers = [
             (b'content-length', b'2'),
             (REQUEST_ID, self.req_id),
-            (b'trestledock-response-seal', b's'),
         ]
+        if target.sealed:
+            headers.append((b'trestledock-response-seal', b's'))
         if target.status != 200:
             headers.append((b'trestledock-not-executed', b'1'))
         if target.per_s is not None:
             headers.append((b'server-limit', str(target.per_s).encode()))
+        if target.leaves:
+            headers.append((b'server-leaving', target.leaves.encode()))
+        if target.rest:
+            headers.append((b'retry-after', target.rest.encode()))
+            at = anyio.current_time()
+            rest = AskedRest(self.entry, at, at + float(target.rest))
+            target.rests.append(rest)
         head = Head(target.status, tuple(headers))
         await anyio.sleep(WAY_S)
+        if target.leaves:
+            target.left_told.setdefault(self.entry, anyio.current_time())
         if target.per_s is not None:
             target.told.setdefault(self.entry, anyio.current_time())
         return head
