A target that says in an answer that it leaves gets nothing new from any entry

What callers saw: nothing; but a target that had said that it leaves got requests up to 11.7 s later (2 s allowed), as its record in the store still said ready.

Cause: who leaves was taken from the store's list alone; what a target says in its answers was passed on and decided nothing.

Whose word an answer is: the one that was asked if it bears the seal, the mark of a refusal or the request's id; the one that a 421 names; else nobody's. Where all targets of a service leave, callers are refused at once, to come back in a second.

--- a/tests/test_entry_notices.py
+++ b/tests/test_entry_notices.py
@@ -5,9 +5,17 @@
 
 import anyio
 
-from tests.relaying import StubTarget, make_answer, make_route, run_world
+from tests.relaying import (
+    RESUMABLE,
+    StubTarget,
+    make_answer,
+    make_route,
+    make_stream,
+    run_world,
+)
 from trestledock.entry import _events as events
 from trestledock.entry import _notices
+from trestledock.relay import Flight, Phase
 
 LIMITED = ('Server-Limit: 2',)
 NOT_RUN = ('Trestledock-Not-Executed: 1',)
@@ -27,6 +35,64 @@
     return lines
 
 
+LEAVING = ('Server-Leaving: 1',)
+MISDIRECTED = ('Trestledock-Instance-Id: t1',)
+
+
+def get_leaving(answer, route=None):
+    """Return who leaves after an answer of the first of two targets."""
+    found = set()
+
+    async def scenario(world):
+        world.state.board.put(Flight('x', 't1', 9, 9, Phase.reading, since=0))
+        await world.ask()
+        found.update(world.state.fleet.leaving)
+
+    targets = [StubTarget(answer), StubTarget(make_answer())]
+    run_world(route or make_route(max_attempts=1), targets, scenario)
+    return found
+
+
+class LeaveTest(unittest.TestCase):
+    """Which answers are believed that say that their target leaves."""
+
+    # Guards against a word that is overheard in any answer but a success.
+    def test_any_answer_of_the_target_is_believed(self):
+        for name, answer in {
+            'success': make_answer(more=LEAVING),
+            'failure': make_answer(status=500, more=LEAVING),
+            'not found': make_answer(status=404, more=LEAVING),
+            'refusal': make_answer(
+                status=503, req_id='', seal=False, more=(*LEAVING, *NOT_RUN)
+            ),
+            'without a seal': make_answer(seal=False, more=LEAVING),
+        }.items():
+            self.assertEqual(get_leaving(answer), {'t0'}, name)
+
+    def test_head_of_a_stream_is_believed(self):
+        whole = make_stream(1, 2)
+        head = whole.replace(b'\r\n', b'\r\nServer-Leaving: 1\r\n', 1)
+        self.assertEqual(get_leaving(head, RESUMABLE), {'t0'})
+
+    # Guards against sound targets that are left for a word of somebody else.
+    def test_answer_of_whoever_is_not_believed(self):
+        for req_id in ('', 'r2'):
+            answer = make_answer(req_id=req_id, seal=False, more=LEAVING)
+            self.assertEqual(get_leaving(answer), set(), req_id)
+
+    def test_word_of_the_one_that_has_the_address_is_its_own(self):
+        """The one that was asked has ended; that is another matter."""
+        answer = make_answer(
+            status=421, seal=False, more=(*LEAVING, *MISDIRECTED)
+        )
+        self.assertEqual(get_leaving(answer), {'t0', 't1'})
+
+    def test_other_texts_say_nothing(self):
+        for text in ('0', '', 'no', '1.0', '11'):
+            answer = make_answer(more=(f'Server-Leaving: {text}',))
+            self.assertEqual(get_leaving(answer), set(), text)
+
+
 def get_changes(lines):
     return [
         (one.change, one.per_s)
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -66,7 +66,7 @@
         self.health = Health()
         self.isolation = Isolation(self.health, self.fleet)
         self.throttle = Throttle(Member('e', 'dc'), Notices(), Random().random)
-        self.unreadable_notices = {}
+        self.ignored_notices = {}
 
     def note_list(self, as_of, now, source, latest_at):
         """Note the age of a list that nobody asks for here."""
--- a/trestledock/entry/_listing.py
+++ b/trestledock/entry/_listing.py
@@ -190,7 +190,7 @@
             self.pool.drop(incarnation)
             self.state.health.targets.pop(incarnation, None)
             self.state.throttle.forget(incarnation)
-            self.state.unreadable_notices.pop(incarnation, None)
+            self.state.ignored_notices.pop(incarnation, None)
         if gone:
             self.state.notify()
 
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -134,6 +134,7 @@
         'version': 'Version of the configuration in force',
         'targets': 'Targets that are listed',
         'targets_held': 'Targets that are missing but may have lapsed',
+        'targets_leaving': 'Targets that are there but take nothing new',
         'list_age_seconds': 'Age of what is known of the targets',
         'peers': 'Other entries that are heard',
         'rate_limits': 'Targets that take only so many requests a second',
--- a/trestledock/entry/_notices.py
+++ b/trestledock/entry/_notices.py
@@ -45,9 +45,45 @@
     peer = placement.target.incarnation
     _note_limit(state, peer, status, answer, asked_at)
     _note_rest(state, peer, status, answer, asked_at)
-    if answer.leaves and not state.fleet.is_leaving(peer):
-        age_s = anyio.current_time() - asked_at
-        emit(events.LeaveHeard(peer, OWN, round(age_s * MS)))
+    if answer.leaves:
+        speaker = _find_speaker(state, job, placement, status, answer)
+        _note_leave(state, peer, speaker, asked_at)
+
+
+def _find_speaker(
+    state: EntryState,
+    job: Job,
+    placement: Placement,
+    status: int,
+    answer: AnswerNote,
+) -> str:
+    """Return the target that an answer speaks for, empty where none is known.
+
+    Only who has read the request knows its id, and who is not the one that was
+    asked answers 421, unless that is about a helper.
+    """
+    helpers = placement.helpers
+    blamed = {name for one in helpers for name in (one.target_id, one.address)}
+    if status == HTTPStatus.MISDIRECTED_REQUEST and (
+        answer.at_fault not in blamed
+    ):
+        return state.fleet.newest.get(answer.instance, '')
+    echoes = bool(answer.req_id) and answer.req_id == job.call.req_id
+    if answer.sealed or answer.not_run or echoes:
+        return placement.target.incarnation
+    return ''
+
+
+def _note_leave(
+    state: EntryState, peer: str, speaker: str, asked_at: float
+) -> None:
+    """Note that a target leaves, and have all others know at once."""
+    if not speaker:
+        _note_ignored(state, peer, 'leave', 'not its own answer')
+        return
+    notice = Leave(asked_at, anyio.current_time())
+    if take_notice(state, speaker, notice, OWN) is Change.learnt:
+        state.tell_notices(speaker)
 
 
 def _note_limit(
@@ -64,7 +100,7 @@
     what stands before it, that knows of no limit.
     """
     limit = answer.limit
-    _note_unreadable(state, peer, 'limit', limit.unreadable)
+    _note_ignored(state, peer, 'limit', limit.unreadable)
     speaks = answer.sealed and status < HTTPStatus.BAD_REQUEST
     if limit.per_s is None and (limit.is_named or not speaks):
         return
@@ -85,7 +121,7 @@
     """Note for how long a target wants nothing more from this entry."""
     now = anyio.current_time()
     rest = answer.rest
-    _note_unreadable(state, peer, 'rest', rest.unreadable)
+    _note_ignored(state, peer, 'rest', rest.unreadable)
     if not rest.rest_s:
         return
     before = state.notices.get(Rest, peer)
@@ -100,8 +136,11 @@
 def take_notice(
     state: EntryState, peer: str, notice: Notice, source: str
 ) -> Change:
-    """Believe a notice of a target, if it is news; return what it changed."""
-    if peer not in state.fleet.targets:
+    """Believe a notice of a target, if it is news; return what it changed.
+
+    That a target leaves may come before its first record.
+    """
+    if peer not in state.fleet.targets and not isinstance(notice, Leave):
         return Change.nothing
     before = state.notices.get(type(notice), peer)
     change = state.notices.note(peer, notice)
@@ -199,10 +238,10 @@
     return notice.per_s < before.per_s * URGENT_SHARE
 
 
-def _note_unreadable(
+def _note_ignored(
     state: EntryState, peer: str, notice: str, detail: str
 ) -> None:
-    """Write down what makes no sense, once for each target and text."""
-    if detail and state.unreadable_notices.get(peer) != detail:
-        state.unreadable_notices[peer] = detail
+    """Write down what is not believed, once for each target and text."""
+    if detail and state.ignored_notices.get(peer) != detail:
+        state.ignored_notices[peer] = detail
         emit(events.NoticeIgnored(peer, notice, detail))
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -31,6 +31,7 @@
     RateLimit,
     choose_least_busy,
     decide_without_place,
+    get_come_back_s,
     is_worth_asking,
     pick_cheapest,
 )
@@ -39,6 +40,9 @@
 LEAST_NEAR = 8
 #: One in how many sound targets must be left for the others to be avoided.
 LEAST_FRESH = 4
+#: When a caller comes back where all targets of a service leave, in seconds:
+#: starting the next one takes longer than a moment.
+SUCCESSOR_S = 1.0
 #: The refusal that each decision against a request means.
 REFUSALS: Mapping[Decision, Refusal] = MappingProxyType(
     {
@@ -132,6 +136,9 @@
     engine = get_engine(state, job)
     if targets and (engine is None or job.call.size is None):
         return _choose_plain(state, targets, now)
+    if state.fleet.have_all_left(job.service) and not job.begun:
+        job.come_back_s = get_come_back_s(job.timing, SUCCESSOR_S, now)
+        return Refusal.no_target
     if engine is None or job.call.size is None:
         decision = decide_without_place(job.timing, now, any_target=False)
         return REFUSALS.get(decision)
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -99,7 +99,7 @@
     health: Health = field(default_factory=Health)
     reach: Reach = field(default_factory=Reach)
     turns: Turns = field(default_factory=Turns)
-    unreadable_notices: dict[str, str] = field(default_factory=dict)
+    ignored_notices: dict[str, str] = field(default_factory=dict)
     restores: Restores = field(default_factory=Restores)
     waits: set[Wait] = field(default_factory=set)
     unanswered: set[Unanswered] = field(default_factory=set)
@@ -317,6 +317,7 @@
             'version': self.version,
             'targets': len(self.fleet.targets),
             'targets_held': len(self.fleet.held),
+            'targets_leaving': self.fleet.count_leaving(),
             'list_age_seconds': self.get_list_age_s(now),
             'peers': self.board.count_peers(),
             'rate_limits': len(self.notices.get_in_force(RateLimit)),
--- a/trestledock/relay/_fleet.py
+++ b/trestledock/relay/_fleet.py
@@ -59,6 +59,19 @@
         """Whether an incarnation has said that it leaves."""
         return incarnation in self.leaving
 
+    def count_leaving(self) -> int:
+        """Return how many targets are there that have said that they leave."""
+        return len(self.targets.keys() & self.leaving)
+
+    def have_all_left(self, service: str) -> bool:
+        """Whether a service has targets, and all have said that they leave."""
+        names = [
+            name
+            for name, listed in self.targets.items()
+            if listed.service == service
+        ]
+        return bool(names) and all(map(self.is_leaving, names))
+
     def note_leaving(self, incarnation: str, heard_at: float) -> bool:
         """Note what all entries learn themselves; return whether it is news."""
         notice = Leave(heard_at, heard_at, is_told=True)
