A target that wants rest gets none from whoever it asked until the rest is over

What callers saw: a repeat each, little else; but a target that turned all away and asked for 3 s of rest got three and more requests from one entry within it (two allowed): 30 came in 9 s, and 30 were turned away.

Cause: the refusal was remembered with the request that it met, and its Retry-After was not read; the next request found the target with the least to do, as whatever is refused at once leaves it. Ruled out: a belief that ended too early (there was none), words that came late (1.2 s and more before the third).

Now a rest binds the entry that it was asked of from the answer's arrival, the later end counts, and it is looked at in every choice and right before each write (relay/_resting.py, beside the rate limits in relay/_throttle.py). Once it is over, one request at a time goes there until one has been answered, each entry after a pause of its own. Where all rest, what can be served in time waits its turn, all else is refused at once with a Retry-After past the rest, spread over half of it.

--- a/tests/test_entry_notices.py
+++ b/tests/test_entry_notices.py
@@ -5,17 +5,20 @@
 
 import anyio
 
+from tests.engines import LARGE_ENGINE as ENGINE
 from tests.relaying import (
     RESUMABLE,
+    Late,
     StubTarget,
     make_answer,
     make_route,
     make_stream,
+    read_request,
     run_world,
 )
 from trestledock.entry import _events as events
 from trestledock.entry import _notices
-from trestledock.relay import Flight, Phase
+from trestledock.relay import Flight, Phase, Rest
 
 LIMITED = ('Server-Limit: 2',)
 NOT_RUN = ('Trestledock-Not-Executed: 1',)
@@ -93,6 +96,125 @@
             self.assertEqual(get_leaving(answer), set(), text)
 
 
+REST = 'Retry-After: 3'
+#: A prompt that engines read in parts.
+LONG = {'trestledock-token-counts': '100000,400'}
+
+
+class RestTest(unittest.TestCase):
+    """Whom a refusal has rest, and what comes of it."""
+
+    def play(self, answer, *later, **fields):
+        """Return who rests after some answers, and who is thought ill."""
+        found = []
+
+        async def scenario(world):
+            state = world.state
+            state.board.put(Flight('x', 't1', 9, 9, Phase.reading, since=0))
+            for number in range(1, len(later) + 2):
+                await world.ask(f'r{number}', **fields)
+                await anyio.sleep(0.4)
+            now = anyio.current_time()
+            rests = state.notices.get_all(Rest)
+            found.append(
+                {one: rest.is_over(now) for one, rest in rests.items()}
+            )
+            found.append(
+                {
+                    one
+                    for one, health in state.health.targets.items()
+                    if health.suspect_until > now
+                }
+            )
+
+        targets = [StubTarget(answer, *later), StubTarget()]
+        targets[1].answers = [
+            make_answer(req_id=f'r{number}') for number in range(1, 9)
+        ]
+        run_world(make_route(), targets, scenario)
+        return found
+
+    # Guards against a target that wants rest and is thought to be ill.
+    def test_refusal_is_believed_and_no_illness(self):
+        for status in (429, 503):
+            answer = make_answer(
+                status=status,
+                req_id='',
+                seal=False,
+                more=(REST, *NOT_RUN, 'At-Server: t0'),
+            )
+            rests, ill = self.play(answer)
+            self.assertEqual((rests, ill), ({'t0': False}, set()), status)
+
+    # Guards against a sound target that rests for a word of somebody else.
+    def test_answer_of_whoever_is_not_believed(self):
+        answer = make_answer(status=503, req_id='', seal=False, more=(REST,))
+        self.assertEqual(self.play(answer)[0], {})
+
+    def test_rest_is_over_once_it_answers(self):
+        """A success that was asked for after the rest ends it."""
+        short = make_answer(
+            status=503, seal=False, more=('Retry-After: 0.1', *NOT_RUN)
+        )
+        self.assertEqual(self.play(short)[0], {'t0': True})
+        later = make_answer(req_id='r2')
+        self.assertEqual(self.play(short, later)[0], {})
+
+    # Guards against a success that overtakes a refusal and ends the rest.
+    def test_success_that_was_asked_for_before_ends_nothing(self):
+        refusal = make_answer(
+            status=503, req_id='r2', seal=False, more=(REST, *NOT_RUN)
+        )
+        late = Late(b'', make_answer(req_id='r1'), pause_s=0.3)
+        found = []
+
+        async def scenario(world):
+            async with anyio.create_task_group() as group:
+                group.start_soon(world.ask, 'r1')
+                await anyio.sleep(0.1)
+                group.start_soon(world.ask, 'r2')
+            found.extend(world.state.notices.get_all(Rest))
+
+        run_world(make_route(), [StubTarget(late, refusal)], scenario)
+        self.assertEqual(found, ['t0'])
+
+    # Guards against a helper that is asked on: its word came by another.
+    def test_helper_named_by_the_engine_that_answers(self):
+        found = set()
+
+        async def scenario(world):
+            fleet = world.state.fleet
+            await world.ask(headers=LONG)
+            found.update(
+                fleet.targets[name].address
+                for name in world.state.notices.get_all(Rest)
+            )
+
+        targets = [Refusing() for _ in range(4)]
+        run_world(RESUMABLE, targets, scenario, ENGINE)
+        named = {name for one in targets for name in one.helpers if name}
+        self.assertTrue(named)
+        self.assertLessEqual(named, found)
+        self.assertGreater(len(found), len(named))
+
+
+class Refusing(StubTarget):
+    """Turns prompts away for the first of their helpers' sake."""
+
+    def __init__(self):
+        super().__init__()
+        self.helpers = []
+
+    async def _talk(self, stream):
+        while True:
+            request = await read_request(stream)
+            _, _, rest = request.lower().partition('trestledock-helpers: ')
+            named = rest.partition('\r\n')[0].split(',')[0].partition('/')[0]
+            self.helpers.append(named)
+            more = (REST, *NOT_RUN, f'At-Server: {named}')
+            await stream.send(make_answer(status=503, seal=False, more=more))
+
+
 def get_changes(lines):
     return [
         (one.change, one.per_s)
--- a/tests/test_platform_notices.py
+++ b/tests/test_platform_notices.py
@@ -1,4 +1,4 @@
-"""The limit that a target names, in whatever form it comes."""
+"""What a target says of itself, in whatever form it comes."""
 
 import unittest
 
@@ -7,7 +7,13 @@
 
 from trestledock.entry import Head
 from trestledock.platform._headers import PlatformDialect
-from trestledock.platform._notices import MOST_PER_S, read_limit
+from trestledock.platform._notices import (
+    MOST_PER_S,
+    MOST_REST_S,
+    read_leaving,
+    read_limit,
+    read_rest,
+)
 
 
 def read(*texts):
@@ -74,3 +80,66 @@
         self.assertEqual(found.is_named, bool(texts))
         if found.per_s is not None:
             self.assertGreaterEqual(found.per_s, 0)
+
+
+def read_after(*texts, status=503):
+    """Return the rest that a refusal with these headers asks for."""
+    headers = [(b'Retry-After', one.encode('latin-1')) for one in texts]
+    return read_rest(Head(status, tuple(headers)))
+
+
+class NamedRestTest(unittest.TestCase):
+    """Seconds of rest, and what is none."""
+
+    def test_numbers(self):
+        known = {
+            '3': 3,
+            ' 0.25 ': 0.25,
+            '0': 0,
+            '86400': 86_400,
+            '9' * 400: MOST_REST_S,
+        }
+        for text, rest_s in known.items():
+            found = read_after(text)
+            self.assertEqual(found.rest_s, rest_s, text)
+            self.assertFalse(found.unreadable, text)
+
+    def test_nonsense_asks_for_nothing(self):
+        """A date would be read by another machine's clock."""
+        date = 'Thu, 03 Dec 2026 09:36:11 GMT'
+        for text in ('', '-3', '+3', 'NaN', 'inf', '1e3', '1,5', 'soon', date):
+            found = read_after(text)
+            self.assertEqual(found.rest_s, 0, text)
+            self.assertTrue(found.unreadable, text)
+
+    def test_named_twice(self):
+        """The longest counts, whatever stands beside it."""
+        self.assertEqual(read_after('1', '3', 'x').rest_s, 3)
+        self.assertEqual(read_after('1', '3', 'x').unreadable, "'x'")
+
+    def test_only_where_a_request_is_turned_away(self):
+        for status in (429, 503):
+            self.assertEqual(read_after('3', status=status).rest_s, 3)
+        for status in (200, 301, 421, 500):
+            self.assertEqual(read_after('3', status=status).rest_s, 0)
+
+    @given(st.lists(st.text(st.characters(max_codepoint=255)), max_size=3))
+    def test_anything(self, texts):
+        found = read_after(*texts)
+        self.assertGreaterEqual(found.rest_s, 0)
+        self.assertLessEqual(found.rest_s, MOST_REST_S)
+
+
+class LeavingTest(unittest.TestCase):
+    """The one text that says that a target leaves."""
+
+    def test_texts(self):
+        known = {'1': True, ' 1 ': True, '0': False, '': False, 'true': False}
+        for text, leaves in known.items():
+            head = Head(200, ((b'SERVER-leaving', text.encode()),))
+            self.assertIs(read_leaving(head), leaves, text)
+        self.assertFalse(read_leaving(Head(200, ())))
+
+    def test_said_twice(self):
+        headers = ((b'server-leaving', b'0'), (b'server-leaving', b'1'))
+        self.assertTrue(read_leaving(Head(500, headers)))
--- a/tests/test_resting_targets.py
+++ b/tests/test_resting_targets.py
@@ -4,10 +4,13 @@
 
 import anyio
 
+from tests.engines import SMALL_ENGINE
 from tests.limiting import REST_COUNT, run_fleet
 from tests.relaying import make_route
 
 ROUTE = make_route()
+#: Prompt and answer of a request to an engine, in tokens.
+SIZES = (('trestledock-token-counts', '1500,20'),)
 #: Requests a second at each entry, and for how long they come, in seconds.
 RATE = 8
 ASK_S = 14
@@ -48,3 +51,115 @@
         most, demand = ask_while_some_shed([0])
         self.assertLessEqual(most, REST_COUNT)
         self.assertEqual(demand.count(200), len(demand.statuses))
+
+    # Guards against the same where prompts are packed on the nearest engines.
+    def test_engines_have_their_rest(self):
+        most, demand = ask_while_some_shed([0, 3], SIZES, engine=SMALL_ENGINE)
+        self.assertLessEqual(most, REST_COUNT)
+        # Six entries are turned away twice each: the repeats cost their budget.
+        self.assertGreater(demand.count(200), len(demand.statuses) * 0.99)
+        self.assertEqual(
+            demand.count(503) + demand.count(200), len(demand.statuses)
+        )
+
+    # Guards against a rest that only some numbers of seconds are read as.
+    def test_any_length(self):
+        for rest in ('0.7', '1.5', '6'):
+            most, _ = ask_while_some_shed([0], rest=rest)
+            self.assertLessEqual(most, REST_COUNT, rest)
+
+    # Guards against callers that wait in vain while all targets rest.
+    def test_all_rest(self):
+        most, demand = ask_while_some_shed(range(5))
+        self.assertLessEqual(most, REST_COUNT)
+        self.assertLess(max(demand.took_s), 2)
+        self.assertEqual(
+            demand.count(503) + demand.count(200), len(demand.statuses)
+        )
+
+
+class AllRestTest(unittest.TestCase):
+    """What callers get while all targets rest, and after it."""
+
+    def play(self, rest):
+        """Have both targets rest once; return what came after that."""
+
+        async def scenario(fleet):
+            for target in fleet.targets:
+                target.shed(rest)
+            await fleet.ask_for(0.5, 40)
+            for target in fleet.targets:
+                target.shed('')
+            began_at = anyio.current_time()
+            over_at = max(
+                one.until for target in fleet.targets for one in target.rests
+            )
+            demand = await fleet.ask_for(0.5, RATE)
+            arrivals = [
+                (one.at, one.entry)
+                for target in fleet.targets
+                for one in target.arrivals
+                if one.at >= began_at
+            ]
+            return demand, sorted(arrivals), over_at - began_at
+
+        return run_fleet(scenario, [ROUTE], targets=2)
+
+    # Guards against a Retry-After that ends within the rest.
+    def test_refused_at_once_until_the_rest_is_over(self):
+        demand, _, left_s = self.play('30')
+        self.assertEqual(set(demand.statuses), {503})
+        self.assertLess(max(demand.took_s), 0.01)
+        # The last one asked half a second after the first.
+        self.assertGreater(min(demand.come_back_s), left_s - 1)
+
+    # Guards against callers that all come back at the same moment.
+    def test_callers_come_back_at_different_moments(self):
+        demand, _, left_s = self.play('30')
+        span_s = max(demand.come_back_s) - min(demand.come_back_s)
+        self.assertGreater(span_s, left_s * 0.3)
+
+    def test_served_after_a_rest_that_is_short(self):
+        demand, _, _ = self.play('0.4')
+        self.assertEqual(set(demand.statuses), {200})
+
+    # Guards against all entries, and all that waits, coming at once.
+    def test_one_at_a_time_after_the_rest(self):
+        _, arrivals, _ = self.play('0.4')
+        first_at = arrivals[0][0]
+        soon = [name for at, name in arrivals if at < first_at + 0.02]
+        # One request from an entry to each target until that has answered.
+        self.assertLessEqual(len(soon), 2 * len(set(soon)))
+        self.assertGreater(arrivals[-1][0] - first_at, 0.05)
+
+
+class LastLookTest(unittest.TestCase):
+    """What was chosen before the rest and is not written yet."""
+
+    # Guards against a choice that is written after the refusal came.
+    def test_chosen_before_the_rest_goes_elsewhere(self):
+        async def scenario(fleet):
+            entry = fleet.entries[0]
+            target = fleet.targets[0]
+            target.shed('30')
+            pool = entry.relayer.sender.pool
+            take = pool.take
+            found = []
+
+            async def take_slowly(listed):
+                await anyio.sleep(1)
+                return await take(listed)
+
+            async def ask(number):
+                found.append(await entry.ask(f'x{number}'))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask, 0)
+                await anyio.sleep(0.002)
+                pool.take = take_slowly
+                for number in range(1, 20):
+                    group.start_soon(ask, number)
+            return len(target.arrivals), {one.status for one in found}
+
+        found = run_fleet(scenario, [ROUTE], targets=2, entries=1)
+        self.assertEqual(found, (1, {200}))
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -101,7 +101,7 @@
         job: Job,
         placement: Placement,
         status: int,
-        named: str,
+        answer: AnswerNote,
     ) -> str:
         """Have the next sending avoid the target at fault; return its name.
 
@@ -109,10 +109,11 @@
         421 says that another incarnation has the address: this one has gone.
         """
         peer = placement.target.incarnation
-        found = self._get_sent_to(placement, named)
+        found = self._get_sent_to(placement, answer.at_fault)
         at_fault = found or peer
         job.tried.add(at_fault)
-        if found:
+        # One that says how long it wants rest, or that it leaves, is not ill.
+        if found and not answer.rest.rest_s and not answer.leaves:
             self._note_silence(found)
         if status == HTTPStatus.MISDIRECTED_REQUEST:
             now = anyio.current_time()
@@ -142,7 +143,7 @@
         peer = placement.target.incarnation
         body = await wire.read_body()
         if answer.not_run:
-            at_fault = self._blame(job, placement, head.status, answer.at_fault)
+            at_fault = self._blame(job, placement, head.status, answer)
             detail = f'{head.status} at {at_fault}'
             return Sending(Ending.rejected, 'answer', peer, detail)
         if head.status in PROMISES or not answer.sealed or answer.encoded:
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -298,6 +298,13 @@
     status: int
 
 
+class RestEnded(Event):
+    """A target answered what it was asked `after_ms` after its rest."""
+
+    peer: str
+    after_ms: int
+
+
 class SentAgainstNotice(Event):
     """A request was sent to a target that leaves or rests.
 
--- a/trestledock/entry/_holding_back.py
+++ b/trestledock/entry/_holding_back.py
@@ -2,8 +2,9 @@
 Holding requests back
 =====================
 
-What is done where targets take only so many requests a second: which of them a
-request may go to now, and whether it waits for its turn or is refused at once.
+What is done where targets take only so many requests a second, or want rest:
+which of them a request may go to now, and whether it waits for its turn or is
+refused at once.
 """
 
 from math import inf
@@ -11,46 +12,53 @@
 
 from trestledock.entry._job import Job, Refusal
 from trestledock.entry._state import EntryState
-from trestledock.relay import Listed, RateLimit, get_come_back_s
+from trestledock.relay import Listed, get_come_back_s
 
 #: The part of its time left that a request may wait for its turn.
 TURN_SHARE = 0.5
+#: By which part of it the time is made longer at most, by chance, after which
+#: callers come back that no target takes while all rest.
+RETURN_SPREAD = 0.5
 
 
 def get_free(
     state: EntryState, job: Job, targets: Sequence[Listed], now: float
 ) -> list[Listed]:
-    """Return the targets that may get a request now, as their limits go.
+    """Return the targets that may get a request now, as they asked.
 
-    Where each of them is under a limit, those go first that wait already.
+    Where each of them is restrained, those go first that wait already.
     """
-    if not state.notices.get_all(RateLimit):
+    if not state.throttle.restrains_any:
         return list(targets)
     free = [one for one in targets if state.throttle.is_free(one, now)]
-    if all(map(state.throttle.is_limited, free)):
+    if all(map(state.throttle.is_restrained, free)):
         return [] if state.turns.count_ahead(job.turn) else free
     return free
 
 
-def get_limited(state: EntryState, job: Job) -> list[Listed]:
-    """Return the targets of a request's service that are under a limit."""
+def get_restrained(state: EntryState, job: Job) -> list[Listed]:
+    """Return the targets of a request's service that are restrained."""
     usable = state.fleet.get_usable(job.service)
-    return [one for one in usable if state.throttle.is_limited(one)]
+    return [one for one in usable if state.throttle.is_restrained(one)]
 
 
 def decide_held_back(state: EntryState, job: Job, now: float) -> Refusal | None:
     """Return why a request is refused that no target takes now; None: it waits.
 
     It comes back when its turn would have been, or, where this entry has no
-    right to send at all, when its targets will have taken one more.
+    right to send at all, when its targets will have taken one more.  Those that
+    come back after a rest come at different moments.
     """
-    limited = get_limited(state, job)
+    restrained = get_restrained(state, job)
     ahead = state.turns.count_ahead(job.turn)
-    wait_s = state.throttle.get_wait_s(limited, ahead, now)
+    wait_s = state.throttle.get_wait_s(restrained, ahead, now)
     timing = job.timing
     if wait_s <= (min(timing.due, timing.gone) - now) * TURN_SHARE:
         return None
     if wait_s == inf:
-        wait_s = 1 / state.throttle.get_limit(limited)
+        wait_s = 1 / state.throttle.get_limit(restrained)
+    if all(state.throttle.is_resting(one, now) for one in restrained):
+        job.come_back_s = wait_s * state.rng.uniform(1, 1 + RETURN_SPREAD)
+        return Refusal.resting
     job.come_back_s = get_come_back_s(timing, wait_s, now)
     return Refusal.limited
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -35,6 +35,7 @@
     no_time = 'no_time'
     no_room = 'no_room'
     limited = 'limited'
+    resting = 'resting'
     quarantined = 'quarantined'
     not_run = 'not_run'
     failed = 'failed'
@@ -54,6 +55,7 @@
         Refusal.no_time: 503,
         Refusal.no_room: 503,
         Refusal.limited: 503,
+        Refusal.resting: 503,
         Refusal.quarantined: 503,
         Refusal.not_run: 503,
         Refusal.failed: 502,
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -60,6 +60,7 @@
             'Notices of targets without sense', ('notice',)
         ),
         events.LeaveHeard: Counting('Targets that said that they leave'),
+        events.RestEnded: Counting('Rests of targets that are over'),
         events.RestHeard: Counting('Times that a target asked for rest'),
         events.SentAgainstNotice: Counting(
             'Requests sent to a target that leaves or rests', ('notice',)
@@ -137,6 +138,7 @@
         'targets_leaving': 'Targets that are there but take nothing new',
         'list_age_seconds': 'Age of what is known of the targets',
         'peers': 'Other entries that are heard',
+        'targets_resting': 'Targets that want nothing from this entry now',
         'rate_limits': 'Targets that take only so many requests a second',
         'rate_quota_per_second': 'Requests a second to such targets from here',
         'requests_quarantined': 'Requests that go to no target',
--- a/trestledock/entry/_notices.py
+++ b/trestledock/entry/_notices.py
@@ -24,6 +24,7 @@
     Placement,
     RateLimit,
     Rest,
+    get_spread_s,
 )
 
 MS = 1000
@@ -44,10 +45,19 @@
     """Note what an answer to a request of the instant `asked_at` says."""
     peer = placement.target.incarnation
     _note_limit(state, peer, status, answer, asked_at)
-    _note_rest(state, peer, status, answer, asked_at)
+    speaker = _find_speaker(state, job, placement, status, answer)
     if answer.leaves:
-        speaker = _find_speaker(state, job, placement, status, answer)
         _note_leave(state, peer, speaker, asked_at)
+    _note_ignored(state, peer, 'rest', answer.rest.unreadable)
+    if not answer.rest.rest_s:
+        _note_rested(state, speaker, answer, asked_at)
+    elif speaker:
+        _note_rest(state, speaker, answer.rest.rest_s, status, asked_at)
+        helper = _find_helper(placement, answer.at_fault)
+        if helper:
+            _note_rest(state, helper, answer.rest.rest_s, status, asked_at)
+    else:
+        _note_ignored(state, peer, 'rest', 'not its own answer')
 
 
 def _find_speaker(
@@ -62,11 +72,8 @@
     Only who has read the request knows its id, and who is not the one that was
     asked answers 421, unless that is about a helper.
     """
-    helpers = placement.helpers
-    blamed = {name for one in helpers for name in (one.target_id, one.address)}
-    if status == HTTPStatus.MISDIRECTED_REQUEST and (
-        answer.at_fault not in blamed
-    ):
+    is_elsewhere = status == HTTPStatus.MISDIRECTED_REQUEST
+    if is_elsewhere and not _find_helper(placement, answer.at_fault):
         return state.fleet.newest.get(answer.instance, '')
     echoes = bool(answer.req_id) and answer.req_id == job.call.req_id
     if answer.sealed or answer.not_run or echoes:
@@ -74,6 +81,14 @@
     return ''
 
 
+def _find_helper(placement: Placement, named: str) -> str:
+    """Return the helper that an answer names by id or address, if any."""
+    for one in placement.helpers:
+        if named in (one.target_id, one.address):
+            return one.incarnation
+    return ''
+
+
 def _note_leave(
     state: EntryState, peer: str, speaker: str, asked_at: float
 ) -> None:
@@ -112,25 +127,28 @@
 
 
 def _note_rest(
-    state: EntryState,
-    peer: str,
-    status: int,
-    answer: AnswerNote,
-    asked_at: float,
+    state: EntryState, peer: str, rest_s: float, status: int, asked_at: float
 ) -> None:
     """Note for how long a target wants nothing more from this entry."""
     now = anyio.current_time()
-    rest = answer.rest
-    _note_ignored(state, peer, 'rest', rest.unreadable)
-    if not rest.rest_s:
-        return
     before = state.notices.get(Rest, peer)
-    notice = Rest(now + rest.rest_s, asked_at, now)
-    if state.notices.note(peer, notice) is Change.nothing:
-        return
     left_s = max(0, before.until - now) if before else 0
-    rest_ms = round(rest.rest_s * MS)
-    emit(events.RestHeard(peer, rest_ms, round(left_s * MS), status))
+    until = now + rest_s + get_spread_s(rest_s, state.rng.random())
+    change = state.notices.note(peer, Rest(until, asked_at, now))
+    if change is not Change.nothing:
+        rest_ms = round(rest_s * MS)
+        emit(events.RestHeard(peer, rest_ms, round(left_s * MS), status))
+
+
+def _note_rested(
+    state: EntryState, peer: str, answer: AnswerNote, asked_at: float
+) -> None:
+    """Note that a target works again: it was asked after its rest."""
+    rest = state.notices.get(Rest, peer)
+    if rest and answer.sealed and rest.is_over(asked_at):
+        state.throttle.resting.forget(peer)
+        emit(events.RestEnded(peer, round((asked_at - rest.until) * MS)))
+        state.notify()
 
 
 def take_notice(
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -16,7 +16,7 @@
 from trestledock.entry._holding_back import (
     decide_held_back,
     get_free,
-    get_limited,
+    get_restrained,
 )
 from trestledock.entry._job import Job, Refusal
 from trestledock.entry._state import EntryState
@@ -28,7 +28,6 @@
     Listed,
     Phase,
     Placement,
-    RateLimit,
     choose_least_busy,
     decide_without_place,
     get_come_back_s,
@@ -131,7 +130,7 @@
 ) -> Placement | Refusal | None:
     """Return a choice, or None where it is better to wait."""
     targets = get_candidates(state, job, now)
-    if not targets and get_limited(state, job):
+    if not targets and get_restrained(state, job):
         return decide_held_back(state, job, now)
     engine = get_engine(state, job)
     if targets and (engine is None or job.call.size is None):
@@ -191,10 +190,10 @@
 
 
 def _is_held_back(state: EntryState, job: Job, now: float) -> bool:
-    """Whether a request waits for nothing but the limits of its targets."""
-    if not state.notices.get_all(RateLimit) or get_candidates(state, job, now):
+    """Whether a request waits for nothing but restrained targets."""
+    if not state.throttle.restrains_any or get_candidates(state, job, now):
         return False
-    return bool(get_limited(state, job))
+    return bool(get_restrained(state, job))
 
 
 def _get_free(state: EntryState, job: Job, now: float) -> list[Listed]:
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -13,7 +13,7 @@
 from trestledock.entry._admission import check_again
 from trestledock.entry._answering import Answering
 from trestledock.entry._dialect import Dialect, Passing
-from trestledock.entry._job import Job
+from trestledock.entry._job import Job, Refusal
 from trestledock.entry._logger import emit
 from trestledock.entry._pool import Pool
 from trestledock.entry._notices import note_sent
@@ -169,8 +169,10 @@
         engaged = (placement.target, *placement.helpers)
         limited = self.state.throttle.take(engaged, now)
         if limited:
-            return Sending(Ending.not_sent, 'limited', limited.incarnation)
-        if any(map(self.state.throttle.is_limited, engaged)):
+            resting = self.state.throttle.is_resting(limited, now)
+            step = Refusal.resting if resting else Refusal.limited
+            return Sending(Ending.not_sent, step.value, limited.incarnation)
+        if any(map(self.state.throttle.is_restrained, engaged)):
             self.state.turns.note_served(job.turn, now)
         return None
 
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -33,6 +33,7 @@
     Reach,
     Restores,
     RateLimit,
+    Rest,
     Throttle,
     Turns,
 )
@@ -320,6 +321,7 @@
             'targets_leaving': self.fleet.count_leaving(),
             'list_age_seconds': self.get_list_age_s(now),
             'peers': self.board.count_peers(),
+            'targets_resting': self._count_resting(now),
             'rate_limits': len(self.notices.get_in_force(RateLimit)),
             'rate_quota_per_second': self._get_quota_sum(),
             'requests_quarantined': self.isolation.count_quarantined(),
@@ -370,6 +372,10 @@
         self.restored.set()
         self.restored = anyio.Event()
 
+    def _count_resting(self, now: float) -> int:
+        rests = self.notices.get_all(Rest).values()
+        return sum(not one.is_over(now) for one in rests)
+
     def _get_quota_sum(self) -> float:
         """Return how many requests a second go from here to limited targets."""
         limited = self.notices.get_in_force(RateLimit)
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -75,6 +75,7 @@
 from trestledock.relay._rate_limits import RateLimit
 from trestledock.relay._reach import BEAT_S, Reach
 from trestledock.relay._rendezvous import rank_by_key
+from trestledock.relay._resting import get_spread_s
 from trestledock.relay._restores import REWRITE_S, Restores
 from trestledock.relay._readers import (
     Candidate,
@@ -171,6 +172,7 @@
     'get_pause_patience_s',
     'get_read_s',
     'get_retry_s',
+    'get_spread_s',
     'get_worth',
     'get_write_pass_s',
     'get_write_s',
--- a/trestledock/relay/_throttle.py
+++ b/trestledock/relay/_throttle.py
@@ -3,7 +3,7 @@
 ========
 
 Whether a request may go to a target that takes only so many a second from all
-entries together.  Targets without a limit are free.
+entries together, or that wants rest from this one.  All others are free.
 """
 
 from heapq import nsmallest
@@ -11,7 +11,7 @@
 from typing import Callable, Sequence
 
 from trestledock.relay._listed import Listed
-from trestledock.relay._notices import Notices
+from trestledock.relay._notices import Notices, Rest
 from trestledock.relay._pacing import Bucket
 from trestledock.relay._quotas import (
     LEAST_PER_S,
@@ -21,6 +21,7 @@
     Quotas,
 )
 from trestledock.relay._rate_limits import RateLimit
+from trestledock.relay._resting import Resting
 
 
 class Throttle:
@@ -36,17 +37,36 @@
     ) -> None:
         """Begin without other entries."""
         self.notices = notices
+        self.resting = Resting(notices)
         self.get_members: Callable[[], Members] = lambda: Members(own)
         self._draw = draw
         self._quotas = Quotas(Members(own))
         self._buckets: dict[str, Bucket] = {}
 
+    @property
+    def restrains_any(self) -> bool:
+        """Whether any target ever asked for fewer requests."""
+        notices = self.notices
+        return bool(notices.get_all(RateLimit) or notices.get_all(Rest))
+
+    def is_restrained(self, target: Listed) -> bool:
+        """Whether a target takes only so many requests, or rests."""
+        return self.is_limited(target) or self.resting.is_known(
+            target.incarnation
+        )
+
     def is_limited(self, target: Listed) -> bool:
-        """Whether a target takes only so many requests."""
+        """Whether a target takes only so many requests a second."""
         return self._get_rate_limit(target) is not None
 
+    def is_resting(self, target: Listed, now: float) -> bool:
+        """Whether a target wants nothing from this entry now."""
+        return self.resting.is_resting(target.incarnation, now)
+
     def is_free(self, target: Listed, now: float) -> bool:
         """Whether a request may go to a target now."""
+        if not self.resting.is_free(target.incarnation, now):
+            return False
         if not self.is_limited(target):
             return True
         quota = self.get_quota(target)
@@ -70,6 +90,8 @@
         for target in targets:
             if not self.is_free(target, now):
                 return target
+        for target in targets:
+            self.resting.take(target.incarnation, now)
         for limited in filter(self.is_limited, targets):
             quota = self.get_quota(limited)
             self._get_bucket(limited, now).take(now, quota)
@@ -78,14 +100,12 @@
     def get_wait_s(
         self, targets: Sequence[Listed], ahead: int, now: float
     ) -> float:
-        """Return when a request may go to one of some limited targets.
+        """Return when a request may go to one of some restrained targets.
 
         As many as are `ahead` of it go first.
         """
         waits = [
-            self._get_bucket(target, now).get_wait_s(
-                count, now, self.get_quota(target)
-            )
+            self._get_wait_s(target, count, now)
             for target in targets
             for count in range(1, ahead + 2)
         ]
@@ -99,10 +119,23 @@
         )
 
     def forget(self, target: str) -> None:
-        """Forget a target that is gone, with its limit."""
+        """Forget a target that is gone, with what it asked for."""
         self.notices.forget(target)
+        self.resting.forget(target)
         self._buckets.pop(target, None)
 
+    def _get_wait_s(self, target: Listed, count: int, now: float) -> float:
+        """Return when the last of so many requests may go to a target.
+
+        Once it has rested, they follow the first one within moments.
+        """
+        wait_s = self.resting.get_wait_s(target.incarnation, now)
+        if not self.is_limited(target):
+            return wait_s
+        bucket = self._get_bucket(target, now)
+        quota = self.get_quota(target)
+        return max(wait_s, bucket.get_wait_s(count, now, quota))
+
     def _get_rate_limit(self, target: Listed) -> RateLimit | None:
         return self.notices.get(RateLimit, target.incarnation)
 
