--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,8 +20,15 @@
 from tests.soak.entries import Entry
 from tests.soak.ledger import ALL, Fault
 from tests.soak.links import Cut
+from tests.soak.notices import (
+    leave_by_word,
+    limit_service,
+    limit_target,
+    rest_service,
+    rest_target,
+)
 from tests.soak.store import TARGETS
-from tests.soak.targets import LEAVING, VANISHED, Target
+from tests.soak.targets import LEAVING, VANISHED
 from tests.soak.world import World
 
 #: How long a fault lasts, in seconds.
@@ -51,11 +58,6 @@
 AWAY_S = (0.05, 1.5)
 OLD_S = (1, 8)
 REWRITTEN_S = (0, 1.8)
-#: How many requests a second a target asks for, for how long it names one
-#: number, in seconds, and what is no number.
-LIMITS = (0.2, 1, 2, 5, 10)
-LIMITED_S = (6, 10)
-NO_LIMITS = ('-1', 'none', '1,5', 'NaN')
 #: Names of entries that name no target, and what no field of one may be.
 STRANGER = 'x-'
 STRANGE = (None, True, 0.5, [], {'a': 1})
@@ -327,33 +329,6 @@
 
 #: Kinds of faults with their weights.  New kinds go into plans of their own:
 #: the seeds of a plan that is known to have failed must draw what they drew.
-async def limit_target(world: World, rng: Random) -> None:
-    """Let a target take fewer requests for a while; it may change its mind."""
-    await _name_limits([world.pick_target()], rng)
-
-
-async def limit_service(world: World, rng: Random) -> None:
-    """Let all targets of a service take fewer requests for a while."""
-    service = world.pick_target().service
-    alike = [one for one in world.targets if one.service == service]
-    await _name_limits(alike, rng)
-
-
-async def _name_limits(targets: list[Target], rng: Random) -> None:
-    for _ in range(rng.randint(1, 2)):
-        for target in targets:
-            per_s = rng.choice(LIMITS)
-            target.name_limit(str(per_s), per_s)
-        await anyio.sleep(rng.uniform(*LIMITED_S))
-    if rng.random() < HALF:
-        # What makes no sense takes nothing back.
-        for target in targets:
-            target.limit = rng.choice(NO_LIMITS)
-        await anyio.sleep(SHORT_S)
-    for target in targets:
-        target.name_limit('', None)
-
-
 MIXED: dict[FaultKind, int] = {
     kill_entry: 3,
     kill_all: 1,
@@ -417,6 +392,19 @@
     drain_target: 2,
     cut_store: 1,
 }
+TOLD: dict[FaultKind, int] = {
+    leave_by_word: 6,
+    rest_target: 6,
+    rest_service: 2,
+    limit_target: 1,
+    store_down: 3,
+    cut_store: 2,
+    kill_entry: 1,
+    freeze_entry: 2,
+    restart_entry: 2,
+    restart_target: 1,
+    drain_target: 1,
+}
 RESTORED: dict[FaultKind, int] = {
     restore_store: 6,
     kill_entry: 3,
@@ -439,6 +427,7 @@
         'deadly': DEADLY,
         'restored': RESTORED,
         'limited': LIMITED,
+        'told': TOLD,
     }
 )
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -11,7 +11,7 @@
 import time
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, Collection
 
 #: After a fault has ended an entry is out of touch for so long, in seconds
 #: (`contactMs` of the settings).
@@ -83,7 +83,7 @@
 
 @dataclass
 class Run:
-    """One run of a request at a target."""
+    """One run of a request at a target, whose answer may say that it leaves."""
 
     req_id: str
     target: str
@@ -96,6 +96,26 @@
     key_seen: bool = False
     digest: int = 0
     ended_at: float | None = None
+    leaves: bool = False
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request that reached a target, whether it ran there or not."""
+
+    req_id: str
+    target: str
+    at: float
+
+
+@dataclass(frozen=True)
+class Rest:
+    """A target turned a request away and wants rest from its entry."""
+
+    req_id: str
+    target: str
+    at: float
+    until: float
 
 
 @dataclass(frozen=True)
@@ -157,6 +177,8 @@
     faults: list[Fault] = field(default_factory=list)
     ends: list[End] = field(default_factory=list)
     namings: list[Naming] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    rests: list[Rest] = field(default_factory=list)
     ticket_clashes: set[str] = field(default_factory=set)
     ticket_leaks: set[str] = field(default_factory=set)
     exits: list[str] = field(default_factory=list)
@@ -171,6 +193,15 @@
         """Note that a target has just ended under a request."""
         self.ends.append(End(path, target, time.monotonic()))
 
+    def note_arrival(self, req_id: str, target: str) -> None:
+        """Note that a request has just reached a target."""
+        self.arrivals.append(Arrival(req_id, target, time.monotonic()))
+
+    def note_rest(self, req_id: str, target: str, rest_s: float) -> None:
+        """Note that a target turns a request away and asks for rest."""
+        now = time.monotonic()
+        self.rests.append(Rest(req_id, target, now, now + rest_s))
+
     def note_naming(self, target: str, per_s: float | None) -> None:
         """Note what a target asks for from now on."""
         self.namings.append(Naming(target, per_s, time.monotonic()))
@@ -183,11 +214,21 @@
         self.faults.append(fault)
         return fault
 
-    def is_calm(self, name: str, start: float, end: float) -> bool:
-        """Whether an entry or a target was undisturbed in a span."""
+    def is_calm(
+        self,
+        name: str,
+        start: float,
+        end: float,
+        besides: Collection[str] = (),
+    ) -> bool:
+        """Whether an entry or a target was undisturbed in a span.
+
+        Faults of the kinds `besides` don't count.
+        """
         return not any(
             fault.touches(one, start, end)
             for fault in self.faults
+            if fault.kind not in besides
             for one in (name, ALL)
         )
 
@@ -199,6 +240,16 @@
             if one.entry == f'graceful {name}'
         ]
 
+    def get_entry(self, req_id: str) -> str:
+        """Return the entry that took a request."""
+        attempt = self.attempts.get(req_id)
+        return attempt.entry if attempt else ''
+
+    def get_sent_at(self, req_id: str) -> float:
+        """Return when a request's caller sent it, or before all time."""
+        attempt = self.attempts.get(req_id)
+        return attempt.sent_at if attempt else float('-inf')
+
     def get_runs_by_request(self) -> dict[str, list[Run]]:
         """Return the runs of each request."""
         found: dict[str, list[Run]] = {}
@@ -232,6 +283,7 @@
             ('change', 'at', self.changes),
             ('end', 'at', self.ends),
             ('naming', 'at', self.namings),
+            ('rest', 'at', self.rests),
             ('run', 'began_at', self.runs),
             ('attempt', 'sent_at', self.attempts.values()),
         ):
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -15,6 +15,7 @@
 from trestledock.entry import (
     _app,
     _daemon,
+    _notices,
     _relaying,
     _server,
     _tickets,
@@ -23,6 +24,7 @@
 from trestledock.entry._job import STATUSES, Job, Refusal
 from trestledock.platform import _epochs, _headers, run
 from trestledock.relay import Fleet, History, Proof, Quarantine, Throttle
+from trestledock.relay._resting import Resting
 
 
 def once() -> None:
@@ -126,6 +128,16 @@
     Throttle.is_free = lambda throttle, target, now: True
 
 
+def words() -> None:
+    """Go on using targets that say in answers that they leave."""
+    _notices._note_leave = lambda *args: None
+
+
+def rests() -> None:
+    """Give targets no rest."""
+    Resting.is_free = lambda resting, target, now: True
+
+
 async def _sleep_on(*args: Any) -> None:
     await anyio.sleep_forever()
 
@@ -148,6 +160,8 @@
         budget,
         copies,
         limit,
+        words,
+        rests,
     )
 }
 
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -109,7 +109,10 @@
 
 @dataclass(eq=False)
 class Target:
-    """One incarnation of a target behind a link of its own."""
+    """One incarnation of a target behind a link of its own.
+
+    While there is a `rest`, it turns all away and asks for as many seconds.
+    """
 
     target_id: str
     service: str
@@ -122,6 +125,8 @@
     state: str = READY
     running: int = 0
     limit: str = ''
+    rest: str = ''
+    says_leaving: bool = False
     sequence: int = 0
     link: Link = field(default_factory=lambda: Link(''))
     gone: anyio.Event = field(default_factory=anyio.Event)
@@ -163,6 +168,7 @@
     async def leave(self, state: str) -> None:
         """Say in the store that it leaves, or vanish from it; serve on."""
         self.state = state
+        self.says_leaving = self.says_leaving or state == LEAVING
         while self.store.status != 200:
             await anyio.sleep(0.1)
         if state == VANISHED:
@@ -205,10 +211,11 @@
         if expected != self.target_id:
             await exchange.answer(421)
             return
+        req_id = headers.get('trestledock-request-id', '')
+        self.ledger.note_arrival(req_id, self.incarnation)
         full = self.running >= SLOTS + QUEUE
-        if full or self.rng.random() < self.quirks.sheds:
-            refused = [('Trestledock-Not-Executed', '1'), *self._name_limit()]
-            await exchange.answer(503, b'', refused)
+        if full or self.rest or self.rng.random() < self.quirks.sheds:
+            await self._turn_away(exchange, req_id)
             return
         self.running += 1
         try:
@@ -216,13 +223,23 @@
         finally:
             self.running -= 1
 
+    async def _turn_away(self, exchange: Exchange, req_id: str) -> None:
+        refused = [('Trestledock-Not-Executed', '1'), *self._get_notices()]
+        if self.rest:
+            refused.append(('Retry-After', self.rest))
+            self.ledger.note_rest(req_id, self.incarnation, float(self.rest))
+        await exchange.answer(503, b'', refused)
+
     def name_limit(self, text: str, per_s: float | None) -> None:
         """Name a limit in all answers from now on; no text for none."""
         self.limit = text
         self.ledger.note_naming(self.incarnation, per_s)
 
-    def _name_limit(self) -> Headers:
-        return [('Server-Limit', self.limit)] if self.limit else []
+    def _get_notices(self) -> Headers:
+        """Return what the target says of itself in all its answers."""
+        limit = [('Server-Limit', self.limit)] if self.limit else []
+        leaving = [('Server-Leaving', '1')] if self.says_leaving else []
+        return [*limit, *leaving]
 
     async def _run(self, exchange: Exchange) -> None:
         headers = exchange.headers
@@ -265,8 +282,9 @@
         headers = [
             ('Trestledock-Request-Id', own_id),
             ('Trestledock-Response-Seal', run.seal),
-            *self._name_limit(),
+            *self._get_notices(),
         ]
+        run.leaves = self.says_leaving
         if DEADLY in exchange.path:
             await self._crash(exchange, run, headers)
         elif drawn() < self.quirks.fails:
--- a/tests/soak/timed_checks.py
+++ b/tests/soak/timed_checks.py
@@ -39,6 +39,12 @@
 STRETCH_S = 4.0
 OVER_SHARE = 1.5
 OVER_COUNT = 5
+#: From so long after a target has asked for rest, in seconds, so many requests
+#: may come from the entry until the rest is over.
+REST_BINDS_S = 0.5
+REST_COUNT = 2
+#: Faults that excuse nothing where a target has told an entry something itself.
+OF_THE_STORE = ('store_down', 'cut_store', 'reset_store', 'restore_store')
 
 
 def check_leaks(ledger: Ledger) -> Iterator[str]:
@@ -129,6 +135,58 @@
             yield f'{naming.target} takes {naming.per_s} a second, got {most}'
 
 
+def check_words(ledger: Ledger) -> Iterator[str]:
+    """A target gets nothing from entries that it told that it leaves."""
+    told = _get_told_leaving(ledger)
+    for one in ledger.arrivals:
+        entry = ledger.get_entry(one.req_id)
+        told_at = told.get((entry, one.target), float('inf'))
+        late_s = ledger.get_sent_at(one.req_id) - told_at
+        if late_s > DRAIN_S + SLACK_S and _is_undisturbed(
+            ledger, entry, one.target, told_at, one.at
+        ):
+            yield f'{one.req_id} reached {one.target} after {late_s:.1f} s'
+
+
+def check_rests(ledger: Ledger) -> Iterator[str]:
+    """A target gets no more than two requests in a rest that it asked for."""
+    for rest in ledger.rests:
+        entry = ledger.get_entry(rest.req_id)
+        since = rest.at + REST_BINDS_S + SLACK_S
+        count = sum(
+            one.target == rest.target
+            and since < one.at <= rest.until
+            and ledger.get_entry(one.req_id) == entry
+            for one in ledger.arrivals
+        )
+        if count > REST_COUNT and _is_undisturbed(
+            ledger, entry, rest.target, rest.at, rest.until
+        ):
+            yield f'{rest.target} got {count} in a rest from {entry}'
+
+
+def _get_told_leaving(ledger: Ledger) -> dict[tuple[str, str], float]:
+    """Return when entries had first passed on that a target leaves."""
+    told: dict[tuple[str, str], float] = {}
+    for run in filter(lambda one: one.leaves, ledger.runs):
+        attempt = ledger.attempts.get(run.req_id)
+        if attempt and attempt.first_at and attempt.seal == run.seal:
+            key = (attempt.entry, run.target)
+            told[key] = min(told.get(key, float('inf')), attempt.first_at)
+    return told
+
+
+def _is_undisturbed(
+    ledger: Ledger, entry: str, target: str, start: float, end: float
+) -> bool:
+    """Whether nothing happened to an entry and a target; the store may."""
+    stopped = any(start <= at <= end for at in ledger.get_stops(entry))
+    return not stopped and all(
+        ledger.is_calm(name, start, end, besides=OF_THE_STORE)
+        for name in (entry, target)
+    )
+
+
 def _get_naming_ends(ledger: Ledger) -> list[float]:
     """Return until when each number is named."""
     ends: list[float] = []
@@ -225,4 +283,6 @@
     check_gone,
     check_budget,
     check_limit,
+    check_words,
+    check_rests,
 )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -44,6 +44,10 @@
         report = self.check(replace(SIZE, plan='limited'))
         self.assertGreater(report.changes, 0)
 
+    def test_targets_that_say_that_they_leave_or_want_rest(self):
+        report = self.check(replace(SIZE, plan='told'))
+        self.assertGreater(report.changes, 0)
+
     def test_store_comes_back_from_a_copy(self):
         report = self.check(replace(SIZE, plan='restored'))
         self.assertGreater(report.faults, 0)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -5,6 +5,8 @@
 
 from tests.soak.checks import run_checks
 from tests.soak.ledger import (
+    ALL,
+    Arrival,
     Ask,
     Attempt,
     Change,
@@ -12,6 +14,7 @@
     Fault,
     Ledger,
     Naming,
+    Rest,
     Run,
 )
 from tests.soak.targets import get_seal
@@ -285,6 +288,40 @@
         ledger.attempts.popitem()
         self.assertEqual(run_checks(ledger), [])
 
+    def make_told(self, *sent_at):
+        """Return a ledger of requests to a target that said that it leaves."""
+        first = make_attempt(STREAM, first_at=10)
+        ledger = make_ledger(first, make_run(STREAM, leaves=True))
+        for number, at in enumerate(sent_at):
+            ask = replace(STREAM, req_id=f'w{number}')
+            attempt = make_attempt(ask, status=503, seal='', last_event=0)
+            attempt.sent_at = at
+            ledger.attempts[ask.req_id] = attempt
+            ledger.arrivals.append(Arrival(ask.req_id, 'i-1', at))
+        return ledger
+
+    def test_target_that_told_an_entry_that_it_leaves(self):
+        """More than 2 s later, whatever the store went through meanwhile."""
+        self.assertEqual(run_checks(self.make_told(11, 12.2)), [])
+        ledger = self.make_told(12.5)
+        ledger.faults.append(Fault('store_down', ALL, 9, 12))
+        self.assertEqual(
+            run_checks(ledger), ['words: w0 reached i-1 after 2.5 s']
+        )
+        ledger.faults.append(Fault('freeze_entry', ENTRY, 11, 12))
+        self.assertEqual(run_checks(ledger), [])
+
+    def test_target_that_asked_an_entry_for_rest(self):
+        """Two requests may come in it, three may not."""
+        ledger = self.make_told(10.7, 11, 11.5, 12)
+        ledger.runs[0].leaves = False
+        ledger.rests.append(Rest('r1', 'i-1', 10, 13))
+        self.assertEqual(
+            run_checks(ledger), [f'rests: i-1 got 3 in a rest from {ENTRY}']
+        )
+        ledger.arrivals.pop()
+        self.assertEqual(run_checks(ledger), [])
+
     def test_limited_target_gets_too_much(self):
         """From contact on; twelve in 4 s, where eleven are allowed."""
         ledger = Ledger(namings=[Naming('i-1', 1, 6), Naming('i-1', None, 20)])
