--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -65,8 +65,10 @@
     return target.count(instant, inf)
 
 
-#: A word is everywhere so soon, in seconds.
-SOON_S = 0.5
+#: A word is everywhere so soon, in seconds, and what the entry that heard it
+#: says again, if that was lost.
+SOON_S = 0.05
+AGAIN_S = 1.0
 
 
 class ToldTest(unittest.TestCase):
@@ -77,13 +79,32 @@
         async def scenario(fleet):
             target = fleet.targets[0]
             target.leave()
-            await fleet.ask_for(1, RATE, entries=[0])
-            told_at = anyio.current_time()
+            async with anyio.create_task_group() as group:
+                group.start_soon(fleet.ask_for, 1, RATE, (), [0])
+                while not target.left_told:
+                    await anyio.sleep(SOON_S)
+                group.cancel_scope.cancel()
+            told_at = max(target.left_told.values()) + SOON_S
             await fleet.ask_for(ASK_S, RATE)
             return len(target.left_told), count_after(target, told_at)
 
         self.assertEqual(run_fleet(scenario, [ROUTE]), (1, 0))
 
+    # Guards against a word that is lost on its way to another entry.
+    def test_lost_word_is_told_again(self):
+        async def scenario(fleet):
+            target = fleet.targets[0]
+            fleet.cut = {5}
+            target.leave()
+            await fleet.ask_for(0.5, RATE, entries=[0])
+            fleet.cut = set()
+            await anyio.sleep(AGAIN_S)
+            again_at = anyio.current_time()
+            await fleet.ask_for(3, RATE, entries=[5])
+            return len(target.left_told), count_after(target, again_at)
+
+        self.assertEqual(run_fleet(scenario, [ROUTE]), (1, 0))
+
     # Guards against a lost word between entries: one is cut off meanwhile.
     def test_entry_that_was_cut_off_hears_it_on_return(self):
         async def scenario(fleet):
@@ -93,7 +114,7 @@
             await fleet.ask_for(1, RATE, entries=[0])
             await anyio.sleep(6)
             fleet.cut = set()
-            await anyio.sleep(1)
+            await anyio.sleep(AGAIN_S)
             back_at = anyio.current_time()
             await fleet.ask_for(3, RATE, entries=[5])
             return count_after(target, back_at)
--- /dev/null
+++ b/tests/test_notice_property.py
@@ -0,0 +1,109 @@
+"""
+Whatever happens to entries, targets have what they said of themselves kept.
+
+Entries are cut off, killed, started again and made deaf for a while; targets
+say that they leave, start again under their ids, turn all away and ask for rest
+or name limits, while the list says throughout that they are ready.  Counted is
+what a target gets from each entry that it has told.
+"""
+
+import unittest
+from dataclasses import dataclass
+
+import anyio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.limiting import DRAIN_S, REST_COUNT, run_fleet
+from tests.relaying import make_route
+
+ROUTE = make_route()
+#: Requests a second at all entries together, and for how long a word holds, in
+#: seconds.
+RATE = 24
+HOLDS_S = 5
+ENTRY = st.none() | st.integers(0, 8)
+RESTS = st.sampled_from(['0', '0.3', '1', '2.5', '4', '30'])
+
+
+@dataclass(frozen=True)
+class Slot:
+    """What happens within some seconds: to targets, then to entries."""
+
+    leaving: tuple
+    resting: tuple
+    rest: str
+    limited: int | None
+    cut: tuple
+    killed: int | None
+    deaf: int | None
+    started: int | None
+
+
+def draw_slots():
+    numbers = st.lists(st.integers(0, 3), max_size=2).map(tuple)
+    cuts = st.lists(st.integers(0, 8), max_size=3).map(tuple)
+    slot = st.builds(
+        Slot, numbers, numbers, RESTS, ENTRY, cuts, ENTRY, ENTRY, ENTRY
+    )
+    return st.lists(slot, min_size=2, max_size=3)
+
+
+def start_again(fleet, number):
+    """Have a target start anew under its id, as the list tells at once."""
+    target = fleet.targets[number]
+    target.born += 1
+    target.leaves = ''
+    target.left_told.clear()
+    for entry in fleet.entries:
+        entry.state.fleet.put(target.get_listed())
+
+
+async def play(fleet, slots):
+    """Live through some slots; return the latest request and the most."""
+    latest = [0]
+    count = len(fleet.entries)
+    for slot in slots:
+        for number in slot.leaving:
+            fleet.targets[number % len(fleet.targets)].leave()
+        for number in slot.resting:
+            fleet.targets[number % len(fleet.targets)].shed(slot.rest)
+        if slot.limited is not None:
+            fleet.targets[slot.limited % len(fleet.targets)].name(1)
+        async with anyio.create_task_group() as group:
+            group.start_soon(fleet.ask_for, HOLDS_S, RATE / count)
+            await anyio.sleep(1)
+            fleet.cut = {one % count for one in slot.cut}
+            if slot.deaf is not None:
+                deaf = fleet.entries[slot.deaf % count]
+                group.start_soon(deaf.stand_still_for, 2.5)
+            if slot.killed is not None:
+                fleet.entries[slot.killed % count].kill()
+                await anyio.sleep(1)
+                again = fleet.start(slot.killed % count)
+                fleet.group.start_soon(again.live)
+        fleet.cut = set()
+        for target in fleet.targets:
+            target.shed('')
+            target.name(None)
+            latest.append(target.get_late_s())
+        if slot.started is not None:
+            start_again(fleet, slot.started % len(fleet.targets))
+    return max(latest), max(one.get_most_in_rest() for one in fleet.targets)
+
+
+class NoticePropertyTest(unittest.TestCase):
+    """Small fleets, disturbed."""
+
+    # Guards against any row of events after which a word is forgotten.
+    @given(st.integers(2, 9), st.integers(1, 4), draw_slots(), st.integers(0))
+    @settings(max_examples=25)
+    def test_what_targets_said_is_kept(self, entries, targets, slots, seed):
+        async def scenario(fleet):
+            return await play(fleet, slots)
+
+        late_s, most = run_fleet(
+            scenario, [ROUTE], entries=entries, targets=targets, seed=seed
+        )
+        self.assertLessEqual(late_s, DRAIN_S)
+        self.assertLessEqual(most, REST_COUNT)
