Who was not asked for rest spares the target, too, while enough others are left

Each entry learnt of a rest by a request of its own that was turned away: as many refusals, and repeats from the shared budget, as there are entries in each rest.

Kept: told at once, spared while half is left.

A word that is lost is not told again: the rest is over soon, and who missed it learns alone. Also: the tests of words that are lost say nothing unless the teller had heard; two looked at a target that its entry never chooses.

--- a/tests/test_entry_words.py
+++ b/tests/test_entry_words.py
@@ -34,7 +34,15 @@
     TargetNotice,
     ToldNotices,
 )
-from trestledock.relay import End, Flight, Leave, Phase, RateLimit
+from trestledock.relay import (
+    End,
+    Flight,
+    Leave,
+    Phase,
+    RateLimit,
+    Rest,
+    RestElsewhere,
+)
 
 FLIGHT = Flight(
     flight_id='r1',
@@ -93,6 +101,14 @@
         for word in WORDS:
             self.assertEqual(read_word(write_word(word, now=2), now=2), word)
 
+    def test_rest_is_elsewhere_for_who_is_told(self):
+        told = ToldNotices('e', (TargetNotice('t', Rest(9, 0, 1)),))
+        found = read_word(write_word(told, now=2), now=2)
+        self.assertEqual(
+            found.notices,
+            (TargetNotice('t', RestElsewhere(9, 0, 1, is_told=True)),),
+        )
+
     def test_each_kind_is_written(self):
         """What can be read is what can be written."""
         kinds = {json.loads(write_word(one, now=0))['kind'] for one in WORDS}
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -93,10 +93,11 @@
     # Guards against a word that is lost on its way to another entry.
     def test_lost_word_is_told_again(self):
         async def scenario(fleet):
-            target = fleet.targets[0]
+            target = fleet.targets[2]
             fleet.cut = {5}
             target.leave()
-            await fleet.ask_for(0.5, RATE, entries=[0])
+            await fleet.ask_for(1, RATE, entries=[2])
+            self.assertEqual(len(target.left_told), 1)
             fleet.cut = set()
             await anyio.sleep(AGAIN_S)
             again_at = anyio.current_time()
@@ -108,10 +109,10 @@
     # Guards against a lost word between entries: one is cut off meanwhile.
     def test_entry_that_was_cut_off_hears_it_on_return(self):
         async def scenario(fleet):
-            target = fleet.targets[0]
+            target = fleet.targets[2]
             fleet.cut = {5}
             target.leave()
-            await fleet.ask_for(1, RATE, entries=[0])
+            await fleet.ask_for(1, RATE, entries=[2])
             await anyio.sleep(6)
             fleet.cut = set()
             await anyio.sleep(AGAIN_S)
--- a/tests/test_resting_targets.py
+++ b/tests/test_resting_targets.py
@@ -163,3 +163,30 @@
 
         found = run_fleet(scenario, [ROUTE], targets=2, entries=1)
         self.assertEqual(found, (1, {200}))
+
+
+class ToldTest(unittest.TestCase):
+    """Entries that were not asked for rest themselves."""
+
+    def play(self, shedding, targets):
+        """Have some turn all away at once; return by whom that was learnt."""
+
+        async def scenario(fleet):
+            for target in fleet.targets[:shedding]:
+                target.shed('30')
+            demand = await fleet.ask_for(6, RATE)
+            asked = {one.entry for one in fleet.targets[0].rests}
+            return len(asked), demand
+
+        return run_fleet(scenario, [ROUTE], entries=12, targets=targets)
+
+    # Guards against as many refusals as there are entries.
+    def test_spared_by_those_that_were_told(self):
+        asked, demand = self.play(1, 5)
+        self.assertLessEqual(asked, 2)
+        self.assertEqual(set(demand.statuses), {200})
+
+    # Guards against a rest from one entry that keeps all callers away.
+    def test_used_on_where_too_few_others_are_left(self):
+        asked, _ = self.play(2, 3)
+        self.assertGreater(asked, 6)
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -287,15 +287,18 @@
 
 
 class RestHeard(Event):
-    """A target turns a request away and wants nothing from this entry.
+    """A target turns a request away and wants nothing from an entry.
 
     That is for `rest_ms` from now on; `before_ms` was left of an earlier word.
+    `source` is the entry that was turned away, this one (`self`) with `status`,
+    or another one.
     """
 
     peer: str
     rest_ms: int
     before_ms: int
     status: int
+    source: str
 
 
 class RestEnded(Event):
--- a/trestledock/entry/_holding_back.py
+++ b/trestledock/entry/_holding_back.py
@@ -16,6 +16,9 @@
 
 #: The part of its time left that a request may wait for its turn.
 TURN_SHARE = 0.5
+#: Targets that rest from other entries are spared while so large a part of the
+#: free ones is left.
+SPARE_SHARE = 0.5
 #: By which part of it the time is made longer at most, by chance, after which
 #: callers come back that no target takes while all rest.
 RETURN_SPREAD = 0.5
@@ -30,12 +33,26 @@
     """
     if not state.throttle.restrains_any:
         return list(targets)
-    free = [one for one in targets if state.throttle.is_free(one, now)]
+    free = _spare(
+        state,
+        [one for one in targets if state.throttle.is_free(one, now)],
+        now,
+    )
     if all(map(state.throttle.is_restrained, free)):
         return [] if state.turns.count_ahead(job.turn) else free
     return free
 
 
+def _spare(state: EntryState, free: list[Listed], now: float) -> list[Listed]:
+    """Return the targets that rest from nobody, if enough of them do.
+
+    Else each entry would learn of a rest by a request that is turned away; but
+    too few of them must not get the work of all.
+    """
+    rested = [one for one in free if not state.throttle.is_spared(one, now)]
+    return rested if len(rested) >= len(free) * SPARE_SHARE else free
+
+
 def get_restrained(state: EntryState, job: Job) -> list[Listed]:
     """Return the targets of a request's service that are restrained."""
     usable = state.fleet.get_usable(job.service)
--- a/trestledock/entry/_notice_rows.py
+++ b/trestledock/entry/_notice_rows.py
@@ -17,7 +17,7 @@
     read_text,
 )
 from trestledock.entry._words import TargetNotice
-from trestledock.relay import Leave, Notice, RateLimit
+from trestledock.relay import Leave, Notice, RateLimit, Rest, RestElsewhere
 
 MS = 1000
 
@@ -47,7 +47,7 @@
 
 
 def _write_row(one: TargetNotice, now: float) -> Row:
-    asks_for = WRITERS[type(one.notice)](one)
+    asks_for = WRITERS[type(one.notice)](one, now)
     return (one.target, *asks_for, *_write_ages(one.notice, now))
 
 
@@ -59,11 +59,11 @@
     )
 
 
-def _write_limit(one: TargetNotice) -> Row:
+def _write_limit(one: TargetNotice, now: float) -> Row:
     return (one.notice.asks_for,)
 
 
-def _write_nothing(_: TargetNotice) -> Row:
+def _write_nothing(one: TargetNotice, now: float) -> Row:
     return ()
 
 
@@ -78,6 +78,22 @@
     )
 
 
+def _write_left(one: TargetNotice, now: float) -> Row:
+    until = one.notice.asks_for or now
+    return (max(0, round((until - now) * MS)),)
+
+
+def _read_rest(
+    now: float, left_ms: Any, asked_ms: Any, heard_ms: Any
+) -> RestElsewhere:
+    return RestElsewhere(
+        now + read_count(left_ms) / MS,
+        now - read_count(asked_ms) / MS,
+        now - read_count(heard_ms) / MS,
+        is_told=True,
+    )
+
+
 def _read_leave(now: float, asked_ms: Any, heard_ms: Any) -> Leave:
     return Leave(
         now - read_count(asked_ms) / MS,
@@ -88,11 +104,11 @@
 
 #: The name of each kind's list.
 NAMES: Mapping[type, str] = MappingProxyType(
-    {RateLimit: 'limits', Leave: 'leaves'}
+    {RateLimit: 'limits', Leave: 'leaves', Rest: 'rests'}
 )
-WRITERS: Mapping[type, Callable[[TargetNotice], Row]] = MappingProxyType(
-    {RateLimit: _write_limit, Leave: _write_nothing}
+WRITERS: Mapping[type, Callable[[TargetNotice, float], Row]] = MappingProxyType(
+    {RateLimit: _write_limit, Leave: _write_nothing, Rest: _write_left}
 )
 READERS: Mapping[type, Callable[..., Notice]] = MappingProxyType(
-    {RateLimit: _read_limit, Leave: _read_leave}
+    {RateLimit: _read_limit, Leave: _read_leave, Rest: _read_rest}
 )
--- a/trestledock/entry/_notices.py
+++ b/trestledock/entry/_notices.py
@@ -24,6 +24,7 @@
     Placement,
     RateLimit,
     Rest,
+    RestElsewhere,
     get_spread_s,
 )
 
@@ -137,7 +138,9 @@
     change = state.notices.note(peer, Rest(until, asked_at, now))
     if change is not Change.nothing:
         rest_ms = round(rest_s * MS)
-        emit(events.RestHeard(peer, rest_ms, round(left_s * MS), status))
+        left_ms = round(left_s * MS)
+        emit(events.RestHeard(peer, rest_ms, left_ms, status, OWN))
+        state.tell_notices(peer)
 
 
 def _note_rested(
@@ -210,6 +213,20 @@
     return events.LeaveHeard(peer, source, _get_age_ms(notice))
 
 
+@_make_heard.register
+def _(
+    notice: RestElsewhere,
+    before: RestElsewhere | None,
+    peer: str,
+    change: Change,
+    source: str,
+) -> events.Event:
+    now = anyio.current_time()
+    left_s = max(0, before.until - now) if before else 0
+    rest_ms = round((notice.until - now) * MS)
+    return events.RestHeard(peer, rest_ms, round(left_s * MS), 0, source)
+
+
 def note_sent(state: EntryState, req: str, placement: Placement) -> None:
     """Write down that a request goes to targets that asked for something."""
     for one in (placement.target, *placement.helpers):
--- a/trestledock/entry/_notices_exchange.py
+++ b/trestledock/entry/_notices_exchange.py
@@ -15,10 +15,10 @@
 from trestledock.entry._gossip import Gossip
 from trestledock.entry._notices import take_notice
 from trestledock.entry._words import TargetNotice, ToldNotices
-from trestledock.relay import Leave, Member, Members, Notice, RateLimit
+from trestledock.relay import Leave, Member, Members, Notice, RateLimit, Rest
 
 #: The kinds of notices that concern all entries.
-SHARED = (RateLimit, Leave)
+SHARED = (RateLimit, Leave, Rest)
 #: Notices in one datagram.
 MAX_NOTICES = 100
 #: For how long it is told again that something was taken back, in seconds.
@@ -114,6 +114,7 @@
 
 
 def _is_told_again(notice: Notice, now: float) -> bool:
-    if notice.is_told:
+    """Whether to make good for lost words; a rest is over soon anyway."""
+    if notice.is_told or isinstance(notice, Rest):
         return False
     return notice.asks_for is not None or now - notice.heard_at <= LIFTED_S
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -53,6 +53,7 @@
     Notice,
     Notices,
     Rest,
+    RestElsewhere,
 )
 from trestledock.relay._open_ends import OpenEnds
 from trestledock.relay._outcome import Ending, History, Sending
@@ -138,6 +139,7 @@
     'ReadPace',
     'REWRITE_S',
     'Rest',
+    'RestElsewhere',
     'Restores',
     'RetryWindow',
     'Route',
--- a/trestledock/relay/_notices.py
+++ b/trestledock/relay/_notices.py
@@ -98,6 +98,11 @@
     return max(notice, before, key=lambda one: one.until)
 
 
+@dataclass(frozen=True)
+class RestElsewhere(Rest):
+    """A target wants nothing from another entry until an instant."""
+
+
 @dataclass
 class Notices:
     """What is believed of each kind of notice, by incarnation.
--- a/trestledock/relay/_throttle.py
+++ b/trestledock/relay/_throttle.py
@@ -11,7 +11,7 @@
 from typing import Callable, Sequence
 
 from trestledock.relay._listed import Listed
-from trestledock.relay._notices import Notices, Rest
+from trestledock.relay._notices import Notices, Rest, RestElsewhere
 from trestledock.relay._pacing import Bucket
 from trestledock.relay._quotas import (
     LEAST_PER_S,
@@ -24,6 +24,10 @@
 from trestledock.relay._resting import Resting
 
 
+#: The notices that ask for fewer requests.
+RESTRAINTS = (RateLimit, Rest, RestElsewhere)
+
+
 class Throttle:
     """Limits what one entry sends to targets.
 
@@ -46,8 +50,7 @@
     @property
     def restrains_any(self) -> bool:
         """Whether any target ever asked for fewer requests."""
-        notices = self.notices
-        return bool(notices.get_all(RateLimit) or notices.get_all(Rest))
+        return any(map(self.notices.known.get, RESTRAINTS))
 
     def is_restrained(self, target: Listed) -> bool:
         """Whether a target takes only so many requests, or rests."""
@@ -59,6 +62,11 @@
         """Whether a target takes only so many requests a second."""
         return self._get_rate_limit(target) is not None
 
+    def is_spared(self, target: Listed, now: float) -> bool:
+        """Whether a target wants nothing from another entry now."""
+        rest = self.notices.get(RestElsewhere, target.incarnation)
+        return rest is not None and not rest.is_over(now)
+
     def is_resting(self, target: Listed, now: float) -> bool:
         """Whether a target wants nothing from this entry now."""
         return self.resting.is_resting(target.incarnation, now)
