Answers to orders are read for leave and rest, and orders name the target they are for

An engine that only holds memory, or reads parts with a ticket, answers orders and nobody else; what it said of itself there was skipped. Whose word an answer to an order is was not known, as whoever has the address took it: orders carry the expected instance now, as requests do, and 421 ends the giving back of memory that another one never held. Both tests fail before (no leave heard; no header).

--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -203,14 +203,14 @@
         if exchange.path.startswith(STORE_PATHS):
             await exchange.answer(404)
             return
-        if exchange.path == '/order':
-            await self._take_order(exchange)
-            return
         headers = exchange.headers
         expected = headers.get('trestledock-expect-instance', self.target_id)
         if expected != self.target_id:
             await exchange.answer(421)
             return
+        if exchange.path == '/order':
+            await self._take_order(exchange)
+            return
         req_id = headers.get('trestledock-request-id', '')
         self.ledger.note_arrival(req_id, self.incarnation)
         full = self.running >= SLOTS + QUEUE
@@ -390,7 +390,7 @@
         if order['operation'] == 'release':
             self.tickets.pop(name, None)
             TICKETS_BY_NAME.pop(name, None)
-            await exchange.answer(200, b'{}')
+            await exchange.answer(200, b'{}', self._get_notices())
             return
         until = now + order['holdMs'] / 1000
         if name in self.tickets:
@@ -398,7 +398,7 @@
         else:
             self.tickets[name] = Ticket(until, now)
             TICKETS_BY_NAME[name] = self.tickets[name]
-        await exchange.answer(200, b'{"available":1}')
+        await exchange.answer(200, b'{"available":1}', self._get_notices())
 
     def note_leaks(self, now: float) -> None:
         """Note the tickets that lie idle for longer than they may."""
--- a/tests/test_entry_notices.py
+++ b/tests/test_entry_notices.py
@@ -18,7 +18,7 @@
 )
 from trestledock.entry import _events as events
 from trestledock.entry import _notices
-from trestledock.relay import Flight, Phase, Rest
+from trestledock.relay import Flight, Leave, Phase, Rest
 
 LIMITED = ('Server-Limit: 2',)
 NOT_RUN = ('Trestledock-Not-Executed: 1',)
@@ -198,6 +198,41 @@
         self.assertGreater(len(found), len(named))
 
 
+class OrderTest(unittest.TestCase):
+    """What the answer to an order says of its target."""
+
+    def give_back(self, *answers):
+        """Give memory back; return who leaves or rests, and what was sent."""
+        found = []
+        target = StubTarget(*answers)
+
+        async def scenario(world):
+            state = world.state
+            tickets = world.relayer.sender.tickets
+            await tickets._release_one(state.fleet.targets['t0'], 'x')
+            notices = state.notices
+            found.append({*notices.get_all(Leave), *notices.get_all(Rest)})
+
+        run_world(make_route(), [target], scenario)
+        return found[0], target.requests
+
+    # Guards against engines that hold memory, or read parts, and are heard by
+    # nobody, as they answer orders alone.
+    def test_leave_and_rest_are_heard(self):
+        for status, more in ((200, LEAVING), (503, (REST,))):
+            answer = make_answer(status=status, seal=False, more=more)
+            heard, _ = self.give_back(answer, make_answer(seal=False))
+            self.assertEqual(heard, {'t0'}, status)
+
+    # Guards against an order that somebody else takes who has the address.
+    def test_order_is_for_one_target_only(self):
+        other = make_answer(status=421, seal=False, more=LEAVING)
+        heard, requests = self.give_back(other)
+        self.assertEqual(heard, set())
+        self.assertEqual(len(requests), 1)
+        self.assertIn('trestledock-expect-instance: t0', requests[0].lower())
+
+
 class Refusing(StubTarget):
     """Turns prompts away for the first of their helpers' sake."""
 
--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -162,11 +162,11 @@
         """Return the headers of an answer that is passed on."""
 
     def make_reserve(
-        self, ticket: str, tokens: int, hold_s: float, host: str
+        self, ticket: str, tokens: int, hold_s: float, holder: Listed
     ) -> Order:
-        """Return the order that reserves memory."""
+        """Return the order that reserves memory at a target alone."""
 
-    def make_release(self, ticket: str, host: str) -> Order:
+    def make_release(self, ticket: str, holder: Listed) -> Order:
         """Return the order that gives memory back."""
 
 
--- a/trestledock/entry/_notices.py
+++ b/trestledock/entry/_notices.py
@@ -20,6 +20,7 @@
 from trestledock.relay import (
     Change,
     Leave,
+    Listed,
     Notice,
     Placement,
     RateLimit,
@@ -61,6 +62,23 @@
         _note_ignored(state, peer, 'rest', 'not its own answer')
 
 
+def note_order(
+    state: EntryState,
+    holder: Listed,
+    status: int,
+    answer: AnswerNote,
+    asked_at: float,
+) -> None:
+    """Note what an answer to an order says of the target that it is from."""
+    if status == HTTPStatus.MISDIRECTED_REQUEST:
+        return
+    peer = holder.incarnation
+    if answer.leaves:
+        _note_leave(state, peer, peer, asked_at)
+    if answer.rest.rest_s:
+        _note_rest(state, peer, answer.rest.rest_s, status, asked_at)
+
+
 def _find_speaker(
     state: EntryState,
     job: Job,
--- a/trestledock/entry/_tickets.py
+++ b/trestledock/entry/_tickets.py
@@ -14,9 +14,10 @@
 from trestledock.entry._dialect import Dialect, Order
 from trestledock.entry._job import Job
 from trestledock.entry._logger import emit
+from trestledock.entry._notices import note_order
 from trestledock.entry._pool import Pool
 from trestledock.entry._state import EntryState
-from trestledock.entry._wire import Head, WireError
+from trestledock.entry._wire import Head, Wire, WireError
 from trestledock.relay import Listed, Placement
 
 #: The lease of a ticket, in seconds: below the time after which memory that
@@ -31,6 +32,9 @@
 #: How often a ticket is given back before its lease has to end it.
 RELEASE_TRIES = 3
 OK = 200
+#: Statuses after which a ticket is given back: another target that has the
+#: address by now (421) holds none.
+DONE = frozenset((OK, 421))
 #: What stands for the status where no answer came.
 NO_ANSWER = 0
 
@@ -90,9 +94,7 @@
         tokens: int,
         held: dict[str, str],
     ) -> None:
-        order = self.dialect.make_reserve(
-            ticket, tokens, HOLD_S, holder.address
-        )
+        order = self.dialect.make_reserve(ticket, tokens, HOLD_S, holder)
         # From here on the memory may be set aside, whatever is answered.
         self._holders[ticket] = holder
         held[holder.incarnation] = ticket
@@ -125,14 +127,14 @@
                 if self.state.fleet.is_superseded(holder):
                     return
                 order = self.dialect.make_reserve(
-                    ticket, tokens, HOLD_S, holder.address
+                    ticket, tokens, HOLD_S, holder
                 )
                 await self._order(holder, order)
 
     async def _release_one(self, holder: Listed, ticket: str) -> None:
         for _ in range(RELEASE_TRIES):
-            order = self.dialect.make_release(ticket, holder.address)
-            if await self._order(holder, order) == OK:
+            order = self.dialect.make_release(ticket, holder)
+            if await self._order(holder, order) in DONE:
                 return
 
     async def _order(self, holder: Listed, order: Order) -> int:
@@ -148,6 +150,7 @@
     async def _exchange(self, holder: Listed, order: Order) -> Head:
         wire = await self.pool.take(holder)
         idle_s: float = 0
+        asked_at = anyio.current_time()
         try:
             await wire.send(
                 order.method,
@@ -156,9 +159,17 @@
                 order.body,
                 self.state.spawn,
             )
-            head = await wire.read_head()
-            await wire.read_body()
+            head = await self._read_answer(holder, wire, asked_at)
             idle_s = ORDER_IDLE_S
         finally:
             await self.pool.give(holder, wire, idle_s)
         return head
+
+    async def _read_answer(
+        self, holder: Listed, wire: Wire, asked_at: float
+    ) -> Head:
+        head = await wire.read_head()
+        answer = self.dialect.read_head(head)
+        note_order(self.state, holder, head.status, answer, asked_at)
+        await wire.read_body()
+        return head
--- a/trestledock/platform/_headers.py
+++ b/trestledock/platform/_headers.py
@@ -15,7 +15,7 @@
     read_limit,
     read_rest,
 )
-from trestledock.relay import Body, Call, PromptSize
+from trestledock.relay import Body, Call, Listed, PromptSize
 
 REQUEST_ID = b'trestledock-request-id'
 #: Milliseconds that the caller will wait, or that a target may take.
@@ -141,26 +141,28 @@
         ticket: str,
         tokens: int,
         hold_s: float,
-        host: str,
+        holder: Listed,
     ) -> Order:
         """Return the order that reserves memory, or fails at once."""
         return _make_order(
-            host,
+            holder,
             operation='reserve',
             id=ticket,
             tokens=tokens,
             holdMs=round(hold_s * MS),
         )
 
-    def make_release(self, ticket: str, host: str) -> Order:
+    def make_release(self, ticket: str, holder: Listed) -> Order:
         """Return the order that gives memory back."""
-        return _make_order(host, operation='release', id=ticket)
+        return _make_order(holder, operation='release', id=ticket)
 
 
-def _make_order(host: str, **fields: Any) -> Order:
+def _make_order(holder: Listed, **fields: Any) -> Order:
+    """Return an order that only one target takes, not who has its address."""
     body = json.dumps(fields).encode()
     headers = (
-        (b'host', host.encode()),
+        (b'host', holder.address.encode()),
+        (EXPECT, holder.target_id.encode()),
         (b'content-type', b'application/json'),
         (b'content-length', str(len(body)).encode()),
     )
