--- a/trestledock/entry/_ends.py
+++ b/trestledock/entry/_ends.py
@@ -15,8 +15,6 @@
 from trestledock.entry._words import Cleared, Ends
 from trestledock.relay import End
 
-#: Ends in one datagram.
-MAX_ENDS = 100
 #: When an end is told again that others must not miss, in seconds after it was
 #: told last: words may be lost, or an entry be cut off for a while.
 AGAIN_S = (0.3, 0.7, 2.0)
@@ -70,9 +68,7 @@
         return False
 
     def _send(self, ends: Sequence[AgedEnd], where: Sequence[Address]) -> None:
-        for start in range(0, len(ends), MAX_ENDS):
-            part = tuple(ends[start : start + MAX_ENDS])
-            self.gossip.send(Ends(self.gossip.state.member, part), where)
+        self.gossip.send_rows(Ends, ends, where)
 
     def _get_all(self) -> list[Address]:
         return self.gossip.neighbours.get_all()
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -39,8 +39,9 @@
 LOOK_MANY_S = 0.1
 #: For how long after a question more of them are expected, in seconds.
 ATTENTIVE_S = 1.0
-#: Flights in one datagram.
+#: Flights, or other rows, in one datagram.
 MAX_FLIGHTS = 100
+MAX_ROWS = 100
 
 #: Takes a word; true where it changes what targets have to do.
 Handler = Callable[[Any, Address], bool]
@@ -107,6 +108,17 @@
         METRICS.count_words('sent', name, len(raw), len(where))
         self._datagrams.send(raw, where)
 
+    def send_rows(
+        self,
+        make_word: Callable[[str, tuple[Any, ...]], Word],
+        rows: Sequence[Any],
+        where: Sequence[Address],
+    ) -> None:
+        """Send rows in as many words as they need."""
+        for start in range(0, len(rows), MAX_ROWS):
+            part = tuple(rows[start : start + MAX_ROWS])
+            self.send(make_word(self.state.member, part), where)
+
     def catch_up(self) -> None:
         """Take all words that have come in."""
         if self._datagrams is None:
--- a/trestledock/entry/_notices_exchange.py
+++ b/trestledock/entry/_notices_exchange.py
@@ -7,7 +7,7 @@
 that is met.  It also says which entries share a target's rate limit.
 """
 
-from typing import Iterable, Sequence
+from typing import Sequence
 
 import anyio
 
@@ -19,8 +19,6 @@
 
 #: The kinds of notices that concern all entries.
 SHARED = (RateLimit, Leave, Rest)
-#: Notices in one datagram.
-MAX_NOTICES = 100
 #: For how long it is told again that something was taken back, in seconds.
 LIFTED_S = 30.0
 #: How often is looked which entries there are, in seconds, while their number
@@ -100,12 +98,9 @@
         ]
 
     def _send(
-        self, notices: Iterable[TargetNotice], where: Sequence[Address]
+        self, notices: Sequence[TargetNotice], where: Sequence[Address]
     ) -> None:
-        told = tuple(notices)
-        for start in range(0, len(told), MAX_NOTICES):
-            part = told[start : start + MAX_NOTICES]
-            self.gossip.send(ToldNotices(self.state.member, part), where)
+        self.gossip.send_rows(ToldNotices, notices, where)
 
     def _take(self, word: ToldNotices, _: Address) -> bool:
         for one in word.notices:
