--- a/trestledock/entry/_notices.py
+++ b/trestledock/entry/_notices.py
@@ -16,6 +16,7 @@
 from trestledock.entry._dialect import AnswerNote
 from trestledock.entry._job import Job
 from trestledock.entry._logger import emit
+from trestledock.entry._speakers import find_helper, find_speaker
 from trestledock.entry._state import EntryState
 from trestledock.relay import (
     Change,
@@ -47,7 +48,7 @@
     """Note what an answer to a request of the instant `asked_at` says."""
     peer = placement.target.incarnation
     _note_limit(state, peer, status, answer, asked_at)
-    speaker = _find_speaker(state, job, placement, status, answer)
+    speaker = find_speaker(state, job, placement, status, answer)
     if answer.leaves:
         _note_leave(state, peer, speaker, asked_at)
     _note_ignored(state, peer, 'rest', answer.rest.unreadable)
@@ -55,7 +56,7 @@
         _note_rested(state, speaker, answer, asked_at)
     elif speaker:
         _note_rest(state, speaker, answer.rest.rest_s, status, asked_at)
-        helper = _find_helper(placement, answer.at_fault)
+        helper = find_helper(placement, answer.at_fault)
         if helper:
             _note_rest(state, helper, answer.rest.rest_s, status, asked_at)
     else:
@@ -79,35 +80,6 @@
         _note_rest(state, peer, answer.rest.rest_s, status, asked_at)
 
 
-def _find_speaker(
-    state: EntryState,
-    job: Job,
-    placement: Placement,
-    status: int,
-    answer: AnswerNote,
-) -> str:
-    """Return the target that an answer speaks for, empty where none is known.
-
-    Only who has read the request knows its id, and who is not the one that was
-    asked answers 421, unless that is about a helper.
-    """
-    is_elsewhere = status == HTTPStatus.MISDIRECTED_REQUEST
-    if is_elsewhere and not _find_helper(placement, answer.at_fault):
-        return state.fleet.newest.get(answer.instance, '')
-    echoes = bool(answer.req_id) and answer.req_id == job.call.req_id
-    if answer.sealed or answer.not_run or echoes:
-        return placement.target.incarnation
-    return ''
-
-
-def _find_helper(placement: Placement, named: str) -> str:
-    """Return the helper that an answer names by id or address, if any."""
-    for one in placement.helpers:
-        if named in (one.target_id, one.address):
-            return one.incarnation
-    return ''
-
-
 def _note_leave(
     state: EntryState, peer: str, speaker: str, asked_at: float
 ) -> None:
