--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -132,7 +132,7 @@
             return Sending(
                 Ending.not_sent, exc.step, peer, exc.detail, exc.sign
             )
-        obstacle = self._find_obstacle(job, placement) or self._find_limited(
+        obstacle = self._find_obstacle(job, placement) or self._find_restrained(
             job, placement
         )
         if obstacle:
@@ -159,19 +159,22 @@
                 return Sending(Ending.not_sent, 'left', one.incarnation)
         return None
 
-    def _find_limited(self, job: Job, placement: Placement) -> Sending | None:
+    def _find_restrained(
+        self, job: Job, placement: Placement
+    ) -> Sending | None:
         """Take the request's part of what its targets take a second.
 
         Return why nothing may be written, where nothing is left of it: others
-        may have been faster, or a target may have asked for less meanwhile.
+        may have been faster, or a target may have asked for less, or for rest,
+        meanwhile.
         """
         now = anyio.current_time()
         engaged = (placement.target, *placement.helpers)
-        limited = self.state.throttle.take(engaged, now)
-        if limited:
-            resting = self.state.throttle.is_resting(limited, now)
+        restrained = self.state.throttle.take(engaged, now)
+        if restrained:
+            resting = self.state.throttle.is_resting(restrained, now)
             step = Refusal.resting if resting else Refusal.limited
-            return Sending(Ending.not_sent, step.value, limited.incarnation)
+            return Sending(Ending.not_sent, step.value, restrained.incarnation)
         if any(map(self.state.throttle.is_restrained, engaged)):
             self.state.turns.note_served(job.turn, now)
         return None
