What stood twice in the change on notices stands once

The wire form of notices is one table (it was three maps and a reader a kind with the same two lines); what a name stands for and who is engaged in a placement are asked of Listed and Placement (the loop stood in two places, the tuple in five); what is left of a rest, restarting an entry and slow connections in tests, and the share that is spared in the comparison have one place each. The result of Fleet.note_leaving that nobody read is gone.

--- a/tests/limiting.py
+++ b/tests/limiting.py
@@ -288,6 +288,17 @@
                 group.start_soon(self.gossip._tell_changes)
                 group.start_soon(self._renew)
 
+    def connect_slowly(self, wait_s):
+        """Have each connection to a target take so long from now on."""
+        pool = self.relayer.sender.pool
+        take = pool.take
+
+        async def take_slowly(listed):
+            await anyio.sleep(wait_s)
+            return await take(listed)
+
+        pool.take = take_slowly
+
     def kill(self):
         """End without a word."""
         if self.fleet.network.get(self.address) is self:
@@ -388,6 +399,12 @@
             self.entries[number] = entry
         return entry
 
+    async def restart(self, number, pause_s):
+        """Kill an entry; another one starts in its place after a pause."""
+        self.entries[number].kill()
+        await anyio.sleep(pause_s)
+        self.group.start_soon(self.start(number).live)
+
     def add_target(self):
         number = len(self.targets)
         target = LimitedTarget(number, self.places[number % len(self.places)])
--- a/tests/test_entry_notices_exchange.py
+++ b/tests/test_entry_notices_exchange.py
@@ -156,9 +156,7 @@
     def test_holders_die_and_start_again(self):
         async def disturb(fleet):
             for number in (0, 3):
-                fleet.entries[number].kill()
-                await anyio.sleep(2)
-                fleet.group.start_soon(fleet.start(number).live)
+                await fleet.restart(number, 2)
 
         self.check(disturb)
 
@@ -203,14 +201,7 @@
         async def scenario(fleet):
             entry = fleet.entries[0]
             target = fleet.targets[1]
-            pool = entry.relayer.sender.pool
-            take = pool.take
-
-            async def take_slowly(listed):
-                await anyio.sleep(1)
-                return await take(listed)
-
-            pool.take = take_slowly
+            entry.connect_slowly(1)
             async with anyio.create_task_group() as group:
                 for number in range(20):
                     group.start_soon(entry.ask, f'x{number}')
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -224,14 +224,7 @@
         async def scenario(fleet):
             entry = fleet.entries[0]
             target = fleet.targets[1]
-            pool = entry.relayer.sender.pool
-            take = pool.take
-
-            async def take_slowly(listed):
-                await anyio.sleep(1)
-                return await take(listed)
-
-            pool.take = take_slowly
+            entry.connect_slowly(1)
             found = []
 
             async def ask(number):
--- a/tests/test_notice_property.py
+++ b/tests/test_notice_property.py
@@ -78,10 +78,7 @@
                 deaf = fleet.entries[slot.deaf % count]
                 group.start_soon(deaf.stand_still_for, 2.5)
             if slot.killed is not None:
-                fleet.entries[slot.killed % count].kill()
-                await anyio.sleep(1)
-                again = fleet.start(slot.killed % count)
-                fleet.group.start_soon(again.live)
+                await fleet.restart(slot.killed % count, 1)
         fleet.cut = set()
         for target in fleet.targets:
             target.shed('')
--- a/tests/test_rate_limit_property.py
+++ b/tests/test_rate_limit_property.py
@@ -58,7 +58,7 @@
                 deaf = fleet.entries[slot.deaf % count]
                 group.start_soon(deaf.stand_still_for, 2.5)
             if slot.killed is not None:
-                await restart(fleet, slot.killed % count)
+                await fleet.restart(slot.killed % count, 2)
         fleet.cut = set()
         if isinstance(slot.name, int | float):
             since = began_at + BINDS_S
@@ -67,13 +67,6 @@
     return over
 
 
-async def restart(fleet, number):
-    """Kill an entry; another one starts in its place."""
-    fleet.entries[number].kill()
-    await anyio.sleep(2)
-    fleet.group.start_soon(fleet.start(number).live)
-
-
 class RateLimitPropertyTest(unittest.TestCase):
     """Small fleets, disturbed."""
 
--- a/tests/test_resting_targets.py
+++ b/tests/test_resting_targets.py
@@ -142,21 +142,15 @@
             entry = fleet.entries[0]
             target = fleet.targets[0]
             target.shed('30')
-            pool = entry.relayer.sender.pool
-            take = pool.take
             found = []
 
-            async def take_slowly(listed):
-                await anyio.sleep(1)
-                return await take(listed)
-
             async def ask(number):
                 found.append(await entry.ask(f'x{number}'))
 
             async with anyio.create_task_group() as group:
                 group.start_soon(ask, 0)
                 await anyio.sleep(0.002)
-                pool.take = take_slowly
+                entry.connect_slowly(1)
                 for number in range(1, 20):
                     group.start_soon(ask, number)
             return len(target.arrivals), {one.status for one in found}
--- a/trestledock/bench/rests.py
+++ b/trestledock/bench/rests.py
@@ -20,6 +20,7 @@
 
 import click
 
+from trestledock.entry._holding_back import SPARE_SHARE
 from trestledock.relay import Notices, Rest
 from trestledock.relay._resting import Resting, get_spread_s
 
@@ -44,8 +45,6 @@
     (3, 3, 0.1, 0.5),
     (1, 1, 0.1, 0.5),
 )
-#: In the last way targets are spared while so large a part is left.
-SPARE_SHARE = 0.5
 
 
 @dataclass(frozen=True)
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -126,8 +126,8 @@
 
         It may have started again since it was sent to.
         """
-        for one in (placement.target, *placement.helpers):
-            if named in (one.target_id, one.address):
+        for one in placement.engaged:
+            if one.is_named(named):
                 return one.incarnation
         return self.state.fleet.get_incarnation_by_name(named)
 
--- a/trestledock/entry/_notice_rows.py
+++ b/trestledock/entry/_notice_rows.py
@@ -7,6 +7,7 @@
 An older version of the program knows the first kind only and skips the others.
 """
 
+from dataclasses import dataclass
 from types import MappingProxyType
 from typing import Any, Callable, Iterable, Mapping, Sequence
 
@@ -24,14 +25,27 @@
 Row = Sequence[Any]
 
 
+@dataclass(frozen=True)
+class Form:
+    """How a kind of notice is told: in which list, and as what it is read.
+
+    `write` and `read` translate what stands before the ages in a row.
+    """
+
+    name: str
+    told_as: type
+    write: Callable[[Any, float], Row]
+    read: Callable[..., Row]
+
+
 def write_notices(
     notices: Iterable[TargetNotice], now: float
 ) -> dict[str, list[Row]]:
     """Return the rows by kind."""
-    rows: dict[str, list[Row]] = {name: [] for name in NAMES.values()}
+    rows: dict[str, list[Row]] = {form.name: [] for form in FORMS.values()}
     for one in notices:
-        name = NAMES[type(one.notice)]
-        rows[name].append(_write_row(one, now))
+        form = FORMS[type(one.notice)]
+        rows[form.name].append(_write_row(form, one, now))
     return rows
 
 
@@ -40,75 +54,62 @@
 ) -> tuple[TargetNotice, ...]:
     """Return what rows say, or raise where it makes no sense."""
     return tuple(
-        TargetNotice(read_text(target), READERS[kind](now, *row))
-        for kind, name in NAMES.items()
-        for target, *row in map(read_list, read_list(plain.get(name, [])))
+        TargetNotice(read_text(target), _read_notice(form, row, now))
+        for form in FORMS.values()
+        for target, *row in map(read_list, read_list(plain.get(form.name, [])))
     )
 
 
-def _write_row(one: TargetNotice, now: float) -> Row:
-    asks_for = WRITERS[type(one.notice)](one, now)
-    return (one.target, *asks_for, *_write_ages(one.notice, now))
-
-
-def _write_ages(notice: Notice, now: float) -> tuple[int, int]:
-    """Return how long ago a request left and its answer came, in ms."""
+def _write_row(form: Form, one: TargetNotice, now: float) -> Row:
+    notice = one.notice
     return (
+        one.target,
+        *form.write(notice, now),
         round((now - notice.asked_at) * MS),
         round((now - notice.heard_at) * MS),
     )
 
 
-def _write_limit(one: TargetNotice, now: float) -> Row:
-    return (one.notice.asks_for,)
+def _read_notice(form: Form, row: Row, now: float) -> Notice:
+    *asks_for, asked_ms, heard_ms = row
+    notice: Notice = form.told_as(
+        *form.read(now, *asks_for),
+        asked_at=now - read_count(asked_ms) / MS,
+        heard_at=now - read_count(heard_ms) / MS,
+        is_told=True,
+    )
+    return notice
 
 
-def _write_nothing(one: TargetNotice, now: float) -> Row:
-    return ()
+def _write_limit(limit: RateLimit, now: float) -> Row:
+    return (limit.per_s,)
 
 
-def _read_limit(
-    now: float, per_s: Any, asked_ms: Any, heard_ms: Any
-) -> RateLimit:
-    return RateLimit(
-        None if per_s is None else max(0, read_amount(per_s)),
-        now - read_count(asked_ms) / MS,
-        now - read_count(heard_ms) / MS,
-        is_told=True,
-    )
+def _read_limit(now: float, per_s: Any) -> Row:
+    return (None if per_s is None else max(0, read_amount(per_s)),)
 
 
-def _write_left(one: TargetNotice, now: float) -> Row:
-    until = one.notice.asks_for or now
-    return (max(0, round((until - now) * MS)),)
+def _write_leave(leave: Leave, now: float) -> Row:
+    return ()
 
 
-def _read_rest(
-    now: float, left_ms: Any, asked_ms: Any, heard_ms: Any
-) -> RestElsewhere:
-    return RestElsewhere(
-        now + read_count(left_ms) / MS,
-        now - read_count(asked_ms) / MS,
-        now - read_count(heard_ms) / MS,
-        is_told=True,
-    )
+def _read_leave(now: float) -> Row:
+    return ()
 
 
-def _read_leave(now: float, asked_ms: Any, heard_ms: Any) -> Leave:
-    return Leave(
-        now - read_count(asked_ms) / MS,
-        now - read_count(heard_ms) / MS,
-        is_told=True,
-    )
+def _write_rest(rest: Rest, now: float) -> Row:
+    return (max(0, round((rest.until - now) * MS)),)
 
 
-#: The name of each kind's list.
-NAMES: Mapping[type, str] = MappingProxyType(
-    {RateLimit: 'limits', Leave: 'leaves', Rest: 'rests'}
-)
-WRITERS: Mapping[type, Callable[[TargetNotice, float], Row]] = MappingProxyType(
-    {RateLimit: _write_limit, Leave: _write_nothing, Rest: _write_left}
-)
-READERS: Mapping[type, Callable[..., Notice]] = MappingProxyType(
-    {RateLimit: _read_limit, Leave: _read_leave, Rest: _read_rest}
+def _read_rest(now: float, left_ms: Any) -> Row:
+    return (now + read_count(left_ms) / MS,)
+
+
+#: What one entry is asked for is elsewhere for those that it tells.
+FORMS: Mapping[type, Form] = MappingProxyType(
+    {
+        RateLimit: Form('limits', RateLimit, _write_limit, _read_limit),
+        Leave: Form('leaves', Leave, _write_leave, _read_leave),
+        Rest: Form('rests', RestElsewhere, _write_rest, _read_rest),
+    }
 )
--- a/trestledock/entry/_notices.py
+++ b/trestledock/entry/_notices.py
@@ -122,13 +122,11 @@
 ) -> None:
     """Note for how long a target wants nothing more from this entry."""
     now = anyio.current_time()
-    before = state.notices.get(Rest, peer)
-    left_s = max(0, before.until - now) if before else 0
+    left_ms = _get_left_ms(state.notices.get(Rest, peer))
     until = now + rest_s + get_spread_s(rest_s, state.rng.random())
     change = state.notices.note(peer, Rest(until, asked_at, now))
     if change is not Change.nothing:
         rest_ms = round(rest_s * MS)
-        left_ms = round(left_s * MS)
         emit(events.RestHeard(peer, rest_ms, left_ms, status, OWN))
         state.tell_notices(peer)
 
@@ -211,15 +209,13 @@
     change: Change,
     source: str,
 ) -> events.Event:
-    now = anyio.current_time()
-    left_s = max(0, before.until - now) if before else 0
-    rest_ms = round((notice.until - now) * MS)
-    return events.RestHeard(peer, rest_ms, round(left_s * MS), 0, source)
+    left_ms = _get_left_ms(before)
+    return events.RestHeard(peer, _get_left_ms(notice), left_ms, 0, source)
 
 
 def note_sent(state: EntryState, req: str, placement: Placement) -> None:
     """Write down that a request goes to targets that asked for something."""
-    for one in (placement.target, *placement.helpers):
+    for one in placement.engaged:
         peer = one.incarnation
         limit = state.notices.get(RateLimit, peer)
         if limit and limit.per_s is not None:
@@ -248,6 +244,12 @@
         emit(events.SentAgainstNotice(req, peer, 'rest', age_ms))
 
 
+def _get_left_ms(rest: Rest | None) -> int:
+    """Return what is left of a rest, if there is one."""
+    left_s = rest.until - anyio.current_time() if rest else 0
+    return round(max(0, left_s) * MS)
+
+
 def _get_age_ms(notice: Notice) -> int:
     """Return how long ago a target may have said something."""
     return round((anyio.current_time() - notice.asked_at) * MS)
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -154,7 +154,7 @@
             return Sending(
                 Ending.not_sent, 'moved', placement.target.incarnation
             )
-        for one in (placement.target, *placement.helpers):
+        for one in placement.engaged:
             if not self.state.fleet.is_usable(one.incarnation):
                 return Sending(Ending.not_sent, 'left', one.incarnation)
         return None
@@ -169,7 +169,7 @@
         meanwhile.
         """
         now = anyio.current_time()
-        engaged = (placement.target, *placement.helpers)
+        engaged = placement.engaged
         restrained = self.state.throttle.take(engaged, now)
         if restrained:
             resting = self.state.throttle.is_resting(restrained, now)
--- a/trestledock/entry/_speakers.py
+++ b/trestledock/entry/_speakers.py
@@ -38,7 +38,6 @@
 
 def find_helper(placement: Placement, named: str) -> str:
     """Return the helper that an answer names by id or address, if any."""
-    for one in placement.helpers:
-        if named in (one.target_id, one.address):
-            return one.incarnation
-    return ''
+    found = (one for one in placement.helpers if one.is_named(named))
+    helper = next(found, None)
+    return helper.incarnation if helper else ''
--- a/trestledock/relay/_fleet.py
+++ b/trestledock/relay/_fleet.py
@@ -13,7 +13,7 @@
 from typing import Collection, Iterable, Iterator
 
 from trestledock.relay._listed import UNTOLD, Listed, Order, Standing
-from trestledock.relay._notices import Change, Leave, Notices
+from trestledock.relay._notices import Leave, Notices
 from trestledock.relay._watch import Watch
 
 #: Less than the order of any word.
@@ -72,10 +72,9 @@
         ]
         return bool(names) and all(map(self.is_leaving, names))
 
-    def note_leaving(self, incarnation: str, heard_at: float) -> bool:
-        """Note what all entries learn themselves; return whether it is news."""
-        notice = Leave(heard_at, heard_at, is_told=True)
-        return self.notices.note(incarnation, notice) is Change.learnt
+    def note_leaving(self, incarnation: str, heard_at: float) -> None:
+        """Note that a target leaves, as all entries learn by themselves."""
+        self.notices.note(incarnation, Leave(heard_at, heard_at, is_told=True))
 
     def put(self, listed: Listed) -> bool:
         """Take an entry; return whether it changes anything but its age."""
--- a/trestledock/relay/_listed.py
+++ b/trestledock/relay/_listed.py
@@ -54,6 +54,10 @@
             return self.target_id
         return f'{self.target_id}@{self.born}'
 
+    def is_named(self, name: str) -> bool:
+        """Whether a target's id, or its address, is a name."""
+        return name in (self.target_id, self.address)
+
     @property
     def order(self) -> Order:
         """The place of this word among all words on the same id."""
--- a/trestledock/relay/_problem.py
+++ b/trestledock/relay/_problem.py
@@ -76,6 +76,11 @@
     clear_s: float = 0
     candidates: int = 1
 
+    @property
+    def engaged(self) -> tuple[Listed, ...]:
+        """The target and those that help it to read the prompt."""
+        return (self.target, *self.helpers)
+
 
 @dataclass(frozen=True)
 class Problem:
