What makes no sense in a target's answers has one line for each kind, not one text a target

A target whose limit and whose rest both make no sense had two lines for each answer, as the texts took each other's place. The test had four lines for two answers before, two now.

--- a/tests/test_entry_notices.py
+++ b/tests/test_entry_notices.py
@@ -292,6 +292,19 @@
         ]
         self.assertEqual([one.detail for one in ignored], ["'-3'"])
 
+    # Guards against a line for each answer of a target with two headers.
+    def test_two_kinds_of_nonsense_have_one_line_each(self):
+        more = ('Server-Limit: x', 'Retry-After: soon')
+        lines = ask_in_turn(
+            make_answer(status=503, req_id='r0', more=more),
+            make_answer(status=503, req_id='r1', more=more),
+            pause_s=0.1,
+        )
+        ignored = [
+            one for one in lines if isinstance(one, events.NoticeIgnored)
+        ]
+        self.assertEqual([one.notice for one in ignored], ['limit', 'rest'])
+
     def test_refusal_or_failure_lifts_nothing(self):
         """Whatever refuses may know of no limit."""
         for status, more in ((503, NOT_RUN), (500, ())):
--- a/trestledock/entry/_notices.py
+++ b/trestledock/entry/_notices.py
@@ -268,7 +268,8 @@
 def _note_ignored(
     state: EntryState, peer: str, notice: str, detail: str
 ) -> None:
-    """Write down what is not believed, once for each target and text."""
-    if detail and state.ignored_notices.get(peer) != detail:
-        state.ignored_notices[peer] = detail
+    """Write down what is not believed, once for each kind and text."""
+    known = state.ignored_notices.setdefault(peer, {})
+    if detail and known.get(notice) != detail:
+        known[notice] = detail
         emit(events.NoticeIgnored(peer, notice, detail))
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -100,7 +100,7 @@
     health: Health = field(default_factory=Health)
     reach: Reach = field(default_factory=Reach)
     turns: Turns = field(default_factory=Turns)
-    ignored_notices: dict[str, str] = field(default_factory=dict)
+    ignored_notices: dict[str, dict[str, str]] = field(default_factory=dict)
     restores: Restores = field(default_factory=Restores)
     waits: set[Wait] = field(default_factory=set)
     unanswered: set[Unanswered] = field(default_factory=set)
