A request that is only cleared of crashes has no instant of a crash

Cause: an entry that only hears that a request was cleared keeps a suspect whose last crash is at float('-inf'). From three cleared crashes on it sends it in each update, with an infinite age, which json.dumps writes as Infinity and read_number refuses, and with that row the whole update. The same instant ended the repair of a restored store: OverflowError in the adapter's encoding, which is no error of the store, so the task ended and began again for ever, quarantined requests were never written again, and that the entries had settled was never recorded.

Change: a suspect without a crash has no instant (None), and its age is MAX_AGE_S, as for all other instants that never were. Infinity from older builds is read as that age. A row of the quarantine that can't be read is left out, with one line an update; rows of targets stand or fall together, since a missing one would count as removed.

Why it works: the age is made in one place, which both encoders use.

The soak asks each entry for the update that a new entry would get (check updates, patch updates).

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -99,6 +99,11 @@
     yield from ledger.exits
 
 
+def check_updates(ledger: Ledger) -> Iterator[str]:
+    """What an entry sends another one about the store can be read."""
+    yield from ledger.invalid_updates
+
+
 def check_revoked(ledger: Ledger) -> Iterator[str]:
     """A revoked key is refused from `REVOKE_TIMEOUT_S` on, under any fault."""
     revoked = ledger.get_changes('revoked')
@@ -118,6 +123,7 @@
     check_runs,
     check_tickets,
     check_exits,
+    check_updates,
     check_revoked,
 )
 
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -32,6 +32,7 @@
     Throttle,
 )
 from trestledock.relay._backoff import BackoffGate
+from trestledock.relay._quarantine import Suspect
 
 
 def once() -> None:
@@ -127,6 +128,11 @@
     Quarantine.is_quarantined = lambda quarantine, fingerprint: False
 
 
+def updates() -> None:
+    """Send an infinite age for each request that crashed targets."""
+    Suspect.get_age_s = lambda suspect, now: float('inf')
+
+
 def copies() -> None:
     """Ignore the epoch of the store, so that any older copy is trusted."""
     _epochs.StoreEpochs.record = lambda epochs, head: None
@@ -167,6 +173,7 @@
         lost,
         gone,
         budget,
+        updates,
         copies,
         limit,
         words,
--- /dev/null
+++ b/tests/soak/updates.py
@@ -0,0 +1,51 @@
+"""
+Updates between entries
+=======================
+
+Asks each entry for the update that a new entry would get from it.
+"""
+
+import json
+
+import anyio
+import httpx
+
+from tests.soak.entries import PORTS, Entry
+from tests.soak.ledger import Ledger
+
+#: Interval of the questions to one entry, in seconds.
+INTERVAL_S = 0.5
+OK_STATUS = 200
+
+
+async def poll_updates(entry: Entry, ledger: Ledger) -> None:
+    """Ask an entry for updates; record answers that no entry can use.
+
+    An entry that does not answer may be stopped, killed or cut off.
+    """
+    url = f'http://{entry.host}:{PORTS["peers"]}/news?version=-1&past=1'
+    async with httpx.AsyncClient(timeout=0.9) as client:
+        while True:
+            await anyio.sleep(INTERVAL_S)
+            try:
+                answer = await client.get(url)
+            except httpx.HTTPError:
+                continue
+            problem = find_problem(answer.status_code, answer.content)
+            if problem:
+                ledger.invalid_updates.append(f'{entry.name}: {problem}')
+
+
+def find_problem(status: int, body: bytes) -> str:
+    """Return what is wrong with an answer, empty if nothing is."""
+    if status != OK_STATUS:
+        return f'status {status}'
+    try:
+        json.loads(body, parse_constant=_refuse_constant)
+    except ValueError as exc:
+        return str(exc)
+    return ''
+
+
+def _refuse_constant(text: str) -> None:
+    raise ValueError(f'{text} is no JSON')
--- a/tests/test_entry_restoring.py
+++ b/tests/test_entry_restoring.py
@@ -292,6 +292,27 @@
 
         self.assertEqual(run_world(3, scenario), ['f'])
 
+    # Guards against a repair that fails for ever on a request without a crash.
+    def test_cleared_requests_are_written_again(self):
+        """No entry has seen a crash of the request."""
+
+        async def scenario(world, *entries):
+            for entry in entries:
+                isolation = entry.state.isolation
+                isolation.merge_cleared('g', ('t2', 't3', 't4'), 'entry-9#a')
+                isolation.merge_records([RECORD], 'test')
+            world.store.go_back(11)
+            world.publish(version=world.version)
+            await anyio.sleep(READ_S + REWRITE_WAIT_S + AGAIN_S)
+            stored = await entries[0].directory.quarantine.read_whole()
+            newest = world.store.get_topic(PEERS).newest
+            return (
+                sorted(record.fingerprint for record in stored.records),
+                'epoch' in newest,
+            )
+
+        self.assertEqual(run_world(4, scenario), (['f', 'g'], True))
+
     def test_probes_are_written_again(self):
         async def scenario(world, *entries):
             for entry in entries:
--- a/tests/test_entry_update_exchange.py
+++ b/tests/test_entry_update_exchange.py
@@ -3,18 +3,28 @@
 import json
 import unittest
 from random import Random
+from unittest.mock import patch
 
 import anyio
 
 from tests.relaying import SETTINGS, make_listed
+from trestledock.entry import RecordIgnored
 from trestledock.entry._gossip import Gossip
 from trestledock.entry._messages import Reply
 from trestledock.entry._peers import Peer
 from trestledock.entry._state import EntryState
 from trestledock.entry._update_exchange import UpdateExchange
-from trestledock.relay import Catalog
+from trestledock.relay import MAX_AGE_S, Catalog
 
 READER = 'entry-2#b'
+#: Row of a request that was cleared of crashes.
+CLEARED_ROW = {
+    'fingerprint': 'f1',
+    'ends': [],
+    'age_s': 5.5,
+    'trials': 0,
+    'cleared': ['t2', 't3', 't4'],
+}
 
 
 def make_exchange():
@@ -163,6 +173,54 @@
         return found[0]
 
 
+class QuarantineRowsTest(unittest.TestCase):
+    """Rows of the quarantine in the updates of other entries."""
+
+    def fetch(self, *rows):
+        """Fetch an update with some rows; return it and the events."""
+        found = []
+
+        async def main():
+            exchange = make_exchange()
+            exchange.state.fleet.put(make_listed(1, 80))
+
+            async def get(address, asked):
+                plain = json.loads(exchange.encode_update())
+                return json.loads(json.dumps({**plain, 'quarantine': rows}))
+
+            exchange._get = get
+            with patch('trestledock.entry._update_exchange.emit') as emit:
+                found.append(await exchange.fetch(READER, 1))
+            found.extend(call.args[0] for call in emit.call_args_list)
+
+        anyio.run(main)
+        return found
+
+    # Guards against the loss of whole updates while old builds are replaced.
+    def test_infinite_age_of_older_version(self):
+        update, *events = self.fetch({**CLEARED_ROW, 'age_s': float('inf')})
+        self.assertEqual(
+            [(row.cleared, row.age_s) for row in update.quarantine],
+            [(('t2', 't3', 't4'), MAX_AGE_S)],
+        )
+        self.assertEqual(events, [])
+
+    def test_invalid_rows_are_skipped(self):
+        """The other rows and the targets are used; one line says so."""
+        invalid = [
+            {**CLEARED_ROW, 'age_s': float('nan')},
+            {**CLEARED_ROW, 'ends': 'inf'},
+            {},
+            [],
+            None,
+        ]
+        update, *events = self.fetch(*invalid, CLEARED_ROW)
+        self.assertEqual([row.age_s for row in update.quarantine], [5.5])
+        self.assertEqual(len(update.targets), 1)
+        self.assertEqual([type(event) for event in events], [RecordIgnored])
+        self.assertTrue(events[0].detail.startswith('5 rows'))
+
+
 class ClearedRequestTest(unittest.TestCase):
     """Updates about requests that were cleared of crashes unknown here."""
 
--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -4,7 +4,7 @@
 from itertools import permutations
 from random import Random
 
-from trestledock.relay import Crash, Quarantine
+from trestledock.relay import MAX_AGE_S, Crash, Quarantine
 from trestledock.relay._quarantine import (
     MAX_CLEARED,
     MAX_SUSPECTS,
@@ -155,6 +155,38 @@
         self.assertEqual(quarantine.evict_excess(), [DEADLY])
 
 
+class OnlyClearedTest(unittest.TestCase):
+    """Requests of which only the clearing is known here."""
+
+    def make(self):
+        quarantine = Quarantine()
+        quarantine.clear_crashes(DEADLY, ('t1', 't2', 't3'))
+        return quarantine
+
+    # Guards against an infinite age in what is sent or stored.
+    def test_age_is_finite(self):
+        record = self.make().make_record(DEADLY, 5)
+        self.assertEqual((record.incarnations, record.age_s), ((), MAX_AGE_S))
+        self.assertTrue(record.is_probe_due)
+
+    def test_age_sent_is_no_instant(self):
+        """The age of an earlier record does not age later crashes."""
+        other = Quarantine()
+        other.merge(self.make().make_record(DEADLY, 5), now=50)
+        self.assertIsNone(other.suspects[DEADLY].since)
+        record_crashes(other, DEADLY, 't4', 't5', 't6', now=50)
+        self.assertEqual(other.get_probe_delay_s(DEADLY, 50), PROBE_DELAYS_S[0])
+
+    def test_evicted_before_dated_requests(self):
+        quarantine = self.make()
+        quarantine.clear_crashes('g', ('t1', 't2', 't3'))
+        record_crashes(quarantine, 'h', 't4')
+        quarantine.record_answer('h', 0)
+        for number in range(MAX_SUSPECTS - 1):
+            record_crashes(quarantine, f'f{number}', f'u{number}')
+        self.assertEqual(quarantine.evict_excess(), [DEADLY, 'g'])
+
+
 class BoundTest(unittest.TestCase):
     """A flood of different requests, each of which crashes targets."""
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -18,6 +18,7 @@
     Run,
 )
 from tests.soak.targets import get_seal
+from tests.soak.updates import find_problem
 
 STREAM = RequestSpec(
     'r1', 'streaming', 'k1', 'desk', 'engines', '/x', '100,86', 2, timeout_s=5
@@ -201,6 +202,20 @@
     def test_process_exited(self):
         self.assert_violation('exits', Ledger(exits=['entry-0 ended with 1']))
 
+    # Guards against updates that no other entry can read.
+    def test_invalid_update(self):
+        ledger = Ledger(invalid_updates=['entry-0: Infinity is no JSON'])
+        self.assert_violation('updates', ledger)
+
+    def test_answers_to_a_new_entry(self):
+        found = [
+            find_problem(200, b'{"list_age_s":0.5}'),
+            find_problem(200, b'{"list_age_s":Infinity}'),
+            find_problem(200, b'{"list'),
+            find_problem(500, b''),
+        ]
+        self.assertEqual(list(map(bool, found)), [False, True, True, True])
+
     def test_body_changed(self):
         run = make_run(BOOKING, digest=7)
         self.assert_violation('runs', make_ledger(make_request(BOOKING), run))
--- a/trestledock/entry/__init__.py
+++ b/trestledock/entry/__init__.py
@@ -8,6 +8,7 @@
 """
 
 from trestledock.entry._checks import (
+    read_age_s,
     read_number,
     read_count,
     read_list,
@@ -65,6 +66,7 @@
     'Wire',
     'WireError',
     'emit',
+    'read_age_s',
     'read_number',
     'read_count',
     'read_list',
--- a/trestledock/entry/_checks.py
+++ b/trestledock/entry/_checks.py
@@ -9,6 +9,8 @@
 import math
 from typing import Any
 
+from trestledock.relay import MAX_AGE_S
+
 
 def read_text(json_value: Any) -> str:
     """Return a string."""
@@ -59,6 +61,19 @@
     return read_int(json_value)
 
 
+def read_age_s(json_value: Any) -> float:
+    """Return an age in seconds, from 0 to `MAX_AGE_S`.
+
+    Older versions of the program send infinity for an instant that never was.
+
+    >>> read_age_s(-1), read_age_s(0.5), read_age_s(float('inf')) == MAX_AGE_S
+    (0, 0.5, True)
+    """
+    if json_value == math.inf:
+        return MAX_AGE_S
+    return min(max(0, read_number(json_value)), MAX_AGE_S)
+
+
 def read_list(json_value: Any) -> list[Any]:
     """Return a list."""
     if isinstance(json_value, list):
--- a/trestledock/entry/_flight_codec.py
+++ b/trestledock/entry/_flight_codec.py
@@ -15,8 +15,7 @@
     read_list,
     read_text,
 )
-from trestledock.entry._state import MAX_AGE_S
-from trestledock.relay import Flight, Phase
+from trestledock.relay import MAX_AGE_S, Flight, Phase
 
 MS = 1000
 #: In-flight request with its id, or None once it has ended.
--- a/trestledock/entry/_isolation.py
+++ b/trestledock/entry/_isolation.py
@@ -269,7 +269,7 @@
         for fingerprint, suspect in self.quarantine.suspects.items():
             if len(suspect.incarnations) < MIN_SHARED_CRASHES:
                 continue
-            age_s = now - suspect.since
+            age_s = suspect.get_age_s(now)
             for incarnation in suspect.incarnations:
                 yield Crash(fingerprint, incarnation), age_s
 
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -18,9 +18,10 @@
 from trestledock.entry._reply import CutReply, Reply
 from trestledock.entry._selecting import select
 from trestledock.entry._sending import Sender
-from trestledock.entry._state import MAX_AGE_S, EntryState
+from trestledock.entry._state import EntryState
 from trestledock.entry._wire import Headers
 from trestledock.relay import (
+    MAX_AGE_S,
     PLACEMENT_RETRY_S,
     Call,
     AttemptOutcome,
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -20,11 +20,12 @@
 from trestledock.entry._notices import log_send_against_notices
 from trestledock.entry._reply import Reply
 from trestledock.entry._selecting import make_flight
-from trestledock.entry._state import MAX_AGE_S, EntryState
+from trestledock.entry._state import EntryState
 from trestledock.entry._tickets import Tickets
 from trestledock.entry._wire import Wire, WireError
 from trestledock.relay import (
     CLAIM_DELAY_S,
+    MAX_AGE_S,
     AttemptOutcome,
     Flight,
     Placement,
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -21,6 +21,7 @@
 from trestledock.entry._reply import Reply
 from trestledock.entry._settings import EntrySettings
 from trestledock.relay import (
+    MAX_AGE_S,
     LoadTable,
     Catalog,
     Fleet,
@@ -40,8 +41,6 @@
 
 #: Delay before a failed background task is restarted, in seconds.
 RESTART_S = 0.3
-#: Age that is sent for something that is not known, in seconds.
-MAX_AGE_S = 1_000_000
 #: Version while no configuration is in force.
 NO_VERSION = -1
 #: Epoch in the metrics for a store without epochs.
--- a/trestledock/entry/_update_exchange.py
+++ b/trestledock/entry/_update_exchange.py
@@ -11,12 +11,13 @@
 
 import json
 from types import MappingProxyType
-from typing import Any, Callable, Mapping
+from typing import Any, Callable, Iterable, Mapping
 from urllib.parse import urlencode
 
 import anyio
 from trestledock.entry import _events as events
 from trestledock.entry._checks import (
+    read_age_s,
     read_number,
     read_count,
     read_bool,
@@ -30,9 +31,10 @@
 from trestledock.entry._gossip import Gossip
 from trestledock.entry._logger import emit
 from trestledock.entry._peer_calls import CALL_ERRORS, call_peer
-from trestledock.entry._state import MAX_AGE_S, NO_VERSION, EntryState
+from trestledock.entry._state import NO_VERSION, EntryState
 from trestledock.entry._messages import Question, Reply
 from trestledock.relay import (
+    MAX_AGE_S,
     UNKNOWN_BIRTH,
     RemovedTarget,
     ListedTarget,
@@ -57,6 +59,8 @@
 ANSWER_TIMEOUT_S = 0.1
 UPDATE_PATH = '/news'
 VERSION_FIELD = 'version'
+#: Exceptions that decoding an invalid row raises.
+ROW_ERRORS = (ValueError, LookupError, TypeError)
 #: Query parameter that also requests the removed targets.
 REMOVED_FIELD = 'past'
 #: Value of the source and revision of the own list if it is no copy.
@@ -258,12 +262,33 @@
     return QuarantineRecord(
         read_text(fields['fingerprint']),
         tuple(map(read_text, read_list(fields['ends']))),
-        read_number(fields['age_s']),
+        read_age_s(fields['age_s']),
         read_count(fields['trials']),
         tuple(map(read_text, read_list(fields['cleared']))),
     )
 
 
+def _decode_quarantine(
+    rows: Iterable[Any], reader: str
+) -> tuple[QuarantineRecord, ...]:
+    """Decode quarantined requests, skipping invalid rows.
+
+    Each row is about one request.  The rows of targets are different: a missing
+    target counts as removed, so an invalid one refuses the whole update.
+    """
+    decoded = []
+    errors = []
+    for row in rows:
+        try:
+            decoded.append(_decode_quarantined(row))
+        except ROW_ERRORS as exc:
+            errors.append(repr(exc))
+    if errors:
+        detail = f'{len(errors)} rows of the quarantine: {errors[0]}'
+        emit(events.RecordIgnored(reader, detail))
+    return tuple(decoded)
+
+
 def _decode_update(
     fields: dict[str, Any],
     asked_at: float,
@@ -291,7 +316,7 @@
         is_synchronized=read_bool(fields.get('settled', False)),
         source=reader,
         revision=read_int(fields['revision']),
-        quarantine=tuple(map(_decode_quarantined, quarantined)),
+        quarantine=_decode_quarantine(quarantined, reader),
         epoch=read_optional_count(fields.get('epoch')),
         removed=tuple(map(_decode_removed, read_list(fields.get('gone', [])))),
         draining=tuple(map(read_text, read_list(fields.get('leaving', [])))),
--- a/trestledock/platform/_quarantine.py
+++ b/trestledock/platform/_quarantine.py
@@ -17,6 +17,7 @@
     RecordIgnored,
     StoredQuarantine,
     emit,
+    read_age_s,
     read_count,
     read_list,
     read_number,
@@ -120,7 +121,7 @@
     return QuarantineRecord(
         record.key,
         tuple(map(read_text, read_list(data.get('ends')))),
-        max(0, now_ms - since_ms) / MS,
+        read_age_s((now_ms - since_ms) / MS),
         read_count(data.get('trials')),
         tuple(map(read_text, read_list(data.get('cleared', [])))),
     )
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -51,7 +51,7 @@
 )
 from trestledock.relay._fingerprint import RequestIdentity, get_fingerprint
 from trestledock.relay._fleet import LOWEST_ORDER, Fleet, RemovedTarget
-from trestledock.relay._freshness import FreshnessProof
+from trestledock.relay._freshness import MAX_AGE_S, FreshnessProof
 from trestledock.relay._health import Health
 from trestledock.relay._least_busy import choose_least_busy
 from trestledock.relay._load_table import Flight, LoadTable, Phase
@@ -132,6 +132,7 @@
     'Limits',
     'ListedTarget',
     'LoadTable',
+    'MAX_AGE_S',
     'Member',
     'Membership',
     'Notice',
--- a/trestledock/relay/_freshness.py
+++ b/trestledock/relay/_freshness.py
@@ -11,6 +11,9 @@
 
 from dataclasses import dataclass
 
+#: The age in seconds that stands for an instant that never was, in what is sent
+#: or stored: JSON has no infinity.
+MAX_AGE_S = 1_000_000
 #: The share of the time allowed for a revoked key up to which a proof is fresh.
 FRESH_SHARE = 0.75
 #: The share of that time up to which an instance counts as ready.
--- a/trestledock/relay/_quarantine.py
+++ b/trestledock/relay/_quarantine.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 from typing import Iterable, Iterator
 
+from trestledock.relay._freshness import MAX_AGE_S
 from trestledock.relay._recent_answers import RecentAnswers
 
 #: The number of targets that must crash under a request before no other target
@@ -66,9 +67,10 @@
 class QuarantineRecord:
     """The state of a request as it is stored and sent to other instances.
 
-    `age_s` is the time since its last crash or probe: instants are sent as
-    ages, since clocks differ.  `probes` is stored as `trials`.  `cleared` are
-    the crashes before it was answered.
+    `age_s` is the time since its last crash or probe, `MAX_AGE_S` if this
+    instance knows of none: instants are sent as ages, since clocks differ.
+    `probes` is stored as `trials`.  `cleared` are the crashes before it was
+    answered.
     """
 
     fingerprint: str
@@ -88,19 +90,28 @@
     """A request and the targets that crashed under it.
 
     It was sent again as a probe `probes` times; `since` is the instant of the
-    last probe or crash.  Crashes that were `cleared` by an answer are kept, in
-    the order in which they were cleared: other instances learn of the answer
-    late, and still report the old crashes.
+    last probe or crash, None if it is only known to be cleared of some.
+    Crashes that were `cleared` by an answer are kept, in the order in which
+    they were cleared: other instances learn of the answer late, and still
+    report the old crashes.
     """
 
     incarnations: set[str] = field(default_factory=set)
     cleared: dict[str, None] = field(default_factory=dict)
-    since: float = float('-inf')
+    since: float | None = None
     probes: int = 0
 
+    def get_age_s(self, now: float) -> float:
+        """Return the time since the last probe or crash, in seconds."""
+        return MAX_AGE_S if self.since is None else max(0, now - self.since)
+
     def get_probe_delay_s(self, now: float) -> float:
         """Return after how many seconds the next probe may be sent."""
-        return max(0, self.since + get_min_probe_delay_s(self.probes) - now)
+        return max(0, get_min_probe_delay_s(self.probes) - self.get_age_s(now))
+
+    def record_instant(self, at: float) -> None:
+        """Record the instant of a probe or crash; the latest one counts."""
+        self.since = at if self.since is None else max(self.since, at)
 
 
 class Quarantine:
@@ -133,7 +144,7 @@
         if crash.incarnation in suspect.cleared:
             return False
         suspect.incarnations.add(crash.incarnation)
-        suspect.since = max(suspect.since, now)
+        suspect.record_instant(now)
         self._crashed[crash.incarnation] += 1
         return True
 
@@ -198,7 +209,7 @@
             self.record_crash(Crash(record.fingerprint, incarnation), since)
         suspect = self.suspects.get(record.fingerprint)
         if suspect and suspect.incarnations:
-            suspect.since = max(suspect.since, since)
+            suspect.record_instant(since)
             suspect.probes = max(suspect.probes, record.probes)
 
     def get_records(self, now: float) -> Iterator[QuarantineRecord]:
@@ -214,7 +225,7 @@
         return QuarantineRecord(
             fingerprint,
             tuple(sorted(suspect.incarnations)),
-            max(0, now - suspect.since),
+            suspect.get_age_s(now),
             suspect.probes,
             tuple(suspect.cleared),
         )
@@ -233,9 +244,11 @@
             self._forget_crashes(self.suspects.pop(fingerprint).incarnations)
         return evicted
 
-    def _get_rank(self, fingerprint: str) -> tuple[int, float]:
+    def _get_rank(self, fingerprint: str) -> tuple[int, bool, float]:
+        """Return the rank by crashes, then by the instant of the last one."""
         suspect = self.suspects[fingerprint]
-        return len(suspect.incarnations), suspect.since
+        is_dated = suspect.since is not None
+        return len(suspect.incarnations), is_dated, suspect.since or 0
 
     def _forget_crashes(self, incarnations: Iterable[str]) -> None:
         self._crashed.subtract(incarnations)
