Numbers with which arithmetic overflows are refused where they are read

Found while looking for the fault of infinite ages elsewhere. What callers would see: none of this entry's load, notices or crashes reach the others, nor theirs this one, for 0.3 s each time.

Cause: an integer of 400 digits is valid JSON and passed the checks of values. Divided into seconds it raises OverflowError, which is not among the errors of an invalid message, so one datagram from anyone who reaches the port ended the task of the gossip. In a stored record of the quarantine it would end the reading of that topic each time it starts, as the record stays.

Change: read_int and read_number refuse what 64 bits don't hold, so every message, row and record with such a number is refused like any other of a wrong type. Sums and products of what they return stay finite, and so can be encoded again.

--- a/tests/test_entry_messages.py
+++ b/tests/test_entry_messages.py
@@ -168,6 +168,26 @@
 class ReceiveTest(unittest.TestCase):
     """Effects of invalid messages on an entry."""
 
+    # Guards against one datagram that ends the task that receives them.
+    def test_numbers_that_arithmetic_cannot_bear(self):
+        rows = {
+            'news_age_ms': 10**400,
+            'asked_at': 10**400,
+            'proof_age_s': 10**400,
+            'ends': [['f', 't', 10**400]],
+            'rests': [['t', 10**400, 1, 1]],
+            'limits': [['t', 1, 10**400, 1]],
+        }
+        refused = [
+            (message, name)
+            for message in MESSAGES
+            for name in rows.keys() & json.loads(encode_message(message, 2))
+        ]
+        self.assertEqual({name for _, name in refused}, set(rows))
+        for message, name in refused:
+            with self.assertRaises(InvalidMessage):
+                decode_message(replace_field(message, name, rows[name]), now=2)
+
     def test_invalid_messages_are_ignored(self):
         """Invalid messages are ignored, and valid ones still count."""
 
--- a/trestledock/entry/_checks.py
+++ b/trestledock/entry/_checks.py
@@ -7,10 +7,15 @@
 """
 
 import math
+import sys
 from typing import Any
 
 from trestledock.relay import MAX_AGE_S
 
+#: Numbers beyond this size, of 64 bits, are refused.  Arithmetic with them may
+#: overflow, and no count, age or Unix time is that large.
+MAX_NUMBER = sys.maxsize
+
 
 def read_text(json_value: Any) -> str:
     """Return a string."""
@@ -28,9 +33,11 @@
 
 def read_int(json_value: Any) -> int:
     """Return an integer; a boolean is refused, although it is an `int`."""
-    if isinstance(json_value, int) and not isinstance(json_value, bool):
-        return json_value
-    raise ValueError(f'not an integer: {json_value!r}')
+    if isinstance(json_value, bool) or not isinstance(json_value, int):
+        raise ValueError(f'not an integer: {json_value!r}')
+    if abs(json_value) > MAX_NUMBER:
+        raise ValueError('number too large')
+    return json_value
 
 
 def read_count(json_value: Any) -> int:
@@ -51,12 +58,12 @@
 
 
 def read_number(json_value: Any) -> float:
-    """Return a finite number.
+    """Return a number of at most `MAX_NUMBER` in size.
 
     >>> read_number(5), read_number(0.5)
     (5, 0.5)
     """
-    if isinstance(json_value, float) and math.isfinite(json_value):
+    if isinstance(json_value, float) and abs(json_value) <= MAX_NUMBER:
         return json_value
     return read_int(json_value)
 
