Deadlines and token counts that make no sense no longer cut their requests

What callers saw: a request with Trestledock-Request-Deadline -inf, or with token counts of some hundred digits or of superscript digits, got no answer: its connection was closed, or it got a 500.

Cause: float() reads inf and nan, so the deadline was an instant that never was, and rounding the time left for the log line raised OverflowError; isdigit() is true for characters that int() refuses.

Change: a deadline that is not finite counts as none, so the route's time applies; token counts are at most 12 decimal digits, else the request has no known size. A passed deadline is refused as before.

--- a/trestledock/platform/_headers.py
+++ b/trestledock/platform/_headers.py
@@ -8,6 +8,7 @@
 """
 
 import json
+import math
 from typing import Any, Mapping
 
 from trestledock.entry import (
@@ -45,6 +46,8 @@
 #: The priority of a request in a target's queue, from 0 (first) to 9.
 PRIORITY = b'trestledock-request-priority'
 LOWEST_PRIORITY = 9
+#: Token counts with more digits are not read as counts.
+MAX_COUNT_DIGITS = 12
 MISDIRECTED = 421
 MS = 1000
 
@@ -218,10 +221,12 @@
 
 
 def _parse_number(raw: bytes | None) -> float | None:
+    """Parse a finite number; anything else counts as none."""
     try:
-        return float(raw) if raw else None
+        number = float(raw) if raw else None
     except ValueError:
         return None
+    return number if number is not None and math.isfinite(number) else None
 
 
 def _parse_api_key(raw: bytes) -> str:
@@ -233,7 +238,11 @@
 
 def _parse_token_counts(raw: bytes) -> PromptSize | None:
     """Parse the token counts `PROMPT,OUTPUT`."""
-    prompt, _, output = raw.decode('latin-1').partition(',')
-    if prompt.strip().isdigit() and output.strip().isdigit():
+    prompt, _, output = map(bytes.strip, raw.partition(b','))
+    if _is_count(prompt) and _is_count(output):
         return PromptSize(int(prompt), int(output))
     return None
+
+
+def _is_count(raw: bytes) -> bool:
+    return raw.isdigit() and len(raw) <= MAX_COUNT_DIGITS
