What leaves a process is JSON, or fails at its writer

What callers saw: nothing by itself; it is why the fault of infinite ages was seen only at readers.

Cause: json.dumps writes Infinity and NaN, which are no JSON, in each of six encoders of the product and in the own interface's two, and json.loads reads them. A number that should not be there failed at another entry, with a line that names the reader's error and not the writer.

Reading stays lenient: older builds send Infinity, which the checks of values then judge.

--- a/trestledock/connection/_caller.py
+++ b/trestledock/connection/_caller.py
@@ -6,7 +6,6 @@
 operators and the platform's load balancer.
 """
 
-import json
 import uuid
 from http import HTTPStatus
 from typing import Any, AsyncIterator
@@ -40,6 +39,7 @@
     make_problem,
 )
 from trestledock.process import Arrive, CallerDisconnected, EmitChunks, Finish
+from trestledock.relay import encode_json
 from trestledock.request import Outcome, Request, Verdict
 
 #: How long a connection waits for the core's verdict after the deadline, in
@@ -247,7 +247,7 @@
 
 
 def _format_event(data: dict[str, Any]) -> str:
-    return f'data: {json.dumps(data)}\n\n'
+    return f'data: {encode_json(data).decode()}\n\n'
 
 
 def _make_final_event(verdict: Verdict) -> dict[str, Any]:
--- a/trestledock/connection/_peer.py
+++ b/trestledock/connection/_peer.py
@@ -6,7 +6,6 @@
 of its payload, by which the receiver finds the class.
 """
 
-import json
 from dataclasses import dataclass
 from typing import Any
 
@@ -15,6 +14,7 @@
 from trestledock.connection._hub import Hub
 from trestledock.connection._parsing import BadRequest
 from trestledock.process import PAYLOADS, PeerMessage, SendToPeer
+from trestledock.relay import encode_json
 from trestledock.version import (
     CONVERTER,
     DecodeError,
@@ -49,7 +49,7 @@
         """Send a payload; messages may be lost, and the core tolerates it."""
         if not action.address:
             return
-        body = json.dumps(
+        body = encode_json(
             {
                 'sender': self.hub.node.state.member,
                 'type': type(action.payload).__name__,
--- a/trestledock/entry/_app.py
+++ b/trestledock/entry/_app.py
@@ -27,7 +27,7 @@
 from trestledock.entry._relaying import Relayer
 from trestledock.entry._reply import CutReply, Reply, Send
 from trestledock.entry._state import NO_VERSION, EntryState
-from trestledock.relay import Body, Call
+from trestledock.relay import ENCODE_ERRORS, Body, Call
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Scope = Mapping[str, Any]
@@ -100,9 +100,17 @@
 
     async def _answer_peer(self, scope: Scope, send: Send) -> None:
         reply = Reply(send)
-        headers = ((b'content-type', b'application/json'),)
-        await reply.start(HTTPStatus.OK, headers)
-        await reply.finish(self._make_peer_answer(scope))
+        try:
+            body = self._make_peer_answer(scope)
+        except ENCODE_ERRORS:
+            emit(events.Failed(f'answer {scope["path"]}'), failed=True)
+            await reply.start(HTTPStatus.INTERNAL_SERVER_ERROR, ())
+            await reply.finish()
+            return
+        await reply.start(
+            HTTPStatus.OK, ((b'content-type', b'application/json'),)
+        )
+        await reply.finish(body)
 
     def _make_peer_answer(self, scope: Scope) -> bytes:
         query = scope['query_string']
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -26,7 +26,12 @@
     encode_message,
 )
 from trestledock.entry._messages import Beat, Flights, Fresh, Message
-from trestledock.relay import BEAT_INTERVAL_S, ReaderCandidate, Flight
+from trestledock.relay import (
+    ENCODE_ERRORS,
+    BEAT_INTERVAL_S,
+    ReaderCandidate,
+    Flight,
+)
 
 #: How long changes are collected before they are sent, in seconds.
 BATCH_S = 0.004
@@ -111,8 +116,12 @@
         """Send a message to some addresses, without guaranteed delivery."""
         if self._datagrams is None or not addresses:
             return
-        raw = encode_message(message, anyio.current_time())
         name = type(message).__name__
+        try:
+            raw = encode_message(message, anyio.current_time())
+        except ENCODE_ERRORS as exc:
+            emit(events.DatagramDropped(f'{name}: {exc!r}'))
+            return
         METRICS.count_messages('sent', name, len(raw), len(addresses))
         self._datagrams.send(raw, addresses)
 
--- a/trestledock/entry/_loads.py
+++ b/trestledock/entry/_loads.py
@@ -6,7 +6,6 @@
 prompt needs it, and answers their queries.
 """
 
-import json
 from typing import Any, Mapping, Sequence
 from urllib.parse import urlencode
 
@@ -20,7 +19,7 @@
 from trestledock.entry._peer_calls import CALL_ERRORS, call_peer
 from trestledock.entry._flight_codec import decode_change, encode_change
 from trestledock.entry._state import EntryState
-from trestledock.relay import Flight, RemoteLoad, summarize_load
+from trestledock.relay import Flight, RemoteLoad, summarize_load, encode_json
 
 LOAD_PATH = '/load'
 #: The data centre of the querying entry, which knows the flights of its own
@@ -91,7 +90,7 @@
             encode_change(flight.flight_id, flight, now)
             for flight in summarize_load(flights, targets, now)
         ]
-        return json.dumps({'flights': rows}, separators=(',', ':')).encode()
+        return encode_json({'flights': rows})
 
     def _choose_peers(self) -> Mapping[str, Sequence[Address]]:
         """Return entries to query in some data centres that answer."""
--- a/trestledock/entry/_message_codec.py
+++ b/trestledock/entry/_message_codec.py
@@ -34,7 +34,7 @@
     ToldNotices,
     Message,
 )
-from trestledock.relay import Crash
+from trestledock.relay import Crash, encode_json
 
 MS = 1000
 #: Period of the full state in older versions, in milliseconds.
@@ -130,7 +130,7 @@
     """Return the encoded message."""
     fields = _get_fields(message, now)
     fields['from'] = message.sender
-    return json.dumps(fields, separators=(',', ':')).encode()
+    return encode_json(fields)
 
 
 def _decode_flights(fields: Fields, sender: str, now: float) -> Flights:
--- a/trestledock/entry/_update_exchange.py
+++ b/trestledock/entry/_update_exchange.py
@@ -9,7 +9,6 @@
 proves no more than it should. Changes are then fetched over HTTP.
 """
 
-import json
 from types import MappingProxyType
 from typing import Any, Callable, Iterable, Mapping
 from urllib.parse import urlencode
@@ -34,6 +33,7 @@
 from trestledock.entry._state import NO_VERSION, EntryState
 from trestledock.entry._messages import Question, Reply
 from trestledock.relay import (
+    encode_json,
     MAX_AGE_S,
     UNKNOWN_BIRTH,
     RemovedTarget,
@@ -185,7 +185,7 @@
                 for target in fleet.get_removed()
             ]
             fields['leaving'] = sorted(fleet.draining)
-        return json.dumps(fields, separators=(',', ':')).encode()
+        return encode_json(fields)
 
     def _get_document(self, version: int) -> str:
         return '' if version == self.state.version else self.state.document
--- a/trestledock/platform/_headers.py
+++ b/trestledock/platform/_headers.py
@@ -7,7 +7,6 @@
 defined only here and in `_notices`.
 """
 
-import json
 import math
 from typing import Any, Mapping
 
@@ -23,7 +22,7 @@
     read_draining,
     read_rate_limit,
 )
-from trestledock.relay import Body, Call, ListedTarget, PromptSize
+from trestledock.relay import Body, Call, ListedTarget, PromptSize, encode_json
 
 REQUEST_ID = b'trestledock-request-id'
 #: Milliseconds that the caller waits, or that the target may take.
@@ -184,7 +183,7 @@
 
     A different target that now has the address will reject it.
     """
-    body = json.dumps(fields).encode()
+    body = encode_json(fields)
     headers = (
         (b'host', target.address.encode()),
         (EXPECTED_INSTANCE, target.target_id.encode()),
--- a/trestledock/platform/_quarantine.py
+++ b/trestledock/platform/_quarantine.py
@@ -32,7 +32,7 @@
     StoreClient,
     frame_record,
 )
-from trestledock.relay import QuarantineRecord
+from trestledock.relay import QuarantineRecord, encode_json
 
 TOPIC = 'keyed.quarantine'
 #: The store's response if the partition no longer ends at the expected offset.
@@ -94,7 +94,7 @@
         'trials': record.probes,
         'cleared': record.cleared,
     }
-    return json.dumps(data, separators=(',', ':')).encode()
+    return encode_json(data)
 
 
 def _decode_records(records: Iterable[Record]) -> tuple[QuarantineRecord, ...]:
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -90,6 +90,7 @@
 from trestledock.relay._rendezvous import rank_by_key
 from trestledock.relay._restore_tracker import REWRITE_WAIT_S, RestoreTracker
 from trestledock.relay._retry_budget import RetryBudget, RetryLimits
+from trestledock.relay._strict_json import ENCODE_ERRORS, encode_json
 from trestledock.relay._target_records import (
     UNKNOWN_BIRTH,
     ListedTarget,
@@ -121,6 +122,7 @@
     'Decision',
     'Drain',
     'EARLY_RETRY_LIMITS',
+    'ENCODE_ERRORS',
     'EngineModel',
     'EventSplitter',
     'FailureKind',
@@ -183,6 +185,7 @@
     'classify_disconnect',
     'decide',
     'decide_unplaced',
+    'encode_json',
     'find_prior_claim',
     'get_decode_pass_s',
     'get_decode_s',
--- a/trestledock/version/_codec.py
+++ b/trestledock/version/_codec.py
@@ -10,6 +10,7 @@
 
 import cattrs
 
+from trestledock.relay import encode_json
 from trestledock.version._check import CONVERTER
 
 Decoded = TypeVar('Decoded')
@@ -17,7 +18,7 @@
 
 def dump_json(typed: Any) -> str:
     """Encode a data class as compact JSON text."""
-    return json.dumps(CONVERTER.unstructure(typed), separators=(',', ':'))
+    return encode_json(CONVERTER.unstructure(typed)).decode()
 
 
 class DecodeError(ValueError):
