Requests that are only cleared of crashes are bounded in memory and in updates

Found while looking for what else such requests cost. What callers would see: slow updates on slow links, and an entry that runs out of memory.

Cause: MAX_SUSPECTS was enforced where a crash is added or a record merged, not where only a message about an answer arrives: 5,000 such messages left 5,000 requests. And all of them from three cleared crashes on are in each update and in the repair of a restored store.

Change: the bound holds after each such message, the longest cleared go first; updates and the store get the 100 requests that were cleared last, beside all that are in quarantine. They only matter for reports of old crashes that arrive seconds late.

Both new tests failed before.

--- a/tests/test_entry_isolation.py
+++ b/tests/test_entry_isolation.py
@@ -16,6 +16,7 @@
     Standing,
 )
 from trestledock.relay._unconfirmed_crashes import UNCONFIRMED_TTL_S
+from trestledock.relay._quarantine import MAX_SUSPECTS
 from trestledock.relay._recent_answers import ANSWER_TTL_S
 
 TARGETS = tuple(make_listed(number, 80 + number) for number in range(6))
@@ -237,6 +238,17 @@
         self.assertEqual(records[0].incarnations, ())
         self.assertEqual(records[0].cleared, ('a', 'b', 'c'))
 
+    # Guards against memory that grows with each message about an answer.
+    def test_flood_of_cleared_requests(self):
+        async def scenario(isolation):
+            for number in range(MAX_SUSPECTS * 2):
+                isolation.merge_cleared(f'f{number}', ('a', 'b', 'c'), 'e#b')
+
+        isolation = run_isolation(scenario)
+        suspects = isolation.quarantine.suspects
+        self.assertEqual(len(suspects), MAX_SUSPECTS)
+        self.assertIn(f'f{MAX_SUSPECTS * 2 - 1}', suspects)
+
     def test_crash_reported_by_others_makes_target_suspect(self):
         """A target that is no longer listed leaves no state behind."""
 
--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -7,6 +7,7 @@
 from trestledock.relay import MAX_AGE_S, Crash, Quarantine
 from trestledock.relay._quarantine import (
     MAX_CLEARED,
+    MAX_SENT_CLEARED,
     MAX_SUSPECTS,
     MIN_CRASHES,
     PROBE_DELAYS_S,
@@ -199,6 +200,20 @@
         self.assertTrue(quarantine.is_quarantined(DEADLY))
         self.assertIn(f'f{MAX_SUSPECTS * 2 - 1}', quarantine.suspects)
 
+    # Guards against updates of megabytes about requests that were answered.
+    def test_records_of_cleared_requests(self):
+        """The latest are sent, beside all that are in quarantine."""
+        quarantine = make_quarantine('t1', 't2', 't3')
+        count = MAX_SENT_CLEARED * 2
+        for number in range(count):
+            quarantine.clear_crashes(f'f{number}', ('u1', 'u2', 'u3'))
+        quarantine.clear_crashes('f0', ('u4',))
+        sent = [record.fingerprint for record in quarantine.get_records(0)]
+        self.assertEqual(len(sent), 1 + MAX_SENT_CLEARED)
+        self.assertEqual(
+            (sent[0], sent[-2:]), (DEADLY, [f'f{count - 1}', 'f0'])
+        )
+
     def test_targets_are_evicted_too(self):
         quarantine = Quarantine()
         for number in range(MAX_SUSPECTS * 2):
--- a/trestledock/entry/_isolation.py
+++ b/trestledock/entry/_isolation.py
@@ -246,6 +246,7 @@
         """Remove crashes of a request that was answered at another entry."""
         count = self.quarantine.clear_crashes(fingerprint, incarnations)
         self._log_cleared(fingerprint, count, source)
+        self._evict_excess()
 
     def merge_records(
         self,
@@ -356,6 +357,9 @@
             emit(events.RequestQuarantined(fingerprint, count, source))
             if source != STORE and fingerprint in self._witnessed:
                 self._mark_unsaved(fingerprint)
+        self._evict_excess()
+
+    def _evict_excess(self) -> None:
         for forgotten in self.quarantine.evict_excess():
             self._witnessed.discard(forgotten)
             emit(events.SuspectForgotten(forgotten))
--- a/trestledock/relay/_quarantine.py
+++ b/trestledock/relay/_quarantine.py
@@ -44,6 +44,9 @@
 #: kept: messages about them arrive seconds late, and a popular request is
 #: cleared of some with each crash.
 MAX_CLEARED = 50
+#: The maximum number of requests sent or stored that are only cleared of
+#: crashes, of which the latest are: old crashes are hardly reported any more.
+MAX_SENT_CLEARED = 100
 
 
 def get_min_probe_delay_s(probes: int) -> float:
@@ -191,7 +194,9 @@
         """Clear a request of some crashes; return how many were known."""
         if not crashes:
             return 0
-        suspect = self.suspects.setdefault(fingerprint, Suspect())
+        suspect = self.suspects.pop(fingerprint, Suspect())
+        # The requests that were cleared last come last.
+        self.suspects[fingerprint] = suspect
         known = suspect.incarnations.intersection(crashes)
         suspect.incarnations -= known
         suspect.cleared.update(dict.fromkeys(crashes))
@@ -213,11 +218,16 @@
             suspect.probes = max(suspect.probes, record.probes)
 
     def get_records(self, now: float) -> Iterator[QuarantineRecord]:
-        """Yield the state of all requests that are or were in quarantine."""
-        for fingerprint, suspect in self.suspects.items():
-            crash_count = max(len(suspect.incarnations), len(suspect.cleared))
-            if crash_count >= MIN_CRASHES:
-                yield self.make_record(fingerprint, now)
+        """Yield the state of requests that are or were in quarantine."""
+        cleared = [
+            fingerprint
+            for fingerprint, suspect in self.suspects.items()
+            if len(suspect.cleared) >= MIN_CRASHES
+            and not self.is_quarantined(fingerprint)
+        ]
+        quarantined = filter(self.is_quarantined, self.suspects)
+        for fingerprint in (*quarantined, *cleared[-MAX_SENT_CLEARED:]):
+            yield self.make_record(fingerprint, now)
 
     def make_record(self, fingerprint: str, now: float) -> QuarantineRecord:
         """Return the state of a request, to be stored or sent."""
