A back-off that a target asked for outlives its restart

What callers and targets saw: a target that refused requests and asked for a back-off got 7 requests of one entry in the rest of one second, and 32 in that of four, once it was listed with a later birth under its id; at most two are right.

Cause: all knowledge of a target belonged to one incarnation and was dropped with it. But the wish is the target's, whose restart the rule does not excuse, and an answer names its id only: a refusal by a start that the list does not show yet was taken for the earlier one's, and forgotten as soon as the list caught up.

Change: the fleet hands the back-off on to the next incarnation of an id, also over a removed record. All other notices end with the incarnation.

--- a/tests/test_backoff_targets.py
+++ b/tests/test_backoff_targets.py
@@ -7,6 +7,7 @@
 from tests.engines import SMALL_ENGINE
 from tests.limiting import MAX_REQUESTS_IN_BACKOFF, run_fleet
 from tests.relaying import make_route
+from tests.test_notice_property import restart_target
 
 ROUTE = make_route()
 #: The prompt and answer of a request to an engine, in tokens.
@@ -163,6 +164,46 @@
         self.assertEqual(result, (1, {200}))
 
 
+class RestartTest(unittest.TestCase):
+    """Targets that restart under their ids before their back-off is over."""
+
+    def play(self, backoff, restarted=(0,), wait_s=5, **fields):
+        """Have targets back off and restart; return what came afterwards."""
+
+        async def scenario(fleet):
+            targets = [fleet.targets[number] for number in restarted]
+            for target in targets:
+                target.reject_all(backoff)
+            await fleet.ask_for(5, 12)
+            for target in targets:
+                target.reject_all('')
+            for number in restarted:
+                restart_target(fleet, number)
+            demand = await fleet.ask_for(wait_s, 12)
+            before = targets[0].count(0, anyio.current_time())
+            await fleet.ask_for(1, 12)
+            most = max(target.get_max_in_backoff() for target in targets)
+            after = targets[0].count(0, anyio.current_time()) - before
+            return most, demand, after
+
+        return run_fleet(scenario, [ROUTE], entries=2, **fields)
+
+    # Guards against 32 requests in a back-off, where at most 2 are right.
+    def test_one_of_three_restarts(self):
+        """The others serve what it would have got; then it serves again."""
+        most, demand, after = self.play('4', targets=3, seed=33294)
+        self.assertLessEqual(most, MAX_REQUESTS_IN_BACKOFF)
+        self.assertEqual(set(demand.statuses), {200})
+        self.assertGreater(after, 2)
+
+    # Guards against callers that wait for a target that will not take them.
+    def test_all_restart(self):
+        most, demand, _ = self.play('30', (0, 1), targets=2)
+        self.assertLessEqual(most, MAX_REQUESTS_IN_BACKOFF)
+        self.assertEqual(set(demand.statuses), {503})
+        self.assertLess(max(demand.took_s), 0.01)
+
+
 class SharedNoticeTest(unittest.TestCase):
     """Entries that learn of the back-off from another entry."""
 
--- a/tests/test_bench_rests.py
+++ b/tests/test_bench_rests.py
@@ -2,7 +2,14 @@
 
 import unittest
 
-from trestledock.bench.rests import STRATEGIES, Scenario, simulate
+from trestledock.bench.rests import (
+    INHERITANCES,
+    STRATEGIES,
+    Restart,
+    Scenario,
+    prefer_if_enough,
+    simulate,
+)
 
 
 def compare(**fields):
@@ -39,3 +46,30 @@
         self.assertLess(
             results['spare few'].rejected_twice, results['spare'].rejected_twice
         )
+
+
+class RestartTest(unittest.TestCase):
+    """What becomes of a back-off when its target restarts."""
+
+    def compare(self, **fields):
+        scenario = Scenario(
+            entries=24, targets=3, load=0.5, restart=Restart(), **fields
+        )
+        return {
+            name: simulate(scenario, prefer_if_enough, inherit).served
+            for name, inherit in INHERITANCES.items()
+        }
+
+    def test_others_serve_while_one_backs_off(self):
+        served = self.compare(shedding=1)
+        self.assertEqual(len(set(served.values())), 1)
+
+    def test_price_where_all_restart(self):
+        """The longer the back-off, the longer nothing is served."""
+        shares = [
+            served['outlives'] / served['forgotten']
+            for backoff_s in (1, 3, 30)
+            for served in [self.compare(shedding=3, backoff_s=backoff_s)]
+        ]
+        self.assertGreater(shares[0], shares[1])
+        self.assertGreater(shares[1], shares[2])
--- a/tests/test_relay_fleet.py
+++ b/tests/test_relay_fleet.py
@@ -1,8 +1,17 @@
 """The effect of directory records on new requests."""
 
 import unittest
+from dataclasses import replace
 
-from trestledock.relay import Fleet, ListedTarget, Standing
+from trestledock.relay import (
+    Backoff,
+    Drain,
+    Fleet,
+    ListedTarget,
+    PeerBackoff,
+    RateLimit,
+    Standing,
+)
 
 
 def make_target(number, standing=Standing.ready, sequence=1):
@@ -36,6 +45,71 @@
     fleet.watch.record_read(ended_at, ended_at)
 
 
+class BackoffTest(unittest.TestCase):
+    """The back-off of a target and its next incarnations."""
+
+    def setUp(self):
+        self.fleet = make_fleet()
+        self.fleet.put(self.make_start(1000))
+        self.fleet.notices.record('t3@1000', Backoff(9, 0, 1))
+
+    def make_start(self, born):
+        return replace(make_target(3), born=born)
+
+    def get_end(self, incarnation):
+        backoff = self.fleet.notices.get(Backoff, incarnation)
+        return backoff.until if backoff else None
+
+    # Guards against requests to a target in its back-off after a restart.
+    def test_restart(self):
+        self.fleet.put(self.make_start(2000))
+        self.assertEqual(self.get_end('t3@2000'), 9)
+        self.fleet.put(self.make_start(3000))
+        self.assertEqual(self.get_end('t3@3000'), 9)
+
+    # Guards against the same where its record was removed in between.
+    def test_removed_and_listed_again(self):
+        remove(self.fleet, 't3', 0.5)
+        self.fleet.notices.forget('t3@1000')
+        self.fleet.put(self.make_start(2000))
+        self.assertEqual(self.get_end('t3@2000'), 9)
+
+    def test_same_incarnation_listed_again(self):
+        """As on platforms whose targets don't report their birth."""
+        self.fleet.notices.record('t1', Backoff(7, 0, 1))
+        remove(self.fleet, 't1', 0.5)
+        self.fleet.notices.forget('t1')
+        self.fleet.put(make_target(1, sequence=2))
+        self.assertEqual(self.get_end('t1'), 7)
+
+    def test_back_off_that_has_ended(self):
+        """An answer after its end lifts it for later incarnations as well."""
+        self.fleet.put(self.make_start(2000))
+        self.fleet.notices.discard(Backoff, 't3@2000')
+        self.fleet.put(self.make_start(3000))
+        self.assertIsNone(self.get_end('t3@3000'))
+
+    def test_other_notices_end_with_the_incarnation(self):
+        notices = self.fleet.notices
+        kinds = (Drain(0, 1), RateLimit(2, 0, 1), PeerBackoff(9, 0, 1))
+        for notice in kinds:
+            notices.record('t3@1000', notice)
+        self.fleet.put(self.make_start(2000))
+        found = [notices.get(type(notice), 't3@2000') for notice in kinds]
+        self.assertEqual(found, [None, None, None])
+        self.assertIn('t3', get_ids(self.fleet))
+
+    def test_few_are_kept(self):
+        """Those that are over are dropped with the next removal."""
+        for number in range(4, 40):
+            self.fleet.put(make_target(number))
+            at = number * 10
+            backoff = Backoff(at + 15, at, at)
+            self.fleet.notices.record(f't{number}', backoff)
+            remove(self.fleet, f't{number}', at)
+        self.assertEqual(sorted(self.fleet.backoffs), ['t38', 't39'])
+
+
 class RecordTest(unittest.TestCase):
     """Records of a target, in order and late."""
 
--- a/trestledock/bench/rests.py
+++ b/trestledock/bench/rests.py
@@ -8,6 +8,10 @@
 and use the target only if every other target has a back-off, or if too few
 targets would be left.
 
+Also compares what becomes of a back-off when its target restarts: it outlives
+the start; or it ends, and the first requests go one at a time; or it is
+forgotten.
+
     python -m trestledock.bench.rests
 """
 
@@ -48,12 +52,36 @@
 )
 
 
+#: The scenarios of restarts: the number of targets that shed load and restart
+#: meanwhile, the number of all targets, the back-off that they ask for in
+#: seconds, the demand, and whether the new starts shed load as well.
+RESTARTS = (
+    (1, 3, 3, 0.5, False),
+    (1, 3, 3, 0.5, True),
+    (3, 3, 1, 0.5, False),
+    (3, 3, 3, 0.5, False),
+    (3, 3, 3, 0.9, False),
+    (3, 3, 3, 0.5, True),
+    (3, 3, 30, 0.5, False),
+)
+
+
+@dataclass(frozen=True)
+class Restart:
+    """A restart of all targets that shed load, at an instant, for `down_s`."""
+
+    at_s: float = 4.0
+    down_s: float = 0.5
+    sheds_again: bool = False
+
+
 @dataclass(frozen=True)
 class Scenario:
     """The load of all entries together, and the targets that shed it.
 
     `load` is a share of the capacity of all targets.  Each of the first
-    `shedding` targets rejects all requests from `from_s` on, for `for_s`.
+    `shedding` targets rejects all requests from `from_s` on, for `for_s`, with
+    a back-off of `backoff_s`.
     """
 
     entries: int
@@ -64,12 +92,23 @@
     for_s: float = 5.0
     length_s: float = 14.0
     seed: int = 1
+    backoff_s: float = BACKOFF_S
+    restart: Restart | None = None
 
     def is_shedding(self, target: int, now: float) -> bool:
         """Return whether a target rejects all requests."""
+        restart = self.restart
+        if restart and now >= restart.at_s and not restart.sheds_again:
+            return False
         in_time = self.from_s <= now < self.from_s + self.for_s
         return in_time and target < self.shedding
 
+    def is_down(self, target: int, now: float) -> bool:
+        """Return whether a target is between two starts."""
+        if self.restart is None or target >= self.shedding:
+            return False
+        return 0 <= now - self.restart.at_s < self.restart.down_s
+
 
 @dataclass
 class Result:
@@ -88,6 +127,28 @@
 
 
 TargetFilter = Callable[['Fleet', int, float], list[int]]
+#: Changes the back-offs of a target that restarts at an instant.
+Inheritance = Callable[['Fleet', str, float], None]
+
+
+def keep_backoff(fleet: 'Fleet', target: str, now: float) -> None:
+    """Keep the back-off of a target that restarts."""
+
+
+def end_backoff(fleet: 'Fleet', target: str, now: float) -> None:
+    """End the back-off; requests go one at a time until one is answered."""
+    for gate in fleet.backoff_gates:
+        if gate.has_backoff(target):
+            gate.forget(target)
+            gate.notices.record(target, Backoff(now, now, now))
+    fleet.shared_backoffs.pop(int(target), None)
+
+
+def forget_backoff(fleet: 'Fleet', target: str, now: float) -> None:
+    """Forget the back-off of a target that restarts."""
+    for gate in fleet.backoff_gates:
+        gate.forget(target)
+    fleet.shared_backoffs.pop(int(target), None)
 
 
 @dataclass
@@ -96,7 +157,9 @@
 
     scenario: Scenario
     select_targets: TargetFilter
+    inherit: Inheritance = keep_backoff
     result: Result = field(default_factory=Result)
+    restarted: bool = False
 
     def __post_init__(self) -> None:
         """Begin with idle targets."""
@@ -115,7 +178,8 @@
         return [
             target
             for target in range(self.scenario.targets)
-            if self.backoff_gates[entry].can_send(str(target), now)
+            if not self.scenario.is_down(target, now)
+            and self.backoff_gates[entry].can_send(str(target), now)
         ]
 
     def get_unrestrained(self, targets: list[int], now: float) -> list[int]:
@@ -126,6 +190,16 @@
             if self.shared_backoffs.get(target, 0) <= now
         ]
 
+    def restart_if_due(self, now: float) -> None:
+        """Restart the targets that shed load, once; they lose their queues."""
+        restart = self.scenario.restart
+        if self.restarted or restart is None or now < restart.at_s:
+            return
+        self.restarted = True
+        for target in range(self.scenario.shedding):
+            self.free_at[target] = [now for _ in range(SLOTS)]
+            self.inherit(self, str(target), now)
+
     def send_request(self, entry: int, now: float) -> None:
         """Send a request until a target accepts it."""
         at = now
@@ -158,8 +232,9 @@
             self.scenario.is_shedding(target, now)
             or request_count >= SLOTS + QUEUE
         ):
-            until = now + BACKOFF_S
-            jitter_s = get_jitter_s(BACKOFF_S, self.rng.random())
+            backoff_s = self.scenario.backoff_s
+            until = now + backoff_s
+            jitter_s = get_jitter_s(backoff_s, self.rng.random())
             backoff = Backoff(until + jitter_s, now, now)
             self.backoff_gates[entry].notices.record(name, backoff)
             self.shared_backoffs[target] = max(
@@ -219,14 +294,29 @@
 )
 
 
-def simulate(scenario: Scenario, select_targets: TargetFilter) -> Result:
+#: What becomes of a back-off at a restart, by the names in the table.
+INHERITANCES: Mapping[str, Inheritance] = MappingProxyType(
+    {
+        'outlives': keep_backoff,
+        'one at a time': end_backoff,
+        'forgotten': forget_backoff,
+    }
+)
+
+
+def simulate(
+    scenario: Scenario,
+    select_targets: TargetFilter,
+    inherit: Inheritance = keep_backoff,
+) -> Result:
     """Return the results of a strategy on the arrivals of a scenario."""
-    fleet = Fleet(scenario, select_targets)
+    fleet = Fleet(scenario, select_targets, inherit)
     rng = Random(scenario.seed + 1)
     rate = scenario.load * scenario.targets * SLOTS / WORK_S
     now: float = 0
     while now < scenario.length_s:
         now += rng.expovariate(rate)
+        fleet.restart_if_due(now)
         fleet.send_request(rng.randrange(scenario.entries), now)
     return fleet.result
 
@@ -256,6 +346,35 @@
                     f'{result.returns[2] / usual:.2f}'
                 )
 
+    echo_restarts(seed)
+
+
+def echo_restarts(seed: int) -> None:
+    """Print what becomes of requests where targets restart."""
+    click.echo(
+        'entries restarted/targets back-off load again way: '
+        'served repeats twice'
+    )
+    for entries in SIZES:
+        for shedding, targets, backoff_s, load, again in RESTARTS:
+            scenario = Scenario(
+                entries,
+                targets,
+                load,
+                shedding,
+                seed=seed,
+                backoff_s=backoff_s,
+                restart=Restart(sheds_again=again),
+            )
+            for name, inherit in INHERITANCES.items():
+                result = simulate(scenario, prefer_if_enough, inherit)
+                total = result.served + result.refused
+                click.echo(
+                    f'{entries} {shedding}/{targets} {backoff_s} {load} '
+                    f'{again} {name}: {result.served / total:.3f} '
+                    f'{result.retries} {result.rejected_twice}'
+                )
+
 
 if __name__ == '__main__':
     main()
--- a/trestledock/entry/_notices.py
+++ b/trestledock/entry/_notices.py
@@ -33,8 +33,10 @@
 #: A limit below this share of the previous one is sent to other entries at
 #: once.
 URGENT_SHARE = 0.8
-#: Source in log events for a notice that this entry received itself.
+#: Sources in log events: a notice that this entry received itself, and one that
+#: goes on for the next incarnation of its target.
 OWN = 'self'
+RESTART = 'restart'
 
 
 def record_answer_notices(
@@ -135,6 +137,13 @@
         state.send_notices(peer)
 
 
+def log_kept_backoff(state: EntryState, peer: str) -> None:
+    """Log the back-off of a target that goes on after its restart."""
+    left_ms = _get_remaining_ms(state.notices.get(Backoff, peer))
+    if left_ms:
+        emit(events.RestHeard(peer, left_ms, left_ms, 0, RESTART))
+
+
 def _record_backoff_end(
     state: EntryState, peer: str, answer: AnswerMetadata, asked_at: float
 ) -> None:
--- a/trestledock/entry/_target_list.py
+++ b/trestledock/entry/_target_list.py
@@ -17,6 +17,7 @@
 from trestledock.entry import _events as events
 from trestledock.entry._dialect import StoreUpdate
 from trestledock.entry._logger import emit
+from trestledock.entry._notices import log_kept_backoff
 from trestledock.entry._pool import Pool
 from trestledock.entry._state import EntryState
 from trestledock.relay import LOWEST_ORDER, ListedTarget, RecordOrder
@@ -141,6 +142,7 @@
 
     def _put(self, listed: ListedTarget, update: StoreUpdate) -> None:
         again = listed.target_id in self.fleet.removed
+        is_new = listed.incarnation not in self.fleet.targets
         if not self.fleet.put(listed):
             return
         self.state.isolation.record_listed(listed)
@@ -155,6 +157,8 @@
                 again,
             ),
         )
+        if is_new:
+            log_kept_backoff(self.state, listed.incarnation)
         self.state.notify()
 
     def _drop(self, target_id: str, update: StoreUpdate, now: float) -> None:
--- a/trestledock/relay/_fleet.py
+++ b/trestledock/relay/_fleet.py
@@ -13,7 +13,7 @@
 from typing import Collection, Iterable, Iterator
 
 from trestledock.relay._list_watch import ListWatch
-from trestledock.relay._notices import Drain, Notices
+from trestledock.relay._notices import Backoff, Drain, Notices
 from trestledock.relay._target_records import (
     UNKNOWN_BIRTH,
     ListedTarget,
@@ -43,13 +43,15 @@
     other instances.  That a target is only retained concerns them too, since
     they must decide for themselves whether to retain it.  `known_births` counts
     the targets with a known birth.  `notices` has what targets announced about
-    themselves, here or to others.
+    themselves, here or to others; `backoffs` has the back-offs of ids that are
+    not listed now, for their next incarnation.
     """
 
     targets: dict[str, ListedTarget] = field(default_factory=dict)
     newest: dict[str, str] = field(default_factory=dict)
     retained: dict[str, float] = field(default_factory=dict)
     notices: Notices = field(default_factory=Notices)
+    backoffs: dict[str, Backoff] = field(default_factory=dict)
     removed: dict[str, RecordOrder] = field(default_factory=dict)
     watch: ListWatch = field(default_factory=ListWatch)
     revision: int = 0
@@ -267,11 +269,31 @@
         self.targets[listed.incarnation] = listed
         self.newest[listed.target_id] = listed.incarnation
         self.known_births += listed.born != UNKNOWN_BIRTH
+        backoff = self.backoffs.pop(listed.target_id, None)
+        if backoff:
+            self.notices.record(listed.incarnation, backoff)
 
     def _forget(self, listed: ListedTarget) -> None:
         self.targets.pop(listed.incarnation)
         self.newest.pop(listed.target_id)
         self.known_births -= listed.born != UNKNOWN_BIRTH
+        self._keep_backoff(listed)
+
+    def _keep_backoff(self, listed: ListedTarget) -> None:
+        """Keep the back-off of a target for its next incarnation.
+
+        An answer names the id only, so another incarnation than the listed one
+        may have asked for it.
+        """
+        backoff = self.notices.get(Backoff, listed.incarnation)
+        if backoff is None:
+            return
+        self.backoffs = {
+            name: kept
+            for name, kept in self.backoffs.items()
+            if not kept.is_over(backoff.heard_at)
+        }
+        self.backoffs[listed.target_id] = backoff
 
     def _remove(self, listed: ListedTarget) -> None:
         self._forget(listed)
