A configuration with a time that is not finite is refused

Found while looking for the fault of infinite ages elsewhere. What callers would see: with a route's timeoutMs of 1e999 or Infinity, which json.loads reads, each of its requests is cut while its first log line is made, by OverflowError; an integer of 400 digits is no error of a configuration that the readers know, so an entry that gets the version from another one ends its follower each time it starts.

Change: the one conversion of times refuses what is not finite, and OverflowError counts as an invalid configuration: the version is refused with a line and the one in force stays, as for any other version that can't be decoded. The new test failed before.

--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -76,6 +76,23 @@
 class ConfigurationTest(unittest.TestCase):
     """Reads of the configuration."""
 
+    # Guards against a version by which each request of a route is cut.
+    def test_times_that_are_not_finite(self):
+        directory = StoreDirectory('store')
+        route = {
+            'name': 'r',
+            'host': 'a.example',
+            'pathPrefix': '/',
+            'kind': 'idempotent',
+            'service': 's',
+        }
+        for time_ms in ('1e999', 'Infinity', 'NaN', '9' * 400, '"5"'):
+            text = json.dumps({'version': 1, 'routes': [route]})
+            document = text.replace('"kind"', f'"timeoutMs": {time_ms}, "kind"')
+            with self.assertRaises(DirectoryError):
+                directory.decode_document(document)
+        self.assertEqual(directory.decode_document(text).version, 1)
+
     def test_invalid_version_is_read_again(self):
         """Every read fails until the version can be decoded.
 
--- a/trestledock/platform/_fields.py
+++ b/trestledock/platform/_fields.py
@@ -6,6 +6,7 @@
 `read_fields` applies them.  The data class's default applies to a missing name.
 """
 
+import math
 from typing import Any, Callable, Mapping, NamedTuple
 
 MS = 1000
@@ -20,11 +21,13 @@
 
 
 def ms_to_seconds(milliseconds: float) -> float:
-    """Convert milliseconds to seconds.
+    """Convert milliseconds to seconds; raise `ValueError` if not finite.
 
     >>> ms_to_seconds(250)
     0.25
     """
+    if not math.isfinite(milliseconds):
+        raise ValueError(f'not a finite time: {milliseconds}')
     return milliseconds / MS
 
 
--- a/trestledock/platform/_store.py
+++ b/trestledock/platform/_store.py
@@ -49,7 +49,13 @@
 #: an entry has waited until the other entries had written lost records again.
 EPOCH_KEY = 'epoch'
 #: Raised when a configuration can't be decoded.
-CONFIG_DECODE_ERRORS = (*DECODE_ERRORS, KeyError, TypeError, AttributeError)
+CONFIG_DECODE_ERRORS = (
+    *DECODE_ERRORS,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+)
 
 
 class StoreDirectory:
