The soak checks what entries tell: updates that can be read, and no unexpected exception

Cause: the soak looked at callers, targets and the store only, so updates that no entry could read and a task that ended again and again broke none of its checks.

Change: check exceptions reads each entry's counter of unexpected exceptions, twice a second.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -104,6 +104,12 @@
     yield from ledger.invalid_updates
 
 
+def check_exceptions(ledger: Ledger) -> Iterator[str]:
+    """No task or request of an entry ends by an exception."""
+    for name, count in ledger.failures.items():
+        yield f'{name} had {count} unexpected exceptions'
+
+
 def check_revoked(ledger: Ledger) -> Iterator[str]:
     """A revoked key is refused from `REVOKE_TIMEOUT_S` on, under any fault."""
     revoked = ledger.get_changes('revoked')
@@ -124,6 +130,7 @@
     check_tickets,
     check_exits,
     check_updates,
+    check_exceptions,
     check_revoked,
 )
 
--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -35,6 +35,8 @@
 INTERPRETER_STARTUP_S = 0.2
 MAX_MISSES = 2
 PORTS = {'front': 8227, 'ready': 8220, 'control': 8229, 'peers': 7340}
+#: The port of the metrics, which the product sets itself.
+METRICS_PORT = 9464
 
 TEMPLATE = """
 nodeName = "{name}"
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -185,6 +185,7 @@
     reservation_leaks: set[str] = field(default_factory=set)
     exits: list[str] = field(default_factory=list)
     invalid_updates: list[str] = field(default_factory=list)
+    failures: dict[str, int] = field(default_factory=dict)
     timeouts_s: dict[str, float] = field(default_factory=dict)
     began_at: float = field(default_factory=time.monotonic)
 
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -23,6 +23,7 @@
     _wire,
 )
 from trestledock.entry._job import STATUSES, Job, Refusal
+from trestledock.entry._store_repair import Restoring
 from trestledock.platform import _epochs, _headers, run
 from trestledock.relay import (
     Fleet,
@@ -133,6 +134,11 @@
     Suspect.get_age_s = lambda suspect, now: float('inf')
 
 
+def exceptions() -> None:
+    """Fail in the task that repairs a restored store."""
+    Restoring.repair = None
+
+
 def copies() -> None:
     """Ignore the epoch of the store, so that any older copy is trusted."""
     _epochs.StoreEpochs.record = lambda epochs, head: None
@@ -174,6 +180,7 @@
         gone,
         budget,
         updates,
+        exceptions,
         copies,
         limit,
         words,
--- a/tests/soak/updates.py
+++ b/tests/soak/updates.py
@@ -1,21 +1,25 @@
 """
-Updates between entries
-=======================
+What entries tell
+=================
 
-Asks each entry for the update that a new entry would get from it.
+Asks each entry for the update that a new entry would get from it, and for its
+metrics.
 """
 
 import json
+import re
 
 import anyio
 import httpx
 
-from tests.soak.entries import PORTS, Entry
+from tests.soak.entries import METRICS_PORT, PORTS, Entry
 from tests.soak.ledger import Ledger
 
 #: Interval of the questions to one entry, in seconds.
 INTERVAL_S = 0.5
 OK_STATUS = 200
+#: Counter of tasks and requests of an entry that ended by an exception.
+FAILURES = re.compile(r'^trestledock_failed_total (\S+)$', re.MULTILINE)
 
 
 async def poll_updates(entry: Entry, ledger: Ledger) -> None:
@@ -36,6 +40,26 @@
                 ledger.invalid_updates.append(f'{entry.name}: {problem}')
 
 
+async def poll_failures(entry: Entry, ledger: Ledger) -> None:
+    """Ask an entry for its metrics; record exceptions that nothing expected."""
+    url = f'http://{entry.host}:{METRICS_PORT}/metrics'
+    async with httpx.AsyncClient(timeout=0.9) as client:
+        while True:
+            await anyio.sleep(INTERVAL_S)
+            try:
+                answer = await client.get(url)
+            except httpx.HTTPError:
+                continue
+            count = read_failures(answer.text)
+            if count:
+                ledger.failures[entry.name] = count
+
+
+def read_failures(text: str) -> int:
+    """Return the number of unexpected exceptions in an entry's metrics."""
+    return sum(int(float(number)) for number in FAILURES.findall(text))
+
+
 def find_problem(status: int, body: bytes) -> str:
     """Return what is wrong with an answer, empty if nothing is."""
     if status != OK_STATUS:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -29,7 +29,7 @@
 from tests.soak.links import Link
 from tests.soak.serving import serve_stream
 from tests.soak.store import CONFIG, TARGETS, Store
-from tests.soak.updates import poll_updates
+from tests.soak.updates import poll_failures, poll_updates
 from tests.soak.targets import (
     DRAINING,
     HEARTBEAT_INTERVAL_S,
@@ -131,6 +131,7 @@
         self.group.start_soon(run_entries, self.entries, self.group)
         for entry in self.entries:
             self.group.start_soon(poll_updates, entry, self.ledger)
+            self.group.start_soon(poll_failures, entry, self.ledger)
         self.group.start_soon(self._check_reservations)
         self.group.start_soon(self._measure_lateness)
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -18,7 +18,9 @@
     Run,
 )
 from tests.soak.targets import get_seal
-from tests.soak.updates import find_problem
+from tests.soak.updates import find_problem, read_failures
+from trestledock.entry._events import Failed
+from trestledock.entry._metrics import Metrics
 
 STREAM = RequestSpec(
     'r1', 'streaming', 'k1', 'desk', 'engines', '/x', '100,86', 2, timeout_s=5
@@ -207,6 +209,17 @@
         ledger = Ledger(invalid_updates=['entry-0: Infinity is no JSON'])
         self.assert_violation('updates', ledger)
 
+    # Guards against a task that ends and begins again for ever.
+    def test_unexpected_exception(self):
+        self.assert_violation('exceptions', Ledger(failures={'entry-0': 2}))
+
+    def test_metrics_of_an_entry(self):
+        metrics = Metrics()
+        found = [read_failures(metrics.render({}).decode())]
+        metrics.record_event(Failed('step'))
+        found.append(read_failures(metrics.render({}).decode()))
+        self.assertEqual(found, [0, 1])
+
     def test_answers_to_a_new_entry(self):
         found = [
             find_problem(200, b'{"list_age_s":0.5}'),
