A request half read at the end of the grace period is refused, not answered 500

What callers saw: a request whose body was still incomplete when its entry ended got a 500, which says nothing about whether it ran, and one that must not run twice could not be sent again.

Cause: requests are registered for their final answer once they are relayed. One that is still being read was not; at the end the web server cancelled it and answered 500 by itself.

Not the load: the new test, with half a body and no load of its own, gets the 500 each time before.

--- a/tests/test_entry_shutdown.py
+++ b/tests/test_entry_shutdown.py
@@ -273,6 +273,23 @@
 
         self.check(scenario)
 
+    # Guards against a 500, which says nothing, to a request that has not run.
+    def test_half_read_at_the_end_is_refused(self):
+        """A request whose body never becomes complete."""
+
+        async def scenario(world, entry, group):
+            sock = socket.create_connection((entry.host, PORTS['front']))
+            sock.sendall(make_request('POST', '/book/x', 'h', length=4))
+            sock.sendall(b'ab')
+            await begin_shutdown(entry)
+            head, _ = await anyio.to_thread.run_sync(read_all, sock)
+            sock.close()
+            self.assertIn(' 503 ', head.partition('\r\n')[0])
+            await entry.ended.wait()
+            self.assertEqual(world.ledger.runs, [])
+
+        self.check(scenario)
+
 
 class SettingsTest(unittest.TestCase):
     """A hang-up signal while the settings file can't be read."""
--- a/trestledock/entry/_app.py
+++ b/trestledock/entry/_app.py
@@ -8,7 +8,7 @@
 
 from http import HTTPStatus
 from hashlib import sha256
-from typing import Any, Awaitable, Callable, Mapping
+from typing import Any, AsyncIterator, Awaitable, Callable, Mapping
 from urllib.parse import parse_qs
 
 import anyio
@@ -132,11 +132,11 @@
         during_close: bool,
     ) -> None:
         arrived_at = anyio.current_time()
+        reply = Reply(send, self.state.is_draining)
         try:
-            body = await _read_body(receive)
+            body = await self._read_body(receive, reply)
         except ClientDisconnected:
             return
-        reply = Reply(send, self.state.is_draining)
         call = self.dialect.read_call(scope, body, arrived_at)
         if during_close or self.state.aborting:
             await self.relayer.refuse_late(call, reply)
@@ -155,6 +155,19 @@
         if cut:
             raise CutReply(call.req_id)
 
+    async def _read_body(self, receive: Receive, reply: Reply) -> Body:
+        """Return the body, or what has arrived of it once requests end."""
+        parts = []
+        digest = sha256()
+        with (
+            anyio.CancelScope() as scope,
+            self.state.track_unanswered(reply, scope),
+        ):
+            async for part in _receive_parts(receive):
+                parts.append(part)
+                digest.update(part)
+        return Body(b''.join(parts), digest.digest())
+
 
 def _read_version(query: bytes) -> int:
     """Return the configuration version that a peer has, from its query.
@@ -175,18 +188,15 @@
     return parse_qs(query.decode('latin-1')).get(name, [''])[0]
 
 
-async def _read_body(receive: Receive) -> Body:
-    parts = []
-    digest = sha256()
+async def _receive_parts(receive: Receive) -> AsyncIterator[bytes]:
+    """Yield the parts of a body as they arrive."""
     while True:
         message = await receive()
         if message['type'] == 'http.disconnect':
             raise ClientDisconnected
-        part = message.get('body', b'')
-        parts.append(part)
-        digest.update(part)
+        yield message.get('body', b'')
         if not message.get('more_body'):
-            return Body(b''.join(parts), digest.digest())
+            return
 
 
 async def _cancel_on_disconnect(
