The soak restarts targets within their back-off

Cause: its targets asked for back-offs and restarted, but not the same one, and the check rests counts one incarnation only; so the back-off that was forgotten with a restart broke nothing.

Change: plan restarted (targets, one or all of a service, refuse with a back-off, crash and start again under their ids), check restarts (two requests at most, over all later incarnations together), patch restarts. The check rests is as it was.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -26,6 +26,8 @@
     drain_unlisted,
     limit_service,
     limit_target,
+    restart_backing_off,
+    restart_service,
 )
 from tests.soak.store import TARGETS
 from tests.soak.targets import DRAINING, VANISHED
@@ -409,6 +411,17 @@
     restart_target: 1,
     drain_target: 1,
 }
+RESTARTED: dict[FaultKind, int] = {
+    restart_backing_off: 8,
+    restart_service: 3,
+    back_off_target: 2,
+    restart_target: 1,
+    store_down: 2,
+    cut_store: 2,
+    kill_entry: 1,
+    freeze_entry: 2,
+    restart_entry: 1,
+}
 RESTORED: dict[FaultKind, int] = {
     restore_store: 6,
     kill_entry: 3,
@@ -432,6 +445,7 @@
         'restored': RESTORED,
         'limited': LIMITED,
         'told': TOLD,
+        'restarted': RESTARTED,
     }
 )
 
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -159,6 +159,11 @@
     BackoffGate.can_send = lambda gate, target, now: True
 
 
+def restarts() -> None:
+    """Forget the back-off of a target that restarts."""
+    Fleet._keep_backoff = lambda fleet, listed: None
+
+
 async def _sleep_forever(*args: Any) -> None:
     await anyio.sleep_forever()
 
@@ -185,6 +190,7 @@
         limit,
         words,
         rests,
+        restarts,
     )
 }
 
--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -26,6 +26,9 @@
 #: seconds.
 BACKOFFS_S = ('0.4', '1', '2.5', '4')
 REFUSING_S = (1, 8)
+#: How long a target that asked for back-off is down before it starts again, in
+#: seconds.
+QUICK_RESTART_S = (0.05, 0.3)
 
 
 async def limit_target(world: World, rng: Random) -> None:
@@ -65,19 +68,40 @@
 
 async def back_off_target(world: World, rng: Random) -> None:
     """Make a target refuse all requests for a while and ask for back-off."""
-    await _request_backoff([world.pick_target()], rng)
+    await _request_backoff(world, [world.pick_target()], rng)
 
 
 async def back_off_service(world: World, rng: Random) -> None:
     """Make all targets of a service ask for back-off at once."""
     service = world.pick_target().service
     same_service = [one for one in world.targets if one.service == service]
-    await _request_backoff(same_service, rng)
+    await _request_backoff(world, same_service, rng)
+
+
+async def restart_backing_off(world: World, rng: Random) -> None:
+    """Restart a target under its id after it has asked for back-off."""
+    target = world.pick_target()
+    await _request_backoff(world, [target], rng, restart=True)
+
+
+async def restart_service(world: World, rng: Random) -> None:
+    """Do the same with all targets of a service."""
+    service = world.pick_target().service
+    same_service = [one for one in world.targets if one.service == service]
+    await _request_backoff(world, same_service, rng, restart=True)
 
 
-async def _request_backoff(targets: list[Target], rng: Random) -> None:
+async def _request_backoff(
+    world: World,
+    targets: list[Target],
+    rng: Random,
+    *,
+    restart: bool = False,
+) -> None:
     for target in targets:
         target.retry_after = rng.choice(BACKOFFS_S)
     await anyio.sleep(rng.uniform(*REFUSING_S))
     for target in targets:
         target.retry_after = ''
+        if restart and not target.stopped.is_set():
+            await world.restart(target, rng.uniform(*QUICK_RESTART_S))
--- a/tests/soak/timed_checks.py
+++ b/tests/soak/timed_checks.py
@@ -192,6 +192,28 @@
             yield f'{backoff.target} got {count} in a rest from {entry}'
 
 
+def check_restarts(ledger: Ledger) -> Iterator[str]:
+    """A back-off also holds for later incarnations of the target."""
+    for backoff in ledger.backoffs:
+        entry = ledger.get_entry(backoff.req_id)
+        since = backoff.at + BACKOFF_DELAY_S + DRIVER_MARGIN_S
+        count = sum(
+            since < one.at <= backoff.until
+            and _is_restarted(backoff.target, one.target)
+            and ledger.get_entry(one.req_id) == entry
+            for one in ledger.arrivals
+        )
+        if count > MAX_IN_BACKOFF and _are_undisturbed(
+            ledger, entry, entry, backoff.at, backoff.until
+        ):
+            yield f'{backoff.target} got {count} after its restart from {entry}'
+
+
+def _is_restarted(target: str, other: str) -> bool:
+    """Whether two incarnations differ and have the same id."""
+    return target != other and target.split('@')[0] == other.split('@')[0]
+
+
 def _get_drain_times(ledger: Ledger) -> dict[tuple[str, str], float]:
     """Return when entries first passed on a drain notice in an answer.
 
@@ -323,4 +345,5 @@
     check_limit,
     check_words,
     check_rests,
+    check_restarts,
 )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -48,6 +48,10 @@
         report = self.check(replace(SIZE, plan='told'))
         self.assertGreater(report.changes, 0)
 
+    def test_targets_that_restart_in_their_back_off(self):
+        report = self.check(replace(SIZE, plan='restarted'))
+        self.assertGreater(report.changes, 0)
+
     def test_store_restored_from_a_copy(self):
         report = self.check(replace(SIZE, plan='restored'))
         self.assertGreater(report.faults, 0)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -358,6 +358,24 @@
         ledger.arrivals.pop()
         self.assertEqual(run_checks(ledger), [])
 
+    # Guards against requests in a back-off after the target's restart.
+    def test_sent_to_a_restarted_target(self):
+        """Two requests are allowed, also at an incarnation after the next."""
+        ledger = self.make_drain_ledger(10.7, 11, 11.5, 12)
+        ledger.runs[0].leaves = False
+        first, *later = ledger.arrivals
+        ledger.arrivals = [
+            first,
+            *(replace(arrival, target='i-1@2') for arrival in later),
+        ]
+        ledger.backoffs.append(BackoffRequest('r1', 'i-1@1', 10, 13))
+        self.assertEqual(
+            run_checks(ledger),
+            [f'restarts: i-1@1 got 3 after its restart from {ENTRY}'],
+        )
+        ledger.arrivals.pop()
+        self.assertEqual(run_checks(ledger), [])
+
     def test_sent_over_a_rate_limit(self):
         """Twelve in 4 s after the contact timeout, where eleven are allowed."""
         ledger = Ledger(
