The log line of a kept back-off needs the fleet's notices only

Change: it gets the fleet's notices, which are the same. All 41 tests of lists, records and incarnations pass.

--- a/trestledock/entry/_notices.py
+++ b/trestledock/entry/_notices.py
@@ -22,6 +22,7 @@
     Drain,
     ListedTarget,
     Notice,
+    Notices,
     Placement,
     RateLimit,
     Backoff,
@@ -137,9 +138,9 @@
         state.send_notices(peer)
 
 
-def log_kept_backoff(state: EntryState, peer: str) -> None:
+def log_kept_backoff(notices: Notices, peer: str) -> None:
     """Log the back-off of a target that goes on after its restart."""
-    left_ms = _get_remaining_ms(state.notices.get(Backoff, peer))
+    left_ms = _get_remaining_ms(notices.get(Backoff, peer))
     if left_ms:
         emit(events.RestHeard(peer, left_ms, left_ms, 0, RESTART))
 
--- a/trestledock/entry/_target_list.py
+++ b/trestledock/entry/_target_list.py
@@ -158,7 +158,7 @@
             ),
         )
         if is_new:
-            log_kept_backoff(self.state, listed.incarnation)
+            log_kept_backoff(self.fleet.notices, listed.incarnation)
         self.state.notify()
 
     def _drop(self, target_id: str, update: StoreUpdate, now: float) -> None:
