One poll of entries in the soak, one half-sent request in the shutdown tests

The two polling loops of tests/soak/updates.py and the first lines of two tests of half-read requests were the same.

--- a/tests/soak/updates.py
+++ b/tests/soak/updates.py
@@ -8,6 +8,7 @@
 
 import json
 import re
+from typing import AsyncIterator
 
 import anyio
 import httpx
@@ -17,42 +18,44 @@
 
 #: Interval of the questions to one entry, in seconds.
 INTERVAL_S = 0.5
+#: Timeout of a question, in seconds.
+TIMEOUT_S = 0.9
 OK_STATUS = 200
 #: Counter of tasks and requests of an entry that ended by an exception.
 FAILURES = re.compile(r'^trestledock_failed_total (\S+)$', re.MULTILINE)
 
 
 async def poll_updates(entry: Entry, ledger: Ledger) -> None:
-    """Ask an entry for updates; record answers that no entry can use.
-
-    An entry that does not answer may be stopped, killed or cut off.
-    """
+    """Ask an entry for updates; record answers that no entry can use."""
     url = f'http://{entry.host}:{PORTS["peers"]}/news?version=-1&past=1'
-    async with httpx.AsyncClient(timeout=0.9) as client:
-        while True:
-            await anyio.sleep(INTERVAL_S)
-            try:
-                answer = await client.get(url)
-            except httpx.HTTPError:
-                continue
-            problem = find_problem(answer.status_code, answer.content)
-            if problem:
-                ledger.invalid_updates.append(f'{entry.name}: {problem}')
+    async for answer in _poll(url):
+        problem = find_problem(answer.status_code, answer.content)
+        if problem:
+            ledger.invalid_updates.append(f'{entry.name}: {problem}')
 
 
 async def poll_failures(entry: Entry, ledger: Ledger) -> None:
     """Ask an entry for its metrics; record exceptions that nothing expected."""
     url = f'http://{entry.host}:{METRICS_PORT}/metrics'
-    async with httpx.AsyncClient(timeout=0.9) as client:
+    async for answer in _poll(url):
+        count = read_failures(answer.text)
+        if count:
+            ledger.failures[entry.name] = count
+
+
+async def _poll(url: str) -> AsyncIterator[httpx.Response]:
+    """Yield the answers to a question that is asked again and again.
+
+    An entry that does not answer may be stopped, killed or cut off.
+    """
+    async with httpx.AsyncClient(timeout=TIMEOUT_S) as client:
         while True:
             await anyio.sleep(INTERVAL_S)
             try:
                 answer = await client.get(url)
             except httpx.HTTPError:
                 continue
-            count = read_failures(answer.text)
-            if count:
-                ledger.failures[entry.name] = count
+            yield answer
 
 
 def read_failures(text: str) -> int:
--- a/tests/test_entry_shutdown.py
+++ b/tests/test_entry_shutdown.py
@@ -95,6 +95,14 @@
     return '\r\n'.join(lines).encode()
 
 
+def send_half(entry):
+    """Send a request with half of its body; return its connection."""
+    sock = socket.create_connection((entry.host, PORTS['front']))
+    sock.sendall(make_request('POST', '/book/x', 'h', length=4))
+    sock.sendall(b'ab')
+    return sock
+
+
 def read_all(sock):
     """Read until the connection ends; return the answer's head and body."""
     raw = b''
@@ -260,9 +268,7 @@
         """A request whose body arrives after the drain delay is served."""
 
         async def scenario(world, entry, group):
-            sock = socket.create_connection((entry.host, PORTS['front']))
-            sock.sendall(make_request('POST', '/book/x', 'h', length=4))
-            sock.sendall(b'ab')
+            sock = send_half(entry)
             await begin_shutdown(entry)
             await wait_for_drain_delay(entry)
             sock.sendall(b'cd')
@@ -278,9 +284,7 @@
         """A request whose body never becomes complete."""
 
         async def scenario(world, entry, group):
-            sock = socket.create_connection((entry.host, PORTS['front']))
-            sock.sendall(make_request('POST', '/book/x', 'h', length=4))
-            sock.sendall(b'ab')
+            sock = send_half(entry)
             await begin_shutdown(entry)
             head, _ = await anyio.to_thread.run_sync(read_all, sock)
             sock.close()
