Soak runs side by side use different loopback addresses

Cause: the addresses of a run's entries came from the process id modulo 200, so two runs on one machine could share them. Now runs whose process ids differ by less than 51,000 have different addresses; the new test gives 200 networks with the old formula.

--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -62,6 +62,17 @@
 PRODUCT = ('trestledock.platform',)
 
 
+def get_network(pid: int) -> str:
+    """Return the first three numbers of the addresses of a run's entries.
+
+    Runs in processes whose ids differ by less than 51,200 get different ones.
+
+    >>> get_network(256), get_network(257)
+    ('127.21.0', '127.21.1')
+    """
+    return f'127.{pid // 256 % 200 + 20}.{pid % 256}'
+
+
 @dataclass(frozen=True)
 class Size:
     """Size of a run and its plan of faults.
@@ -305,10 +316,9 @@
         link = Link(store)
         await link.open(self.group)
         # The port of the metrics is fixed, so each entry has its own address.
-        host = f'127.{os.getpid() % 200 + 20}.0.{number + 1}'
         entry = Entry(
             f'entry-{number}',
-            host,
+            f'{get_network(os.getpid())}.{number + 1}',
             DATA_CENTRES[number % 3],
             self.folder,
             self.ledger,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,11 +6,21 @@
 from pathlib import Path
 
 from tests.soak.runner import execute_run
-from tests.soak.world import Size
+from tests.soak.world import Size, get_network
 
 SIZE = Size(entries=3, engines=4, plain=2, callers=10, run_s=6)
 
 
+class NetworkTest(unittest.TestCase):
+    """Addresses of runs on one machine."""
+
+    # Guards against entries that can't bind their addresses, because another
+    # run, whose process id differs by 200, uses the same ones.
+    def test_runs_side_by_side(self):
+        networks = {get_network(pid) for pid in range(7_000, 58_000)}
+        self.assertEqual(len(networks), 51_000)
+
+
 class SoakTest(unittest.TestCase):
     """The guarantees that hold however busy the machine is."""
 
