Evacuation of a data centre: records, lists between entries, targets

Change: the key `evacuate/ZONE` beside the configuration; `relay/_evacuations` holds the names with the instant as of which they are known; usable targets exclude them, and so does the check before the write. Updates and replies between entries carry the list and its age. Entries prefer readers that send it, so an entry beside older versions reads the store itself. A copy of the store that may lack records only adds evacuations.

`test_older_of_both_counts` is `test_oldest_part_counts` now: the age of a copy of the store has a third part, and the test checks all three.

--- a/tests/test_entry_update_exchange.py
+++ b/tests/test_entry_update_exchange.py
@@ -42,14 +42,20 @@
 class AgeTest(unittest.TestCase):
     """The age of an entry's copy of the store."""
 
-    def test_older_of_both_counts(self):
-        """A recent configuration does not hide an outdated list of targets."""
+    def test_oldest_part_counts(self):
+        """Recent parts hide neither an old list nor old evacuations.
+
+        Other entries would take them from an entry that does not know better.
+        """
 
         async def main():
             state = make_exchange().state
             state.proof.renew(10)
             state.fleet.watch.record_read(7, 7)
+            state.fleet.evacuations.renew(8, 8)
             self.assertEqual(state.get_store_age_s(11), 4)
+            state.fleet.watch.record_read(9, 9)
+            self.assertEqual(state.get_store_age_s(11), 3)
 
         anyio.run(main)
 
--- a/trestledock/entry/__init__.py
+++ b/trestledock/entry/__init__.py
@@ -32,11 +32,12 @@
 from trestledock.entry._events import (
     EVENTS,
     EpochDoubted,
+    EvacuationUnreadable,
     HistoryForgotten,
     OldRecord,
     RecordIgnored,
 )
-from trestledock.entry._store_reader import DirectoryError
+from trestledock.entry._store_reader import DirectoryError, DocumentError
 from trestledock.entry._logger import emit, set_up_logs
 from trestledock.entry._settings import EntrySettings
 from trestledock.entry._wire import Head, Headers, Wire, WireError
@@ -48,8 +49,10 @@
     'Dialect',
     'Directory',
     'DirectoryError',
+    'DocumentError',
     'EntrySettings',
     'EpochDoubted',
+    'EvacuationUnreadable',
     'Head',
     'Headers',
     'HistoryForgotten',
--- a/trestledock/entry/_checks.py
+++ b/trestledock/entry/_checks.py
@@ -81,6 +81,15 @@
     return min(max(0, read_number(json_value)), MAX_AGE_S)
 
 
+def read_optional_age_s(json_value: Any) -> float | None:
+    """Return an age in seconds, or None for None.
+
+    >>> read_optional_age_s(None), read_optional_age_s(0.5)
+    (None, 0.5)
+    """
+    return None if json_value is None else read_age_s(json_value)
+
+
 def read_list(json_value: Any) -> list[Any]:
     """Return a list."""
     if isinstance(json_value, list):
--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -14,6 +14,7 @@
     Body,
     Call,
     Catalog,
+    EvacuationList,
     RemovedTarget,
     ListedTarget,
     Placement,
@@ -128,7 +129,9 @@
     has the requests that go to no target.  `epoch` is the epoch of the copy of
     the store that was read, None for a store without epochs.  `removed` has
     the removed targets and `draining` the draining incarnations; both are
-    filled on request only.
+    filled on request only.  `evacuated` has the evacuated data centres in the
+    store, and `evacuations` those that another entry knows, None if it is an
+    older version, which knows none.
     """
 
     catalog: Catalog | None = None
@@ -145,6 +148,8 @@
     epoch: int | None = None
     removed: tuple[RemovedTarget, ...] = ()
     draining: tuple[str, ...] = ()
+    evacuated: frozenset[str] = frozenset()
+    evacuations: EvacuationList | None = None
 
 
 class Dialect(Protocol):
@@ -237,7 +242,11 @@
         """Return the newest known epoch of the store, if any."""
 
     async def read_catalog(self) -> StoreUpdate:
-        """Return the newest configuration if it has changed."""
+        """Return the newest configuration if it has changed.
+
+        The evacuated data centres are all returned each time.  `DocumentError`
+        has them if the configuration is invalid.
+        """
 
     def decode_document(self, document: str) -> Catalog:
         """Parse the text of a configuration received from another entry."""
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -387,6 +387,38 @@
     fingerprint: str
 
 
+class EvacuationBegun(Event):
+    """No requests are sent to a data centre's targets from now on.
+
+    `source` is the store or the entry that reported it.
+    """
+
+    data_centre: str
+    source: str
+
+
+class EvacuationEnded(Event):
+    """Requests may be sent to a data centre's targets again."""
+
+    data_centre: str
+    source: str
+
+
+class EvacuationUnreadable(Event):
+    """The value of an evacuation's record is invalid; its key counts."""
+
+    data_centre: str
+    detail: str
+
+
+class SentToEvacuated(Event):
+    """A request was sent to an evacuated data centre, which must not happen."""
+
+    req: str
+    peer: str
+    data_centre: str
+
+
 class DataCentreQuiet(Event):
     """All entries of a data centre are silent; its targets are not used."""
 
--- a/trestledock/entry/_follower.py
+++ b/trestledock/entry/_follower.py
@@ -11,6 +11,7 @@
 
 from trestledock.entry import _events as events
 from trestledock.entry._dialect import Directory, StoreUpdate
+from trestledock.entry._evacuations import apply_evacuations
 from trestledock.entry._target_list import TargetListUpdater
 from trestledock.entry._logger import emit
 from trestledock.entry._update_exchange import UpdateExchange
@@ -92,7 +93,7 @@
         they proved by the store before the restore also counts for this entry.
         """
         await anyio.sleep(GREETING_S)
-        for name in self.gossip.peers.get_near()[:MAX_CONSULTED]:
+        for name in self.gossip.peers.get_most_informed()[:MAX_CONSULTED]:
             await self.exchange.query_reader(name)
             await self._fetch(name, with_removed=True)
 
@@ -121,6 +122,8 @@
         update = await self.exchange.fetch(
             reader, self._get_fetch_timeout_s(now), with_removed=with_removed
         )
+        if update:
+            self._apply_evacuations(update)
         if update and self._apply_configuration(update):
             self._fetch_failures = 0
             self._apply_list(update)
@@ -141,6 +144,19 @@
             return False
         return True
 
+    def _apply_evacuations(self, update: StoreUpdate) -> None:
+        """Apply another entry's evacuations, unless it is an older version.
+
+        The own list may differ from one that only added to it, so that is
+        fetched again.
+        """
+        if update.evacuations is None:
+            return
+        if apply_evacuations(self.state, update.evacuations, update.source):
+            self.exchange.record_evacuation_source(update)
+        else:
+            self.exchange.clear_evacuation_source()
+
     def _get_fetch_timeout_s(self, now: float) -> float:
         """Return the timeout of a fetch, so that it does not delay an own read.
 
--- a/trestledock/entry/_loads.py
+++ b/trestledock/entry/_loads.py
@@ -93,7 +93,10 @@
         return encode_json({'flights': rows})
 
     def _choose_peers(self) -> Mapping[str, Sequence[Address]]:
-        """Return entries to query in some data centres that answer."""
+        """Return entries to query in some data centres that answer.
+
+        Evacuated data centres have no targets to use.
+        """
         now = anyio.current_time()
         remote = self.gossip.addresses.get_remote_by_data_centre(
             many=self.state.many_entries
@@ -101,7 +104,8 @@
         answering = [
             data_centre
             for data_centre in remote
-            if now - self._silent_at.get(data_centre, LONG_AGO)
+            if data_centre not in self.state.fleet.evacuations.names
+            and now - self._silent_at.get(data_centre, LONG_AGO)
             >= RETRY_INTERVAL_S
         ]
         self.state.rng.shuffle(answering)
--- a/trestledock/entry/_message_codec.py
+++ b/trestledock/entry/_message_codec.py
@@ -17,6 +17,7 @@
     read_count,
     read_bool,
     read_list,
+    read_optional_age_s,
     read_optional_count,
     read_text,
     read_int,
@@ -66,6 +67,7 @@
         'leaving': message.leaving,
         'news_age_ms': round(message.store_age_s * MS),
         'again_ms': round(message.again_s * MS),
+        'evacuations': message.sends_evacuations,
         'flights': [encode_change(*change, now) for change in message.changes],
     }
 
@@ -100,6 +102,7 @@
         'version': message.version,
         'revision': message.revision,
         'epoch': message.epoch,
+        'evacuated_age_s': message.evacuated_age_s,
     }
 
 
@@ -144,6 +147,7 @@
         store_age_s=read_number(fields['news_age_ms']) / MS,
         again_s=read_number(fields.get('again_ms', DEFAULT_AGAIN_MS)) / MS,
         changes=tuple([decode_change(row, now) for row in rows]),
+        sends_evacuations=read_bool(fields.get('evacuations', False)),
     )
 
 
@@ -175,6 +179,7 @@
         version=read_int(fields['version']),
         revision=read_int(fields['revision']),
         epoch=read_optional_count(fields.get('epoch')),
+        evacuated_age_s=read_optional_age_s(fields.get('evacuated_age_s')),
     )
 
 
--- a/trestledock/entry/_messages.py
+++ b/trestledock/entry/_messages.py
@@ -17,7 +17,8 @@
 
     `store_age_s` is the age of its copy of the store, `again_s` the longest
     time until its next full state. An entry that is `leaving` is draining, so
-    that its later silence is expected.
+    that its later silence is expected. Older versions don't know evacuations,
+    and so don't send them in their updates.
     """
 
     sender: str
@@ -28,6 +29,7 @@
     store_age_s: float
     again_s: float
     changes: tuple[Change, ...]
+    sends_evacuations: bool = True
 
 
 @dataclass(frozen=True)
@@ -65,7 +67,8 @@
     `proof_age_s` is the age of the last proof that its configuration is
     current, `read_age_s` that of its last read, whether or not that proved
     anything; `epoch` is that of the copy of the store that it read, None if the
-    store has no epochs.
+    store has no epochs. `evacuated_age_s` is the age of its evacuations, None
+    if it knows nothing of them.
     """
 
     sender: str
@@ -76,6 +79,7 @@
     version: int
     revision: int
     epoch: int | None = None
+    evacuated_age_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -63,6 +63,10 @@
         events.SentAgainstNotice: Counter(
             'Requests sent to a target that leaves or rests', ('notice',)
         ),
+        events.EvacuationBegun: Counter('Begins of evacuations'),
+        events.SentToEvacuated: Counter(
+            'Requests sent to an evacuated data centre'
+        ),
         events.SentUnderLimit: Counter('Requests sent under a rate limit'),
         events.TargetEnded: Counter(
             'Ends of targets while they ran a request', ('sign',)
@@ -145,6 +149,7 @@
         'targets_resting': 'Targets that want nothing from this entry now',
         'rate_limits': 'Targets that take only so many requests a second',
         'rate_quota_per_second': 'Requests a second to such targets from here',
+        'data_centres_evacuated': 'Data centres whose targets get nothing',
         'requests_quarantined': 'Requests that go to no target',
         'requests_suspected': 'Requests under which a target has ended',
     }
--- a/trestledock/entry/_peers.py
+++ b/trestledock/entry/_peers.py
@@ -23,7 +23,10 @@
 
 @dataclass
 class Peer:
-    """Another entry, with the age of its copy of the store when last heard."""
+    """Another entry, with the age of its copy of the store when last heard.
+
+    One of an older version doesn't send evacuations.
+    """
 
     address: Address
     heard_at: float
@@ -31,6 +34,7 @@
     data_centre: str = ''
     again_s: float = 0
     draining: bool = False
+    sends_evacuations: bool = True
 
     def get_store_age_s(self, now: float) -> float:
         """Return the age of its copy if it has not been updated since."""
@@ -65,6 +69,7 @@
             message.data_centre,
             message.again_s,
             message.leaving,
+            message.sends_evacuations,
         )
         return is_new
 
@@ -90,13 +95,23 @@
             name for name, peer in self.known.items() if peer.data_centre == own
         ]
 
+    def get_most_informed(self) -> list[str]:
+        """Return the near entries, older versions last."""
+        return sorted(
+            self.get_near(),
+            key=lambda name: not self.known[name].sends_evacuations,
+        )
+
     def get_candidates(self, now: float) -> Iterator[ReaderCandidate]:
         """Yield the near entries as possible readers of the store for this one.
 
         With many entries each data centre has a reader of its own.
         """
         for name in self.get_near():
-            yield ReaderCandidate(name, self.known[name].get_store_age_s(now))
+            peer = self.known[name]
+            yield ReaderCandidate(
+                name, peer.get_store_age_s(now), peer.sends_evacuations
+            )
 
     def get_silent(self, now: float) -> list[str]:
         """Return the names of the entries that have timed out."""
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -13,6 +13,7 @@
 import anyio
 
 from trestledock.entry._admission import is_quarantined
+from trestledock.entry._evacuations import refuse_evacuated
 from trestledock.entry._throttling import (
     decide_throttled,
     get_available,
@@ -101,8 +102,12 @@
         return False
     if state.get_known_remote_loads(now):
         return False
+    if not state.placer.policy.remote_targets:
+        return False
     cost = chosen.cost if isinstance(chosen, Placement) else None
-    return state.placer.policy.remote_targets and should_query_remote(
+    # From an evacuated data centre all prompts go to targets whose load is
+    # known to other entries only.
+    return state.is_evacuated() or should_query_remote(
         job.placement_request.worth, cost
     )
 
@@ -141,11 +146,9 @@
     engine = get_engine_model(state, job)
     if targets and (engine is None or job.call.size is None):
         return _place_on_least_busy(state, targets, now)
-    if state.fleet.are_all_draining(job.service) and not job.response_begun:
-        job.retry_after_s = get_retry_after_s(
-            job.timing, SUCCESSOR_START_S, now
-        )
-        return Refusal.no_target
+    refusal = _refuse_unusable(state, job, now)
+    if refusal and not job.response_begun:
+        return refusal
     if engine is None or job.call.size is None:
         decision = decide_unplaced(job.timing, now, any_target=False)
         return REFUSALS.get(decision)
@@ -161,6 +164,18 @@
     return REFUSALS.get(chosen.decision)
 
 
+def _refuse_unusable(state: EntryState, job: Job, now: float) -> Refusal | None:
+    """Return the refusal if all targets are draining or evacuated."""
+    if state.fleet.are_all_draining(job.service):
+        job.retry_after_s = get_retry_after_s(
+            job.timing, SUCCESSOR_START_S, now
+        )
+        return Refusal.no_target
+    if state.fleet.are_all_evacuated(job.service):
+        return refuse_evacuated(state, job)
+    return None
+
+
 def _group_by_data_centre(
     state: EntryState, targets: Sequence[ListedTarget], job: Job
 ) -> list[Sequence[ListedTarget]]:
@@ -168,12 +183,15 @@
 
     A large prompt stays within one data centre, since a network cut of any data
     centre involved would end it.  A single group is returned where the entries
-    are few, the prompt is small, or a data centre has too few targets.
+    are few, the prompt is small, or a data centre has too few targets.  An
+    evacuated local data centre has no group.
     """
     if not state.many_entries or job.placement_request.is_small:
         return [targets]
     local = state.settings.data_centre
-    groups: dict[str, list[ListedTarget]] = {local: []}
+    groups: dict[str, list[ListedTarget]] = {}
+    if not state.is_evacuated():
+        groups[local] = []
     for target in targets:
         groups.setdefault(target.data_centre, []).append(target)
     if any(len(group) < MIN_LOCAL_TARGETS for group in groups.values()):
@@ -231,14 +249,15 @@
 
     With many entries, entries of other data centres learn of this entry's
     requests too late to share targets well.  A large prompt may also use the
-    data centres whose loads were queried for it.
+    data centres whose loads were queried for it, and so may any prompt where
+    the local data centre is evacuated.
     """
     usable = list(state.fleet.get_usable(job.service))
     if not state.many_entries:
         return usable
     queried = (
         set()
-        if job.placement_request.is_small
+        if job.placement_request.is_small and not state.is_evacuated()
         else state.get_known_remote_loads(now)
     )
     data_centres = {state.settings.data_centre, *queried}
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -14,6 +14,7 @@
 from trestledock.entry._admission import recheck
 from trestledock.entry._answering import AnswerReceiver
 from trestledock.entry._dialect import Dialect, ForwardingContext
+from trestledock.entry._evacuations import log_send_to_evacuated
 from trestledock.entry._job import Job, Refusal
 from trestledock.entry._logger import emit
 from trestledock.entry._pool import Pool
@@ -167,8 +168,8 @@
         """Return the failed attempt if the request must not be written now.
 
         Reserving memory and connecting take up to a second, in which the key
-        may be revoked, the route may move to another service, or a target may
-        start to drain.
+        may be revoked, the route may move to another service, a target may
+        start to drain, or its data centre may be evacuated.
         """
         refusal = recheck(self.state, job)
         if refusal:
@@ -178,6 +179,12 @@
                 AttemptOutcome.not_sent, 'moved', placement.target.incarnation
             )
         for target in placement.engaged_targets:
+            if self.state.fleet.is_evacuated(target):
+                return RelayAttempt(
+                    AttemptOutcome.not_sent,
+                    Refusal.evacuated.value,
+                    target.incarnation,
+                )
             if not self.state.fleet.is_usable(target.incarnation):
                 return RelayAttempt(
                     AttemptOutcome.not_sent, 'left', target.incarnation
@@ -219,6 +226,7 @@
         idle_s: float = 0
         asked_at = anyio.current_time()
         log_send_against_notices(self.state, job.call.req_id, placement)
+        log_send_to_evacuated(self.state, job.call.req_id, placement)
         try:
             await self._write(job, placement, reservation_ids, wire)
             attempt, idle_s = await self.answer_receiver.receive(
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -52,6 +52,10 @@
     """Default for receiving and sending, without other entries."""
 
 
+def _ignore_end(data_centre: str, now: float) -> None:
+    """Default for what follows the end of an evacuation."""
+
+
 def _send_nothing(_: str) -> None:
     """Default for sending notices, without other entries."""
 
@@ -87,6 +91,8 @@
     entries, `send_own_changes` sends them the own changes at once, and
     `send_notices` the notices of a target. `refresh_loads` asks other data
     centres for the loads of their targets, and `remote_loads` has the answers.
+    `on_evacuation_ended` gets a data centre that may be sent to again, and the
+    time.
     """
 
     settings: EntrySettings
@@ -116,6 +122,7 @@
     send_own_changes: Callable[[], None] = _do_nothing
     send_notices: Callable[[str], None] = _send_nothing
     refresh_loads: Callable[[], Awaitable[None]] = _query_nothing
+    on_evacuation_ended: Callable[[str, float], None] = _ignore_end
     remote_loads: dict[str, RemoteLoad] = field(default_factory=dict)
     isolation: Isolation = field(init=False)
     proof: FreshnessProof = field(init=False)
@@ -148,7 +155,11 @@
     @property
     def revision(self) -> int:
         """Number of changes in the state that other entries fetch."""
-        return self.fleet.revision + self.isolation.revision
+        return (
+            self.fleet.revision
+            + self.fleet.evacuations.revision
+            + self.isolation.revision
+        )
 
     @property
     def notices(self) -> Notices:
@@ -251,6 +262,10 @@
                 self.load_table.set_remote_load(data_centre, ())
         return set(self.remote_loads)
 
+    def is_evacuated(self) -> bool:
+        """Whether the own data centre is evacuated."""
+        return self.settings.data_centre in self.fleet.evacuations.names
+
     def count_entries(self) -> int:
         """Return the number of entries, including this one.
 
@@ -292,11 +307,16 @@
             self._record_restore(source, before, epoch, now)
 
     def get_store_age_s(self, now: float) -> float:
-        """Return the age of the older of configuration and target list.
+        """Return the age of the oldest of the parts that are read.
 
-        A reader is only as current as the older of the two.
+        These are the configuration, the target list and the evacuations.  A
+        reader is only as current as the oldest of them.
         """
-        return max(self.proof.get_read_age_s(now), self.get_list_age_s(now))
+        return max(
+            self.proof.get_read_age_s(now),
+            self.get_list_age_s(now),
+            self.fleet.evacuations.get_age_s(now),
+        )
 
     def get_advertised_age_s(self, now: float) -> float:
         """Return the age of the own copy of the store for other entries.
@@ -329,6 +349,7 @@
             'targets_resting': self._count_backed_off(now),
             'rate_limits': len(self.notices.get_in_force(RateLimit)),
             'rate_quota_per_second': self._get_quota_sum(),
+            'data_centres_evacuated': len(self.fleet.evacuations.names),
             'requests_quarantined': self.isolation.count_quarantined(),
             'requests_suspected': len(self.isolation.quarantine.suspects),
         }
--- a/trestledock/entry/_store_reader.py
+++ b/trestledock/entry/_store_reader.py
@@ -14,12 +14,15 @@
 
 from trestledock.entry import _events as events
 from trestledock.entry._dialect import Directory, StoreUpdate
+from trestledock.entry._evacuations import apply_evacuations
+from trestledock.entry._isolation import STORE
 from trestledock.entry._target_list import TargetListUpdater
 from trestledock.entry._logger import emit
 from trestledock.entry._metrics import METRICS
 from trestledock.entry._update_exchange import UpdateExchange
 from trestledock.entry._state import EntryState
 from trestledock.entry._wire import WireError
+from trestledock.relay import EvacuationList
 
 #: Timeout of one read, in seconds.
 TIMEOUT_S = 0.8
@@ -29,6 +32,15 @@
     """Raised for an invalid answer of the store."""
 
 
+class DocumentError(DirectoryError):
+    """Raised for an invalid configuration; `rest` is what else was read."""
+
+    def __init__(self, detail: str, rest: StoreUpdate) -> None:
+        """Set the detail and the rest of the update."""
+        super().__init__(detail)
+        self.rest = rest
+
+
 #: Exceptions that a read raises while the store is unavailable.
 STORE_ERRORS = (WireError, DirectoryError, TimeoutError)
 
@@ -117,14 +129,39 @@
 
     async def _read_catalog(self) -> None:
         asked_at = anyio.current_time()
-        update = await self.directory.read_catalog()
+        try:
+            update = await self.directory.read_catalog()
+        except DocumentError as exc:
+            self._record_epoch()
+            self._apply_evacuations(exc.rest, asked_at)
+            raise
         self._record_epoch()
+        self._apply_evacuations(update, asked_at)
         self.apply(update)
         self.state.proof.record_read(asked_at)
         if update.epoch == self.state.restores.epoch:
             self._last_read_at = asked_at
             self._renew_proof()
 
+    def _apply_evacuations(self, update: StoreUpdate, asked_at: float) -> None:
+        """Apply the evacuated data centres of a read.
+
+        A copy of the store older than one that was read already, or one that
+        was restored a moment ago, may lack some.
+        """
+        restores = self.state.restores
+        is_current = update.epoch == restores.epoch
+        found = EvacuationList(
+            update.evacuated,
+            as_of=asked_at,
+            latest_at=anyio.current_time(),
+            is_complete=is_current and restores.is_complete(asked_at),
+        )
+        before = self.state.fleet.evacuations.revision
+        apply_evacuations(self.state, found, STORE)
+        if self.state.fleet.evacuations.revision != before:
+            self.exchange.clear_evacuation_source()
+
     def _renew_proof(self) -> None:
         """Renew the proof by the last read, unless its copy may lack something.
 
--- a/trestledock/entry/_tickets.py
+++ b/trestledock/entry/_tickets.py
@@ -104,6 +104,9 @@
         tokens: int,
         reservation_ids: dict[str, str],
     ) -> None:
+        # The evacuation of its data centre may have begun since the placement.
+        if self.state.fleet.is_evacuated(holder):
+            return
         order = self.dialect.make_reserve(
             reservation_id, tokens, LEASE_S, holder
         )
--- a/trestledock/entry/_update_exchange.py
+++ b/trestledock/entry/_update_exchange.py
@@ -27,6 +27,11 @@
 )
 from trestledock.entry._datagrams import Address
 from trestledock.entry._dialect import RetainedTarget, StoreUpdate, TargetUpdate
+from trestledock.entry._evacuation_codec import (
+    EVACUATED_FIELD,
+    decode_evacuations,
+    encode_evacuations,
+)
 from trestledock.entry._gossip import Gossip
 from trestledock.entry._logger import emit
 from trestledock.entry._peer_calls import CALL_ERRORS, call_peer
@@ -76,6 +81,7 @@
         self.gossip = gossip
         self._reply: Reply | None = None
         self._list_source = NO_SOURCE
+        self._evacuation_source = NO_SOURCE
         self._answered = anyio.Event()
         gossip.handlers[Question] = self._handle_question
         gossip.handlers[Reply] = self._handle_reply
@@ -107,6 +113,7 @@
         if not is_behind:
             self.state.proof.renew(reply.asked_at - reply.proof_age_s)
             self.state.proof.record_read(reply.asked_at - reply.read_age_s)
+        is_behind = self._are_evacuations_behind(reply, now) or is_behind
         listed_at = reply.asked_at - reply.list_age_s
         if listed_at <= self.state.fleet.watch.read_at:
             return is_behind
@@ -150,6 +157,14 @@
         """Record that the own list no longer copies that of another entry."""
         self._list_source = NO_SOURCE
 
+    def record_evacuation_source(self, update: StoreUpdate) -> None:
+        """Record which entry's evacuations, and when, the own ones copy."""
+        self._evacuation_source = (update.source, update.revision)
+
+    def clear_evacuation_source(self) -> None:
+        """Record that the own evacuations copy those of no other entry."""
+        self._evacuation_source = NO_SOURCE
+
     def encode_update(
         self, version: int = NO_VERSION, *, with_removed: bool = False
     ) -> bytes:
@@ -178,6 +193,7 @@
             'held': retained,
             'quarantine': quarantine,
             'epoch': self.state.restores.epoch,
+            EVACUATED_FIELD: encode_evacuations(fleet.evacuations, now),
         }
         if with_removed:
             fields['gone'] = [
@@ -187,6 +203,22 @@
             fields['leaving'] = sorted(fleet.draining)
         return encode_json(fields)
 
+    def _are_evacuations_behind(self, reply: Reply, now: float) -> bool:
+        """Return whether the reader's evacuations must be fetched.
+
+        If the own ones are a copy of them, they are renewed by the reply.
+        """
+        evacuations = self.state.fleet.evacuations
+        if reply.evacuated_age_s is None:
+            return False
+        as_of = reply.asked_at - reply.evacuated_age_s
+        if as_of <= evacuations.as_of:
+            return False
+        if self._evacuation_source != (reply.sender, reply.revision):
+            return True
+        evacuations.renew(as_of, now - reply.evacuated_age_s)
+        return False
+
     def _get_document(self, version: int) -> str:
         return '' if version == self.state.version else self.state.document
 
@@ -202,10 +234,15 @@
             version=self.state.version,
             revision=self.state.revision,
             epoch=self.state.restores.epoch,
+            evacuated_age_s=self._get_evacuated_age_s(now),
         )
         self.gossip.send(reply, [sender])
         return False
 
+    def _get_evacuated_age_s(self, now: float) -> float | None:
+        evacuations = self.state.fleet.evacuations
+        return evacuations.get_age_s(now) if evacuations.is_known else None
+
     def _handle_reply(self, reply: Reply, _: Address) -> bool:
         self._reply = reply
         self._answered.set()
@@ -320,4 +357,5 @@
         epoch=read_optional_count(fields.get('epoch')),
         removed=tuple(map(_decode_removed, read_list(fields.get('gone', [])))),
         draining=tuple(map(read_text, read_list(fields.get('leaving', [])))),
+        evacuations=decode_evacuations(fields, asked_at, now, reader),
     )
--- a/trestledock/platform/_settings.py
+++ b/trestledock/platform/_settings.py
@@ -33,8 +33,8 @@
 )
 
 #: The bounds, in milliseconds, on the time until a change takes effect: a new
-#: configuration, and a draining target.
-PROPAGATION_BOUNDS = ('configMs', 'drainMs')
+#: configuration, a draining target, and an evacuation.
+PROPAGATION_BOUNDS = ('configMs', 'drainMs', 'evacMs')
 
 
 class SettingsError(Exception):
--- a/trestledock/platform/_store.py
+++ b/trestledock/platform/_store.py
@@ -2,9 +2,9 @@
 Platform store
 ==============
 
-Reads and writes the records in the platform's log: the configuration, targets,
-the addresses of entries, and the newest epoch of the store in which an entry
-has waited until lost records were written again.
+Reads and writes the records in the platform's log: the configuration, evacuated
+data centres, targets, the addresses of entries, and the newest epoch of the
+store in which an entry has waited until lost records were written again.
 """
 
 import json
@@ -14,6 +14,7 @@
 from trestledock.entry import (
     EntryAnnouncements,
     DirectoryError,
+    DocumentError,
     StoreUpdate,
     OldRecord,
     RecordIgnored,
@@ -28,6 +29,7 @@
     decode_target,
 )
 from trestledock.platform._epochs import Epoch, StoreEpochs
+from trestledock.platform._evacuations import EvacuationRecords
 from trestledock.platform._log import (
     OK,
     Batch,
@@ -69,6 +71,7 @@
         self._peers = self._make_topic(address, PEERS_TOPIC)
         self._known_peers: dict[str, str] = {}
         self._settled_epoch: Epoch = None
+        self._evacuations = EvacuationRecords()
         self.quarantine = QuarantineTopic(address, self._epochs)
 
     @property
@@ -77,13 +80,20 @@
         return self._epochs.current
 
     async def read_catalog(self) -> StoreUpdate:
-        """Return the newest configuration among the new records."""
+        """Return the newest configuration among the new records.
+
+        It is returned with all evacuated data centres, known from these and
+        earlier records.
+        """
         batch = await self._config.read()
-        newest = StoreUpdate()
-        for record in batch.records:
-            if record.key == CONFIG_KEY and record.value:
-                newest = _pick_newer(newest, self._decode_version(record))
-        return replace(newest, epoch=batch.epoch)
+        rest = StoreUpdate(
+            epoch=batch.epoch, evacuated=self._evacuations.apply(batch)
+        )
+        try:
+            newest = self._decode_newest(batch)
+        except DirectoryError as exc:
+            raise DocumentError(str(exc), rest) from exc
+        return replace(rest, catalog=newest.catalog, document=newest.document)
 
     def decode_document(self, document: str) -> Catalog:
         """Decode a configuration document that another entry forwarded."""
@@ -150,6 +160,13 @@
         except DECODE_ERRORS as exc:
             emit(RecordIgnored(record.key, repr(exc)))
 
+    def _decode_newest(self, batch: Batch) -> StoreUpdate:
+        newest = StoreUpdate()
+        for record in batch.records:
+            if record.key == CONFIG_KEY and record.value:
+                newest = _pick_newer(newest, self._decode_version(record))
+        return newest
+
     def _decode_version(self, record: Record) -> StoreUpdate:
         """Decode a version of the configuration.
 
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -43,6 +43,7 @@
     get_decode_s,
     get_prefill_s,
 )
+from trestledock.relay._evacuations import EvacuationList, Evacuations
 from trestledock.relay._event_stream import EventSplitter, StreamEvent
 from trestledock.relay._failure_kinds import (
     FailureKind,
@@ -124,6 +125,8 @@
     'EARLY_RETRY_LIMITS',
     'ENCODE_ERRORS',
     'EngineModel',
+    'EvacuationList',
+    'Evacuations',
     'EventSplitter',
     'FailureKind',
     'Fleet',
--- a/trestledock/relay/_fleet.py
+++ b/trestledock/relay/_fleet.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Collection, Iterable, Iterator
 
+from trestledock.relay._evacuations import Evacuations
 from trestledock.relay._list_watch import ListWatch
 from trestledock.relay._notices import Backoff, Drain, Notices
 from trestledock.relay._target_records import (
@@ -44,7 +45,8 @@
     they must decide for themselves whether to retain it.  `known_births` counts
     the targets with a known birth.  `notices` has what targets announced about
     themselves, here or to others; `backoffs` has the back-offs of ids that are
-    not listed now, for their next incarnation.
+    not listed now, for their next incarnation.  `evacuations` has the data
+    centres whose targets get no requests.
     """
 
     targets: dict[str, ListedTarget] = field(default_factory=dict)
@@ -53,6 +55,7 @@
     notices: Notices = field(default_factory=Notices)
     backoffs: dict[str, Backoff] = field(default_factory=dict)
     removed: dict[str, RecordOrder] = field(default_factory=dict)
+    evacuations: Evacuations = field(default_factory=Evacuations)
     watch: ListWatch = field(default_factory=ListWatch)
     revision: int = 0
     known_births: int = 0
@@ -79,6 +82,15 @@
         ]
         return bool(names) and all(map(self.is_draining, names))
 
+    def is_evacuated(self, listed: ListedTarget) -> bool:
+        """Return whether the data centre of a target is evacuated."""
+        return listed.data_centre in self.evacuations.names
+
+    def are_all_evacuated(self, service: str) -> bool:
+        """Return whether only evacuations keep a service from any target."""
+        accepting = list(self._get_accepting(service))
+        return bool(accepting) and all(map(self.is_evacuated, accepting))
+
     def record_draining(self, incarnation: str, heard_at: float) -> None:
         """Record a draining target; all instances learn of it by themselves."""
         self.notices.record(
@@ -205,22 +217,20 @@
         return removed
 
     def get_usable(self, service: str) -> Iterator[ListedTarget]:
-        """Return the targets of a service that accept new requests."""
-        births_are_reported = self._are_births_reported()
-        draining = self.draining
+        """Return the targets of a service that may get new requests."""
         return (
             listed
-            for name, listed in self.targets.items()
-            if listed.service == service
-            and name not in draining
-            and (listed.born != UNKNOWN_BIRTH or not births_are_reported)
+            for listed in self._get_accepting(service)
+            if not self.is_evacuated(listed)
         )
 
     def is_usable(self, incarnation: str) -> bool:
-        """Return whether a target accepts new requests."""
+        """Return whether a target may get new requests."""
         listed = self.targets.get(incarnation)
         if listed is None or self.is_draining(incarnation):
             return False
+        if self.is_evacuated(listed):
+            return False
         return listed.born != UNKNOWN_BIRTH or not self._are_births_reported()
 
     def get_incarnation_by_name(self, name: str) -> str:
@@ -232,6 +242,18 @@
                 return listed.incarnation
         return ''
 
+    def _get_accepting(self, service: str) -> Iterator[ListedTarget]:
+        """Return the targets of a service that accept new requests."""
+        births_are_reported = self._are_births_reported()
+        draining = self.draining
+        return (
+            listed
+            for name, listed in self.targets.items()
+            if listed.service == service
+            and name not in draining
+            and (listed.born != UNKNOWN_BIRTH or not births_are_reported)
+        )
+
     def _are_births_reported(self) -> bool:
         """Return whether the targets here report their birth, as most do.
 
--- a/trestledock/relay/_readers.py
+++ b/trestledock/relay/_readers.py
@@ -78,10 +78,14 @@
 
 @dataclass(frozen=True)
 class ReaderCandidate:
-    """An instance with the age of its knowledge of the store, in seconds."""
+    """An instance with the age of its knowledge of the store, in seconds.
+
+    Instances of older versions can't tell which data centres are evacuated.
+    """
 
     name: str
     age_s: float
+    sends_evacuations: bool = True
 
 
 def choose_reader(
@@ -91,18 +95,25 @@
     """Return the name of the instance that reads for all.
 
     This is the first by name of the instances that are fresh, or of all if none
-    is.
+    is.  Instances that also send evacuations come before older versions, so
+    that an instance beside older ones only, which does, reads itself.
 
     >>> choose_reader([ReaderCandidate('a', 9.0), ReaderCandidate('b', 0.2)])
     'b'
+    >>> older = ReaderCandidate('a', 0.2, sends_evacuations=False)
+    >>> choose_reader([older, ReaderCandidate('b', 0.2)])
+    'b'
+    >>> choose_reader([older, ReaderCandidate('b', 9.0)])
+    'a'
     """
     known = tuple(candidates)
     fresh = [
-        candidate.name
-        for candidate in known
-        if candidate.age_s <= schedule.fresh_s
+        candidate for candidate in known if candidate.age_s <= schedule.fresh_s
+    ]
+    preferred = [
+        candidate for candidate in fresh if candidate.sends_evacuations
     ]
-    return min(fresh or [candidate.name for candidate in known])
+    return min(candidate.name for candidate in preferred or fresh or known)
 
 
 def get_own_read_delay_s(
