Tests of how entries learn of evacuations

The fake store wrote `{}` as a deletion; None deletes now. An update that was not certainly newer no longer clears the source of the own list, which changed nothing.

--- a/tests/following.py
+++ b/tests/following.py
@@ -32,6 +32,7 @@
             for number in numbers
         ]
         self.down = False
+        self.evacuated = frozenset()
 
     async def wait(self):
         """Return at once."""
@@ -58,7 +59,7 @@
 
     async def read_catalog(self):
         await self._check()
-        return StoreUpdate(CATALOG, '{}')
+        return StoreUpdate(CATALOG, '{}', evacuated=self.store.evacuated)
 
     async def read_targets(self):
         await self._check()
--- a/tests/living.py
+++ b/tests/living.py
@@ -108,17 +108,18 @@
         ]
 
 
-def run_life(count, numbers, scenario):
-    """Run `scenario(life)` beside running entries; return its result."""
+def run_life(count, numbers, scenario, make=LivingEntry):
+    """Run `scenario(life)` beside running entries; return its result.
+
+    `make` makes each entry.
+    """
 
     async def main():
         async with anyio.create_task_group() as group:
             life = Life(SlowStore(*numbers))
             network = {}
             for number in range(count):
-                life.entries.append(
-                    LivingEntry(number, life.store, network, group)
-                )
+                life.entries.append(make(number, life.store, network, group))
             addresses = {
                 entry.name: f'127.0.0.1:{port}'
                 for entry, (_, port) in zip(life.entries, network, strict=True)
--- a/tests/restoring.py
+++ b/tests/restoring.py
@@ -199,6 +199,10 @@
         self.targets.pop(target_id)
         self.store.put_json(TARGETS, target_id, None)
 
+    def evacuate(self, *, ends=False):
+        """Begin or end the evacuation of the data centre."""
+        self.store.put_json(CONFIG[0], 'evacuate/dc', None if ends else {})
+
     async def run_targets(self):
         """Write heartbeats of all targets periodically."""
         while True:
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -100,8 +100,8 @@
         return self.topics.setdefault(name, Topic())
 
     def put_json(self, topic: str, key: str, plain: dict | None) -> None:
-        """Write a record as the operator or a target does."""
-        text = json.dumps(plain).encode() if plain else b''
+        """Write a record as the operator or a target does; None deletes it."""
+        text = b'' if plain is None else json.dumps(plain).encode()
         self.put(topic, key, text)
 
     def put(self, topic: str, key: str, text: bytes) -> None:
--- a/tests/test_entry_peers.py
+++ b/tests/test_entry_peers.py
@@ -26,6 +26,17 @@
         self.assertTrue(peers.is_near('near'))
         self.assertFalse(peers.is_near('p0'))
 
+    def test_older_versions_are_asked_last(self):
+        """Guards against a start that asks only who knows no evacuations.
+
+        An entry that starts after a restore of the store asks few of many.
+        """
+        peers = Peers('dc')
+        for number in range(5):
+            receive(peers, f'p{number}', port=number)
+            peers.known[f'p{number}'].sends_evacuations = number == 4
+        self.assertEqual(peers.get_most_informed()[:2], ['p4', 'p0'])
+
     def test_age_of_peer_state(self):
         """The age of a peer's state grows until its next message."""
         peers = Peers('dc')
--- a/trestledock/entry/_follower.py
+++ b/trestledock/entry/_follower.py
@@ -145,17 +145,10 @@
         return True
 
     def _apply_evacuations(self, update: StoreUpdate) -> None:
-        """Apply another entry's evacuations, unless it is an older version.
-
-        The own list may differ from one that only added to it, so that is
-        fetched again.
-        """
-        if update.evacuations is None:
-            return
-        if apply_evacuations(self.state, update.evacuations, update.source):
+        """Apply another entry's evacuations, unless it is an older version."""
+        found = update.evacuations
+        if found and apply_evacuations(self.state, found, update.source):
             self.exchange.record_evacuation_source(update)
-        else:
-            self.exchange.clear_evacuation_source()
 
     def _get_fetch_timeout_s(self, now: float) -> float:
         """Return the timeout of a fetch, so that it does not delay an own read.
