Tests of requests under an evacuation, also at one of many entries

Cause: choosing, resuming, probing, reserving and writing each need a guard.

`sending_ended` names the step `evacuated`.

--- a/tests/test_entry_loads.py
+++ b/tests/test_entry_loads.py
@@ -180,7 +180,7 @@
 class QueriedTest(unittest.TestCase):
     """The data centres that a prompt queries."""
 
-    def play(self, places, fails=()):
+    def play(self, places, fails=(), evacuated=()):
         """Return the data centres that three queries in a row called."""
 
         async def main():
@@ -189,6 +189,7 @@
                 raw = make_message(f'f{number}', place, again_ms=3000)
                 entry.gossip.handle_datagram(raw, ('10.0.1.1', number))
             asked = []
+            entry.state.fleet.evacuations.names = frozenset(evacuated)
 
             async def call(address, path):
                 place = entry.gossip.addresses.data_centres[address]
@@ -213,3 +214,11 @@
         """Waiting prompts don't query a cut-off data centre repeatedly."""
         asked = self.play([], fails=(OTHER,))
         self.assertEqual(asked, [OTHER])
+
+    def test_evacuated_data_centre_is_skipped(self):
+        """Guards against queries for targets that can't be used.
+
+        They would take the place of one of the two that are queried.
+        """
+        asked = self.play(['a', 'b'], evacuated=(OTHER,))
+        self.assertEqual(sorted(asked), ['a', 'a', 'a', 'b', 'b', 'b'])
--- a/tests/test_entry_selecting.py
+++ b/tests/test_entry_selecting.py
@@ -147,3 +147,80 @@
             _selecting._group_by_data_centre(state, mixed, make_job(LONG)),
             [mixed],
         )
+
+
+class EvacuatedTest(unittest.TestCase):
+    """Prompts at one of many entries of an evacuated data centre.
+
+    Other entries know the load of all targets that are left; those that answer
+    a query have all but one that prefill long prompts.
+    """
+
+    def setUp(self):
+        self.queries = 0
+        self.state = make_state()
+        self.state.fleet.evacuations.names = frozenset((OWN,))
+
+    async def query_loads(self):
+        """Learn that only the last target of two data centres is idle."""
+        self.queries += 1
+        for place in (ASKED, SILENT):
+            names = [f'{place}-{number}' for number in range(EACH - 1)]
+            flights = tuple(map(make_reading, names))
+            self.state.remote_loads[place] = RemoteLoad(0.0, flights)
+            self.state.load_table.set_remote_load(place, flights)
+
+    def choose(self, size):
+        """Return the placement of a prompt."""
+
+        async def main():
+            self.state.refresh_loads = self.query_loads
+            return await select(self.state, make_job(size))
+
+        return run_virtually(main)
+
+    def test_short_prompt(self):
+        """Guards against a blind choice among busy targets elsewhere."""
+        chosen = self.choose(SHORT)
+        self.assertIn(
+            chosen.target.target_id, (f'{ASKED}-9', f'{SILENT}-9'), chosen
+        )
+        self.assertEqual(self.queries, 1)
+
+    def test_answer_of_one_data_centre(self):
+        """Guards against targets that look idle, as nothing is known there."""
+        query = self.query_loads
+
+        async def query_one():
+            await query()
+            self.state.remote_loads.pop(SILENT)
+            self.state.load_table.set_remote_load(SILENT, ())
+
+        self.query_loads = query_one
+        self.assertEqual(self.choose(SHORT).target.target_id, f'{ASKED}-9')
+
+    def test_no_answer(self):
+        """Guards against a wait for answers that don't come."""
+
+        async def fail():
+            self.queries += 1
+
+        self.query_loads = fail
+        chosen = self.choose(SHORT)
+        self.assertIn(chosen.target.data_centre, (ASKED, SILENT))
+        self.assertEqual(self.queries, 1)
+
+    def test_long_prompt_stays_within_one_data_centre(self):
+        """Guards against helpers across a network cut."""
+
+        async def find_idle():
+            for place in (ASKED, SILENT):
+                self.state.remote_loads[place] = RemoteLoad(0.0, ())
+
+        self.query_loads = find_idle
+        chosen = self.choose(LONG)
+        places = {
+            target.data_centre for target in (chosen.target, *chosen.helpers)
+        }
+        self.assertTrue(chosen.helpers)
+        self.assertEqual(len(places), 1)
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -179,15 +179,11 @@
                 AttemptOutcome.not_sent, 'moved', placement.target.incarnation
             )
         for target in placement.engaged_targets:
-            if self.state.fleet.is_evacuated(target):
-                return RelayAttempt(
-                    AttemptOutcome.not_sent,
-                    Refusal.evacuated.value,
-                    target.incarnation,
-                )
             if not self.state.fleet.is_usable(target.incarnation):
+                evacuated = self.state.fleet.is_evacuated(target)
+                step = Refusal.evacuated.value if evacuated else 'left'
                 return RelayAttempt(
-                    AttemptOutcome.not_sent, 'left', target.incarnation
+                    AttemptOutcome.not_sent, step, target.incarnation
                 )
         return None
 
