--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -31,7 +31,7 @@
 )
 from tests.soak.store import TARGETS
 from tests.soak.targets import DRAINING, VANISHED
-from tests.soak.world import World
+from tests.soak.world import DATA_CENTRES, World
 
 #: How long a fault lasts, in seconds.
 FAULT_S = (0.5, 5)
@@ -64,6 +64,10 @@
 INVALID_KEY_PREFIX = 'x-'
 INVALID_VALUES = (None, True, 0.5, [], {'a': 1})
 
+#: How long a data centre is evacuated, in seconds: longer than entries may take
+#: to keep to it.
+EVACUATION_S = (6.5, 11)
+
 FaultKind = Callable[[World, Random], Awaitable[None]]
 
 
@@ -279,6 +283,17 @@
             await anyio.sleep(rng.uniform(*REPLACEMENT_GAP_S))
 
 
+async def evacuate(world: World, rng: Random) -> None:
+    """Evacuate a data centre, unless it is evacuated already."""
+    data_centre = rng.choice(DATA_CENTRES)
+    now = time.monotonic()
+    if not any(
+        one.data_centre == data_centre and now < one.ended_at
+        for one in world.ledger.evacuations
+    ):
+        await world.evacuate(data_centre, rng.uniform(*EVACUATION_S))
+
+
 async def cut_target(world: World, rng: Random) -> None:
     """Block the link to a target in one or both directions."""
     target = world.pick_target()
@@ -435,6 +450,20 @@
     drain_target: 3,
     revoke_key: 2,
 }
+EVACUATED: dict[FaultKind, int] = {
+    evacuate: 8,
+    freeze_reader: 2,
+    kill_entry: 2,
+    kill_all: 1,
+    restart_entry: 2,
+    cut_store: 2,
+    store_down: 1,
+    restore_store: 1,
+    forget_history: 1,
+    crash_target: 1,
+    drain_target: 1,
+    publish_in_series: 1,
+}
 PLANS = MappingProxyType(
     {
         'mixed': MIXED,
@@ -446,6 +475,7 @@
         'limited': LIMITED,
         'told': TOLD,
         'restarted': RESTARTED,
+        'evacuated': EVACUATED,
     }
 )
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -129,6 +129,15 @@
     at: float
 
 
+@dataclass
+class Evacuation:
+    """An evacuated data centre, from the write of its record to its end."""
+
+    data_centre: str
+    began_at: float
+    ended_at: float = float('inf')
+
+
 @dataclass(frozen=True)
 class Crash:
     """A crash of a target that began to run a request, with its path."""
@@ -181,6 +190,8 @@
     limit_changes: list[LimitChange] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     backoffs: list[BackoffRequest] = field(default_factory=list)
+    evacuations: list[Evacuation] = field(default_factory=list)
+    data_centres: dict[str, str] = field(default_factory=dict)
     reservation_clashes: set[str] = field(default_factory=set)
     reservation_leaks: set[str] = field(default_factory=set)
     exits: list[str] = field(default_factory=list)
@@ -214,6 +225,12 @@
         """Record the rate limit of a target from now on."""
         self.limit_changes.append(LimitChange(target, per_s, time.monotonic()))
 
+    def begin_evacuation(self, data_centre: str) -> Evacuation:
+        """Record that a data centre is evacuated; the caller sets its end."""
+        evacuation = Evacuation(data_centre, time.monotonic())
+        self.evacuations.append(evacuation)
+        return evacuation
+
     def begin_fault(
         self, kind: str, entry: str = '', target: str = ''
     ) -> Fault:
@@ -296,6 +313,7 @@
             ('end', 'at', self.crashes),
             ('naming', 'at', self.limit_changes),
             ('rest', 'at', self.backoffs),
+            ('evacuation', 'began_at', self.evacuations),
             ('run', 'began_at', self.runs),
             ('attempt', 'sent_at', self.requests.values()),
         ):
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -164,6 +164,11 @@
     Fleet._keep_backoff = lambda fleet, listed: None
 
 
+def evacuated() -> None:
+    """Ignore evacuations of data centres."""
+    Fleet.is_evacuated = lambda fleet, listed: False
+
+
 async def _sleep_forever(*args: Any) -> None:
     await anyio.sleep_forever()
 
@@ -191,6 +196,7 @@
         words,
         rests,
         restarts,
+        evacuated,
     )
 }
 
--- a/tests/soak/timed_checks.py
+++ b/tests/soak/timed_checks.py
@@ -11,6 +11,7 @@
 from tests.soak.entries import GRACE_S
 from tests.soak.ledger import (
     CONTACT_TIMEOUT_S,
+    Arrival,
     Ledger,
     LimitChange,
     RequestRecord,
@@ -52,6 +53,12 @@
 #: seconds, and how many requests the entry may send from then until its end.
 BACKOFF_DELAY_S = 0.5
 MAX_IN_BACKOFF = 2
+#: How long after its write an evacuation may not be kept, in seconds (`evacMs`
+#: of the settings), how much an unstable store adds to it (`outerMs`), and how
+#: long an entry must have been undisturbed (`contactMs`).
+EVACUATION_TIMEOUT_S = 5.0
+UNSTABLE_STORE_S = 6.0
+EVACUATION_CONTACT_S = 4.0
 #: Faults that excuse nothing if the target itself has sent the entry a notice.
 STORE_FAULTS = ('store_down', 'cut_store', 'reset_store', 'restore_store')
 
@@ -209,6 +216,36 @@
             yield f'{backoff.target} got {count} after its restart from {entry}'
 
 
+def check_evacuated(ledger: Ledger) -> Iterator[str]:
+    """Nothing reaches an evacuated data centre from entries in touch."""
+    for one in ledger.arrivals:
+        for evacuation in ledger.evacuations:
+            late_s = one.at - evacuation.began_at
+            if (
+                ledger.data_centres.get(one.target) == evacuation.data_centre
+                and one.at < evacuation.ended_at
+                and _is_too_late(ledger, one, late_s)
+            ):
+                yield f'{one.req_id} reached {one.target} after {late_s:.1f} s'
+
+
+def _is_too_late(ledger: Ledger, arrival: Arrival, late_s: float) -> bool:
+    """Whether a request came too late after the begin of an evacuation.
+
+    Of a disturbed time counts only what its entry was in contact for.
+    """
+    entry = ledger.get_entry(arrival.req_id)
+    late_s -= EVACUATION_TIMEOUT_S + DRIVER_MARGIN_S
+    if late_s > UNSTABLE_STORE_S:
+        since = arrival.at - EVACUATION_CONTACT_S + CONTACT_TIMEOUT_S
+    else:
+        since = arrival.at - late_s - EVACUATION_TIMEOUT_S
+    return late_s > 0 and all(
+        ledger.is_undisturbed(name, since, arrival.at)
+        for name in (entry, arrival.target)
+    )
+
+
 def _is_restarted(target: str, other: str) -> bool:
     """Whether two incarnations differ and have the same id."""
     return target != other and target.split('@')[0] == other.split('@')[0]
@@ -346,4 +383,5 @@
     check_words,
     check_rests,
     check_restarts,
+    check_evacuated,
 )
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -59,6 +59,8 @@
     'step_ms': 0.5,
     'read_per_s': 200_000,
 }
+#: Plans in which the store reports its epoch.
+RESTORING_PLANS = ('restored', 'evacuated')
 PRODUCT = ('trestledock.platform',)
 
 
@@ -108,7 +110,7 @@
     async def start(self) -> None:
         """Start everything except the callers."""
         RESERVATIONS_BY_ID.clear()
-        if self.size.plan == 'restored':
+        if self.size.plan in RESTORING_PLANS:
             self.store.era = 1
         self.timeouts_s = dict(TIMEOUT_S)
         for team in TEAMS:
@@ -204,6 +206,15 @@
         self.publish()
         self.ledger.record_change('revoked', key)
 
+    async def evacuate(self, data_centre: str, for_s: float) -> None:
+        """Evacuate a data centre for some time."""
+        key = f'evacuate/{data_centre}'
+        self.store.put_json(CONFIG[0], key, {})
+        evacuation = self.ledger.begin_evacuation(data_centre)
+        await anyio.sleep(for_s)
+        evacuation.ended_at = time.monotonic()
+        self.store.put_json(CONFIG[0], key, None)
+
     async def add_target(self, service: str, data_centre: str) -> Target:
         """Start a new target."""
         self.target_count += 1
@@ -225,6 +236,7 @@
             Random(self.rng.random()),
             on_crash=self._recover_crashed,
         )
+        self.ledger.data_centres[target.incarnation] = data_centre
         await target.start_serving(self.group)
         self.targets.append(target)
         return target
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -10,6 +10,7 @@
     BackoffRequest,
     Change,
     Crash,
+    Evacuation,
     Fault,
     Ledger,
     LimitChange,
@@ -393,3 +394,31 @@
         )
         ledger.limit_changes[1] = LimitChange('i-1', None, 12.7)
         self.assertEqual(run_checks(ledger), [])
+
+    def test_sent_to_an_evacuated_data_centre(self):
+        """After 6 s from an entry in contact, or 12 s while the store is down.
+
+        The bound is 5 s; a disturbed entry is excused, and so is all of a time
+        in which the store was disturbed, but for no longer than 11 s.
+        """
+        found = 'evacuated: r1 reached i-1 after '
+        for at, fault, expected in (
+            (16, None, [f'{found}6.0 s']),
+            (15, None, []),
+            (16, Fault('freeze_reader', 'entry-1', 11, 12), [f'{found}6.0 s']),
+            (16, Fault('freeze_reader', ENTRY, 11, 12), []),
+            (16, Fault('store_down', ALL_ENTRIES, 9, 11), []),
+            (22, Fault('store_down', ALL_ENTRIES, 9, 17), [f'{found}12.0 s']),
+            (22, Fault('store_down', ALL_ENTRIES, 9, 19), []),
+        ):
+            ledger = Ledger(
+                requests={'r1': make_request(STREAM)},
+                runs=[make_run(STREAM)],
+                arrivals=[Arrival('r1', 'i-1', at)],
+                evacuations=[Evacuation('dc', 10, 30)],
+                data_centres={'i-1': 'dc'},
+                faults=[fault] if fault else [],
+            )
+            self.assertEqual(run_checks(ledger), expected, fault)
+            ledger.evacuations = [Evacuation('dc', 10, at - 0.1)]
+            self.assertEqual(run_checks(ledger), [])
