--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -451,7 +451,7 @@
     revoke_key: 2,
 }
 EVACUATED: dict[FaultKind, int] = {
-    evacuate: 8,
+    evacuate: 14,
     freeze_reader: 2,
     kill_entry: 2,
     kill_all: 1,
