--- a/trestledock/relay/_fleet.py
+++ b/trestledock/relay/_fleet.py
@@ -88,6 +88,8 @@
 
     def are_all_evacuated(self, service: str) -> bool:
         """Return whether only evacuations keep a service from any target."""
+        if not self.evacuations.names:
+            return False
         accepting = list(self._get_accepting(service))
         return bool(accepting) and all(map(self.is_evacuated, accepting))
 
@@ -218,11 +220,10 @@
 
     def get_usable(self, service: str) -> Iterator[ListedTarget]:
         """Return the targets of a service that may get new requests."""
-        return (
-            listed
-            for listed in self._get_accepting(service)
-            if not self.is_evacuated(listed)
-        )
+        accepting = self._get_accepting(service)
+        if not self.evacuations.names:
+            return accepting
+        return (listed for listed in accepting if not self.is_evacuated(listed))
 
     def is_usable(self, incarnation: str) -> bool:
         """Return whether a target may get new requests."""
