--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -14,6 +14,7 @@
 from trestledock.entry._admission import recheck
 from trestledock.entry._answering import AnswerReceiver
 from trestledock.entry._dialect import Dialect, ForwardingContext
+from trestledock.entry._evacuations import log_send_to_evacuated
 from trestledock.entry._job import Job, Refusal
 from trestledock.entry._logger import emit
 from trestledock.entry._pool import Pool
@@ -167,8 +168,8 @@
         """Return the failed attempt if the request must not be written now.
 
         Reserving memory and connecting take up to a second, in which the key
-        may be revoked, the route may move to another service, or a target may
-        start to drain.
+        may be revoked, the route may move to another service, a target may
+        start to drain, or its data centre may be evacuated.
         """
         refusal = recheck(self.state, job)
         if refusal:
@@ -179,8 +180,10 @@
             )
         for target in placement.engaged_targets:
             if not self.state.fleet.is_usable(target.incarnation):
+                evacuated = self.state.fleet.is_evacuated(target)
+                step = Refusal.evacuated.value if evacuated else 'left'
                 return RelayAttempt(
-                    AttemptOutcome.not_sent, 'left', target.incarnation
+                    AttemptOutcome.not_sent, step, target.incarnation
                 )
         return None
 
@@ -219,6 +222,7 @@
         idle_s: float = 0
         asked_at = anyio.current_time()
         log_send_against_notices(self.state, job.call.req_id, placement)
+        log_send_to_evacuated(self.state, job.call.req_id, placement)
         try:
             await self._write(job, placement, reservation_ids, wire)
             attempt, idle_s = await self.answer_receiver.receive(
