--- a/tests/limiting.py
+++ b/tests/limiting.py
@@ -17,6 +17,7 @@
 from tests.relaying import HOST, KEY, SETTINGS, World
 from tests.virtual_loop import run_virtually
 from trestledock.entry import Head, WireError
+from trestledock.entry._cold_targets import end_cold_starts
 from trestledock.entry._gossip import Gossip
 from trestledock.entry._logger import logger
 from trestledock.entry._notices_exchange import NoticesExchange
@@ -85,6 +86,7 @@
     status: int = 200
     retry_after: str = ''
     leaves: str = ''
+    cold_until: float = 0
     sealed: bool = True
     drain_told_at: dict = field(default_factory=dict)
     backoffs: list = field(default_factory=list)
@@ -211,6 +213,9 @@
             headers.append((b'server-limit', str(target.per_s).encode()))
         if target.leaves:
             headers.append((b'server-leaving', target.leaves.encode()))
+        cold_ms = round((target.cold_until - anyio.current_time()) * 1000)
+        if cold_ms > 0:
+            headers.append((b'trestledock-cold-ms', str(cold_ms).encode()))
         if target.retry_after:
             headers.append((b'retry-after', target.retry_after.encode()))
             at = anyio.current_time()
@@ -272,6 +277,7 @@
             instance=f'entry-{number}',
             data_centre=data_centre,
             peers=f'127.0.0.1:{number + 1}',
+            cold_bounds=fleet.cold_bounds,
         )
         self.name = f'entry-{number}#{life}'
         state = EntryState(settings, self.name, Random(number), fleet.group)
@@ -291,6 +297,8 @@
         """Send messages to the other entries until killed."""
         self.fleet.network[self.address] = self
         self.gossip.add_addresses(self.fleet.get_addresses())
+        now = anyio.current_time()
+        self.gossip.known_entries.record_list(now, now)
         self.state.send_own_changes = self.gossip.send_own_changes
         with self.scope:
             async with anyio.create_task_group() as group:
@@ -325,6 +333,7 @@
         """Keep keys proven: these tests are not about the store."""
         while True:
             self.state.proof.renew(anyio.current_time())
+            end_cold_starts(self.state, anyio.current_time())
             await anyio.sleep(0.5)
 
     def _send(self, message, addresses):
@@ -370,6 +379,8 @@
     routes: tuple
     engine: object = None
     keys: dict = field(default_factory=dict)
+    cold: object = None
+    cold_bounds: object = None
     places: tuple = ('dc-0', 'dc-1', 'dc-2')
     seed: int = 1
     entries: list = field(default_factory=list)
@@ -386,7 +397,7 @@
 
     def make_catalog(self):
         keys = self.keys or {KEY: TeamKey('kiosks')}
-        service = Service('svc', engine=self.engine)
+        service = Service('svc', engine=self.engine, cold=self.cold)
         return Catalog(1, {HOST: self.routes}, {'svc': service}, keys)
 
     def get_addresses(self):
--- a/tests/test_entry_follower.py
+++ b/tests/test_entry_follower.py
@@ -6,6 +6,7 @@
 import anyio
 
 from tests.relaying import SETTINGS, make_listed
+from tests.test_platform_cold import PLAIN
 from trestledock.entry import DirectoryError, StoreUpdate, TargetUpdate
 from trestledock.entry._follower import (
     FETCH_TIMEOUT_S,
@@ -191,13 +192,5 @@
 
     def test_smaller_bound_applies(self):
         """The smaller of the bounds on versions and on draining applies."""
-        plain = {
-            'nodeName': 'a',
-            'zone': 'dc',
-            'ipAddr': '127.0.0.1',
-            'portRange': [1, 2],
-            'listen': {'front': '127.0.0.1:3', 'ready': '127.0.0.1:4'},
-            'platform': {'address': '127.0.0.1:5'},
-            'bounds': {'configMs': 3000, 'drainMs': 2500},
-        }
+        plain = {**PLAIN, 'bounds': {'configMs': 3000, 'drainMs': 2500}}
         self.assertEqual(decode_settings(plain).settle_s, 2.5)
--- a/tests/test_entry_messages.py
+++ b/tests/test_entry_messages.py
@@ -37,6 +37,7 @@
 from trestledock.entry._update_exchange import UpdateExchange
 from trestledock.relay import (
     Backoff,
+    ColdStart,
     Crash,
     Drain,
     Flight,
@@ -112,6 +113,34 @@
             (TargetNotice('t', PeerBackoff(9, 0, 1, is_shared=True)),),
         )
 
+    def test_cold_start(self):
+        """It is restrained here from its arrival on."""
+        told = ColdStart(until=5, since=0, asked_at=0, heard_at=1)
+        message = ToldNotices('e', (TargetNotice('t', told),))
+        found = decode_message(encode_message(message, now=2), now=12)
+        expected = ColdStart(15, 12, 10, 11, is_shared=True)
+        self.assertEqual(found.notices, (TargetNotice('t', expected),))
+
+    def test_no_cold_starts(self):
+        """Older versions send no such list, and skip it."""
+        raw = encode_message(MESSAGES[4], now=2)
+        self.assertNotIn('colds', json.loads(raw))
+        raw = replace_field(MESSAGES[4], 'unknown', [['t', 'x']])
+        self.assertEqual(decode_message(raw, now=2), MESSAGES[4])
+
+    def test_invalid_rows_of_cold_starts(self):
+        """Guards against a row that costs the other notices."""
+        valid = ['t', 500, 0, 0]
+        rows = [['t'], 5, None, ['t', 'x', 0, 0], ['t', -1, 0, 0], valid]
+        rows += [['t', 10**12, 0, 0], [7, 500, 0, 0], ['t', 500, 0, 0, 0]]
+        raw = replace_field(MESSAGES[4], 'colds', rows)
+        *notices, cold = decode_message(raw, now=2).notices
+        self.assertEqual(tuple(notices), MESSAGES[4].notices)
+        self.assertEqual(cold.notice.until, 2.5)
+        for rows in (7, 'x', {}, None):
+            raw = replace_field(MESSAGES[4], 'colds', rows)
+            self.assertEqual(decode_message(raw, now=2), MESSAGES[4])
+
     def test_each_kind_is_encoded(self):
         """Every decodable kind can be encoded."""
         kinds = {
--- a/tests/test_entry_update_exchange.py
+++ b/tests/test_entry_update_exchange.py
@@ -2,19 +2,20 @@
 
 import json
 import unittest
+from dataclasses import replace
 from random import Random
 from unittest.mock import patch
 
 import anyio
 
 from tests.relaying import SETTINGS, make_listed
-from trestledock.entry import RecordIgnored
+from trestledock.entry import ColdTime, RecordIgnored
 from trestledock.entry._gossip import Gossip
 from trestledock.entry._messages import Reply
 from trestledock.entry._peers import Peer
 from trestledock.entry._state import EntryState
-from trestledock.entry._update_exchange import UpdateExchange
-from trestledock.relay import MAX_AGE_S, Catalog
+from trestledock.entry._update_exchange import UpdateExchange, encode_target
+from trestledock.relay import MAX_AGE_S, Catalog, ColdBounds, ColdStart
 
 READER = 'entry-2#b'
 #: Row of a request that was cleared of crashes.
@@ -39,6 +40,10 @@
     return Reply(READER, asked_at, age_s, age_s, age_s, version, revision)
 
 
+async def get_now():
+    return anyio.current_time()
+
+
 class AgeTest(unittest.TestCase):
     """The age of an entry's copy of the store."""
 
@@ -147,6 +152,35 @@
         self.assertFalse(update.is_synchronized)
         self.assertEqual(update.retained, ())
 
+    def test_cold_times(self):
+        """Guards against one invalid time that costs the whole update."""
+        encoded = {**encode_target(make_listed(1, 80)), 'cold_ms': 2000}
+        known = {2000: ColdTime(2), 0: ColdTime(0)}
+        for left_ms, cold in known.items():
+            rows = [{**encoded, 'cold_ms': left_ms}]
+            self.assertEqual(self.fetch(targets=rows).targets[0].cold, cold)
+        for left_ms in (-1, 'x', [2], 0.5, True, None):
+            rows = [{**encoded, 'cold_ms': left_ms}]
+            found = self.fetch(targets=rows).targets[0]
+            self.assertIsNone(found.cold.left_s)
+            self.assertEqual(found.listed, make_listed(1, 80))
+
+    def test_cold_times_of_own_targets(self):
+        """They are sent only where targets are restrained."""
+        for bounds, left_ms in ((None, None), (ColdBounds(1, 1), 2000)):
+            exchange = make_exchange()
+            state = exchange.state
+            state.settings = replace(SETTINGS, cold_bounds=bounds)
+            state.fleet.put(make_listed(1, 80))
+            now = anyio.run(get_now)
+            state.notices.record('t1', ColdStart(now + 2, now, now, now))
+
+            async def encode(exchange=exchange):
+                return json.loads(exchange.encode_update())['targets'][0]
+
+            found = anyio.run(encode).get('cold_ms')
+            self.assertAlmostEqual(found or 0, left_ms or 0, delta=200)
+
     def test_invalid_update(self):
         """An invalid update counts as none."""
         self.assertIsNone(self.fetch(targets=[{'service': 1}]))
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -15,6 +15,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tests.relaying import SETTINGS
 from tests.test_platform_store import make_heartbeat
 from trestledock.entry._isolation import Isolation
 from trestledock.entry._pool import Pool
@@ -67,6 +68,7 @@
         self.isolation = Isolation(self.health, self.fleet)
         self.throttle = Throttle(Member('e', 'dc'), Notices(), Random().random)
         self.ignored_notices = {}
+        self.settings = SETTINGS
 
     def record_list(self, as_of, now, source, latest_at):
         """Ignore the age of the list."""
--- a/trestledock/entry/__init__.py
+++ b/trestledock/entry/__init__.py
@@ -18,6 +18,7 @@
 from trestledock.entry._dialect import (
     EntryAnnouncements,
     AnswerMetadata,
+    ColdTime,
     Dialect,
     Directory,
     RateLimitHeader,
@@ -45,6 +46,7 @@
     'EVENTS',
     'EntryAnnouncements',
     'AnswerMetadata',
+    'ColdTime',
     'Dialect',
     'Directory',
     'DirectoryError',
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -11,6 +11,8 @@
 
 import anyio
 
+from trestledock.entry._answer_source import find_attributed_target
+from trestledock.entry._cold_targets import record_cold_time
 from trestledock.entry._dialect import AnswerMetadata, Dialect
 from trestledock.entry._job import StoredAnswer, Job
 from trestledock.entry._timeouts import ResponseTimeout, ResponseTimeouts
@@ -55,6 +57,8 @@
         record_answer_notices(
             self.state, job, placement, head.status, answer, asked_at
         )
+        if self.state.settings.cold_bounds:
+            self._record_cold_time(job, placement, head, answer, asked_at)
         idle_s = get_idle_s(answer.keep_alive, answer.connection)
         if _is_stream(job, head, answer):
             forwarder = StreamForwarder(
@@ -103,6 +107,22 @@
                 raise self.timeouts.record_timeout('answer', peer, timeout)
             current = self.timeouts.get_recheck_timeout(job)
 
+    def _record_cold_time(
+        self,
+        job: Job,
+        placement: Placement,
+        head: Head,
+        answer: AnswerMetadata,
+        asked_at: float,
+    ) -> None:
+        """Record for how long the target that answered stays cold."""
+        target = find_attributed_target(
+            self.state, job, placement, head.status, answer
+        )
+        cold = self.dialect.read_cold_time(head)
+        if target:
+            record_cold_time(self.state, target, cold, asked_at)
+
     def _record_silence(self, peer: str) -> None:
         self.state.record_silence(peer, anyio.current_time())
 
--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -63,6 +63,17 @@
     invalid_text: str = ''
 
 
+@dataclass(frozen=True)
+class ColdTime:
+    """For how many seconds a target stays cold, None if it doesn't say.
+
+    `invalid_text` has the values that could not be parsed.
+    """
+
+    left_s: float | None = None
+    invalid_text: str = ''
+
+
 @dataclass(frozen=True)
 class AnswerMetadata:
     """The parsed headers of an answer.
@@ -99,10 +110,15 @@
 
 @dataclass(frozen=True)
 class TargetUpdate:
-    """The state of one target in the store; `listed` is None if removed."""
+    """The state of one target in the store; `listed` is None if removed.
+
+    `cold` is no part of `listed`: it counts down in each record, which is no
+    change that concerns other entries.
+    """
 
     target_id: str
     listed: ListedTarget | None
+    cold: ColdTime = ColdTime()
 
 
 @dataclass(frozen=True)
@@ -161,6 +177,9 @@
     def read_head(self, head: Head) -> AnswerMetadata:
         """Parse the head of a target's answer."""
 
+    def read_cold_time(self, head: Head) -> ColdTime:
+        """Parse for how long the target of an answer stays cold."""
+
     def make_reply_headers(self, head: Head) -> Headers:
         """Return the headers of an answer that is forwarded."""
 
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -328,6 +328,41 @@
     age_ms: int
 
 
+class ColdHeard(Event):
+    """A target is cold, or stays so for longer than known.
+
+    `source` is the entry that was told so, this one (`self`) or another, the
+    start of the target (`start`) or the end of an evacuation (`evacuation`).
+    """
+
+    peer: str
+    left_ms: int
+    change: str
+    source: str
+
+
+class ColdEnded(Event):
+    """A target is cold no more."""
+
+    peer: str
+
+
+class SentToCold(Event):
+    """A request went to a cold target, within this entry's quota there."""
+
+    req: str
+    peer: str
+    left_ms: int
+    quota_per_s: float
+
+
+class ColdWaited(Event):
+    """A request waits for its turn at targets of which some are cold."""
+
+    req: str
+    service: str
+
+
 class SentUnderLimit(Event):
     """A request was sent to a target with a rate limit.
 
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -16,6 +16,7 @@
 from trestledock.entry._datagrams import Address, Datagrams, split_address
 from trestledock.entry._logger import emit
 from trestledock.entry._metrics import METRICS
+from trestledock.entry._known_entries import KnownEntries
 from trestledock.entry._peer_addresses import PeerAddresses
 from trestledock.entry._peers import Peers
 from trestledock.entry._flight_codec import Change
@@ -31,6 +32,7 @@
     BEAT_INTERVAL_S,
     ReaderCandidate,
     Flight,
+    Member,
 )
 
 #: How long changes are collected before they are sent, in seconds.
@@ -71,6 +73,8 @@
         own = split_address(state.settings.peers)
         self.addresses = PeerAddresses(own, state.settings.data_centre)
         self.peers = Peers(state.settings.data_centre)
+        member = Member(state.settings.peers, state.settings.data_centre)
+        self.known_entries = KnownEntries(member, self.addresses)
         self.handlers: dict[type[Message], Handler] = {
             Flights: self._handle_flights,
             Beat: self._handle_beat,
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -27,7 +27,8 @@
     """The reason why no target answers a request, as it is logged.
 
     `limited` means that the wait for a rate limit would be too long, and
-    `backing_off` that all targets of the service back off.
+    `backing_off` that all targets of the service back off, `cold` that they are
+    cold.
     """
 
     no_configuration = 'no_configuration'
@@ -40,6 +41,7 @@
     no_room = 'no_room'
     limited = 'limited'
     backing_off = 'resting'
+    cold = 'cold'
     quarantined = 'quarantined'
     not_run = 'not_run'
     failed = 'failed'
@@ -60,6 +62,7 @@
         Refusal.no_room: 503,
         Refusal.limited: 503,
         Refusal.backing_off: 503,
+        Refusal.cold: 503,
         Refusal.quarantined: 503,
         Refusal.not_run: 503,
         Refusal.failed: 502,
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -64,6 +64,10 @@
             'Requests sent to a target that leaves or rests', ('notice',)
         ),
         events.SentUnderLimit: Counter('Requests sent under a rate limit'),
+        events.ColdHeard: Counter('Cold times of targets', ('change',)),
+        events.ColdEnded: Counter('Ends of cold times of targets'),
+        events.SentToCold: Counter('Requests sent to cold targets'),
+        events.ColdWaited: Counter('Requests that waited for cold targets'),
         events.TargetEnded: Counter(
             'Ends of targets while they ran a request', ('sign',)
         ),
@@ -143,6 +147,7 @@
         'list_age_seconds': 'Age of what is known of the targets',
         'peers': 'Other entries that are heard',
         'targets_resting': 'Targets that want nothing from this entry now',
+        'targets_cold': 'Targets that have just started',
         'rate_limits': 'Targets that take only so many requests a second',
         'rate_quota_per_second': 'Requests a second to such targets from here',
         'requests_quarantined': 'Requests that go to no target',
--- a/trestledock/entry/_notice_codec.py
+++ b/trestledock/entry/_notice_codec.py
@@ -5,12 +5,13 @@
 Notices about targets as rows of plain values in messages between entries, a
 list for each kind. Instants are sent as the time since them, because clocks
 differ between machines. Older versions of the program know the first kind only
-and skip the others.
+and skip the others. Of a kind that was added later, an invalid row is skipped,
+too, so that it doesn't cost the other notices in its message.
 """
 
 from dataclasses import dataclass
 from types import MappingProxyType
-from typing import Any, Callable, Iterable, Mapping, Sequence
+from typing import Any, Callable, Iterable, Iterator, Mapping, Sequence
 
 from trestledock.entry._checks import (
     read_number,
@@ -18,10 +19,22 @@
     read_list,
     read_text,
 )
+from trestledock.entry import _events as events
+from trestledock.entry._logger import emit
 from trestledock.entry._messages import TargetNotice
-from trestledock.relay import Drain, Notice, RateLimit, Backoff, PeerBackoff
+from trestledock.relay import (
+    MAX_COLD_S,
+    Backoff,
+    ColdStart,
+    Drain,
+    Notice,
+    PeerBackoff,
+    RateLimit,
+)
 
 MS = 1000
+#: Exceptions that decoding an invalid row raises.
+ROW_ERRORS = (ValueError, TypeError)
 
 Row = Sequence[Any]
 
@@ -30,13 +43,15 @@
 class Encoding:
     """Encoding of a kind of notice: the key of its list, and its decoded type.
 
-    `encode` and `decode` translate the fields before the ages in a row.
+    `encode` and `decode` translate the fields before the ages in a row.  An
+    optional list is sent only with rows, and its invalid rows are skipped.
     """
 
     key: str
     decoded_type: type
     encode: Callable[[Any, float], Row]
     decode: Callable[..., Row]
+    is_optional: bool = False
 
 
 def encode_notices(
@@ -44,11 +59,14 @@
 ) -> dict[str, list[Row]]:
     """Encode notices as rows by kind."""
     rows: dict[str, list[Row]] = {
-        encoding.key: [] for encoding in ENCODINGS.values()
+        encoding.key: []
+        for encoding in ENCODINGS.values()
+        if not encoding.is_optional
     }
     for target_notice in notices:
         encoding = ENCODINGS[type(target_notice.notice)]
-        rows[encoding.key].append(_encode_row(encoding, target_notice, now))
+        row = _encode_row(encoding, target_notice, now)
+        rows.setdefault(encoding.key, []).append(row)
     return rows
 
 
@@ -56,13 +74,36 @@
     fields: Mapping[str, Any], now: float
 ) -> tuple[TargetNotice, ...]:
     """Decode rows of notices, or raise if they are invalid."""
-    return tuple(
-        TargetNotice(read_text(target), _decode_notice(encoding, row, now))
-        for encoding in ENCODINGS.values()
-        for target, *row in map(
-            read_list, read_list(fields.get(encoding.key, []))
-        )
-    )
+    notices: list[TargetNotice] = []
+    for encoding in ENCODINGS.values():
+        rows = fields.get(encoding.key, [])
+        if encoding.is_optional:
+            notices.extend(_decode_valid(encoding, rows, now))
+        else:
+            notices.extend(
+                _decode_row(encoding, row, now) for row in read_list(rows)
+            )
+    return tuple(notices)
+
+
+def _decode_valid(
+    encoding: Encoding, rows: Any, now: float
+) -> Iterator[TargetNotice]:
+    """Yield the notices of the valid rows; log the first invalid one."""
+    errors = []
+    for row in rows if isinstance(rows, list) else [rows]:
+        try:
+            yield _decode_row(encoding, row, now)
+        except ROW_ERRORS as exc:
+            errors.append(repr(exc))
+    if errors:
+        detail = f'{len(errors)} rows: {errors[0]}'
+        emit(events.NoticeIgnored('', encoding.key, detail))
+
+
+def _decode_row(encoding: Encoding, encoded: Any, now: float) -> TargetNotice:
+    target, *row = read_list(encoded)
+    return TargetNotice(read_text(target), _decode_notice(encoding, row, now))
 
 
 def _encode_row(
@@ -112,6 +153,17 @@
     return (now + read_count(left_ms) / MS,)
 
 
+def _encode_cold(cold: ColdStart, now: float) -> Row:
+    return (max(0, round((cold.until - now) * MS)),)
+
+
+def _decode_cold(now: float, left_ms: Any) -> Row:
+    left_s = read_count(left_ms) / MS
+    if left_s > MAX_COLD_S:
+        raise ValueError(f'cold for {left_s} s')
+    return now + left_s, now
+
+
 #: Encodings by kind. A back-off requested from one entry is decoded as one
 #: requested elsewhere.
 ENCODINGS: Mapping[type, Encoding] = MappingProxyType(
@@ -121,5 +173,8 @@
         Backoff: Encoding(
             'rests', PeerBackoff, _encode_backoff, _decode_backoff
         ),
+        ColdStart: Encoding(
+            'colds', ColdStart, _encode_cold, _decode_cold, is_optional=True
+        ),
     }
 )
--- a/trestledock/entry/_notices.py
+++ b/trestledock/entry/_notices.py
@@ -3,7 +3,7 @@
 ====================
 
 Records what answers, and other entries, say about a target (that it is
-draining, its back-off, its rate limit) and logs the changes.
+draining, its back-off, its rate limit, that it is cold) and logs the changes.
 """
 
 from functools import singledispatch
@@ -26,6 +26,7 @@
     Placement,
     RateLimit,
     Backoff,
+    ColdStart,
     PeerBackoff,
     get_jitter_s,
 )
@@ -54,7 +55,7 @@
     target = find_attributed_target(state, job, placement, status, answer)
     if answer.is_draining:
         _record_drain(state, peer, target, asked_at)
-    _log_ignored(state, peer, 'rest', answer.backoff.invalid_text)
+    log_ignored(state, peer, 'rest', answer.backoff.invalid_text)
     if not answer.backoff.backoff_s:
         _record_backoff_end(state, target, answer, asked_at)
     elif target:
@@ -67,7 +68,7 @@
                 state, helper, answer.backoff.backoff_s, status, asked_at
             )
     else:
-        _log_ignored(state, peer, 'rest', 'not its own answer')
+        log_ignored(state, peer, 'rest', 'not its own answer')
 
 
 def record_order_notices(
@@ -92,7 +93,7 @@
 ) -> None:
     """Record that a target is draining, and tell all other entries at once."""
     if not target:
-        _log_ignored(state, peer, 'leave', 'not its own answer')
+        log_ignored(state, peer, 'leave', 'not its own answer')
         return
     notice = Drain(asked_at, anyio.current_time())
     if apply_notice(state, target, notice, OWN) is NoticeChange.learnt:
@@ -113,7 +114,7 @@
     of the target, or from a proxy before it, that does not know the limit.
     """
     limit = answer.rate_limit
-    _log_ignored(state, peer, 'limit', limit.invalid_text)
+    log_ignored(state, peer, 'limit', limit.invalid_text)
     may_withdraw = answer.sealed and status < HTTPStatus.BAD_REQUEST
     if limit.per_s is None and (limit.is_present or not may_withdraw):
         return
@@ -227,6 +228,18 @@
     return events.RestHeard(peer, _get_remaining_ms(notice), left_ms, 0, source)
 
 
+@_make_event.register
+def _(
+    notice: ColdStart,
+    before: ColdStart | None,
+    peer: str,
+    change: NoticeChange,
+    source: str,
+) -> events.Event:
+    left_s = notice.until - anyio.current_time()
+    return events.ColdHeard(peer, round(left_s * MS), change.value, source)
+
+
 def log_send_against_notices(
     state: EntryState, req: str, placement: Placement
 ) -> None:
@@ -245,9 +258,20 @@
                     age_ms=round(age_s * MS),
                 )
             )
+        _log_cold(state, req, target)
         _log_against(state, req, peer)
 
 
+def _log_cold(state: EntryState, req: str, target: ListedTarget) -> None:
+    """Log that a request goes to a cold target."""
+    cold = state.throttle.cold
+    if cold.is_cold(target):
+        now = anyio.current_time()
+        left_ms = round(cold.get_left_s(target, now) * MS)
+        quota = round(cold.get_quota(target, now), 3)
+        emit(events.SentToCold(req, target.incarnation, left_ms, quota))
+
+
 def _log_against(state: EntryState, req: str, peer: str) -> None:
     """Log that a request goes to a draining or backed-off target."""
     drain = state.notices.get(Drain, peer)
@@ -281,9 +305,7 @@
     return notice.per_s < before.per_s * URGENT_SHARE
 
 
-def _log_ignored(
-    state: EntryState, peer: str, notice: str, detail: str
-) -> None:
+def log_ignored(state: EntryState, peer: str, notice: str, detail: str) -> None:
     """Log an invalid notice, once for each kind and text."""
     logged = state.ignored_notices.setdefault(peer, {})
     if detail and logged.get(notice) != detail:
--- a/trestledock/entry/_notices_exchange.py
+++ b/trestledock/entry/_notices_exchange.py
@@ -4,19 +4,23 @@
 
 Sends the other entries the notices of targets: each important change at once,
 those received here with each full state, and all of them to a new entry. Also
-determines which entries share a target's rate limit.
+determines which entries share a target's rate limit, or what it takes while it
+is cold.
 """
 
 from typing import Sequence
 
 import anyio
 
+from trestledock.entry._cold_targets import apply_cold_start
 from trestledock.entry._datagrams import Address, join_address
 from trestledock.entry._gossip import Gossip
 from trestledock.entry._notices import apply_notice
 from trestledock.entry._messages import TargetNotice, ToldNotices
 from trestledock.relay import (
+    ColdStart,
     Drain,
+    KnownInstances,
     Member,
     Membership,
     Notice,
@@ -25,7 +29,7 @@
 )
 
 #: The kinds of notices that concern all entries.
-SHARED = (RateLimit, Drain, Backoff)
+SHARED = (RateLimit, Drain, Backoff, ColdStart)
 #: For how long a withdrawn notice is sent again, in seconds.
 RESEND_WITHDRAWN_S = 30.0
 #: Interval of refreshing the list of entries while their number is constant, in
@@ -44,6 +48,7 @@
         self._counts = (0, 0)
         self._refreshed_at = float('-inf')
         self.state.throttle.get_members = self.get_members
+        self.state.throttle.cold.get_known = self.get_known
         self.state.send_notices = self._send_of_target
         gossip.handlers[ToldNotices] = self._handle_notices
         gossip.on_new_peer.append(self._send_known)
@@ -66,6 +71,10 @@
             self._refreshed_at = now
         return self._members
 
+    def get_known(self) -> KnownInstances | None:
+        """Return all known entries, None while this one holds no quotas."""
+        return self.gossip.known_entries.get(anyio.current_time())
+
     def _find_members(self, now: float) -> Membership:
         settings = self.state.settings
         others = [
@@ -119,9 +128,13 @@
 
     def _handle_notices(self, message: ToldNotices, _: Address) -> bool:
         for received in message.notices:
-            apply_notice(
-                self.state, received.target, received.notice, message.sender
-            )
+            notice = received.notice
+            if isinstance(notice, ColdStart):
+                apply_cold_start(
+                    self.state, received.target, notice, message.sender
+                )
+                continue
+            apply_notice(self.state, received.target, notice, message.sender)
         return False
 
 
@@ -130,6 +143,8 @@
 
     A back-off is not repeated, as it ends soon.
     """
+    if isinstance(notice, ColdStart) and now >= notice.until:
+        return False
     if notice.is_shared or isinstance(notice, Backoff):
         return False
     return (
--- a/trestledock/entry/_peer_addresses.py
+++ b/trestledock/entry/_peer_addresses.py
@@ -30,6 +30,10 @@
         self.own = own
         self.data_centre = data_centre
         self.data_centres: dict[Address, str] = {}
+        #: How often, and when last, an address or a data centre was added or
+        #: changed.
+        self.revision = 0
+        self.changed_at = float('-inf')
         self._seen_at: dict[Address, float] = {}
         self._full_state_receivers: list[Address] | None = None
 
@@ -53,6 +57,8 @@
         self._seen_at[address] = now
         if self.data_centres.get(address) != data_centre:
             self.data_centres[address] = data_centre
+            self.changed_at = now
+            self.revision += 1
             self._full_state_receivers = None
 
     def record_shutdown(self, address: Address) -> None:
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -12,7 +12,9 @@
 
 import anyio
 
+from trestledock.entry import _events as events
 from trestledock.entry._admission import is_quarantined
+from trestledock.entry._logger import emit
 from trestledock.entry._throttling import (
     decide_throttled,
     get_available,
@@ -86,6 +88,7 @@
         if isinstance(chosen, Placement) or (chosen and not waits):
             return chosen
         if _is_throttled(state, job, now):
+            _log_cold_wait(state, job)
             state.wait_queue.add(job.waiting_request)
         await state.wait_for_change(PLACEMENT_RETRY_S)
 
@@ -212,6 +215,14 @@
     return bool(get_restrained(state, job))
 
 
+def _log_cold_wait(state: EntryState, job: Job) -> None:
+    """Log once that a request waits for targets of which some are cold."""
+    if job.call.req_id in state.wait_queue.waiting:
+        return
+    if any(map(state.throttle.cold.is_cold, get_restrained(state, job))):
+        emit(events.ColdWaited(job.call.req_id, job.service))
+
+
 def _get_available_local_first(
     state: EntryState, job: Job, now: float
 ) -> list[ListedTarget]:
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -28,6 +28,7 @@
     MAX_AGE_S,
     AttemptOutcome,
     Flight,
+    ListedTarget,
     Placement,
     RelayAttempt,
     FailureKind,
@@ -189,16 +190,15 @@
     ) -> RelayAttempt | None:
         """Take the request's share of the rate limits of its targets.
 
-        Return the failed attempt if a limit is exhausted or a target backs
-        off: since the placement other requests may have used up the limit, or
-        the target may have lowered it or asked for a back-off.
+        Return the failed attempt if a limit is exhausted, or a target backs
+        off or is cold: since the placement other requests may have used up the
+        limit, or the target may have lowered it or asked for a back-off.
         """
         now = anyio.current_time()
         targets = placement.engaged_targets
         restrained = self.state.throttle.acquire(targets, now)
         if restrained:
-            is_backing_off = self.state.throttle.is_backing_off(restrained, now)
-            step = Refusal.backing_off if is_backing_off else Refusal.limited
+            step = self._get_restraint(restrained, now)
             return RelayAttempt(
                 AttemptOutcome.not_sent, step.value, restrained.incarnation
             )
@@ -206,6 +206,14 @@
             self.state.wait_queue.record_served(job.waiting_request, now)
         return None
 
+    def _get_restraint(self, target: ListedTarget, now: float) -> Refusal:
+        """Return why a target doesn't accept a request now."""
+        if self.state.throttle.is_backing_off(target, now):
+            return Refusal.backing_off
+        if self.state.throttle.cold.can_send(target, now):
+            return Refusal.limited
+        return Refusal.cold
+
     async def _write_and_receive(
         self,
         job: Job,
--- a/trestledock/entry/_settings.py
+++ b/trestledock/entry/_settings.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, field
 
-from trestledock.relay import RetryLimits
+from trestledock.relay import ColdBounds, RetryLimits
 
 
 @dataclass(frozen=True)
@@ -19,6 +19,8 @@
     `settle_s` is the time within which a change in the store must be in force
     here.  `revoke_s` is how long a revoked key may still be served, zero for no
     limit.  `grace_s` is the time from the request to stop to the exit.
+    `cold_bounds` bounds the requests to targets that have just started; None
+    for no bound.
     """
 
     instance: str
@@ -32,3 +34,4 @@
     revoke_s: float = 0
     grace_s: float = 8
     budget: RetryLimits = field(default_factory=RetryLimits)
+    cold_bounds: ColdBounds | None = None
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -35,6 +35,9 @@
     RestoreTracker,
     RateLimit,
     Backoff,
+    ColdLimit,
+    ColdStart,
+    ListedTarget,
     Throttle,
     WaitQueue,
 )
@@ -138,6 +141,7 @@
             self.notices,
             self.rng.random,
         )
+        self.throttle.cold.get_limit = self.get_cold_limit
         self.budgets = Budgets(self.settings.budget, self.count_entries)
 
     @property
@@ -183,6 +187,26 @@
         with anyio.move_on_after(timeout_s):
             await self.changed.wait()
 
+    def get_cold_limit(self, service: str) -> ColdLimit | None:
+        """Return what the cold targets of a service take, None for all."""
+        bounds = self.settings.cold_bounds
+        if bounds is None or self.catalog is None:
+            return None
+        found = self.catalog.services.get(service)
+        if found is None or found.cold is None:
+            return None
+        return ColdLimit(found.cold, bounds)
+
+    def may_be_cold(self, listed: ListedTarget) -> bool:
+        """Return whether a target is restrained while it is cold.
+
+        The list of targets may arrive before the configuration.
+        """
+        if self.settings.cold_bounds is None:
+            return False
+        is_limited = self.get_cold_limit(listed.service) is not None
+        return self.catalog is None or is_limited
+
     def record_silence(self, target_id: str, now: float) -> None:
         """Record that a target was unreachable or silent.
 
@@ -327,6 +351,7 @@
             'list_age_seconds': self.get_list_age_s(now),
             'peers': self.load_table.count_peers(),
             'targets_resting': self._count_backed_off(now),
+            'targets_cold': len(self.notices.get_all(ColdStart)),
             'rate_limits': len(self.notices.get_in_force(RateLimit)),
             'rate_quota_per_second': self._get_quota_sum(),
             'requests_quarantined': self.isolation.count_quarantined(),
--- a/trestledock/entry/_store_reader.py
+++ b/trestledock/entry/_store_reader.py
@@ -150,12 +150,17 @@
         await self.directory.announce({settings.instance: settings.peers})
 
     async def _meet_peers(self) -> None:
+        asked_at = anyio.current_time()
         announced = await self.directory.read_peers()
         self.exchange.gossip.add_addresses(announced.addresses)
         self._record_epoch()
         if announced.epoch == self.state.restores.epoch:
             self.state.restores.set_recorded_epoch(announced.settled_epoch)
             self._renew_proof()
+            if self.state.restores.is_complete(asked_at):
+                self.exchange.gossip.known_entries.record_list(
+                    asked_at, anyio.current_time()
+                )
 
     def _log_failure(self, step: str, exc: Exception) -> None:
         if step not in self._failed_steps:
--- a/trestledock/entry/_target_list.py
+++ b/trestledock/entry/_target_list.py
@@ -15,7 +15,11 @@
 
 from trestledock.clock import SuspensionDetector
 from trestledock.entry import _events as events
-from trestledock.entry._dialect import StoreUpdate
+from trestledock.entry._cold_targets import (
+    end_cold_starts,
+    record_listed_cold,
+)
+from trestledock.entry._dialect import StoreUpdate, TargetUpdate
 from trestledock.entry._logger import emit
 from trestledock.entry._notices import log_kept_backoff
 from trestledock.entry._pool import Pool
@@ -44,17 +48,28 @@
     def apply(self, update: StoreUpdate) -> None:
         """Apply a list that is valid as of `update.as_of`."""
         now = anyio.current_time()
+        is_first_list = self.fleet.watch.read_at == float('-inf')
         self.state.record_list(
             update.as_of, now, update.source, update.latest_at
         )
         if update.is_complete:
             self._drop_missing(update, now)
-        records: dict[str, list[ListedTarget | None]] = defaultdict(list)
+        records: dict[str, list[TargetUpdate]] = defaultdict(list)
         for record in update.targets:
-            records[record.target_id].append(record.listed)
-        for target_id, target_records in records.items():
+            records[record.target_id].append(record)
+        for target_id, of_target in records.items():
             previous = self.fleet.get_by_id(target_id)
+            last_order = self.fleet.get_last_order(target_id)
+            target_records = [record.listed for record in of_target]
             self._apply_records(target_id, target_records, update, now)
+            record_listed_cold(
+                self.state,
+                of_target,
+                last_order,
+                update.source,
+                now,
+                is_first_list=is_first_list,
+            )
             if previous and self.fleet.is_superseded(previous):
                 self.state.isolation.record_replaced(previous.incarnation)
                 self._discard([previous.incarnation], update.source)
@@ -83,6 +98,7 @@
                 self.fleet.watch.record_failure(now)
             checked_at = now
             self._discard(self.fleet.expire_retained(now), LAPSED)
+            end_cold_starts(self.state, now)
 
     def _apply_records(
         self,
--- a/trestledock/entry/_throttling.py
+++ b/trestledock/entry/_throttling.py
@@ -2,9 +2,9 @@
 Throttled requests
 ==================
 
-Handles targets that are at their rate limit or have asked for a back-off: which
-targets a request may go to now, and whether it waits for its turn or is refused
-at once.
+Handles targets that are at their rate limit, have asked for a back-off, or are
+cold: which targets a request may go to now, and whether it waits for its turn
+or is refused at once.
 """
 
 from math import inf
@@ -20,14 +20,14 @@
 #: fraction of the available targets remains.
 MIN_REMAINING_SHARE = 0.5
 #: The largest random increase of Retry-After, as a fraction of it, for callers
-#: that are refused while all targets back off.
+#: that are refused while all targets back off or are cold.
 RETRY_AFTER_SPREAD = 0.5
 
 
 def get_available(
     state: EntryState, job: Job, targets: Sequence[ListedTarget], now: float
 ) -> list[ListedTarget]:
-    """Return the targets whose rate limits and back-offs allow a request now.
+    """Return the targets whose restraints allow a request now.
 
     If all of these are restrained, requests that wait already go first.
     """
@@ -70,7 +70,8 @@
 
     Retry-After is the time until its turn.  Where this entry has no quota at
     all, it is the time in which its targets take one more request.  After a
-    back-off it is spread at random, so that callers return at different times.
+    back-off or a cold time it is spread at random, so that callers return at
+    different times.
     """
     restrained = get_restrained(state, job)
     ahead = state.wait_queue.count_ahead(job.waiting_request)
@@ -88,5 +89,23 @@
             1, 1 + RETRY_AFTER_SPREAD
         )
         return Refusal.backing_off
+    if all(is_cold_or_backing_off(state, target, now) for target in restrained):
+        cold_s = min(
+            state.throttle.cold.get_left_s(target, now)
+            for target in restrained
+            if state.throttle.cold.is_cold(target)
+        )
+        job.retry_after_s = max(wait_s, cold_s) * state.rng.uniform(
+            1, 1 + RETRY_AFTER_SPREAD
+        )
+        return Refusal.cold
     job.retry_after_s = get_retry_after_s(timing, wait_s, now)
     return Refusal.limited
+
+
+def is_cold_or_backing_off(
+    state: EntryState, target: ListedTarget, now: float
+) -> bool:
+    """Return whether a target is cold or backs off."""
+    throttle = state.throttle
+    return throttle.cold.is_cold(target) or throttle.is_backing_off(target, now)
--- a/trestledock/entry/_tickets.py
+++ b/trestledock/entry/_tickets.py
@@ -11,6 +11,7 @@
 import anyio
 
 from trestledock.entry import _events as events
+from trestledock.entry._cold_targets import record_cold_time
 from trestledock.entry._dialect import Dialect, ControlRequest
 from trestledock.entry._job import Job
 from trestledock.entry._logger import emit
@@ -189,5 +190,8 @@
         head = await wire.read_head()
         answer = self.dialect.read_head(head)
         record_order_notices(self.state, holder, head.status, answer, asked_at)
+        if self.state.settings.cold_bounds and head.status == OK:
+            cold = self.dialect.read_cold_time(head)
+            record_cold_time(self.state, holder.incarnation, cold, asked_at)
         await wire.read_body()
         return head
--- a/trestledock/entry/_update_exchange.py
+++ b/trestledock/entry/_update_exchange.py
@@ -26,7 +26,12 @@
     read_int,
 )
 from trestledock.entry._datagrams import Address
-from trestledock.entry._dialect import RetainedTarget, StoreUpdate, TargetUpdate
+from trestledock.entry._dialect import (
+    ColdTime,
+    RetainedTarget,
+    StoreUpdate,
+    TargetUpdate,
+)
 from trestledock.entry._gossip import Gossip
 from trestledock.entry._logger import emit
 from trestledock.entry._peer_calls import CALL_ERRORS, call_peer
@@ -36,6 +41,7 @@
     encode_json,
     MAX_AGE_S,
     UNKNOWN_BIRTH,
+    ColdStart,
     RemovedTarget,
     ListedTarget,
     QuarantineRecord,
@@ -59,6 +65,10 @@
 ANSWER_TIMEOUT_S = 0.1
 UPDATE_PATH = '/news'
 VERSION_FIELD = 'version'
+#: Optional field of a target: for how many milliseconds it stays cold.
+COLD_FIELD = 'cold_ms'
+NOTHING: Mapping[str, int] = MappingProxyType({})
+MS = 1000
 #: Exceptions that decoding an invalid row raises.
 ROW_ERRORS = (ValueError, LookupError, TypeError)
 #: Query parameter that also requests the removed targets.
@@ -174,7 +184,10 @@
             'revision': self.state.revision,
             'settled': fleet.watch.is_synchronized(now),
             'document': self._get_document(version),
-            'targets': [encode_target(listed) for listed in fleet.get_listed()],
+            'targets': [
+                {**encode_target(listed), **self._encode_cold(listed, now)}
+                for listed in fleet.get_listed()
+            ],
             'held': retained,
             'quarantine': quarantine,
             'epoch': self.state.restores.epoch,
@@ -187,6 +200,16 @@
             fields['leaving'] = sorted(fleet.draining)
         return encode_json(fields)
 
+    def _encode_cold(
+        self, listed: ListedTarget, now: float
+    ) -> Mapping[str, int]:
+        """Encode for how long a target stays cold, if it may be cold at all."""
+        if not self.state.may_be_cold(listed):
+            return NOTHING
+        cold = self.state.notices.get(ColdStart, listed.incarnation)
+        left_s = cold.until - now if cold else 0
+        return {COLD_FIELD: round(max(0, left_s) * MS)}
+
     def _get_document(self, version: int) -> str:
         return '' if version == self.state.version else self.state.document
 
@@ -235,6 +258,19 @@
     return ListedTarget(**decoded)
 
 
+def _decode_target_update(encoded: Mapping[str, Any]) -> TargetUpdate:
+    """Decode a target and its cold time; an invalid time counts as none."""
+    listed = decode_target(encoded)
+    left_ms = encoded.get(COLD_FIELD)
+    if left_ms is None:
+        return TargetUpdate(listed.target_id, listed)
+    try:
+        cold = ColdTime(read_count(left_ms) / MS)
+    except ValueError as exc:
+        cold = ColdTime(invalid_text=repr(exc))
+    return TargetUpdate(listed.target_id, listed, cold)
+
+
 def _decode_retained(fields: Mapping[str, Any]) -> RetainedTarget:
     return RetainedTarget(
         decode_target(fields['listed']), read_number(fields['left_s'])
@@ -299,14 +335,11 @@
 
     Older versions send no retained targets, quarantined requests or epoch.
     """
-    listed = map(decode_target, read_list(fields['targets']))
     age_s = read_number(fields['list_age_s'])
     quarantined = read_list(fields.get('quarantine', []))
     return StoreUpdate(
         document=read_text(fields['document']),
-        targets=tuple(
-            [TargetUpdate(target.target_id, target) for target in listed]
-        ),
+        targets=tuple(map(_decode_target_update, read_list(fields['targets']))),
         retained=tuple(
             map(_decode_retained, read_list(fields.get('held', [])))
         ),
--- a/trestledock/platform/_documents.py
+++ b/trestledock/platform/_documents.py
@@ -9,9 +9,11 @@
 from dataclasses import replace
 from typing import Any
 
+from trestledock.entry import RecordIgnored, emit, read_number
 from trestledock.platform._fields import Field, ms_to_seconds, read_fields
 from trestledock.relay import (
     Catalog,
+    ColdService,
     EngineModel,
     Limits,
     Route,
@@ -69,6 +71,10 @@
     Field('stride', 'stride'),
 )
 
+#: How many requests a second a target of a service takes after its start, and
+#: for how many seconds.
+COLD_FIELDS = ('coldPerS', 'coldStartS')
+
 LIMIT_FIELDS = (Field('idleTimeoutMs', 'idle_s', ms_to_seconds),)
 
 
@@ -116,7 +122,26 @@
 def _decode_service(row: dict[str, Any]) -> Service:
     kind = row.get('engineKind')
     engine = EngineModel(**read_fields(kind, ENGINE_FIELDS)) if kind else None
-    return Service(row['name'], engine)
+    return Service(row['name'], engine, _decode_cold(row))
+
+
+def _decode_cold(row: dict[str, Any]) -> ColdService | None:
+    """Decode what cold targets take; invalid numbers restrain nothing.
+
+    They are no reason to refuse a whole version of the configuration.
+    """
+    fields = [row.get(name) for name in COLD_FIELDS]
+    if None in fields:
+        return None
+    try:
+        per_s, start_s = map(read_number, fields)
+    except ValueError as exc:
+        emit(RecordIgnored(row['name'], repr(exc)))
+        return None
+    if per_s > 0 and start_s > 0:
+        return ColdService(per_s, start_s)
+    emit(RecordIgnored(row['name'], f'cold targets: {fields}'))
+    return None
 
 
 def _decode_keys(document: dict[str, Any]) -> dict[str, TeamKey] | None:
--- a/trestledock/platform/_entries.py
+++ b/trestledock/platform/_entries.py
@@ -13,7 +13,13 @@
 from types import MappingProxyType
 from typing import Any, Callable, Mapping
 
-from trestledock.entry import read_number, read_count, read_text
+from trestledock.entry import (
+    ColdTime,
+    TargetUpdate,
+    read_count,
+    read_number,
+    read_text,
+)
 from trestledock.platform._fields import Field, read_fields
 from trestledock.relay import UNKNOWN_BIRTH, ListedTarget, Standing
 
@@ -69,16 +75,20 @@
     Field('sequence', 'sequence', read_count),
     Field('born', 'born', _read_positive),
 )
-#: Optional fields, whose values are not used.  They are validated because a
-#: wrong type shows that the record was not written by a target.
+#: For how many milliseconds a target stays cold.
+COLD_FIELD = 'coldLeftMs'
+MS = 1000
+#: Optional fields, whose values are no part of a listed target.  They are
+#: validated because a wrong type shows that the record was not written by a
+#: target.
 EXTRA_FIELDS: Mapping[str, Callable[[Any], Any]] = MappingProxyType(
-    {'version': read_text, 'coldLeftMs': read_number, 'phase': read_text}
+    {'version': read_text, COLD_FIELD: read_number, 'phase': read_text}
 )
 #: Platforms that assign a new id at each start of a target omit its birth time.
 FIELD_DEFAULTS = MappingProxyType({'born': UNKNOWN_BIRTH})
 
 
-def decode_target(key: str, raw: bytes) -> ListedTarget:
+def decode_target(key: str, raw: bytes) -> TargetUpdate:
     """Decode a target's record, or raise one of `DECODE_ERRORS`."""
     data = json.loads(raw)
     if not isinstance(data, dict):
@@ -95,7 +105,10 @@
     ]
     if missing:
         raise ValueError(f'missing fields: {missing}')
-    return ListedTarget(target_id=key, **attributes)
+    listed = ListedTarget(target_id=key, **attributes)
+    if COLD_FIELD not in data:
+        return TargetUpdate(key, listed)
+    return TargetUpdate(key, listed, ColdTime(data[COLD_FIELD] / MS))
 
 
 def decode_address(raw: bytes) -> str:
--- a/trestledock/platform/_headers.py
+++ b/trestledock/platform/_headers.py
@@ -12,6 +12,7 @@
 
 from trestledock.entry import (
     AnswerMetadata,
+    ColdTime,
     ControlRequest,
     ForwardingContext,
     Head,
@@ -19,6 +20,7 @@
 )
 from trestledock.platform._notices import (
     read_backoff,
+    read_cold_time,
     read_draining,
     read_rate_limit,
 )
@@ -144,6 +146,10 @@
             backoff=read_backoff(head),
         )
 
+    def read_cold_time(self, head: Head) -> ColdTime:
+        """Read for how long the target of a response stays cold."""
+        return read_cold_time(head)
+
     def make_reply_headers(self, head: Head) -> Headers:
         """Return the headers of a response that is forwarded to the caller."""
         return _remove_headers(head.headers, HOP_BY_HOP_HEADERS)
--- a/trestledock/platform/_settings.py
+++ b/trestledock/platform/_settings.py
@@ -11,9 +11,9 @@
 from pathlib import Path
 from typing import Any
 
-from trestledock.entry import EntrySettings
+from trestledock.entry import EntrySettings, read_number
 from trestledock.platform._fields import Field, ms_to_seconds, read_fields
-from trestledock.relay import RetryLimits
+from trestledock.relay import ColdBounds, RetryLimits
 
 #: The environment variable with the path of the file.
 PATH_VARIABLE = 'TRESTLEDOCK_BOOT'
@@ -32,6 +32,13 @@
     Field('gracePeriodS', 'grace_s'),
 )
 
+#: The bound on requests to cold targets in any second: a factor of the rate
+#: that they sustain, and a number on top.  Only both together are a bound.
+COLD_FIELDS = (
+    Field('coldOver', 'over', read_number),
+    Field('coldSlack', 'slack', read_number),
+)
+
 #: The bounds, in milliseconds, on the time until a change takes effect: a new
 #: configuration, and a draining target.
 PROPAGATION_BOUNDS = ('configMs', 'drainMs')
@@ -69,6 +76,9 @@
     ]
     if propagation_s:
         optional['settle_s'] = min(propagation_s)
+    cold = read_fields(bounds, COLD_FIELDS)
+    if len(cold) == len(COLD_FIELDS):
+        optional['cold_bounds'] = ColdBounds(**cold)
     return EntrySettings(
         instance=data['nodeName'],
         data_centre=data['zone'],
--- a/trestledock/platform/_store.py
+++ b/trestledock/platform/_store.py
@@ -204,14 +204,14 @@
     the target writes its record again.
     """
     for record in batch.records:
-        yield TargetUpdate(record.key, _decode_target_record(record))
+        yield _decode_target_record(record)
 
 
-def _decode_target_record(record: Record) -> ListedTarget | None:
+def _decode_target_record(record: Record) -> TargetUpdate:
     if not record.value:
-        return None
+        return TargetUpdate(record.key, None)
     try:
         return decode_target(record.key, record.value)
     except DECODE_ERRORS as exc:
         emit(RecordIgnored(record.key, repr(exc)))
-        return None
+        return TargetUpdate(record.key, None)
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -37,6 +37,13 @@
     find_prior_claim,
     needs_claim,
 )
+from trestledock.relay._cold_starts import (
+    MAX_COLD_S,
+    ColdBounds,
+    ColdLimit,
+    ColdService,
+    ColdStart,
+)
 from trestledock.relay._engine_timing import (
     PassLoad,
     get_decode_pass_s,
@@ -72,7 +79,7 @@
 )
 from trestledock.relay._policy import DEFAULT_POLICY, PlacementPolicy
 from trestledock.relay._quarantine import Crash, Quarantine, QuarantineRecord
-from trestledock.relay._quotas import Member, Membership
+from trestledock.relay._quotas import KnownInstances, Member, Membership
 from trestledock.relay._rate_limits import RateLimit
 from trestledock.relay._reachability import BEAT_INTERVAL_S, Reachability
 from trestledock.relay._readers import (
@@ -117,6 +124,10 @@
     'CLAIM_DELAY_S',
     'Call',
     'Catalog',
+    'ColdBounds',
+    'ColdLimit',
+    'ColdService',
+    'ColdStart',
     'Crash',
     'DEFAULT_POLICY',
     'Decision',
@@ -130,11 +141,13 @@
     'Flight',
     'FreshnessProof',
     'Health',
+    'KnownInstances',
     'LOWEST_ORDER',
     'Limits',
     'ListedTarget',
     'LoadTable',
     'MAX_AGE_S',
+    'MAX_COLD_S',
     'Member',
     'Membership',
     'Notice',
--- a/trestledock/relay/_catalog.py
+++ b/trestledock/relay/_catalog.py
@@ -12,6 +12,8 @@
 from random import Random
 from typing import Mapping
 
+from trestledock.relay._cold_starts import ColdService
+
 
 class RouteKind(str, Enum):
     """The semantics of a route's requests, which decide on retries."""
@@ -92,10 +94,14 @@
 
 @dataclass(frozen=True)
 class Service:
-    """A set of interchangeable targets."""
+    """A set of interchangeable targets.
+
+    `cold` tells how many requests they take after a start, None if any number.
+    """
 
     name: str
     engine: EngineModel | None = None
+    cold: ColdService | None = None
 
 
 @dataclass(frozen=True)
--- a/trestledock/relay/_quotas.py
+++ b/trestledock/relay/_quotas.py
@@ -8,11 +8,17 @@
 Instances that receive messages from only some of the others share no more than
 those instances' part, so that both sides of a network partition together stay
 within the limit.
+
+The bound on a cold target holds in each second, also while the instances differ
+in whom they receive messages from.  So its holders are chosen from all known
+instances, silent ones included: who knows more instances than another only
+holds fewer quotas.
 """
 
 from dataclasses import dataclass, field
 
 from trestledock.relay._rendezvous import rank_by_key
+from trestledock.relay._target_records import ListedTarget
 
 #: The least rate that is assumed for a target, in requests a second: at zero,
 #: no request would reveal that the target accepts more again.
@@ -21,6 +27,8 @@
 #: holders use a small limit better, since each has its own callers, but each
 #: may send one request early.
 EXTRA_HOLDERS = 2
+#: The data centre of an instance that hasn't been heard from.
+UNKNOWN_PLACE = ''
 
 
 @dataclass(frozen=True)
@@ -72,6 +80,63 @@
         return rank_by_key(target, local) + rank_by_key(target, remote)
 
 
+@dataclass(frozen=True)
+class KnownInstances:
+    """All known instances, silent ones included.
+
+    One without a data centre hasn't been heard from yet.  Since the instant
+    `since`, nothing has changed, and the own instance may hold quotas.
+    """
+
+    own: Member
+    others: tuple[Member, ...]
+    since: float
+
+    def count_ahead(self, target: str, data_centre: str) -> int:
+        """Return how many others may precede this instance at a target.
+
+        Instances of the target's data centre come first.  One whose data centre
+        isn't known counts as one of these: the result is never less than what
+        an instance finds that knows all.
+        """
+        nearer = [
+            member.name
+            for member in self.others
+            if member.data_centre in (data_centre, UNKNOWN_PLACE)
+        ]
+        own = self.own.name
+        if self.own.data_centre == data_centre:
+            return rank_by_key(target, [own, *nearer]).index(own)
+        equals = [
+            member.name
+            for member in self.others
+            if member.data_centre not in (data_centre, UNKNOWN_PLACE)
+        ]
+        return len(nearer) + rank_by_key(target, [own, *equals]).index(own)
+
+
+@dataclass
+class HolderRanks:
+    """The ranks of one instance at targets, cached until others are known."""
+
+    _known: KnownInstances | None = None
+    _ranks: dict[str, int] = field(default_factory=dict)
+
+    def get(self, known: KnownInstances, target: ListedTarget) -> int:
+        """Return how many other instances may precede this one."""
+        if known is not self._known:
+            self._known = known
+            self._ranks.clear()
+        name = target.incarnation
+        if name not in self._ranks:
+            self._ranks[name] = known.count_ahead(name, target.data_centre)
+        return self._ranks[name]
+
+    def forget(self, target: str) -> None:
+        """Forget a removed target."""
+        self._ranks.pop(target, None)
+
+
 @dataclass(frozen=True)
 class TargetRate:
     """The rate at which a target accepts requests of all instances together."""
--- a/trestledock/relay/_throttle.py
+++ b/trestledock/relay/_throttle.py
@@ -3,8 +3,8 @@
 ========
 
 Whether a request may be sent to a target with a rate limit for all instances
-together, or with a back-off for this instance.  All other targets accept
-requests at any time.
+together, with a back-off for this instance, or that is cold.  All other targets
+accept requests at any time.
 """
 
 from heapq import nsmallest
@@ -12,6 +12,8 @@
 from typing import Callable, Sequence
 
 from trestledock.relay._backoff import BackoffGate
+from trestledock.relay._cold_gate import ColdGate
+from trestledock.relay._cold_starts import ColdStart
 from trestledock.relay._notices import Backoff, Notices, PeerBackoff
 from trestledock.relay._quotas import (
     MIN_RATE_PER_S,
@@ -26,7 +28,7 @@
 
 
 #: The notices that ask for fewer requests.
-RESTRAINTS = (RateLimit, Backoff, PeerBackoff)
+RESTRAINTS = (RateLimit, Backoff, PeerBackoff, ColdStart)
 
 
 class Throttle:
@@ -43,6 +45,7 @@
         """Create a throttle without other instances."""
         self.notices = notices
         self.backoffs = BackoffGate(notices)
+        self.cold = ColdGate(notices)
         self.get_members: Callable[[], Membership] = lambda: Membership(own)
         self._draw = draw
         self._quotas = QuotaCache(Membership(own))
@@ -54,9 +57,11 @@
         return any(map(self.notices.by_kind.get, RESTRAINTS))
 
     def is_restrained(self, target: ListedTarget) -> bool:
-        """Return whether a target has a rate limit or a back-off."""
-        return self.is_limited(target) or self.backoffs.has_backoff(
-            target.incarnation
+        """Return whether a target has a rate limit or back-off, or is cold."""
+        return (
+            self.is_limited(target)
+            or self.backoffs.has_backoff(target.incarnation)
+            or self.cold.is_cold(target)
         )
 
     def is_limited(self, target: ListedTarget) -> bool:
@@ -76,6 +81,8 @@
         """Return whether a request may be sent to a target now."""
         if not self.backoffs.can_send(target.incarnation, now):
             return False
+        if not self.cold.can_send(target, now):
+            return False
         if not self.is_limited(target):
             return True
         quota = self.get_quota(target)
@@ -103,6 +110,7 @@
                 return target
         for target in targets:
             self.backoffs.record_sent(target.incarnation, now)
+            self.cold.record_sent(target, now)
         for limited in filter(self.is_limited, targets):
             quota = self.get_quota(limited)
             self._get_bucket(limited, now).try_consume(now, quota)
@@ -133,6 +141,7 @@
         """Forget a removed target and its notices."""
         self.notices.forget(target)
         self.backoffs.forget(target)
+        self.cold.forget(target)
         self._buckets.pop(target, None)
 
     def _get_wait_s(
@@ -142,7 +151,10 @@
 
         After a back-off, they follow the first one within moments.
         """
-        wait_s = self.backoffs.get_wait_s(target.incarnation, now)
+        wait_s = max(
+            self.backoffs.get_wait_s(target.incarnation, now),
+            self.cold.get_wait_s(target, count, now),
+        )
         if not self.is_limited(target):
             return wait_s
         bucket = self._get_bucket(target, now)
--- a/trestledock/relay/_token_bucket.py
+++ b/trestledock/relay/_token_bucket.py
@@ -16,6 +16,8 @@
 class TokenBucket:
     """A token bucket that held `tokens` at the instant `filled_at`.
 
+    Unused tokens accumulate for `burst_s`, beyond one request.
+
     >>> bucket = TokenBucket(tokens=1, filled_at=0)
     >>> bucket.try_consume(now=0, per_s=2), bucket.try_consume(now=0, per_s=2)
     (True, False)
@@ -25,11 +27,12 @@
 
     tokens: float
     filled_at: float
+    burst_s: float = BURST_S
 
     def get_tokens(self, now: float, per_s: float) -> float:
         """Return the number of requests that may be sent, as a fraction."""
         refilled = max(0, now - self.filled_at) * per_s
-        return min(self.tokens + refilled, 1 + per_s * BURST_S)
+        return min(self.tokens + refilled, 1 + per_s * self.burst_s)
 
     def has_token(self, now: float, per_s: float) -> bool:
         """Return whether a request may be sent now."""
