The soak has targets that come back cold

Cause: the bound on cold targets was tested on simulated entries only. Change: plan cold (targets crash and return cold, or become cold while they serve), a check of the bound that no fault excuses, and a patch that ignores cold targets.

--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -23,6 +23,10 @@
 
 ROOT = Path(__file__).parent.parent.parent
 GRACE_S = 8
+#: The bound on requests to cold targets in any second, which the configuration
+#: of plan `cold` puts into effect: its services sustain `COLD_PER_S`.
+COLD_OVER, COLD_SLACK = 1.5, 1.5
+COLD_PER_S = 1
 #: How long after its exit a process is started again, in seconds.
 RESTART_DELAY_S = 0.5
 #: Interval of the balancer's readiness checks, in seconds; after `MAX_MISSES`
@@ -55,6 +59,8 @@
 retryRatio = 0.2
 budgetWindowS = 10
 budgetSlack = {slack}
+coldOver = {cold_over}
+coldSlack = {cold_slack}
 [platform]
 address = "{store}"
 """
@@ -107,6 +113,8 @@
                 store=self.store_link.listen_address,
                 grace=self.grace_s,
                 slack=self.slack,
+                cold_over=COLD_OVER,
+                cold_slack=COLD_SLACK,
                 last=PORTS['peers'] + 15,
                 **PORTS,
             ),
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -23,6 +23,7 @@
 from tests.soak.notices import (
     back_off_service,
     back_off_target,
+    cool_target,
     drain_unlisted,
     limit_service,
     limit_target,
@@ -30,7 +31,7 @@
     restart_service,
 )
 from tests.soak.store import TARGETS
-from tests.soak.targets import DRAINING, VANISHED
+from tests.soak.targets import DRAINING, VANISHED, Target
 from tests.soak.world import World
 
 #: How long a fault lasts, in seconds.
@@ -247,9 +248,25 @@
 
 async def restart_target(world: World, rng: Random) -> None:
     """Crash a target and start it again under its id."""
-    target = world.pick_target()
+    pause_s = rng.uniform(*TARGET_RESTART_S)
+    await _restart_recorded(world, world.pick_target(), pause_s)
+
+
+async def return_cold(world: World, rng: Random) -> None:
+    """Crash a data centre's targets, which start again at once and are cold."""
+    data_centre = world.pick_target().data_centre
+    pause_s = rng.uniform(*TARGET_RESTART_S)
+    async with anyio.create_task_group() as group:
+        for target in tuple(world.targets):
+            if target.data_centre == data_centre:
+                group.start_soon(_restart_recorded, world, target, pause_s)
+
+
+async def _restart_recorded(
+    world: World, target: Target, pause_s: float
+) -> None:
     with recorded_fault(world, 'restart_target', target=target.incarnation):
-        await world.restart(target, rng.uniform(*TARGET_RESTART_S))
+        await world.restart(target, pause_s)
 
 
 async def write_invalid_records(world: World, rng: Random) -> None:
@@ -375,6 +392,17 @@
     store_down: 2,
     restart_entry: 2,
 }
+COLD: dict[FaultKind, int] = {
+    return_cold: 4,
+    restart_target: 6,
+    cool_target: 3,
+    replace_in_series: 1,
+    cut_store: 2,
+    store_down: 1,
+    kill_entry: 2,
+    freeze_entry: 2,
+    restart_entry: 2,
+}
 DEADLY: dict[FaultKind, int] = {
     kill_entry: 4,
     kill_all: 2,
@@ -446,6 +474,7 @@
         'limited': LIMITED,
         'told': TOLD,
         'restarted': RESTARTED,
+        'cold': COLD,
     }
 )
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -150,6 +150,15 @@
     at: float
 
 
+@dataclass(frozen=True)
+class ColdPeriod:
+    """A period in which all entries know that a target is cold."""
+
+    target: str
+    at: float
+    until: float
+
+
 @dataclass
 class Fault:
     """An injected fault on an entry, on all entries, or on a target."""
@@ -179,6 +188,7 @@
     faults: list[Fault] = field(default_factory=list)
     crashes: list[Crash] = field(default_factory=list)
     limit_changes: list[LimitChange] = field(default_factory=list)
+    cold_periods: list[ColdPeriod] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     backoffs: list[BackoffRequest] = field(default_factory=list)
     reservation_clashes: set[str] = field(default_factory=set)
@@ -296,6 +306,7 @@
             ('end', 'at', self.crashes),
             ('naming', 'at', self.limit_changes),
             ('rest', 'at', self.backoffs),
+            ('cold', 'at', self.cold_periods),
             ('run', 'began_at', self.runs),
             ('attempt', 'sent_at', self.requests.values()),
         ):
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -33,6 +33,7 @@
     Throttle,
 )
 from trestledock.relay._backoff import BackoffGate
+from trestledock.relay._cold_gate import ColdGate
 from trestledock.relay._quarantine import Suspect
 
 
@@ -164,6 +165,11 @@
     Fleet._keep_backoff = lambda fleet, listed: None
 
 
+def cold() -> None:
+    """Send to cold targets as to any other."""
+    ColdGate.can_send = lambda gate, target, now: True
+
+
 async def _sleep_forever(*args: Any) -> None:
     await anyio.sleep_forever()
 
@@ -191,6 +197,7 @@
         words,
         rests,
         restarts,
+        cold,
     )
 }
 
--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -2,14 +2,16 @@
 Notices of targets
 ==================
 
-Disturbances in which targets announce rate limits, draining or back-offs in
-their answers.  They aren't recorded as faults, so they excuse no violation.
+Disturbances in which targets announce rate limits, draining, back-offs or a
+cold time in their answers.  They aren't recorded as faults, so they excuse no
+violation.
 """
 
 from random import Random
 
 import anyio
 
+from tests.soak.ledger import CONTACT_TIMEOUT_S
 from tests.soak.targets import DRAINING, VANISHED, Target
 from tests.soak.world import World
 
@@ -26,6 +28,8 @@
 #: seconds.
 BACKOFFS_S = ('0.4', '1', '2.5', '4')
 REFUSING_S = (1, 8)
+#: How long a target is cold that became so while it served, in seconds.
+COOLED_S = (5, 8)
 #: How long a target that asked for back-off is down before it starts again, in
 #: seconds.
 QUICK_RESTART_S = (0.05, 0.3)
@@ -91,6 +95,13 @@
     await _request_backoff(world, same_service, rng, restart=True)
 
 
+async def cool_target(world: World, rng: Random) -> None:
+    """Make a target cold that serves; entries learn it from its answers."""
+    await anyio.sleep(0)
+    target = world.pick_target()
+    target.become_cold(rng.uniform(*COOLED_S), CONTACT_TIMEOUT_S)
+
+
 async def _request_backoff(
     world: World,
     targets: list[Target],
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -17,7 +17,7 @@
 import anyio
 from anyio.abc import SocketAttribute, TaskGroup
 
-from tests.soak.ledger import Ledger, Run
+from tests.soak.ledger import ColdPeriod, Ledger, Run
 from tests.soak.links import Link
 from tests.soak.serving import Exchange, Headers, Reset, serve_stream
 from tests.soak.store import TARGETS, Store
@@ -135,6 +135,7 @@
     limit: str = ''
     retry_after: str = ''
     announces_draining: bool = False
+    cold_until: float = 0
     sequence: int = 0
     link: Link = field(default_factory=lambda: Link(''))
     stopped: anyio.Event = field(default_factory=anyio.Event)
@@ -188,6 +189,17 @@
         self.ledger.record_change('leaving', self.incarnation)
         await anyio.sleep(self.rng.uniform(*SHUTDOWN_DELAY_S))
 
+    def become_cold(self, cold_s: float, known_after_s: float) -> None:
+        """Be cold from now on; entries know it after some seconds."""
+        now = time.monotonic()
+        self.cold_until = now + cold_s
+        self.ledger.cold_periods.append(
+            ColdPeriod(self.incarnation, now + known_after_s, self.cold_until)
+        )
+
+    def _get_cold_ms(self) -> int:
+        return max(0, round((self.cold_until - time.monotonic()) * 1000))
+
     def make_record(self) -> dict[str, Any]:
         """Return the target's record in the store."""
         return {
@@ -199,6 +211,7 @@
             'state': self.state,
             'sequence': self.sequence,
             'born': self.born,
+            **({'coldLeftMs': self._get_cold_ms()} if self.cold_until else {}),
         }
 
     def write_record(self) -> None:
@@ -255,7 +268,9 @@
         """Return the headers with which the target announces its state."""
         limit = [('Server-Limit', self.limit)] if self.limit else []
         leaving = [('Server-Leaving', '1')] if self.announces_draining else []
-        return [*limit, *leaving]
+        cold_ms = self._get_cold_ms()
+        cold = [('Trestledock-Cold-Ms', str(cold_ms))] if cold_ms else []
+        return [*limit, *leaving, *cold]
 
     async def _execute(self, exchange: Exchange) -> None:
         headers = exchange.headers
--- a/tests/soak/timed_checks.py
+++ b/tests/soak/timed_checks.py
@@ -8,7 +8,7 @@
 
 from typing import Iterator
 
-from tests.soak.entries import GRACE_S
+from tests.soak.entries import COLD_OVER, COLD_PER_S, COLD_SLACK, GRACE_S
 from tests.soak.ledger import (
     CONTACT_TIMEOUT_S,
     Ledger,
@@ -48,6 +48,9 @@
 WINDOW_S = 4.0
 LIMIT_TOLERANCE = 1.5
 LIMIT_BURST = 5
+#: The window of the bound on cold targets, in seconds: one second, less what
+#: the driver may be late.
+COLD_WINDOW_S = 1 - DRIVER_MARGIN_S
 #: How long after a target's refusal its back-off starts to bind the entry, in
 #: seconds, and how many requests the entry may send from then until its end.
 BACKOFF_DELAY_S = 0.5
@@ -209,6 +212,26 @@
             yield f'{backoff.target} got {count} after its restart from {entry}'
 
 
+def check_cold(ledger: Ledger) -> Iterator[str]:
+    """A cold target gets a bounded number of requests, whoever sends them.
+
+    No fault excuses more.  The driver may record a request late.
+    """
+    for period in ledger.cold_periods:
+        times = [
+            one.at
+            for one in ledger.arrivals
+            if one.target == period.target
+            and period.at <= one.at <= period.until
+        ]
+        most = max(
+            (sum(at <= one <= at + COLD_WINDOW_S for one in times))
+            for at in times or [0]
+        )
+        if most > COLD_OVER * COLD_PER_S + COLD_SLACK:
+            yield f'{period.target} was cold and got {most}'
+
+
 def _is_restarted(target: str, other: str) -> bool:
     """Whether two incarnations differ and have the same id."""
     return target != other and target.split('@')[0] == other.split('@')[0]
@@ -346,4 +369,5 @@
     check_words,
     check_rests,
     check_restarts,
+    check_cold,
 )
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -24,7 +24,7 @@
     DeadlyCaller,
     Keys,
 )
-from tests.soak.entries import GRACE_S, Entry, run_entries
+from tests.soak.entries import COLD_PER_S, GRACE_S, Entry, run_entries
 from tests.soak.ledger import Ledger
 from tests.soak.links import Link
 from tests.soak.serving import serve_stream
@@ -42,6 +42,8 @@
 DATA_CENTRES = ('dc-a', 'dc-b', 'dc-c')
 TEAMS = ('kiosks', 'desk', 'audit')
 KEYS_PER_TEAM = 4
+#: How long targets are cold after their start in plan `cold`, in seconds.
+COLD_S = 4
 #: How long after a crash a target starts again under its id, in seconds.
 RESTART_DELAY_S = (0.3, 2.5)
 HALF = 0.5
@@ -84,7 +86,8 @@
 class World:
     """All components of one run.
 
-    `late_s` is the longest delay of the driver itself.
+    `late_s` is the longest delay of the driver itself.  In plan `cold`, targets
+    that start after the entries are cold.
     """
 
     size: Size
@@ -103,6 +106,7 @@
     target_count: int = 0
     variant: int = 0
     late_s: float = 0
+    is_started: bool = False
     finished: bool = False
 
     async def start(self) -> None:
@@ -128,6 +132,7 @@
                 await self.add_target(service, DATA_CENTRES[number % 3])
         for number in range(self.size.entries):
             await self._add_entry(number, f'127.0.0.1:{port}')
+        self.is_started = True
         self.group.start_soon(run_entries, self.entries, self.group)
         for entry in self.entries:
             self.group.start_soon(poll_updates, entry, self.ledger)
@@ -179,8 +184,9 @@
                 {
                     'name': 'engines',
                     'engineKind': {**ENGINE, 'stride': 43 + self.variant % 3},
+                    **self._get_cold_fields(),
                 },
-                {'name': 'booking'},
+                {'name': 'booking', **self._get_cold_fields()},
             ],
             'limits': {'idleTimeoutMs': 15_000},
             'tenants': [
@@ -198,6 +204,11 @@
         self.store.put_json(*CONFIG, plain)
         self.ledger.record_change('version', str(self.version))
 
+    def _get_cold_fields(self) -> dict[str, float]:
+        if self.size.plan != 'cold':
+            return {}
+        return {'coldPerS': COLD_PER_S, 'coldStartS': COLD_S}
+
     def revoke(self) -> None:
         """Revoke one key; some callers go on using it."""
         key = self.keys.revoke(self.rng)
@@ -225,6 +236,8 @@
             Random(self.rng.random()),
             on_crash=self._recover_crashed,
         )
+        if self.size.plan == 'cold' and self.is_started:
+            target.become_cold(COLD_S, 0)
         await target.start_serving(self.group)
         self.targets.append(target)
         return target
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -8,6 +8,7 @@
     ALL_ENTRIES,
     Arrival,
     BackoffRequest,
+    ColdPeriod,
     Change,
     Crash,
     Fault,
@@ -376,6 +377,16 @@
         ledger.arrivals.pop()
         self.assertEqual(run_checks(ledger), [])
 
+    def test_sent_to_a_cold_target(self):
+        """Requests before all entries know, and after the end, don't count."""
+        arrivals = [Arrival(f'r{n}', 'i-1', 4.9 + 0.13 * n) for n in range(9)]
+        ledger = Ledger(
+            arrivals=arrivals, cold_periods=[ColdPeriod('i-1', 5, 9)]
+        )
+        self.assertEqual(run_checks(ledger), ['cold: i-1 was cold and got 6'])
+        ledger.cold_periods[0] = ColdPeriod('i-1', 5, 5.3)
+        self.assertEqual(run_checks(ledger), [])
+
     def test_sent_over_a_rate_limit(self):
         """Twelve in 4 s after the contact timeout, where eleven are allowed."""
         ledger = Ledger(
