Long holders of quotas use the first second of a cold time

Cause: buckets that start empty leave the first 1 to 1.5 s of a cold time of 3 s unused. Change: an entry that has held its quotas for a second when it learns of the cold time starts with a random part of a token. No other entry can have used its quota within the window, so the bound is the same.

--- a/tests/test_entry_cold_targets.py
+++ b/tests/test_entry_cold_targets.py
@@ -19,6 +19,8 @@
     record_cold_return,
     record_cold_time,
 )
+from trestledock.entry._events import ColdWaited, Refused, SentToCold
+from trestledock.entry._metrics import METRICS
 from trestledock.entry._pool import Pool
 from trestledock.entry._state import EntryState
 from trestledock.entry._target_list import TargetListUpdater
@@ -51,6 +53,15 @@
     )
 
 
+def count_events():
+    """Return the requests sent to cold targets, waiting, and refused so far."""
+    return (
+        METRICS.counts[SentToCold].get((), 0),
+        METRICS.counts[ColdWaited].get((), 0),
+        METRICS.counts[Refused].get(('cold',), 0),
+    )
+
+
 def mark_cold(fleet, data_centre):
     """Have all entries learn that the targets of a data centre are cold."""
     now = anyio.current_time()
@@ -131,6 +142,7 @@
         async def nothing(fleet):
             """Change nothing."""
 
+        before = count_events()
         most, _, demand = self.play(nothing, targets=1)
         self.assertLessEqual(most, MOST)
         self.assertEqual(set(demand.statuses), {200, 503})
@@ -140,6 +152,11 @@
         self.assertGreater(min(demand.retry_after_s), 0.2)
         self.assertLess(max(demand.retry_after_s), 4 * 1.5 + 0.25)
         self.assertGreater(len(set(demand.retry_after_s)), 20)
+        counted = zip(count_events(), before, strict=True)
+        sent, waited, refused = (after - count for after, count in counted)
+        self.assertGreater(sent, 10)
+        self.assertGreater(waited, 10)
+        self.assertEqual(refused, demand.count(503))
 
     def test_not_configured(self):
         """Guards against restraints that nobody asked for."""
--- a/trestledock/relay/_cold_gate.py
+++ b/trestledock/relay/_cold_gate.py
@@ -23,12 +23,14 @@
 
     `get_limit` returns the limit of a service, None if its targets are never
     restrained; `get_known` returns the known instances, None while this one
-    holds no quotas.
+    holds no quotas.  `draw` returns the fraction of a token that a bucket
+    starts with, so that the holders don't all send at the same moment.
     """
 
     notices: Notices
     get_limit: Callable[[str], ColdLimit | None] = lambda service: None
     get_known: Callable[[], KnownInstances | None] = lambda: None
+    draw: Callable[[], float] = float
     _buckets: dict[str, TokenBucket] = field(default_factory=dict)
     _ranks: HolderRanks = field(default_factory=HolderRanks)
 
@@ -87,18 +89,20 @@
     def _get_bucket(self, target: ListedTarget) -> TokenBucket:
         """Return the bucket of a cold target.
 
-        It is empty when the target becomes cold, and when this instance may
-        have become a holder: another one may just have sent what it was
-        entitled to in its place.
+        It is empty if this instance may have become a holder within the bound's
+        second: another one may just have sent what it was entitled to in its
+        place.
         """
         name = target.incarnation
         notice = self.notices.get(ColdStart, name)
         known = self.get_known()
-        since = max(
-            notice.since if notice else -inf, known.since if known else -inf
-        )
+        cold_since = notice.since if notice else -inf
+        held_since = known.since if known else inf
+        since = cold_since if known is None else max(cold_since, held_since)
         bucket = self._buckets.get(name)
         if bucket is None or bucket.filled_at < since:
-            bucket = TokenBucket(tokens=0, filled_at=since, burst_s=0)
+            is_settled = held_since + WINDOW_S <= cold_since
+            tokens = self.draw() if is_settled else 0
+            bucket = TokenBucket(tokens, filled_at=since, burst_s=0)
             self._buckets[name] = bucket
         return bucket
--- a/trestledock/relay/_throttle.py
+++ b/trestledock/relay/_throttle.py
@@ -45,7 +45,7 @@
         """Create a throttle without other instances."""
         self.notices = notices
         self.backoffs = BackoffGate(notices)
-        self.cold = ColdGate(notices)
+        self.cold = ColdGate(notices, draw=draw)
         self.get_members: Callable[[], Membership] = lambda: Membership(own)
         self._draw = draw
         self._quotas = QuotaCache(Membership(own))
