--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -159,6 +159,15 @@
     at: float
 
 
+@dataclass(frozen=True)
+class ColdPeriod:
+    """A period in which all entries know that a target is cold."""
+
+    target: str
+    at: float
+    until: float
+
+
 @dataclass
 class Fault:
     """An injected fault on an entry, on all entries, or on a target."""
@@ -188,6 +197,7 @@
     faults: list[Fault] = field(default_factory=list)
     crashes: list[Crash] = field(default_factory=list)
     limit_changes: list[LimitChange] = field(default_factory=list)
+    cold_periods: list[ColdPeriod] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     backoffs: list[BackoffRequest] = field(default_factory=list)
     evacuations: list[Evacuation] = field(default_factory=list)
@@ -314,6 +324,7 @@
             ('naming', 'at', self.limit_changes),
             ('rest', 'at', self.backoffs),
             ('evacuation', 'began_at', self.evacuations),
+            ('cold', 'at', self.cold_periods),
             ('run', 'began_at', self.runs),
             ('attempt', 'sent_at', self.requests.values()),
         ):
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -33,6 +33,7 @@
     Throttle,
 )
 from trestledock.relay._backoff import BackoffGate
+from trestledock.relay._cold_gate import ColdGate
 from trestledock.relay._quarantine import Suspect
 
 
@@ -169,6 +170,11 @@
     Fleet.is_evacuated = lambda fleet, listed: False
 
 
+def cold() -> None:
+    """Send to cold targets as to any other."""
+    ColdGate.can_send = lambda gate, target, now: True
+
+
 async def _sleep_forever(*args: Any) -> None:
     await anyio.sleep_forever()
 
@@ -197,6 +203,7 @@
         rests,
         restarts,
         evacuated,
+        cold,
     )
 }
 
--- a/tests/test_entry_evacuations.py
+++ b/tests/test_entry_evacuations.py
@@ -6,6 +6,7 @@
 
 import json
 import unittest
+from unittest.mock import patch
 
 import anyio
 
@@ -14,6 +15,7 @@
 from tests.relaying import SETTINGS
 from tests.restoring import CONFIG, run_world
 from tests.test_entry_restoring import watch
+from trestledock.entry import _evacuations
 from trestledock.entry._evacuation_codec import EVACUATED_FIELD
 from trestledock.relay import (
     REWRITE_WAIT_S,
@@ -75,19 +77,18 @@
     def test_end(self):
         """Guards against an evacuation that stays, or that is called twice.
 
-        The hook marks the targets as cold; each entry calls it once.
+        Each entry marks the targets as cold once.
         """
 
         async def scenario(world, *entries):
-            ended = []
-            for entry in entries:
-                entry.state.on_evacuation_ended = lambda *end: ended.append(end)
             world.evacuate(ends=True)
             written_at = anyio.current_time()
-            await anyio.sleep(KNOWN_S)
-            seen = await watch_for(entries, 3)
-            names = [name for name, _ in ended]
-            late_s = max(at for _, at in ended) - written_at
+            with patch.object(_evacuations, 'record_cold_return') as mark:
+                await anyio.sleep(KNOWN_S)
+                seen = await watch_for(entries, 3)
+            ended = [call.args for call in mark.call_args_list]
+            names = [name for _, name, _ in ended]
+            late_s = max(at for _, _, at in ended) - written_at
             return seen, names, late_s < KNOWN_S
 
         self.assertEqual(
--- a/trestledock/entry/__init__.py
+++ b/trestledock/entry/__init__.py
@@ -18,6 +18,7 @@
 from trestledock.entry._dialect import (
     EntryAnnouncements,
     AnswerMetadata,
+    ColdTime,
     Dialect,
     Directory,
     RateLimitHeader,
@@ -46,6 +47,7 @@
     'EVENTS',
     'EntryAnnouncements',
     'AnswerMetadata',
+    'ColdTime',
     'Dialect',
     'Directory',
     'DirectoryError',
--- a/trestledock/entry/_evacuations.py
+++ b/trestledock/entry/_evacuations.py
@@ -9,6 +9,7 @@
 import anyio
 
 from trestledock.entry import _events as events
+from trestledock.entry._cold_targets import record_cold_return
 from trestledock.entry._job import Job, Refusal
 from trestledock.entry._logger import emit
 from trestledock.entry._state import EntryState
@@ -61,5 +62,5 @@
         emit(events.EvacuationBegun(begun, source))
     for ended in sorted(before - current):
         emit(events.EvacuationEnded(ended, source))
-        state.on_evacuation_ended(ended, now)
+        record_cold_return(state, ended, now)
     state.notify()
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -27,8 +27,8 @@
     """The reason why no target answers a request, as it is logged.
 
     `limited` means that the wait for a rate limit would be too long, and
-    `backing_off` that all targets of the service back off.  `evacuated` means
-    that all of them are in evacuated data centres.
+    `backing_off` that all targets of the service back off, `cold` that they are
+    cold, and `evacuated` that they are in evacuated data centres.
     """
 
     no_configuration = 'no_configuration'
@@ -42,6 +42,7 @@
     limited = 'limited'
     backing_off = 'resting'
     evacuated = 'evacuated'
+    cold = 'cold'
     quarantined = 'quarantined'
     not_run = 'not_run'
     failed = 'failed'
@@ -63,6 +64,7 @@
         Refusal.limited: 503,
         Refusal.backing_off: 503,
         Refusal.evacuated: 503,
+        Refusal.cold: 503,
         Refusal.quarantined: 503,
         Refusal.not_run: 503,
         Refusal.failed: 502,
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -35,6 +35,9 @@
     RestoreTracker,
     RateLimit,
     Backoff,
+    ColdLimit,
+    ColdStart,
+    ListedTarget,
     Throttle,
     WaitQueue,
 )
@@ -52,10 +55,6 @@
     """Default for receiving and sending, without other entries."""
 
 
-def _ignore_end(data_centre: str, now: float) -> None:
-    """Default for what follows the end of an evacuation."""
-
-
 def _send_nothing(_: str) -> None:
     """Default for sending notices, without other entries."""
 
@@ -91,8 +90,6 @@
     entries, `send_own_changes` sends them the own changes at once, and
     `send_notices` the notices of a target. `refresh_loads` asks other data
     centres for the loads of their targets, and `remote_loads` has the answers.
-    `on_evacuation_ended` gets a data centre that may be sent to again, and the
-    time.
     """
 
     settings: EntrySettings
@@ -122,7 +119,6 @@
     send_own_changes: Callable[[], None] = _do_nothing
     send_notices: Callable[[str], None] = _send_nothing
     refresh_loads: Callable[[], Awaitable[None]] = _query_nothing
-    on_evacuation_ended: Callable[[str, float], None] = _ignore_end
     remote_loads: dict[str, RemoteLoad] = field(default_factory=dict)
     isolation: Isolation = field(init=False)
     proof: FreshnessProof = field(init=False)
@@ -145,6 +141,7 @@
             self.notices,
             self.rng.random,
         )
+        self.throttle.cold.get_limit = self.get_cold_limit
         self.budgets = Budgets(self.settings.budget, self.count_entries)
 
     @property
@@ -194,6 +191,26 @@
         with anyio.move_on_after(timeout_s):
             await self.changed.wait()
 
+    def get_cold_limit(self, service: str) -> ColdLimit | None:
+        """Return what the cold targets of a service take, None for all."""
+        bounds = self.settings.cold_bounds
+        if bounds is None or self.catalog is None:
+            return None
+        found = self.catalog.services.get(service)
+        if found is None or found.cold is None:
+            return None
+        return ColdLimit(found.cold, bounds)
+
+    def may_be_cold(self, listed: ListedTarget) -> bool:
+        """Return whether a target is restrained while it is cold.
+
+        The list of targets may arrive before the configuration.
+        """
+        if self.settings.cold_bounds is None:
+            return False
+        is_limited = self.get_cold_limit(listed.service) is not None
+        return self.catalog is None or is_limited
+
     def record_silence(self, target_id: str, now: float) -> None:
         """Record that a target was unreachable or silent.
 
@@ -347,6 +364,7 @@
             'list_age_seconds': self.get_list_age_s(now),
             'peers': self.load_table.count_peers(),
             'targets_resting': self._count_backed_off(now),
+            'targets_cold': len(self.notices.get_all(ColdStart)),
             'rate_limits': len(self.notices.get_in_force(RateLimit)),
             'rate_quota_per_second': self._get_quota_sum(),
             'data_centres_evacuated': len(self.fleet.evacuations.names),
