Callers that don't read no longer keep targets' answers unread

Cause: once 64 KB of a stream waited for its caller, the entry stopped reading the target, for as long as the caller stayed: the target aborts such an answer after some seconds and holds its memory until then. What all callers together left unread had no bound, and an answer that was complete waited forever for a caller that read nothing but stayed connected.

A writer that waits for 3 s cuts the reply and frees the target. Nothing changes for callers that read: their buffers are empty.

--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -182,6 +182,17 @@
     req: str
 
 
+class CallerCut(Event):
+    """A connection was closed, since its caller had read nothing for a while.
+
+    `reason` is stalled, or room where others needed the `unread_bytes`.
+    """
+
+    reason: str
+    unread_bytes: int
+    unread_ms: int
+
+
 class RequestEnded(Event):
     """A request ended, once for all its attempts: how, and whose it was.
 
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -47,6 +47,9 @@
         events.FailurePassedOn: Counter("Targets' failures passed on"),
         events.Cut: Counter('Replies that could not be completed', ('reason',)),
         events.CallerLeft: Counter('Callers that left before their answer'),
+        events.CallerCut: Counter(
+            'Connections closed as their callers do not read', ('reason',)
+        ),
         events.RequestEnded: Counter(
             'Requests by outcome', ('outcome', 'reason')
         ),
@@ -149,6 +152,9 @@
         'rate_quota_per_second': 'Requests a second to such targets from here',
         'requests_quarantined': 'Requests that go to no target',
         'requests_suspected': 'Requests under which a target has ended',
+        'body_bytes': 'Bytes of requests that are held',
+        'answer_bytes': 'Bytes of plain answers that are held',
+        'unread_bytes': 'Bytes that callers have not read yet',
     }
 )
 
--- a/trestledock/entry/_server.py
+++ b/trestledock/entry/_server.py
@@ -13,11 +13,13 @@
 from hypercorn.asyncio import serve
 from hypercorn.asyncio.tcp_server import TCPServer
 from hypercorn.config import Config
+from hypercorn.events import Event, RawData
 
 from trestledock.entry import _events as events
 from trestledock.entry._app import EntryApp
 from trestledock.entry._logger import emit
 from trestledock.entry._state import EntryState
+from trestledock.entry._unread import UnreadAnswers
 
 #: The keep-alive of callers' connections, as a multiple of the configured idle
 #: time.
@@ -46,14 +48,39 @@
     ended: anyio.Event = field(default_factory=anyio.Event)
 
 
+class EntryConfig(Config):
+    """The configuration of the web server, with the unread answers."""
+
+    unread: UnreadAnswers
+
+
 class LingeringConnection(TCPServer):
     """A connection that waits for a request on its way before it is closed.
 
     On a stop the library closes idle connections at once, including new ones
     whose first request has not been read.  Here a request that arrives in time
     ends the wait and is answered; then the connection is closed.
+
+    What its caller doesn't read is bounded.
     """
 
+    config: EntryConfig
+
+    async def run(self) -> None:
+        """Serve the connection until it ends."""
+        unread = self.config.unread
+        self.caller = unread.add(self.writer.transport)
+        try:
+            await super().run()
+        finally:
+            unread.remove(self.caller)
+
+    async def protocol_send(self, event: Event) -> None:
+        """Count what is written, and write it."""
+        if isinstance(event, RawData):
+            self.config.unread.record_write(self.caller, len(event.data))
+        await super().protocol_send(event)
+
     async def _idle_timeout(self) -> None:
         with anyio.move_on_after(self.config.keep_alive_timeout):
             await self.context.terminated.wait()
@@ -71,7 +98,8 @@
     server: Server,
 ) -> None:
     """Serve the application until the server is asked to stop."""
-    config = Config()
+    config = EntryConfig()
+    config.unread = state.buffers.unread
     settings = state.settings
     config.bind = [settings.callers, settings.ready, settings.peers]
     if settings.metrics:
@@ -86,6 +114,7 @@
     # `_drain` in `_daemon` limits the wait.
     config.graceful_timeout = FOREVER_S
     state.spawn(_follow_limits, state, config)
+    state.keep_running(state.buffers.unread.run)
     async with anyio.create_task_group() as group:
         group.start_soon(_serve, app, config, server)
 
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -16,6 +16,7 @@
 
 from trestledock.entry import _events as events
 from trestledock.entry._budgets import Budgets
+from trestledock.entry._buffers import Buffers
 from trestledock.entry._isolation import STORE, Isolation
 from trestledock.entry._logger import emit
 from trestledock.entry._reply import Reply
@@ -108,6 +109,7 @@
     closing: bool = False
     aborting: bool = False
     in_progress: int = 0
+    buffers: Buffers = field(default_factory=Buffers)
     many_entries: bool = False
     changed: anyio.Event = field(default_factory=anyio.Event)
     own_changed: anyio.Event = field(default_factory=anyio.Event)
@@ -331,6 +333,7 @@
             'rate_quota_per_second': self._get_quota_sum(),
             'requests_quarantined': self.isolation.count_quarantined(),
             'requests_suspected': len(self.isolation.quarantine.suspects),
+            **self.buffers.get_gauges(),
         }
 
     @contextmanager
--- a/trestledock/entry/_streaming.py
+++ b/trestledock/entry/_streaming.py
@@ -16,7 +16,7 @@
 from trestledock.entry._timeouts import ResponseTimeout, ResponseTimeouts
 from trestledock.entry._logger import emit
 from trestledock.entry._metrics import METRICS
-from trestledock.entry._reply import Reply
+from trestledock.entry._reply import CutReply, Reply
 from trestledock.entry._state import EntryState
 from trestledock.entry._wire import Head
 from trestledock.relay import (
@@ -27,6 +27,10 @@
 )
 
 MS = 1000
+#: How long a caller that leaves more unread than its connection may buffer can
+#: keep the target's events from being read, in seconds. Targets abort an answer
+#: that stays unread for some seconds, and hold its memory until then.
+UNREAD_S = 3.0
 
 #: Resumes reading the body after a wait was cancelled.
 IterBody = Callable[[], AsyncIterator[bytes]]
@@ -89,22 +93,31 @@
             self.body = iter_body()
 
     async def _forward(self, head: Head, raw: bytes) -> None:
-        events = [
+        fresh = [
             event
             for event in self.splitter.push(raw)
             if _is_next(event.event_id, self.job.last_event_id)
         ]
-        if not events:
+        if not fresh:
             return
         self._record_pause()
-        self.event_count += len(events)
+        self.event_count += len(fresh)
         await self._start(head)
-        await self.reply.write(b''.join(event.raw for event in events))
-        named = [event.event_id for event in events if event.event_id]
+        await self._write(b''.join(event.raw for event in fresh))
+        named = [event.event_id for event in fresh if event.event_id]
         if named:
             self.job.last_event_id = named[-1]
         self.job.record_event(anyio.current_time())
 
+    async def _write(self, raw: bytes) -> None:
+        """Write events; cut the reply if its caller reads too slowly."""
+        with anyio.move_on_after(UNREAD_S) as scope:
+            await self.reply.write(raw)
+        if scope.cancelled_caught:
+            self.reply.caller_left = True
+            emit(events.Cut(self.job.call.req_id, 'unread'))
+            raise CutReply('unread')
+
     def _record_pause(self) -> None:
         now = anyio.current_time()
         if self.event_count:
