Bound the bodies and plain answers that an entry holds

Cause: bodies of requests and plain answers were held without a bound, a body that never ended for as long as its caller stayed, and a body that its target didn't read three times: itself, the request as written, and the stream's copy.

Beyond, a body is dropped as it arrives and refused with 503 (no_buffer, never sent), and the attempt whose answer has no room is lost without blame on its target. A body has 60 s to arrive.

The request goes elsewhere in time as before.

--- a/tests/test_entry_slow_readers.py
+++ b/tests/test_entry_slow_readers.py
@@ -8,6 +8,7 @@
 """
 
 import socket
+import tracemalloc
 import unittest
 from contextlib import contextmanager
 from dataclasses import replace
@@ -24,14 +25,18 @@
     KEY,
     RESUMABLE,
     StubTarget,
+    make_answer,
+    make_route,
     make_stream,
     read_request,
     run_world,
 )
 from tests.soak.narrow import SEND_BUFFER_BYTES, use_small_send_buffers
 from trestledock.demo import get_free_port
-from trestledock.entry import _server
+from trestledock.entry import _app, _server
 from trestledock.entry._app import EntryApp
+from trestledock.entry._wire import Wire
+from trestledock.relay import RouteKind
 
 EVENT_BYTES = 1000
 
@@ -184,3 +189,134 @@
             self.assertFalse(raw.endswith(END_CHUNK))
 
         run_entry(replace(STREAM, timeout_s=15), [target], scenario)
+
+
+class NeverReadingTarget(StubTarget):
+    """Accepts connections, and reads nothing."""
+
+    async def _talk(self, stream):
+        raw = stream.extra(SocketAttribute.raw_socket)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SEND_BUFFER_BYTES)
+        await anyio.sleep_forever()
+
+
+#: More than the kernel's buffers hold on the way to a target.
+BODY = b'x' * 12_000_000
+
+
+class TargetTest(unittest.TestCase):
+    """Targets that don't read a long body."""
+
+    def test_request_goes_elsewhere_in_time(self):
+        """A body that is not read holds a request no longer than a silence."""
+        mute = NeverReadingTarget()
+        other = StubTarget(make_answer())
+
+        async def scenario(world):
+            with anyio.fail_after(4):
+                outcome = await world.ask(body=BODY)
+            self.assertEqual(outcome.status, 200)
+            self.assertEqual(len(other.requests), 1)
+
+        run_world(make_route(objective_s=0.3), [mute, other], scenario)
+
+    def test_body_is_not_copied(self):
+        """What a target doesn't read of a body is held only once."""
+
+        async def scenario(world):
+            target = next(iter(world.state.fleet.targets.values()))
+            wire = await Wire.connect(target.address)
+            length = str(len(BODY)).encode()
+            tracemalloc.start()
+            headers = ((b'host', b'x'), (b'content-length', length))
+            await wire.send('POST', '/', headers, BODY, world.state.spawn)
+            await anyio.sleep(0.2)
+            _, peak = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            await wire.close()
+            self.assertLess(peak, len(BODY) / 4)
+
+        run_world(make_route(), [NeverReadingTarget()], scenario)
+
+
+class BodyTest(unittest.TestCase):
+    """Bodies of callers, all together."""
+
+    def test_refused_unsent_without_room(self):
+        """Bodies beyond the bound are refused, and those within it are served.
+
+        The refusal promises that the request was not sent.
+        """
+        target = StubTarget(make_answer())
+
+        async def scenario(world, port):
+            bodies = world.state.buffers.bodies
+            bodies.limit = 300_000
+            first, second = (Caller(port, BODY[:200_000]) for _ in range(2))
+            last_byte, first.sent = first.sent[-1:], first.sent[:-1]
+            await first.send()
+            while bodies.used < 199_999:
+                await anyio.sleep(0.01)
+            await second.send()
+            refusal = await second.read(b'\r\n\r\n')
+            self.assertTrue(refusal.startswith(b'HTTP/1.1 503'), refusal)
+            self.assertIn(b'retry-after', refusal.lower())
+            self.assertEqual(target.requests, [])
+            self.assertEqual(bodies.used, 199_999)
+            first.sent = last_byte
+            await first.send()
+            self.assertIn(b' 200 ', await first.read(b'ok'))
+            while bodies.used:
+                await anyio.sleep(0.01)
+
+        run_entry(make_route(), [target], scenario)
+
+    def test_body_that_never_ends(self):
+        """A caller that sends half a body doesn't hold memory forever."""
+
+        async def scenario(world, port):
+            caller = Caller(port, BODY[:100_000])
+            caller.sent = caller.sent[:50_000]
+            await caller.send()
+            refusal = await caller.read(b'\r\n\r\n')
+            self.assertTrue(refusal.startswith(b'HTTP/1.1 503'), refusal)
+            while world.state.buffers.bodies.used:
+                await anyio.sleep(0.01)
+
+        with mock.patch.object(_app, 'BODY_TIMEOUT_S', 0.5, create=True):
+            run_entry(make_route(), [StubTarget()], scenario)
+
+
+class PlainAnswerTest(unittest.TestCase):
+    """Plain answers, which are read whole."""
+
+    def test_answers_are_bounded(self):
+        """An answer without room fails alone; its target isn't blamed."""
+        long, short = make_answer(BODY[:200_000]), make_answer()
+        target = StubTarget(long, short)
+
+        async def scenario(world):
+            answers = world.state.buffers.answers
+            answers.limit = 100_000
+            self.assertEqual((await world.ask()).status, 502)
+            self.assertEqual((await world.ask()).status, 200)
+            self.assertEqual(answers.used, 0)
+            self.assertFalse(world.state.health.is_silent('t0'))
+
+        route = make_route(RouteKind.non_idempotent, max_attempts=1)
+        run_world(route, [target], scenario)
+
+    def test_slow_caller_gets_it_whole(self):
+        """A caller that reads slowly gets all of a long answer."""
+        body = BODY[:3_000_000]
+        target = StubTarget(make_answer(body))
+
+        async def scenario(world, port):
+            caller = Caller(port)
+            await caller.send()
+            raw = await caller.read(b'xx', pause_s=0.01)
+            while len(raw) < len(body):
+                raw += await caller.read(b'xx', pause_s=0.01)
+            self.assertEqual(raw.partition(b'\r\n\r\n')[2], body)
+
+        run_entry(make_route(), [target], scenario)
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from trestledock.entry._byte_budget import HeldBytes
 from trestledock.entry._dialect import AnswerMetadata, Dialect
 from trestledock.entry._job import StoredAnswer, Job
 from trestledock.entry._timeouts import ResponseTimeout, ResponseTimeouts
@@ -26,6 +27,10 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
+#: The detail of an attempt whose answer this entry has no memory for.
+NO_BUFFER = 'no_buffer'
+
+
 class AnswerReceiver:
     """Receives the answers of targets for one entry process."""
 
@@ -152,7 +157,9 @@
         reply: Reply,
     ) -> RelayAttempt:
         peer = placement.target.incarnation
-        body = await wire.read_body()
+        body = await _read_body(wire, job.answer_held)
+        if body is None:
+            return RelayAttempt(AttemptOutcome.lost, 'answer', peer, NO_BUFFER)
         if answer.not_run:
             at_fault = self._find_at_fault(job, placement, head.status, answer)
             detail = f'{head.status} at {at_fault}'
@@ -195,6 +202,17 @@
         )
 
 
+async def _read_body(wire: Wire, held: HeldBytes | None) -> bytes | None:
+    """Return a whole body, or None if there is no memory left for it."""
+    parts = []
+    async for raw in wire.iter_body():
+        if held and not held.take(len(raw)):
+            held.release()
+            return None
+        parts.append(raw)
+    return b''.join(parts)
+
+
 def _is_stream(job: Job, head: Head, answer: AnswerMetadata) -> bool:
     if (
         job.route.kind is not RouteKind.streaming
--- a/trestledock/entry/_app.py
+++ b/trestledock/entry/_app.py
@@ -14,9 +14,11 @@
 import anyio
 
 from trestledock.entry import _events as events
+from trestledock.entry._byte_budget import HeldBytes
 from trestledock.entry._dialect import Dialect
 from trestledock.entry._datagrams import split_address
 from trestledock.entry._loads import LOAD_PATH, DATA_CENTRE_FIELD, LoadExchange
+from trestledock.entry._job import Refusal
 from trestledock.entry._logger import emit
 from trestledock.entry._metrics import METRICS
 from trestledock.entry._update_exchange import (
@@ -29,6 +31,10 @@
 from trestledock.entry._state import NO_VERSION, EntryState
 from trestledock.relay import ENCODE_ERRORS, Body, Call
 
+#: How long a body may take to arrive, in seconds; by then callers with the
+#: default timeout have given up, and their connection may only be forgotten.
+BODY_TIMEOUT_S = 60.0
+
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Scope = Mapping[str, Any]
 
@@ -81,7 +87,10 @@
         during_close = self.state.closing
         self.state.in_progress += 1
         try:
-            await self._serve(scope, receive, send, during_close=during_close)
+            with self.state.buffers.bodies.hold() as held:
+                await self._serve(
+                    scope, receive, send, held, during_close=during_close
+                )
         finally:
             self.state.in_progress -= 1
 
@@ -128,19 +137,25 @@
         scope: Scope,
         receive: Receive,
         send: Send,
+        held: HeldBytes,
         *,
         during_close: bool,
     ) -> None:
         arrived_at = anyio.current_time()
         reply = Reply(send, self.state.is_draining)
         try:
-            body = await self._read_body(receive, reply)
+            body = await self._read_body(receive, reply, held)
         except ClientDisconnected:
             return
-        call = self.dialect.read_call(scope, body, arrived_at)
+        call = self.dialect.read_call(
+            scope, body if isinstance(body, Body) else Body(), arrived_at
+        )
         if during_close or self.state.aborting:
             await self.relayer.refuse_late(call, reply)
             return
+        if isinstance(body, Refusal):
+            await self.relayer.refuse(call, reply, body)
+            return
         cut = False
         async with anyio.create_task_group() as group:
             group.start_soon(_cancel_on_disconnect, receive, group, reply, call)
@@ -155,17 +170,33 @@
         if cut:
             raise CutReply(call.req_id)
 
-    async def _read_body(self, receive: Receive, reply: Reply) -> Body:
-        """Return the body, or what has arrived of it once requests end."""
-        parts = []
+    async def _read_body(
+        self, receive: Receive, reply: Reply, held: HeldBytes
+    ) -> Body | Refusal:
+        """Return the body, or what has arrived of it once requests end.
+
+        A body without room is read to its end, as a caller that still writes
+        might not see a refusal, but it is not held.
+        """
+        parts: list[bytes] = []
         digest = sha256()
+        has_room = True
         with (
-            anyio.CancelScope() as scope,
+            anyio.move_on_after(BODY_TIMEOUT_S) as scope,
             self.state.track_unanswered(reply, scope),
         ):
             async for part in _receive_parts(receive):
+                has_room = has_room and held.take(len(part))
+                if not has_room:
+                    parts.clear()
+                    held.release()
+                    continue
                 parts.append(part)
                 digest.update(part)
+        if not has_room:
+            return Refusal.no_buffer
+        if scope.cancelled_caught:
+            return Refusal.not_run_in_time
         return Body(b''.join(parts), digest.digest())
 
 
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -10,6 +10,7 @@
 from types import MappingProxyType
 from typing import Mapping
 
+from trestledock.entry._byte_budget import HeldBytes
 from trestledock.entry._wire import Head
 from trestledock.relay import (
     PlacementRequest,
@@ -26,7 +27,8 @@
 class Refusal(str, Enum):
     """The reason why no target answers a request, as it is logged.
 
-    `limited` means that the wait for a rate limit would be too long, and
+    `no_buffer` means that this entry has no memory left for the body, `limited`
+    that the wait for a rate limit would be too long, and
     `backing_off` that all targets of the service back off.
     """
 
@@ -38,6 +40,7 @@
     no_memory = 'no_memory'
     no_time = 'no_time'
     no_room = 'no_room'
+    no_buffer = 'no_buffer'
     limited = 'limited'
     backing_off = 'resting'
     quarantined = 'quarantined'
@@ -58,6 +61,7 @@
         Refusal.no_memory: 503,
         Refusal.no_time: 503,
         Refusal.no_room: 503,
+        Refusal.no_buffer: 503,
         Refusal.limited: 503,
         Refusal.backing_off: 503,
         Refusal.quarantined: 503,
@@ -91,7 +95,8 @@
     is true if one target may run the request as a probe although it is
     quarantined.  `retry_after_s` is the Retry-After of a refusal, without
     jitter.  `placed_at` is when a target was first chosen, and `refusal` what
-    the caller was finally told in place of an answer.
+    the caller was finally told in place of an answer.  `answer_held` counts the
+    bytes of plain answers.
     """
 
     call: Call
@@ -112,6 +117,7 @@
     is_trial: bool = False
     retry_after_s: float = 0
     placed_at: float | None = None
+    answer_held: HeldBytes | None = None
     refusal: Refusal | None = None
 
     @property
--- a/trestledock/entry/_outcomes.py
+++ b/trestledock/entry/_outcomes.py
@@ -52,6 +52,7 @@
         Refusal.no_memory: 'capacity',
         Refusal.no_time: 'capacity',
         Refusal.no_room: 'capacity',
+        Refusal.no_buffer: 'capacity',
         Refusal.limited: 'limit',
         Refusal.backing_off: 'limit',
         Refusal.quarantined: 'quarantine',
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -62,16 +62,21 @@
         """Send the final answer to a call, or raise `CutReply`."""
         job = admit(self.state, call, anyio.current_time())
         if isinstance(job, Refusal):
-            self.outcomes.record_refused(call, job)
-            await self._refuse(call, reply, job)
+            await self.refuse(call, reply, job)
             return
         with self.outcomes.track(job, reply):
-            await self._relay_job(job, reply)
+            with self.state.buffers.answers.hold() as held:
+                job.answer_held = held
+                await self._relay_job(job, reply)
 
     async def refuse_late(self, call: Call, reply: Reply) -> None:
         """Refuse a call that arrives too late in the shutdown to be relayed."""
-        self.outcomes.record_refused(call, Refusal.not_run)
-        await self._refuse(call, reply, Refusal.not_run)
+        await self.refuse(call, reply, Refusal.not_run)
+
+    async def refuse(self, call: Call, reply: Reply, reason: Refusal) -> None:
+        """Refuse a call that is not admitted."""
+        self.outcomes.record_refused(call, reason)
+        await self._refuse(call, reply, reason)
 
     async def _relay_job(self, job: Job, reply: Reply) -> None:
         self._log_admitted(job)
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -10,7 +10,7 @@
 import socket
 from contextlib import suppress
 from dataclasses import dataclass
-from typing import Any, AsyncIterator, Callable
+from typing import Any, AsyncIterator, Callable, Iterator
 
 import anyio
 import h11
@@ -34,6 +34,9 @@
 READ_BYTES = 65_536
 #: Requests above this size, in bytes, are written while the answer is awaited.
 SMALL_BODY_BYTES = 32_768
+#: Long requests are written in pieces of this size, in bytes: the stream copies
+#: what the target doesn't read of a piece.
+WRITE_BYTES = 262_144
 
 #: The exceptions of a stream that has ended or failed.
 STREAM_ERRORS = (
@@ -121,15 +124,14 @@
         target may answer before it has read the whole body.
         """
         request = h11.Request(method=method, target=path, headers=list(headers))
-        raw = self.http.send(request) or b''
-        if body:
-            raw += self.http.send(h11.Data(data=body)) or b''
-        raw += self.http.send(h11.EndOfMessage()) or b''
+        head = self.http.send(request) or b''
+        raw = (self.http.send(h11.Data(data=body)) or b'') if body else b''
+        end = self.http.send(h11.EndOfMessage()) or b''
         self.request_written = False
-        if spawn and len(raw) > SMALL_BODY_BYTES:
-            spawn(self._write_quietly, raw)
+        if spawn and len(head) + len(raw) > SMALL_BODY_BYTES:
+            spawn(self._write_quietly, head, raw, end)
         else:
-            await self._write(raw)
+            await self._write(head, raw, end)
 
     async def read_head(self) -> Head:
         """Wait for the answer's status and headers."""
@@ -181,18 +183,19 @@
         with anyio.CancelScope(shield=True):
             await self.stream.aclose()
 
-    async def _write(self, raw: bytes) -> None:
+    async def _write(self, head: bytes, raw: bytes, end: bytes) -> None:
         try:
-            await self.stream.send(raw)
+            for piece in _split(head, raw, end):
+                await self.stream.send(piece)
         except STREAM_ERRORS as exc:
             raise WireError(
                 'write', repr(exc), classify_disconnect(exc)
             ) from exc
         self.request_written = True
 
-    async def _write_quietly(self, raw: bytes) -> None:
+    async def _write_quietly(self, head: bytes, raw: bytes, end: bytes) -> None:
         try:
-            await self._write(raw)
+            await self._write(head, raw, end)
         except WireError:
             self.broken = True
 
@@ -225,6 +228,20 @@
             raise WireError(step, repr(exc), classify_disconnect(exc)) from exc
 
 
+def _split(head: bytes, raw: bytes, end: bytes) -> Iterator[bytes]:
+    """Yield the pieces in which a request is written; one if it is small.
+
+    >>> [len(piece) for piece in _split(b'head', bytes(WRITE_BYTES + 1), b'')]
+    [262144, 5]
+    """
+    first = max(WRITE_BYTES - len(head), 0)
+    yield head + raw[:first]
+    for start in range(first, len(raw), WRITE_BYTES):
+        yield raw[start : start + WRITE_BYTES]
+    if end:
+        yield end
+
+
 def _set_options(stream: SocketStream) -> None:
     """Set TCP timeouts that detect a peer without power within seconds."""
     raw = stream.extra(SocketAttribute.raw_socket)
