Collect bodies and plain answers in one block of memory

Cause: the parts of a body are smaller than what the allocator returns to the system, so after joining them the process kept up to the size of all bodies again.

Change: parts are appended to one growing block.

--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -204,13 +204,13 @@
 
 async def _read_body(wire: Wire, held: HeldBytes | None) -> bytes | None:
     """Return a whole body, or None if there is no memory left for it."""
-    parts = []
+    body = bytearray()
     async for raw in wire.iter_body():
         if held and not held.take(len(raw)):
             held.release()
             return None
-        parts.append(raw)
-    return b''.join(parts)
+        body += raw
+    return bytes(body)
 
 
 def _is_stream(job: Job, head: Head, answer: AnswerMetadata) -> bool:
--- a/trestledock/entry/_app.py
+++ b/trestledock/entry/_app.py
@@ -176,9 +176,11 @@
         """Return the body, or what has arrived of it once requests end.
 
         A body without room is read to its end, as a caller that still writes
-        might not see a refusal, but it is not held.
+        might not see a refusal, but it is not held.  It is collected in one
+        block of memory: the small blocks of a list of parts would stay with the
+        process after their use.
         """
-        parts: list[bytes] = []
+        raw = bytearray()
         digest = sha256()
         has_room = True
         with (
@@ -188,16 +190,16 @@
             async for part in _receive_parts(receive):
                 has_room = has_room and held.take(len(part))
                 if not has_room:
-                    parts.clear()
+                    raw.clear()
                     held.release()
                     continue
-                parts.append(part)
+                raw += part
                 digest.update(part)
         if not has_room:
             return Refusal.no_buffer
         if scope.cancelled_caught:
             return Refusal.not_run_in_time
-        return Body(b''.join(parts), digest.digest())
+        return Body(bytes(raw), digest.digest())
 
 
 def _read_version(query: bytes) -> int:
