--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -10,6 +10,7 @@
 from types import MappingProxyType
 from typing import Mapping
 
+from trestledock.entry._byte_budget import HeldBytes
 from trestledock.entry._wire import Head
 from trestledock.relay import (
     PlacementRequest,
@@ -26,9 +27,10 @@
 class Refusal(str, Enum):
     """The reason why no target answers a request, as it is logged.
 
-    `limited` means that the wait for a rate limit would be too long, and
-    `backing_off` that all targets of the service back off, `cold` that they are
-    cold, and `evacuated` that they are in evacuated data centres.
+    `no_buffer` means that this entry has no memory left for the body, `limited`
+    that the wait for a rate limit would be too long, `backing_off` that all
+    targets of the service back off, `cold` that they are cold, and `evacuated`
+    that they are in evacuated data centres.
     """
 
     no_configuration = 'no_configuration'
@@ -39,6 +41,7 @@
     no_memory = 'no_memory'
     no_time = 'no_time'
     no_room = 'no_room'
+    no_buffer = 'no_buffer'
     limited = 'limited'
     backing_off = 'resting'
     evacuated = 'evacuated'
@@ -61,6 +64,7 @@
         Refusal.no_memory: 503,
         Refusal.no_time: 503,
         Refusal.no_room: 503,
+        Refusal.no_buffer: 503,
         Refusal.limited: 503,
         Refusal.backing_off: 503,
         Refusal.evacuated: 503,
@@ -95,7 +99,9 @@
     retry was taken from the budget before the target was given up.  `is_trial`
     is true if one target may run the request as a probe although it is
     quarantined.  `retry_after_s` is the Retry-After of a refusal, without
-    jitter.
+    jitter.  `placed_at` is when a target was first chosen, and `refusal` what
+    the caller was finally told in place of an answer.  `answer_held` counts the
+    bytes of plain answers.
     """
 
     call: Call
@@ -115,6 +121,9 @@
     has_reserved_retry: bool = False
     is_trial: bool = False
     retry_after_s: float = 0
+    placed_at: float | None = None
+    answer_held: HeldBytes | None = None
+    refusal: Refusal | None = None
 
     @property
     def may_have_run(self) -> bool:
