Order under shortage: ranks and shares of teams decide who is placed

Cause: under shortage, requests of different ranks and teams are placed in the order in which they happen to be tried. The priorities of routes and teams had an effect on rate limits and on the engines' own queues only.

Change: for services whose routes and teams have different ranks, each request that waits for a placement enters the wait queue with its seconds of prefill. Entries report sums of them (fields waiting, served and ranks of the message flights, which older builds ignore). A request with others ahead leaves the engines that those can use now, takes any other engine, and is refused (no_turn) if its turn would come too late. The cost model counts a more urgent request in flight at least as much as the one that would delay it.

--- a/trestledock/entry/_admission.py
+++ b/trestledock/entry/_admission.py
@@ -34,13 +34,15 @@
         return refusal or Refusal.no_route
     deadline = call.arrived_at + route.timeout_s
     team = _get_team(catalog, route, call)
+    service = route.draw_service(state.rng)
     return Job(
         call=call,
         route=route,
-        service=route.draw_service(state.rng),
+        service=service,
         team=team,
         deadline=min(deadline, call.deadline or deadline),
         fingerprint=_make_fingerprint(call, team),
+        is_ranked=service in catalog.ranked_services,
     )
 
 
@@ -98,6 +100,7 @@
             return Refusal.not_run
         job.service = route.draw_service(state.rng)
     job.team = _get_team(catalog, route, job.call)
+    job.is_ranked = job.service in catalog.ranked_services
     return None
 
 
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -91,6 +91,22 @@
     list_age_ms: int
 
 
+class Yielded(Event):
+    """A request left engines to more urgent ones, or to those of other teams.
+
+    `ahead` requests go first, whose work takes all engines `turn_ms`; the
+    request could wait for `left_ms`.
+    """
+
+    req: str
+    service: str
+    team: str
+    rank: int
+    ahead: int
+    turn_ms: int
+    left_ms: int
+
+
 class MemoryRefused(Event):
     """Not all engines of a prompt granted memory for it."""
 
--- a/trestledock/entry/_exposition.py
+++ b/trestledock/entry/_exposition.py
@@ -27,6 +27,8 @@
     MESSAGES_LABELS,
     MESSAGE_BYTES_TEXT,
     MESSAGES_TEXT,
+    WAITING_LABELS,
+    WAITING_TEXT,
     Counts,
     Metrics,
     HistogramCounts,
@@ -67,6 +69,7 @@
             )
         for name, value in self.gauges.items():
             yield GaugeMetricFamily(f'{PREFIX}_{name}', GAUGES[name], value)
+        yield _make_waiting_gauge(self.metrics.waiting)
 
 
 def _make_counter(
@@ -81,6 +84,15 @@
     return family
 
 
+def _make_waiting_gauge(counts: Counts) -> Metric:
+    family = GaugeMetricFamily(
+        f'{PREFIX}_requests_waiting', WAITING_TEXT, labels=WAITING_LABELS
+    )
+    for label_values, count in counts.items():
+        family.add_metric(label_values, count)
+    return family
+
+
 def _make_histogram(
     name: str, help_text: str, histogram: HistogramCounts
 ) -> Metric:
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -31,6 +31,7 @@
     BEAT_INTERVAL_S,
     ReaderCandidate,
     Flight,
+    WaitingRow,
 )
 
 #: How long changes are collected before they are sent, in seconds.
@@ -83,6 +84,7 @@
         self._fast_poll_until = float('-inf')
         self._is_drain_announced = False
         self._remote_by_flight: dict[str, set[str]] = {}
+        self._sent_rows: tuple[WaitingRow, ...] = ()
 
     def add_addresses(self, addresses: Mapping[str, str]) -> None:
         """Add the addresses of other entries by name, and contact new ones."""
@@ -177,9 +179,9 @@
             )
 
     def send_own_changes(self) -> None:
-        """Send the own in-flight requests that changed since the last time."""
+        """Send the own requests that changed since the last time."""
         changes = list(self.state.load_table.pop_changes().items())
-        if changes:
+        if changes or self.state.wait_queue.rows != self._sent_rows:
             again_s = self._get_full_state_interval_s()
             self._send_flights(
                 changes,
@@ -201,13 +203,21 @@
         self._record_sender(message, now)
         if is_new:
             self._add_peer(message.sender, sender)
-        return self.state.load_table.apply_update(
+        rows_differ = self._apply_rows(message)
+        return rows_differ | self.state.load_table.apply_update(
             message.sender,
             message.sequence,
             message.changes,
             whole=message.whole,
         )
 
+    def _apply_rows(self, message: Flights) -> bool:
+        """Replace an entry's rows; return whether waiting requests differ."""
+        if not self.state.load_table.is_newer(message.sender, message.sequence):
+            return False
+        self.state.usage.put(message.sender, message.served)
+        return self.state.peer_waiting.put(message.sender, message.waiting)
+
     def _handle_beat(self, message: Beat, _: Address) -> bool:
         self._record_sender(message, anyio.current_time())
         return False
@@ -374,6 +384,8 @@
         if peer.draining:
             self.addresses.record_shutdown(peer.address)
         self.state.load_table.drop_sender(name)
+        self.state.peer_waiting.drop(name)
+        self.state.usage.drop(name)
         emit(events.PeerLost(name))
 
     def _get_full_state_receivers(self) -> list[Address]:
@@ -399,7 +411,9 @@
         again_s: float,
     ) -> None:
         self.sequence += 1
-        age_s = self.state.get_advertised_age_s(anyio.current_time())
+        now = anyio.current_time()
+        age_s = self.state.get_advertised_age_s(now)
+        self._sent_rows = self.state.wait_queue.rows
         message = Flights(
             sender=self.state.member,
             sequence=self.sequence,
@@ -409,5 +423,7 @@
             store_age_s=age_s,
             again_s=again_s,
             changes=tuple(changes),
+            waiting=self._sent_rows,
+            served=self.state.usage.get_own_rows(now),
         )
         self.send(message, addresses)
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -19,14 +19,17 @@
     Route,
     TeamKey,
     Timing,
+    UsageKey,
     WaitingRequest,
+    get_rank,
 )
 
 
 class Refusal(str, Enum):
     """The reason why no target answers a request, as it is logged.
 
-    `limited` means that the wait for a rate limit would be too long, and
+    `limited` means that the wait for a rate limit would be too long, `no_turn`
+    that the turn of a request behind others would come too late, and
     `backing_off` that all targets of the service back off.
     """
 
@@ -38,6 +41,7 @@
     no_memory = 'no_memory'
     no_time = 'no_time'
     no_room = 'no_room'
+    no_turn = 'no_turn'
     limited = 'limited'
     backing_off = 'resting'
     quarantined = 'quarantined'
@@ -58,6 +62,7 @@
         Refusal.no_memory: 503,
         Refusal.no_time: 503,
         Refusal.no_room: 503,
+        Refusal.no_turn: 503,
         Refusal.limited: 503,
         Refusal.backing_off: 503,
         Refusal.quarantined: 503,
@@ -90,7 +95,8 @@
     retry was taken from the budget before the target was given up.  `is_trial`
     is true if one target may run the request as a probe although it is
     quarantined.  `retry_after_s` is the Retry-After of a refusal, without
-    jitter.
+    jitter.  `is_ranked` is true if the requests of the service have different
+    ranks, and `has_yielded` once it left engines to the requests ahead of it.
     """
 
     call: Call
@@ -110,6 +116,8 @@
     has_reserved_retry: bool = False
     is_trial: bool = False
     retry_after_s: float = 0
+    is_ranked: bool = False
+    has_yielded: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -136,6 +144,11 @@
             return self.route.priority
         return self.team.priority
 
+    @property
+    def usage_key(self) -> UsageKey:
+        """What the tokens of the request count for."""
+        return UsageKey(self.service, get_rank(self.priority), self.team.team)
+
     @property
     def waiting_request(self) -> WaitingRequest:
         """The request's place in the queue for rate-limited targets."""
@@ -185,4 +198,5 @@
             timing=self.timing,
             pause_s=self.route.pause_s,
             event_timeout_s=self.route.event_timeout_s,
+            rank=get_rank(self.priority) if self.is_ranked else None,
         )
--- a/trestledock/entry/_message_codec.py
+++ b/trestledock/entry/_message_codec.py
@@ -34,6 +34,15 @@
     ToldNotices,
     Message,
 )
+from trestledock.entry._row_codec import (
+    MAX_ROWS,
+    add_ranks,
+    decode_usage,
+    decode_waiting,
+    encode_usage,
+    encode_waiting,
+    get_ranks,
+)
 from trestledock.relay import Crash, encode_json
 
 MS = 1000
@@ -67,7 +76,20 @@
         'news_age_ms': round(message.store_age_s * MS),
         'again_ms': round(message.again_s * MS),
         'flights': [encode_change(*change, now) for change in message.changes],
+        **_get_ranked_fields(message, now),
+    }
+
+
+def _get_ranked_fields(message: Flights, now: float) -> dict[str, Any]:
+    """Return the fields that only services with different ranks need."""
+    fields = {
+        'waiting': [
+            encode_waiting(row, now) for row in message.waiting[:MAX_ROWS]
+        ],
+        'served': [encode_usage(row) for row in message.served[:MAX_ROWS]],
+        'ranks': get_ranks(message.changes),
     }
+    return {name: rows for name, rows in fields.items() if rows}
 
 
 @_get_fields.register
@@ -135,15 +157,19 @@
 
 def _decode_flights(fields: Fields, sender: str, now: float) -> Flights:
     rows = read_list(fields['flights'])
+    changes = [decode_change(row, now) for row in rows]
+    data_centre = read_text(fields['data_centre'])
     return Flights(
         sender=sender,
         sequence=read_int(fields['sequence']),
         whole=read_bool(fields['whole']),
-        data_centre=read_text(fields['data_centre']),
+        data_centre=data_centre,
         leaving=read_bool(fields.get('leaving', False)),
         store_age_s=read_number(fields['news_age_ms']) / MS,
         again_s=read_number(fields.get('again_ms', DEFAULT_AGAIN_MS)) / MS,
-        changes=tuple([decode_change(row, now) for row in rows]),
+        changes=add_ranks(changes, fields.get('ranks')),
+        waiting=decode_waiting(fields.get('waiting'), data_centre, now),
+        served=decode_usage(fields.get('served')),
     )
 
 
--- a/trestledock/entry/_messages.py
+++ b/trestledock/entry/_messages.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from trestledock.entry._flight_codec import Change
-from trestledock.relay import Crash, Notice
+from trestledock.relay import Crash, Notice, UsageRow, WaitingRow
 
 
 @dataclass(frozen=True)
@@ -17,7 +17,8 @@
 
     `store_age_s` is the age of its copy of the store, `again_s` the longest
     time until its next full state. An entry that is `leaving` is draining, so
-    that its later silence is expected.
+    that its later silence is expected.  `waiting` and `served` are all rows of
+    services with different ranks.
     """
 
     sender: str
@@ -28,6 +29,8 @@
     store_age_s: float
     again_s: float
     changes: tuple[Change, ...]
+    waiting: tuple[WaitingRow, ...] = ()
+    served: tuple[UsageRow, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -48,6 +48,9 @@
         events.FailurePassedOn: Counter("Targets' failures passed on"),
         events.Cut: Counter('Replies that could not be completed', ('reason',)),
         events.CallerLeft: Counter('Callers that left before their answer'),
+        events.Yielded: Counter(
+            'Requests that left engines to more urgent ones or other teams'
+        ),
         events.MemoryRefused: Counter('Prompts whose memory was not granted'),
         events.OrderLost: Counter('Orders to engines without an answer'),
         events.TargetSuspected: Counter('Targets that fell silent'),
@@ -151,6 +154,10 @@
 )
 
 
+#: Help text and labels of the gauge of requests that wait for room.
+WAITING_TEXT = 'Requests that wait for room at engines, by rank'
+WAITING_LABELS = ('rank',)
+
 #: Counts by labels.
 Counts = dict[tuple[str, ...], int]
 
@@ -189,6 +196,7 @@
         }
         self.messages: Counts = {}
         self.message_bytes: Counts = {}
+        self.waiting: Counts = {}
         self.histograms: dict[str, HistogramCounts] = {
             name: HistogramCounts() for name in HISTOGRAMS
         }
@@ -219,6 +227,11 @@
         known = self.message_bytes.get(labels, 0)
         self.message_bytes[labels] = known + size * count
 
+    def count_waiting(self, rank: int, change: int) -> None:
+        """Change the number of requests of a rank that wait for room."""
+        labels = (str(rank),)
+        self.waiting[labels] = self.waiting.get(labels, 0) + change
+
     def render(self, gauges: Mapping[str, float]) -> bytes:
         """Return all metrics as text, with the current gauges."""
         # Importing the renderer takes 30 ms, and few processes are scraped.
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -7,6 +7,7 @@
 """
 
 from dataclasses import replace
+from functools import partial
 from types import MappingProxyType
 from typing import Mapping, Sequence
 
@@ -19,6 +20,15 @@
     get_restrained,
 )
 from trestledock.entry._job import Job, Refusal
+from trestledock.entry._ordering import (
+    Contest,
+    get_known_rows,
+    is_ordered,
+    join_queue,
+    leave_queue,
+    record_usage,
+    take_turn,
+)
 from trestledock.entry._state import EntryState
 from trestledock.relay import (
     PLACEMENT_RETRY_S,
@@ -66,9 +76,12 @@
     waits for a placement as long as its caller does.
     """
     try:
-        return await _select_in_turn(state, job)
+        chosen = await _select_in_turn(state, job)
     finally:
-        state.wait_queue.remove(job.call.req_id)
+        leave_queue(state, job)
+    if isinstance(chosen, Refusal):
+        record_usage(state, job, anyio.current_time(), served=False)
+    return chosen
 
 
 async def _select_in_turn(state: EntryState, job: Job) -> Placement | Refusal:
@@ -82,14 +95,51 @@
             await state.refresh_loads()
             now = anyio.current_time()
             chosen = _select_now(state, job, now)
+        chosen = _select_by_rank(state, job, chosen, now)
         waits = job.response_begun and now < job.timing.abandoned_at
         if isinstance(chosen, Placement) or (chosen and not waits):
             return chosen
-        if _is_throttled(state, job, now):
-            state.wait_queue.add(job.waiting_request)
+        _enter_queue(state, job, now)
         await state.wait_for_change(PLACEMENT_RETRY_S)
 
 
+def _enter_queue(state: EntryState, job: Job, now: float) -> None:
+    """Let a request wait in the queue for its turn."""
+    if _is_throttled(state, job, now):
+        leave_queue(state, job)
+        state.wait_queue.add(job.waiting_request)
+        return
+    contest = _make_contest(state, job, now)
+    if contest:
+        join_queue(state, contest)
+
+
+def _select_by_rank(
+    state: EntryState, job: Job, chosen: Placement | Refusal | None, now: float
+) -> Placement | Refusal | None:
+    """Return the choice for a request among others that wait for room.
+
+    Without other waiting requests a placement is taken as it is.
+    """
+    if isinstance(chosen, Refusal) or not is_ordered(job):
+        return chosen
+    if not get_known_rows(state, job.service, now):
+        return chosen
+    contest = _make_contest(state, job, now)
+    if contest is None or not contest.targets:
+        return chosen
+    choose = partial(_choose, state, job, now=now)
+    return take_turn(state, contest, chosen, choose)
+
+
+def _make_contest(state: EntryState, job: Job, now: float) -> Contest | None:
+    """Return a request whose placement depends on its rank, None for others."""
+    engine = get_engine_model(state, job)
+    if engine is None or not is_ordered(job):
+        return None
+    return Contest(job, engine, get_candidates(state, job, now), now)
+
+
 def _needs_loads(
     state: EntryState,
     job: Job,
@@ -149,6 +199,20 @@
     if engine is None or job.call.size is None:
         decision = decide_unplaced(job.timing, now, any_target=False)
         return REFUSALS.get(decision)
+    return _choose(state, job, targets, now=now)
+
+
+def _choose(
+    state: EntryState,
+    job: Job,
+    targets: Sequence[ListedTarget],
+    *,
+    now: float,
+) -> Placement | Refusal | None:
+    """Return the best placement on some targets, a refusal or None to wait."""
+    engine = get_engine_model(state, job)
+    if engine is None:
+        return None
     options = [
         job.placement_request.choose(state.placer, engine, group, now)
         for group in _group_by_data_centre(state, targets, job)
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -18,6 +18,7 @@
 from trestledock.entry._logger import emit
 from trestledock.entry._pool import Pool
 from trestledock.entry._notices import log_send_against_notices
+from trestledock.entry._ordering import record_usage
 from trestledock.entry._reply import Reply
 from trestledock.entry._selecting import make_flight
 from trestledock.entry._state import EntryState
@@ -204,6 +205,7 @@
             )
         if any(map(self.state.throttle.is_restrained, targets)):
             self.state.wait_queue.record_served(job.waiting_request, now)
+        record_usage(self.state, job, now, served=True)
         return None
 
     async def _write_and_receive(
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -29,6 +29,7 @@
     RemoteLoad,
     Member,
     Notices,
+    PeerWaiting,
     Placer,
     FreshnessProof,
     Reachability,
@@ -36,6 +37,7 @@
     RateLimit,
     Backoff,
     Throttle,
+    UsageTable,
     WaitQueue,
 )
 
@@ -83,6 +85,9 @@
     It is `draining` once it was asked to stop, `closing` once idle connections
     are being closed, and `aborting` once the remaining requests are aborted.
 
+    `wait_queue` has the waiting requests of this entry and `peer_waiting` sums
+    of those of the others; `usage` counts the tokens of teams over all entries.
+
     `receive_messages` handles the messages that have arrived from other
     entries, `send_own_changes` sends them the own changes at once, and
     `send_notices` the notices of a target. `refresh_loads` asks other data
@@ -100,6 +105,8 @@
     health: Health = field(default_factory=Health)
     reach: Reachability = field(default_factory=Reachability)
     wait_queue: WaitQueue = field(default_factory=WaitQueue)
+    peer_waiting: PeerWaiting = field(default_factory=PeerWaiting)
+    usage: UsageTable = field(default_factory=UsageTable)
     ignored_notices: dict[str, dict[str, str]] = field(default_factory=dict)
     restores: RestoreTracker = field(default_factory=RestoreTracker)
     waits: set[Wait] = field(default_factory=set)
@@ -173,6 +180,10 @@
         self.own_changed.set()
         self.notify()
 
+    def notify_rows(self) -> None:
+        """Have a change of the waiting requests sent to other entries."""
+        self.own_changed.set()
+
     async def wait_for_own_change(self) -> None:
         """Wait until the own in-flight requests have changed."""
         await self.own_changed.wait()
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -14,6 +14,7 @@
     decide,
     decide_unplaced,
     get_retry_after_s,
+    get_wait_left_s,
 )
 from trestledock.relay._attempts import (
     AttemptHistory,
@@ -31,6 +32,7 @@
     Service,
     Share,
     TeamKey,
+    get_rank,
 )
 from trestledock.relay._claims import (
     CLAIM_DELAY_S,
@@ -63,7 +65,7 @@
     Notices,
     PeerBackoff,
 )
-from trestledock.relay._placement import Placer
+from trestledock.relay._placement import Placer, get_idle_fleet_s
 from trestledock.relay._placement_cost import Placement, Work
 from trestledock.relay._placement_request import (
     PlacementRequest,
@@ -90,6 +92,8 @@
 from trestledock.relay._rendezvous import rank_by_key
 from trestledock.relay._restore_tracker import REWRITE_WAIT_S, RestoreTracker
 from trestledock.relay._retry_budget import RetryBudget, RetryLimits
+from trestledock.relay._room import get_room, pick_needed
+from trestledock.relay._shortage import Turn, make_turn
 from trestledock.relay._strict_json import ENCODE_ERRORS, encode_json
 from trestledock.relay._target_records import (
     UNKNOWN_BIRTH,
@@ -105,7 +109,14 @@
     is_waiting_for_memory,
 )
 from trestledock.relay._unconfirmed_crashes import UnconfirmedCrashes
+from trestledock.relay._turn_order import (
+    Standings,
+    find_starved_ranks,
+    get_rows_ahead,
+)
+from trestledock.relay._usage import Usage, UsageKey, UsageRow, UsageTable
 from trestledock.relay._wait_queue import WaitQueue, WaitingRequest
+from trestledock.relay._waiting_rows import PeerWaiting, WaitingRow
 from trestledock.relay._worth import get_worth
 
 __all__ = (
@@ -143,6 +154,7 @@
     'PLACEMENT_RETRY_S',
     'PassLoad',
     'PeerBackoff',
+    'PeerWaiting',
     'Phase',
     'Placement',
     'PlacementPolicy',
@@ -169,15 +181,22 @@
     'Service',
     'Share',
     'Standing',
+    'Standings',
     'StreamEvent',
     'TeamKey',
     'Throttle',
     'Timing',
+    'Turn',
     'UNKNOWN_BIRTH',
     'UnconfirmedCrashes',
     'Unplaced',
+    'Usage',
+    'UsageKey',
+    'UsageRow',
+    'UsageTable',
     'WaitQueue',
     'WaitingRequest',
+    'WaitingRow',
     'Work',
     'choose_least_busy',
     'choose_reader',
@@ -187,20 +206,28 @@
     'decide_unplaced',
     'encode_json',
     'find_prior_claim',
+    'find_starved_ranks',
     'get_decode_pass_s',
     'get_decode_s',
     'get_fingerprint',
     'get_first_event_timeout_s',
+    'get_idle_fleet_s',
     'get_jitter_s',
     'get_own_read_delay_s',
     'get_pause_timeout_s',
     'get_prefill_s',
+    'get_rank',
     'get_read_retry_s',
     'get_retry_after_s',
+    'get_room',
+    'get_rows_ahead',
+    'get_wait_left_s',
     'get_worth',
     'is_waiting_for_memory',
+    'make_turn',
     'needs_claim',
     'pick_cheapest',
+    'pick_needed',
     'rank_by_key',
     'should_query_remote',
     'summarize_load',
--- a/trestledock/relay/_admission.py
+++ b/trestledock/relay/_admission.py
@@ -54,6 +54,7 @@
     no_memory = 'no_memory'
     no_time = 'no_time'
     no_room = 'no_room'
+    no_turn = 'no_turn'
 
 
 @dataclass(frozen=True)
@@ -138,7 +139,8 @@
 ) -> bool:
     """Return whether a late request should let other requests finish first."""
     is_late = placement.first_token_s > timing.get_remaining_objective_s(now)
-    return is_late and placement.cost_to_others > worth * LATE_COST_SHARE
+    cost = placement.cost_to_others + placement.cost_to_urgent
+    return is_late and cost > worth * LATE_COST_SHARE
 
 
 def is_worth_waiting(
@@ -193,6 +195,31 @@
     )
 
 
+def get_wait_left_s(
+    timing: Timing, worth: float, idle_fleet_s: float, now: float
+) -> float:
+    """Return how long a request may still wait for its turn.
+
+    That is as long as it may be in time on an idle fleet, or for a long prompt
+    as long as it may queue, so no order makes a request wait for longer than it
+    would without.
+    """
+    left_s = timing.get_remaining_s(now)
+    in_time_s = min(
+        timing.get_remaining_objective_s(now) * OBJECTIVE_SHARE,
+        left_s * ABANDONMENT_SHARE,
+    )
+    wait_s = in_time_s - idle_fleet_s - PLACEMENT_RETRY_S
+    if worth <= SMALL_WORTH:
+        return wait_s
+    total_s = timing.abandoned_at - timing.arrived_at
+    queue_s = min(
+        total_s * MAX_QUEUE_SHARE - timing.get_waited_s(now),
+        left_s * MAX_IDLE_FLEET_SHARE - idle_fleet_s,
+    )
+    return max(wait_s, queue_s)
+
+
 def get_retry_after_s(
     timing: Timing, pending_prefill_s: float, now: float
 ) -> float:
--- a/trestledock/relay/_catalog.py
+++ b/trestledock/relay/_catalog.py
@@ -7,12 +7,23 @@
 host and path, keys by their text; a version is never modified.
 """
 
+from collections import defaultdict
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 from random import Random
 from typing import Mapping
 
 
+#: The rank of a request without a priority, from 0 (first) to 9.
+DEFAULT_PRIORITY = 5
+
+
+def get_rank(priority: int | None) -> int:
+    """Return the rank of a priority, 0 first."""
+    return DEFAULT_PRIORITY if priority is None else priority
+
+
 class RouteKind(str, Enum):
     """The semantics of a route's requests, which decide on retries."""
 
@@ -132,6 +143,18 @@
     keys: Mapping[str, TeamKey] | None
     limits: Limits = field(default_factory=Limits)
 
+    @cached_property
+    def ranked_services(self) -> frozenset[str]:
+        """The services whose requests have at least two different ranks."""
+        ranks: dict[str, set[int]] = defaultdict(set)
+        for routes in self.routes.values():
+            for route in routes:
+                for share in route.shares:
+                    ranks[share.service].update(self._get_ranks(route))
+        return frozenset(
+            service for service, found in ranks.items() if len(found) > 1
+        )
+
     def get_route_by_path(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest matching prefix."""
         matching = [
@@ -144,3 +167,15 @@
             key=lambda route: len(route.path_prefix),
             default=None,
         )
+
+    def _get_ranks(self, route: Route) -> set[int]:
+        """Return the ranks that the requests of a route can have."""
+        priorities: set[int | None] = {None}
+        if self.keys is not None:
+            priorities = {team.priority for team in self.keys.values()}
+            if route.public:
+                priorities.add(None)
+        return {
+            get_rank(route.priority if priority is None else priority)
+            for priority in priorities
+        }
--- a/trestledock/relay/_chunked_prefill.py
+++ b/trestledock/relay/_chunked_prefill.py
@@ -51,7 +51,11 @@
     helpers_cost = sum(
         problem.get_cost_to_others(load, chunk_s) for load in helpers
     )
+    urgent_cost = sum(
+        problem.get_cost_to_urgent(load, chunk_s) for load in helpers
+    )
     cost = problem.get_engine_cost(primary, chunk_s) + helpers_cost
+    cost += urgent_cost
     cost += lateness + (last_s - first_s) * COST_PER_SECOND
     cost += problem.get_idle_engine_cost([primary, *helpers], chunk_s, last_s)
     return Placement(
@@ -61,6 +65,8 @@
         cost=cost + HELPER_COST * len(helpers),
         cost_to_others=problem.get_cost_to_others(primary, chunk_s)
         + helpers_cost,
+        cost_to_urgent=problem.get_cost_to_urgent(primary, chunk_s)
+        + urgent_cost,
         gain=problem.get_gain(last_s),
     )
 
@@ -76,6 +82,7 @@
     def cost_of(load: EngineLoad) -> float:  # noqa: WPS430 - a sort key
         return (
             problem.get_cost_to_others(load, chunk_s)
+            + problem.get_cost_to_urgent(load, chunk_s)
             + load.helper_wait_s * COST_PER_SECOND
             + load.failure_share * QUEUED_COST
             + problem.get_remote_cost(load)
--- a/trestledock/relay/_engine_load.py
+++ b/trestledock/relay/_engine_load.py
@@ -6,7 +6,7 @@
 its first token, and the loss of the requests that are already there.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Iterable
 
 from trestledock.relay._catalog import EngineModel
@@ -85,6 +85,29 @@
             if flight.phase is Phase.prefill
         )
 
+    def get_cost_to_urgent(
+        self, chunk_s: float, rank: int, worth: float
+    ) -> float:
+        """Return the additional cost of delaying more urgent requests.
+
+        Worth by tokens values a prompt of 700,000 as much as 80 prompts of
+        5,000, which operators put first by their ranks.  So a more urgent
+        request counts at least as much as the request that would delay it.
+        """
+        before_s = self.base_s + self.pending_prefill_s
+        urgent = [
+            replace(flight, worth=worth - flight.worth)
+            for flight in self.flights
+            if flight.rank is not None
+            and flight.rank < rank
+            and flight.worth < worth
+        ]
+        return sum(
+            _get_loss(flight, before_s + chunk_s, self.now)
+            - _get_loss(flight, before_s, self.now)
+            for flight in urgent
+        )
+
 
 class LoadEstimator:
     """Derives the load of engines from the requests in flight."""
--- a/trestledock/relay/_load_table.py
+++ b/trestledock/relay/_load_table.py
@@ -34,7 +34,8 @@
     longest pause between events that the caller accepts as timely, and
     `event_timeout_s` the pause at which it leaves.  The first token is late
     after `due_at`, the caller has left at `abandoned_at`, and `worth` is lost
-    if the request fails.
+    if the request fails.  `rank` is that of a request of a service with
+    different ranks, 0 first.
     """
 
     flight_id: str
@@ -50,6 +51,7 @@
     reservations: tuple[tuple[str, int], ...] = ()
     abandoned_at: float = float('inf')
     event_timeout_s: float = float('inf')
+    rank: int | None = None
 
     @property
     def chunk_count(self) -> int:
@@ -134,6 +136,11 @@
         self.changed = {}
         return changed
 
+    def is_newer(self, sender: str, sequence: int) -> bool:
+        """Return whether a message is newer than all others of a peer."""
+        peer = self._senders.get(sender)
+        return peer is None or sequence > peer.sequence
+
     def apply_update(
         self,
         sender: str,
--- a/trestledock/relay/_placement.py
+++ b/trestledock/relay/_placement.py
@@ -93,7 +93,9 @@
             return None
         return replace(
             placement,
-            idle_fleet_s=_get_idle_fleet_s(problem),
+            idle_fleet_s=get_idle_fleet_s(
+                engine, problem.prefill_s, len(ordered)
+            ),
             pending_prefill_s=max(
                 load.pending_prefill_s for load in problem.loads
             ),
@@ -111,12 +113,12 @@
     return _place_short if problem.prefill_s <= SHORT_PREFILL_S else _place_long
 
 
-def _get_idle_fleet_s(problem: Problem) -> float:
+def get_idle_fleet_s(
+    engine: EngineModel, prefill_s: float, engine_count: int
+) -> float:
     """Return the time to the first token on an idle fleet."""
-    chunk_count = min(len(problem.loads), HELPER_COUNTS[-1] + 1)
-    return problem.prefill_s / chunk_count + get_decode_pass_s(
-        problem.engine, PassLoad(1)
-    )
+    chunk_count = min(engine_count, HELPER_COUNTS[-1] + 1)
+    return prefill_s / chunk_count + get_decode_pass_s(engine, PassLoad(1))
 
 
 def _place_short(problem: Problem) -> Placement:
@@ -148,6 +150,7 @@
         first_token_s=first_s,
         cost=cost_of(best),
         cost_to_others=problem.get_cost_to_others(best, prefill_s),
+        cost_to_urgent=problem.get_cost_to_urgent(best, prefill_s),
         gain=problem.get_gain(first_s),
     )
 
--- a/trestledock/relay/_placement_cost.py
+++ b/trestledock/relay/_placement_cost.py
@@ -53,6 +53,7 @@
     pause_s: float
     worth: float
     abandoned_after_s: float = float('inf')
+    rank: int | None = None
 
 
 @dataclass(frozen=True)
@@ -61,7 +62,8 @@
 
     `cost_to_others` is the part of the cost that falls on other requests at
     these engines, and `gain` the worth that the request itself is expected to
-    earn.
+    earn.  `cost_to_urgent` is what more urgent requests weigh beyond that; a
+    request waits to avoid it, but is not refused for it.
 
     `first_token_s` is the predicted time to the first token, and `idle_fleet_s`
     that on an idle fleet.  All prefill in progress ends within
@@ -75,6 +77,7 @@
     first_token_s: float = 0
     cost: float = 0
     cost_to_others: float = 0
+    cost_to_urgent: float = 0
     gain: float = 0
     idle_fleet_s: float = 0
     pending_prefill_s: float = 0
@@ -129,6 +132,12 @@
             else 0
         )
 
+    def get_cost_to_urgent(self, load: EngineLoad, chunk_s: float) -> float:
+        """Return the additional cost of delaying more urgent requests."""
+        if self.work.rank is None or not self.policy.weigh_cost_to_others:
+            return 0
+        return load.get_cost_to_urgent(chunk_s, self.work.rank, self.work.worth)
+
     def get_remote_cost(self, load: EngineLoad) -> float:
         """Return the cost of an engine in another data centre."""
         return REMOTE_COST * (load.is_remote and self.policy.prefer_local)
@@ -140,6 +149,7 @@
         risk = load.failure_share + own_pause * LATE_LOSS
         return (
             self.get_cost_to_others(load, chunk_s)
+            + self.get_cost_to_urgent(load, chunk_s)
             + self.get_lateness(first_s)
             + first_s * COST_PER_SECOND
             + risk * self.work.worth
--- a/trestledock/relay/_placement_request.py
+++ b/trestledock/relay/_placement_request.py
@@ -55,7 +55,8 @@
 class PlacementRequest:
     """A request to be placed.
 
-    `pause_s` and `event_timeout_s` are the limits of its route.
+    `pause_s` and `event_timeout_s` are the limits of its route, and `rank` its
+    rank if its service has different ones.
     """
 
     req_id: str
@@ -63,6 +64,7 @@
     timing: Timing
     pause_s: float
     event_timeout_s: float = float('inf')
+    rank: int | None = None
 
     @property
     def worth(self) -> float:
@@ -119,6 +121,7 @@
             reservations=placement.reservations,
             abandoned_at=self.timing.abandoned_at,
             event_timeout_s=self.event_timeout_s,
+            rank=self.rank,
         )
 
     def _make_work(self, timing: Timing, now: float) -> Work:
@@ -129,4 +132,5 @@
             pause_s=self.pause_s,
             worth=get_worth(self.size),
             abandoned_after_s=timing.get_remaining_s(now),
+            rank=self.rank,
         )
--- a/trestledock/relay/_wait_queue.py
+++ b/trestledock/relay/_wait_queue.py
@@ -4,30 +4,46 @@
 
 If all targets of a service limit their rate, waiting requests are sent by
 priority, then alternate between teams, in the order of arrival within a team.
+Requests of services with different ranks that wait for room at engines are in
+the queue too, with their work; `_turn_order` decides on their order.
 """
 
 from collections import Counter
 from dataclasses import dataclass, field
 from math import inf
+from typing import Iterator
 
-#: The rank of a request without a priority, from 0 (first) to 9.
-DEFAULT_PRIORITY = 5
+from trestledock.relay._catalog import get_rank
+from trestledock.relay._waiting_rows import WaitingRow, sum_rows
 
 
 @dataclass(frozen=True)
 class WaitingRequest:
-    """A request that waits for a service."""
+    """A request that waits for a service.
+
+    One that waits for room at engines has the seconds of its prefill as its
+    `work_s`, and waits until the instant `until` at most.
+    """
 
     req_id: str
     service: str
     team: str
     arrived_at: float
     priority: int | None = None
+    work_s: float = 0
+    until: float = inf
 
     @property
     def rank(self) -> int:
         """The priority, 0 first."""
-        return DEFAULT_PRIORITY if self.priority is None else self.priority
+        return get_rank(self.priority)
+
+    @property
+    def row(self) -> WaitingRow:
+        """The request as it is reported to other instances."""
+        return WaitingRow(
+            self.service, self.rank, self.team, 1, self.work_s, self.until
+        )
 
 
 @dataclass
@@ -36,26 +52,66 @@
 
     waiting: dict[str, WaitingRequest] = field(default_factory=dict)
     last_served_at: dict[tuple[str, str], float] = field(default_factory=dict)
+    _rows: tuple[WaitingRow, ...] | None = None
 
     def add(self, request: WaitingRequest) -> None:
         """Add a waiting request."""
         self.waiting[request.req_id] = request
+        self._rows = None
 
     def remove(self, req_id: str) -> None:
         """Remove a request."""
-        self.waiting.pop(req_id, None)
+        if self.waiting.pop(req_id, None):
+            self._rows = None
+
+    def waits_for_room(self, req_id: str) -> bool:
+        """Return whether a request waits for room at engines."""
+        request = self.waiting.get(req_id)
+        return request is not None and request.work_s > 0
+
+    @property
+    def rows(self) -> tuple[WaitingRow, ...]:
+        """The requests that wait for room at engines, summed."""
+        if self._rows is None:
+            self._rows = sum_rows(
+                request.row
+                for request in self.waiting.values()
+                if request.work_s
+            )
+        return self._rows
+
+    def get_teammates_ahead(
+        self, request: WaitingRequest
+    ) -> Iterator[WaitingRow]:
+        """Yield the earlier requests of a team and rank that wait for room."""
+        for other in self.waiting.values():
+            is_alike = (other.service, other.rank) == (
+                request.service,
+                request.rank,
+            )
+            if (
+                other.work_s
+                and is_alike
+                and _is_earlier_teammate(other, request)
+            ):
+                yield other.row
 
     def record_served(self, request: WaitingRequest, now: float) -> None:
         """Record that a request was served."""
         self.last_served_at[(request.service, request.team)] = now
 
     def count_ahead(self, request: WaitingRequest) -> int:
-        """Return the number of waiting requests that go before a request."""
+        """Return the number of requests that a rate limit lets go before it.
+
+        Those that wait for room at engines don't count: they may be sent to
+        another target than one with a rate limit, or can't be placed at all.
+        """
         others = [
             waiting
             for waiting in self.waiting.values()
             if waiting.service == request.service
             and waiting.req_id != request.req_id
+            and not waiting.work_s
         ]
         urgent = sum(waiting.rank < request.rank for waiting in others)
         equals = [waiting for waiting in others if waiting.rank == request.rank]
