Weigh requests in flight by rank in the cost model

Change: between requests of different ranks, the more urgent one counts at least as much as the other one.

--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -181,7 +181,9 @@
     def send_own_changes(self) -> None:
         """Send the own requests that changed since the last time."""
         changes = list(self.state.load_table.pop_changes().items())
-        if changes or self.state.wait_queue.rows != self._sent_rows:
+        rows = self.state.wait_queue.rows
+        if changes or rows != self._sent_rows:
+            self._sent_rows = rows
             again_s = self._get_full_state_interval_s()
             self._send_flights(
                 changes,
@@ -413,7 +415,6 @@
         self.sequence += 1
         now = anyio.current_time()
         age_s = self.state.get_advertised_age_s(now)
-        self._sent_rows = self.state.wait_queue.rows
         message = Flights(
             sender=self.state.member,
             sequence=self.sequence,
@@ -423,7 +424,7 @@
             store_age_s=age_s,
             again_s=again_s,
             changes=tuple(changes),
-            waiting=self._sent_rows,
+            waiting=self.state.wait_queue.rows,
             served=self.state.usage.get_own_rows(now),
         )
         self.send(message, addresses)
--- a/trestledock/entry/_ordering.py
+++ b/trestledock/entry/_ordering.py
@@ -132,7 +132,8 @@
     )
     if decision is Decision.send:
         return chosen
-    _log_yielded(job, turn)
+    if chosen or decision is Decision.no_turn:
+        _log_yielded(job, turn)
     if decision is Decision.wait:
         return None
     job.retry_after_s = turn.get_retry_after_s(
@@ -180,7 +181,7 @@
         *get_rows_ahead(request, rows, standings),
         *state.wait_queue.get_teammates_ahead(request),
     )
-    return make_turn(ahead, len(contest.targets), contest.left_s)
+    return make_turn(request, ahead, len(contest.targets), contest.left_s)
 
 
 def _leave_needed(
--- a/trestledock/relay/_engine_load.py
+++ b/trestledock/relay/_engine_load.py
@@ -6,7 +6,7 @@
 its first token, and the loss of the requests that are already there.
 """
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Iterable
 
 from trestledock.relay._catalog import EngineModel
@@ -72,43 +72,71 @@
         """Return the time until a helper's chunk of `chunk_s` is prefilled."""
         return self.helper_wait_s + chunk_s
 
-    def get_cost_to_others(self, chunk_s: float) -> float:
-        """Return the loss of others if `chunk_s` more is prefilled here."""
+    def get_cost_to_others(
+        self, chunk_s: float, newcomer: 'Newcomer | None' = None
+    ) -> float:
+        """Return the loss of others if `chunk_s` more is prefilled here.
+
+        A less urgent request counts at most as much as a ranked newcomer.
+        """
         before_s = self.base_s + self.pending_prefill_s
-        return sum(
-            _get_loss(flight, before_s + chunk_s, self.now)
-            - _get_loss(flight, before_s, self.now)
+        worths = [
+            newcomer.get_worth_of_other(flight) if newcomer else flight.worth
             for flight in self.flights
+        ]
+        return sum(
+            worth * _get_lost_share(flight, before_s + chunk_s, self.now)
+            - worth * _get_lost_share(flight, before_s, self.now)
+            for flight, worth in zip(self.flights, worths, strict=True)
         ) + sum(
-            flight.worth * LATE_LOSS * DELAY_LOSS * min(1, chunk_s)
-            for flight in self.flights
+            worth * LATE_LOSS * DELAY_LOSS * min(1, chunk_s)
+            for flight, worth in zip(self.flights, worths, strict=True)
             if flight.phase is Phase.prefill
         )
 
-    def get_cost_to_urgent(
-        self, chunk_s: float, rank: int, worth: float
-    ) -> float:
+    def get_cost_to_urgent(self, chunk_s: float, newcomer: 'Newcomer') -> float:
         """Return the additional cost of delaying more urgent requests.
 
-        Worth by tokens values a prompt of 700,000 as much as 80 prompts of
-        5,000, which operators put first by their ranks.  So a more urgent
-        request counts at least as much as the request that would delay it.
+        Each counts at least as much as the newcomer.
         """
         before_s = self.base_s + self.pending_prefill_s
-        urgent = [
-            replace(flight, worth=worth - flight.worth)
-            for flight in self.flights
-            if flight.rank is not None
-            and flight.rank < rank
-            and flight.worth < worth
-        ]
         return sum(
-            _get_loss(flight, before_s + chunk_s, self.now)
-            - _get_loss(flight, before_s, self.now)
-            for flight in urgent
+            newcomer.get_surcharge(flight)
+            * (
+                _get_lost_share(flight, before_s + chunk_s, self.now)
+                - _get_lost_share(flight, before_s, self.now)
+            )
+            for flight in self.flights
+            if newcomer.get_surcharge(flight)
         )
 
 
+@dataclass(frozen=True)
+class Newcomer:
+    """The rank and worth of a request to be placed, 0 being most urgent.
+
+    Worth by tokens values a prompt of 700,000 as much as 80 prompts of 5,000,
+    but operators put the short ones first by their ranks.  So between requests
+    of different ranks, the more urgent one counts at least as much as the other
+    one: short prompts would otherwise be refused to spare long ones.
+    """
+
+    rank: int
+    worth: float
+
+    def get_worth_of_other(self, flight: Flight) -> float:
+        """Return what a request in flight counts for at most."""
+        if flight.rank is None or flight.rank <= self.rank:
+            return flight.worth
+        return min(flight.worth, self.worth)
+
+    def get_surcharge(self, flight: Flight) -> float:
+        """Return what a more urgent request counts for beyond its worth."""
+        if flight.rank is None or flight.rank >= self.rank:
+            return 0
+        return max(0, self.worth - flight.worth)
+
+
 class LoadEstimator:
     """Derives the load of engines from the requests in flight."""
 
@@ -162,8 +190,8 @@
     return max(0, left_s - max(0, now - at))
 
 
-def _get_loss(flight: Flight, pass_s: float, now: float) -> float:
-    """Return the loss of a request by a pass that ends after `pass_s`.
+def _get_lost_share(flight: Flight, pass_s: float, now: float) -> float:
+    """Return the share of its worth that a request loses by a pass.
 
     To a decoding request the pass is a pause; to one in prefill it delays the
     first token, since newer chunks go before older ones.
@@ -175,9 +203,7 @@
         late = _get_late_probability(pass_s, flight.due_at - now)
         abandoned_after_s = flight.abandoned_at - now
     share = late * LATE_LOSS
-    if pass_s > abandoned_after_s:
-        share = 1
-    return flight.worth * share
+    return 1 if pass_s > abandoned_after_s else share
 
 
 def _get_late_probability(first_s: float, left_s: float) -> float:
--- a/trestledock/relay/_placement_cost.py
+++ b/trestledock/relay/_placement_cost.py
@@ -12,7 +12,12 @@
 
 from trestledock.relay._call import PromptSize
 from trestledock.relay._catalog import EngineModel
-from trestledock.relay._engine_load import LATE_LOSS, PAUSE_SHARE, EngineLoad
+from trestledock.relay._engine_load import (
+    LATE_LOSS,
+    PAUSE_SHARE,
+    EngineLoad,
+    Newcomer,
+)
 from trestledock.relay._policy import DEFAULT_POLICY, PlacementPolicy
 from trestledock.relay._target_records import ListedTarget
 
@@ -55,6 +60,11 @@
     abandoned_after_s: float = float('inf')
     rank: int | None = None
 
+    @property
+    def newcomer(self) -> Newcomer | None:
+        """What the request counts for among others of different ranks."""
+        return None if self.rank is None else Newcomer(self.rank, self.worth)
+
 
 @dataclass(frozen=True)
 class Placement:
@@ -127,16 +137,17 @@
     def get_cost_to_others(self, load: EngineLoad, chunk_s: float) -> float:
         """Return the loss of others if an engine prefills `chunk_s` more."""
         return (
-            load.get_cost_to_others(chunk_s)
+            load.get_cost_to_others(chunk_s, self.work.newcomer)
             if self.policy.weigh_cost_to_others
             else 0
         )
 
     def get_cost_to_urgent(self, load: EngineLoad, chunk_s: float) -> float:
         """Return the additional cost of delaying more urgent requests."""
-        if self.work.rank is None or not self.policy.weigh_cost_to_others:
+        newcomer = self.work.newcomer
+        if newcomer is None or not self.policy.weigh_cost_to_others:
             return 0
-        return load.get_cost_to_urgent(chunk_s, self.work.rank, self.work.worth)
+        return load.get_cost_to_urgent(chunk_s, newcomer)
 
     def get_remote_cost(self, load: EngineLoad) -> float:
         """Return the cost of an engine in another data centre."""
--- a/trestledock/relay/_shortage.py
+++ b/trestledock/relay/_shortage.py
@@ -23,6 +23,7 @@
     Decision,
     Timing,
 )
+from trestledock.relay._wait_queue import WaitingRequest
 from trestledock.relay._waiting_rows import WaitingRow
 
 #: The largest random part of a Retry-After, as a share of it: callers that are
@@ -34,11 +35,13 @@
 class Turn:
     """The requests ahead of a request, and how long it may wait for them.
 
-    `turn_s` is the work ahead divided by the engines, and `left_s` the time for
-    which the request may still wait.
+    Its `rivals` are those ahead that compete for the same engines.  `turn_s` is
+    their work divided by the engines, and `left_s` the time for which the
+    request may still wait.
     """
 
     ahead: tuple[WaitingRow, ...]
+    rivals: tuple[WaitingRow, ...]
     turn_s: float
     left_s: float
 
@@ -55,7 +58,7 @@
         """
         if self.turn_s <= self.left_s:
             return Decision.wait
-        if all(row.rank > rank for row in self.ahead):
+        if all(row.rank > rank for row in self.rivals):
             return Decision.send if has_placement else Decision.wait
         return Decision.no_turn
 
@@ -74,8 +77,18 @@
 
 
 def make_turn(
-    ahead: Sequence[WaitingRow], engine_count: int, left_s: float
+    request: WaitingRequest,
+    ahead: Sequence[WaitingRow],
+    engine_count: int,
+    left_s: float,
 ) -> Turn:
-    """Return the turn of a request behind others."""
-    work_s = sum(row.work_s for row in ahead)
-    return Turn(tuple(ahead), work_s / max(1, engine_count), left_s)
+    """Return the turn of a request behind others.
+
+    Long prompts ahead of a small request are no rivals: they take idle engines,
+    and small ones share engines on which others decode.  If they still have not
+    taken the engines at the end of its wait, they could not use them.
+    """
+    is_small = request.row.is_small
+    rivals = tuple([row for row in ahead if row.is_small or not is_small])
+    work_s = sum(row.work_s for row in rivals)
+    return Turn(tuple(ahead), rivals, work_s / max(1, engine_count), left_s)
