--- a/trestledock/relay/_room.py
+++ b/trestledock/relay/_room.py
@@ -22,6 +22,13 @@
 #: The most seconds of a long prompt's prefill that one engine counts for: a
 #: prompt of 45,000 tokens that comes meanwhile must still be in time (1.5 s).
 MAX_CHUNK_S = 1.0
+#: An engine whose prefill ends within this time, in seconds, has room for small
+#: requests that wait: the shortest prompts are due after 0.27 s and wait for up
+#: to 0.13 s, while one prompt of 45,000 tokens would take the engine for 0.25 s.
+SMALL_WAIT_S = 0.1
+#: The slots of a full engine that are left to waiting requests: whoever is sent
+#: there takes the next slot that an answer leaves.
+NEXT_SLOTS = 1
 
 
 @dataclass(frozen=True)
@@ -140,13 +147,13 @@
 def _count_slots(engine: EngineModel, load: EngineLoad, work_s: float) -> int:
     """Return how many small requests an engine can take at once.
 
-    No more than are prefilled one after another within the time of one long
-    chunk, so that the last of them is in time.
+    They are no more than can be prefilled one after another before a long
+    prompt would be, so that the last of them is in time.
     """
-    slots = engine.batch - load.count
-    if work_s <= 0 or slots <= 0 or not _has_room(engine, load, work_s):
+    slots = max(engine.batch - load.count, NEXT_SLOTS)
+    if work_s <= 0 or not _has_room(engine, load, work_s):
         return 0
-    pending_s = load.pending_prefill_s
+    pending_s = max(0, load.pending_prefill_s - SMALL_WAIT_S)
     return max(0, min(slots, int((SMALL_WORK_S - pending_s) / work_s)))
 
 
