--- a/tests/contending.py
+++ b/tests/contending.py
@@ -6,6 +6,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, replace
+from math import inf
 from random import Random
 
 import anyio
@@ -65,6 +66,26 @@
     end_s: float = 6
 
 
+class Wires:
+    """Delivers an entry's datagrams within the process."""
+
+    def __init__(self, contention, group, number):
+        self.contention = contention
+        self.group = group
+        self.number = number
+
+    def send(self, raw, addresses):
+        world = self.contention
+        if not world.lives(self.number):
+            return
+        world.messages.append(raw)
+        sender = (f'10.0.0.{self.number}', 1)
+        for host, _ in addresses:
+            other = int(host.rsplit('.', 1)[1])
+            if not (world.is_cut and world.is_cut(self.number, other)):
+                self.group.start_soon(world.deliver, raw, sender, other)
+
+
 class Contention:
     """Some entries and engines, and the outcomes by kind and team."""
 
@@ -87,8 +108,11 @@
         self.served = Counter()
         self.in_time = Counter()
         self.refused = Counter()
-        self.cut = lambda sender, receiver: False
+        self.served_by_entry = Counter()
+        self.is_cut = None
+        self.dies_at = {}
         self.messages = []
+        self.flights = []
 
     def share(self, *key):
         """Return the served share of a kind, or of a kind's team."""
@@ -131,17 +155,7 @@
                 )
             )
         gossip = Gossip(state)
-        address = (f'10.0.0.{number}', 1)
-
-        class Wires:
-            def send(_, raw, addresses):
-                self.messages.append(raw)
-                for receiver, _ in addresses:
-                    other = int(receiver.rsplit('.', 1)[1])
-                    if not self.cut(number, other):
-                        group.start_soon(self.deliver, raw, address, other)
-
-        gossip._datagrams = Wires()
+        gossip._datagrams = Wires(self, group, number)
         gossip.add_addresses(
             {f'e{n}': f'10.0.0.{n}:1' for n in range(self.entries)}
         )
@@ -150,12 +164,15 @@
     async def deliver(self, raw, sender, receiver):
         await anyio.sleep(NETWORK_S)
         gossip = self.gossips[receiver]
-        if gossip._datagrams and gossip.handle_datagram(raw, sender):
+        if self.lives(receiver) and gossip.handle_datagram(raw, sender):
             gossip.state.notify()
 
+    def lives(self, number):
+        return anyio.current_time() < self.dies_at.get(number, inf)
+
     async def exchange(self, gossip):
         gossip.state.send_own_changes = gossip.send_own_changes
-        gossip.receive_messages = lambda: None
+        gossip.receive_messages = lambda: None  # Deliveries are calls.
         async with anyio.create_task_group() as group:
             group.start_soon(gossip._send_changes)
             group.start_soon(gossip._send_periodically)
@@ -169,10 +186,10 @@
 
     async def request(self, arrivals):
         kind = arrivals.kind
-        gossip = self.rng.choice(self.gossips)
-        if gossip._datagrams is None:
+        number = self.rng.randrange(self.entries)
+        if not self.lives(number):
             return
-        state = gossip.state
+        state = self.gossips[number].state
         key = (kind.name, arrivals.team)
         self.asked[key] += 1
         now = anyio.current_time()
@@ -194,11 +211,13 @@
             self.refused[(*key, placement.value)] += 1
             return
         flight = make_flight(job, placement, now)
+        self.flights.append(flight)
         state.load_table.put(flight)
         state.notify_own()
         _ordering.record_usage(state, job, now, served=True)
         await anyio.sleep(placement.first_token_s)
         self.served[key] += 1
+        self.served_by_entry[number] += 1
         late = anyio.current_time() > job.timing.due_at
         self.in_time[key] += not late
         state.load_table.start_decode(req_id, anyio.current_time())
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -181,7 +181,7 @@
     def send_own_changes(self) -> None:
         """Send the own requests that changed since the last time."""
         changes = list(self.state.load_table.pop_changes().items())
-        rows = self.state.wait_queue.rows
+        rows = self.state.wait_queue.room.get_rows(anyio.current_time())
         if changes or rows != self._sent_rows:
             self._sent_rows = rows
             again_s = self._get_full_state_interval_s()
@@ -424,7 +424,7 @@
             store_age_s=age_s,
             again_s=again_s,
             changes=tuple(changes),
-            waiting=self.state.wait_queue.rows,
+            waiting=self.state.wait_queue.room.get_rows(now),
             served=self.state.usage.get_own_rows(now),
         )
         self.send(message, addresses)
--- a/trestledock/entry/_ordering.py
+++ b/trestledock/entry/_ordering.py
@@ -27,6 +27,7 @@
     WaitingRow,
     find_starved_ranks,
     get_idle_fleet_s,
+    get_in_time_s,
     get_prefill_s,
     get_room,
     get_rows_ahead,
@@ -56,22 +57,31 @@
         size = self.job.placement_request.size
         return get_prefill_s(self.engine, size.prompt_tokens)
 
+    @property
+    def idle_fleet_s(self) -> float:
+        """The time to the first token on idle engines."""
+        return get_idle_fleet_s(
+            self.engine, self.prefill_s, max(1, len(self.targets))
+        )
+
     @property
     def left_s(self) -> float:
         """How long the request may still wait."""
-        request = self.job.placement_request
-        idle_s = get_idle_fleet_s(
-            self.engine, self.prefill_s, max(1, len(self.targets))
+        return get_wait_left_s(
+            self.job.timing,
+            self.job.placement_request.worth,
+            self.idle_fleet_s,
+            self.now,
         )
-        return get_wait_left_s(request.timing, request.worth, idle_s, self.now)
 
     @property
     def waiting_request(self) -> WaitingRequest:
         """The place of the request in the queue for room."""
+        in_time_s = get_in_time_s(self.job.timing, self.idle_fleet_s, self.now)
         return replace(
             self.job.waiting_request,
             work_s=self.prefill_s,
-            until=self.now + max(0, self.left_s),
+            until=self.now + in_time_s,
         )
 
 
@@ -149,15 +159,18 @@
 
     With many entries small requests stay in their own data centre.
     """
-    own = [row for row in state.wait_queue.rows if row.service == service]
     data_centre = state.settings.data_centre
     reported = [
         row
-        for row in state.peer_waiting.get_rows(service, now)
+        for row in state.peer_waiting.get_rows(now)
         if not (state.many_entries and row.is_small)
         or row.data_centre == data_centre
     ]
-    return [*own, *reported]
+    return [
+        row
+        for row in (*state.wait_queue.room.get_rows(now), *reported)
+        if row.service == service
+    ]
 
 
 def _get_turn(state: EntryState, contest: Contest) -> Turn:
@@ -179,7 +192,7 @@
     standings = Standings(get_counter, starved, rate)
     ahead = (
         *get_rows_ahead(request, rows, standings),
-        *state.wait_queue.get_teammates_ahead(request),
+        *state.wait_queue.get_teammates_ahead(request, contest.now),
     )
     return make_turn(request, ahead, len(contest.targets), contest.left_s)
 
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -29,7 +29,6 @@
     RemoteLoad,
     Member,
     Notices,
-    PeerWaiting,
     Placer,
     FreshnessProof,
     Reachability,
@@ -39,6 +38,7 @@
     Throttle,
     UsageTable,
     WaitQueue,
+    WaitingTable,
 )
 
 #: Delay before a failed background task is restarted, in seconds.
@@ -105,7 +105,7 @@
     health: Health = field(default_factory=Health)
     reach: Reachability = field(default_factory=Reachability)
     wait_queue: WaitQueue = field(default_factory=WaitQueue)
-    peer_waiting: PeerWaiting = field(default_factory=PeerWaiting)
+    peer_waiting: WaitingTable = field(default_factory=WaitingTable)
     usage: UsageTable = field(default_factory=UsageTable)
     ignored_notices: dict[str, dict[str, str]] = field(default_factory=dict)
     restores: RestoreTracker = field(default_factory=RestoreTracker)
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -13,6 +13,7 @@
     Timing,
     decide,
     decide_unplaced,
+    get_in_time_s,
     get_retry_after_s,
     get_wait_left_s,
 )
@@ -116,7 +117,7 @@
 )
 from trestledock.relay._usage import Usage, UsageKey, UsageRow, UsageTable
 from trestledock.relay._wait_queue import WaitQueue, WaitingRequest
-from trestledock.relay._waiting_rows import PeerWaiting, WaitingRow
+from trestledock.relay._waiting_rows import WaitingRow, WaitingTable
 from trestledock.relay._worth import get_worth
 
 __all__ = (
@@ -154,7 +155,6 @@
     'PLACEMENT_RETRY_S',
     'PassLoad',
     'PeerBackoff',
-    'PeerWaiting',
     'Phase',
     'Placement',
     'PlacementPolicy',
@@ -197,6 +197,7 @@
     'WaitQueue',
     'WaitingRequest',
     'WaitingRow',
+    'WaitingTable',
     'Work',
     'choose_least_busy',
     'choose_reader',
@@ -212,6 +213,7 @@
     'get_fingerprint',
     'get_first_event_timeout_s',
     'get_idle_fleet_s',
+    'get_in_time_s',
     'get_jitter_s',
     'get_own_read_delay_s',
     'get_pause_timeout_s',
--- a/trestledock/relay/_admission.py
+++ b/trestledock/relay/_admission.py
@@ -173,11 +173,16 @@
     now: float,
 ) -> bool:
     """Return whether the request would be in time on an idle fleet."""
+    return placement.idle_fleet_s < _get_in_time_limit_s(timing, now)
+
+
+def _get_in_time_limit_s(timing: Timing, now: float) -> float:
+    """Return up to which predicted time a waiting request may be in time."""
     left_s = min(
         timing.get_remaining_objective_s(now) * OBJECTIVE_SHARE,
         timing.get_remaining_s(now) * ABANDONMENT_SHARE,
     )
-    return placement.idle_fleet_s < left_s - PLACEMENT_RETRY_S
+    return left_s - PLACEMENT_RETRY_S
 
 
 def _has_time_to_queue(
@@ -195,6 +200,11 @@
     )
 
 
+def get_in_time_s(timing: Timing, idle_fleet_s: float, now: float) -> float:
+    """Return for how long a request may wait and still be in time."""
+    return _get_in_time_limit_s(timing, now) - idle_fleet_s
+
+
 def get_wait_left_s(
     timing: Timing, worth: float, idle_fleet_s: float, now: float
 ) -> float:
@@ -204,18 +214,14 @@
     as long as it may queue, so no order makes a request wait for longer than it
     would without.
     """
-    left_s = timing.get_remaining_s(now)
-    in_time_s = min(
-        timing.get_remaining_objective_s(now) * OBJECTIVE_SHARE,
-        left_s * ABANDONMENT_SHARE,
-    )
-    wait_s = in_time_s - idle_fleet_s - PLACEMENT_RETRY_S
+    wait_s = get_in_time_s(timing, idle_fleet_s, now)
     if worth <= SMALL_WORTH:
         return wait_s
     total_s = timing.abandoned_at - timing.arrived_at
+    left_s = timing.get_remaining_s(now) * MAX_IDLE_FLEET_SHARE
     queue_s = min(
         total_s * MAX_QUEUE_SHARE - timing.get_waited_s(now),
-        left_s * MAX_IDLE_FLEET_SHARE - idle_fleet_s,
+        left_s - idle_fleet_s,
     )
     return max(wait_s, queue_s)
 
--- a/trestledock/relay/_room.py
+++ b/trestledock/relay/_room.py
@@ -22,9 +22,9 @@
 #: The most seconds of a long prompt's prefill that one engine counts for: a
 #: prompt of 45,000 tokens that comes meanwhile must still be in time (1.5 s).
 MAX_CHUNK_S = 1.0
-#: An engine whose prefill ends within this time, in seconds, has room for small
-#: requests that wait: the shortest prompts are due after 0.27 s and wait for up
-#: to 0.13 s, while one prompt of 45,000 tokens would take the engine for 0.25 s.
+#: An engine whose prefill ends within this time, in seconds, has room for
+#: small requests that wait: the shortest prompts are due after 0.27 s and wait
+#: for up to 0.13 s, while a prompt of 45,000 tokens takes the engine for 0.25 s.
 SMALL_WAIT_S = 0.1
 #: The slots of a full engine that are left to waiting requests: whoever is sent
 #: there takes the next slot that an answer leaves.
@@ -35,12 +35,14 @@
 class EngineRoom:
     """The room of an engine: `slots` for small requests, or all for a long one.
 
-    `is_free` is true if a long prompt can use the engine.
+    `is_free` is true if a long prompt can use the engine.  `order` is that in
+    which small requests take engines, as placement packs them.
     """
 
     name: str
     slots: int
     is_free: bool
+    order: tuple[bool, int]
 
 
 def get_room(
@@ -63,6 +65,7 @@
             if local_only and load.is_remote
             else _count_slots(engine, load, small_s),
             _is_free(engine, load, long_s),
+            order=(load.count >= engine.batch, -load.count),
         )
         for load in loads
     ]
@@ -82,7 +85,7 @@
     unless the request behind may share it.
     """
     small_count = sum(row.count for row in ahead if row.is_small)
-    spots = sorted(room, key=lambda spot: (spot.is_free, spot.slots))
+    spots = sorted(room, key=lambda spot: spot.order)
     needed = set(_pick_slots(spots, small_count, may_share=may_share))
     free = [
         spot.name for spot in spots if spot.is_free and spot.name not in needed
--- a/trestledock/relay/_wait_queue.py
+++ b/trestledock/relay/_wait_queue.py
@@ -11,10 +11,9 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from math import inf
-from typing import Iterator
 
 from trestledock.relay._catalog import get_rank
-from trestledock.relay._waiting_rows import WaitingRow, sum_rows
+from trestledock.relay._waiting_rows import WaitingRow, WaitingTable
 
 
 @dataclass(frozen=True)
@@ -22,7 +21,7 @@
     """A request that waits for a service.
 
     One that waits for room at engines has the seconds of its prefill as its
-    `work_s`, and waits until the instant `until` at most.
+    `work_s`, and can be in time until the instant `until`.
     """
 
     req_id: str
@@ -48,53 +47,42 @@
 
 @dataclass
 class WaitQueue:
-    """The waiting requests, and when each team was last served."""
+    """The waiting requests, and when each team was last served.
+
+    `room` sums those that wait for room at engines.
+    """
 
     waiting: dict[str, WaitingRequest] = field(default_factory=dict)
     last_served_at: dict[tuple[str, str], float] = field(default_factory=dict)
-    _rows: tuple[WaitingRow, ...] | None = None
+    room: WaitingTable = field(default_factory=WaitingTable)
 
     def add(self, request: WaitingRequest) -> None:
         """Add a waiting request."""
         self.waiting[request.req_id] = request
-        self._rows = None
+        self.room.put(request.req_id, [request.row] if request.work_s else [])
 
     def remove(self, req_id: str) -> None:
         """Remove a request."""
-        if self.waiting.pop(req_id, None):
-            self._rows = None
+        self.waiting.pop(req_id, None)
+        self.room.drop(req_id)
 
     def waits_for_room(self, req_id: str) -> bool:
         """Return whether a request waits for room at engines."""
-        request = self.waiting.get(req_id)
-        return request is not None and request.work_s > 0
-
-    @property
-    def rows(self) -> tuple[WaitingRow, ...]:
-        """The requests that wait for room at engines, summed."""
-        if self._rows is None:
-            self._rows = sum_rows(
-                request.row
-                for request in self.waiting.values()
-                if request.work_s
-            )
-        return self._rows
+        return req_id in self.room.by_source
 
     def get_teammates_ahead(
-        self, request: WaitingRequest
-    ) -> Iterator[WaitingRow]:
-        """Yield the earlier requests of a team and rank that wait for room."""
-        for other in self.waiting.values():
-            is_alike = (other.service, other.rank) == (
-                request.service,
-                request.rank,
-            )
-            if (
-                other.work_s
-                and is_alike
-                and _is_earlier_teammate(other, request)
-            ):
-                yield other.row
+        self, request: WaitingRequest, now: float
+    ) -> list[WaitingRow]:
+        """Return the earlier requests of a team and rank that wait for room."""
+        return [
+            other.row
+            for other in self.waiting.values()
+            if other.work_s
+            and other.until > now
+            and other.service == request.service
+            and other.rank == request.rank
+            and _is_earlier_teammate(other, request)
+        ]
 
     def record_served(self, request: WaitingRequest, now: float) -> None:
         """Record that a request was served."""
--- a/trestledock/relay/_waiting_rows.py
+++ b/trestledock/relay/_waiting_rows.py
@@ -4,7 +4,8 @@
 
 Requests that wait for room at engines, summed by service, rank, team and size,
 as entries report them to each other.  A row expires when its requests can no
-longer wait, so a message that says that they were served may be lost.
+longer be in time: a late request delays no other one, and the message that says
+that it was served may be lost.
 """
 
 from collections import defaultdict
@@ -22,8 +23,9 @@
 class WaitingRow:
     """Some waiting requests of a service, rank and team.
 
-    `work_s` is their prefill in seconds of one engine.  The last of them stops
-    waiting at the instant `until`.  `data_centre` is that of their entry.
+    `work_s` is their prefill in seconds of one engine.  The last of them can no
+    longer be in time at the instant `until`.  `data_centre` is that of their
+    entry.
     """
 
     service: str
@@ -83,47 +85,39 @@
 
 
 @dataclass
-class PeerWaiting:
-    """The waiting rows of the other entries, by the name of the entry.
+class WaitingTable:
+    """Waiting rows by who reported them: a request, or another entry.
 
-    The sums are kept until a message changes them or a row expires, since each
-    waiting request reads them each time that it is placed.
+    The sums are kept until a row changes or expires, since each waiting request
+    reads them each time that it is placed.
     """
 
-    by_sender: dict[str, tuple[WaitingRow, ...]] = field(default_factory=dict)
-    _sums: dict[str, tuple[WaitingRow, ...]] = field(default_factory=dict)
+    by_source: dict[str, tuple[WaitingRow, ...]] = field(default_factory=dict)
+    _sums: tuple[WaitingRow, ...] | None = None
     _valid_until: float = inf
 
-    def put(self, sender: str, rows: Sequence[WaitingRow]) -> bool:
-        """Replace the rows of an entry; return whether they differ."""
-        before = self.by_sender.pop(sender, ())
+    def put(self, source: str, rows: Sequence[WaitingRow]) -> bool:
+        """Replace the rows of a source; return whether it has or had any."""
+        before = self.by_source.pop(source, ())
         if rows:
-            self.by_sender[sender] = tuple(rows)
+            self.by_source[source] = tuple(rows)
         if before or rows:
-            self._reset()
+            self._sums = None
         return bool(before or rows)
 
-    def drop(self, sender: str) -> None:
-        """Remove the rows of an entry that no longer sends messages."""
-        self.put(sender, ())
+    def drop(self, source: str) -> None:
+        """Remove the rows of a source."""
+        self.put(source, ())
 
-    def get_rows(self, service: str, now: float) -> tuple[WaitingRow, ...]:
-        """Return the sums of a service's rows that have not expired."""
-        if now >= self._valid_until:
-            self._reset()
-        if service not in self._sums:
+    def get_rows(self, now: float) -> tuple[WaitingRow, ...]:
+        """Return the sums of the rows that have not expired."""
+        if self._sums is None or now >= self._valid_until:
             rows = [
                 row
-                for by_sender in self.by_sender.values()
-                for row in by_sender
-                if row.service == service and row.until > now
+                for by_source in self.by_source.values()
+                for row in by_source
+                if row.until > now
             ]
-            self._sums[service] = sum_rows(rows)
-            self._valid_until = min(
-                [self._valid_until, *(row.until for row in rows)]
-            )
-        return self._sums[service]
-
-    def _reset(self) -> None:
-        self._sums = {}
-        self._valid_until = inf
+            self._sums = sum_rows(rows)
+            self._valid_until = min([row.until for row in rows], default=inf)
+        return self._sums
