Judge the room of engines as the requests ahead would

Cause: an engine counted as free for a waiting prompt only if nothing was in prefill there. Under a lasting overload no engine is ever free in that sense, so teams were not ordered.

Change: an engine has room for a request ahead if the request would be in time there, at a cost that it would not wait to avoid.

--- a/trestledock/relay/_room.py
+++ b/trestledock/relay/_room.py
@@ -12,25 +12,45 @@
 from math import ceil, sqrt
 from typing import Iterable, Iterator, Sequence
 
+from trestledock.relay._admission import WAIT_COST_SHARE
+from trestledock.relay._call import PromptSize
 from trestledock.relay._catalog import EngineModel
-from trestledock.relay._engine_load import MEMORY_SHARE, EngineLoad
+from trestledock.relay._engine_load import MEMORY_SHARE, EngineLoad, Newcomer
 from trestledock.relay._waiting_rows import SMALL_WORK_S, WaitingRow
+from trestledock.relay._worth import get_worth
 
-#: The loss of others, in units of worth, below which an engine has room.
-#: Placement neglects such a cost too.
-MAX_LOSS = 0.1
 #: The most seconds of a long prompt's prefill that one engine counts for: a
 #: prompt of 45,000 tokens that comes meanwhile must still be in time (1.5 s).
 MAX_CHUNK_S = 1.0
-#: An engine whose prefill ends within this time, in seconds, has room for
-#: small requests that wait: the shortest prompts are due after 0.27 s and wait
-#: for up to 0.13 s, while a prompt of 45,000 tokens takes the engine for 0.25 s.
-SMALL_WAIT_S = 0.1
+#: The least prefill that a small request counts for, in seconds.
+MIN_WORK_S = 0.01
 #: The slots of a full engine that are left to waiting requests: whoever is sent
 #: there takes the next slot that an answer leaves.
 NEXT_SLOTS = 1
 
 
+@dataclass(frozen=True)
+class _Claim:
+    """What a request ahead asks of an engine; it waits until `until`."""
+
+    work_s: float
+    tokens: float
+    until: float
+    newcomer: Newcomer
+
+    def can_use(self, load: EngineLoad) -> bool:
+        """Return whether the request would be in time and cost others little.
+
+        A cost that it would not wait to avoid is little.
+        """
+        is_late = load.now + load.pending_prefill_s > self.until
+        if is_late or load.free_tokens < self.tokens:
+            return False
+        cost = load.get_cost_to_others(self.work_s, self.newcomer)
+        cost += load.get_cost_to_urgent(self.work_s, self.newcomer)
+        return cost <= self.newcomer.worth * WAIT_COST_SHARE
+
+
 @dataclass(frozen=True)
 class EngineRoom:
     """The room of an engine: `slots` for small requests, or all for a long one.
@@ -56,15 +76,15 @@
 
     With `local_only`, small requests stay in their data centre.
     """
-    small_s = _get_mean_s([row for row in ahead if row.is_small])
-    long_s = _get_mean_s([row for row in ahead if not row.is_small])
+    small = _make_claim(engine, [row for row in ahead if row.is_small])
+    long = _make_claim(engine, [row for row in ahead if not row.is_small])
     return [
         EngineRoom(
             load.target.incarnation,
             0
             if local_only and load.is_remote
-            else _count_slots(engine, load, small_s),
-            _is_free(engine, load, long_s),
+            else _count_slots(engine, load, small),
+            _is_free(engine, load, long),
             order=(load.count >= engine.batch, -load.count),
         )
         for load in loads
@@ -142,33 +162,44 @@
     )
 
 
-def _get_mean_s(rows: Sequence[WaitingRow]) -> float:
+def _make_claim(
+    engine: EngineModel, rows: Sequence[WaitingRow]
+) -> _Claim | None:
     count = sum(row.count for row in rows)
-    return sum(row.work_s for row in rows) / count if count else 0
+    if not count:
+        return None
+    work_s = sum(row.work_s for row in rows) / count
+    each_s = work_s / _count_engines_each(engine, work_s)
+    tokens = _get_tokens(engine, each_s)
+    return _Claim(
+        each_s,
+        tokens,
+        max(row.until for row in rows),
+        Newcomer(
+            min(row.rank for row in rows),
+            get_worth(PromptSize(round(tokens), 0)),
+        ),
+    )
 
 
-def _count_slots(engine: EngineModel, load: EngineLoad, work_s: float) -> int:
+def _count_slots(
+    engine: EngineModel, load: EngineLoad, claim: _Claim | None
+) -> int:
     """Return how many small requests an engine can take at once.
 
     They are no more than can be prefilled one after another before a long
     prompt would be, so that the last of them is in time.
     """
-    slots = max(engine.batch - load.count, NEXT_SLOTS)
-    if work_s <= 0 or not _has_room(engine, load, work_s):
+    if claim is None or not claim.can_use(load):
         return 0
-    pending_s = max(0, load.pending_prefill_s - SMALL_WAIT_S)
-    return max(0, min(slots, int((SMALL_WORK_S - pending_s) / work_s)))
+    slots = max(engine.batch - load.count, NEXT_SLOTS)
+    return max(1, min(slots, int(SMALL_WORK_S / max(claim.work_s, MIN_WORK_S))))
 
 
-def _is_free(engine: EngineModel, load: EngineLoad, work_s: float) -> bool:
+def _is_free(
+    engine: EngineModel, load: EngineLoad, claim: _Claim | None
+) -> bool:
     """Return whether a long prompt can use an engine, alone or with others."""
-    if work_s <= 0 or load.pending_prefill_s or load.count >= engine.batch:
-        return False
-    count = _count_engines_each(engine, work_s)
-    return _has_room(engine, load, work_s / count)
-
-
-def _has_room(engine: EngineModel, load: EngineLoad, work_s: float) -> bool:
-    if load.free_tokens < _get_tokens(engine, work_s):
+    if claim is None or load.count >= engine.batch:
         return False
-    return load.get_cost_to_others(work_s) < MAX_LOSS
+    return claim.can_use(load)
