--- a/tests/test_entry_metrics.py
+++ b/tests/test_entry_metrics.py
@@ -34,6 +34,17 @@
         self.assertIn(f'trestledock_words_total{labels} 3.0', text)
         self.assertIn(f'trestledock_word_bytes_total{labels} 180.0', text)
 
+    def test_waiting_requests_by_rank(self):
+        """Requests that wait, and those that left engines to others."""
+        metrics = Metrics()
+        metrics.count_waiting(2, 1)
+        metrics.count_waiting(2, 1)
+        metrics.count_waiting(2, -1)
+        metrics.record_event(events.Yielded('r', 'svc', 'a', 2, 3, 40, 90))
+        text = metrics.render(dict.fromkeys(GAUGES, 1)).decode()
+        self.assertIn('trestledock_requests_waiting{rank="2"} 1.0', text)
+        self.assertIn('trestledock_yielded_total 1.0', text)
+
     def test_port_of_the_deploy_file(self):
         """The platform scrapes the port on which the process listens."""
         roles = tomllib.loads(DEPLOY.read_text(encoding='utf-8'))['roles']
