--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -33,6 +33,7 @@
     ReaderCandidate,
     Flight,
     Member,
+    WaitingRow,
 )
 
 #: How long changes are collected before they are sent, in seconds.
@@ -87,6 +88,7 @@
         self._fast_poll_until = float('-inf')
         self._is_drain_announced = False
         self._remote_by_flight: dict[str, set[str]] = {}
+        self._sent_rows: tuple[WaitingRow, ...] = ()
 
     def add_addresses(self, addresses: Mapping[str, str]) -> None:
         """Add the addresses of other entries by name, and contact new ones."""
@@ -181,9 +183,11 @@
             )
 
     def send_own_changes(self) -> None:
-        """Send the own in-flight requests that changed since the last time."""
+        """Send the own requests that changed since the last time."""
         changes = list(self.state.load_table.pop_changes().items())
-        if changes:
+        rows = self.state.wait_queue.room.get_rows(anyio.current_time())
+        if changes or rows != self._sent_rows:
+            self._sent_rows = rows
             again_s = self._get_full_state_interval_s()
             self._send_flights(
                 changes,
@@ -205,13 +209,21 @@
         self._record_sender(message, now)
         if is_new:
             self._add_peer(message.sender, sender)
-        return self.state.load_table.apply_update(
+        rows_differ = self._apply_rows(message, now)
+        return rows_differ | self.state.load_table.apply_update(
             message.sender,
             message.sequence,
             message.changes,
             whole=message.whole,
         )
 
+    def _apply_rows(self, message: Flights, now: float) -> bool:
+        """Replace an entry's rows; return whether waiting requests differ."""
+        if not self.state.load_table.is_newer(message.sender, message.sequence):
+            return False
+        self.state.usage.put(message.sender, message.served, now)
+        return self.state.peer_waiting.put(message.sender, message.waiting)
+
     def _handle_beat(self, message: Beat, _: Address) -> bool:
         self._record_sender(message, anyio.current_time())
         return False
@@ -378,6 +390,8 @@
         if peer.draining:
             self.addresses.record_shutdown(peer.address)
         self.state.load_table.drop_sender(name)
+        self.state.peer_waiting.drop(name)
+        self.state.usage.drop(name)
         emit(events.PeerLost(name))
 
     def _get_full_state_receivers(self) -> list[Address]:
@@ -403,7 +417,8 @@
         again_s: float,
     ) -> None:
         self.sequence += 1
-        age_s = self.state.get_advertised_age_s(anyio.current_time())
+        now = anyio.current_time()
+        age_s = self.state.get_advertised_age_s(now)
         message = Flights(
             sender=self.state.member,
             sequence=self.sequence,
@@ -413,5 +428,7 @@
             store_age_s=age_s,
             again_s=again_s,
             changes=tuple(changes),
+            waiting=self.state.wait_queue.room.get_rows(now),
+            served=self.state.usage.get_own_rows(now),
         )
         self.send(message, addresses)
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -20,17 +20,20 @@
     Route,
     TeamKey,
     Timing,
+    UsageKey,
     WaitingRequest,
+    get_rank,
 )
 
 
 class Refusal(str, Enum):
     """The reason why no target answers a request, as it is logged.
 
-    `no_buffer` means that this entry has no memory left for the body, `limited`
-    that the wait for a rate limit would be too long, `backing_off` that all
-    targets of the service back off, `cold` that they are cold, and `evacuated`
-    that they are in evacuated data centres.
+    `no_buffer` means that this entry has no memory left for the body, `no_turn`
+    that the turn of a request behind others would come too late, `limited` that
+    the wait for a rate limit would be too long, `backing_off` that all targets
+    of the service back off, `cold` that they are cold, and `evacuated` that
+    they are in evacuated data centres.
     """
 
     no_configuration = 'no_configuration'
@@ -42,6 +45,7 @@
     no_time = 'no_time'
     no_room = 'no_room'
     no_buffer = 'no_buffer'
+    no_turn = 'no_turn'
     limited = 'limited'
     backing_off = 'resting'
     evacuated = 'evacuated'
@@ -65,6 +69,7 @@
         Refusal.no_time: 503,
         Refusal.no_room: 503,
         Refusal.no_buffer: 503,
+        Refusal.no_turn: 503,
         Refusal.limited: 503,
         Refusal.backing_off: 503,
         Refusal.evacuated: 503,
@@ -101,7 +106,9 @@
     quarantined.  `retry_after_s` is the Retry-After of a refusal, without
     jitter.  `placed_at` is when a target was first chosen, and `refusal` what
     the caller was finally told in place of an answer.  `answer_held` counts the
-    bytes of plain answers.
+    bytes of plain answers.  `is_ranked` is true if the requests of the service
+    have different ranks, and `has_yielded` once it left engines to the requests
+    ahead of it.
     """
 
     call: Call
@@ -124,6 +131,8 @@
     placed_at: float | None = None
     answer_held: HeldBytes | None = None
     refusal: Refusal | None = None
+    is_ranked: bool = False
+    has_yielded: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -150,6 +159,11 @@
             return self.route.priority
         return self.team.priority
 
+    @property
+    def usage_key(self) -> UsageKey:
+        """What the tokens of the request count for."""
+        return UsageKey(self.service, get_rank(self.priority), self.team.team)
+
     @property
     def waiting_request(self) -> WaitingRequest:
         """The request's place in the queue for rate-limited targets."""
@@ -199,4 +213,5 @@
             timing=self.timing,
             pause_s=self.route.pause_s,
             event_timeout_s=self.route.event_timeout_s,
+            rank=get_rank(self.priority) if self.is_ranked else None,
         )
--- a/trestledock/entry/_messages.py
+++ b/trestledock/entry/_messages.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from trestledock.entry._flight_codec import Change
-from trestledock.relay import Crash, Notice
+from trestledock.relay import Crash, Notice, UsageRow, WaitingRow
 
 
 @dataclass(frozen=True)
@@ -18,7 +18,8 @@
     `store_age_s` is the age of its copy of the store, `again_s` the longest
     time until its next full state. An entry that is `leaving` is draining, so
     that its later silence is expected. Older versions don't know evacuations,
-    and so don't send them in their updates.
+    and so don't send them in their updates. `waiting` and `served` are all rows
+    of services with different ranks.
     """
 
     sender: str
@@ -30,6 +31,8 @@
     again_s: float
     changes: tuple[Change, ...]
     sends_evacuations: bool = True
+    waiting: tuple[WaitingRow, ...] = ()
+    served: tuple[UsageRow, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/trestledock/entry/_outcomes.py
+++ b/trestledock/entry/_outcomes.py
@@ -53,6 +53,7 @@
         Refusal.no_time: 'capacity',
         Refusal.no_room: 'capacity',
         Refusal.no_buffer: 'capacity',
+        Refusal.no_turn: 'capacity',
         Refusal.limited: 'limit',
         Refusal.backing_off: 'limit',
         Refusal.cold: 'limit',
