Engines that are slower than their formula are measured and allowed for

Cause: engines are estimated by the nominal formula of their kind. An engine that takes twice as long got as much work as any other, and its requests were late.

Change: an entry measures the passes of an engine from the pauses between the events of the streams that it forwards (relay/_pace_meter.py, entry/_pace_recorder.py). The lowest of four passes without known prefill, divided by the nominal duration, is the pace. From 1.3 on it multiplies the estimates of passes and prefill for that incarnation (relay/_paces.py), is told to all entries in the list `paces` of the message `limits`, and expires after 5 s. Older builds skip the list.

A wrong pace shuts out no engine: it is at most 4, relative to the median of the engines of the same service and data centre, expires, and of two entries the one with the lower pace counts for 2 s. Pauses that a slow caller, network or entry process may have lengthened don't count.

--- a/trestledock/entry/_notice_codec.py
+++ b/trestledock/entry/_notice_codec.py
@@ -19,7 +19,15 @@
     read_text,
 )
 from trestledock.entry._messages import TargetNotice
-from trestledock.relay import Drain, Notice, RateLimit, Backoff, PeerBackoff
+from trestledock.relay import (
+    MAX_PACE,
+    Drain,
+    Notice,
+    Pace,
+    RateLimit,
+    Backoff,
+    PeerBackoff,
+)
 
 MS = 1000
 
@@ -112,6 +120,14 @@
     return (now + read_count(left_ms) / MS,)
 
 
+def _encode_pace(pace: Pace, now: float) -> Row:
+    return (pace.factor,)
+
+
+def _decode_pace(now: float, factor: Any) -> Row:
+    return (min(max(1, read_number(factor)), MAX_PACE),)
+
+
 #: Encodings by kind. A back-off requested from one entry is decoded as one
 #: requested elsewhere.
 ENCODINGS: Mapping[type, Encoding] = MappingProxyType(
@@ -121,5 +137,6 @@
         Backoff: Encoding(
             'rests', PeerBackoff, _encode_backoff, _decode_backoff
         ),
+        Pace: Encoding('paces', Pace, _encode_pace, _decode_pace),
     }
 )
--- a/trestledock/entry/_notices.py
+++ b/trestledock/entry/_notices.py
@@ -23,6 +23,7 @@
     ListedTarget,
     Notice,
     Notices,
+    Pace,
     Placement,
     RateLimit,
     Backoff,
@@ -227,6 +228,24 @@
     return events.RestHeard(peer, _get_remaining_ms(notice), left_ms, 0, source)
 
 
+@_make_event.register
+def _(
+    notice: Pace,
+    before: Pace | None,
+    peer: str,
+    change: NoticeChange,
+    source: str,
+) -> events.Event:
+    return events.EnginePace(
+        peer=peer,
+        change=change.value,
+        before=before.factor if before else None,
+        pace=notice.requested,
+        source=source,
+        age_ms=_get_age_ms(notice),
+    )
+
+
 def log_send_against_notices(
     state: EntryState, req: str, placement: Placement
 ) -> None:
--- a/trestledock/entry/_streaming.py
+++ b/trestledock/entry/_streaming.py
@@ -16,6 +16,7 @@
 from trestledock.entry._timeouts import ResponseTimeout, ResponseTimeouts
 from trestledock.entry._logger import emit
 from trestledock.entry._metrics import METRICS
+from trestledock.entry._pace_recorder import PaceRecorder
 from trestledock.entry._reply import Reply
 from trestledock.entry._state import EntryState
 from trestledock.entry._wire import Head
@@ -51,6 +52,7 @@
         self.placement = placement
         self.peer = placement.target.incarnation
         self.reply = reply
+        self.pace_recorder = PaceRecorder(state, job, placement.target)
         self.splitter = EventSplitter()
         self.event_count = 0
         self.last_events_at: float = 0
@@ -97,9 +99,11 @@
         if not events:
             return
         self._record_pause()
+        self.pace_recorder.record_events(len(events))
         self.event_count += len(events)
         await self._start(head)
         await self.reply.write(b''.join(event.raw for event in events))
+        self.pace_recorder.record_forwarded()
         named = [event.event_id for event in events if event.event_id]
         if named:
             self.job.last_event_id = named[-1]
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -37,6 +37,7 @@
     find_prior_claim,
     needs_claim,
 )
+from trestledock.relay._engine_load import EngineLoad
 from trestledock.relay._engine_timing import (
     PassLoad,
     get_decode_pass_s,
@@ -63,6 +64,14 @@
     Notices,
     PeerBackoff,
 )
+from trestledock.relay._pace_meter import (
+    KEPT_PACE,
+    MeasuredPass,
+    PaceMeter,
+    StreamMeter,
+    is_pure_decode,
+)
+from trestledock.relay._paces import MAX_PACE, Pace, Paces, choose_update
 from trestledock.relay._placement import Placer
 from trestledock.relay._placement_cost import Placement, Work
 from trestledock.relay._placement_request import (
@@ -123,6 +132,7 @@
     'Drain',
     'EARLY_RETRY_LIMITS',
     'ENCODE_ERRORS',
+    'EngineLoad',
     'EngineModel',
     'EventSplitter',
     'FailureKind',
@@ -131,16 +141,22 @@
     'FreshnessProof',
     'Health',
     'LOWEST_ORDER',
+    'KEPT_PACE',
     'Limits',
     'ListedTarget',
     'LoadTable',
     'MAX_AGE_S',
+    'MAX_PACE',
+    'MeasuredPass',
     'Member',
     'Membership',
     'Notice',
     'NoticeChange',
     'Notices',
     'PLACEMENT_RETRY_S',
+    'Pace',
+    'PaceMeter',
+    'Paces',
     'PassLoad',
     'PeerBackoff',
     'Phase',
@@ -170,6 +186,7 @@
     'Share',
     'Standing',
     'StreamEvent',
+    'StreamMeter',
     'TeamKey',
     'Throttle',
     'Timing',
@@ -181,6 +198,7 @@
     'Work',
     'choose_least_busy',
     'choose_reader',
+    'choose_update',
     'classify_connect_error',
     'classify_disconnect',
     'decide',
@@ -198,6 +216,7 @@
     'get_read_retry_s',
     'get_retry_after_s',
     'get_worth',
+    'is_pure_decode',
     'is_waiting_for_memory',
     'needs_claim',
     'pick_cheapest',
--- a/trestledock/relay/_chunked_prefill.py
+++ b/trestledock/relay/_chunked_prefill.py
@@ -76,7 +76,7 @@
     def cost_of(load: EngineLoad) -> float:  # noqa: WPS430 - a sort key
         return (
             problem.get_cost_to_others(load, chunk_s)
-            + load.helper_wait_s * COST_PER_SECOND
+            + load.get_chunk_delay_s(chunk_s) * COST_PER_SECOND
             + load.failure_share * QUEUED_COST
             + problem.get_remote_cost(load)
         )
