Short prompts go to another data centre where they lose nothing

Cause: short prompts never left a data centre with 8 targets or more, also while all engines there were busy and those of another one idle.

Change: with many entries, a short prompt whose best place nearby would make it or others late asks for the loads of other data centres, like long ones, and goes to an engine there on which nothing is lost, 20 ms for its way included (relay/_overflow.py, entry/_overflow.py). Answers to load queries count the requests at each target, since all streams of a target are one row; to builds without the counts no short prompt goes.

Bound: an answer is up to 0.25 s old. The prompts of one data centre take at most a quarter of the slots that it shows as free, each entry an equal part of that, at least one. Entries of one data centre tell each other within milliseconds; unheard, each has one at most.

--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -284,9 +284,9 @@
     def _send_remote_changes(self, changes: Sequence[Change]) -> None:
         """Send changes to the data centres of the targets that they concern.
 
-        With many entries that is rare: only long prompts go to other data
-        centres. An ended request names no target, so its end goes where its
-        start was sent.
+        With many entries that is rare: only prompts without a good place in the
+        own data centre go to others. An ended request names no target, so its
+        end goes where its start was sent.
         """
         remote = self.addresses.get_remote_by_data_centre(
             many=self.state.many_entries
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -19,6 +19,11 @@
     get_restrained,
 )
 from trestledock.entry._job import Job, Refusal
+from trestledock.entry._overflow import (
+    MIN_LOCAL_TARGETS,
+    find_overflow,
+    needs_overflow,
+)
 from trestledock.entry._state import EntryState
 from trestledock.relay import (
     PLACEMENT_RETRY_S,
@@ -35,8 +40,6 @@
     pick_cheapest,
 )
 
-#: With many entries, this many targets in the local data centre suffice.
-MIN_LOCAL_TARGETS = 8
 #: Targets already tried are avoided while at least one healthy target in this
 #: many is untried.
 MIN_UNTRIED_DIVISOR = 4
@@ -101,9 +104,11 @@
         return False
     if state.get_known_remote_loads(now):
         return False
-    cost = chosen.cost if isinstance(chosen, Placement) else None
-    return state.placer.policy.remote_targets and should_query_remote(
-        job.placement_request.worth, cost
+    local = chosen if isinstance(chosen, Placement) else None
+    cost = local.cost if local else None
+    return state.placer.policy.remote_targets and (
+        should_query_remote(job.placement_request.worth, cost)
+        or needs_overflow(state, job, local, now)
     )
 
 
@@ -153,7 +158,8 @@
         job.placement_request.choose(state.placer, engine, group, now)
         for group in _group_by_data_centre(state, targets, job)
     ]
-    chosen = pick_cheapest(options)
+    local = pick_cheapest(options)
+    chosen = find_overflow(state, job, engine, local, now) or local
     if isinstance(chosen, Placement):
         return chosen
     # Nothing elsewhere is better: the local data centre's decision applies.
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -64,6 +64,12 @@
     Notices,
     PeerBackoff,
 )
+from trestledock.relay._overflow import (
+    OverflowRule,
+    RemoteEngine,
+    choose_overflow,
+    may_gain_by_overflow,
+)
 from trestledock.relay._pace_meter import (
     KEPT_PACE,
     MeasuredPass,
@@ -93,6 +99,7 @@
 )
 from trestledock.relay._remote_load import (
     RemoteLoad,
+    count_requests,
     should_query_remote,
     summarize_load,
 )
@@ -153,6 +160,7 @@
     'Notice',
     'NoticeChange',
     'Notices',
+    'OverflowRule',
     'PLACEMENT_RETRY_S',
     'Pace',
     'PaceMeter',
@@ -174,6 +182,7 @@
     'ReaderCandidate',
     'RecordOrder',
     'RelayAttempt',
+    'RemoteEngine',
     'RemoteLoad',
     'RemovedTarget',
     'RequestIdentity',
@@ -197,10 +206,12 @@
     'WaitingRequest',
     'Work',
     'choose_least_busy',
+    'choose_overflow',
     'choose_reader',
     'choose_update',
     'classify_connect_error',
     'classify_disconnect',
+    'count_requests',
     'decide',
     'decide_unplaced',
     'encode_json',
@@ -218,6 +229,7 @@
     'get_worth',
     'is_pure_decode',
     'is_waiting_for_memory',
+    'may_gain_by_overflow',
     'needs_claim',
     'pick_cheapest',
     'rank_by_key',
