Tests of what an entry counts for overflow; medians of paces once an instant

Cause: mutations of entry/_overflow.py (the own share, requests of near entries, targets that were tried) and of the time in the loss of a placement failed no test. The median of paces was computed for each slow target.

Change: a test for each, and one median for each service, data centre and instant.

--- a/tests/test_entry_loads.py
+++ b/tests/test_entry_loads.py
@@ -94,6 +94,7 @@
             for name in 'abc':
                 flight = make_flight(name, 't1')
                 other.state.load_table.put(replace(flight, phase=Phase.decode))
+            other.state.load_table.put(make_flight('e', 't0'))
             other.state.load_table.apply_update(
                 'p0', 9, [('d', make_flight('d', 't1'))], whole=True
             )
--- a/tests/test_relay_overflow.py
+++ b/tests/test_relay_overflow.py
@@ -157,6 +157,7 @@
         for request, chosen, expected in (
             (short, free, False),
             (short, late, True),
+            (short, replace(free, first_token_s=0.2, cost=0.15), False),
             (short, None, True),
             (short, Unplaced('wait'), True),
             (make_request(objective_s=0.01), late, False),
--- a/trestledock/relay/_paces.py
+++ b/trestledock/relay/_paces.py
@@ -89,6 +89,8 @@
     def __init__(self, fleet: Fleet) -> None:
         """Store the fleet with the notices of its targets."""
         self.fleet = fleet
+        self._medians: dict[tuple[str, str], float] = {}
+        self._medians_at = float('-inf')
 
     def get_known(self, target: str, now: float) -> Pace | None:
         """Return the fresh pace of an incarnation if it is slow."""
@@ -120,10 +122,23 @@
         return min(factor, MAX_PACE) if factor >= MIN_PACE else 1
 
     def _get_median(self, target: ListedTarget, now: float) -> float:
+        """Return the median pace, computed once for all targets at an instant.
+
+        Otherwise a placement among slow engines would take a step for each pair
+        of them.
+        """
+        if now != self._medians_at:
+            self._medians.clear()
+            self._medians_at = now
+        key = (target.service, target.data_centre)
+        if key not in self._medians:
+            self._medians[key] = self._compute_median(key, now)
+        return self._medians[key]
+
+    def _compute_median(self, key: tuple[str, str], now: float) -> float:
         paces = [
             self.get_known(name, now)
             for name, listed in self.fleet.targets.items()
-            if listed.service == target.service
-            and listed.data_centre == target.data_centre
+            if (listed.service, listed.data_centre) == key
         ]
         return median_low(pace.factor if pace else 1 for pace in paces)
