--- a/trestledock/entry/_ordering.py
+++ b/trestledock/entry/_ordering.py
@@ -7,6 +7,7 @@
 """
 
 from dataclasses import dataclass, replace
+from functools import cached_property
 from typing import Callable, Sequence
 
 from trestledock.entry import _events as events
@@ -51,20 +52,20 @@
     targets: Sequence[ListedTarget]
     now: float
 
-    @property
+    @cached_property
     def prefill_s(self) -> float:
         """The prefill of the request."""
         size = self.job.placement_request.size
         return get_prefill_s(self.engine, size.prompt_tokens)
 
-    @property
+    @cached_property
     def idle_fleet_s(self) -> float:
         """The time to the first token on idle engines."""
         return get_idle_fleet_s(
             self.engine, self.prefill_s, max(1, len(self.targets))
         )
 
-    @property
+    @cached_property
     def left_s(self) -> float:
         """How long the request may still wait."""
         return get_wait_left_s(
@@ -74,7 +75,7 @@
             self.now,
         )
 
-    @property
+    @cached_property
     def waiting_request(self) -> WaitingRequest:
         """The place of the request in the queue for room."""
         in_time_s = get_in_time_s(self.job.timing, self.idle_fleet_s, self.now)
--- a/trestledock/relay/_placement_cost.py
+++ b/trestledock/relay/_placement_cost.py
@@ -8,6 +8,7 @@
 """
 
 from dataclasses import dataclass
+from functools import cached_property
 from typing import Sequence
 
 from trestledock.relay._call import PromptSize
@@ -60,7 +61,7 @@
     abandoned_after_s: float = float('inf')
     rank: int | None = None
 
-    @property
+    @cached_property
     def newcomer(self) -> Newcomer | None:
         """What the request counts for among others of different ranks."""
         return None if self.rank is None else Newcomer(self.rank, self.worth)
--- a/trestledock/relay/_waiting_rows.py
+++ b/trestledock/relay/_waiting_rows.py
@@ -73,6 +73,10 @@
     return tuple([_sum_group(group) for group in groups.values()])
 
 
+def _count(rows: Iterable[WaitingRow]) -> int:
+    return sum(row.count for row in rows)
+
+
 def _sum_group(rows: Sequence[WaitingRow]) -> WaitingRow:
     if len(rows) == 1:
         return rows[0]
@@ -97,13 +101,16 @@
     _valid_until: float = inf
 
     def put(self, source: str, rows: Sequence[WaitingRow]) -> bool:
-        """Replace the rows of a source; return whether it has or had any."""
+        """Replace the rows of a source; return whether fewer requests wait.
+
+        Only then may a request that waits behind them be placed now.
+        """
         before = self.by_source.pop(source, ())
         if rows:
             self.by_source[source] = tuple(rows)
         if before or rows:
             self._sums = None
-        return bool(before or rows)
+        return _count(before) > _count(rows)
 
     def drop(self, source: str) -> None:
         """Remove the rows of a source."""
