Log events in modules by subject

trestledock/entry/_events.py held all 65 log events in 683 lines. They are now in modules for requests, targets, crashes, evacuations, shared state and the process, beside one for the base class.

`EVENTS` was read from `Event.__subclasses__()`. It is now written out, as its order would otherwise depend on the order of the imports. An event that is defined but not listed fails a new test, since the comparison with docs/OPERATIONS.md would miss it. `NAMES` is filled as classes are defined and has moved to the base class, its only user.

--- a/tests/test_entry_logs.py
+++ b/tests/test_entry_logs.py
@@ -10,6 +10,7 @@
 from pythonjsonlogger.json import JsonFormatter
 
 from trestledock.entry import EVENTS
+from trestledock.entry._event import NAMES
 from trestledock.entry._logger import (
     MAX_FAILURE_LINES_PER_S,
     MAX_LINES_PER_S,
@@ -93,3 +94,7 @@
                 expected = ', '.join(f'`{name}`' for name in event.names)
                 self.assertEqual(found.pop(event.get_name()), expected)
         self.assertEqual(found, {})
+
+    def test_each_event_is_listed(self):
+        """An event missing from `EVENTS` would be logged, but not compared."""
+        self.assertCountEqual(EVENTS, NAMES)
--- /dev/null
+++ b/trestledock/entry/_request_events.py
@@ -0,0 +1,185 @@
+"""
+Events of requests
+==================
+
+Decisions about a request and its attempts, from its admission to its end.
+"""
+
+from trestledock.entry._event import Event
+
+
+class Admitted(Event):
+    """A request was admitted with its route, its team and its time limits.
+
+    Its `fingerprint` is the same for each attempt at the same request.
+    """
+
+    req: str
+    route: str
+    service: str
+    team: str
+    version: int
+    left_ms: int
+    objective_ms: int
+    pause_ms: int
+    worth: float
+    fingerprint: str
+
+
+class Placed(Event):
+    """A target was chosen; the other fields are what the choice depended on.
+
+    `tickets` is the number of memory reservations at helpers.
+    """
+
+    req: str
+    peer: str
+    helpers: tuple[str, ...]
+    tickets: int
+    prompt_tokens: int
+    predicted_ms: int
+    cost: float
+    waited_ms: int
+    candidates: int
+    list_age_ms: int
+
+
+class Yielded(Event):
+    """A request left engines to more urgent ones, or to those of other teams.
+
+    `ahead` requests go first, whose work takes all engines `turn_ms`; the
+    request could wait for `left_ms`.
+    """
+
+    req: str
+    service: str
+    team: str
+    rank: int
+    ahead: int
+    turn_ms: int
+    left_ms: int
+
+
+class MemoryRefused(Event):
+    """Not all engines of a prompt granted memory for it."""
+
+    req: str
+    granted: int
+    asked: int
+
+
+class FirstEvent(Event):
+    """The first event of a stream arrived, with its predicted time."""
+
+    req: str
+    peer: str
+    took_ms: int
+    predicted_ms: int
+
+
+class SendingEnded(Event):
+    """An attempt ended without an answer that can be passed on.
+
+    `ending` and `step` say how and at which step, `sign` is the kind of failure
+    of the connection, if it failed.
+    """
+
+    req: str
+    ending: str
+    step: str
+    peer: str
+    detail: str
+    took_ms: int
+    sign: str
+    fingerprint: str
+
+
+class Repeated(Event):
+    """A request goes to another target, after `sendings` attempts."""
+
+    req: str
+    sendings: int
+    resume_after: str
+
+
+class Answered(Event):
+    """The target's answer was passed on completely.
+
+    `first_ms` is the time from admission to its first part, `longest_ms` the
+    longest pause after that.
+    """
+
+    req: str
+    peer: str
+    detail: str
+    took_ms: int
+    first_ms: int
+    longest_ms: int
+
+
+class FailurePassedOn(Event):
+    """The target's own error was passed on, for lack of a better answer."""
+
+    req: str
+    status: int
+
+
+class Refused(Event):
+    """A request was given up after `sendings` attempts.
+
+    Status 503 says that nothing has run.
+    """
+
+    req: str
+    reason: str
+    status: int
+    proof_age_ms: int
+    version: int
+    sendings: int
+
+
+class Cut(Event):
+    """A reply that had begun could not be completed."""
+
+    req: str
+    reason: str
+
+
+class CallerLeft(Event):
+    """The caller closed its connection, and its work was cancelled."""
+
+    req: str
+
+
+class CallerCut(Event):
+    """A connection was closed, since its caller had read nothing for a while.
+
+    `reason` is stalled, or room where others needed the `unread_bytes`.
+    """
+
+    reason: str
+    unread_bytes: int
+    unread_ms: int
+
+
+class RequestEnded(Event):
+    """A request ended, once for all its attempts: how, and whose it was.
+
+    `outcome` is in_time, late, refused, failed or caller_left, and `reason` the
+    class of a refusal. `rank` is None without one, `tenth` the tenth of the
+    prompt's size within its service, 0 if unknown, and `data_centre` that of
+    this entry. `waited_ms` is the time to the first choice of a target, or to
+    the end.
+    """
+
+    req: str
+    outcome: str
+    reason: str
+    route: str
+    service: str
+    rank: int | None
+    team: str
+    prompt_tokens: int
+    tenth: int
+    data_centre: str
+    waited_ms: int
