Wording of the modules for demanding load

Docstrings and comments say what a module decides in place of figures of speech, and constants what they count. Locals of relay/_room.py and entry/_cold_targets.py are renamed; no behaviour changes.

--- a/trestledock/entry/_app.py
+++ b/trestledock/entry/_app.py
@@ -31,8 +31,8 @@
 from trestledock.entry._state import NO_VERSION, EntryState
 from trestledock.relay import ENCODE_ERRORS, Body, Call
 
-#: How long a body may take to arrive, in seconds; by then callers with the
-#: default timeout have given up, and their connection may only be forgotten.
+#: How long a body may take to arrive, in seconds.  By then callers with the
+#: default timeout have given up, even if their connection is still open.
 BODY_TIMEOUT_S = 60.0
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
--- a/trestledock/entry/_buffers.py
+++ b/trestledock/entry/_buffers.py
@@ -2,7 +2,7 @@
 Buffers of an entry
 ===================
 
-What an entry holds of requests and answers, each kind with a bound. The
+Bounds what an entry holds of requests and answers, by kind of data. The
 smallest instances have 200 MB, of which the process needs 60 to 100 MB without
 any request.
 """
--- a/trestledock/entry/_byte_budget.py
+++ b/trestledock/entry/_byte_budget.py
@@ -43,7 +43,7 @@
     count: int = 0
 
     def take(self, count: int) -> bool:
-        """Hold more bytes; return False, and hold no more, if none are left."""
+        """Hold more bytes; return False and hold none of them without room."""
         if self.budget.used + count > self.budget.limit:
             return False
         self.budget.used += count
--- a/trestledock/entry/_cold_targets.py
+++ b/trestledock/entry/_cold_targets.py
@@ -2,9 +2,9 @@
 Cold targets
 ============
 
-Records from where an entry learns that a target is cold (its record, its
-answers, a new incarnation, another entry, the end of an evacuation), and when
-that has ended.  Nothing is recorded without bounds on cold targets in the
+Records that a target is cold, as known from its record, its answers, a new
+incarnation, another entry or the end of an evacuation, and ends cold times that
+are over.  Nothing is recorded without bounds on cold targets in the
 settings.
 """
 
@@ -45,8 +45,8 @@
 ) -> bool:
     """Record what a target's answer or record says about its cold time.
 
-    Return whether it says so at all.  Where another entry passed the record on,
-    that one informs the others.
+    Return whether it has a valid one.  The others are informed by the entry
+    that got the record or answer itself, not by those that it passed it on to.
     """
     now = anyio.current_time()
     if state.settings.cold_bounds is None:
@@ -90,9 +90,9 @@
     ]
     if not of_incarnation:
         return
-    teller = OWN if source == STORE else source
+    reporter = OWN if source == STORE else source
     if record_cold_time(
-        state, listed.incarnation, of_incarnation[-1], now, teller
+        state, listed.incarnation, of_incarnation[-1], now, reporter
     ):
         return
     is_new = last_order == LOWEST_ORDER or listed.born > last_order[0]
--- a/trestledock/entry/_known_entries.py
+++ b/trestledock/entry/_known_entries.py
@@ -2,8 +2,8 @@
 Known entries
 =============
 
-Which entries share what a cold target takes.  All of them must never hold more
-quotas than the bound allows, whatever messages are lost.  So an entry holds
+Which entries may hold quotas at cold targets.  Together they must never hold
+more than the bound allows, whatever messages are lost.  So an entry holds
 quotas only while it certainly knows each other entry that may hold one:
 
 - It has announced itself in the store, and read the list of entries there.
@@ -22,8 +22,8 @@
 #: How long an entry holds quotas without reading the list of entries, in
 #: seconds: it reads it every 120 s, and one read may fail.
 LEASE_S = 300.0
-#: How much longer an entry waits that wasn't heard of by all, in seconds: for a
-#: request that is just being sent.
+#: How much longer than `LEASE_S` an entry waits that not all others may know,
+#: in seconds: what others sent by an older list must have arrived by then.
 MARGIN_S = 1.0
 
 
--- a/trestledock/entry/_metric_labels.py
+++ b/trestledock/entry/_metric_labels.py
@@ -12,7 +12,8 @@
 #: Values for names without a value of their own, and for no name.
 OTHER = 'other'
 NONE = 'none'
-#: Names with a count; with more, the smallest is replaced.
+#: The maximum number of names with a count; a further name replaces the one
+#: with the smallest.
 MAX_COUNTED = 100
 #: All counts are halved after this many requests, so that a name that became
 #: large lately outgrows one that used to be.
--- a/trestledock/entry/_ordering.py
+++ b/trestledock/entry/_ordering.py
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True)
 class Contest:
-    """A request, its engines, and when it is placed."""
+    """A request that competes for engines at the instant `now`."""
 
     job: Job
     engine: EngineModel
--- a/trestledock/entry/_outcome_metrics.py
+++ b/trestledock/entry/_outcome_metrics.py
@@ -35,12 +35,13 @@
 COUNTER_TEXT = 'Requests by outcome and'
 HISTOGRAM_TEXT = 'From arrival to the first choice or the end, by'
 
-#: The teams that are large, and the teams with a value of their own. The second
-#: number is larger since teams keep their values when others outgrow them.
+#: The number of teams that count as the largest, and the maximum number of
+#: teams with a label value of their own. The second is larger since teams keep
+#: their values when others outgrow them.
 LARGEST_TEAMS = 10
 MAX_TEAMS = 30
 MAX_SERVICES = 16
-#: Ranks that are told apart, 0 first, as targets tell them apart.
+#: The highest rank with a label value of its own; targets distinguish 0 to 9.
 MAX_RANK = 9
 MS = 1000
 
--- a/trestledock/entry/_outcomes.py
+++ b/trestledock/entry/_outcomes.py
@@ -2,8 +2,8 @@
 Outcomes of requests
 ====================
 
-Tells for each request, once for all its attempts, how it ended for its caller
-and whose it was.
+Logs for each request, once for all its attempts, how it ended for its caller,
+with its team, rank and size.
 """
 
 from contextlib import contextmanager
--- a/trestledock/entry/_pace_recorder.py
+++ b/trestledock/entry/_pace_recorder.py
@@ -24,7 +24,7 @@
     is_pure_decode,
 )
 
-#: A pause tells nothing if forwarding the events before it took longer than
+#: A pause is no measurement if forwarding the events before it took longer than
 #: this share of a nominal pass: the caller, or this process, was slow.
 MAX_FORWARDING_SHARE = 0.1
 
@@ -73,9 +73,9 @@
     def _measure(
         self, before: EngineLoad, after: EngineLoad, count: int
     ) -> MeasuredPass | None:
-        """Return the pass between two loads, None if the pause tells nothing.
+        """Return the pass between two loads, None if it is no measurement.
 
-        A pause of nominal length tells that the engine is not slow, whatever
+        A pause of nominal length shows that the engine is not slow, whatever
         else happened.
         """
         nominal_s = max(before.nominal_base_s, after.nominal_base_s)
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -211,7 +211,7 @@
             await self.changed.wait()
 
     def get_cold_limit(self, service: str) -> ColdLimit | None:
-        """Return what the cold targets of a service take, None for all."""
+        """Return the limit of a service's cold targets, None without one."""
         bounds = self.settings.cold_bounds
         if bounds is None or self.catalog is None:
             return None
--- a/trestledock/entry/_unread.py
+++ b/trestledock/entry/_unread.py
@@ -2,9 +2,9 @@
 Unread answers
 ==============
 
-Bounds what is held for callers that don't read. Answers that the kernel does
-not take wait in the buffers of the connections, so that targets are read
-meanwhile; connections whose callers take nothing are closed.
+Bounds what is held for callers that don't read. Answers that the kernel doesn't
+accept wait in the buffers of the connections, so that targets are read
+meanwhile; connections whose callers read nothing for long are closed.
 """
 
 import asyncio
--- a/trestledock/platform/_evacuations.py
+++ b/trestledock/platform/_evacuations.py
@@ -28,7 +28,7 @@
         self._unreadable: dict[str, bytes] = {}
 
     def apply(self, batch: Batch) -> frozenset[str]:
-        """Apply records in the order of the log; return who is evacuated."""
+        """Apply records in log order; return the evacuated data centres."""
         if batch.whole:
             self._evacuated.clear()
         for record in batch.records:
--- a/trestledock/relay/_cold_gate.py
+++ b/trestledock/relay/_cold_gate.py
@@ -2,8 +2,9 @@
 Gate of cold targets
 ====================
 
-When a cold target gets a request of this instance: at the rate of its quota,
-evenly spaced, and never saved up.
+Decides when this instance may send a request to a cold target: at the rate of
+its quota, evenly spaced.  An unused quota isn't saved, since a burst would
+exceed the bound on one second.
 """
 
 from dataclasses import dataclass, field
@@ -67,7 +68,7 @@
         return quota == inf or self._get_bucket(target).has_token(now, quota)
 
     def get_wait_s(self, target: ListedTarget, count: int, now: float) -> float:
-        """Return after how many seconds the last of `count` requests can go."""
+        """Return after how long the last of `count` requests can be sent."""
         quota = self.get_quota(target, now)
         if quota == inf:
             return 0
@@ -89,9 +90,9 @@
     def _get_bucket(self, target: ListedTarget) -> TokenBucket:
         """Return the bucket of a cold target.
 
-        It is empty if this instance may have become a holder within the bound's
-        second: another one may just have sent what it was entitled to in its
-        place.
+        It starts empty unless this instance had held its quotas for `WINDOW_S`
+        when the cold time began: until then, another one may have used the
+        quota that is now this one's.
         """
         name = target.incarnation
         notice = self.notices.get(ColdStart, name)
--- a/trestledock/relay/_evacuations.py
+++ b/trestledock/relay/_evacuations.py
@@ -61,7 +61,7 @@
     def apply(self, found: EvacuationList) -> bool:
         """Apply a list that is certainly newer; return whether it is.
 
-        While the own list may lack some, those of any other list are added.
+        While the own list may lack some, the names of any other list are added.
         """
         is_newer = found.as_of > self.latest_at
         if is_newer:
--- a/trestledock/relay/_overflow.py
+++ b/trestledock/relay/_overflow.py
@@ -9,7 +9,8 @@
 An instance knows the load there from an answer that may be a quarter of a
 second old, so the prompts that go there are bounded: those of one data centre
 take at most a quarter of the slots that the answer shows as free.  With three
-data centres, half of them are left for the load that comes up meanwhile.
+data centres, the other two together leave at least half of these slots for load
+that arrives meanwhile.
 Instances of one data centre know each other's requests within milliseconds; to
 bound the sum also in that time, each has an equal part of the quarter, and at
 least one slot.
@@ -33,8 +34,8 @@
 
 #: The share of the free slots of a data centre that another one may use.
 MAX_FREE_SHARE = 0.25
-#: What a prompt's way to another data centre adds to the time until its first
-#: token, in seconds: two trips of 4.5 ms, and 20 kB at 16 Mbit/s.
+#: What the transfer to another data centre adds to the time until a prompt's
+#: first token, in seconds: two trips of 4.5 ms, and 20 kB at 16 Mbit/s.
 REMOTE_DELAY_S = 0.02
 
 
--- a/trestledock/relay/_pace_meter.py
+++ b/trestledock/relay/_pace_meter.py
@@ -19,9 +19,10 @@
 MIN_PASSES = 4
 #: How long a pass counts, in seconds.
 WINDOW_S = 5.0
-#: An event after a shorter share of a nominal pass was delayed less than the
-#: one before it: neither of the two pauses tells how long a pass took.  The
-#: last event of a stream may also come before the end of its pass.
+#: The least share of a nominal pass that a pause takes.  A shorter pause means
+#: that the event before it was delayed, so neither of the two pauses shows the
+#: duration of a pass, or that the last event of a stream came before the end of
+#: its pass.
 MIN_SHARE = 0.7
 #: The part of a nominal pass by which the start of a decode may precede the
 #: pass that it joined: other instances round their ages.
@@ -67,9 +68,10 @@
     _unconfirmed: MeasuredPass | None = None
 
     def add(self, measured: MeasuredPass | None) -> MeasuredPass | None:
-        """Add a pass, None for a pause that tells nothing.
+        """Add a pass, None for a pause that is no measurement.
 
-        Return the pass before it, if that counts.
+        Return the pass before it, unless this one is so short that neither
+        counts.
         """
         confirmed = self._unconfirmed
         if measured and measured.ratio < MIN_SHARE:
--- a/trestledock/relay/_paces.py
+++ b/trestledock/relay/_paces.py
@@ -18,10 +18,11 @@
 
 #: An engine with a lower pace counts as nominal.
 MIN_PACE = 1.3
-#: A slow engine stays slow down to this pace: measurements vary by a tenth.
+#: An engine that counts as slow does so until its pace falls below this one:
+#: measurements vary by a tenth.
 KEPT_PACE = 1.15
 #: The highest pace that placements assume, so that a wrong measurement leaves
-#: an engine usable for prompts with time.
+#: an engine usable for prompts that have much time left.
 MAX_PACE = 4.0
 #: How long a pace is used after its measurement, in seconds.
 PACE_TTL_S = 5.0
--- a/trestledock/relay/_quotas.py
+++ b/trestledock/relay/_quotas.py
@@ -11,8 +11,8 @@
 
 The bound on a cold target holds in each second, also while the instances differ
 in whom they receive messages from.  So its holders are chosen from all known
-instances, silent ones included: who knows more instances than another only
-holds fewer quotas.
+instances, silent ones included: an instance that knows more of them only holds
+fewer quotas.
 """
 
 from dataclasses import dataclass, field
@@ -117,7 +117,7 @@
 
 @dataclass
 class HolderRanks:
-    """The ranks of one instance at targets, cached until others are known."""
+    """The ranks of one instance at targets, cached until the known change."""
 
     _known: KnownInstances | None = None
     _ranks: dict[str, int] = field(default_factory=dict)
--- a/trestledock/relay/_readers.py
+++ b/trestledock/relay/_readers.py
@@ -95,8 +95,8 @@
     """Return the name of the instance that reads for all.
 
     This is the first by name of the instances that are fresh, or of all if none
-    is.  Instances that also send evacuations come before older versions, so
-    that an instance beside older ones only, which does, reads itself.
+    is.  Instances that send evacuations come before older versions that don't.
+    So an instance that is fresh and knows only older ones chooses itself.
 
     >>> choose_reader([ReaderCandidate('a', 9.0), ReaderCandidate('b', 0.2)])
     'b'
--- a/trestledock/relay/_room.py
+++ b/trestledock/relay/_room.py
@@ -31,7 +31,11 @@
 
 @dataclass(frozen=True)
 class _Claim:
-    """What a request ahead asks of an engine; it waits until `until`."""
+    """What a typical request ahead needs of one engine.
+
+    It has the means of some rows, their most urgent rank, and the instant
+    `until` from which on none of them can be in time.
+    """
 
     work_s: float
     tokens: float
@@ -101,30 +105,32 @@
     """Return the engines that the requests ahead need.
 
     Small requests take the engines on which other requests decode first, as
-    placement does.  One of which they need only some slots counts as needed
-    unless the request behind may share it.
+    placement does.  An engine of which they need only some slots counts as
+    needed unless the request behind them may share it.
     """
     small_count = sum(row.count for row in ahead if row.is_small)
-    spots = sorted(room, key=lambda spot: spot.order)
-    needed = set(_pick_slots(spots, small_count, may_share=may_share))
+    ordered = sorted(room, key=lambda each: each.order)
+    needed = set(_pick_slots(ordered, small_count, may_share=may_share))
     free = [
-        spot.name for spot in spots if spot.is_free and spot.name not in needed
+        each.name
+        for each in ordered
+        if each.is_free and each.name not in needed
     ]
     count = _count_needed(engine, ahead, len(free))
     return frozenset(needed.union(free[:count]))
 
 
 def _pick_slots(
-    spots: Iterable[EngineRoom], count: int, *, may_share: bool
+    room: Iterable[EngineRoom], count: int, *, may_share: bool
 ) -> Iterator[str]:
     """Yield the engines whose slots some small requests need."""
     left = count
-    for spot in spots:
+    for each in room:
         if left <= 0:
             return
-        if spot.slots and (left >= spot.slots or not may_share):
-            yield spot.name
-        left -= spot.slots
+        if each.slots and (left >= each.slots or not may_share):
+            yield each.name
+        left -= each.slots
 
 
 def _count_needed(
--- a/trestledock/relay/_shortage.py
+++ b/trestledock/relay/_shortage.py
@@ -6,13 +6,13 @@
 the engines to the requests ahead of it, or is refused because its turn would
 come too late.
 
-It answers a load in which callers of different ranks compete for engines for
-some seconds, while prompts of 5,000, 45,000 and 220,000 to 700,000 tokens share
+The load is that callers of different ranks compete for engines for some
+seconds, while prompts of 5,000, 45,000 and 220,000 to 700,000 tokens share
 them.  On average prefill fills a third of the fleet, so a shortage is local and
 brief: a request only leaves the engines that the requests ahead can use at this
-moment.  Its wait ends with the time in which it can be in time (0.27 s for the
-shortest prompts, 8 s for the longest), which each wait for a placement is bound
-by.
+moment.  It waits no longer than without ranks (`get_wait_left_s`): as long as
+it may be in time (the objectives are 0.27 s for the shortest prompts and 8 s
+for the longest), or, if it is long, as long as it may queue.
 """
 
 from dataclasses import dataclass
@@ -67,8 +67,8 @@
     ) -> float:
         """Return when a refused caller should retry, spread by `draw` (0 to 1).
 
-        By then those ahead are served.  Callers don't wait for longer than a
-        third of their remaining time.
+        By then those ahead are served.  It is at most
+        `MAX_RETRY_AFTER_SHARE` of the caller's remaining time.
         """
         max_s = (timing.deadline - now) * MAX_RETRY_AFTER_SHARE
         latest_s = min(max_s, self.turn_s * (1 + RETRY_AFTER_SPREAD))
@@ -84,9 +84,9 @@
 ) -> Turn:
     """Return the turn of a request behind others.
 
-    Long prompts ahead of a small request are no rivals: they take idle engines,
-    and small ones share engines on which others decode.  If they still have not
-    taken the engines at the end of its wait, they could not use them.
+    Long prompts ahead of a small request don't compete with it: they take idle
+    engines, and small ones share engines on which others decode.  Engines that
+    long prompts have not taken by the end of its wait are of no use to them.
     """
     is_small = request.row.is_small
     rivals = tuple([row for row in ahead if row.is_small or not is_small])
--- a/trestledock/relay/_size_tenths.py
+++ b/trestledock/relay/_size_tenths.py
@@ -10,15 +10,16 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-#: Prompts of a service that a new one is compared with; an entry sees about one
-#: a second, and an insertion into so short a list costs a microsecond.
+#: The number of prompts of a service that a new one is compared with; an entry
+#: sees about one a second, and an insertion into so short a list costs a
+#: microsecond.
 SAMPLE = 200
-#: Prompts from which on a tenth is told.
+#: The least number of prompts by which a tenth is determined.
 MIN_SAMPLE = 10
-#: Services with a sample.
+#: The maximum number of services with a sample.
 MAX_SERVICES = 32
 TENTHS = 10
-#: In place of a tenth: no size, or too few prompts so far.
+#: Stands for no tenth: no size, too few prompts so far, or too many services.
 NO_TENTH = 0
 
 
--- a/trestledock/relay/_turn_order.py
+++ b/trestledock/relay/_turn_order.py
@@ -8,10 +8,9 @@
 ties are broken by the names of the teams, so no two requests wait for each
 other for longer than a message takes.
 
-Callers of different ranks compete for the engines for some seconds, while
-prompts of 5,000, 45,000 and 220,000 to 700,000 tokens share them.  In such a
-time the ranks alone would starve the longest prompts, so a rank that is served
-too little lately goes first for one placement at a time.
+In a shortage, ranks alone would starve the longest prompts (the load is that of
+`_shortage`), so a rank that was served too little lately goes first for one
+placement at a time.
 """
 
 from dataclasses import dataclass
@@ -50,8 +49,8 @@
     """Return the ranks with waiting requests that are served too little.
 
     Requests that still wait count as asked for, but only a rank that had
-    requests refused lately is starved: at the begin of a shortage, waiting
-    alone tells nothing.
+    requests refused lately is starved: at the beginning of a shortage,
+    all ranks wait.
     """
     waiting: dict[int, float] = {}
     for row in rows:
--- a/trestledock/relay/_usage.py
+++ b/trestledock/relay/_usage.py
@@ -7,7 +7,7 @@
 of Sheng et al. (Fairness in Serving Large Language Models, OSDI 2024): the team
 that was served the fewest tokens goes first, and a team that returns from idle
 starts at the least counter of the active teams, so that it doesn't catch up on
-what it did not ask for.  Other than there, tokens are forgotten after a time
+what it did not ask for.  Unlike there, tokens are forgotten after a time
 window, so that entries that start late count like all others.
 """
 
--- a/trestledock/relay/_wait_queue.py
+++ b/trestledock/relay/_wait_queue.py
@@ -89,7 +89,7 @@
         self.last_served_at[(request.service, request.team)] = now
 
     def count_ahead(self, request: WaitingRequest) -> int:
-        """Return the number of requests that a rate limit lets go before it.
+        """Return the number of requests that a rate limit admits before it.
 
         Those that wait for room at engines don't count: they may be sent to
         another target than one with a rate limit, or can't be placed at all.
