Faults found by reading the new parts

- A load answer whose counts are no object ended the request that asked for it with an exception; the test of invalid answers asked only once a second, so it never saw one.
- Bytes of a plain answer that broke off counted until the end of the request, so a retry could find no room (502).
- Each attempt of a request counted its tokens as served, and a refusal after them as refused too.
- 144 rows of 24 teams, 3 ranks and 2 sizes didn't fit in 100.
- A truth value or a huge number passed as a rank.

Each test failed before the change.

--- a/tests/test_entry_loads.py
+++ b/tests/test_entry_loads.py
@@ -162,6 +162,11 @@
         self.assertEqual(self.run_pair(scenario), set())
 
     def test_invalid_answer(self):
+        """Guards against one that ends the request that needs the loads.
+
+        After each of them the data centre is not asked for a second.
+        """
+
         async def scenario(own, other, calls):
             for plain in (
                 {},
@@ -175,6 +180,7 @@
 
                 with patch.object(_loads, 'call_peer', call):
                     await own.state.refresh_loads()
+                await anyio.sleep(_loads.RETRY_INTERVAL_S + 0.1)
             return own.state.get_known_remote_loads(anyio.current_time())
 
         self.assertEqual(self.run_pair(scenario), set())
--- a/tests/test_entry_ordering.py
+++ b/tests/test_entry_ordering.py
@@ -9,12 +9,18 @@
 import unittest
 from collections import Counter
 from dataclasses import replace
+from random import Random
 from unittest.mock import patch
 
 from tests.contending import GIANT, MIDDLE, SHORT, Arrivals, Contention
+from tests.relaying import SETTINGS
+from tests.test_entry_selecting import make_job
 from trestledock.entry import _selecting
 from trestledock.entry._job import STATUSES, Refusal
 from trestledock.entry._metrics import METRICS
+from trestledock.entry._ordering import record_usage
+from trestledock.entry._state import EntryState
+from trestledock.relay import PromptSize, Usage
 
 #: The fields of the message that builds without ranks send.
 OLD_FIELDS = {
@@ -149,6 +155,19 @@
         self.assertGreater(min(served), max(served) * 0.75)
 
 
+class UsageTest(unittest.TestCase):
+    """Tokens of requests that are sent more than once."""
+
+    def test_request_counts_once(self):
+        """Guards against teams that pay for each attempt, or for a refusal."""
+        job = replace(make_job(PromptSize(900, 100)), is_ranked=True)
+        state = EntryState(SETTINGS, 'entry-1#a', Random(1), None)
+        for served in (True, True, False):
+            record_usage(state, job, 1.0, served=served)
+        rows = [row.usage for row in state.usage.get_own_rows(1.0)]
+        self.assertEqual(rows, [Usage(served=1_000)])
+
+
 class FailureTest(unittest.TestCase):
     """Entries that fail or are cut off."""
 
--- a/tests/test_entry_row_codec.py
+++ b/tests/test_entry_row_codec.py
@@ -3,6 +3,7 @@
 import json
 import unittest
 from dataclasses import replace
+from itertools import product
 
 from hypothesis import given
 
@@ -61,6 +62,21 @@
                 [flight_id for flight_id, _ in found.changes], ['r1', 'r2']
             )
 
+    def test_invalid_ranks(self):
+        """Guards against a truth value, or a huge number, as a rank."""
+        for rank in (True, 10**30, 1.5, 'x', None):
+            (_, flight), _ = self.decode_with('ranks', {'r1': rank}).changes
+            self.assertIsNone(flight.rank)
+
+    def test_all_rows_of_the_teams_fit(self):
+        """Guards against rows of 24 teams and 3 ranks that are left out."""
+        rows = tuple(
+            WaitingRow('svc', rank, f'team-{team}', 1, work_s, 2.25, 'dc')
+            for rank, team, work_s in product(range(3), range(24), (0.1, 1.5))
+        )
+        raw = encode_message(replace(RANKED, waiting=rows), now=2)
+        self.assertEqual(decode_message(raw, now=2).waiting, rows)
+
     def test_time_left_is_bounded(self):
         """Guards against a row that blocks others for good."""
         found = self.decode_with('waiting', [['svc', 2, 'a', 3, 1e18, -1e18]])
--- a/tests/test_entry_slow_readers.py
+++ b/tests/test_entry_slow_readers.py
@@ -24,6 +24,7 @@
     HOST,
     KEY,
     RESUMABLE,
+    AbortedAnswer,
     StubTarget,
     make_answer,
     make_route,
@@ -310,6 +311,20 @@
         route = make_route(RouteKind.non_idempotent, max_attempts=1)
         run_world(route, [target], scenario)
 
+    def test_broken_answer_is_not_held(self):
+        """Guards against a retry without room for what broke off before."""
+        whole = make_answer(BODY[:80_000])
+        broken = StubTarget(AbortedAnswer(whole[:-1000], pause_s=0))
+        other = StubTarget(whole)
+
+        async def scenario(world):
+            world.state.buffers.answers.limit = 100_000
+            world.state.health.record_failure('t1', anyio.current_time())
+            self.assertEqual((await world.ask()).status, 200)
+            self.assertEqual(len(broken.requests), 1)
+
+        run_world(make_route(objective_s=2), [broken, other], scenario)
+
     def test_slow_caller_gets_it_whole(self):
         """A caller that reads slowly gets all of a long answer."""
         body = BODY[:3_000_000]
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -223,13 +223,21 @@
 
 
 async def _read_body(wire: Wire, held: HeldBytes | None) -> bytes | None:
-    """Return a whole body, or None if there is no memory left for it."""
+    """Return a whole body, or None if there is no memory left for it.
+
+    A body that breaks off is held no longer: the next attempt reads its own.
+    """
     body = bytearray()
-    async for raw in wire.iter_body():
-        if held and not held.take(len(raw)):
+    try:
+        async for raw in wire.iter_body():
+            if held and not held.take(len(raw)):
+                held.release()
+                return None
+            body += raw
+    except WireError:
+        if held:
             held.release()
-            return None
-        body += raw
+        raise
     return bytes(body)
 
 
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -133,6 +133,7 @@
     refusal: Refusal | None = None
     is_ranked: bool = False
     has_yielded: bool = False
+    is_usage_recorded: bool = False
 
     @property
     def may_have_run(self) -> bool:
--- a/trestledock/entry/_loads.py
+++ b/trestledock/entry/_loads.py
@@ -150,4 +150,7 @@
     """Return the requests by target, None in an answer of an older version."""
     if 'counts' not in answer:
         return None
-    return {name: read_count(count) for name, count in answer['counts'].items()}
+    counts = answer['counts']
+    if not isinstance(counts, dict):
+        raise ValueError(f'not an object: {counts!r}')
+    return {name: read_count(count) for name, count in counts.items()}
--- a/trestledock/entry/_ordering.py
+++ b/trestledock/entry/_ordering.py
@@ -116,8 +116,12 @@
 def record_usage(
     state: EntryState, job: Job, now: float, *, served: bool
 ) -> None:
-    """Count the tokens of a request that was sent, or else refused."""
-    if job.is_ranked and job.call.size:
+    """Count the tokens of a request that was sent, or else refused.
+
+    A request counts once, however often it is sent.
+    """
+    if job.is_ranked and job.call.size and not job.is_usage_recorded:
+        job.is_usage_recorded = True
         tokens = job.call.size.total_tokens
         usage = Usage(served=tokens) if served else Usage(refused=tokens)
         state.usage.record(job.usage_key, usage, now)
--- a/trestledock/entry/_row_codec.py
+++ b/trestledock/entry/_row_codec.py
@@ -21,11 +21,19 @@
     read_text,
 )
 from trestledock.entry._flight_codec import Change
-from trestledock.relay import MAX_AGE_S, Usage, UsageKey, UsageRow, WaitingRow
+from trestledock.relay import (
+    MAX_AGE_S,
+    Flight,
+    Usage,
+    UsageKey,
+    UsageRow,
+    WaitingRow,
+)
 
 MS = 1000
-#: Maximum number of rows of a kind in a message: 24 teams of 3 ranks fit.
-MAX_ROWS = 100
+#: Maximum number of rows of a kind in a message: 24 teams of 3 ranks fit, each
+#: with its small and its long requests.
+MAX_ROWS = 150
 #: Exceptions that decoding an invalid row raises.
 ROW_ERRORS = (ValueError, TypeError)
 
@@ -88,14 +96,23 @@
     known = ranks if isinstance(ranks, Mapping) else {}
     return tuple(
         [
-            (flight_id, flight and replace(flight, rank=known[flight_id]))
-            if isinstance(known.get(flight_id), int)
-            else (flight_id, flight)
+            (flight_id, flight and _add_rank(flight, known.get(flight_id)))
             for flight_id, flight in changes
         ]
     )
 
 
+def _add_rank(flight: Flight, encoded: Any) -> Flight:
+    return replace(flight, rank=_read_rank(encoded))
+
+
+def _read_rank(encoded: Any) -> int | None:
+    """Return a valid rank, or None for anything else."""
+    with suppress(*ROW_ERRORS):
+        return read_int(encoded)
+    return None
+
+
 def _decode_usage_row(
     service: Any, rank: Any, team: Any, served: Any, refused: Any
 ) -> UsageRow:
