--- a/tests/test_entry_messages.py
+++ b/tests/test_entry_messages.py
@@ -9,12 +9,14 @@
 import json
 import unittest
 from random import Random
+from unittest.mock import patch
 
 import anyio
 from hypothesis import given
 from hypothesis import strategies as st
 
 from tests.relaying import SETTINGS
+from trestledock.entry import _notice_codec
 from trestledock.entry._gossip import Gossip
 from trestledock.entry._message_codec import (
     DECODERS,
@@ -33,14 +35,17 @@
     TargetNotice,
     ToldNotices,
 )
+from trestledock.entry._notices_exchange import NoticesExchange
 from trestledock.entry._state import EntryState
 from trestledock.entry._update_exchange import UpdateExchange
 from trestledock.relay import (
     Backoff,
     ColdStart,
     Crash,
+    MAX_PACE,
     Drain,
     Flight,
+    Pace,
     PeerBackoff,
     Phase,
     RateLimit,
@@ -72,6 +77,7 @@
             TargetNotice('t1', RateLimit(1.5, 0, 1, is_shared=True)),
             TargetNotice('t2', RateLimit(None, 2, 2, is_shared=True)),
             TargetNotice('t2', Drain(0.5, 1, is_shared=True)),
+            TargetNotice('t3', Pace(1.5, 0.5, 1, is_shared=True)),
         ),
     ),
     Fresh('e', 0.25),
@@ -134,13 +140,34 @@
         rows = [['t'], 5, None, ['t', 'x', 0, 0], ['t', -1, 0, 0], valid]
         rows += [['t', 10**12, 0, 0], [7, 500, 0, 0], ['t', 500, 0, 0, 0]]
         raw = replace_field(MESSAGES[4], 'colds', rows)
-        *notices, cold = decode_message(raw, now=2).notices
-        self.assertEqual(tuple(notices), MESSAGES[4].notices)
-        self.assertEqual(cold.notice.until, 2.5)
+        found = decode_message(raw, now=2).notices
+        cold = [one for one in found if isinstance(one.notice, ColdStart)]
+        others = [one for one in found if one not in cold]
+        self.assertEqual(tuple(others), MESSAGES[4].notices)
+        self.assertEqual([one.notice.until for one in cold], [2.5])
         for rows in (7, 'x', {}, None):
             raw = replace_field(MESSAGES[4], 'colds', rows)
             self.assertEqual(decode_message(raw, now=2), MESSAGES[4])
 
+    def test_paces_are_bounded(self):
+        """Placement divides by them."""
+        for factor, bounded in ((99, MAX_PACE), (0.2, 1), (-1, 1)):
+            raw = replace_field(MESSAGES[4], 'paces', [['t', factor, 0, 0]])
+            pace = decode_message(raw, now=2).notices[-1]
+            self.assertEqual(pace.notice.factor, bounded)
+
+    def test_unknown_lists_of_notices(self):
+        """A build without paces skips them, as this one skips unknown lists."""
+        message = MESSAGES[4]
+        with_more = replace_field(message, 'newer', [['t', 1, 2, 3]])
+        self.assertEqual(decode_message(with_more, now=2), message)
+        raw = encode_message(message, now=2)
+        known = dict(_notice_codec.ENCODINGS)
+        known.pop(Pace)
+        with patch.object(_notice_codec, 'ENCODINGS', known):
+            found = decode_message(raw, now=2)
+        self.assertEqual(found.notices, message.notices[:-1])
+
     def test_each_kind_is_encoded(self):
         """Every decodable kind can be encoded."""
         kinds = {
@@ -224,6 +251,7 @@
             state = EntryState(SETTINGS, 'entry-1#a', Random(1), None)
             gossip = Gossip(state)
             exchange = UpdateExchange(state, gossip)
+            NoticesExchange(gossip)
             for message in MESSAGES:
                 for name in json.loads(encode_message(message, now=2)):
                     gossip.handle_datagram(
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -53,6 +53,9 @@
         events.RequestEnded: Counter(
             'Requests by outcome', ('outcome', 'reason')
         ),
+        events.Yielded: Counter(
+            'Requests that left engines to more urgent ones or other teams'
+        ),
         events.MemoryRefused: Counter('Prompts whose memory was not granted'),
         events.OrderLost: Counter('Orders to engines without an answer'),
         events.TargetSuspected: Counter('Targets that fell silent'),
@@ -63,6 +66,9 @@
             'Notices of targets without sense', ('notice',)
         ),
         events.LeaveHeard: Counter('Targets that said that they leave'),
+        events.EnginePace: Counter(
+            'Changes of how slow engines are', ('change',)
+        ),
         events.RestEnded: Counter('Rests of targets that are over'),
         events.RestHeard: Counter('Times that a target asked for rest'),
         events.SentAgainstNotice: Counter(
@@ -157,6 +163,7 @@
         'peers': 'Other entries that are heard',
         'targets_resting': 'Targets that want nothing from this entry now',
         'targets_cold': 'Targets that have just started',
+        'engines_slow': 'Engines that are slower than their formula',
         'rate_limits': 'Targets that take only so many requests a second',
         'rate_quota_per_second': 'Requests a second to such targets from here',
         'data_centres_evacuated': 'Data centres whose targets get nothing',
@@ -169,6 +176,10 @@
 )
 
 
+#: Help text and labels of the gauge of requests that wait for room.
+WAITING_TEXT = 'Requests that wait for room at engines, by rank'
+WAITING_LABELS = ('rank',)
+
 #: Counts by labels.
 Counts = dict[tuple[str, ...], int]
 
@@ -189,6 +200,7 @@
         }
         self.messages: Counts = {}
         self.message_bytes: Counts = {}
+        self.waiting: Counts = {}
         self.histograms: dict[str, HistogramCounts] = {
             name: HistogramCounts() for name in HISTOGRAMS
         }
@@ -222,6 +234,11 @@
         known = self.message_bytes.get(labels, 0)
         self.message_bytes[labels] = known + size * count
 
+    def count_waiting(self, rank: int, change: int) -> None:
+        """Change the number of requests of a rank that wait for room."""
+        labels = (str(rank),)
+        self.waiting[labels] = self.waiting.get(labels, 0) + change
+
     def render(self, gauges: Mapping[str, float]) -> bytes:
         """Return all metrics as text, with the current gauges."""
         # Importing the renderer takes 30 ms, and few processes are scraped.
--- a/trestledock/entry/_outcomes.py
+++ b/trestledock/entry/_outcomes.py
@@ -2,8 +2,8 @@
 Outcomes of requests
 ====================
 
-Tells for each request, once for all its attempts, how it ended for its caller
-and whose it was.
+Logs for each request, once for all its attempts, how it ended for its caller,
+with its team, rank and size.
 """
 
 from contextlib import contextmanager
@@ -53,6 +53,7 @@
         Refusal.no_time: 'capacity',
         Refusal.no_room: 'capacity',
         Refusal.no_buffer: 'capacity',
+        Refusal.no_turn: 'capacity',
         Refusal.limited: 'limit',
         Refusal.backing_off: 'limit',
         Refusal.cold: 'limit',
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -30,6 +30,8 @@
     RemoteLoad,
     Member,
     Notices,
+    PaceMeter,
+    Paces,
     Placer,
     FreshnessProof,
     Reachability,
@@ -40,7 +42,9 @@
     ColdStart,
     ListedTarget,
     Throttle,
+    UsageTable,
     WaitQueue,
+    WaitingTable,
 )
 
 #: Delay before a failed background task is restarted, in seconds.
@@ -87,6 +91,9 @@
     It is `draining` once it was asked to stop, `closing` once idle connections
     are being closed, and `aborting` once the remaining requests are aborted.
 
+    `wait_queue` has the waiting requests of this entry and `peer_waiting` sums
+    of those of the others; `usage` counts the tokens of teams over all entries.
+
     `receive_messages` handles the messages that have arrived from other
     entries, `send_own_changes` sends them the own changes at once, and
     `send_notices` the notices of a target. `refresh_loads` asks other data
@@ -104,6 +111,8 @@
     health: Health = field(default_factory=Health)
     reach: Reachability = field(default_factory=Reachability)
     wait_queue: WaitQueue = field(default_factory=WaitQueue)
+    peer_waiting: WaitingTable = field(default_factory=WaitingTable)
+    usage: UsageTable = field(default_factory=UsageTable)
     ignored_notices: dict[str, dict[str, str]] = field(default_factory=dict)
     restores: RestoreTracker = field(default_factory=RestoreTracker)
     waits: set[Wait] = field(default_factory=set)
@@ -124,6 +133,8 @@
     remote_loads: dict[str, RemoteLoad] = field(default_factory=dict)
     isolation: Isolation = field(init=False)
     proof: FreshnessProof = field(init=False)
+    pace_meter: PaceMeter = field(default_factory=PaceMeter)
+    paces: Paces = field(init=False)
     placer: Placer = field(init=False)
     throttle: Throttle = field(init=False)
     budgets: Budgets = field(init=False)
@@ -132,11 +143,13 @@
         """Create the parts that share others."""
         self.isolation = Isolation(self.health, self.fleet)
         self.proof = FreshnessProof(self.settings.revoke_s)
+        self.paces = Paces(self.fleet)
         self.placer = Placer(
             self.load_table,
             self.health,
             self.member,
             self.settings.data_centre,
+            get_pace=self.paces.get_factor,
         )
         self.throttle = Throttle(
             Member(self.settings.peers, self.settings.data_centre),
@@ -183,6 +196,10 @@
         self.own_changed.set()
         self.notify()
 
+    def notify_rows(self) -> None:
+        """Have a change of the waiting requests sent to other entries."""
+        self.own_changed.set()
+
     async def wait_for_own_change(self) -> None:
         """Wait until the own in-flight requests have changed."""
         await self.own_changed.wait()
@@ -194,7 +211,7 @@
             await self.changed.wait()
 
     def get_cold_limit(self, service: str) -> ColdLimit | None:
-        """Return what the cold targets of a service take, None for all."""
+        """Return the limit of a service's cold targets, None without one."""
         bounds = self.settings.cold_bounds
         if bounds is None or self.catalog is None:
             return None
@@ -367,6 +384,7 @@
             'peers': self.load_table.count_peers(),
             'targets_resting': self._count_backed_off(now),
             'targets_cold': len(self.notices.get_all(ColdStart)),
+            'engines_slow': self.paces.count_slow(now),
             'rate_limits': len(self.notices.get_in_force(RateLimit)),
             'rate_quota_per_second': self._get_quota_sum(),
             'data_centres_evacuated': len(self.fleet.evacuations.names),
--- a/trestledock/relay/_engine_load.py
+++ b/trestledock/relay/_engine_load.py
@@ -7,13 +7,14 @@
 """
 
 from dataclasses import dataclass
-from typing import Iterable
+from typing import Callable, Iterable
 
 from trestledock.relay._catalog import EngineModel
 from trestledock.relay._engine_timing import (
     PassLoad,
     get_decode_pass_s,
     get_prefill_s,
+    slow_down,
 )
 from trestledock.relay._health import Health
 from trestledock.relay._load_table import Flight, LoadTable, Phase
@@ -40,7 +41,8 @@
 
     `base_s` is the duration of a pass without prefill, `pending_prefill_s` the
     prefill that is left, and `count` the number of requests with this engine as
-    their primary.
+    their primary.  An engine of pace 2 is half as fast as nominal: both times
+    include the pace, but chunks are passed in with their nominal duration.
     """
 
     target: ListedTarget
@@ -53,6 +55,12 @@
     failure_share: float
     is_remote: bool
     now: float
+    pace: float = 1
+
+    @property
+    def nominal_base_s(self) -> float:
+        """The duration of a pass without prefill at nominal speed."""
+        return self.base_s / self.pace
 
     @property
     def helper_wait_s(self) -> float:
@@ -66,33 +74,107 @@
 
     def predict_first_token_s(self, chunk_s: float) -> float:
         """Return the time to the first token after a prefill of `chunk_s`."""
-        return self.wait_s + chunk_s + self.base_s
+        return self.wait_s + chunk_s * self.pace + self.base_s
 
     def predict_chunk_s(self, chunk_s: float) -> float:
         """Return the time until a helper's chunk of `chunk_s` is prefilled."""
-        return self.helper_wait_s + chunk_s
+        return self.helper_wait_s + chunk_s * self.pace
+
+    def get_chunk_delay_s(self, chunk_s: float) -> float:
+        """Return how much later a helper's chunk ends than at an idle engine.
+
+        The idle engine is of nominal speed.
+        """
+        return self.helper_wait_s + chunk_s * (self.pace - 1)
 
-    def get_cost_to_others(self, chunk_s: float) -> float:
-        """Return the loss of others if `chunk_s` more is prefilled here."""
+    def get_cost_to_others(
+        self, chunk_s: float, newcomer: 'Newcomer | None' = None
+    ) -> float:
+        """Return the loss of others if `chunk_s` more is prefilled here.
+
+        A less urgent request counts at most as much as a ranked newcomer.
+        """
         before_s = self.base_s + self.pending_prefill_s
-        return sum(
-            _get_loss(flight, before_s + chunk_s, self.now)
-            - _get_loss(flight, before_s, self.now)
+        own_s = chunk_s * self.pace
+        worths = [
+            newcomer.get_worth_of_other(flight) if newcomer else flight.worth
             for flight in self.flights
+        ]
+        return sum(
+            worth * _get_lost_share(flight, before_s + own_s, self.now)
+            - worth * _get_lost_share(flight, before_s, self.now)
+            for flight, worth in zip(self.flights, worths, strict=True)
         ) + sum(
-            flight.worth * LATE_LOSS * DELAY_LOSS * min(1, chunk_s)
-            for flight in self.flights
+            worth * LATE_LOSS * DELAY_LOSS * min(1, own_s)
+            for flight, worth in zip(self.flights, worths, strict=True)
             if flight.phase is Phase.prefill
         )
 
+    def get_cost_to_urgent(self, chunk_s: float, newcomer: 'Newcomer') -> float:
+        """Return the additional cost of delaying more urgent requests.
+
+        Each counts at least as much as the newcomer.
+        """
+        before_s = self.base_s + self.pending_prefill_s
+        own_s = chunk_s * self.pace
+        return sum(
+            newcomer.get_surcharge(flight)
+            * (
+                _get_lost_share(flight, before_s + own_s, self.now)
+                - _get_lost_share(flight, before_s, self.now)
+            )
+            for flight in self.flights
+            if newcomer.get_surcharge(flight)
+        )
+
+
+@dataclass(frozen=True)
+class Newcomer:
+    """The rank and worth of a request to be placed, 0 being most urgent.
+
+    Worth by tokens values a prompt of 700,000 as much as 80 prompts of 5,000,
+    but operators put the short ones first by their ranks.  So between requests
+    of different ranks, the more urgent one counts at least as much as the other
+    one: short prompts would otherwise be refused to spare long ones.
+    """
+
+    rank: int
+    worth: float
+
+    def get_worth_of_other(self, flight: Flight) -> float:
+        """Return what a request in flight counts for at most."""
+        if flight.rank is None or flight.rank <= self.rank:
+            return flight.worth
+        return min(flight.worth, self.worth)
+
+    def get_surcharge(self, flight: Flight) -> float:
+        """Return what a more urgent request counts for beyond its worth."""
+        if flight.rank is None or flight.rank >= self.rank:
+            return 0
+        return max(0, self.worth - flight.worth)
+
+
+#: Returns the factor of an engine's estimates now.
+GetPace = Callable[[ListedTarget, float], float]
+
+
+def get_nominal_pace(target: ListedTarget, now: float) -> float:
+    """Return the pace of an engine without measurements."""
+    return 1
+
 
 class LoadEstimator:
     """Derives the load of engines from the requests in flight."""
 
     def __init__(
-        self, load_table: LoadTable, health: Health, data_centre: str
+        self,
+        load_table: LoadTable,
+        health: Health,
+        data_centre: str,
+        get_pace: GetPace = get_nominal_pace,
     ) -> None:
         """Store the inputs."""
+        self.get_pace = get_pace
         self.load_table = load_table
         self.health = health
         self.data_centre = data_centre
@@ -106,6 +188,9 @@
         own = [flight for flight in flights if flight.target == name]
         held = sum(flight.get_held_tokens(name) for flight in flights)
         health = self.health.get(name)
+        pace = self.get_pace(target, now)
+        if pace != 1:
+            engine = slow_down(engine, pace)
         base_s = get_decode_pass_s(engine, PassLoad(len(own) + 1, held))
         return EngineLoad(
             target=target,
@@ -118,6 +203,7 @@
             failure_share=health.get_failure_share(now),
             is_remote=target.data_centre != self.data_centre,
             now=now,
+            pace=pace,
         )
 
 
@@ -139,8 +225,8 @@
     return max(0, left_s - max(0, now - at))
 
 
-def _get_loss(flight: Flight, pass_s: float, now: float) -> float:
-    """Return the loss of a request by a pass that ends after `pass_s`.
+def _get_lost_share(flight: Flight, pass_s: float, now: float) -> float:
+    """Return the share of its worth that a request loses by a pass.
 
     To a decoding request the pass is a pause; to one in prefill it delays the
     first token, since newer chunks go before older ones.
@@ -152,9 +238,7 @@
         late = _get_late_probability(pass_s, flight.due_at - now)
         abandoned_after_s = flight.abandoned_at - now
     share = late * LATE_LOSS
-    if pass_s > abandoned_after_s:
-        share = 1
-    return flight.worth * share
+    return 1 if pass_s > abandoned_after_s else share
 
 
 def _get_late_probability(first_s: float, left_s: float) -> float:
--- a/trestledock/relay/_placement.py
+++ b/trestledock/relay/_placement.py
@@ -19,7 +19,9 @@
 from trestledock.relay._engine_load import (
     MEMORY_SHARE,
     EngineLoad,
+    GetPace,
     LoadEstimator,
+    get_nominal_pace,
 )
 from trestledock.relay._engine_timing import (
     PassLoad,
@@ -61,10 +63,13 @@
         member: str = '',
         data_centre: str = '',
         policy: PlacementPolicy = DEFAULT_POLICY,
+        get_pace: GetPace = get_nominal_pace,
     ) -> None:
         """Store the inputs of the choice."""
         self.policy = policy
-        self.estimator = LoadEstimator(load_table, health, data_centre)
+        self.estimator = LoadEstimator(
+            load_table, health, data_centre, get_pace
+        )
         self.member = member
 
     def place(
@@ -93,7 +98,9 @@
             return None
         return replace(
             placement,
-            idle_fleet_s=_get_idle_fleet_s(problem),
+            idle_fleet_s=get_idle_fleet_s(
+                engine, problem.prefill_s, len(ordered)
+            ),
             pending_prefill_s=max(
                 load.pending_prefill_s for load in problem.loads
             ),
@@ -111,12 +118,12 @@
     return _place_short if problem.prefill_s <= SHORT_PREFILL_S else _place_long
 
 
-def _get_idle_fleet_s(problem: Problem) -> float:
+def get_idle_fleet_s(
+    engine: EngineModel, prefill_s: float, engine_count: int
+) -> float:
     """Return the time to the first token on an idle fleet."""
-    chunk_count = min(len(problem.loads), HELPER_COUNTS[-1] + 1)
-    return problem.prefill_s / chunk_count + get_decode_pass_s(
-        problem.engine, PassLoad(1)
-    )
+    chunk_count = min(engine_count, HELPER_COUNTS[-1] + 1)
+    return prefill_s / chunk_count + get_decode_pass_s(engine, PassLoad(1))
 
 
 def _place_short(problem: Problem) -> Placement:
@@ -139,7 +146,9 @@
     ]
     local = [load for load in uncrowded if not load.is_remote]
     if uncrowded and problem.policy.packing:
-        best = max(local or uncrowded, key=lambda load: load.count)
+        best = max(
+            local or uncrowded, key=lambda load: (load.count, -load.pace)
+        )
     else:
         best = min(problem.loads, key=cost_of)
     first_s = best.predict_first_token_s(prefill_s)
@@ -148,6 +157,7 @@
         first_token_s=first_s,
         cost=cost_of(best),
         cost_to_others=problem.get_cost_to_others(best, prefill_s),
+        cost_to_urgent=problem.get_cost_to_urgent(best, prefill_s),
         gain=problem.get_gain(first_s),
     )
 
--- a/trestledock/relay/_placement_cost.py
+++ b/trestledock/relay/_placement_cost.py
@@ -8,11 +8,17 @@
 """
 
 from dataclasses import dataclass
+from functools import cached_property
 from typing import Sequence
 
 from trestledock.relay._call import PromptSize
 from trestledock.relay._catalog import EngineModel
-from trestledock.relay._engine_load import LATE_LOSS, PAUSE_SHARE, EngineLoad
+from trestledock.relay._engine_load import (
+    LATE_LOSS,
+    PAUSE_SHARE,
+    EngineLoad,
+    Newcomer,
+)
 from trestledock.relay._policy import DEFAULT_POLICY, PlacementPolicy
 from trestledock.relay._target_records import ListedTarget
 
@@ -53,6 +59,12 @@
     pause_s: float
     worth: float
     abandoned_after_s: float = float('inf')
+    rank: int | None = None
+
+    @cached_property
+    def newcomer(self) -> Newcomer | None:
+        """What the request counts for among others of different ranks."""
+        return None if self.rank is None else Newcomer(self.rank, self.worth)
 
 
 @dataclass(frozen=True)
@@ -61,7 +73,8 @@
 
     `cost_to_others` is the part of the cost that falls on other requests at
     these engines, and `gain` the worth that the request itself is expected to
-    earn.
+    earn.  `cost_to_urgent` is what more urgent requests weigh beyond that; a
+    request waits to avoid it, but is not refused for it.
 
     `first_token_s` is the predicted time to the first token, and `idle_fleet_s`
     that on an idle fleet.  All prefill in progress ends within
@@ -75,6 +88,7 @@
     first_token_s: float = 0
     cost: float = 0
     cost_to_others: float = 0
+    cost_to_urgent: float = 0
     gain: float = 0
     idle_fleet_s: float = 0
     pending_prefill_s: float = 0
@@ -124,11 +138,18 @@
     def get_cost_to_others(self, load: EngineLoad, chunk_s: float) -> float:
         """Return the loss of others if an engine prefills `chunk_s` more."""
         return (
-            load.get_cost_to_others(chunk_s)
+            load.get_cost_to_others(chunk_s, self.work.newcomer)
             if self.policy.weigh_cost_to_others
             else 0
         )
 
+    def get_cost_to_urgent(self, load: EngineLoad, chunk_s: float) -> float:
+        """Return the additional cost of delaying more urgent requests."""
+        newcomer = self.work.newcomer
+        if newcomer is None or not self.policy.weigh_cost_to_others:
+            return 0
+        return load.get_cost_to_urgent(chunk_s, newcomer)
+
     def get_remote_cost(self, load: EngineLoad) -> float:
         """Return the cost of an engine in another data centre."""
         return REMOTE_COST * (load.is_remote and self.policy.prefer_local)
@@ -140,6 +161,7 @@
         risk = load.failure_share + own_pause * LATE_LOSS
         return (
             self.get_cost_to_others(load, chunk_s)
+            + self.get_cost_to_urgent(load, chunk_s)
             + self.get_lateness(first_s)
             + first_s * COST_PER_SECOND
             + risk * self.work.worth
