Take back paces and overflow; order only where routes are ranked

Most deployments have teams of different ranks, so the order under shortage was on everywhere, and its sums of served tokens went out with each change.

--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -221,7 +221,8 @@
         """Replace an entry's rows; return whether waiting requests differ."""
         if not self.state.load_table.is_newer(message.sender, message.sequence):
             return False
-        self.state.usage.put(message.sender, message.served, now)
+        if message.whole:
+            self.state.usage.put(message.sender, message.served, now)
         return self.state.peer_waiting.put(message.sender, message.waiting)
 
     def _handle_beat(self, message: Beat, _: Address) -> bool:
@@ -300,9 +301,9 @@
     def _send_remote_changes(self, changes: Sequence[Change]) -> None:
         """Send changes to the data centres of the targets that they concern.
 
-        With many entries that is rare: only prompts without a good place in the
-        own data centre go to others. An ended request names no target, so its
-        end goes where its start was sent.
+        With many entries that is rare: only long prompts go to other data
+        centres. An ended request names no target, so its end goes where its
+        start was sent.
         """
         remote = self.addresses.get_remote_by_data_centre(
             many=self.state.many_entries
@@ -429,6 +430,6 @@
             again_s=again_s,
             changes=tuple(changes),
             waiting=self.state.wait_queue.room.get_rows(now),
-            served=self.state.usage.get_own_rows(now),
+            served=self.state.usage.get_own_rows(now) if whole else (),
         )
         self.send(message, addresses)
--- a/trestledock/entry/_loads.py
+++ b/trestledock/entry/_loads.py
@@ -12,20 +12,14 @@
 import anyio
 
 from trestledock.entry import _events as events
-from trestledock.entry._checks import read_count, read_list
+from trestledock.entry._checks import read_list
 from trestledock.entry._datagrams import Address
 from trestledock.entry._gossip import Gossip
 from trestledock.entry._logger import emit
 from trestledock.entry._peer_calls import CALL_ERRORS, call_peer
 from trestledock.entry._flight_codec import decode_change, encode_change
 from trestledock.entry._state import EntryState
-from trestledock.relay import (
-    Flight,
-    RemoteLoad,
-    count_requests,
-    summarize_load,
-    encode_json,
-)
+from trestledock.relay import Flight, RemoteLoad, summarize_load, encode_json
 
 LOAD_PATH = '/load'
 #: The data centre of the querying entry, which knows the flights of its own
@@ -91,13 +85,12 @@
             for name, peer in self.gossip.peers.known.items()
             if peer.data_centre == data_centre
         }
-        flights = tuple(self.state.load_table.get_flights_except(left_out))
+        flights = self.state.load_table.get_flights_except(left_out)
         rows = [
             encode_change(flight.flight_id, flight, now)
             for flight in summarize_load(flights, targets, now)
         ]
-        counts = count_requests(flights, targets)
-        return encode_json({'flights': rows, 'counts': counts})
+        return encode_json({'flights': rows})
 
     def _choose_peers(self) -> Mapping[str, Sequence[Address]]:
         """Return entries to query in some data centres that answer.
@@ -128,15 +121,12 @@
             with anyio.fail_after(TIMEOUT_S):
                 answer = await call_peer(address, f'{LOAD_PATH}?{query}')
             flights = _read_flights(answer, anyio.current_time())
-            counts = _read_counts(answer)
         except CALL_ERRORS as exc:
             self._silent_at[data_centre] = asked_at
             emit(events.LoadLost(data_centre, repr(exc)))
             return
         self._silent_at.pop(data_centre, None)
-        self.state.remote_loads[data_centre] = RemoteLoad(
-            asked_at, flights, counts
-        )
+        self.state.remote_loads[data_centre] = RemoteLoad(asked_at, flights)
         self.state.load_table.set_remote_load(data_centre, flights)
 
 
@@ -144,13 +134,3 @@
     """Return the flights of an answer; raise if it is invalid."""
     changes = [decode_change(row, now) for row in read_list(answer['flights'])]
     return tuple([flight for _, flight in changes if flight])
-
-
-def _read_counts(answer: Mapping[str, Any]) -> dict[str, int] | None:
-    """Return the requests by target, None in an answer of an older version."""
-    if 'counts' not in answer:
-        return None
-    counts = answer['counts']
-    if not isinstance(counts, dict):
-        raise ValueError(f'not an object: {counts!r}')
-    return {name: read_count(count) for name, count in counts.items()}
--- a/trestledock/entry/_messages.py
+++ b/trestledock/entry/_messages.py
@@ -19,7 +19,7 @@
     time until its next full state. An entry that is `leaving` is draining, so
     that its later silence is expected. Older versions don't know evacuations,
     and so don't send them in their updates. `waiting` and `served` are all rows
-    of services with different ranks.
+    of ranked services, the latter in full states only.
     """
 
     sender: str
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -66,9 +66,6 @@
             'Notices of targets without sense', ('notice',)
         ),
         events.LeaveHeard: Counter('Targets that said that they leave'),
-        events.EnginePace: Counter(
-            'Changes of how slow engines are', ('change',)
-        ),
         events.RestEnded: Counter('Rests of targets that are over'),
         events.RestHeard: Counter('Times that a target asked for rest'),
         events.SentAgainstNotice: Counter(
@@ -163,7 +160,6 @@
         'peers': 'Other entries that are heard',
         'targets_resting': 'Targets that want nothing from this entry now',
         'targets_cold': 'Targets that have just started',
-        'engines_slow': 'Engines that are slower than their formula',
         'rate_limits': 'Targets that take only so many requests a second',
         'rate_quota_per_second': 'Requests a second to such targets from here',
         'data_centres_evacuated': 'Data centres whose targets get nothing',
--- a/trestledock/entry/_notice_codec.py
+++ b/trestledock/entry/_notice_codec.py
@@ -24,12 +24,10 @@
 from trestledock.entry._messages import TargetNotice
 from trestledock.relay import (
     MAX_COLD_S,
-    MAX_PACE,
     Backoff,
     ColdStart,
     Drain,
     Notice,
-    Pace,
     PeerBackoff,
     RateLimit,
 )
@@ -166,14 +164,6 @@
     return now + left_s, now
 
 
-def _encode_pace(pace: Pace, now: float) -> Row:
-    return (pace.factor,)
-
-
-def _decode_pace(now: float, factor: Any) -> Row:
-    return (min(max(1, read_number(factor)), MAX_PACE),)
-
-
 #: Encodings by kind. A back-off requested from one entry is decoded as one
 #: requested elsewhere.
 ENCODINGS: Mapping[type, Encoding] = MappingProxyType(
@@ -186,8 +176,5 @@
         ColdStart: Encoding(
             'colds', ColdStart, _encode_cold, _decode_cold, is_optional=True
         ),
-        Pace: Encoding(
-            'paces', Pace, _encode_pace, _decode_pace, is_optional=True
-        ),
     }
 )
--- a/trestledock/entry/_notices.py
+++ b/trestledock/entry/_notices.py
@@ -23,7 +23,6 @@
     ListedTarget,
     Notice,
     Notices,
-    Pace,
     Placement,
     RateLimit,
     Backoff,
@@ -241,24 +240,6 @@
     return events.ColdHeard(peer, round(left_s * MS), change.value, source)
 
 
-@_make_event.register
-def _(
-    notice: Pace,
-    before: Pace | None,
-    peer: str,
-    change: NoticeChange,
-    source: str,
-) -> events.Event:
-    return events.EnginePace(
-        peer=peer,
-        change=change.value,
-        before=before.factor if before else None,
-        pace=notice.requested,
-        source=source,
-        age_ms=_get_age_ms(notice),
-    )
-
-
 def log_send_against_notices(
     state: EntryState, req: str, placement: Placement
 ) -> None:
--- a/trestledock/entry/_notices_exchange.py
+++ b/trestledock/entry/_notices_exchange.py
@@ -24,13 +24,12 @@
     Member,
     Membership,
     Notice,
-    Pace,
     RateLimit,
     Backoff,
 )
 
 #: The kinds of notices that concern all entries.
-SHARED = (RateLimit, Drain, Backoff, ColdStart, Pace)
+SHARED = (RateLimit, Drain, Backoff, ColdStart)
 #: For how long a withdrawn notice is sent again, in seconds.
 RESEND_WITHDRAWN_S = 30.0
 #: Interval of refreshing the list of entries while their number is constant, in
@@ -115,7 +114,6 @@
 
     def _get_known(self) -> list[TargetNotice]:
         """Return the notices of targets that are still listed."""
-        self.state.paces.expire(anyio.current_time())
         return [
             TargetNotice(target, notice)
             for kind in SHARED
--- a/trestledock/entry/_selecting.py
+++ b/trestledock/entry/_selecting.py
@@ -32,11 +32,6 @@
     record_usage,
     take_turn,
 )
-from trestledock.entry._overflow import (
-    MIN_LOCAL_TARGETS,
-    find_overflow,
-    needs_overflow,
-)
 from trestledock.entry._state import EntryState
 from trestledock.relay import (
     PLACEMENT_RETRY_S,
@@ -53,6 +48,8 @@
     pick_cheapest,
 )
 
+#: With many entries, this many targets in the local data centre suffice.
+MIN_LOCAL_TARGETS = 8
 #: Targets already tried are avoided while at least one healthy target in this
 #: many is untried.
 MIN_UNTRIED_DIVISOR = 4
@@ -160,14 +157,11 @@
         return False
     if not state.placer.policy.remote_targets:
         return False
-    local = chosen if isinstance(chosen, Placement) else None
-    cost = local.cost if local else None
+    cost = chosen.cost if isinstance(chosen, Placement) else None
     # From an evacuated data centre all prompts go to targets whose load is
     # known to other entries only.
-    return (
-        state.is_evacuated()
-        or should_query_remote(job.placement_request.worth, cost)
-        or needs_overflow(state, job, local, now)
+    return state.is_evacuated() or should_query_remote(
+        job.placement_request.worth, cost
     )
 
 
@@ -229,8 +223,7 @@
         job.placement_request.choose(state.placer, engine, group, now)
         for group in _group_by_data_centre(state, targets, job)
     ]
-    local = pick_cheapest(options)
-    chosen = find_overflow(state, job, engine, local, now) or local
+    chosen = pick_cheapest(options)
     if isinstance(chosen, Placement):
         return chosen
     # Nothing elsewhere is better: the local data centre's decision applies.
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -30,8 +30,6 @@
     RemoteLoad,
     Member,
     Notices,
-    PaceMeter,
-    Paces,
     Placer,
     FreshnessProof,
     Reachability,
@@ -133,8 +131,6 @@
     remote_loads: dict[str, RemoteLoad] = field(default_factory=dict)
     isolation: Isolation = field(init=False)
     proof: FreshnessProof = field(init=False)
-    pace_meter: PaceMeter = field(default_factory=PaceMeter)
-    paces: Paces = field(init=False)
     placer: Placer = field(init=False)
     throttle: Throttle = field(init=False)
     budgets: Budgets = field(init=False)
@@ -143,13 +139,11 @@
         """Create the parts that share others."""
         self.isolation = Isolation(self.health, self.fleet)
         self.proof = FreshnessProof(self.settings.revoke_s)
-        self.paces = Paces(self.fleet)
         self.placer = Placer(
             self.load_table,
             self.health,
             self.member,
             self.settings.data_centre,
-            get_pace=self.paces.get_factor,
         )
         self.throttle = Throttle(
             Member(self.settings.peers, self.settings.data_centre),
@@ -384,7 +378,6 @@
             'peers': self.load_table.count_peers(),
             'targets_resting': self._count_backed_off(now),
             'targets_cold': len(self.notices.get_all(ColdStart)),
-            'engines_slow': self.paces.count_slow(now),
             'rate_limits': len(self.notices.get_in_force(RateLimit)),
             'rate_quota_per_second': self._get_quota_sum(),
             'data_centres_evacuated': len(self.fleet.evacuations.names),
--- a/trestledock/entry/_streaming.py
+++ b/trestledock/entry/_streaming.py
@@ -16,7 +16,6 @@
 from trestledock.entry._timeouts import ResponseTimeout, ResponseTimeouts
 from trestledock.entry._logger import emit
 from trestledock.entry._metrics import METRICS
-from trestledock.entry._pace_recorder import PaceRecorder
 from trestledock.entry._reply import CutReply, Reply
 from trestledock.entry._state import EntryState
 from trestledock.entry._wire import Head
@@ -56,7 +55,6 @@
         self.placement = placement
         self.peer = placement.target.incarnation
         self.reply = reply
-        self.pace_recorder = PaceRecorder(state, job, placement.target)
         self.splitter = EventSplitter()
         self.event_count = 0
         self.last_events_at: float = 0
@@ -103,11 +101,9 @@
         if not fresh:
             return
         self._record_pause()
-        self.pace_recorder.record_events(len(fresh))
         self.event_count += len(fresh)
         await self._start(head)
         await self._write(b''.join(event.raw for event in fresh))
-        self.pace_recorder.record_forwarded()
         named = [event.event_id for event in fresh if event.event_id]
         if named:
             self.job.last_event_id = named[-1]
--- a/trestledock/entry/_target_events.py
+++ b/trestledock/entry/_target_events.py
@@ -114,22 +114,6 @@
     age_ms: int
 
 
-class EnginePace(Event):
-    """The pace of an engine has changed: 1 is nominal, 2 is half as fast.
-
-    `change` is learnt, changed or lifted. `before` and `pace` are None for an
-    engine that is not slow. `source` is the entry that measured it, this one
-    (`self`) or another, and `age_ms` the age of the oldest measured pass.
-    """
-
-    peer: str
-    change: str
-    before: float | None
-    pace: float | None
-    source: str
-    age_ms: int
-
-
 class RestHeard(Event):
     """A target refused a request and asked an entry to back off.
 
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -47,7 +47,6 @@
     ColdService,
     ColdStart,
 )
-from trestledock.relay._engine_load import EngineLoad
 from trestledock.relay._engine_timing import (
     PassLoad,
     get_decode_pass_s,
@@ -75,20 +74,6 @@
     Notices,
     PeerBackoff,
 )
-from trestledock.relay._overflow import (
-    OverflowRule,
-    RemoteEngine,
-    choose_overflow,
-    may_gain_by_overflow,
-)
-from trestledock.relay._pace_meter import (
-    KEPT_PACE,
-    MeasuredPass,
-    PaceMeter,
-    StreamMeter,
-    is_pure_decode,
-)
-from trestledock.relay._paces import MAX_PACE, Pace, Paces, choose_update
 from trestledock.relay._placement import Placer, get_idle_fleet_s
 from trestledock.relay._placement_cost import Placement, Work
 from trestledock.relay._placement_request import (
@@ -110,7 +95,6 @@
 )
 from trestledock.relay._remote_load import (
     RemoteLoad,
-    count_requests,
     should_query_remote,
     summarize_load,
 )
@@ -164,7 +148,6 @@
     'Drain',
     'EARLY_RETRY_LIMITS',
     'ENCODE_ERRORS',
-    'EngineLoad',
     'EngineModel',
     'EvacuationList',
     'Evacuations',
@@ -176,25 +159,18 @@
     'Health',
     'KnownInstances',
     'LOWEST_ORDER',
-    'KEPT_PACE',
     'Limits',
     'ListedTarget',
     'LoadTable',
     'MAX_AGE_S',
     'MAX_COLD_S',
-    'MAX_PACE',
-    'MeasuredPass',
     'Member',
     'Membership',
     'NO_TENTH',
     'Notice',
     'NoticeChange',
     'Notices',
-    'OverflowRule',
     'PLACEMENT_RETRY_S',
-    'Pace',
-    'PaceMeter',
-    'Paces',
     'PassLoad',
     'PeerBackoff',
     'Phase',
@@ -212,7 +188,6 @@
     'ReaderCandidate',
     'RecordOrder',
     'RelayAttempt',
-    'RemoteEngine',
     'RemoteLoad',
     'RemovedTarget',
     'RequestIdentity',
@@ -227,7 +202,6 @@
     'Standing',
     'Standings',
     'StreamEvent',
-    'StreamMeter',
     'TeamKey',
     'Throttle',
     'Timing',
@@ -245,12 +219,9 @@
     'WaitingTable',
     'Work',
     'choose_least_busy',
-    'choose_overflow',
     'choose_reader',
-    'choose_update',
     'classify_connect_error',
     'classify_disconnect',
-    'count_requests',
     'decide',
     'decide_unplaced',
     'encode_json',
@@ -273,10 +244,8 @@
     'get_rows_ahead',
     'get_wait_left_s',
     'get_worth',
-    'is_pure_decode',
     'is_waiting_for_memory',
     'make_turn',
-    'may_gain_by_overflow',
     'needs_claim',
     'pick_cheapest',
     'pick_needed',
--- a/trestledock/relay/_catalog.py
+++ b/trestledock/relay/_catalog.py
@@ -151,14 +151,22 @@
 
     @cached_property
     def ranked_services(self) -> frozenset[str]:
-        """The services whose requests have at least two different ranks."""
-        ranks: dict[str, set[int]] = defaultdict(set)
+        """The services whose routes, and requests, have different ranks.
+
+        Ranks of teams alone don't count.  They are common, and engines order
+        their queues by them in any case.
+        """
+        of_routes: dict[str, set[int]] = defaultdict(set)
+        of_requests: dict[str, set[int]] = defaultdict(set)
         for routes in self.routes.values():
             for route in routes:
                 for share in route.shares:
-                    ranks[share.service].update(self._get_ranks(route))
+                    of_routes[share.service].add(get_rank(route.priority))
+                    of_requests[share.service].update(self._get_ranks(route))
         return frozenset(
-            service for service, found in ranks.items() if len(found) > 1
+            service
+            for service, ranks in of_routes.items()
+            if len(ranks) > 1 and len(of_requests[service]) > 1
         )
 
     def get_route_by_path(self, host: str, path: str) -> Route | None:
--- a/trestledock/relay/_chunked_prefill.py
+++ b/trestledock/relay/_chunked_prefill.py
@@ -83,7 +83,7 @@
         return (
             problem.get_cost_to_others(load, chunk_s)
             + problem.get_cost_to_urgent(load, chunk_s)
-            + load.get_chunk_delay_s(chunk_s) * COST_PER_SECOND
+            + load.helper_wait_s * COST_PER_SECOND
             + load.failure_share * QUEUED_COST
             + problem.get_remote_cost(load)
         )
--- a/trestledock/relay/_engine_load.py
+++ b/trestledock/relay/_engine_load.py
@@ -7,14 +7,13 @@
 """
 
 from dataclasses import dataclass
-from typing import Callable, Iterable
+from typing import Iterable
 
 from trestledock.relay._catalog import EngineModel
 from trestledock.relay._engine_timing import (
     PassLoad,
     get_decode_pass_s,
     get_prefill_s,
-    slow_down,
 )
 from trestledock.relay._health import Health
 from trestledock.relay._load_table import Flight, LoadTable, Phase
@@ -41,8 +40,7 @@
 
     `base_s` is the duration of a pass without prefill, `pending_prefill_s` the
     prefill that is left, and `count` the number of requests with this engine as
-    their primary.  An engine of pace 2 is half as fast as nominal: both times
-    include the pace, but chunks are passed in with their nominal duration.
+    their primary.
     """
 
     target: ListedTarget
@@ -55,12 +53,6 @@
     failure_share: float
     is_remote: bool
     now: float
-    pace: float = 1
-
-    @property
-    def nominal_base_s(self) -> float:
-        """The duration of a pass without prefill at nominal speed."""
-        return self.base_s / self.pace
 
     @property
     def helper_wait_s(self) -> float:
@@ -74,18 +66,11 @@
 
     def predict_first_token_s(self, chunk_s: float) -> float:
         """Return the time to the first token after a prefill of `chunk_s`."""
-        return self.wait_s + chunk_s * self.pace + self.base_s
+        return self.wait_s + chunk_s + self.base_s
 
     def predict_chunk_s(self, chunk_s: float) -> float:
         """Return the time until a helper's chunk of `chunk_s` is prefilled."""
-        return self.helper_wait_s + chunk_s * self.pace
-
-    def get_chunk_delay_s(self, chunk_s: float) -> float:
-        """Return how much later a helper's chunk ends than at an idle engine.
-
-        The idle engine is of nominal speed.
-        """
-        return self.helper_wait_s + chunk_s * (self.pace - 1)
+        return self.helper_wait_s + chunk_s
 
     def get_cost_to_others(
         self, chunk_s: float, newcomer: 'Newcomer | None' = None
@@ -95,17 +80,16 @@
         A less urgent request counts at most as much as a ranked newcomer.
         """
         before_s = self.base_s + self.pending_prefill_s
-        own_s = chunk_s * self.pace
         worths = [
             newcomer.get_worth_of_other(flight) if newcomer else flight.worth
             for flight in self.flights
         ]
         return sum(
-            worth * _get_lost_share(flight, before_s + own_s, self.now)
+            worth * _get_lost_share(flight, before_s + chunk_s, self.now)
             - worth * _get_lost_share(flight, before_s, self.now)
             for flight, worth in zip(self.flights, worths, strict=True)
         ) + sum(
-            worth * LATE_LOSS * DELAY_LOSS * min(1, own_s)
+            worth * LATE_LOSS * DELAY_LOSS * min(1, chunk_s)
             for flight, worth in zip(self.flights, worths, strict=True)
             if flight.phase is Phase.prefill
         )
@@ -116,11 +100,10 @@
         Each counts at least as much as the newcomer.
         """
         before_s = self.base_s + self.pending_prefill_s
-        own_s = chunk_s * self.pace
         return sum(
             newcomer.get_surcharge(flight)
             * (
-                _get_lost_share(flight, before_s + own_s, self.now)
+                _get_lost_share(flight, before_s + chunk_s, self.now)
                 - _get_lost_share(flight, before_s, self.now)
             )
             for flight in self.flights
@@ -154,27 +137,13 @@
         return max(0, self.worth - flight.worth)
 
 
-#: Returns the factor of an engine's estimates now.
-GetPace = Callable[[ListedTarget, float], float]
-
-
-def get_nominal_pace(target: ListedTarget, now: float) -> float:
-    """Return the pace of an engine without measurements."""
-    return 1
-
-
 class LoadEstimator:
     """Derives the load of engines from the requests in flight."""
 
     def __init__(
-        self,
-        load_table: LoadTable,
-        health: Health,
-        data_centre: str,
-        get_pace: GetPace = get_nominal_pace,
+        self, load_table: LoadTable, health: Health, data_centre: str
     ) -> None:
         """Store the inputs."""
-        self.get_pace = get_pace
         self.load_table = load_table
         self.health = health
         self.data_centre = data_centre
@@ -188,9 +157,6 @@
         own = [flight for flight in flights if flight.target == name]
         held = sum(flight.get_held_tokens(name) for flight in flights)
         health = self.health.get(name)
-        pace = self.get_pace(target, now)
-        if pace != 1:
-            engine = slow_down(engine, pace)
         base_s = get_decode_pass_s(engine, PassLoad(len(own) + 1, held))
         return EngineLoad(
             target=target,
@@ -203,7 +169,6 @@
             failure_share=health.get_failure_share(now),
             is_remote=target.data_centre != self.data_centre,
             now=now,
-            pace=pace,
         )
 
 
--- a/trestledock/relay/_engine_timing.py
+++ b/trestledock/relay/_engine_timing.py
@@ -6,7 +6,7 @@
 All results are in seconds.
 """
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from trestledock.relay._call import PromptSize
 from trestledock.relay._catalog import EngineModel
@@ -25,18 +25,6 @@
     prefill_s: float = 0
 
 
-def slow_down(engine: EngineModel, pace: float) -> EngineModel:
-    """Return the model of an engine that takes `pace` times as long."""
-    return replace(
-        engine,
-        step_s=engine.step_s * pace,
-        step_request_s=engine.step_request_s * pace,
-        step_context_s=engine.step_context_s * pace,
-        read_rate=engine.read_rate / pace,
-        pair_s=engine.pair_s * pace,
-    )
-
-
 def get_prefill_s(engine: EngineModel, tokens: int) -> float:
     """Return how long an otherwise idle engine takes to prefill a prompt.
 
--- a/trestledock/relay/_giants.py
+++ b/trestledock/relay/_giants.py
@@ -55,8 +55,8 @@
 def _pick_holders(problem: Problem) -> tuple[EngineLoad, ...]:
     """Return the fewest engines that can hold a prompt in equal shares."""
 
-    def order_of(load: EngineLoad) -> tuple[float, ...]:  # noqa: WPS430
-        return load.pending_prefill_s, load.pace, -load.free_tokens
+    def order_of(load: EngineLoad) -> tuple[float, float]:  # noqa: WPS430
+        return load.pending_prefill_s, -load.free_tokens
 
     engines = sorted(problem.loads, key=order_of)
     for count in range(2, len(engines) + 1):
--- a/trestledock/relay/_load_table.py
+++ b/trestledock/relay/_load_table.py
@@ -188,14 +188,6 @@
         ]
         return iter((*self._by_target.get(target, {}).values(), *remote))
 
-    def count_direct(self, target: str) -> int:
-        """Return the number of requests at a target as their primary.
-
-        Those that were only reported for a remote data centre don't count.
-        """
-        flights = self._by_target.get(target, {}).values()
-        return sum(flight.target == target for flight in flights)
-
     def get_colocated(self, flight: Flight) -> list[Flight]:
         """Return all requests at the targets of a request, itself included."""
         return [
--- a/trestledock/relay/_placement.py
+++ b/trestledock/relay/_placement.py
@@ -19,9 +19,7 @@
 from trestledock.relay._engine_load import (
     MEMORY_SHARE,
     EngineLoad,
-    GetPace,
     LoadEstimator,
-    get_nominal_pace,
 )
 from trestledock.relay._engine_timing import (
     PassLoad,
@@ -63,13 +61,10 @@
         member: str = '',
         data_centre: str = '',
         policy: PlacementPolicy = DEFAULT_POLICY,
-        get_pace: GetPace = get_nominal_pace,
     ) -> None:
         """Store the inputs of the choice."""
         self.policy = policy
-        self.estimator = LoadEstimator(
-            load_table, health, data_centre, get_pace
-        )
+        self.estimator = LoadEstimator(load_table, health, data_centre)
         self.member = member
 
     def place(
@@ -146,9 +141,7 @@
     ]
     local = [load for load in uncrowded if not load.is_remote]
     if uncrowded and problem.policy.packing:
-        best = max(
-            local or uncrowded, key=lambda load: (load.count, -load.pace)
-        )
+        best = max(local or uncrowded, key=lambda load: load.count)
     else:
         best = min(problem.loads, key=cost_of)
     first_s = best.predict_first_token_s(prefill_s)
--- a/trestledock/relay/_policy.py
+++ b/trestledock/relay/_policy.py
@@ -25,7 +25,6 @@
     `queueing`: a request that can't be in time waits for others.
     `remote_targets`: in a large deployment, a request without a good placement
     in its own data centre asks the others for the load of their targets.
-    `overflow`: short requests do so too, and go where they lose nothing.
 
     `claims`: a long prompt is announced to other instances before it is sent.
 
@@ -49,7 +48,6 @@
     waiting: bool = True
     queueing: bool = True
     remote_targets: bool = True
-    overflow: bool = True
     claims: bool = True
     idle_engine_cost: float = 3.0
     max_cost_to_others: float = 0.7
--- a/trestledock/relay/_remote_load.py
+++ b/trestledock/relay/_remote_load.py
@@ -5,11 +5,9 @@
 In a large deployment each instance knows the load of its own data centre's
 targets at once, and little of the others.  A long prompt without a good
 placement there asks an instance of another data centre for the load of its
-targets, and can be placed on these as well while the answer is fresh.  What a
-short prompt may do there is decided in `_overflow`.
+targets, and can be placed on these as well while the answer is fresh.
 """
 
-from collections import Counter
 from dataclasses import dataclass, replace
 from typing import Container, Iterable, Iterator
 
@@ -46,15 +44,10 @@
 
 @dataclass(frozen=True)
 class RemoteLoad:
-    """The load of a data centre's targets at the instant `as_of`.
-
-    `request_counts` are the numbers of requests with a target as their primary,
-    None if they are unknown.
-    """
+    """The load of a data centre's targets at the instant `as_of`."""
 
     as_of: float
     flights: tuple[Flight, ...]
-    request_counts: dict[str, int] | None = None
 
     def is_fresh(self, now: float) -> bool:
         """Return whether placements may still rely on this load."""
@@ -85,15 +78,6 @@
         yield _merge_answers(name, answers, now)
 
 
-def count_requests(
-    flights: Iterable[Flight], targets: Container[str]
-) -> dict[str, int]:
-    """Return the number of requests with each of some targets as primary."""
-    return dict(
-        Counter(flight.target for flight in flights if flight.target in targets)
-    )
-
-
 def _get_target_share(flight: Flight, name: str) -> Flight:
     """Return a target's part of a prompt: its chunk and its memory."""
     total = flight.prompt_tokens + flight.output_tokens
