Log and count when links to targets become doubtful

Callers of an entry without links to any target were refused or failed one by one. Its log told 31 times that a target is silent, and nowhere that no target has answered since the first of them: 'every target fails' and 'no link from here' looked alike. The links of an entry are now followed by what targets share (all, data centre, service, one target): failures without a success in between make them doubtful. Nothing acts on it yet.

--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -56,6 +56,7 @@
         """
         timeout = self.timeouts.get_first_timeout(job, placement)
         head = await self._read_head(job, placement, wire, timeout)
+        self.state.links.record_answer(placement.target, wire)
         answer = self.dialect.read_head(head)
         if answer.req_id and answer.req_id != job.call.req_id:
             raise WireError('answer', 'of another request')
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -23,6 +23,7 @@
     EvacuationUnreadable,
     SentToEvacuated,
 )
+from trestledock.entry._link_events import LinksDoubted, LinksRegained
 from trestledock.entry._process_events import (
     Failed,
     Started,
@@ -132,6 +133,8 @@
     EvacuationEnded,
     EvacuationUnreadable,
     SentToEvacuated,
+    LinksDoubted,
+    LinksRegained,
     DataCentreQuiet,
     PeerMet,
     PeerLost,
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -100,6 +100,9 @@
         events.ListDisturbed: Counter('Lists of targets after a disturbance'),
         events.OldRecord: Counter('Records of targets after newer ones'),
         events.RecordIgnored: Counter('Records of targets without sense'),
+        events.LinksDoubted: Counter(
+            'Times that links to targets became doubtful', ('scope',)
+        ),
         events.PeerLost: Counter('Losses of other entries'),
         events.DatagramDropped: Counter('Datagrams that were lost here'),
         events.Failed: Counter('Unforeseen failures'),
@@ -165,6 +168,7 @@
         'data_centres_evacuated': 'Data centres whose targets get nothing',
         'requests_quarantined': 'Requests that go to no target',
         'requests_suspected': 'Requests under which a target has ended',
+        'links_doubted': 'Links to targets that may be lost',
         'body_bytes': 'Bytes of requests that are held',
         'answer_bytes': 'Bytes of plain answers that are held',
         'unread_bytes': 'Bytes that callers have not read yet',
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -147,6 +147,7 @@
             wire = await self.pool.acquire(placement.target)
         except WireError as exc:
             self.state.record_silence(peer, anyio.current_time())
+            self.state.links.record_failure(placement.target, exc, is_new=True)
             return RelayAttempt(
                 AttemptOutcome.not_sent,
                 exc.step,
@@ -240,6 +241,9 @@
             )
         except WireError as exc:
             self.state.health.record_failure(peer, anyio.current_time())
+            self.state.links.record_failure(
+                placement.target, exc, is_new=wire.is_new
+            )
             # Idle connections fall silent together, while new ones work.
             self.pool.close_idle(peer)
             await self._report_lost(job, placement, exc.failure_kind)
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -18,6 +18,7 @@
 from trestledock.entry._budgets import Budgets
 from trestledock.entry._buffers import Buffers
 from trestledock.entry._isolation import STORE, Isolation
+from trestledock.entry._links import Links
 from trestledock.entry._logger import emit
 from trestledock.entry._reply import Reply
 from trestledock.entry._settings import EntrySettings
@@ -108,6 +109,7 @@
     load_table: LoadTable = field(default_factory=LoadTable)
     health: Health = field(default_factory=Health)
     reach: Reachability = field(default_factory=Reachability)
+    links: Links = field(default_factory=Links)
     wait_queue: WaitQueue = field(default_factory=WaitQueue)
     peer_waiting: WaitingTable = field(default_factory=WaitingTable)
     usage: UsageTable = field(default_factory=UsageTable)
@@ -383,6 +385,7 @@
             'data_centres_evacuated': len(self.fleet.evacuations.names),
             'requests_quarantined': self.isolation.count_quarantined(),
             'requests_suspected': len(self.isolation.quarantine.suspects),
+            'links_doubted': self.links.count_doubted(now),
             **self.buffers.get_gauges(),
         }
 
--- a/trestledock/entry/_tickets.py
+++ b/trestledock/entry/_tickets.py
@@ -191,6 +191,7 @@
         self, holder: ListedTarget, wire: Wire, asked_at: float
     ) -> Head:
         head = await wire.read_head()
+        self.state.links.record_answer(holder, wire)
         answer = self.dialect.read_head(head)
         record_order_notices(self.state, holder, head.status, answer, asked_at)
         if self.state.settings.cold_bounds and head.status == OK:
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -86,7 +86,10 @@
 
 
 class Wire:
-    """An HTTP/1.1 connection, to a single incarnation if to a target."""
+    """An HTTP/1.1 connection, to a single incarnation if to a target.
+
+    `is_new` is true until an answer has arrived.
+    """
 
     def __init__(self, stream: SocketStream) -> None:
         """Use a newly connected stream."""
@@ -94,6 +97,7 @@
         self.http = h11.Connection(h11.CLIENT)
         self.request_written = True
         self.broken = False
+        self.is_new = True
         self._received_eof = False
 
     @classmethod
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -65,6 +65,13 @@
 from trestledock.relay._freshness import MAX_AGE_S, FreshnessProof
 from trestledock.relay._health import Health
 from trestledock.relay._least_busy import choose_least_busy
+from trestledock.relay._link_health import (
+    ALL_TARGETS,
+    LinkHealth,
+    Scope,
+    ScopeKind,
+    get_scopes,
+)
 from trestledock.relay._load_table import Flight, LoadTable, Phase
 from trestledock.relay._notices import (
     Backoff,
@@ -130,6 +137,11 @@
 from trestledock.relay._worth import get_worth
 
 __all__ = (
+    'ALL_TARGETS',
+    'LinkHealth',
+    'Scope',
+    'ScopeKind',
+    'get_scopes',
     'AttemptHistory',
     'AttemptOutcome',
     'BEAT_INTERVAL_S',
