Name the fields of link events so that their lines can be logged

A field called name collides with an attribute of log records: logging raised, and the request whose failure made a link doubtful got 500 (seen with two real entries, 4 of 16 requests). The new test failed on links_doubted and links_regained and covers all events.

--- a/tests/test_entry_logs.py
+++ b/tests/test_entry_logs.py
@@ -46,6 +46,17 @@
             return [json.loads(line) for line in raw.splitlines()]
 
 
+class EventFieldsTest(unittest.TestCase):
+    """The fields of the events as attributes of log records."""
+
+    # Guards against a request that fails because its log line can't be made.
+    def test_fields_are_no_attributes_of_records(self):
+        reserved = vars(make_record('x')).keys() | {'message', 'asctime'}
+        for kind in NAMES:
+            with self.subTest(kind.__name__):
+                self.assertEqual(reserved & set(kind.names), set())
+
+
 class LoggerTest(unittest.TestCase):
     """Many lines, and a reader that does not read."""
 
--- a/trestledock/entry/_link_events.py
+++ b/trestledock/entry/_link_events.py
@@ -12,12 +12,12 @@
     """Targets that may share a link have failed without a success in between.
 
     `scope` is what they share: `all`, or one `data_centre`, `service` or
-    `target`, which `name` names. `failed` of them have failed since `since_ms`
+    `target`, which `scope_name` names. `failed` of them have failed since `since_ms`
     ago.
     """
 
     scope: str
-    name: str
+    scope_name: str
     failed: int
     since_ms: int
 
@@ -26,6 +26,6 @@
     """A target whose link was doubtful or lost has answered over it."""
 
     scope: str
-    name: str
+    scope_name: str
     peer: str
     after_ms: int
--- a/trestledock/entry/_links.py
+++ b/trestledock/entry/_links.py
@@ -71,7 +71,7 @@
                 emit(
                     events.LinksDoubted(
                         scope=scope.kind.value,
-                        name=scope.name,
+                        scope_name=scope.name,
                         failed=len(links.failures),
                         since_ms=round((now - links.since) * MS),
                     )
@@ -87,7 +87,7 @@
                 emit(
                     events.LinksRegained(
                         scope=scope.kind.value,
-                        name=scope.name,
+                        scope_name=scope.name,
                         peer=target.incarnation,
                         after_ms=round((now - doubted_at) * MS),
                     )
