Known red: callers of entries without links to targets aren't served

Two of three real entries are cut off from all targets, while their callers, the store and the third entry reach them.

The links of the soak's targets tell the entries apart by the address that their connections come from; tests.soak.bound binds them to it.

--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -187,6 +187,32 @@
         )
 
 
+@dataclass
+class Partition:
+    """Entries without links to targets: all of them, unless a part is named.
+
+    Callers, the store and the other entries reach them as before.
+    """
+
+    entries: tuple[str, ...]
+    hosts: tuple[str, ...]
+    cut: str
+    began_at: float
+    ended_at: float = float('inf')
+    data_centre: str = ''
+    service: str = ''
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the entries reach no target at all."""
+        return not self.data_centre and not self.service
+
+    def includes(self, data_centre: str, service: str) -> bool:
+        """Whether the links to a target are cut."""
+        is_there = self.data_centre in {'', data_centre}
+        return is_there and self.service in {'', service}
+
+
 @dataclass
 class Ledger:
     """Everything that was observed in one run."""
@@ -201,6 +227,7 @@
     arrivals: list[Arrival] = field(default_factory=list)
     backoffs: list[BackoffRequest] = field(default_factory=list)
     evacuations: list[Evacuation] = field(default_factory=list)
+    partitions: list[Partition] = field(default_factory=list)
     data_centres: dict[str, str] = field(default_factory=dict)
     reservation_clashes: set[str] = field(default_factory=set)
     reservation_leaks: set[str] = field(default_factory=set)
@@ -324,6 +351,7 @@
             ('naming', 'at', self.limit_changes),
             ('rest', 'at', self.backoffs),
             ('evacuation', 'began_at', self.evacuations),
+            ('partition', 'began_at', self.partitions),
             ('cold', 'at', self.cold_periods),
             ('run', 'began_at', self.runs),
             ('attempt', 'sent_at', self.requests.values()),
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -4,11 +4,12 @@
 
 A TCP proxy on loopback for one network path.  It can delay bytes, hold them
 back in one or both directions, refuse new connections, reset the open ones, or
-stall only the open ones.
+stall only the open ones.  A cut does so for the connections of one client only.
 """
 
 from dataclasses import dataclass, field
-from enum import Flag
+from enum import Enum, Flag
+from typing import Callable
 
 import anyio
 from anyio.abc import (
@@ -30,10 +31,35 @@
     both = 3
 
 
+class Cut(Enum):
+    """How a link is cut for one client.
+
+    `silent` holds back all bytes, `silent_up` and `silent_down` those of one
+    direction. `reset` resets open and new connections, `new_reset` only new
+    ones.
+    """
+
+    silent = Blocked.both
+    silent_up = Blocked.up
+    silent_down = Blocked.down
+    reset = 'reset'
+    new_reset = 'new_reset'
+
+    @property
+    def blocked(self) -> Blocked:
+        """The directions in which bytes are held back."""
+        return self.value if isinstance(self.value, Blocked) else Blocked.none
+
+
+def _get_no_cut(_: str) -> None:
+    """Default for the cuts, without any."""
+
+
 @dataclass(eq=False)
 class _Connection:
     """An open connection through a link, as a pair of streams."""
 
+    host: str
     client: SocketStream
     server: SocketStream
     silenced: bool = False
@@ -42,7 +68,10 @@
 
 @dataclass(eq=False)
 class Link:
-    """A listening port that forwards to `address`."""
+    """A listening port that forwards to `address`.
+
+    `get_cut` returns how the link is cut for the client at an address.
+    """
 
     address: str
     host: str = '127.0.0.1'
@@ -52,6 +81,7 @@
     closed: anyio.Event = field(default_factory=anyio.Event)
     connections: set[_Connection] = field(default_factory=set)
     unblocked: anyio.Event = field(default_factory=anyio.Event)
+    get_cut: Callable[[str], Cut | None] = _get_no_cut
 
     @property
     def listen_address(self) -> str:
@@ -74,8 +104,14 @@
     def set_blocked(self, blocked: Blocked) -> None:
         """Set the directions in which bytes are held back; `none` resumes."""
         self.blocked = blocked
-        self.unblocked.set()
-        self.unblocked = anyio.Event()
+        self._wake()
+
+    def apply_cuts(self) -> None:
+        """Apply cuts that have changed to the open connections."""
+        for connection in tuple(self.connections):
+            if self.get_cut(connection.host) is Cut.reset:
+                connection.reset_requested.set()
+        self._wake()
 
     def reset_all(self) -> None:
         """Reset the open connections on both sides."""
@@ -87,6 +123,16 @@
         for connection in self.connections:
             connection.silenced = True
 
+    def _wake(self) -> None:
+        self.unblocked.set()
+        self.unblocked = anyio.Event()
+
+    def _holds_back(self, connection: _Connection, direction: Blocked) -> bool:
+        if connection.silenced or direction in self.blocked:
+            return True
+        cut = self.get_cut(connection.host)
+        return cut is not None and direction in cut.blocked
+
     async def _serve(self, listener: SocketListener) -> None:
         """Listen until the link is closed."""
         async with anyio.create_task_group() as group:
@@ -101,6 +147,11 @@
             self.closed.set()
 
     async def _forward(self, client: SocketStream) -> None:
+        client_host = client.extra(SocketAttribute.remote_address)[0]
+        if self.get_cut(client_host) in {Cut.reset, Cut.new_reset}:
+            reset(client)
+            await client.aclose()
+            return
         host, _, port = self.address.rpartition(':')
         try:
             server = await anyio.connect_tcp(host, int(port))
@@ -108,7 +159,7 @@
             reset(client)
             await client.aclose()
             return
-        connection = _Connection(client, server)
+        connection = _Connection(client_host, client, server)
         self.connections.add(connection)
         async with client, server, anyio.create_task_group() as group:
             group.start_soon(
@@ -136,7 +187,7 @@
                 raw = await source.receive(READ_BYTES)
                 if self.delay_s:
                     await anyio.sleep(self.delay_s)
-                while connection.silenced or direction in self.blocked:
+                while self._holds_back(connection, direction):
                     await self.unblocked.wait()
                 await sink.send(raw)
         except anyio.EndOfStream:
@@ -145,6 +196,6 @@
             reset(connection.client)
             reset(connection.server)
         # A blocked direction holds back the end of a stream as well as bytes.
-        while connection.silenced or direction in self.blocked:
+        while self._holds_back(connection, direction):
             await self.unblocked.wait()
         group.cancel_scope.cancel()
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -13,6 +13,7 @@
 
 import anyio
 
+from tests.soak.bound import bind_connections
 from trestledock.entry import (
     _app,
     _daemon,
@@ -209,5 +210,6 @@
 
 
 if __name__ == '__main__':
+    bind_connections()
     PATCHES[sys.argv[1]]()
     run()
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -19,7 +19,7 @@
     run_checks,
 )
 from tests.soak.faults import inject_faults
-from tests.soak.world import PRODUCT, Size, World
+from tests.soak.world import BOUND_PRODUCT, PRODUCT, Size, World
 
 #: How long entries may take to be ready, and how long to wait for the last
 #: requests to end, in seconds.
@@ -56,6 +56,13 @@
     return replace(SMALL_SIZE if seed % LARGE_EVERY else LARGE_SIZE, plan=plan)
 
 
+def get_command(size: Size, command: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the command of the entries; partitions need their addresses."""
+    if size.plan == 'partitioned' and command == PRODUCT:
+        return BOUND_PRODUCT
+    return command
+
+
 def execute_run(
     seed: int,
     size: Size,
@@ -81,7 +88,7 @@
 ) -> Report:
     rng = Random(seed)
     async with anyio.create_task_group() as group:
-        world = World(size, rng, folder, group, command)
+        world = World(size, rng, folder, group, get_command(size, command))
         try:
             await _run_faults(world, rng)
         finally:
--- a/tests/soak/timed_checks.py
+++ b/tests/soak/timed_checks.py
@@ -14,6 +14,7 @@
     Arrival,
     Ledger,
     LimitChange,
+    Partition,
     RequestRecord,
     Run,
 )
@@ -62,6 +63,12 @@
 EVACUATION_TIMEOUT_S = 5.0
 UNSTABLE_STORE_S = 6.0
 EVACUATION_CONTACT_S = 4.0
+#: While entries are cut off from all targets, how many first attempts there may
+#: fail, and which share of all; beyond that they must be served at least this
+#: share as often as those at the other entries.
+MAX_PARTITION_FAILURES = 10
+MAX_PARTITION_SHARE = 1 / 50
+MIN_PARTITION_SERVED = 2 / 3
 #: Faults that excuse nothing if the target itself has sent the entry a notice.
 STORE_FAULTS = ('store_down', 'cut_store', 'reset_store', 'restore_store')
 
@@ -249,6 +256,69 @@
     )
 
 
+def check_partitions(ledger: Ledger) -> Iterator[str]:
+    """Entries without links to targets serve their callers like the others.
+
+    Counts first attempts from `CONTACT_TIMEOUT_S` after the cut on, of callers
+    that did not leave, at entries without other faults.
+    """
+    for partition in ledger.partitions:
+        if not partition.is_whole:
+            continue
+        cut, others = _get_attempts(ledger, partition)
+        cut_served, others_served = _count_served(cut), _count_served(others)
+        failed = len(cut) - cut_served
+        if failed <= MAX_PARTITION_FAILURES + MAX_PARTITION_SHARE * (
+            len(cut) + len(others)
+        ):
+            continue
+        least = MIN_PARTITION_SERVED * len(cut)
+        if others and cut_served * len(others) < least * others_served:
+            yield (
+                f'{partition.cut}: {cut_served} of {len(cut)} served by '
+                f'entries without links, {others_served} of {len(others)}'
+                ' by the others'
+            )
+
+
+def _get_attempts(
+    ledger: Ledger, partition: Partition
+) -> tuple[list[RequestRecord], list[RequestRecord]]:
+    """Return what is sent to cut entries and to others during a partition."""
+    cut: list[RequestRecord] = []
+    others: list[RequestRecord] = []
+    since = partition.began_at + CONTACT_TIMEOUT_S
+    for request in ledger.requests.values():
+        is_during = since <= request.sent_at <= partition.ended_at
+        if not is_during or request.left_at is not None:
+            continue
+        if not ledger.is_undisturbed(
+            request.entry, request.sent_at, request.end
+        ):
+            continue
+        if request.entry in partition.entries:
+            cut.append(request)
+        elif not _is_partitioned(ledger, request):
+            others.append(request)
+    return cut, others
+
+
+def _is_partitioned(ledger: Ledger, request: RequestRecord) -> bool:
+    """Whether any partition affects the entry of a request meanwhile."""
+    return any(
+        request.entry in partition.entries
+        and partition.began_at <= request.end
+        and request.sent_at <= partition.ended_at
+        for partition in ledger.partitions
+    )
+
+
+def _count_served(requests: list[RequestRecord]) -> int:
+    return sum(
+        request.status == OK_STATUS and request.whole for request in requests
+    )
+
+
 def check_cold(ledger: Ledger) -> Iterator[str]:
     """A cold target gets a bounded number of requests, whoever sends them.
 
@@ -407,5 +477,6 @@
     check_rests,
     check_restarts,
     check_evacuated,
+    check_partitions,
     check_cold,
 )
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -10,6 +10,7 @@
 import signal
 import time
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -25,8 +26,8 @@
     Keys,
 )
 from tests.soak.entries import COLD_PER_S, GRACE_S, Entry, run_entries
-from tests.soak.ledger import Ledger
-from tests.soak.links import Link
+from tests.soak.ledger import Ledger, Partition
+from tests.soak.links import Cut, Link
 from tests.soak.serving import serve_stream
 from tests.soak.store import CONFIG, TARGETS, Store
 from tests.soak.updates import poll_failures, poll_updates
@@ -64,6 +65,8 @@
 #: Plans in which the store reports its epoch.
 RESTORING_PLANS = ('restored', 'evacuated')
 PRODUCT = ('trestledock.platform',)
+#: The product with connections that the links can tell apart by entry.
+BOUND_PRODUCT = ('tests.soak.bound',)
 
 
 def get_network(pid: int) -> str:
@@ -259,6 +262,7 @@
             on_crash=self._recover_crashed,
         )
         self.ledger.data_centres[target.incarnation] = data_centre
+        target.link.get_cut = partial(self._get_cut, target)
         if self.size.plan == 'cold' and self.is_started:
             target.become_cold(COLD_S, 0)
         await target.start_serving(self.group)
@@ -310,6 +314,44 @@
         if target in self.targets:
             self.targets.remove(target)
 
+    def begin_partition(
+        self,
+        entries: list[Entry],
+        cut: Cut,
+        data_centre: str = '',
+        service: str = '',
+    ) -> Partition:
+        """Cut entries off from all targets, or from some of them."""
+        partition = Partition(
+            entries=tuple(entry.name for entry in entries),
+            hosts=tuple(entry.host for entry in entries),
+            cut=cut.name,
+            began_at=time.monotonic(),
+            data_centre=data_centre,
+            service=service,
+        )
+        self.ledger.partitions.append(partition)
+        self._apply_cuts()
+        return partition
+
+    def end_partition(self, partition: Partition) -> None:
+        """Give entries their links back."""
+        partition.ended_at = time.monotonic()
+        self._apply_cuts()
+
+    def _get_cut(self, target: Target, host: str) -> Cut | None:
+        """Return how the link of an entry to a target is cut, if it is."""
+        now = time.monotonic()
+        for partition in self.ledger.partitions:
+            if host in partition.hosts and now < partition.ended_at:
+                if partition.includes(target.data_centre, target.service):
+                    return Cut[partition.cut]
+        return None
+
+    def _apply_cuts(self) -> None:
+        for target in self.targets:
+            target.link.apply_cuts()
+
     def end_processes(self) -> None:
         """Kill all entries for good."""
         for entry in self.entries:
--- a/tests/test_entry_logs.py
+++ b/tests/test_entry_logs.py
@@ -51,7 +51,7 @@
 
     # Guards against a request that fails because its log line can't be made.
     def test_fields_are_no_attributes_of_records(self):
-        reserved = vars(make_record('x')).keys() | {'message', 'asctime'}
+        reserved = {*make_record('x').__dict__, 'message', 'asctime'}
         for kind in NAMES:
             with self.subTest(kind.__name__):
                 self.assertEqual(reserved & set(kind.names), set())
--- a/trestledock/entry/_link_events.py
+++ b/trestledock/entry/_link_events.py
@@ -12,8 +12,8 @@
     """Targets that may share a link have failed without a success in between.
 
     `scope` is what they share: `all`, or one `data_centre`, `service` or
-    `target`, which `scope_name` names. `failed` of them have failed since `since_ms`
-    ago.
+    `target`, which `scope_name` names. `failed` of them have failed since
+    `since_ms` ago.
     """
 
     scope: str
