Reach targets through another entry where the own link is lost

Cause: each failure was put down to the target. Nothing said that no target can be reached from here, and there was no way to a target but the own link.

Now the links are a fact of their own (relay/_link_health.py): two targets that share one and fail without a success in between make it doubtful. From then on connections go through another entry, which connects to the target and passes on bytes without reading them. All that is decided about a request stays with the entry that has it: at most once and 'not run' hold as on a direct connection, since nothing is sent before the tunnel is open; repeats, limits, back-offs and loads are counted once; the answer is the target's, byte for byte. The last chunk of the tunnel tells an end from a break. Entries whose own links are doubtful, or that drain, offer none; older ones never do.

A probe of one target in 0.4 s finds out whether the link is back, and proves its loss: the target fails from here and answers elsewhere. What the loss made this entry believe of targets is dropped, and a closed port counts as a crash, which others are told, only if another entry finds it closed, too. Without any way, requests are refused at once and the entry reports unready.

Ruled out: handing over whole requests, which would have two entries decide on keys, repeats and limits of one request; reporting unready alone, which moves no open connection and nothing where most entries of a data centre are cut.

--- a/trestledock/entry/_app.py
+++ b/trestledock/entry/_app.py
@@ -29,6 +29,8 @@
 from trestledock.entry._relaying import Relayer
 from trestledock.entry._reply import CutReply, Reply, Send
 from trestledock.entry._state import NO_VERSION, EntryState
+from trestledock.entry._tunnel_server import TunnelServer
+from trestledock.entry._tunnels import TUNNEL_PATH
 from trestledock.relay import ENCODE_ERRORS, Body, Call
 
 #: How long a body may take to arrive, in seconds.  By then callers with the
@@ -53,13 +55,15 @@
         dialect: Dialect,
         update_exchange: UpdateExchange,
         load_exchange: LoadExchange,
+        tunnels: TunnelServer | None = None,
     ) -> None:
-        """Store the relayer, and the exchanges that answer other entries."""
+        """Store the relayer, and what answers other entries."""
         self.state = state
         self.relayer = relayer
         self.dialect = dialect
         self.update_exchange = update_exchange
         self.load_exchange = load_exchange
+        self.tunnels = tunnels
         settings = state.settings
         self._handlers_by_port = {
             split_address(settings.ready)[1]: self._answer_ready,
@@ -80,7 +84,7 @@
             return
         handle = self._handlers_by_port.get(scope['server'][1])
         if handle:
-            await handle(scope, send)
+            await handle(scope, receive, send)
             return
         # The answer to a request that starts on a closing connection can't be
         # delivered, so the request must not be sent to a target.
@@ -94,20 +98,29 @@
         finally:
             self.state.in_progress -= 1
 
-    async def _answer_ready(self, _: Scope, send: Send) -> None:
+    async def _answer_ready(
+        self, _scope: Scope, _receive: Receive, send: Send
+    ) -> None:
         ready = self.state.is_ready(anyio.current_time())
         status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
         reply = Reply(send)
         await reply.start(status, ((b'content-length', b'0'),))
         await reply.finish()
 
-    async def _answer_metrics(self, _: Scope, send: Send) -> None:
+    async def _answer_metrics(
+        self, _scope: Scope, _receive: Receive, send: Send
+    ) -> None:
         reply = Reply(send)
         await reply.start(HTTPStatus.OK, ((b'content-type', b'text/plain'),))
         gauges = self.state.get_gauges(anyio.current_time())
         await reply.finish(METRICS.render(gauges))
 
-    async def _answer_peer(self, scope: Scope, send: Send) -> None:
+    async def _answer_peer(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        if self.tunnels and scope['path'] == TUNNEL_PATH:
+            await self.tunnels.serve(scope, receive, send)
+            return
         reply = Reply(send)
         try:
             body = self._make_peer_answer(scope)
--- a/trestledock/entry/_daemon.py
+++ b/trestledock/entry/_daemon.py
@@ -27,7 +27,6 @@
 from trestledock.entry._loads import LoadExchange
 from trestledock.entry._logger import emit
 from trestledock.entry._update_exchange import UpdateExchange
-from trestledock.entry._pool import Pool
 from trestledock.entry._notices_exchange import NoticesExchange
 from trestledock.entry._relaying import Relayer
 from trestledock.entry._sending import Sender
@@ -35,6 +34,7 @@
 from trestledock.entry._server import Server, listen
 from trestledock.entry._settings import EntrySettings
 from trestledock.entry._state import EntryState
+from trestledock.entry._target_connections import start_connections
 from trestledock.entry._tickets import Tickets
 
 SIGNALS = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
@@ -116,20 +116,18 @@
     server: Server,
 ) -> None:
     group: TaskGroup = state.group
-    pool = Pool(state.spawn)
     gossip = Gossip(state)
+    pool, tunnels = start_connections(state, gossip, dialect)
     EndsExchange(gossip)
     NoticesExchange(gossip)
     exchange = UpdateExchange(state, gossip)
     loads = LoadExchange(state, gossip)
     follower = Follower(state, directory, pool, exchange)
     tickets = Tickets(state, pool, dialect)
-    sender = Sender(state, pool, dialect, tickets)
-    relayer = Relayer(state, dialect, sender)
-    app = EntryApp(state, relayer, dialect, exchange, loads)
+    relayer = Relayer(state, dialect, Sender(state, pool, dialect, tickets))
+    app = EntryApp(state, relayer, dialect, exchange, loads, tunnels)
     keeping = Keeping(state, directory.quarantine, follower.is_reader)
     restoring = Restoring(state, directory, gossip, follower.is_reader)
-    state.isolation.hooks.reconnect = pool.check_connection
     state.keep_running(follower.run)
     state.keep_running(keeping.run)
     state.keep_running(restoring.run)
--- a/trestledock/entry/_dialect.py
+++ b/trestledock/entry/_dialect.py
@@ -188,6 +188,9 @@
     def make_reply_headers(self, head: Head) -> Headers:
         """Return the headers of an answer that is forwarded."""
 
+    def make_probe(self, target: ListedTarget) -> ControlRequest:
+        """Return a request that a target answers without running anything."""
+
     def make_reserve(
         self,
         reservation_id: str,
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -23,7 +23,16 @@
     EvacuationUnreadable,
     SentToEvacuated,
 )
-from trestledock.entry._link_events import LinksDoubted, LinksRegained
+from trestledock.entry._link_events import (
+    LinksDoubted,
+    LinksLost,
+    LinksRegained,
+    SentThrough,
+    TunnelFailed,
+    TunnelOpened,
+    TunnelClosed,
+    TunnelRefused,
+)
 from trestledock.entry._process_events import (
     Failed,
     Started,
@@ -134,7 +143,13 @@
     EvacuationUnreadable,
     SentToEvacuated,
     LinksDoubted,
+    LinksLost,
     LinksRegained,
+    SentThrough,
+    TunnelFailed,
+    TunnelOpened,
+    TunnelClosed,
+    TunnelRefused,
     DataCentreQuiet,
     PeerMet,
     PeerLost,
--- a/trestledock/entry/_gossip.py
+++ b/trestledock/entry/_gossip.py
@@ -428,6 +428,7 @@
             leaving=self.state.draining,
             store_age_s=age_s,
             again_s=again_s,
+            offers_tunnels=self.state.offers_tunnels(now),
             changes=tuple(changes),
             waiting=self.state.wait_queue.room.get_rows(now),
             served=self.state.usage.get_own_rows(now) if whole else (),
--- a/trestledock/entry/_isolation.py
+++ b/trestledock/entry/_isolation.py
@@ -62,6 +62,7 @@
         FailureKind.refused: Inquiry.none,
         FailureKind.unreachable: Inquiry.none,
         FailureKind.garbled: Inquiry.listing,
+        FailureKind.no_link: Inquiry.none,
     }
 )
 #: Failure of a new connection that proves that the process is gone. Any other
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -29,11 +29,12 @@
 class Refusal(str, Enum):
     """The reason why no target answers a request, as it is logged.
 
-    `no_buffer` means that this entry has no memory left for the body, `no_turn`
-    that the turn of a request behind others would come too late, `limited` that
-    the wait for a rate limit would be too long, `backing_off` that all targets
-    of the service back off, `cold` that they are cold, and `evacuated` that
-    they are in evacuated data centres.
+    `no_link` means that no target can be reached from here, directly or through
+    another entry, `no_buffer` that this entry has no memory left for the body,
+    `no_turn` that the turn of a request behind others would come too late,
+    `limited` that the wait for a rate limit would be too long, `backing_off`
+    that all targets of the service back off, `cold` that they are cold, and
+    `evacuated` that they are in evacuated data centres.
     """
 
     no_configuration = 'no_configuration'
@@ -41,6 +42,7 @@
     no_route = 'no_route'
     stale_proof = 'stale_proof'
     no_target = 'no_target'
+    no_link = 'no_link'
     no_memory = 'no_memory'
     no_time = 'no_time'
     no_room = 'no_room'
@@ -65,6 +67,7 @@
         Refusal.no_route: 404,
         Refusal.stale_proof: 503,
         Refusal.no_target: 503,
+        Refusal.no_link: 503,
         Refusal.no_memory: 503,
         Refusal.no_time: 503,
         Refusal.no_room: 503,
--- a/trestledock/entry/_links.py
+++ b/trestledock/entry/_links.py
@@ -3,9 +3,12 @@
 =================
 
 Feeds the outcomes of this entry's connections to targets into the health of its
-links, and logs what follows from them.
+links, logs what follows from them, and drops what a lost link has made this
+entry believe of targets.
 """
 
+from typing import Callable, Iterable, Iterator
+
 import anyio
 
 from trestledock.entry import _events as events
@@ -13,6 +16,8 @@
 from trestledock.entry._wire import Wire, WireError
 from trestledock.relay import (
     FailureKind,
+    Fleet,
+    Health,
     LinkHealth,
     ListedTarget,
     Scope,
@@ -31,14 +36,43 @@
 MS = 1000
 
 
+def _has_none() -> bool:
+    """Default for ways around, without other entries."""
+    return False
+
+
 class Links:
-    """The links of one entry process to the targets."""
+    """The links of one entry process to the targets.
+
+    `has_way_around` tells whether another entry offers connections to targets;
+    `doubted` is set when a link becomes doubtful.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, fleet: Fleet, target_health: Health) -> None:
         """Start without any failure."""
         self.health = LinkHealth()
+        self.has_way_around: Callable[[], bool] = _has_none
+        self.doubted = anyio.Event()
+        self._fleet = fleet
+        self._target_health = target_health
         self._doubted_at: dict[Scope, float] = {}
 
+    def is_doubted(self, target: ListedTarget) -> bool:
+        """Return whether the link to a target may be lost."""
+        return self.health.is_doubted(target, anyio.current_time())
+
+    def are_all_doubted(self, now: float) -> bool:
+        """Return whether the links to all targets may be lost."""
+        return self.health.are_all_doubted(now)
+
+    def is_isolated(self) -> bool:
+        """Return whether no target can be reached, also not by way of others.
+
+        Nothing is known of other entries' links but that they offer them.
+        """
+        now = anyio.current_time()
+        return self.health.is_cut_off(now) and not self.has_way_around()
+
     def record_failure(
         self, target: ListedTarget, failure: WireError, *, is_new: bool
     ) -> None:
@@ -49,25 +83,68 @@
         self.health.record_failure(target, now, is_new=is_new)
         self._log_doubted(target, now)
 
+    def record_broken(
+        self, target: ListedTarget, wire: Wire, failure: WireError
+    ) -> None:
+        """Record that a connection failed after a request was written.
+
+        A failure of a tunnel says nothing of the link. Behind a lost link, the
+        failure of a direct connection says nothing of the target.
+        """
+        if wire.is_tunnel:
+            return
+        self.record_failure(target, failure, is_new=wire.is_new)
+        if self.health.is_lost(target):
+            self._forget_suspicions((target,))
+
     def record_answer(self, target: ListedTarget, wire: Wire) -> None:
         """Record the head of an answer on a connection."""
+        if wire.is_tunnel:
+            self.record_reached(target, wire.via)
+            return
         is_new = wire.is_new
         wire.is_new = False
         self.health.record_success(target, is_new=is_new)
         if is_new:
-            self._log_regained(target)
+            self._end_doubts(target)
 
     def count_doubted(self, now: float) -> int:
         """Return the number of scopes whose link may be lost."""
         return len(self.health.get_doubted(now))
 
+    def get_targets(self, scope: Scope) -> list[ListedTarget]:
+        """Return the listed targets of a scope."""
+        return [
+            target
+            for target in self._fleet.targets.values()
+            if scope in get_scopes(target)
+        ]
+
+    def record_reached(self, target: ListedTarget, via: str) -> None:
+        """Record that a target has answered through the entry `via`."""
+        now = anyio.current_time()
+        lost = self.health.record_reached(target, now)
+        if not lost:
+            return
+        widest = lost[0]
+        links = self.health.scopes[widest]
+        emit(
+            events.LinksLost(
+                scope=widest.kind.value,
+                scope_name=widest.name,
+                failed=len(links.failures),
+                since_ms=round((now - links.since) * MS),
+                peer=target.incarnation,
+                via=via,
+            )
+        )
+        self._forget_suspicions(self.get_targets(widest))
+
     def _log_doubted(self, target: ListedTarget, now: float) -> None:
         """Log the widest scope of a target that has become doubtful."""
-        for scope in get_scopes(target):
-            links = self.health.scopes[scope]
-            if not links.is_doubted(now):
-                continue
+        for scope in self._get_doubted_scopes(target, now):
             if scope not in self._doubted_at:
+                links = self.health.scopes[scope]
                 emit(
                     events.LinksDoubted(
                         scope=scope.kind.value,
@@ -77,18 +154,34 @@
                     )
                 )
                 self._doubted_at[scope] = now
+                self.doubted.set()
+                self.doubted = anyio.Event()
             return
 
-    def _log_regained(self, target: ListedTarget) -> None:
+    def _get_doubted_scopes(
+        self, target: ListedTarget, now: float
+    ) -> Iterator[Scope]:
+        for scope in get_scopes(target):
+            if self.health.scopes[scope].is_doubted(now):
+                yield scope
+
+    def _end_doubts(self, target: ListedTarget) -> None:
+        """Log the links that are back, and drop what came of their loss."""
         now = anyio.current_time()
         for scope in get_scopes(target):
             doubted_at = self._doubted_at.pop(scope, None)
-            if doubted_at is not None:
-                emit(
-                    events.LinksRegained(
-                        scope=scope.kind.value,
-                        scope_name=scope.name,
-                        peer=target.incarnation,
-                        after_ms=round((now - doubted_at) * MS),
-                    )
+            if doubted_at is None:
+                continue
+            emit(
+                events.LinksRegained(
+                    scope=scope.kind.value,
+                    scope_name=scope.name,
+                    peer=target.incarnation,
+                    after_ms=round((now - doubted_at) * MS),
                 )
+            )
+            self._forget_suspicions(self.get_targets(scope))
+
+    def _forget_suspicions(self, targets: Iterable[ListedTarget]) -> None:
+        for target in targets:
+            self._target_health.forget(target.incarnation, target.data_centre)
--- a/trestledock/entry/_message_codec.py
+++ b/trestledock/entry/_message_codec.py
@@ -77,6 +77,7 @@
         'news_age_ms': round(message.store_age_s * MS),
         'again_ms': round(message.again_s * MS),
         'evacuations': message.sends_evacuations,
+        'tunnels': message.offers_tunnels,
         'flights': [encode_change(*change, now) for change in message.changes],
         **_get_ranked_fields(message, now),
     }
@@ -171,6 +172,7 @@
         store_age_s=read_number(fields['news_age_ms']) / MS,
         again_s=read_number(fields.get('again_ms', DEFAULT_AGAIN_MS)) / MS,
         sends_evacuations=read_bool(fields.get('evacuations', False)),
+        offers_tunnels=read_bool(fields.get('tunnels', False)),
         changes=add_ranks(changes, fields.get('ranks')),
         waiting=decode_waiting(fields.get('waiting'), data_centre, now),
         served=decode_usage(fields.get('served')),
--- a/trestledock/entry/_messages.py
+++ b/trestledock/entry/_messages.py
@@ -18,8 +18,9 @@
     `store_age_s` is the age of its copy of the store, `again_s` the longest
     time until its next full state. An entry that is `leaving` is draining, so
     that its later silence is expected. Older versions don't know evacuations,
-    and so don't send them in their updates. `waiting` and `served` are all rows
-    of ranked services, the latter in full states only.
+    and so don't send them in their updates. Entries with `offers_tunnels`
+    connect others to targets; older versions don't. `waiting` and `served` are
+    all rows of ranked services, the latter in full states only.
     """
 
     sender: str
@@ -31,6 +32,7 @@
     again_s: float
     changes: tuple[Change, ...]
     sends_evacuations: bool = True
+    offers_tunnels: bool = False
     waiting: tuple[WaitingRow, ...] = ()
     served: tuple[UsageRow, ...] = ()
 
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -103,6 +103,15 @@
         events.LinksDoubted: Counter(
             'Times that links to targets became doubtful', ('scope',)
         ),
+        events.LinksLost: Counter(
+            'Times that links to targets were known to be lost', ('scope',)
+        ),
+        events.SentThrough: Counter('Requests sent through other entries'),
+        events.TunnelFailed: Counter(
+            'Failures to connect through other entries', ('sign',)
+        ),
+        events.TunnelOpened: Counter('Connections opened for other entries'),
+        events.TunnelRefused: Counter('Connections refused to other entries'),
         events.PeerLost: Counter('Losses of other entries'),
         events.DatagramDropped: Counter('Datagrams that were lost here'),
         events.Failed: Counter('Unforeseen failures'),
--- a/trestledock/entry/_outcomes.py
+++ b/trestledock/entry/_outcomes.py
@@ -49,6 +49,7 @@
         Refusal.unknown_key: 'caller',
         Refusal.no_route: 'caller',
         Refusal.no_target: 'capacity',
+        Refusal.no_link: 'link',
         Refusal.no_memory: 'capacity',
         Refusal.no_time: 'capacity',
         Refusal.no_room: 'capacity',
--- a/trestledock/entry/_peers.py
+++ b/trestledock/entry/_peers.py
@@ -35,6 +35,7 @@
     again_s: float = 0
     draining: bool = False
     sends_evacuations: bool = True
+    offers_tunnels: bool = False
 
     def get_store_age_s(self, now: float) -> float:
         """Return the age of its copy if it has not been updated since."""
@@ -70,6 +71,7 @@
             message.again_s,
             message.leaving,
             message.sends_evacuations,
+            message.offers_tunnels,
         )
         return is_new
 
--- a/trestledock/entry/_pool.py
+++ b/trestledock/entry/_pool.py
@@ -8,7 +8,7 @@
 
 from collections import defaultdict
 from dataclasses import dataclass
-from typing import Any, Callable
+from typing import Any, Callable, Protocol
 
 import anyio
 
@@ -28,6 +28,38 @@
 Spawn = Callable[..., Any]
 
 
+class Connect(Protocol):
+    """How connections to targets are opened."""
+
+    async def connect(self, target: ListedTarget) -> Wire:
+        """Return a new connection; a `WireError` means nothing was sent."""
+
+    async def check(self, target: ListedTarget) -> FailureKind:
+        """Return how another entry fails to connect, if one can tell."""
+
+    def may_reuse(self, target: ListedTarget) -> bool:
+        """Return whether idle connections to a target may still work."""
+
+
+class DirectConnections:
+    """Connections over the own link only."""
+
+    async def connect(self, target: ListedTarget) -> Wire:
+        """Return a new connection; a `WireError` means nothing was sent."""
+        return await Wire.connect(target.address)
+
+    async def check(self, target: ListedTarget) -> FailureKind:
+        """Return that nobody else can tell."""
+        return FailureKind.no_link
+
+    def may_reuse(self, target: ListedTarget) -> bool:
+        """Return that idle connections may be used."""
+        return True
+
+
+DIRECT_CONNECTIONS = DirectConnections()
+
+
 @dataclass
 class _Idle:
     """An idle connection with its watcher and its expiry time."""
@@ -46,9 +78,12 @@
 class Pool:
     """The connections of one process to its targets."""
 
-    def __init__(self, spawn: Spawn) -> None:
+    def __init__(
+        self, spawn: Spawn, connector: Connect = DIRECT_CONNECTIONS
+    ) -> None:
         """Store the function that starts background tasks."""
         self._spawn = spawn
+        self._connector = connector
         self._idle: dict[str, list[_Idle]] = defaultdict(list)
 
     async def acquire(self, target: ListedTarget) -> Wire:
@@ -57,10 +92,12 @@
         while idle_wires:
             idle = idle_wires.pop()
             await idle.stop_watching()
-            if not idle.wire.broken and idle.expires_at > anyio.current_time():
-                return idle.wire
+            is_alive = idle.expires_at > anyio.current_time()
+            if is_alive and not idle.wire.broken:
+                if self._connector.may_reuse(target):
+                    return idle.wire
             await idle.wire.close()
-        return await Wire.connect(target.address)
+        return await self._connector.connect(target)
 
     async def check_connection(self, target: ListedTarget) -> FailureKind:
         """Connect to a target again; return the kind of failure, if any.
@@ -71,11 +108,11 @@
         """
         for _ in range(MAX_CHECKS):
             try:
-                wire = await Wire.connect(target.address)
+                wire = await self._connector.connect(target)
             except WireError as exc:
-                return exc.failure_kind
+                return await self._confirm(target, exc.failure_kind)
             if await self._stays_open(wire):
-                self._store(target, wire, IDLE_S)
+                await self._keep(target, wire, IDLE_S)
                 return FailureKind.none
         return FailureKind.closed
 
@@ -98,6 +135,29 @@
             idle.watcher.cancel()
             self._spawn(idle.wire.close)
 
+    async def _keep(
+        self, target: ListedTarget, wire: Wire, idle_s: float
+    ) -> None:
+        """Keep a connection that was not used; a tunnel is closed."""
+        if wire.is_tunnel:
+            await wire.close()
+            return
+        self._store(target, wire, idle_s)
+
+    async def _confirm(
+        self, target: ListedTarget, failure_kind: FailureKind
+    ) -> FailureKind:
+        """Return the failure of a connection, unless only the link failed.
+
+        A closed port that another entry finds open is no crash of the target.
+        """
+        if failure_kind is not FailureKind.refused:
+            return failure_kind
+        elsewhere = await self._connector.check(target)
+        if elsewhere is FailureKind.none:
+            return FailureKind.unreachable
+        return failure_kind
+
     def _store(self, target: ListedTarget, wire: Wire, idle_s: float) -> None:
         expires_at = anyio.current_time() + idle_s
         idle = _Idle(wire, expires_at, anyio.CancelScope(), anyio.Event())
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -26,6 +26,7 @@
     PLACEMENT_RETRY_S,
     Call,
     AttemptOutcome,
+    FailureKind,
     Placement,
     RelayAttempt,
     get_worth,
@@ -106,6 +107,9 @@
             if is_quarantined(self.state, job):
                 await self._end_unanswered(job, reply, Refusal.quarantined)
                 return
+            if _has_no_link(job, attempt):
+                await self._end_unanswered(job, reply, Refusal.no_link)
+                return
             if not await self._may_retry(job):
                 await self._end_unanswered(job, reply, Refusal.failed)
                 return
@@ -266,6 +270,15 @@
     return Refusal.not_run if reason is Refusal.failed else reason
 
 
+def _has_no_link(job: Job, attempt: RelayAttempt) -> bool:
+    """Return whether to refuse, as no target can be reached from here.
+
+    A begun answer waits for the links for as long as its caller does.
+    """
+    is_unreachable = attempt.failure_kind is FailureKind.no_link
+    return is_unreachable and not job.response_begun
+
+
 def _exclude_targets(
     job: Job, placement: Placement, attempt: RelayAttempt
 ) -> None:
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -146,8 +146,8 @@
         try:
             wire = await self.pool.acquire(placement.target)
         except WireError as exc:
-            self.state.record_silence(peer, anyio.current_time())
-            self.state.links.record_failure(placement.target, exc, is_new=True)
+            if exc.failure_kind is not FailureKind.no_link:
+                self.state.record_silence(peer, anyio.current_time())
             return RelayAttempt(
                 AttemptOutcome.not_sent,
                 exc.step,
@@ -232,6 +232,12 @@
         peer = placement.target.incarnation
         idle_s: float = 0
         asked_at = anyio.current_time()
+        if wire.is_tunnel:
+            emit(
+                events.SentThrough(
+                    job.call.req_id, peer, wire.via, wire.tunnel_id
+                )
+            )
         log_send_against_notices(self.state, job.call.req_id, placement)
         log_send_to_evacuated(self.state, job.call.req_id, placement)
         try:
@@ -241,9 +247,7 @@
             )
         except WireError as exc:
             self.state.health.record_failure(peer, anyio.current_time())
-            self.state.links.record_failure(
-                placement.target, exc, is_new=wire.is_new
-            )
+            self.state.links.record_broken(placement.target, wire, exc)
             # Idle connections fall silent together, while new ones work.
             self.pool.close_idle(peer)
             await self._report_lost(job, placement, exc.failure_kind)
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -109,7 +109,6 @@
     load_table: LoadTable = field(default_factory=LoadTable)
     health: Health = field(default_factory=Health)
     reach: Reachability = field(default_factory=Reachability)
-    links: Links = field(default_factory=Links)
     wait_queue: WaitQueue = field(default_factory=WaitQueue)
     peer_waiting: WaitingTable = field(default_factory=WaitingTable)
     usage: UsageTable = field(default_factory=UsageTable)
@@ -136,10 +135,12 @@
     placer: Placer = field(init=False)
     throttle: Throttle = field(init=False)
     budgets: Budgets = field(init=False)
+    links: Links = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the parts that share others."""
         self.isolation = Isolation(self.health, self.fleet)
+        self.links = Links(self.fleet, self.health)
         self.proof = FreshnessProof(self.settings.revoke_s)
         self.placer = Placer(
             self.load_table,
@@ -206,6 +207,10 @@
         with anyio.move_on_after(timeout_s):
             await self.changed.wait()
 
+    def offers_tunnels(self, now: float) -> bool:
+        """Whether other entries may connect to targets through this one."""
+        return not self.draining and not self.links.are_all_doubted(now)
+
     def get_cold_limit(self, service: str) -> ColdLimit | None:
         """Return the limit of a service's cold targets, None without one."""
         bounds = self.settings.cold_bounds
@@ -417,7 +422,9 @@
     def is_ready(self, now: float) -> bool:
         """Whether new connections should come here."""
         is_configured = self.catalog is not None and bool(self.fleet.targets)
-        return is_configured and not self.draining and self.proof.is_ready(now)
+        if not is_configured or self.draining or self.links.is_isolated():
+            return False
+        return self.proof.is_ready(now)
 
     def _record_restore(
         self,
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -14,7 +14,7 @@
 
 import anyio
 import h11
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import ByteStream, SocketAttribute, SocketStream
 
 from trestledock.relay import (
     FailureKind,
@@ -88,12 +88,16 @@
 class Wire:
     """An HTTP/1.1 connection, to a single incarnation if to a target.
 
-    `is_new` is true until an answer has arrived.
+    `is_new` is true until an answer has arrived. A tunnel goes through the
+    entry `via`, for one request, and has an id in the logs of both entries.
     """
 
-    def __init__(self, stream: SocketStream) -> None:
+    def __init__(self, stream: ByteStream, *, is_tunnel: bool = False) -> None:
         """Use a newly connected stream."""
         self.stream = stream
+        self.is_tunnel = is_tunnel
+        self.via = ''
+        self.tunnel_id = ''
         self.http = h11.Connection(h11.CLIENT)
         self.request_written = True
         self.broken = False
@@ -103,16 +107,7 @@
     @classmethod
     async def connect(cls, address: str) -> 'Wire':
         """Connect to `IP:PORT`; a `WireError` means that nothing was sent."""
-        host, _, port = address.rpartition(':')
-        try:
-            with anyio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await anyio.connect_tcp(host, int(port))
-        except (OSError, TimeoutError) as exc:
-            raise WireError(
-                'connect', repr(exc), classify_connect_error(exc)
-            ) from exc
-        _set_options(stream)
-        return cls(stream)
+        return cls(await connect_stream(address))
 
     async def send(
         self,
@@ -165,7 +160,7 @@
 
     def recycle(self) -> bool:
         """Prepare for the next request; return False if that is not safe."""
-        if self.broken or not self.request_written:
+        if self.broken or self.is_tunnel or not self.request_written:
             return False
         done = self.http.our_state is h11.DONE
         if not done or self.http.their_state is not h11.DONE:
@@ -232,6 +227,33 @@
             raise WireError(step, repr(exc), classify_disconnect(exc)) from exc
 
 
+async def connect_stream(
+    address: str, own_host: str | None = None
+) -> SocketStream:
+    """Connect to `IP:PORT`, from an address of this machine if one is given.
+
+    A `WireError` means that nothing was sent.
+    """
+    host, _, port = address.rpartition(':')
+    try:
+        with anyio.fail_after(CONNECT_TIMEOUT_S):
+            stream = await _connect_from(own_host, host, int(port))
+    except (OSError, TimeoutError) as exc:
+        raise WireError(
+            'connect', repr(exc), classify_connect_error(exc)
+        ) from exc
+    _set_options(stream)
+    return stream
+
+
+async def _connect_from(
+    own_host: str | None, host: str, port: int
+) -> SocketStream:
+    if own_host is None:
+        return await anyio.connect_tcp(host, port)
+    return await anyio.connect_tcp(host, port, local_host=own_host)
+
+
 def _split(head: bytes, raw: bytes, end: bytes) -> Iterator[bytes]:
     """Yield the pieces in which a request is written; one if it is small.
 
--- a/trestledock/platform/_headers.py
+++ b/trestledock/platform/_headers.py
@@ -173,6 +173,13 @@
             holdMs=round(lease_s * MS),
         )
 
+    def make_probe(self, target: ListedTarget) -> ControlRequest:
+        """Return a request for a target's report, which needs no slot."""
+        host = target.address.rpartition(':')[0]
+        return ControlRequest(
+            'GET', '/report', ((b'host', host.encode()),), b''
+        )
+
     def make_release(
         self, reservation_id: str, target: ListedTarget
     ) -> ControlRequest:
--- a/trestledock/relay/_failure_kinds.py
+++ b/trestledock/relay/_failure_kinds.py
@@ -13,7 +13,8 @@
 
     `closed` is a close or a reset by the target, `silent` a timeout on this
     side, `refused` a closed port, `unreachable` a connection that was not
-    established, and `garbled` bytes that are no valid answer.
+    established, and `garbled` bytes that are no valid answer. `no_link` means
+    that this instance has no way to the target.
     """
 
     none = ''
@@ -22,6 +23,7 @@
     refused = 'refused'
     unreachable = 'unreachable'
     garbled = 'garbled'
+    no_link = 'no_link'
 
 
 #: The errors of a connection that the target has closed.
--- a/trestledock/relay/_health.py
+++ b/trestledock/relay/_health.py
@@ -195,6 +195,11 @@
         known = self.targets.get(target_id)
         return known is not None and now < known.suspect_until
 
+    def forget(self, target_id: str, data_centre: str) -> None:
+        """Forget what silence and failures have told of a target."""
+        self.data_centres.pop(data_centre, None)
+        self.targets.pop(target_id, None)
+
     def is_silent(self, target_id: str) -> bool:
         """Return whether a target was silent and has not answered since."""
         known = self.targets.get(target_id)
--- a/trestledock/relay/_link_health.py
+++ b/trestledock/relay/_link_health.py
@@ -20,6 +20,9 @@
 #: The number of targets in a scope that must have failed since the last success
 #: there, and the number of failures in a row for a single target.
 MIN_FAILURES = 2
+#: The number of failed targets from which on an instance without any way around
+#: takes itself for cut off, and refuses requests at once.
+MIN_CUT_OFF_FAILURES = 3
 #: Failures that are older than this, in seconds, say nothing: with no requests
 #: in between there was no chance of a success.
 MAX_FAILURE_AGE_S = 5.0
@@ -94,14 +97,18 @@
         """Return whether the link may be lost."""
         if self.is_lost:
             return True
-        recent = [
+        recent = self.get_recent(now)
+        if self.kind is ScopeKind.target:
+            return any(failure.count >= MIN_FAILURES for failure in recent)
+        return len(recent) >= MIN_FAILURES
+
+    def get_recent(self, now: float) -> list[LinkFailure]:
+        """Return the failures that are not outdated."""
+        return [
             failure
             for failure in self.failures.values()
             if now - failure.failed_at <= MAX_FAILURE_AGE_S
         ]
-        if self.kind is ScopeKind.target:
-            return any(failure.count >= MIN_FAILURES for failure in recent)
-        return len(recent) >= MIN_FAILURES
 
     def is_proved(self, incarnation: str, now: float) -> bool:
         """Return whether reaching a target elsewhere proves the loss."""
@@ -112,13 +119,10 @@
 
     def is_outdated(self, now: float) -> bool:
         """Return whether nothing that counts is left."""
-        return not self.is_lost and all(
-            now - failure.failed_at > MAX_FAILURE_AGE_S
-            for failure in self.failures.values()
-        )
+        return not self.is_lost and not self.get_recent(now)
 
     def _drop_outdated(self, now: float) -> None:
-        if not self.is_lost and self.is_outdated(now):
+        if self.is_outdated(now):
             self.failures.clear()
             self.since = now
 
@@ -169,8 +173,10 @@
     def record_reached(self, target: ListedTarget, now: float) -> list[Scope]:
         """Record that another instance reaches a target.
 
-        Return the links that are known to be lost by this, widest first.
+        Return the links that are known to be lost by this, widest first; none
+        if the link to the target was known to be lost.
         """
+        was_lost = self.is_lost(target)
         lost: list[Scope] = []
         for scope in get_scopes(target):
             links = self.scopes.get(scope)
@@ -179,7 +185,7 @@
             if links.is_proved(target.incarnation, now):
                 links.is_lost = True
                 lost.append(scope)
-        return lost
+        return [] if was_lost else lost
 
     def is_doubted(self, target: ListedTarget, now: float) -> bool:
         """Return whether the link to a target may be lost."""
@@ -196,6 +202,14 @@
         links = self.scopes.get(ALL_TARGETS)
         return links is not None and links.is_doubted(now)
 
+    def is_cut_off(self, now: float) -> bool:
+        """Return whether no target can be reached over the own links."""
+        links = self.scopes.get(ALL_TARGETS)
+        if links is None:
+            return False
+        is_failing = len(links.get_recent(now)) >= MIN_CUT_OFF_FAILURES
+        return links.is_lost or is_failing
+
     def get_doubted(self, now: float) -> list[Scope]:
         """Return the scopes whose link may be lost; forget outdated ones."""
         for scope, links in tuple(self.scopes.items()):
