Probe a target that has not failed, so that crashes raise no lasting doubt

Two targets that crash within five seconds make the links to all doubtful, as answers on open connections refute no failure of new ones. Probes preferred targets that had failed, so dead ones kept the doubt alive for up to five seconds, with every connection going through other entries. A target that has not failed is probed first, and refutes it within one round trip. Targets that drain or back off are not probed.

A doubt that had lapsed was not logged when it came again, and woke no probes.

tests.soak.cuts compares ways to serve callers of cut entries.

--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -294,6 +294,13 @@
             for one in (name, ALL_ENTRIES)
         )
 
+    def has_partition(self, start: float, end: float) -> bool:
+        """Whether any link to a target is cut in an interval."""
+        return any(
+            partition.began_at <= end and start <= partition.ended_at
+            for partition in self.partitions
+        )
+
     def get_stop_times(self, name: str) -> list[float]:
         """Return when an entry was told to stop gracefully."""
         return [
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -442,6 +442,9 @@
         for name, reservation in self.reservations.items():
             idle_s = min(now, reservation.until) - reservation.free_since
             limit_s = USED_IDLE_MAX_S if reservation.used else UNUSED_IDLE_MAX_S
+            if self.ledger.has_partition(reservation.free_since, now):
+                # A renewal that the link has held back may arrive late.
+                continue
             if not reservation.users and idle_s > limit_s:
                 self.ledger.reservation_leaks.add(
                     f'{name} at {self.incarnation}'
--- a/trestledock/entry/_link_probes.py
+++ b/trestledock/entry/_link_probes.py
@@ -3,9 +3,9 @@
 ========================
 
 While a link is in doubt, requests go through other entries, so they no longer
-tell whether it works. Probes find that out: one request at a time, to one
-target of each doubtful scope in turn, over the link itself and, until its loss
-is proved, through another entry.
+tell whether it works. Probes find that out: one request at a time, to targets
+of each doubtful scope in turn, over the link itself and, until its loss is
+proved, through another entry.
 """
 
 import anyio
@@ -49,28 +49,37 @@
             await doubted.wait()
 
     async def probe_all(self) -> None:
-        """Probe one target of each doubtful scope, widest first.
+        """Probe the targets of each doubtful scope, widest first.
 
-        A success ends the doubt about all scopes of its target.
+        One that has not failed may refute the doubt, and one that has failed
+        may prove it. A success ends the doubt about all scopes of its target.
         """
+        health = self.links.health
+        for scope in health.get_doubted(anyio.current_time()):
+            targets = self.links.get_targets(scope)
+            if not targets:
+                health.forget(scope)
+            for target in self._pick(scope, targets):
+                # The last probe may have ended the doubt.
+                if scope in health.scopes:
+                    await self._probe(target)
+
+    def _pick(
+        self, scope: Scope, targets: list[ListedTarget]
+    ) -> list[ListedTarget]:
+        """Return a target without a failure, and one with, where there are."""
+        links = self.links.health.scopes.get(scope)
+        failures = links.failures if links else {}
+        groups: tuple[list[ListedTarget], ...] = ([], [])
+        for target in filter(self._is_willing, targets):
+            groups[target.incarnation in failures].append(target)
+        return [self.state.rng.choice(group) for group in groups if group]
+
+    def _is_willing(self, target: ListedTarget) -> bool:
+        """Return whether a target neither drains nor asked for a back-off."""
         now = anyio.current_time()
-        for scope in self.links.health.get_doubted(now):
-            links = self.links.health.scopes.get(scope)
-            if links is None:
-                continue
-            target = self._pick(scope)
-            if target is None:
-                self.links.health.forget(scope)
-            else:
-                await self._probe(target)
-
-    def _pick(self, scope: Scope) -> ListedTarget | None:
-        """Return a target of a scope, one that has failed if there is one."""
-        targets = self.links.get_targets(scope)
-        failures = self.links.health.scopes[scope].failures
-        failed = [one for one in targets if one.incarnation in failures]
-        candidates = failed or targets
-        return self.state.rng.choice(candidates) if candidates else None
+        is_usable = self.state.fleet.is_usable(target.incarnation)
+        return is_usable and not self.state.throttle.is_backing_off(target, now)
 
     async def _probe(self, target: ListedTarget) -> None:
         failure = await self._find_failure(target)
--- a/trestledock/entry/_links.py
+++ b/trestledock/entry/_links.py
@@ -142,6 +142,8 @@
 
     def _log_doubted(self, target: ListedTarget, now: float) -> None:
         """Log the widest scope of a target that has become doubtful."""
+        for known in self._doubted_at.keys() - self.health.scopes.keys():
+            self._doubted_at.pop(known)
         for scope in self._get_doubted_scopes(target, now):
             if scope not in self._doubted_at:
                 links = self.health.scopes[scope]
--- a/trestledock/relay/_link_health.py
+++ b/trestledock/relay/_link_health.py
@@ -79,7 +79,6 @@
 
     def add(self, incarnation: str, now: float, *, is_new: bool) -> None:
         """Add a failure of a target."""
-        self._drop_outdated(now)
         known = self.failures.get(incarnation)
         self.failures[incarnation] = LinkFailure(
             now,
@@ -121,11 +120,6 @@
         """Return whether nothing that counts is left."""
         return not self.is_lost and not self.get_recent(now)
 
-    def _drop_outdated(self, now: float) -> None:
-        if self.is_outdated(now):
-            self.failures.clear()
-            self.since = now
-
 
 @dataclass
 class LinkHealth:
@@ -149,6 +143,7 @@
         self, target: ListedTarget, now: float, *, is_new: bool
     ) -> None:
         """Record that a target could not be reached or fell silent."""
+        self._forget_outdated(now)
         for scope in get_scopes(target):
             links = self.scopes.setdefault(scope, ScopeLinks(scope.kind, now))
             links.add(target.incarnation, now, is_new=is_new)
@@ -158,6 +153,8 @@
     ) -> list[Scope]:
         """Record an answer of a target; return the links that are back."""
         regained: list[Scope] = []
+        if not self.scopes:
+            return regained
         for scope in get_scopes(target):
             links = self.scopes.get(scope)
             if links is None:
@@ -211,10 +208,8 @@
         return links.is_lost or is_failing
 
     def get_doubted(self, now: float) -> list[Scope]:
-        """Return the scopes whose link may be lost; forget outdated ones."""
-        for scope, links in tuple(self.scopes.items()):
-            if links.is_outdated(now):
-                self.scopes.pop(scope)
+        """Return the scopes whose link may be lost, widest first."""
+        self._forget_outdated(now)
         return [
             scope
             for scope, links in self.scopes.items()
@@ -225,7 +220,14 @@
         """Forget a scope without targets."""
         self.scopes.pop(scope, None)
 
+    def _forget_outdated(self, now: float) -> None:
+        for scope, links in tuple(self.scopes.items()):
+            if links.is_outdated(now):
+                self.scopes.pop(scope)
+
     def _get_links_of(self, target: ListedTarget) -> Iterator[ScopeLinks]:
+        if not self.scopes:
+            return
         for scope in get_scopes(target):
             links = self.scopes.get(scope)
             if links:
