--- a/tests/soak/cuts.py
+++ b/tests/soak/cuts.py
@@ -9,6 +9,7 @@
 """
 
 import json
+import signal
 import time
 from collections import Counter
 from pathlib import Path
@@ -39,6 +40,8 @@
 @click.option('--way', 'ways', multiple=True, type=click.Choice(list(WAYS)))
 def main(cut: str, count: int, seed: int, ways: tuple[str, ...]) -> None:
     """Compare the ways for one cut."""
+    # SIGTERM must raise, so that the run's processes are killed as well.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     for way in ways or WAYS:
         folder = FOLDER / f'{cut}-{count}-{seed}-{way}'
         folder.mkdir(parents=True, exist_ok=True)
