Probe each doubtful link once, and give its targets another chance at its end

In a cut of all links each round of probes tried a target of every scope, all of which share one cause: 24 scopes of 18 targets, 0.2 s each where nothing answers. Scopes within a wider doubtful one are skipped, and the next round follows at once when a link is back. Targets that failed behind a lost link to their data centre no longer stay lost one by one after its return.

losses names late answers that came through another entry.

--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -30,6 +30,7 @@
     Fleet,
     AttemptHistory,
     FreshnessProof,
+    LinkHealth,
     Quarantine,
     Throttle,
 )
@@ -176,6 +177,12 @@
     ColdGate.can_send = lambda gate, target, now: True
 
 
+def partitions() -> None:
+    """Put each failure down to its target, and never to the own links."""
+    LinkHealth.is_doubted = lambda links, target, now: False
+    LinkHealth.are_all_doubted = lambda links, now: False
+
+
 async def _sleep_forever(*args: Any) -> None:
     await anyio.sleep_forever()
 
@@ -205,6 +212,7 @@
         restarts,
         evacuated,
         cold,
+        partitions,
     )
 }
 
--- a/tests/soak/ways.py
+++ b/tests/soak/ways.py
@@ -15,6 +15,7 @@
 import anyio
 
 from tests.soak.bound import bind_connections
+from tests.soak.mutants import partitions
 from trestledock.entry._connector import Connector
 from trestledock.entry._state import EntryState
 from trestledock.platform import run
@@ -27,8 +28,7 @@
 
 def none() -> None:
     """Never doubt a link."""
-    LinkHealth.is_doubted = lambda links, target, now: False
-    LinkHealth.are_all_doubted = lambda links, now: False
+    partitions()
     LinkHealth.is_cut_off = lambda links, now: False
 
 
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -53,6 +53,13 @@
         row = next(line for line in rows if line.startswith(cause))
         self.assertEqual(row[len(cause) :].split(), ['1', lost])
 
+    def test_late_through_another_entry(self):
+        """A late answer of a target that only another entry reaches."""
+        sent = ('sent_through', {'via': 'entry-2', 'tunnel': 'entry-1-1'})
+        self.check(
+            [sent, make_answered(400)], 'late through another entry', '1.5'
+        )
+
     def test_causes(self):
         """Each cause is printed with the worth that it lost."""
         failed_attempt = (
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -70,6 +70,10 @@
         report = self.check(replace(SIZE, plan='cold'))
         self.assertGreater(report.changes, 0)
 
+    def test_entries_without_links(self):
+        report = self.check(replace(SIZE, plan='partitioned'))
+        self.assertGreater(report.changes, 0)
+
     def test_store_restored_from_a_copy(self):
         report = self.check(replace(SIZE, plan='restored'))
         self.assertGreater(report.faults, 0)
--- a/trestledock/cli/_losses.py
+++ b/trestledock/cli/_losses.py
@@ -146,6 +146,8 @@
     admitted = request.admitted
     ended = request.get_last('sending_ended')
     if answered['first_ms'] > admitted['objective_ms']:
+        if request.get_last('sent_through'):
+            return 'late through another entry', LATE_LOSS_SHARE
         if ended:
             return (
                 f'late after {ended["ending"]} at {ended["step"]}',
--- a/trestledock/entry/_link_probes.py
+++ b/trestledock/entry/_link_probes.py
@@ -15,7 +15,12 @@
 from trestledock.entry._links import Links
 from trestledock.entry._state import EntryState
 from trestledock.entry._wire import Wire, WireError
-from trestledock.relay import FailureKind, ListedTarget, Scope
+from trestledock.relay import (
+    FailureKind,
+    ListedTarget,
+    drop_empty_scopes,
+    find_probe_candidates,
+)
 
 #: The interval of probes, in seconds: a link that is back is used within it.
 PROBE_INTERVAL_S = 0.4
@@ -44,36 +49,24 @@
         while True:
             doubted = self.links.doubted
             while self.links.health.get_doubted(anyio.current_time()):
-                await self.probe_all()
-                await anyio.sleep(PROBE_INTERVAL_S)
+                if not await self.probe_all():
+                    await anyio.sleep(PROBE_INTERVAL_S)
             await doubted.wait()
 
-    async def probe_all(self) -> None:
-        """Probe the targets of each doubtful scope, widest first.
-
-        One that has not failed may refute the doubt, and one that has failed
-        may prove it. A success ends the doubt about all scopes of its target.
-        """
-        health = self.links.health
-        for scope in health.get_doubted(anyio.current_time()):
-            targets = self.links.get_targets(scope)
-            if not targets:
-                health.forget(scope)
-            for target in self._pick(scope, targets):
-                # The last probe may have ended the doubt.
-                if scope in health.scopes:
-                    await self._probe(target)
-
-    def _pick(
-        self, scope: Scope, targets: list[ListedTarget]
-    ) -> list[ListedTarget]:
-        """Return a target without a failure, and one with, where there are."""
-        links = self.links.health.scopes.get(scope)
-        failures = links.failures if links else {}
-        groups: tuple[list[ListedTarget], ...] = ([], [])
-        for target in filter(self._is_willing, targets):
-            groups[target.incarnation in failures].append(target)
-        return [self.state.rng.choice(group) for group in groups if group]
+    async def probe_all(self) -> bool:
+        """Probe targets of each doubtful link; return whether one is back."""
+        targets = list(self.state.fleet.targets.values())
+        drop_empty_scopes(self.links.health, targets)
+        willing = list(filter(self._is_willing, targets))
+        now = anyio.current_time()
+        is_back = False
+        for candidates in tuple(
+            find_probe_candidates(self.links.health, willing, now)
+        ):
+            for group in (candidates.sound, candidates.failed):
+                if group and not is_back:
+                    is_back = await self._probe(self.state.rng.choice(group))
+        return is_back
 
     def _is_willing(self, target: ListedTarget) -> bool:
         """Return whether a target neither drains nor asked for a back-off."""
@@ -81,14 +74,18 @@
         is_usable = self.state.fleet.is_usable(target.incarnation)
         return is_usable and not self.state.throttle.is_backing_off(target, now)
 
-    async def _probe(self, target: ListedTarget) -> None:
+    async def _probe(self, target: ListedTarget) -> bool:
+        """Return whether a target answers over the own link."""
         failure = await self._find_failure(target)
-        if failure is None or self.links.health.is_lost(target):
-            return
+        if failure is None:
+            return True
+        if self.links.health.is_lost(target):
+            return False
         via = await self._find_way_around(target)
         if via:
             self.links.record_failure(target, failure, is_new=True)
             self.links.record_reached(target, via)
+        return False
 
     async def _find_failure(self, target: ListedTarget) -> WireError | None:
         """Return how a target fails to answer over the own link, if it does."""
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -72,6 +72,10 @@
     ScopeKind,
     get_scopes,
 )
+from trestledock.relay._link_probing import (
+    drop_empty_scopes,
+    find_probe_candidates,
+)
 from trestledock.relay._load_table import Flight, LoadTable, Phase
 from trestledock.relay._notices import (
     Backoff,
@@ -141,6 +145,8 @@
     'LinkHealth',
     'Scope',
     'ScopeKind',
+    'drop_empty_scopes',
+    'find_probe_candidates',
     'get_scopes',
     'AttemptHistory',
     'AttemptOutcome',
--- a/trestledock/relay/_link_health.py
+++ b/trestledock/relay/_link_health.py
@@ -13,7 +13,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Iterator
+from typing import Iterable, Iterator
 
 from trestledock.relay._target_records import ListedTarget
 
@@ -77,6 +77,11 @@
     failures: dict[str, LinkFailure] = field(default_factory=dict)
     is_lost: bool = False
 
+    @property
+    def has_many(self) -> bool:
+        """Whether enough targets have failed to doubt a shared link."""
+        return len(self.failures) >= MIN_FAILURES
+
     def add(self, incarnation: str, now: float, *, is_new: bool) -> None:
         """Add a failure of a target."""
         known = self.failures.get(incarnation)
@@ -151,7 +156,11 @@
     def record_success(
         self, target: ListedTarget, *, is_new: bool
     ) -> list[Scope]:
-        """Record an answer of a target; return the links that are back."""
+        """Record an answer of a target; return the links that are back.
+
+        If the link to its data centre was in doubt, the targets that have
+        failed there get another chance, too.
+        """
         regained: list[Scope] = []
         if not self.scopes:
             return regained
@@ -163,6 +172,8 @@
                 links.drop_old_connections()
                 continue
             self.scopes.pop(scope)
+            if scope.kind is ScopeKind.data_centre and links.has_many:
+                self._forget_targets(links.failures)
             if links.is_lost:
                 regained.append(scope)
         return regained
@@ -220,6 +231,10 @@
         """Forget a scope without targets."""
         self.scopes.pop(scope, None)
 
+    def _forget_targets(self, incarnations: Iterable[str]) -> None:
+        for incarnation in incarnations:
+            self.forget(Scope(ScopeKind.target, incarnation))
+
     def _forget_outdated(self, now: float) -> None:
         for scope, links in tuple(self.scopes.items()):
             if links.is_outdated(now):
