--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -22,6 +22,13 @@
 from tests.soak.serving import CONNECTION_ERRORS, READ_BYTES, reset
 
 
+#: How long the client's system tries to deliver bytes, in seconds: then it ends
+#: the connection, and they are lost.
+USER_TIMEOUT_S = 2.0
+#: How often that is checked while bytes are held back, in seconds.
+HELD_CHECK_S = 0.2
+
+
 class Blocked(Flag):
     """Directions in which the link holds bytes back."""
 
@@ -133,6 +140,18 @@
         cut = self.get_cut(connection.host)
         return cut is not None and direction in cut.blocked
 
+    async def _wait_until_open(
+        self, connection: _Connection, direction: Blocked
+    ) -> None:
+        """Wait while bytes are held back; reset a connection cut for long."""
+        began_at = anyio.current_time()
+        while self._holds_back(connection, direction):
+            with anyio.move_on_after(HELD_CHECK_S):
+                await self.unblocked.wait()
+            held_s = anyio.current_time() - began_at
+            if self.get_cut(connection.host) and held_s > USER_TIMEOUT_S:
+                connection.reset_requested.set()
+
     async def _serve(self, listener: SocketListener) -> None:
         """Listen until the link is closed."""
         async with anyio.create_task_group() as group:
@@ -187,8 +206,7 @@
                 raw = await source.receive(READ_BYTES)
                 if self.delay_s:
                     await anyio.sleep(self.delay_s)
-                while self._holds_back(connection, direction):
-                    await self.unblocked.wait()
+                await self._wait_until_open(connection, direction)
                 await sink.send(raw)
         except anyio.EndOfStream:
             pass
@@ -196,6 +214,5 @@
             reset(connection.client)
             reset(connection.server)
         # A blocked direction holds back the end of a stream as well as bytes.
-        while self._holds_back(connection, direction):
-            await self.unblocked.wait()
+        await self._wait_until_open(connection, direction)
         group.cancel_scope.cancel()
--- a/trestledock/entry/_connector.py
+++ b/trestledock/entry/_connector.py
@@ -65,7 +65,7 @@
                 raise
         return await self._connect_around(target)
 
-    async def check(self, target: ListedTarget) -> FailureKind:
+    async def check_elsewhere(self, target: ListedTarget) -> FailureKind:
         """Connect through another entry only; return the failure, if any."""
         try:
             wire = await self.open_tunnel(target)
--- a/trestledock/entry/_links.py
+++ b/trestledock/entry/_links.py
@@ -7,7 +7,7 @@
 entry believe of targets.
 """
 
-from typing import Callable, Iterable, Iterator
+from typing import Any, Callable, Iterable, Iterator
 
 import anyio
 
@@ -127,13 +127,9 @@
         if not lost:
             return
         widest = lost[0]
-        links = self.health.scopes[widest]
         emit(
             events.LinksLost(
-                scope=widest.kind.value,
-                scope_name=widest.name,
-                failed=len(links.failures),
-                since_ms=round((now - links.since) * MS),
+                **self._get_fields(widest, now),
                 peer=target.incarnation,
                 via=via,
             )
@@ -146,20 +142,22 @@
             self._doubted_at.pop(known)
         for scope in self._get_doubted_scopes(target, now):
             if scope not in self._doubted_at:
-                links = self.health.scopes[scope]
-                emit(
-                    events.LinksDoubted(
-                        scope=scope.kind.value,
-                        scope_name=scope.name,
-                        failed=len(links.failures),
-                        since_ms=round((now - links.since) * MS),
-                    )
-                )
+                emit(events.LinksDoubted(**self._get_fields(scope, now)))
                 self._doubted_at[scope] = now
                 self.doubted.set()
                 self.doubted = anyio.Event()
             return
 
+    def _get_fields(self, scope: Scope, now: float) -> dict[str, Any]:
+        """Return the fields of a log line about a scope."""
+        links = self.health.scopes[scope]
+        return {
+            'scope': scope.kind.value,
+            'scope_name': scope.name,
+            'failed': len(links.failures),
+            'since_ms': round((now - links.since) * MS),
+        }
+
     def _get_doubted_scopes(
         self, target: ListedTarget, now: float
     ) -> Iterator[Scope]:
--- a/trestledock/entry/_pool.py
+++ b/trestledock/entry/_pool.py
@@ -28,27 +28,27 @@
 Spawn = Callable[..., Any]
 
 
-class Connect(Protocol):
+class TargetConnector(Protocol):
     """How connections to targets are opened."""
 
     async def connect(self, target: ListedTarget) -> Wire:
         """Return a new connection; a `WireError` means nothing was sent."""
 
-    async def check(self, target: ListedTarget) -> FailureKind:
+    async def check_elsewhere(self, target: ListedTarget) -> FailureKind:
         """Return how another entry fails to connect, if one can tell."""
 
     def may_reuse(self, target: ListedTarget) -> bool:
         """Return whether idle connections to a target may still work."""
 
 
-class DirectConnections:
-    """Connections over the own link only."""
+class DirectConnector:
+    """Opens connections over the own link only."""
 
     async def connect(self, target: ListedTarget) -> Wire:
         """Return a new connection; a `WireError` means nothing was sent."""
         return await Wire.connect(target.address)
 
-    async def check(self, target: ListedTarget) -> FailureKind:
+    async def check_elsewhere(self, target: ListedTarget) -> FailureKind:
         """Return that nobody else can tell."""
         return FailureKind.no_link
 
@@ -57,7 +57,7 @@
         return True
 
 
-DIRECT_CONNECTIONS = DirectConnections()
+DIRECT_CONNECTOR = DirectConnector()
 
 
 @dataclass
@@ -79,7 +79,7 @@
     """The connections of one process to its targets."""
 
     def __init__(
-        self, spawn: Spawn, connector: Connect = DIRECT_CONNECTIONS
+        self, spawn: Spawn, connector: TargetConnector = DIRECT_CONNECTOR
     ) -> None:
         """Store the function that starts background tasks."""
         self._spawn = spawn
@@ -110,7 +110,7 @@
             try:
                 wire = await self._connector.connect(target)
             except WireError as exc:
-                return await self._confirm(target, exc.failure_kind)
+                return await self._confirm_failure(target, exc.failure_kind)
             if await self._stays_open(wire):
                 await self._keep(target, wire, IDLE_S)
                 return FailureKind.none
@@ -144,7 +144,7 @@
             return
         self._store(target, wire, idle_s)
 
-    async def _confirm(
+    async def _confirm_failure(
         self, target: ListedTarget, failure_kind: FailureKind
     ) -> FailureKind:
         """Return the failure of a connection, unless only the link failed.
@@ -153,7 +153,7 @@
         """
         if failure_kind is not FailureKind.refused:
             return failure_kind
-        elsewhere = await self._connector.check(target)
+        elsewhere = await self._connector.check_elsewhere(target)
         if elsewhere is FailureKind.none:
             return FailureKind.unreachable
         return failure_kind
--- a/trestledock/relay/_link_health.py
+++ b/trestledock/relay/_link_health.py
@@ -78,7 +78,7 @@
     is_lost: bool = False
 
     @property
-    def has_many(self) -> bool:
+    def has_many_failures(self) -> bool:
         """Whether enough targets have failed to doubt a shared link."""
         return len(self.failures) >= MIN_FAILURES
 
@@ -172,7 +172,7 @@
                 links.drop_old_connections()
                 continue
             self.scopes.pop(scope)
-            if scope.kind is ScopeKind.data_centre and links.has_many:
+            if scope.kind is ScopeKind.data_centre and links.has_many_failures:
                 self._forget_targets(links.failures)
             if links.is_lost:
                 regained.append(scope)
