Don't ask entries of silent data centres for tunnels

In a cut between data centres the entries beyond it stay known for 1.7 s. An entry whose links to a data centre are in doubt asked up to two of them, 0.2 s each, before it connected by itself. Silence is known after 0.5 s.

Seen by reading; test_silent_data_centres_are_not_asked failed before.

--- a/tests/test_entry_tunnels.py
+++ b/tests/test_entry_tunnels.py
@@ -389,6 +389,19 @@
 
         run_cut_world(ONCE, [target], run)
 
+    # Guards against requests that wait for neighbours behind a network cut.
+    def test_silent_data_centres_are_not_asked(self):
+        async def run(cut_world):
+            await cut_world.add_neighbour(data_centre='dc-b')
+            now = anyio.current_time()
+            cut_world.state.reach.record_message('dc-b', 'entry-2', now - 0.6)
+            listed = next(iter(cut_world.state.fleet.targets.values()))
+            with self.assertRaises(PeerError) as caught:
+                await cut_world.connector.open_tunnel(listed)
+            self.assertIn('no other entry', str(caught.exception))
+
+        run_cut_world(ONCE, [StubTarget()], run)
+
     # Guards against callers who wait, target after target, for what no entry
     # can reach.
     def test_refused_at_once_without_any_way(self):
--- a/trestledock/entry/_connector.py
+++ b/trestledock/entry/_connector.py
@@ -151,12 +151,14 @@
         return sorted(offering, key=rank)[:MAX_PEERS_TRIED]
 
     def _get_offering(self, now: float) -> list[tuple[str, Peer]]:
+        silent = self.state.reach.get_silent(now)
         return [
             (name, peer)
             for name, peer in self.peers.known.items()
             if peer.offers_tunnels
             and not peer.draining
             and not peer.is_silent(now)
+            and peer.data_centre not in silent
         ]
 
     def _has_peer(self) -> bool:
