--- a/tests/tunnelling.py
+++ b/tests/tunnelling.py
@@ -75,6 +75,12 @@
         )
         await wait_for_port(self.state.settings.peers)
 
+    async def stop(self):
+        """Stop to serve, within half a second."""
+        self.server.stop.set()
+        with anyio.move_on_after(0.5):
+            await self.server.ended.wait()
+
 
 class EchoTarget(StubTarget):
     """Answers each request at once, with its id."""
@@ -237,6 +243,10 @@
 
     async def run(world):
         with anyio.fail_after(timeout_s):
-            await scenario(CutWorld(world, targets))
+            cut_world = CutWorld(world, targets)
+            await scenario(cut_world)
+            for neighbour in cut_world.neighbours:
+                await neighbour.stop()
 
-    run_world(route, targets, run)
+    with mock.patch.object(_server, 'LINGER_S', 0):
+        run_world(route, targets, run)
