--- a/trestledock/entry/_connector.py
+++ b/trestledock/entry/_connector.py
@@ -58,9 +58,8 @@
         if self.links.is_doubted(target):
             return await self._connect_around(target)
         try:
-            return await Wire.connect(target.address)
-        except WireError as exc:
-            self.links.record_failure(target, exc, is_new=True)
+            return await self._connect_directly(target)
+        except WireError:
             if not self.links.is_doubted(target):
                 raise
         return await self._connect_around(target)
@@ -92,6 +91,9 @@
                 raise WireError(
                     'link', exc.detail, FailureKind.no_link
                 ) from exc
+        return await self._connect_directly(target)
+
+    async def _connect_directly(self, target: ListedTarget) -> Wire:
         try:
             return await Wire.connect(target.address)
         except WireError as exc:
@@ -111,9 +113,7 @@
         try:
             wire = await open_tunnel(peer.address, own_host, request)
         except WireError as exc:
-            is_peer = isinstance(exc, PeerError)
-            failed_at = self._failed_at if is_peer else self._unreached_at
-            failed_at[name] = anyio.current_time()
+            self._record_failed(name, exc)
             emit(
                 events.TunnelFailed(
                     tunnel=request.tunnel_id,
@@ -128,6 +128,14 @@
         wire.tunnel_id = request.tunnel_id
         return wire
 
+    def _record_failed(self, name: str, exc: WireError) -> None:
+        """Record that another entry failed, or did not reach a target."""
+        is_peer = isinstance(exc, PeerError)
+        failed_at = self._failed_at if is_peer else self._unreached_at
+        failed_at[name] = anyio.current_time()
+        for other in failed_at.keys() - self.peers.known.keys():
+            failed_at.pop(other)
+
     def _choose_peers(self, target: ListedTarget) -> Iterable[tuple[str, Peer]]:
         """Return the entries to try, best first.
 
