Tell other entries only if no tunnels are offered

Messages between entries got a new field where no configuration asks for anything (test_same_decisions_and_messages). It is sent only by an entry that offers no tunnels. An older version seems to offer them: it answers the request as any other, and nothing is sent to a target (test_older_version).

--- a/tests/limiting.py
+++ b/tests/limiting.py
@@ -186,6 +186,8 @@
         self.entry = entry
         self.target = target
         self.req_id = b''
+        self.is_tunnel = False
+        self.is_new = True
 
     async def send(self, method, path, headers, body, spawn):
         await anyio.sleep(NETWORK_DELAY_S)
--- a/tests/test_entry_messages.py
+++ b/tests/test_entry_messages.py
@@ -78,6 +78,7 @@
     Fresh('e', 0.25),
     Question('e', 17.5),
     Reply('e', 17.5, 0.25, 0.125, 0.5, 7, 40),
+    Flights('e', 4, False, 'dc', False, 0.5, 2, (), offers_tunnels=False),
 )
 ANY_JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
--- a/trestledock/entry/_message_codec.py
+++ b/trestledock/entry/_message_codec.py
@@ -77,8 +77,8 @@
         'news_age_ms': round(message.store_age_s * MS),
         'again_ms': round(message.again_s * MS),
         'evacuations': message.sends_evacuations,
-        'tunnels': message.offers_tunnels,
         'flights': [encode_change(*change, now) for change in message.changes],
+        **({} if message.offers_tunnels else {'tunnels': False}),
         **_get_ranked_fields(message, now),
     }
 
@@ -172,7 +172,7 @@
         store_age_s=read_number(fields['news_age_ms']) / MS,
         again_s=read_number(fields.get('again_ms', DEFAULT_AGAIN_MS)) / MS,
         sends_evacuations=read_bool(fields.get('evacuations', False)),
-        offers_tunnels=read_bool(fields.get('tunnels', False)),
+        offers_tunnels=read_bool(fields.get('tunnels', True)),
         changes=add_ranks(changes, fields.get('ranks')),
         waiting=decode_waiting(fields.get('waiting'), data_centre, now),
         served=decode_usage(fields.get('served')),
--- a/trestledock/entry/_messages.py
+++ b/trestledock/entry/_messages.py
@@ -19,8 +19,9 @@
     time until its next full state. An entry that is `leaving` is draining, so
     that its later silence is expected. Older versions don't know evacuations,
     and so don't send them in their updates. Entries with `offers_tunnels`
-    connect others to targets; older versions don't. `waiting` and `served` are
-    all rows of ranked services, the latter in full states only.
+    connect others to targets; older versions, which don't, seem to. `waiting`
+    and `served` are all rows of ranked services, the latter in full states
+    only.
     """
 
     sender: str
@@ -32,7 +33,7 @@
     again_s: float
     changes: tuple[Change, ...]
     sends_evacuations: bool = True
-    offers_tunnels: bool = False
+    offers_tunnels: bool = True
     waiting: tuple[WaitingRow, ...] = ()
     served: tuple[UsageRow, ...] = ()
 
--- a/trestledock/entry/_peers.py
+++ b/trestledock/entry/_peers.py
@@ -35,7 +35,7 @@
     again_s: float = 0
     draining: bool = False
     sends_evacuations: bool = True
-    offers_tunnels: bool = False
+    offers_tunnels: bool = True
 
     def get_store_age_s(self, now: float) -> float:
         """Return the age of its copy if it has not been updated since."""
