A target that was given up early says nothing of the link

Early failovers, 0.2 s after sending, are how busy targets are avoided; they counted as failures of links. Cuts are still seen by connections that fail and by targets that stay silent to the end of their time.

--- a/trestledock/entry/_links.py
+++ b/trestledock/entry/_links.py
@@ -88,10 +88,11 @@
     ) -> None:
         """Record that a connection failed after a request was written.
 
-        A failure of a tunnel says nothing of the link. Behind a lost link, the
-        failure of a direct connection says nothing of the target.
+        A failure of a tunnel says nothing of the link, nor does a target that
+        was given up early: it may only be busy. Behind a lost link, the failure
+        of a direct connection says nothing of the target.
         """
-        if wire.is_tunnel:
+        if wire.is_tunnel or failure.is_early:
             return
         self.record_failure(target, failure, is_new=wire.is_new)
         if self.health.is_lost(target):
--- a/trestledock/entry/_timeouts.py
+++ b/trestledock/entry/_timeouts.py
@@ -151,9 +151,11 @@
             return WireError(
                 step, 'its data centre is silent', FailureKind.silent
             )
-        return WireError(
+        error = WireError(
             step, f'silent for {timeout.wait_s:.2f} s', FailureKind.silent
         )
+        error.is_early = timeout.early
+        return error
 
     def _reserve_retry(self, job: Job) -> bool:
         now = anyio.current_time()
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -50,7 +50,10 @@
 
 
 class WireError(Exception):
-    """A connection that failed at a step."""
+    """A connection that failed at a step.
+
+    `is_early` is true if it was only given up early, for another target.
+    """
 
     def __init__(
         self,
@@ -63,6 +66,7 @@
         self.step = step
         self.detail = detail
         self.failure_kind = failure_kind
+        self.is_early = False
 
 
 @dataclass(frozen=True)
