--- a/trestledock/entry/_connector.py
+++ b/trestledock/entry/_connector.py
@@ -139,9 +139,8 @@
     def _choose_peers(self, target: ListedTarget) -> Iterable[tuple[str, Peer]]:
         """Return the entries to try, best first.
 
-        Entries that failed lately come last, and those before them that are
-        near this entry or near the target: bytes between data centres go there
-        once at most.
+        Entries near this one or near the target come first, as bytes then cross
+        between data centres once at most; those that failed lately come last.
         """
         now = anyio.current_time()
         near = {self.state.settings.data_centre, target.data_centre}
