Soak: partitions are judged only while some entry has its links

Two partitions together cut off all six entries from 8.6 s on, and the requests of that time counted against those that sound entries had served before. The check has tests of its own on ledgers now.

--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -96,6 +96,8 @@
         'given in time was read 3 s after: open',
         ('partitioned', 103): 'busy targets were taken for a lost link, and '
         'sound entries went through one that was cut then; fixed',
+        ('partitioned', 204): 'partitions of parts cut off all entries; the '
+        'check was wrong',
         ('deadly', 103): _REPEATED_CRASHES,
         (
             'deadly',
--- a/tests/soak/timed_checks.py
+++ b/tests/soak/timed_checks.py
@@ -6,6 +6,7 @@
 the machine is, so runs that must give the same result every time skip them.
 """
 
+from dataclasses import replace
 from typing import Iterator
 
 from tests.soak.entries import COLD_OVER, COLD_PER_S, COLD_SLACK, GRACE_S
@@ -301,12 +302,22 @@
         ):
             continue
         if request.entry in partition.entries:
-            cut.append(request)
+            if _has_sound_entry(ledger, request):
+                cut.append(request)
         elif not _is_partitioned(ledger, request):
             others.append(request)
     return cut, others
 
 
+def _has_sound_entry(ledger: Ledger, request: RequestRecord) -> bool:
+    """Whether an entry had all its links while a request was in progress."""
+    entries = {one.entry for one in ledger.requests.values()}
+    return any(
+        not _is_partitioned(ledger, replace(request, entry=entry))
+        for entry in entries
+    )
+
+
 def _is_partitioned(ledger: Ledger, request: RequestRecord) -> bool:
     """Whether any partition affects the entry of a request meanwhile."""
     return any(
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -15,11 +15,13 @@
     Fault,
     Ledger,
     LimitChange,
+    Partition,
     RequestRecord,
     RequestSpec,
     Run,
 )
 from tests.soak.targets import get_seal
+from tests.soak.timed_checks import check_partitions
 from tests.soak.updates import find_problem, read_failures
 from trestledock.entry._events import Failed
 from trestledock.entry._metrics import Metrics
@@ -433,3 +435,36 @@
             self.assertEqual(run_checks(ledger), expected, fault)
             ledger.evacuations = [Evacuation('dc', 10, at - 0.1)]
             self.assertEqual(run_checks(ledger), [])
+
+
+class PartitionsTest(unittest.TestCase):
+    """Entries without links to targets, and the callers of both kinds."""
+
+    def check(self, statuses, *, cut_entries=('cut',), failing=20):
+        """Return the violations where some requests at `cut` fail."""
+        ledger = Ledger()
+        for number in range(40):
+            for entry in ('cut', 'sound'):
+                is_failing = entry == 'cut' and number < failing
+                spec = replace(BOOKING, req_id=f'{entry}-{number}')
+                ledger.requests[spec.req_id] = RequestRecord(
+                    spec,
+                    entry,
+                    sent_at=9.9,
+                    status=statuses if is_failing else 200,
+                    whole=True,
+                    ended_at=11,
+                )
+        ledger.partitions.append(
+            Partition(cut_entries, (), 'reset', began_at=5, ended_at=17)
+        )
+        return list(check_partitions(ledger))
+
+    def test_callers_of_cut_entries_are_served_less(self):
+        self.assertEqual(len(self.check(502)), 1)
+
+    def test_few_failures_are_allowed(self):
+        self.assertEqual(self.check(502, failing=11), [])
+
+    def test_all_entries_cut_off(self):
+        self.assertEqual(self.check(502, cut_entries=('cut', 'sound')), [])
