Log and count what told where an answer ends

Three hypotheses explain a short answer that was counted as whole: the end of the connection was taken for its end, or a break was seen and lost. The logs could not tell them apart, as they don't say how the target framed its answer. 'answered' and 'sending_ended' now do, and their counters have it as a label.

--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -40,10 +40,11 @@
         events.Admitted: Counter('Requests with a route and a team'),
         events.Refused: Counter('Requests given up', ('reason',)),
         events.SendingEnded: Counter(
-            'Sendings without an answer', ('ending', 'step', 'sign')
+            'Sendings without an answer',
+            ('ending', 'step', 'sign', 'framing'),
         ),
         events.Repeated: Counter('Requests that went to another target'),
-        events.Answered: Counter('Answers passed on whole'),
+        events.Answered: Counter('Answers passed on whole', ('framing',)),
         events.FailurePassedOn: Counter("Targets' failures passed on"),
         events.Cut: Counter('Replies that could not be completed', ('reason',)),
         events.CallerLeft: Counter('Callers that left before their answer'),
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -27,6 +27,7 @@
     Call,
     AttemptOutcome,
     FailureKind,
+    Framing,
     Placement,
     RelayAttempt,
     get_worth,
@@ -308,6 +309,7 @@
             detail=attempt.detail,
             took_ms=took_ms,
             sign=attempt.failure_kind.value,
+            framing=_get_name(attempt.framing),
             fingerprint=job.fingerprint,
         )
     )
@@ -325,4 +327,9 @@
         took_ms=took_ms,
         first_ms=round(first_s * MS),
         longest_ms=round(job.longest_pause_s * MS),
+        framing=_get_name(attempt.framing),
     )
+
+
+def _get_name(framing: Framing | None) -> str:
+    return framing.value if framing else ''
--- a/trestledock/entry/_request_events.py
+++ b/trestledock/entry/_request_events.py
@@ -81,7 +81,8 @@
     """An attempt ended without an answer that can be passed on.
 
     `ending` and `step` say how and at which step, `sign` is the kind of failure
-    of the connection, if it failed.
+    of the connection, if it failed. `framing` is as in `Answered`, empty if
+    no head of an answer was read.
     """
 
     req: str
@@ -91,6 +92,7 @@
     detail: str
     took_ms: int
     sign: str
+    framing: str
     fingerprint: str
 
 
@@ -106,7 +108,8 @@
     """The target's answer was passed on completely.
 
     `first_ms` is the time from admission to its first part, `longest_ms` the
-    longest pause after that.
+    longest pause after that. `framing` is what told where the answer ends:
+    its length, its chunks, the close of the connection, or none as it is empty.
     """
 
     req: str
@@ -115,6 +118,7 @@
     took_ms: int
     first_ms: int
     longest_ms: int
+    framing: str
 
 
 class FailurePassedOn(Event):
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -8,6 +8,8 @@
 path.
 """
 
+from dataclasses import replace
+
 import anyio
 
 from trestledock.entry import _events as events
@@ -257,10 +259,11 @@
                 peer,
                 exc.detail,
                 exc.failure_kind,
+                wire.framing,
             )
         finally:
             await self.pool.release(placement.target, wire, idle_s)
-        return attempt
+        return replace(attempt, framing=wire.framing)
 
     async def _report_lost(
         self, job: Job, placement: Placement, failure_kind: FailureKind
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -18,8 +18,10 @@
 
 from trestledock.relay import (
     FailureKind,
+    Framing,
     classify_connect_error,
     classify_disconnect,
+    get_framing,
 )
 
 #: The timeout of connecting, in seconds: some hundred times the network delay,
@@ -88,11 +90,21 @@
             if key.lower() == name
         ]
 
+    def get_framing(self, method: str) -> Framing:
+        """Return what tells the end of the answer to a request."""
+        return get_framing(
+            method,
+            self.status,
+            has_length=bool(self.get_header(b'content-length')),
+            is_chunked=bool(self.get_header(b'transfer-encoding')),
+        )
+
 
 class Wire:
     """An HTTP/1.1 connection, to a single incarnation if to a target.
 
-    `is_new` is true until an answer has arrived. A tunnel goes through the
+    `is_new` is true until an answer has arrived, and `framing` that of the
+    newest answer, None after a request. A tunnel goes through the
     entry `via`, for one request, and has an id in the logs of both entries.
     """
 
@@ -106,6 +118,8 @@
         self.request_written = True
         self.broken = False
         self.is_new = True
+        self.framing: Framing | None = None
+        self._method = ''
         self._received_eof = False
 
     @classmethod
@@ -131,6 +145,8 @@
         raw = (self.http.send(h11.Data(data=body)) or b'') if body else b''
         end = self.http.send(h11.EndOfMessage()) or b''
         self.request_written = False
+        self.framing = None
+        self._method = method
         if spawn and len(head) + len(raw) > SMALL_BODY_BYTES:
             spawn(self._write_quietly, head, raw, end)
         else:
@@ -141,7 +157,9 @@
         while True:
             event = await self._next_event('answer')
             if isinstance(event, h11.Response):
-                return Head(event.status_code, tuple(event.headers))
+                head = Head(event.status_code, tuple(event.headers))
+                self.framing = head.get_framing(self._method)
+                return head
             if isinstance(event, h11.ConnectionClosed):
                 raise WireError(
                     'answer', 'connection closed', FailureKind.closed
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -17,6 +17,7 @@
     get_retry_after_s,
     get_wait_left_s,
 )
+from trestledock.relay._answer_ends import Framing, get_framing
 from trestledock.relay._attempts import (
     AttemptHistory,
     AttemptOutcome,
@@ -142,6 +143,8 @@
 
 __all__ = (
     'ALL_TARGETS',
+    'Framing',
+    'get_framing',
     'LinkHealth',
     'Scope',
     'ScopeKind',
--- a/trestledock/relay/_attempts.py
+++ b/trestledock/relay/_attempts.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from trestledock.relay._answer_ends import Framing
 from trestledock.relay._catalog import Route
 from trestledock.relay._failure_kinds import FailureKind
 
@@ -32,7 +33,8 @@
 class RelayAttempt:
     """A finished attempt, with the step and the peer at which it ended.
 
-    It is logged as `sending_ended`.
+    It is logged as `sending_ended`. `framing` is that of the target's answer,
+    None if no head of one was read.
     """
 
     outcome: AttemptOutcome
@@ -40,6 +42,7 @@
     peer: str
     detail: str = ''
     failure_kind: FailureKind = FailureKind.none
+    framing: Framing | None = None
 
     @property
     def may_have_run(self) -> bool:
