Answers that only a close has ended are no longer framed as complete

Callers got status 200, the target's seal and a short body with a last chunk when a target closed its connection in the middle of an answer that had neither a length nor chunks. The entry took the close for the end of the answer, and the server library adds chunks to every reply without a length.

Now one module decides by framing and by what a stream ends with. A stream that ends inside an event or before its first one was broken off, and is treated like a reset: resumed where allowed, else the caller's connection breaks. Any other close proves nothing, so the caller gets the same framing: neither length nor chunks. Such a reply ends with a reset unless it was finished, also if the entry is killed, and so do replies to callers that speak HTTP/1.0: a cut reply ended with a FIN there, which looks complete. A reply that began with framing is not ended by a close alone.

--- a/tests/answering.py
+++ b/tests/answering.py
@@ -44,6 +44,11 @@
         """Whether nothing tells the caller that something is missing."""
         return self.parse()[2]
 
+    @property
+    def body(self):
+        """The body, as far as it came."""
+        return self.parse()[1]
+
     @property
     def is_framed(self):
         """Whether a length or chunks tell where the answer ends."""
@@ -132,4 +137,5 @@
         with anyio.move_on_after(1):
             await server.ended.wait()
 
-    run_world(route, targets, serve)
+    with mock.patch.object(_server, 'LINGER_S', 0):
+        run_world(route, targets, serve)
--- a/tests/test_entry_answer_ends.py
+++ b/tests/test_entry_answer_ends.py
@@ -3,7 +3,17 @@
 import unittest
 
 from tests.answering import run_server
-from tests.relaying import AbortedAnswer, StubTarget, make_route
+from tests.relaying import (
+    RESUMABLE,
+    WHOLE,
+    AbortedAnswer,
+    Reset,
+    StubTarget,
+    get_event_ids,
+    make_answer,
+    make_route,
+    make_stream,
+)
 from trestledock.relay import RouteKind
 
 ONCE = make_route(RouteKind.non_idempotent, max_attempts=1)
@@ -15,6 +25,8 @@
 EVENTS = b'id: 1\ndata: x\n\nid: 2\ndata: y\n\n'
 #: Where the first of the two events ends.
 BETWEEN = len(EVENTS) // 2
+#: All places inside the second event.
+INSIDE_SECOND = tuple(range(BETWEEN + 1, len(EVENTS)))
 
 
 def make_closed(body):
@@ -60,3 +72,81 @@
     def test_plain_answer_closed(self):
         for answer in self.ask_each(ONCE, [b'', b'o', b'ok']):
             self.assertFalse(answer.is_framed)
+
+
+class WayOnTest(unittest.TestCase):
+    """What follows from the end of an answer for its caller."""
+
+    def ask(self, route, targets, **fields):
+        """Return what the caller got."""
+        answers = []
+
+        async def scenario(caller, _):
+            answers.append(await caller.ask(**fields))
+
+        run_server(route, targets, scenario)
+        return answers[0]
+
+    # Guards against a resumable stream that is cut, though another target could
+    # go on with it.
+    def test_stream_broken_off_goes_on_elsewhere(self):
+        for end in INSIDE_SECOND:
+            with self.subTest(end=end):
+                first = StubTarget(make_closed(EVENTS[:end]))
+                second = StubTarget(make_stream(2, 4))
+                answer = self.ask(RESUMABLE, [first, second])
+                self.assertEqual(get_event_ids(answer), [1, 2, 3, 4])
+                self.assertTrue(answer.looks_complete)
+                self.assertIn('last-event-id: 1', second.requests[0])
+
+    # Guards against a resumed run that is closed between two events and ends
+    # the framed answer of the first run as complete.
+    def test_unproven_end_of_a_framed_reply(self):
+        first = StubTarget(AbortedAnswer(make_stream(1, 1, end=b''), 0))
+        second = StubTarget(make_closed(EVENTS[BETWEEN:]))
+        answer = self.ask(RESUMABLE, [first, second])
+        self.assertEqual(get_event_ids(answer), [1, 2])
+        self.assertFalse(answer.looks_complete)
+
+    # Guards against a plain answer that is broken off and not repeated, though
+    # it may be.
+    def test_reset_answer_is_repeated(self):
+        answer = self.ask(
+            make_route(), [StubTarget(Reset), StubTarget(make_answer())]
+        )
+        self.assertEqual(answer.body, b'ok')
+        self.assertTrue(answer.is_framed)
+
+    # Guards against sound targets that end all answers by closing: they must
+    # look healthy, and their callers get all bytes.
+    def test_sound_target_looks_healthy(self):
+        count = 8
+        target = StubTarget(*[make_closed(EVENTS) for _ in range(count)])
+        answers = []
+
+        async def scenario(caller, world):
+            for _ in range(count):
+                answers.append(await caller.ask())
+            health = world.state.health
+            self.assertEqual(health.get('t0').failures, 0)
+
+        run_server(STREAM, [target], scenario)
+        for answer in answers:
+            self.assertEqual(answer.parse()[1:], (EVENTS, True))
+        self.assertEqual(len(target.requests), count)
+
+    # Guards against a cut reply that looks complete to a caller that speaks
+    # HTTP/1.0, which gets no chunks.
+    def test_cut_reply_of_an_old_caller(self):
+        for raw in (make_stream(1, 1, end=b''), HEAD + EVENTS[: BETWEEN + 3]):
+            target = StubTarget(AbortedAnswer(raw, 0.1))
+            answer = self.ask(STREAM, [target], version='1.0')
+            self.assertTrue(answer.was_reset)
+
+    def test_whole_reply_of_an_old_caller(self):
+        """A whole reply ends without a reset."""
+        for raw in (WHOLE, HEAD + EVENTS):
+            target = StubTarget(AbortedAnswer(raw, 0.1))
+            answer = self.ask(STREAM, [target], version='1.0')
+            self.assertTrue(answer.looks_complete)
+            self.assertFalse(answer.is_framed)
--- a/tests/test_entry_metrics.py
+++ b/tests/test_entry_metrics.py
@@ -19,13 +19,16 @@
         metrics = Metrics()
         metrics.record_event(events.Refused('r', 'no_target', 503, 1, 1, 0))
         metrics.record_event(
-            events.Answered('r', 't', '200', 250, 200, 40, 'close')
+            events.Answered('r', 't', '200', 250, 200, 40, 'close', 'unproven')
         )
         metrics.record_event(events.PeerMet('p'))
         text = metrics.render(dict.fromkeys(GAUGES, 1)).decode()
         self.assertIn('trestledock_refused_total{reason="no_target"} 1.0', text)
         self.assertIn('trestledock_answered_took_seconds_sum 0.25', text)
-        self.assertIn('trestledock_answered_total{framing="close"} 1.0', text)
+        self.assertIn(
+            'trestledock_answered_total{end="unproven",framing="close"} 1.0',
+            text,
+        )
         self.assertNotIn('peer_met', text)
 
     def test_words_count_by_kind(self):
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -23,7 +23,14 @@
 from trestledock.entry._state import EntryState
 from trestledock.entry._streaming import StreamForwarder
 from trestledock.entry._wire import Head, Wire, WireError
-from trestledock.relay import AttemptOutcome, Placement, RouteKind, RelayAttempt
+from trestledock.relay import (
+    AttemptOutcome,
+    Placement,
+    RelayAttempt,
+    RouteKind,
+    Tail,
+    judge_end,
+)
 
 #: Statuses that promise that the request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -205,10 +212,18 @@
             )
         self.record_success(peer)
         job.record_event(anyio.current_time())
-        await reply.start(head.status, self.dialect.make_reply_headers(head))
+        await reply.start(
+            head.status,
+            self.dialect.make_reply_headers(head),
+            is_framed=head.is_framed,
+        )
         await reply.finish(body)
         return RelayAttempt(
-            AttemptOutcome.answered, 'answer', peer, f'{head.status}'
+            AttemptOutcome.answered,
+            'answer',
+            peer,
+            f'{head.status}',
+            end=judge_end(head.framing, Tail.none),
         )
 
     def _store_failure(
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -44,7 +44,7 @@
             ('ending', 'step', 'sign', 'framing'),
         ),
         events.Repeated: Counter('Requests that went to another target'),
-        events.Answered: Counter('Answers passed on whole', ('framing',)),
+        events.Answered: Counter('Answers passed on', ('framing', 'end')),
         events.FailurePassedOn: Counter("Targets' failures passed on"),
         events.Cut: Counter('Replies that could not be completed', ('reason',)),
         events.CallerLeft: Counter('Callers that left before their answer'),
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -194,7 +194,7 @@
             job.refusal = refusal
             emit(events.FailurePassedOn(job.call.req_id, head.status))
             headers = self.dialect.make_reply_headers(head)
-            await reply.start(head.status, headers)
+            await reply.start(head.status, headers, is_framed=head.is_framed)
             await reply.finish(job.fallback.body)
             return
         await self._refuse(job.call, reply, refusal, job)
@@ -328,6 +328,7 @@
         first_ms=round(first_s * MS),
         longest_ms=round(job.longest_pause_s * MS),
         framing=_get_name(attempt.framing),
+        end=attempt.end.value,
     )
 
 
--- a/trestledock/entry/_reply.py
+++ b/trestledock/entry/_reply.py
@@ -3,13 +3,18 @@
 ==================
 
 A reply is not started, started or finished.  A started reply that can't be
-finished is cut by closing the connection, so that it can't look complete.
+finished is cut by closing the connection, so that it can't look complete. A
+reply without a length or chunks says no more than an answer that its target
+ended by closing: the web server ends it likewise, and resets it if it is cut.
 """
 
 from typing import Any, Awaitable, Callable
 
 from trestledock.entry._wire import Headers
 
+#: Asks the web server of an entry to end a reply by closing the connection.
+END_BY_CLOSE = (b'trestledock-framing', b'close')
+
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 
@@ -31,15 +36,24 @@
         self.status = 0
         self.finished = False
         self.caller_left = False
+        self.is_framed = True
 
     @property
     def started(self) -> bool:
         """Return whether the caller has been sent a status."""
         return bool(self.status)
 
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send the status and the headers."""
+    async def start(
+        self, status: int, headers: Headers, *, is_framed: bool = True
+    ) -> None:
+        """Send the status and the headers.
+
+        A reply that is not framed ends with its connection.
+        """
         self.status = status
+        self.is_framed = is_framed
+        if not is_framed:
+            headers = (*headers, END_BY_CLOSE)
         if self._is_draining():
             headers = (*headers, (b'connection', b'close'))
         await self._send(
--- a/trestledock/entry/_request_events.py
+++ b/trestledock/entry/_request_events.py
@@ -110,6 +110,7 @@
     `first_ms` is the time from admission to its first part, `longest_ms` the
     longest pause after that. `framing` is what told where the answer ends:
     its length, its chunks, the close of the connection, or none as it is empty.
+    `end` is unproven if it may have been broken off, else whole.
     """
 
     req: str
@@ -119,6 +120,7 @@
     first_ms: int
     longest_ms: int
     framing: str
+    end: str
 
 
 class FailurePassedOn(Event):
--- a/trestledock/entry/_server.py
+++ b/trestledock/entry/_server.py
@@ -17,6 +17,7 @@
 
 from trestledock.entry import _events as events
 from trestledock.entry._app import EntryApp
+from trestledock.entry._close_framing import ReplyOpen, set_reset
 from trestledock.entry._logger import emit
 from trestledock.entry._state import EntryState
 from trestledock.entry._unread import UnreadAnswers
@@ -61,13 +62,15 @@
     whose first request has not been read.  Here a request that arrives in time
     ends the wait and is answered; then the connection is closed.
 
-    What its caller doesn't read is bounded.
+    What its caller doesn't read is bounded.  A reply that ends by closing and
+    is not finished ends with a reset.
     """
 
     config: EntryConfig
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
+        self.has_open_reply = False
         unread = self.config.unread
         self.caller = unread.add(self.writer.transport)
         try:
@@ -79,8 +82,22 @@
         """Count what is written, and write it."""
         if isinstance(event, RawData):
             self.config.unread.record_write(self.caller, len(event.data))
+        if isinstance(event, ReplyOpen):
+            self._set_open_reply(is_open=event.is_open)
+            return
         await super().protocol_send(event)
 
+    def _set_open_reply(self, *, is_open: bool) -> None:
+        if is_open == self.has_open_reply or self.writer.is_closing():
+            return
+        self.has_open_reply = is_open
+        set_reset(self.writer.transport, resets=is_open)
+
+    async def _close(self) -> None:
+        if self.has_open_reply:
+            self.writer.transport.abort()
+        await super()._close()
+
     async def _idle_timeout(self) -> None:
         with anyio.move_on_after(self.config.keep_alive_timeout):
             await self.context.terminated.wait()
--- a/trestledock/entry/_streaming.py
+++ b/trestledock/entry/_streaming.py
@@ -18,12 +18,15 @@
 from trestledock.entry._metrics import METRICS
 from trestledock.entry._reply import CutReply, Reply
 from trestledock.entry._state import EntryState
-from trestledock.entry._wire import Head
+from trestledock.entry._wire import Head, make_broken_error
 from trestledock.relay import (
+    AnswerEnd,
     AttemptOutcome,
     Placement,
     RelayAttempt,
     EventSplitter,
+    Tail,
+    judge_end,
 )
 
 MS = 1000
@@ -143,16 +146,42 @@
     async def _start(self, head: Head) -> None:
         if not self.reply.started:
             headers = self.dialect.make_reply_headers(head)
-            await self.reply.start(head.status, headers)
+            await self.reply.start(
+                head.status, headers, is_framed=head.is_framed
+            )
 
     async def _finish(self, head: Head) -> RelayAttempt:
+        tail = self._get_tail()
+        end = judge_end(head.framing, tail)
+        if end is AnswerEnd.broken:
+            raise make_broken_error('events', head.framing, tail)
+        is_claimed = self.reply.started and self.reply.is_framed
+        if end is AnswerEnd.unproven and is_claimed:
+            # Ending the caller's framed answer would say that it is whole.
+            return RelayAttempt(
+                AttemptOutcome.lost, 'events', self.peer, end.value
+            )
         self.state.record_success(self.peer, anyio.current_time())
         await self._start(head)
         await self.reply.finish(self.splitter.remainder)
         return RelayAttempt(
-            AttemptOutcome.answered, 'events', self.peer, f'{self.event_count}'
+            AttemptOutcome.answered,
+            'events',
+            self.peer,
+            f'{self.event_count}',
+            end=end,
         )
 
+    def _get_tail(self) -> Tail:
+        """Return what the stream ends with.
+
+        Nothing may be left of a stream that is resumed after its last event.
+        """
+        tail = self.splitter.get_tail()
+        if tail is Tail.none and not self.event_count:
+            return Tail.none if self.job.resume_after else Tail.unbegun
+        return tail
+
 
 def _is_next(event_id: str, last: str) -> bool:
     """Return whether an event comes after those that the caller has."""
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -19,6 +19,7 @@
 from trestledock.relay import (
     FailureKind,
     Framing,
+    Tail,
     classify_connect_error,
     classify_disconnect,
     get_framing,
@@ -73,10 +74,16 @@
 
 @dataclass(frozen=True)
 class Head:
-    """The status and headers of an answer."""
+    """The status and headers of an answer, and what tells where it ends."""
 
     status: int
     headers: Headers
+    framing: Framing = Framing.length
+
+    @property
+    def is_framed(self) -> bool:
+        """Whether anything but a close tells where the answer ends."""
+        return self.framing is not Framing.close
 
     def get_header(self, name: bytes) -> str:
         """Return the first header of a lower-case name, or an empty string."""
@@ -90,15 +97,6 @@
             if key.lower() == name
         ]
 
-    def get_framing(self, method: str) -> Framing:
-        """Return what tells the end of the answer to a request."""
-        return get_framing(
-            method,
-            self.status,
-            has_length=bool(self.get_header(b'content-length')),
-            is_chunked=bool(self.get_header(b'transfer-encoding')),
-        )
-
 
 class Wire:
     """An HTTP/1.1 connection, to a single incarnation if to a target.
@@ -157,9 +155,7 @@
         while True:
             event = await self._next_event('answer')
             if isinstance(event, h11.Response):
-                head = Head(event.status_code, tuple(event.headers))
-                self.framing = head.get_framing(self._method)
-                return head
+                return self._make_head(event)
             if isinstance(event, h11.ConnectionClosed):
                 raise WireError(
                     'answer', 'connection closed', FailureKind.closed
@@ -204,6 +200,17 @@
         with anyio.CancelScope(shield=True):
             await self.stream.aclose()
 
+    def _make_head(self, event: h11.Response) -> Head:
+        headers = tuple(event.headers)
+        names = {name.lower() for name, _ in headers}
+        self.framing = get_framing(
+            self._method,
+            event.status_code,
+            has_length=b'content-length' in names,
+            is_chunked=b'transfer-encoding' in names,
+        )
+        return Head(event.status_code, headers, self.framing)
+
     async def _write(self, head: bytes, raw: bytes, end: bytes) -> None:
         try:
             for piece in _split(head, raw, end):
@@ -249,6 +256,14 @@
             raise WireError(step, repr(exc), classify_disconnect(exc)) from exc
 
 
+def make_broken_error(step: str, framing: Framing, tail: Tail) -> WireError:
+    """Return the error of an answer that ended, but was broken off."""
+    kind = (
+        FailureKind.closed if framing is Framing.close else FailureKind.garbled
+    )
+    return WireError(step, f'ended {tail.value}', kind)
+
+
 async def connect_stream(
     address: str, own_host: str | None = None
 ) -> SocketStream:
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -17,7 +17,13 @@
     get_retry_after_s,
     get_wait_left_s,
 )
-from trestledock.relay._answer_ends import Framing, get_framing
+from trestledock.relay._answer_ends import (
+    AnswerEnd,
+    Framing,
+    Tail,
+    get_framing,
+    judge_end,
+)
 from trestledock.relay._attempts import (
     AttemptHistory,
     AttemptOutcome,
@@ -143,8 +149,11 @@
 
 __all__ = (
     'ALL_TARGETS',
+    'AnswerEnd',
     'Framing',
+    'Tail',
     'get_framing',
+    'judge_end',
     'LinkHealth',
     'Scope',
     'ScopeKind',
--- a/trestledock/relay/_answer_ends.py
+++ b/trestledock/relay/_answer_ends.py
@@ -2,11 +2,17 @@
 Ends of answers
 ===============
 
-What the head of an answer says about where its body ends.
+Decides whether an answer is whole once no more bytes of it come. Its framing
+decides where it tells; an event left unfinished shows that a stream was broken
+off under any framing. Without framing the close of a connection proves nothing
+by itself: a whole answer ends in the same way as one that is cut between two
+events.
 """
 
 from enum import Enum
 from http import HTTPStatus
+from types import MappingProxyType
+from typing import Mapping
 
 #: Statuses of answers without a body.
 EMPTY_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
@@ -25,6 +31,62 @@
     close = 'close'
 
 
+class Tail(Enum):
+    """What a stream ends with.
+
+    `none` is the end of an event, also with blank or comment lines behind it,
+    and the end of a plain answer. `unbegun` means that no event came at all.
+    """
+
+    none = 'none'
+    unbegun = 'unbegun'
+    comment = 'inside a comment'
+    event = 'inside an event'
+
+
+class AnswerEnd(str, Enum):
+    """Whether an answer is whole; `unproven` if nothing tells."""
+
+    whole = 'whole'
+    unproven = 'unproven'
+    broken = 'broken'
+
+
+#: The end of an answer whose framing tells that all its bytes have come.
+FRAMED_ENDS: Mapping[Tail, AnswerEnd] = MappingProxyType(
+    {
+        Tail.none: AnswerEnd.whole,
+        Tail.unbegun: AnswerEnd.whole,
+        Tail.comment: AnswerEnd.whole,
+        Tail.event: AnswerEnd.broken,
+    }
+)
+#: The end of an answer whose connection was closed without any framing.
+CLOSED_ENDS: Mapping[Tail, AnswerEnd] = MappingProxyType(
+    {
+        Tail.none: AnswerEnd.unproven,
+        Tail.unbegun: AnswerEnd.broken,
+        Tail.comment: AnswerEnd.broken,
+        Tail.event: AnswerEnd.broken,
+    }
+)
+
+
+def judge_end(framing: Framing, tail: Tail) -> AnswerEnd:
+    """Return whether an answer is whole whose bytes have properly ended.
+
+    A connection that was reset, or closed before its framing allows, is no
+    such end.
+
+    >>> judge_end(Framing.chunks, Tail.event).value
+    'broken'
+    >>> judge_end(Framing.close, Tail.none).value
+    'unproven'
+    """
+    ends = CLOSED_ENDS if framing is Framing.close else FRAMED_ENDS
+    return ends[tail]
+
+
 def get_framing(
     method: str, status: int, *, has_length: bool, is_chunked: bool
 ) -> Framing:
--- a/trestledock/relay/_attempts.py
+++ b/trestledock/relay/_attempts.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from trestledock.relay._answer_ends import Framing
+from trestledock.relay._answer_ends import AnswerEnd, Framing
 from trestledock.relay._catalog import Route
 from trestledock.relay._failure_kinds import FailureKind
 
@@ -34,7 +34,8 @@
     """A finished attempt, with the step and the peer at which it ended.
 
     It is logged as `sending_ended`. `framing` is that of the target's answer,
-    None if no head of one was read.
+    None if no head of one was read, and `end` tells whether an answer that was
+    passed on is known to be whole.
     """
 
     outcome: AttemptOutcome
@@ -43,6 +44,7 @@
     detail: str = ''
     failure_kind: FailureKind = FailureKind.none
     framing: Framing | None = None
+    end: AnswerEnd = AnswerEnd.whole
 
     @property
     def may_have_run(self) -> bool:
--- a/trestledock/relay/_event_stream.py
+++ b/trestledock/relay/_event_stream.py
@@ -6,11 +6,16 @@
 can resume the stream after the last whole event.
 """
 
+import re
 from dataclasses import dataclass
 
+from trestledock.relay._answer_ends import Tail
+
 EVENT_END = b'\n\n'
 EVENT_END_CRLF = b'\r\n\r\n'
 ID_FIELD = b'id:'
+COMMENT_START = b':'
+LINE = re.compile(rb'([^\r\n]*)(\r\n|\n|\r|$)')
 
 
 @dataclass(frozen=True)
@@ -38,6 +43,22 @@
         *events, self.remainder = buffered.split(end)
         return [_make_event(b''.join((event, end))) for event in events]
 
+    def get_tail(self) -> Tail:
+        """Return what the stream ends with if no more bytes come.
+
+        >>> splitter = EventSplitter()
+        >>> _ = splitter.push(b'id: 1' + EVENT_END + b': idle')
+        >>> splitter.get_tail().value
+        'inside a comment'
+        """
+        tail = Tail.none
+        for line, line_end in LINE.findall(self.remainder):
+            if line and not line.startswith(COMMENT_START):
+                return Tail.event
+            if line and not line_end:
+                tail = Tail.comment
+        return tail
+
 
 def _make_event(raw: bytes) -> StreamEvent:
     for line in raw.splitlines():
