Streams whose lines end differently are split into all their events

A splitter that had seen one CR looked for CRLF only: events ended by LF stayed in its buffer, or two events counted as one, and a resumed stream began after the first of them. Such a stream would now also count as broken off at its end. An empty line ends an event, whichever way its lines end.

--- a/tests/test_relay_basics.py
+++ b/tests/test_relay_basics.py
@@ -64,6 +64,27 @@
         events = EventSplitter().push(b'id: 1\r\ndata: a\r\n\r\n')
         self.assertEqual(events[0].event_id, '1')
 
+    # Guards against events that are sent twice, or held back until the end,
+    # since lines of one stream end differently.
+    @given(
+        st.lists(st.sampled_from((b'\n', b'\r\n', b'\r')), min_size=3),
+        st.integers(1, 5),
+    )
+    def test_mixed_line_ends(self, line_ends, step):
+        pairs = list(zip(line_ends, line_ends[1:]))
+        raw = b''.join(
+            b'id: %d%sdata: a%s%s' % (number, first, last, last)
+            for number, (first, last) in enumerate(pairs)
+        )
+        splitter = EventSplitter()
+        events = []
+        for start in range(0, len(raw), step):
+            events.extend(splitter.push(raw[start : start + step]))
+        ids = [event.event_id for event in events if event.event_id]
+        self.assertEqual(ids, [str(one) for one in range(len(pairs))])
+        parts = [event.raw for event in events]
+        self.assertEqual(b''.join((*parts, splitter.remainder)), raw)
+
 
 class HistoryTest(unittest.TestCase):
     """Which outcomes allow another attempt."""
--- a/trestledock/relay/_event_stream.py
+++ b/trestledock/relay/_event_stream.py
@@ -12,7 +12,8 @@
 from trestledock.relay._answer_ends import Tail
 
 EVENT_END = b'\n\n'
-EVENT_END_CRLF = b'\r\n\r\n'
+#: An empty line ends an event; a line ends with LF, CRLF or CR.
+EMPTY_LINE = re.compile(rb'(?:\r\n|\n|\r(?!\n)){2}')
 ID_FIELD = b'id:'
 COMMENT_START = b':'
 LINE = re.compile(rb'([^\r\n]*)(\r\n|\n|\r|$)')
@@ -39,9 +40,12 @@
     def push(self, raw: bytes) -> list[StreamEvent]:
         """Add bytes; return the events that they complete."""
         buffered = b''.join((self.remainder, raw))
-        end = EVENT_END_CRLF if b'\r' in buffered else EVENT_END
-        *events, self.remainder = buffered.split(end)
-        return [_make_event(b''.join((event, end))) for event in events]
+        ends = [match.end() for match in EMPTY_LINE.finditer(buffered)]
+        starts = [0, *ends]
+        self.remainder = buffered[starts[-1] :]
+        return [
+            _make_event(buffered[start:end]) for start, end in zip(starts, ends)
+        ]
 
     def get_tail(self) -> Tail:
         """Return what the stream ends with if no more bytes come.
