An answer that a close has ended was broken off if its target has ended, too

A process that crashes closes its connections with a FIN where nothing is left unread. A stream that it had written up to the end of an event, or a plain answer, reached its caller with nothing to tell from a good end, and counted as one everywhere: the stream did not go on elsewhere, and a request that crashes each target that runs it excused itself as answered.

After such a close the entry connects to the target again, as it does after a reset, and keeps the connection for the next request, so no connection is added. A closed port means broken off; a target that drains, a silent host or a lost link tell nothing, and the caller gets the answer in its target's framing.

--- a/tests/answering.py
+++ b/tests/answering.py
@@ -122,6 +122,8 @@
 
     async def serve(world):
         world.state.settings = settings
+        pool = world.relayer.sender.pool
+        world.state.isolation.hooks.reconnect = pool.check_connection
         app = EntryApp(
             world.state,
             world.relayer,
--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -99,6 +99,10 @@
     pause_s: float = 0.3
 
 
+class FinalAnswer(AbortedAnswer):
+    """An answer whose target ends with it: its port is closed."""
+
+
 class StubTarget:
     """Sends one prepared answer for each request and records the requests."""
 
@@ -108,9 +112,14 @@
         self.closed = anyio.Event()
         self.connections = 0
         self.port = 0
+        self.listener = None
 
     async def serve(self, listener):
-        await listener.serve(self._handle)
+        self.listener = listener
+        try:
+            await listener.serve(self._handle)
+        except* anyio.ClosedResourceError:
+            self.closed.set()
 
     async def _handle(self, stream):
         self.connections += 1
@@ -132,6 +141,8 @@
             elif isinstance(answer, AbortedAnswer):
                 await stream.send(answer.first)
                 await anyio.sleep(answer.pause_s)
+                if isinstance(answer, FinalAnswer):
+                    await self.listener.aclose()
                 return
             elif isinstance(answer, DelayedAnswer):
                 await stream.send(answer.first)
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from trestledock.entry._answer_ends import AnswerEnds
 from trestledock.entry._answer_source import find_attributed_target
 from trestledock.entry._cold_targets import record_cold_time
 from trestledock.entry._byte_budget import HeldBytes
@@ -24,12 +25,11 @@
 from trestledock.entry._streaming import StreamForwarder
 from trestledock.entry._wire import Head, Wire, WireError
 from trestledock.relay import (
+    AnswerEnd,
     AttemptOutcome,
     Placement,
     RelayAttempt,
     RouteKind,
-    Tail,
-    judge_end,
 )
 
 #: Statuses that promise that the request has not run.
@@ -48,6 +48,7 @@
         self.state = state
         self.dialect = dialect
         self.timeouts = ResponseTimeouts(state)
+        self.ends = AnswerEnds(state)
 
     async def receive(
         self,
@@ -75,7 +76,7 @@
         idle_s = get_idle_s(answer.keep_alive, answer.connection)
         if _is_stream(job, head, answer):
             forwarder = StreamForwarder(
-                self.state, self.dialect, job, placement, reply
+                self.state, self.dialect, job, placement, reply, self.ends
             )
             attempt = await forwarder.run(head, wire.iter_body, timeout)
         else:
@@ -210,6 +211,7 @@
             return RelayAttempt(
                 AttemptOutcome.lost, 'answer', peer, f'{head.status}'
             )
+        end = await self._confirm_whole(job, placement, head)
         self.record_success(peer)
         job.record_event(anyio.current_time())
         await reply.start(
@@ -223,9 +225,20 @@
             'answer',
             peer,
             f'{head.status}',
-            end=judge_end(head.framing, Tail.none),
+            end=end,
         )
 
+    async def _confirm_whole(
+        self, job: Job, placement: Placement, head: Head
+    ) -> AnswerEnd:
+        """Confirm the end of a plain answer; it is held no longer if broken."""
+        try:
+            return await self.ends.confirm(job, placement.target, head.framing)
+        except WireError:
+            if job.answer_held:
+                job.answer_held.release()
+            raise
+
     def _store_failure(
         self, job: Job, peer: str, answer: StoredAnswer
     ) -> RelayAttempt:
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -94,6 +94,7 @@
     SentToCold,
     ColdWaited,
     SentUnderLimit,
+    SurvivalChecked,
     OrderLost,
 )
 
@@ -133,6 +134,7 @@
     SentToCold,
     ColdWaited,
     SentUnderLimit,
+    SurvivalChecked,
     TargetEnded,
     RequestQuarantined,
     RequestCleared,
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -81,6 +81,9 @@
         events.ColdEnded: Counter('Ends of cold times of targets'),
         events.SentToCold: Counter('Requests sent to cold targets'),
         events.ColdWaited: Counter('Requests that waited for cold targets'),
+        events.SurvivalChecked: Counter(
+            'Checks of targets that ended answers by closing', ('survival',)
+        ),
         events.TargetEnded: Counter(
             'Ends of targets while they ran a request', ('sign',)
         ),
--- a/trestledock/entry/_streaming.py
+++ b/trestledock/entry/_streaming.py
@@ -11,6 +11,7 @@
 import anyio
 
 from trestledock.entry import _events as events
+from trestledock.entry._answer_ends import AnswerEnds
 from trestledock.entry._dialect import Dialect
 from trestledock.entry._job import Job
 from trestledock.entry._timeouts import ResponseTimeout, ResponseTimeouts
@@ -18,7 +19,7 @@
 from trestledock.entry._metrics import METRICS
 from trestledock.entry._reply import CutReply, Reply
 from trestledock.entry._state import EntryState
-from trestledock.entry._wire import Head, make_broken_error
+from trestledock.entry._wire import Head
 from trestledock.relay import (
     AnswerEnd,
     AttemptOutcome,
@@ -26,7 +27,6 @@
     RelayAttempt,
     EventSplitter,
     Tail,
-    judge_end,
 )
 
 MS = 1000
@@ -49,6 +49,7 @@
         job: Job,
         placement: Placement,
         reply: Reply,
+        ends: AnswerEnds,
     ) -> None:
         """Store the request and the reply that its events go to."""
         self.state = state
@@ -58,6 +59,7 @@
         self.placement = placement
         self.peer = placement.target.incarnation
         self.reply = reply
+        self.ends = ends
         self.splitter = EventSplitter()
         self.event_count = 0
         self.last_events_at: float = 0
@@ -151,10 +153,9 @@
             )
 
     async def _finish(self, head: Head) -> RelayAttempt:
-        tail = self._get_tail()
-        end = judge_end(head.framing, tail)
-        if end is AnswerEnd.broken:
-            raise make_broken_error('events', head.framing, tail)
+        end = await self.ends.confirm(
+            self.job, self.placement.target, head.framing, self._get_tail()
+        )
         is_claimed = self.reply.started and self.reply.is_framed
         if end is AnswerEnd.unproven and is_claimed:
             # Ending the caller's framed answer would say that it is whole.
--- a/trestledock/entry/_target_events.py
+++ b/trestledock/entry/_target_events.py
@@ -196,6 +196,17 @@
     age_ms: int
 
 
+class SurvivalChecked(Event):
+    """A target that ended an answer by closing was connected to again.
+
+    `survival` is survived, ended (nothing listens there) or unknown.
+    """
+
+    peer: str
+    survival: str
+    took_ms: int
+
+
 class OrderLost(Event):
     """An order to an engine got no answer."""
 
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -19,7 +19,6 @@
 from trestledock.relay import (
     FailureKind,
     Framing,
-    Tail,
     classify_connect_error,
     classify_disconnect,
     get_framing,
@@ -256,14 +255,6 @@
             raise WireError(step, repr(exc), classify_disconnect(exc)) from exc
 
 
-def make_broken_error(step: str, framing: Framing, tail: Tail) -> WireError:
-    """Return the error of an answer that ended, but was broken off."""
-    kind = (
-        FailureKind.closed if framing is Framing.close else FailureKind.garbled
-    )
-    return WireError(step, f'ended {tail.value}', kind)
-
-
 async def connect_stream(
     address: str, own_host: str | None = None
 ) -> SocketStream:
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -20,9 +20,11 @@
 from trestledock.relay._answer_ends import (
     AnswerEnd,
     Framing,
+    Survival,
     Tail,
     get_framing,
     judge_end,
+    judge_survival,
 )
 from trestledock.relay._attempts import (
     AttemptHistory,
@@ -151,9 +153,11 @@
     'ALL_TARGETS',
     'AnswerEnd',
     'Framing',
+    'Survival',
     'Tail',
     'get_framing',
     'judge_end',
+    'judge_survival',
     'LinkHealth',
     'Scope',
     'ScopeKind',
--- a/trestledock/relay/_answer_ends.py
+++ b/trestledock/relay/_answer_ends.py
@@ -6,7 +6,7 @@
 decides where it tells; an event left unfinished shows that a stream was broken
 off under any framing. Without framing the close of a connection proves nothing
 by itself: a whole answer ends in the same way as one that is cut between two
-events.
+events. If its target has ended since, the answer was broken off.
 """
 
 from enum import Enum
@@ -39,7 +39,7 @@
     """
 
     none = 'none'
-    unbegun = 'unbegun'
+    unbegun = 'before the first event'
     comment = 'inside a comment'
     event = 'inside an event'
 
@@ -52,6 +52,14 @@
     broken = 'broken'
 
 
+class Survival(str, Enum):
+    """Whether a target still ran after it had closed a connection."""
+
+    survived = 'survived'
+    ended = 'ended'
+    unknown = 'unknown'
+
+
 #: The end of an answer whose framing tells that all its bytes have come.
 FRAMED_ENDS: Mapping[Tail, AnswerEnd] = MappingProxyType(
     {
@@ -87,6 +95,21 @@
     return ends[tail]
 
 
+def judge_survival(end: AnswerEnd, survival: Survival) -> AnswerEnd:
+    """Return whether an answer is whole, given whether its target lives on.
+
+    A target that lives on may have cut off a single answer.
+
+    >>> judge_survival(AnswerEnd.unproven, Survival.survived).value
+    'unproven'
+    >>> judge_survival(AnswerEnd.unproven, Survival.ended).value
+    'broken'
+    """
+    if end is AnswerEnd.unproven and survival is Survival.ended:
+        return AnswerEnd.broken
+    return end
+
+
 def get_framing(
     method: str, status: int, *, has_length: bool, is_chunked: bool
 ) -> Framing:
