Answers with chunks and another length reach their callers whole

Chunks precede a length, but the length was passed on beside the entry's own framing: with one above the body's the caller's connection broke, with one below it the caller got a reset and no body. The length of an answer with chunks is not passed on. The test failed before with lengths of 1 and of 9.

Beside it a table of heads that say several things about the end, or nothing: HTTP/1.0, keep-alive without length, 1xx, 204, 304, HEAD; all held before.

--- a/tests/test_entry_answer_ends.py
+++ b/tests/test_entry_answer_ends.py
@@ -150,3 +150,95 @@
             answer = self.ask(STREAM, [target], version='1.0')
             self.assertTrue(answer.looks_complete)
             self.assertFalse(answer.is_framed)
+
+
+def make_raw(*lines, body=b'', status=200, version='1.1'):
+    """Return the bytes of an answer with these header lines."""
+    all_lines = (
+        f'HTTP/{version} {status} X',
+        'Trestledock-Request-Id: r1',
+        'Trestledock-Response-Seal: s',
+        *lines,
+    )
+    return '\r\n'.join((*all_lines, '', '')).encode() + body
+
+
+EARLY_HINT = b'HTTP/1.1 103 Hint\r\n\r\n'
+CHUNKED = b'2\r\nok\r\n0\r\n\r\n'
+
+
+class OddHeadTest(unittest.TestCase):
+    """Heads of answers that say several things about the end, or nothing."""
+
+    def ask(self, raw, method='POST', version='1.1'):
+        """Return what the caller got of an answer."""
+        answers = []
+
+        async def scenario(caller, _):
+            answers.append(await caller.ask(method=method, version=version))
+
+        target = StubTarget(AbortedAnswer(raw, 0.1))
+        run_server(make_route(max_attempts=1), [target], scenario)
+        return answers[0]
+
+    #: The answer's bytes, and the body, whether it is framed for its caller.
+    wholes = (
+        (make_raw('Content-Length: 2', body=b'ok'), b'ok', True),
+        (make_raw('Content-Length: 2', body=b'ok-and-more'), b'ok', True),
+        (make_raw('Transfer-Encoding: chunked', body=CHUNKED), b'ok', True),
+        (make_raw('Connection: keep-alive', body=b'ok'), b'ok', False),
+        (make_raw(body=b'ok', version='1.0'), b'ok', False),
+        (make_raw('Content-Length: 2', body=b'ok', version='1.0'), b'ok', True),
+        (b'%s%s' % (EARLY_HINT, make_raw(body=b'ok')), b'ok', False),
+    )
+
+    def test_whole(self):
+        """Each answer arrives with all that its target framed."""
+        for raw, body, is_framed in self.wholes:
+            with self.subTest(raw=raw):
+                answer = self.ask(raw)
+                self.assertEqual(answer.parse()[1:], (body, True))
+                self.assertIs(answer.is_framed, is_framed)
+                answer = self.ask(raw, version='1.0')
+                self.assertEqual(answer.parse()[1:], (body, True))
+
+    # Guards against an answer with chunks and another length, which its caller
+    # gets cut, or never.
+    def test_length_beside_chunks(self):
+        for length in (1, 2, 9):
+            raw = make_raw(
+                'Transfer-Encoding: chunked',
+                f'Content-Length: {length}',
+                body=CHUNKED,
+            )
+            with self.subTest(length=length):
+                answer = self.ask(raw)
+                self.assertEqual(answer.parse()[1:], (b'ok', True))
+
+    # Guards against an answer that ends before its length or its last chunk and
+    # is passed on as whole.
+    def test_short(self):
+        for raw in (
+            make_raw('Content-Length: 9', body=b'ok'),
+            make_raw('Transfer-Encoding: chunked', body=CHUNKED[:-1]),
+            make_raw('Transfer-Encoding: chunked', body=b'9\r\nok\r\n'),
+            make_raw('Transfer-Encoding: gzip', body=b'ok'),
+        ):
+            with self.subTest(raw=raw):
+                self.assertEqual(self.ask(raw).parse()[0].status_code, 502)
+
+    # Guards against answers without a body that wait for one, or are taken for
+    # broken off.
+    def test_empty(self):
+        for status, method, lines in (
+            (204, 'POST', ()),
+            (304, 'GET', ('Content-Length: 9',)),
+            (200, 'HEAD', ()),
+            (200, 'HEAD', ('Content-Length: 9',)),
+            (200, 'HEAD', ('Transfer-Encoding: chunked',)),
+        ):
+            with self.subTest(status=status, lines=lines):
+                answer = self.ask(make_raw(*lines, status=status), method)
+                head, body, is_whole = answer.parse(method)
+                self.assertEqual((head.status_code, body), (status, b''))
+                self.assertTrue(is_whole)
--- a/trestledock/platform/_headers.py
+++ b/trestledock/platform/_headers.py
@@ -24,7 +24,14 @@
     read_draining,
     read_rate_limit,
 )
-from trestledock.relay import Body, Call, ListedTarget, PromptSize, encode_json
+from trestledock.relay import (
+    Body,
+    Call,
+    Framing,
+    ListedTarget,
+    PromptSize,
+    encode_json,
+)
 
 REQUEST_ID = b'trestledock-request-id'
 #: Milliseconds that the caller waits, or that the target may take.
@@ -65,6 +72,8 @@
         b'expect',
     )
 )
+#: Headers that a response with chunks is forwarded without.
+CHUNKED_HEADERS = HOP_BY_HOP_HEADERS | {b'content-length'}
 #: Headers of a caller that are removed or replaced before forwarding.
 REPLACED_HEADERS = HOP_BY_HOP_HEADERS | {
     AUTHORIZATION,
@@ -151,7 +160,12 @@
         return read_cold_time(head)
 
     def make_reply_headers(self, head: Head) -> Headers:
-        """Return the headers of a response that is forwarded to the caller."""
+        """Return the headers of a response that is forwarded to the caller.
+
+        A length beside chunks is not that of the body (RFC 9112, section 6.3).
+        """
+        if head.framing is Framing.chunks:
+            return _remove_headers(head.headers, CHUNKED_HEADERS)
         return _remove_headers(head.headers, HOP_BY_HOP_HEADERS)
 
     def make_reserve(
