A response of the store that ends inside a record is no response

A list that was cut raised an error that is not one of the store's, so its reader logged an unforeseen failure in place of 'store_lost'.

A cut record has all records read again, and a cut list is a failure of the store. Half a list was never taken for a shorter one: it is no JSON.

--- a/tests/stub_store.py
+++ b/tests/stub_store.py
@@ -46,9 +46,9 @@
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
 
 
-def run_with_stub(answers, scenario):
+def run_with_stub(answers, scenario, make=StubStore):
     """Run `scenario(client)` with a client of a stub; return the stub."""
-    stub = StubStore(answers)
+    stub = make(answers)
 
     async def main():
         listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
--- a/tests/test_platform_log.py
+++ b/tests/test_platform_log.py
@@ -11,6 +11,7 @@
     run_with_stub,
 )
 from trestledock.entry import DirectoryError, WireError
+from trestledock.entry._store_reader import STORE_ERRORS
 from trestledock.platform._epochs import StoreEpochs
 from trestledock.platform._log import (
     READ_HEADER,
@@ -142,6 +143,55 @@
             await stream.send(self.answers.pop(0))
 
 
+def make_closed(body):
+    """Return a response that only the close of its connection ends."""
+    return b'HTTP/1.1 200 X\r\n\r\n%s' % body
+
+
+class ClosedResponseTest(unittest.TestCase):
+    """Responses with neither a length nor chunks, closed after each byte."""
+
+    def read_twice(self, newest, part):
+        """Return the batches of two reads; None for one that fails."""
+        batches = []
+
+        async def scenario(client):
+            topic = KeyedTopic(client, 'keyed.servers')
+            for _ in range(2):
+                try:
+                    batches.append(await topic.read())
+                except STORE_ERRORS:
+                    batches.append(None)
+
+        # What follows a response that fails is the next one of the store.
+        run_with_stub([newest, part, FIRST], scenario, ClosingStore)
+        return batches
+
+    # Guards against a record whose value is cut, or which counts as deleted as
+    # nothing of its value has come.
+    def test_cut_records(self):
+        raw = make_record(b'a', b'1') + make_record(b'b', b'value')
+        whole = READ_HEADER.pack(5, 0) + raw
+        for end in range(len(whole) + 1):
+            with self.subTest(end=end):
+                batch = self.read_twice(FIRST, make_closed(whole[:end]))[1]
+                # A response that ends after a whole record has all read again.
+                if batch and not batch.whole:
+                    self.assertEqual(end, len(whole))
+                    found = [(row.key, row.value) for row in batch.records]
+                    self.assertEqual(found, [('a', b'1'), ('b', b'value')])
+
+    # Guards against a part of the list that is taken for a shorter list, and
+    # against an error that is not one of the store's.
+    def test_cut_list(self):
+        whole = b'{"items":[{"key":"b","value":"dg=="}],"endOffset":3}'
+        for end in range(len(whole) + 1):
+            with self.subTest(end=end):
+                newest = make_closed(whole[:end])
+                batch = self.read_twice(newest, FIRST)[0]
+                self.assertEqual(batch is not None, end == len(whole))
+
+
 class IdleConnectionTest(unittest.TestCase):
     """The store closes an idle connection."""
 
--- a/trestledock/platform/_log.py
+++ b/trestledock/platform/_log.py
@@ -73,6 +73,10 @@
     epoch: Epoch
 
 
+class CutResponse(Exception):
+    """A response of the store ends inside a record."""
+
+
 class EpochChanged(Exception):
     """The store was restored from a copy during a read."""
 
@@ -213,8 +217,10 @@
             return None
         if response.status != OK:
             raise DirectoryError(f'log-read {self.topic}: {response.status}')
-        records = tuple(split_records(response.body[READ_HEADER.size :]))
-        end = READ_HEADER.unpack_from(response.body)[0]
+        try:
+            end, records = parse_read(response.body)
+        except CutResponse:
+            return None
         if end != start + len(records):
             # The reader is too far behind, or ahead of a log that started over.
             return None
@@ -249,7 +255,7 @@
         response = await self.client.call('GET', '/log-newest', query)
         if response.status != OK:
             raise DirectoryError(f'log-newest {self.topic}: {response.status}')
-        data = json.loads(response.body)
+        data = self._decode_page(response.body)
         records = tuple(
             [
                 Record(row['key'], base64.b64decode(row['value'] or ''))
@@ -260,6 +266,13 @@
         last_key = '' if is_last else records[-1].key
         return Page(records, data['endOffset'], last_key, response.epoch)
 
+    def _decode_page(self, body: bytes) -> Any:
+        """Decode a page; a part of one is no JSON."""
+        try:
+            return json.loads(body)
+        except ValueError as exc:
+            raise DirectoryError(f'log-newest {self.topic}: {exc}') from exc
+
 
 @dataclass(frozen=True)
 class Page:
@@ -282,16 +295,29 @@
     return RECORD_LENGTH.pack(len(record)) + record
 
 
+def parse_read(body: bytes) -> tuple[int, tuple[Record, ...]]:
+    """Return the end offset and the records of a read."""
+    if len(body) < READ_HEADER.size:
+        raise CutResponse
+    end = READ_HEADER.unpack_from(body)[0]
+    return end, tuple(split_records(body[READ_HEADER.size :]))
+
+
 def split_records(raw: bytes) -> Iterator[Record]:
     """Yield the keyed records of a read.
 
     Records with an undecodable key are included, because every record has its
-    own offset.
+    own offset. Raises `CutResponse` if the last record is cut: without its
+    value it would delete its key.
     """
     position = 0
-    while position + RECORD_LENGTH.size <= len(raw):
+    while position < len(raw):
         start = position + RECORD_LENGTH.size
-        position = start + RECORD_LENGTH.unpack_from(raw, position)[0]
+        length = raw[position:start]
+        if len(length) == RECORD_LENGTH.size:
+            position = start + RECORD_LENGTH.unpack(length)[0]
+        if position < start or position > len(raw):
+            raise CutResponse
         yield _split_record(raw[start:position])
 
 
