Instances: part of a service's answer is not taken for all of it

A plain service's answer with neither a length nor chunks counted as whole wherever its connection closed, and its caller got the part with a length. It is whole now only if it is a JSON object or array, of which no part is one; else the attempt has failed and may have run.

--- a/trestledock/connection/_target.py
+++ b/trestledock/connection/_target.py
@@ -8,6 +8,7 @@
 sent.
 """
 
+import json
 from dataclasses import dataclass
 from typing import Any
 
@@ -30,7 +31,12 @@
     StartJob,
     StreamDone,
 )
-from trestledock.relay import FailureKind, classify_connect_error
+from trestledock.relay import (
+    FailureKind,
+    Framing,
+    classify_connect_error,
+    get_framing,
+)
 from trestledock.request import Chunk
 from trestledock.version import CONVERTER, DecodeError, load_json
 
@@ -141,6 +147,9 @@
         except httpx.HTTPError as exc:
             await self._fail_with_error(action, 'call', exc)
             return
+        if not _is_whole(response):
+            await self._fail_closed(action, 'call', 'ended by closing')
+            return
         await self.hub.send(
             CallDone(
                 action.req_id,
@@ -207,7 +216,7 @@
         try:
             done = load_json(response.content, PrefillAnswer)
         except DecodeError as exc:
-            await self._fail(action, 'piece', str(exc), not_started=False)
+            await self._fail_closed(action, 'piece', str(exc))
             return
         await self.hub.send(
             PrefillDone(action.req_id, action.attempt, done.hold, done.stop),
@@ -257,7 +266,7 @@
             await self.hub.send(
                 ChunkArrived(action.req_id, action.attempt, chunk),
             )
-        await self._fail(action, 'stream', 'no final marker', not_started=False)
+        await self._fail_closed(action, 'stream', 'no final marker')
 
     async def _reject(
         self,
@@ -284,6 +293,19 @@
             action, step, repr(exc), not_started=not_started, ended=crashed
         )
 
+    async def _fail_closed(
+        self,
+        action: StartJob | ResumeStream | CallService,
+        step: str,
+        detail: str,
+    ) -> None:
+        """Report an answer that ended properly, but is not known to be whole.
+
+        A process that crashes may close its connections without a reset.
+        """
+        ended = await self._has_crashed(action)
+        await self._fail(action, step, detail, not_started=False, ended=ended)
+
     async def _has_crashed(
         self, action: StartJob | ResumeStream | CallService
     ) -> bool:
@@ -329,6 +351,25 @@
         return httpx.Timeout(remaining_s, connect=min(connect_s, remaining_s))
 
 
+def _is_whole(response: httpx.Response) -> bool:
+    """Return whether an answer is known to be whole.
+
+    No part of a JSON object or array is one, so these need no framing.
+    """
+    framing = get_framing(
+        response.request.method,
+        response.status_code,
+        has_length='content-length' in response.headers,
+        is_chunked='transfer-encoding' in response.headers,
+    )
+    if framing is not Framing.close:
+        return True
+    try:
+        return isinstance(json.loads(response.content), (dict, list))
+    except ValueError:
+        return False
+
+
 def _says_not_started(response: httpx.Response) -> bool:
     """Return whether an engine's response proves that it started no job."""
     if response.status_code != NOT_STARTED_STATUS:
