--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -103,6 +103,10 @@
     """An answer whose target ends with it: its port is closed."""
 
 
+class ResetAnswer(AbortedAnswer):
+    """A partial answer, and a reset."""
+
+
 class StubTarget:
     """Sends one prepared answer for each request and records the requests."""
 
@@ -141,6 +145,8 @@
             elif isinstance(answer, AbortedAnswer):
                 await stream.send(answer.first)
                 await anyio.sleep(answer.pause_s)
+                if isinstance(answer, ResetAnswer):
+                    reset(stream)
                 if isinstance(answer, FinalAnswer):
                     await self.listener.aclose()
                 return
