Soak: targets that end answers by closing, and cut them after any byte

Plan 'unframed': 0.7 of the targets answer with neither a length nor chunks, some cut a share of their answers after any byte or piece, by a close or a reset, and busy ones crash and close their connections as a killed process does, beside restarts, partitions and kills. Callers tell the three framings apart; a check holds that an answer without framing has that of its target and is short only if its target closed it and lived on.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -9,6 +9,7 @@
 
 from typing import Callable, Iterator
 
+from tests.soak.ends import check_framing
 from tests.soak.ledger import Ledger, RequestRecord, Run
 from tests.soak.timed_checks import OK_STATUS, TIMED_CHECKS
 
@@ -125,6 +126,7 @@
     check_once,
     check_refusals,
     check_answers,
+    check_framing,
     check_failures,
     check_runs,
     check_tickets,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,7 +9,7 @@
 
 import signal
 import time
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from random import Random
 from types import MappingProxyType
 from typing import Awaitable, Callable, Iterator
@@ -75,6 +75,9 @@
 #: to keep to it.
 EVACUATION_S = (6.5, 11)
 
+#: At most how many targets cut answers at once.
+CUTTING_TARGETS = 3
+
 FaultKind = Callable[[World, Random], Awaitable[None]]
 
 
@@ -256,6 +259,16 @@
         await world.crash(target)
 
 
+async def crash_busy_target(world: World, rng: Random) -> None:
+    """Crash the busiest target, which closes its connections as it ends."""
+    target = max(
+        world.targets, key=lambda one: (one.ends_by_close, one.running)
+    )
+    target.crashes_quietly = True
+    with recorded_fault(world, 'crash_target', target=target.incarnation):
+        await world.crash(target)
+
+
 async def restart_target(world: World, rng: Random) -> None:
     """Crash a target and start it again under its id."""
     pause_s = rng.uniform(*TARGET_RESTART_S)
@@ -356,6 +369,20 @@
         setattr(fault_shares, name, 0)
 
 
+async def cut_answers(world: World, rng: Random) -> None:
+    """Make some targets cut a share of their answers after any byte."""
+    with ExitStack() as stack:
+        targets = {world.pick_target() for _ in range(CUTTING_TARGETS)}
+        for target in targets:
+            stack.enter_context(
+                recorded_fault(world, 'cut_answers', target=target.incarnation)
+            )
+            target.fault_shares.cuts = rng.uniform(0.1, 0.6)
+        await _wait_for_fault(rng)
+        for target in targets:
+            target.fault_shares.cuts = 0
+
+
 async def revoke_key(world: World, rng: Random) -> None:
     """Revoke a key."""
     world.revoke()
@@ -513,6 +540,21 @@
     drain_target: 2,
     publish_in_series: 1,
 }
+UNFRAMED: dict[FaultKind, int] = {
+    cut_answers: 12,
+    crash_busy_target: 8,
+    crash_target: 2,
+    restart_target: 2,
+    shake_target: 2,
+    spoil_target: 2,
+    drain_target: 2,
+    partition_partly: 1,
+    kill_entry: 2,
+    freeze_entry: 1,
+    restart_entry: 3,
+    hang_up: 1,
+    publish_in_series: 1,
+}
 PLANS = MappingProxyType(
     {
         'mixed': MIXED,
@@ -527,6 +569,7 @@
         'evacuated': EVACUATED,
         'cold': COLD,
         'partitioned': PARTITIONED,
+        'unframed': UNFRAMED,
     }
 )
 
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -7,7 +7,9 @@
 violations.  The functions' names are the names of the patches.
 """
 
+import signal
 import sys
+from dataclasses import replace
 from types import MappingProxyType
 from typing import Any, AsyncIterator, Callable
 
@@ -23,8 +25,11 @@
     _tickets,
     _wire,
 )
+from trestledock.entry._close_framing import ClosingProtocol
 from trestledock.entry._job import STATUSES, Job, Refusal
+from trestledock.entry._reply import END_BY_CLOSE
 from trestledock.entry._store_repair import Restoring
+from trestledock.entry._survival import SurvivalChecks
 from trestledock.platform import _epochs, _headers, run
 from trestledock.relay import (
     Fleet,
@@ -32,6 +37,7 @@
     FreshnessProof,
     LinkHealth,
     Quarantine,
+    Survival,
     Throttle,
 )
 from trestledock.relay._backoff import BackoffGate
@@ -183,6 +189,25 @@
     LinkHealth.are_all_doubted = lambda links, now: False
 
 
+def framing() -> None:
+    """Frame answers as complete that only a close has ended."""
+
+    def drop_framing(_: Any, event: Any) -> Any:
+        headers = [one for one in event.headers if tuple(one) != END_BY_CLOSE]
+        return replace(event, headers=headers)
+
+    ClosingProtocol._take_framing = drop_framing
+
+
+def survival() -> None:
+    """Never find out whether the target of a closed answer has ended."""
+
+    async def check(*_: Any) -> Survival:
+        return Survival.unknown
+
+    SurvivalChecks.check = check
+
+
 async def _sleep_forever(*args: Any) -> None:
     await anyio.sleep_forever()
 
@@ -213,11 +238,14 @@
         evacuated,
         cold,
         partitions,
+        framing,
+        survival,
     )
 }
 
 
 if __name__ == '__main__':
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     bind_connections()
     PATCHES[sys.argv[1]]()
     run()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -48,6 +48,8 @@
 #: How long after a crash a target starts again under its id, in seconds.
 RESTART_DELAY_S = (0.3, 2.5)
 HALF = 0.5
+#: Share of the targets of plan `unframed` that end answers by closing.
+UNFRAMED_SHARE = 0.7
 #: Interval of the checks for idle reservations, in seconds.
 RESERVATION_CHECK_S = 0.5
 #: Number of different requests that crash targets, and of callers of each.
@@ -263,6 +265,9 @@
         )
         self.ledger.data_centres[target.incarnation] = data_centre
         target.link.get_cut = partial(self._get_cut, target)
+        if self.size.plan == 'unframed':
+            target.ends_by_close = self.rng.random() < UNFRAMED_SHARE
+            target.crashes_quietly = self.rng.random() < HALF
         if self.size.plan == 'cold' and self.is_started:
             target.become_cold(COLD_S, 0)
         await target.start_serving(self.group)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -74,6 +74,11 @@
         report = self.check(replace(SIZE, plan='partitioned'))
         self.assertGreater(report.changes, 0)
 
+    # Guards against answers that only a close has ended and that look whole.
+    def test_answers_without_framing(self):
+        report = self.check(replace(SIZE, plan='unframed'))
+        self.assertGreater(report.changes, 0)
+
     def test_store_restored_from_a_copy(self):
         report = self.check(replace(SIZE, plan='restored'))
         self.assertGreater(report.faults, 0)
