An answer whose target may have ended proves nothing of its request

Where the check of a closed answer's target found neither that it lives nor that it has ended, the answer still cleared its request of crashes and its target of failures. Now it does neither, and a later record of another incarnation counts as a crash, as after a reset. The log tells 'outlived' from 'unproven'.

--- a/tests/test_entry_survival.py
+++ b/tests/test_entry_survival.py
@@ -1,6 +1,7 @@
 """Whether the targets of answers that only a close has ended live on."""
 
 import unittest
+from dataclasses import replace
 from random import Random
 
 import anyio
@@ -207,3 +208,28 @@
                 self.assertLess(took_s, min(WAIT_S, left_s) + 0.2)
 
         self.run_checks(scenario, reconnect)
+
+
+class UnprovenTest(unittest.TestCase):
+    """Answers of which it isn't known whether their target lives on."""
+
+    # Guards against a request that is cleared of crashes by an answer that may
+    # have ended with one, and a crash that a later list doesn't confirm.
+    def test_is_no_proof_of_an_answer(self):
+        target = StubTarget(make_closed(EVENTS), make_closed(EVENTS))
+
+        async def scenario(caller, world):
+            isolation = world.state.isolation
+            isolation.hooks.reconnect = _report_closed
+            answer = await caller.ask()
+            self.assertEqual(answer.parse()[1:], (EVENTS, True))
+            self.assertEqual(isolation.quarantine.suspects, {})
+            listed = replace(make_listed(0, target.port), born=2)
+            isolation.record_listed(listed)
+            self.assertEqual(len(isolation.quarantine.suspects), 1)
+
+        run_server(STREAM, [target], scenario)
+
+
+async def _report_closed(_):
+    return FailureKind.closed
--- a/trestledock/entry/_answer_ends.py
+++ b/trestledock/entry/_answer_ends.py
@@ -11,6 +11,7 @@
 from trestledock.entry._survival import SurvivalChecks
 from trestledock.entry._wire import WireError
 from trestledock.relay import (
+    UNPROVEN_ENDS,
     AnswerEnd,
     FailureKind,
     Framing,
@@ -18,7 +19,6 @@
     Survival,
     Tail,
     judge_end,
-    judge_survival,
 )
 
 
@@ -48,10 +48,6 @@
         if end is AnswerEnd.whole:
             return end
         survival = await self.survivals.check(target, job.deadline)
-        if judge_survival(end, survival) is AnswerEnd.broken:
-            raise WireError(
-                'end',
-                f'its target has {Survival.ended.value}',
-                FailureKind.closed,
-            )
-        return end
+        if survival is Survival.ended:
+            raise WireError('end', 'its target has ended', FailureKind.closed)
+        return UNPROVEN_ENDS[survival]
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -212,7 +212,8 @@
                 AttemptOutcome.lost, 'answer', peer, f'{head.status}'
             )
         end = await self._confirm_whole(job, placement, head)
-        self.record_success(peer)
+        if end is not AnswerEnd.unproven:
+            self.record_success(peer)
         job.record_event(anyio.current_time())
         await reply.start(
             head.status,
--- a/trestledock/entry/_isolation.py
+++ b/trestledock/entry/_isolation.py
@@ -201,6 +201,10 @@
                 return
             self._suspected.add(fingerprint, target, anyio.current_time())
 
+    def record_unproven(self, fingerprint: str, target: ListedTarget) -> None:
+        """Record an answer that may have ended with a crash of its target."""
+        self._suspected.add(fingerprint, target, anyio.current_time())
+
     def record_replaced(self, incarnation: str) -> None:
         """Record another incarnation of a target: the given one crashed."""
         now = anyio.current_time()
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -24,6 +24,7 @@
 from trestledock.relay import (
     MAX_AGE_S,
     PLACEMENT_RETRY_S,
+    AnswerEnd,
     Call,
     AttemptOutcome,
     FailureKind,
@@ -134,12 +135,22 @@
         job.history = job.history.add(attempt)
         job.is_writing = False
         if attempt.outcome is AttemptOutcome.answered:
-            self.state.isolation.record_answered(job.fingerprint)
+            self._record_answered(job, placement, attempt)
         _exclude_targets(job, placement, attempt)
         took_ms = round((anyio.current_time() - started_at) * MS)
         _log_outcome(job, attempt, took_ms)
         return attempt
 
+    def _record_answered(
+        self, job: Job, placement: Placement, attempt: RelayAttempt
+    ) -> None:
+        """Record that a request has not crashed its target, if known."""
+        isolation = self.state.isolation
+        if attempt.end is AnswerEnd.unproven:
+            isolation.record_unproven(job.fingerprint, placement.target)
+        else:
+            isolation.record_answered(job.fingerprint)
+
     async def _may_retry(self, job: Job) -> bool:
         """Return whether to retry; a begun answer waits for the budget."""
         if (
--- a/trestledock/entry/_request_events.py
+++ b/trestledock/entry/_request_events.py
@@ -110,7 +110,8 @@
     `first_ms` is the time from admission to its first part, `longest_ms` the
     longest pause after that. `framing` is what told where the answer ends:
     its length, its chunks, the close of the connection, or none as it is empty.
-    `end` is unproven if it may have been broken off, else whole.
+    `end` is whole, or, after a close alone, outlived if its target lived on and
+    unproven if that isn't known.
     """
 
     req: str
--- a/trestledock/entry/_streaming.py
+++ b/trestledock/entry/_streaming.py
@@ -157,12 +157,13 @@
             self.job, self.placement.target, head.framing, self._get_tail()
         )
         is_claimed = self.reply.started and self.reply.is_framed
-        if end is AnswerEnd.unproven and is_claimed:
+        if end is not AnswerEnd.whole and is_claimed:
             # Ending the caller's framed answer would say that it is whole.
             return RelayAttempt(
                 AttemptOutcome.lost, 'events', self.peer, end.value
             )
-        self.state.record_success(self.peer, anyio.current_time())
+        if end is not AnswerEnd.unproven:
+            self.state.record_success(self.peer, anyio.current_time())
         await self._start(head)
         await self.reply.finish(self.splitter.remainder)
         return RelayAttempt(
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -18,13 +18,13 @@
     get_wait_left_s,
 )
 from trestledock.relay._answer_ends import (
+    UNPROVEN_ENDS,
     AnswerEnd,
     Framing,
     Survival,
     Tail,
     get_framing,
     judge_end,
-    judge_survival,
 )
 from trestledock.relay._attempts import (
     AttemptHistory,
@@ -151,13 +151,13 @@
 
 __all__ = (
     'ALL_TARGETS',
+    'UNPROVEN_ENDS',
     'AnswerEnd',
     'Framing',
     'Survival',
     'Tail',
     'get_framing',
     'judge_end',
-    'judge_survival',
     'LinkHealth',
     'Scope',
     'ScopeKind',
--- a/trestledock/relay/_answer_ends.py
+++ b/trestledock/relay/_answer_ends.py
@@ -45,9 +45,14 @@
 
 
 class AnswerEnd(str, Enum):
-    """Whether an answer is whole; `unproven` if nothing tells."""
+    """Whether an answer is whole; `unproven` if nothing tells.
+
+    The target of an `outlived` answer has not crashed with it, but may have cut
+    it off.
+    """
 
     whole = 'whole'
+    outlived = 'outlived'
     unproven = 'unproven'
     broken = 'broken'
 
@@ -60,6 +65,14 @@
     unknown = 'unknown'
 
 
+#: The end of an answer that nothing proves, by what is known of its target.
+UNPROVEN_ENDS: Mapping[Survival, AnswerEnd] = MappingProxyType(
+    {
+        Survival.survived: AnswerEnd.outlived,
+        Survival.ended: AnswerEnd.broken,
+        Survival.unknown: AnswerEnd.unproven,
+    }
+)
 #: The end of an answer whose framing tells that all its bytes have come.
 FRAMED_ENDS: Mapping[Tail, AnswerEnd] = MappingProxyType(
     {
@@ -95,21 +108,6 @@
     return ends[tail]
 
 
-def judge_survival(end: AnswerEnd, survival: Survival) -> AnswerEnd:
-    """Return whether an answer is whole, given whether its target lives on.
-
-    A target that lives on may have cut off a single answer.
-
-    >>> judge_survival(AnswerEnd.unproven, Survival.survived).value
-    'unproven'
-    >>> judge_survival(AnswerEnd.unproven, Survival.ended).value
-    'broken'
-    """
-    if end is AnswerEnd.unproven and survival is Survival.ended:
-        return AnswerEnd.broken
-    return end
-
-
 def get_framing(
     method: str, status: int, *, has_length: bool, is_chunked: bool
 ) -> Framing:
