--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -78,7 +78,8 @@
 class Link:
     """A listening port that forwards to `address`.
 
-    `get_cut` returns how the link is cut for the client at an address.
+    `get_cut` returns how the link is cut for the client at an address, and
+    `opened` counts the connections.
     """
 
     address: str
@@ -88,6 +89,7 @@
     delay_s: float = 0
     closed: anyio.Event = field(default_factory=anyio.Event)
     connections: set[_Connection] = field(default_factory=set)
+    opened: int = 0
     unblocked: anyio.Event = field(default_factory=anyio.Event)
     get_cut: Callable[[str], Cut | None] = _get_no_cut
 
@@ -181,6 +183,7 @@
             reset(client)
             await client.aclose()
             return
+        self.opened += 1
         connection = _Connection(client_host, client, server)
         self.connections.add(connection)
         async with client, server, anyio.create_task_group() as group:
--- a/tests/test_entry_survival.py
+++ b/tests/test_entry_survival.py
@@ -28,6 +28,8 @@
 )
 from trestledock.entry._state import EntryState
 from trestledock.entry._survival import WAIT_S, SurvivalChecks
+from trestledock.entry._tunnels import OPEN_TIMEOUT_S
+from trestledock.entry._wire import CONNECT_TIMEOUT_S
 from trestledock.relay import FailureKind, Survival
 
 FAR_S = 60
@@ -191,6 +193,21 @@
         expected = [('before', Survival.unknown), ('during', Survival.survived)]
         self.assertEqual(found, expected)
 
+    # Guards against a closed port that counts as unknown, since other entries
+    # take their time to confirm it.
+    def test_slow_confirmation(self):
+        async def reconnect(_):
+            await anyio.sleep(CONNECT_TIMEOUT_S + OPEN_TIMEOUT_S)
+            return FailureKind.refused
+
+        async def scenario(checks):
+            checks.state.fleet.put(make_listed(0, 1))
+            deadline = anyio.current_time() + FAR_S
+            survival = await checks.check(make_listed(0, 1), deadline)
+            self.assertIs(survival, Survival.ended)
+
+        self.run_checks(scenario, reconnect)
+
     # Guards against a last byte that waits for a silent host, or beyond the
     # deadline of its request.
     def test_silent_host(self):
--- a/trestledock/entry/_survival.py
+++ b/trestledock/entry/_survival.py
@@ -15,13 +15,16 @@
 import anyio
 
 from trestledock.entry import _events as events
+from trestledock.entry._connector import MAX_PEERS_TRIED
 from trestledock.entry._logger import emit
 from trestledock.entry._state import EntryState
+from trestledock.entry._tunnels import OPEN_TIMEOUT_S
+from trestledock.entry._wire import CONNECT_TIMEOUT_S
 from trestledock.relay import FailureKind, ListedTarget, Survival
 
-#: How long the end of an answer waits for the target, in seconds: somewhat
-#: longer than connecting to it may take.
-WAIT_S = 0.25
+#: How long the end of an answer waits for a check, in seconds: until a closed
+#: port is found, and other entries have found it closed, too.
+WAIT_S = CONNECT_TIMEOUT_S + MAX_PEERS_TRIED * OPEN_TIMEOUT_S
 #: How long before its deadline an answer waits no more, in seconds.
 MARGIN_S = 0.05
 MS = 1000
@@ -53,12 +56,14 @@
         left_s = deadline - MARGIN_S - ended_at
         survival = Survival.unknown
         try:
-            with anyio.move_on_after(min(WAIT_S, left_s)):
+            with anyio.move_on_after(min(WAIT_S, left_s)) as scope:
                 survival = await self._share(check, target, ended_at)
         finally:
             check.waiting -= 1
             if not check.waiting:
                 self._checks.pop(target.incarnation)
+        if scope.cancelled_caught:
+            _log(target, survival, ended_at)
         return survival
 
     async def _share(
@@ -70,13 +75,7 @@
                 began_at = anyio.current_time()
                 check.survival = await self._find(target)
                 check.began_at = began_at
-                emit(
-                    events.SurvivalChecked(
-                        peer=target.incarnation,
-                        survival=check.survival.value,
-                        took_ms=round((anyio.current_time() - began_at) * MS),
-                    )
-                )
+                _log(target, check.survival, began_at)
             return check.survival
 
     async def _find(self, target: ListedTarget) -> Survival:
@@ -94,3 +93,13 @@
         if is_refused and self.state.fleet.is_usable(target.incarnation):
             return Survival.ended
         return Survival.unknown
+
+
+def _log(target: ListedTarget, survival: Survival, began_at: float) -> None:
+    emit(
+        events.SurvivalChecked(
+            peer=target.incarnation,
+            survival=survival.value,
+            took_ms=round((anyio.current_time() - began_at) * MS),
+        )
+    )
