--- a/tests/tunnelling.py
+++ b/tests/tunnelling.py
@@ -122,15 +122,17 @@
 
 
 class BreakingLink:
-    """A link between entries that resets after a number of bytes.
+    """A link between entries that breaks after a number of bytes.
 
-    `up` and `down` are the bytes that pass to the neighbour and back.
+    `up` and `down` are the bytes that pass to the neighbour and back; then it
+    `resets`, or closes like a process that is killed.
     """
 
-    def __init__(self, address, up=NO_LIMIT, down=NO_LIMIT):
+    def __init__(self, address, up=NO_LIMIT, down=NO_LIMIT, *, resets=True):
         self.address = address
         self.up = up
         self.down = down
+        self.resets = resets
         self.port = 0
 
     async def open(self, group):
@@ -145,6 +147,10 @@
             group.start_soon(self._pump, client, server, self.up, group)
             group.start_soon(self._pump, server, client, self.down, group)
 
+    def _break(self, *streams):
+        for stream in streams if self.resets else ():
+            reset(stream)
+
     async def _pump(self, source, sink, limit, group):
         try:
             while True:
@@ -152,8 +158,7 @@
                 if len(raw) >= limit:
                     await sink.send(raw[: int(limit)])
                     await anyio.sleep(0.02)
-                    reset(source)
-                    reset(sink)
+                    self._break(source, sink)
                     break
                 limit -= len(raw)
                 await sink.send(raw)
