--- a/tests/test_entry_survival.py
+++ b/tests/test_entry_survival.py
@@ -250,3 +250,60 @@
 
 async def _report_closed(_):
     return FailureKind.closed
+
+
+class InDoubtTest(unittest.TestCase):
+    """What happens while it isn't known yet whether a target lives on."""
+
+    # Guards against an answer that is cut at its deadline, though all of it has
+    # come, since its target is asked for too long.
+    def test_deadline(self):
+        target = StubTarget(make_closed(EVENTS))
+        route = replace(STREAM, timeout_s=0.4)
+
+        async def scenario(caller, world):
+            world.state.isolation.hooks.reconnect = _never_answer
+            began_at = anyio.current_time()
+            answer = await caller.ask()
+            self.assertEqual(answer.parse()[1:], (EVENTS, True))
+            self.assertLess(anyio.current_time() - began_at, 0.45)
+
+        run_server(route, [target], scenario)
+
+    # Guards against a check that is left behind by a caller that leaves, and
+    # against later answers that wait for it.
+    def test_caller_leaves(self):
+        target = StubTarget(make_closed(EVENTS), make_closed(EVENTS))
+
+        async def scenario(caller, world):
+            isolation = world.state.isolation
+            reconnect = isolation.hooks.reconnect
+            isolation.hooks.reconnect = _never_answer
+            with anyio.move_on_after(0.2):
+                await caller.ask()
+            isolation.hooks.reconnect = reconnect
+            answer = await caller.ask()
+            self.assertEqual(answer.parse()[1:], (EVENTS, True))
+            receiver = world.relayer.sender.answer_receiver
+            self.assertEqual(receiver.ends.survivals._checks, {})
+
+        run_server(STREAM, [target], scenario)
+
+    # Guards against a stream that goes round targets that all break it off, and
+    # then ends as complete.
+    def test_each_run_is_broken_off(self):
+        targets = [
+            StubTarget(make_closed(EVENTS[: BETWEEN + 3])),
+            StubTarget(make_closed(b'id: 2\ndata: y\n\nid: 3\n')),
+        ]
+
+        async def scenario(caller, _):
+            answer = await caller.ask()
+            self.assertEqual(get_event_ids(answer), [1, 2])
+            self.assertTrue(answer.was_reset)
+
+        run_server(RESUMABLE, targets, scenario)
+
+
+async def _never_answer(_):
+    await anyio.sleep(FAR_S)
