--- a/tests/limiting.py
+++ b/tests/limiting.py
@@ -27,7 +27,14 @@
 from trestledock.entry._tickets import Tickets
 from trestledock.entry._message_codec import encode_message
 from trestledock.platform._headers import HELPERS, REQUEST_ID, PlatformDialect
-from trestledock.relay import Catalog, ListedTarget, Service, Standing, TeamKey
+from trestledock.relay import (
+    Catalog,
+    Framing,
+    ListedTarget,
+    Service,
+    Standing,
+    TeamKey,
+)
 
 #: The one-way delay to a target and to another entry, in seconds.
 NETWORK_DELAY_S = 0.001
@@ -187,6 +194,7 @@
         self.target = target
         self.req_id = b''
         self.is_tunnel = False
+        self.framing = Framing.length
         self.is_new = True
 
     async def send(self, method, path, headers, body, spawn):
