--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -125,6 +125,11 @@
         except* anyio.ClosedResourceError:
             self.closed.set()
 
+    async def wait_for_request(self):
+        """Wait until a request has arrived."""
+        while not self.requests:
+            await anyio.sleep(0.01)
+
     async def _handle(self, stream):
         self.connections += 1
         async with stream:
