--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -101,7 +101,8 @@
     `last_event_id` is the id of the last event sent to the caller, at the time
     `last_event_at`; the first event was sent at `first_event_at`, and
     `longest_pause_s` is the longest pause between events so far.  `fallback` is
-    a target's error response, which is forwarded if no attempt succeeds.
+    a target's error response, or an answer whose target may have ended, which
+    is forwarded if no attempt succeeds.
     `is_writing` is true from before the first byte of an attempt is written
     until its outcome is in the history.  `has_reserved_retry` is true if a
     retry was taken from the budget before the target was given up.  `is_trial`
--- a/trestledock/entry/_request_events.py
+++ b/trestledock/entry/_request_events.py
@@ -125,7 +125,10 @@
 
 
 class FailurePassedOn(Event):
-    """The target's own error was passed on, for lack of a better answer."""
+    """An answer was passed on for lack of a better one.
+
+    It is a target's own error, or an answer whose target may have ended.
+    """
 
     req: str
     status: int
