--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -98,6 +98,15 @@
         'sound entries went through one that was cut then; fixed',
         ('partitioned', 204): 'partitions of parts cut off all entries; the '
         'check was wrong',
+        ('unframed', 102): 'a check whether a target lives on was given up '
+        'before other entries had confirmed its closed port; fixed',
+        ('unframed', 201): 'a plain answer of megabytes that the entry had '
+        'finished after 2.7 s was read by its caller 4.4 s after it was asked '
+        'for: open, as partitioned 1',
+        ('unframed', 206): 'streams of a target that crashed while it drained '
+        'ended short though they might have been resumed; fixed',
+        ('unframed', 208): '24 entries beside other runs, the driver was 6.1 s '
+        'late: open, proves nothing',
         ('deadly', 103): _REPEATED_CRASHES,
         (
             'deadly',
