A finished reply without framing ends with a reset until the system has all of it

What was still in the process was lost, and the connection ended with a FIN, since the reset was taken back once the reply had been handed to the web server: a short answer that looked like any other without framing. The reset is now taken back only when the connection's buffer is empty, and the connection closes after that; the application doesn't wait for it. The new test failed before (a FIN in place of a reset).

--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -107,6 +107,12 @@
         'ended short though they might have been resumed; fixed',
         ('unframed', 208): '24 entries beside other runs, the driver was 6.1 s '
         'late: open, proves nothing',
+        (
+            'unframed',
+            404,
+        ): 'as 201: a plain answer of megabytes, 2.9 s and 4.0 s',
+        ('unframed', 427): 'an entry was killed while a slow caller read the '
+        'rest of a finished answer, which then looked complete; fixed',
         ('deadly', 103): _REPEATED_CRASHES,
         (
             'deadly',
--- a/tests/test_entry_killed.py
+++ b/tests/test_entry_killed.py
@@ -9,6 +9,14 @@
 from tests.soak.entries import PORTS
 from tests.soak.world import Size
 from tests.test_entry_processes import play
+from tests.test_entry_shutdown import (
+    LONG_ID,
+    NARROW,
+    RECEIVE_BYTES,
+    make_request,
+    open_narrow,
+    wait_for_log,
+)
 
 SIZE = Size(entries=1, engines=1, plain=1, grace_s=5)
 #: A stream of some two seconds.
@@ -57,6 +65,31 @@
         self.assertIs(ending, anyio.BrokenResourceError)
         self.assertNotIn(b'chunked', raw.lower())
 
+    # Guards against an answer that the entry has finished, and of which the
+    # caller reads the rest only after the entry was killed.
+    def test_killed_entry_resets_what_is_unread(self):
+        found = []
+
+        async def scenario(world):
+            for target in world.targets:
+                target.ends_by_close = True
+            entry = world.entries[0]
+            sock = open_narrow(entry)
+            sock.sendall(make_request('GET', '/look/x', LONG_ID))
+            await wait_for_log(entry, 'answered')
+            entry.ending = True
+            entry.send(signal.SIGKILL)
+            entry.child.wait()
+            try:
+                while sock.recv(RECEIVE_BYTES):
+                    await anyio.sleep(0)
+            except ConnectionResetError as exc:
+                found.append(exc)
+            sock.close()
+
+        play(scenario, SIZE, NARROW)
+        self.assertEqual(len(found), 1)
+
     def test_stopping_entry_passes_on_the_rest(self):
         """A graceful shutdown lets the answer end properly."""
         ending, raw = self.receive(signal.SIGTERM)
--- a/trestledock/entry/_server.py
+++ b/trestledock/entry/_server.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import anyio
@@ -62,8 +63,8 @@
     whose first request has not been read.  Here a request that arrives in time
     ends the wait and is answered; then the connection is closed.
 
-    What its caller doesn't read is bounded.  A reply that ends by closing and
-    is not finished ends with a reset.
+    What its caller doesn't read is bounded.  A reply that ends by closing ends
+    with a reset until the system has all of it.
     """
 
     config: EntryConfig
@@ -71,6 +72,7 @@
     async def run(self) -> None:
         """Serve the connection until it ends."""
         self.has_open_reply = False
+        self.ending: asyncio.Task[None] | None = None
         unread = self.config.unread
         self.caller = unread.add(self.writer.transport)
         try:
@@ -83,17 +85,33 @@
         if isinstance(event, RawData):
             self.config.unread.record_write(self.caller, len(event.data))
         if isinstance(event, ReplyOpen):
-            self._set_open_reply(is_open=event.is_open)
+            await self._record_reply(event)
             return
         await super().protocol_send(event)
 
-    def _set_open_reply(self, *, is_open: bool) -> None:
-        if is_open == self.has_open_reply or self.writer.is_closing():
+    async def _record_reply(self, event: ReplyOpen) -> None:
+        if event.is_open == self.has_open_reply or self.writer.is_closing():
             return
-        self.has_open_reply = is_open
-        set_reset(self.writer.transport, resets=is_open)
+        self.has_open_reply = event.is_open
+        if event.is_open:
+            set_reset(self.writer.transport, resets=True)
+        else:
+            self.ending = asyncio.create_task(self._end_reply())
+
+    async def _end_reply(self) -> None:
+        """Close properly once the system has the whole reply."""
+        self.writer.transport.set_write_buffer_limits(high=0)
+        with suppress(ConnectionError):
+            await self.writer.drain()
+            set_reset(self.writer.transport, resets=False)
+        await TCPServer._close(self)
 
     async def _close(self) -> None:
+        if self.ending:
+            # The application is cancelled once it has sent its whole reply.
+            with suppress(asyncio.CancelledError):
+                await asyncio.shield(self.ending)
+            return
         if self.has_open_reply:
             self.writer.transport.abort()
         await super()._close()
