Log the parts of prompts, excused crashes and crashes that wait for a list

Where targets end under requests that share a part of their prompts, the log told neither what the requests share, nor how many crashes a recent answer had excused, nor how many waited for the list of targets.

The names of parts have a bounded length and number, whatever the header holds. No decision reads them yet.

--- a/trestledock/entry/_crash_events.py
+++ b/trestledock/entry/_crash_events.py
@@ -23,6 +23,13 @@
     ends: int
 
 
+class CrashExcused(Event):
+    """A crash is not attributed to a request that was answered lately."""
+
+    peer: str
+    fingerprint: str
+
+
 class RequestQuarantined(Event):
     """A request goes to no target from now on, after too many crashes.
 
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -11,6 +11,7 @@
 
 from trestledock.entry._event import Event
 from trestledock.entry._crash_events import (
+    CrashExcused,
     TargetEnded,
     RequestQuarantined,
     RequestCleared,
@@ -136,6 +137,7 @@
     SentUnderLimit,
     SurvivalChecked,
     TargetEnded,
+    CrashExcused,
     RequestQuarantined,
     RequestCleared,
     TrialGranted,
--- a/trestledock/entry/_isolation.py
+++ b/trestledock/entry/_isolation.py
@@ -145,6 +145,10 @@
         """Return the number of quarantined requests."""
         return sum(map(self.is_quarantined, self.quarantine.suspects))
 
+    def count_unconfirmed(self, now: float) -> int:
+        """Return the number of targets that may have crashed."""
+        return self._suspected.count_targets(now)
+
     def get_retry_after_s(self, fingerprint: str) -> float:
         """Return the Retry-After of a quarantined request, in seconds."""
         now = anyio.current_time()
@@ -316,9 +320,12 @@
         now = anyio.current_time()
         for crash in crashes:
             self._avoid(crash.incarnation, now)
-        attributed = [
-            crash for crash in crashes if self.quarantine.is_blamed(crash, now)
-        ]
+        attributed = []
+        for crash in crashes:
+            if self.quarantine.is_blamed(crash, now):
+                attributed.append(crash)
+            else:
+                emit(events.CrashExcused(crash.incarnation, crash.fingerprint))
         for crash in attributed:
             self._witnessed.add(crash.fingerprint)
             if self._add(crash, now, SELF):
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -87,6 +87,9 @@
         events.TargetEnded: Counter(
             'Ends of targets while they ran a request', ('sign',)
         ),
+        events.CrashExcused: Counter(
+            'Ends of targets that a recent answer excuses'
+        ),
         events.RequestQuarantined: Counter('Requests put in quarantine'),
         events.RequestCleared: Counter(
             'Requests under which targets had ended, and that were answered'
@@ -181,6 +184,7 @@
         'data_centres_evacuated': 'Data centres whose targets get nothing',
         'requests_quarantined': 'Requests that go to no target',
         'requests_suspected': 'Requests under which a target has ended',
+        'crashes_unconfirmed': 'Targets that may have ended under a request',
         'links_doubted': 'Links to targets that may be lost',
         'body_bytes': 'Bytes of requests that are held',
         'answer_bytes': 'Bytes of plain answers that are held',
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -257,6 +257,7 @@
                 pause_ms=round(job.route.pause_s * MS),
                 worth=round(get_worth(job.placement_request.size), 2),
                 fingerprint=job.fingerprint,
+                parts=job.call.parts,
             ),
         )
 
--- a/trestledock/entry/_request_events.py
+++ b/trestledock/entry/_request_events.py
@@ -11,7 +11,8 @@
 class Admitted(Event):
     """A request was admitted with its route, its team and its time limits.
 
-    Its `fingerprint` is the same for each attempt at the same request.
+    Its `fingerprint` is the same for each attempt at the same request; other
+    requests may share the `parts` of its prompt.
     """
 
     req: str
@@ -24,6 +25,7 @@
     pause_ms: int
     worth: float
     fingerprint: str
+    parts: tuple[str, ...]
 
 
 class Placed(Event):
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -390,6 +390,7 @@
             'data_centres_evacuated': len(self.fleet.evacuations.names),
             'requests_quarantined': self.isolation.count_quarantined(),
             'requests_suspected': len(self.isolation.quarantine.suspects),
+            'crashes_unconfirmed': self.isolation.count_unconfirmed(now),
             'links_doubted': self.links.count_doubted(now),
             **self.buffers.get_gauges(),
         }
--- a/trestledock/platform/_headers.py
+++ b/trestledock/platform/_headers.py
@@ -31,6 +31,7 @@
     ListedTarget,
     PromptSize,
     encode_json,
+    get_part_names,
 )
 
 REQUEST_ID = b'trestledock-request-id'
@@ -43,6 +44,8 @@
 #: Present if the target did not run the request.
 NOT_RUN = b'trestledock-not-executed'
 TOKEN_COUNTS = b'trestledock-token-counts'
+#: The parts of the prompt in order, as comma-separated `ID:TOKENS` entries.
+PROMPT_PARTS = b'trestledock-prompt-prefix'
 HELPERS = b'trestledock-helpers'
 LAST_EVENT = b'last-event-id'
 #: The target that is at fault.
@@ -116,6 +119,7 @@
             key=_parse_api_key(headers.get(AUTHORIZATION, b'')),
             size=_parse_token_counts(headers.get(TOKEN_COUNTS, b'')),
             resume_after=headers.get(LAST_EVENT, b'').decode('latin-1'),
+            parts=_parse_parts(headers.get(PROMPT_PARTS, b'')),
         )
 
     def make_headers(self, call: Call, context: ForwardingContext) -> Headers:
@@ -270,5 +274,11 @@
     return None
 
 
+def _parse_parts(raw: bytes) -> tuple[str, ...]:
+    """Return the names of the parts of a prompt; their sizes don't matter."""
+    entries = raw.decode('latin-1').split(',')
+    return get_part_names(entry.partition(':')[0] for entry in entries)
+
+
 def _is_count(raw: bytes) -> bool:
     return raw.isdigit() and len(raw) <= MAX_COUNT_DIGITS
--- a/trestledock/relay/_call.py
+++ b/trestledock/relay/_call.py
@@ -47,6 +47,7 @@
     `arrived_at` and `deadline` are monotonic instants of this process.
     `headers` are those passed to the target.  `resume_after` is the id of the
     last event that the caller has received, or empty at the start of a stream.
+    `parts` are the names of the parts of its prompt that other requests share.
     """
 
     req_id: str
@@ -61,3 +62,4 @@
     key: str = ''
     size: PromptSize | None = None
     resume_after: str = ''
+    parts: tuple[str, ...] = ()
--- a/trestledock/relay/_unconfirmed_crashes.py
+++ b/trestledock/relay/_unconfirmed_crashes.py
@@ -41,6 +41,11 @@
         """Create an empty collection."""
         self._by_target: dict[str, list[_PossibleCrash]] = {}
 
+    def count_targets(self, now: float) -> int:
+        """Return the number of targets that may have crashed."""
+        self._expire(now)
+        return len(self._by_target)
+
     def add(self, fingerprint: str, target: ListedTarget, now: float) -> None:
         """Record that a target may have crashed while it ran a request."""
         self._expire(now)
