--- a/tests/crashing.py
+++ b/tests/crashing.py
@@ -1,6 +1,6 @@
-"""Entries and targets that crash under a marked request.
+"""Entries and targets that crash under a marked request or part of a prompt.
 
-A target that starts to run such a request closes all its connections and stops.
+A target that starts to run one closes all its connections and stops.
 It is listed again at all entries after a restart, either under its id with a
 new birth or under a new id.  Messages between entries arrive at once.
 """
@@ -35,6 +35,9 @@
 
 #: The body that crashes any target, and the body of a harmless request.
 DEADLY = b'deadly'
+#: The part of a prompt that crashes any target, unless it is the last one.
+DEADLY_PART = 'dead'
+PARTS_HEADER = 'trestledock-prompt-prefix'
 HARMLESS = b'sound'
 #: The duration of a harmless request, in seconds.
 SERVICE_TIME_S = 0.05
@@ -135,7 +138,8 @@
     async def _handle_request(self, stream):
         head, body = await _read(stream)
         req_id = _get_header(head, 'trestledock-request-id')
-        if body == DEADLY:
+        if _is_deadly(head, body):
+            self.fleet.deadly_at.append(anyio.current_time())
             self.fleet.record_crash(self)
             with anyio.CancelScope(shield=True):
                 answer = make_stream(1, 2, end=b'', req_id=req_id)
@@ -163,6 +167,8 @@
     entries: list = field(default_factory=list)
     targets: list = field(default_factory=list)
     crashed: list = field(default_factory=list)
+    deadly_at: list = field(default_factory=list)
+    crashed_at: list = field(default_factory=list)
     harmless_runs: int = 0
     target_count: int = 0
 
@@ -211,8 +217,14 @@
             entry.state.notify()
 
     def record_crash(self, target):
-        """Record the crash of a target and restart it."""
+        """Record the crash of a target and restart it.
+
+        It may have read several requests that crash it.
+        """
+        if target not in self.targets:
+            return
         self.crashed.append(target)
+        self.crashed_at.append(anyio.current_time())
         self.targets.remove(target)
         self.group.start_soon(self._restart, target)
 
@@ -277,6 +289,13 @@
     return head, body
 
 
+def _is_deadly(head, body):
+    """Return whether a target crashes as it begins to run a request."""
+    parts = _get_header(head, PARTS_HEADER).split(',')[:-1]
+    ids = [part.partition(':')[0] for part in parts]
+    return body == DEADLY or DEADLY_PART in ids
+
+
 def _get_header(head, name):
     for line in head.decode().split('\r\n'):
         key, _, text = line.partition(':')
