--- a/tests/test_entry_isolation.py
+++ b/tests/test_entry_isolation.py
@@ -7,6 +7,8 @@
 
 from tests.relaying import SETTINGS, make_listed
 from tests.virtual_loop import run_virtually
+from trestledock.entry._isolation import PROOF_INTERVAL_S
+from trestledock.entry._runs import MIN_WRITING_S, Run
 from trestledock.entry._state import EntryState
 from trestledock.relay import (
     Crash,
@@ -15,6 +17,7 @@
     FailureKind,
     Standing,
 )
+from trestledock.relay._blame import MOMENT_S
 from trestledock.relay._unconfirmed_crashes import UNCONFIRMED_TTL_S
 from trestledock.relay._quarantine import MAX_SUSPECTS
 from trestledock.relay._recent_answers import ANSWER_TTL_S
@@ -112,43 +115,104 @@
         )
 
 
+def answer(isolation, name, *, is_success=True):
+    """Record an answer of which all that is known is when it was sent."""
+    now = anyio.current_time()
+    isolation.record_answered(Run((name,), now, is_success=is_success))
+
+
 class AnsweredTest(unittest.TestCase):
     """A request that many callers send is in flight at each crash."""
 
+    async def crash(self, isolation, targets=TARGETS, pause_s=0):
+        for target in targets:
+            await isolation.investigate_failure(
+                'f', FailureKind.closed, [target]
+            )
+            await anyio.sleep(pause_s)
+
     def test_answered_request_is_not_quarantined(self):
+        """Many targets crash together, as in a power loss."""
+
         async def scenario(isolation):
-            isolation.record_answered('f')
-            for target in TARGETS[:3]:
-                await isolation.investigate_failure(
-                    'f', FailureKind.closed, [target]
-                )
+            answer(isolation, 'f')
+            await self.crash(isolation)
 
         isolation = run_isolation(scenario)
-        self.assertFalse(isolation.is_quarantined('f'))
+        self.assertFalse(isolation.quarantine.is_quarantined('f'))
+
+    # Guards against crashes that are told to others after an answer.
+    def test_crash_before_an_answer_is_not_sent(self):
+        """Its investigation takes longer than the answer."""
+
+        async def scenario(isolation):
+            async def reconnect(_):
+                await anyio.sleep(0.1)
+                answer(isolation, 'f')
+                return FailureKind.refused
+
+            isolation.hooks.reconnect = reconnect
+            await self.crash(isolation, TARGETS[:3])
+
+        isolation = run_isolation(scenario)
+        self.assertEqual(isolation.quarantine.count_crashes('f'), 0)
         self.assertEqual(isolation.sent_crashes, [])
 
     def test_answered_request_that_now_crashes_targets(self):
         """The targets may have been updated since it was answered."""
 
         async def scenario(isolation):
-            isolation.record_answered('f')
-            for target in TARGETS:
-                await isolation.investigate_failure(
-                    'f', FailureKind.closed, [target]
-                )
+            answer(isolation, 'f')
+            await self.crash(isolation, TARGETS[:5], MOMENT_S)
 
-        self.assertTrue(run_isolation(scenario).is_quarantined('f'))
+        isolation = run_isolation(scenario)
+        self.assertTrue(isolation.quarantine.is_quarantined('f'))
 
     def test_answer_expires_as_evidence(self):
         async def scenario(isolation):
-            isolation.record_answered('f')
+            answer(isolation, 'f')
             await anyio.sleep(ANSWER_TTL_S + 1)
-            for target in TARGETS[:3]:
-                await isolation.investigate_failure(
-                    'f', FailureKind.closed, [target]
-                )
+            await self.crash(isolation, TARGETS[:3])
+
+        isolation = run_isolation(scenario)
+        self.assertTrue(isolation.quarantine.is_quarantined('f'))
+
+    # Guards against a deadly request that is cleared by its own rejection.
+    def test_failure_proves_nothing(self):
+        async def scenario(isolation):
+            await self.crash(isolation, TARGETS[:3])
+            answer(isolation, 'f', is_success=False)
+
+        isolation = run_isolation(scenario)
+        self.assertTrue(isolation.quarantine.is_quarantined('f'))
+
+    # Guards against the quarantine of a part whose answers take longer than
+    # the pauses between unrelated crashes.
+    def test_lasting_answer_proves_its_names(self):
+        """It counts only while it goes on: its target may still crash."""
+        seen = []
+
+        async def scenario(isolation):
+            with isolation.runs.track(('part:a', 'g')) as run:
+                await self.crash_part(isolation)
+                seen.append(isolation.is_quarantined(['part:a']))
+                run.began_at = anyio.current_time()
+                await anyio.sleep(MIN_WRITING_S / 2)
+                seen.append(isolation.is_quarantined(['part:a']))
+                await anyio.sleep(MIN_WRITING_S / 2 + PROOF_INTERVAL_S)
+                seen.append(isolation.is_quarantined(['part:a']))
+            await anyio.sleep(PROOF_INTERVAL_S)
+            seen.append(isolation.is_quarantined(['part:a']))
 
-        self.assertTrue(run_isolation(scenario).is_quarantined('f'))
+        run_isolation(scenario)
+        self.assertEqual(seen, [True, True, False, True])
+
+    async def crash_part(self, isolation):
+        for target in TARGETS[:5]:
+            await isolation.investigate_failure(
+                ['part:a'], FailureKind.closed, [target]
+            )
+            await anyio.sleep(MOMENT_S)
 
 
 class ListedTest(unittest.TestCase):
@@ -200,8 +264,8 @@
             isolation.merge_crashes(others, 'e#b')
 
         isolation = run_isolation(scenario)
-        self.assertTrue(isolation.is_quarantined('f'))
-        self.assertTrue(isolation.is_quarantined('g'))
+        self.assertTrue(isolation.quarantine.is_quarantined('f'))
+        self.assertTrue(isolation.quarantine.is_quarantined('g'))
         self.assertEqual(isolation.unsaved, {'f'})
 
     def test_records_from_store_are_not_saved(self):
@@ -211,7 +275,7 @@
             )
 
         isolation = run_isolation(scenario)
-        self.assertTrue(isolation.is_quarantined('f'))
+        self.assertTrue(isolation.quarantine.is_quarantined('f'))
         self.assertFalse(isolation.unsaved)
 
     def test_answer_is_sent_to_entries_with_crashes(self):
@@ -225,7 +289,7 @@
                 [(Crash('held', x), 0) for x in 'abc'], 'e#b'
             )
             for name in ('none', 'one', 'two', 'held'):
-                isolation.record_answered(name)
+                answer(isolation, name)
 
         isolation = run_isolation(scenario)
         self.assertEqual(cleared, ['two', 'held'])
--- a/tests/test_entry_quarantine_sync.py
+++ b/tests/test_entry_quarantine_sync.py
@@ -38,7 +38,7 @@
     async def write_records(self, records, expected_end=None):
         self._check()
         for record in records:
-            self.records[record.fingerprint] = record
+            self.records[record.name] = record
         self.grown.set()
         self.grown = anyio.Event()
         return True
--- a/tests/test_entry_restoring.py
+++ b/tests/test_entry_restoring.py
@@ -288,7 +288,7 @@
             world.store.go_back(5)
             await anyio.sleep(READ_S + AGAIN_S)
             late = await entries[0].directory.quarantine.read_whole()
-            return [record.fingerprint for record in late.records]
+            return [record.name for record in late.records]
 
         self.assertEqual(run_world(3, scenario), ['f'])
 
@@ -307,7 +307,7 @@
             stored = await entries[0].directory.quarantine.read_whole()
             newest = world.store.get_topic(PEERS).newest
             return (
-                sorted(record.fingerprint for record in stored.records),
+                sorted(record.name for record in stored.records),
                 'epoch' in newest,
             )
 
@@ -322,7 +322,7 @@
             await anyio.sleep(READ_S + AGAIN_S)
             stored = await entries[0].directory.quarantine.read_whole()
             return granted, [
-                (record.fingerprint, record.probes) for record in stored.records
+                (record.name, record.probes) for record in stored.records
             ]
 
         self.assertEqual(run_world(3, scenario), (True, [('f', 1)]))
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -46,7 +46,7 @@
 async def claim_probe(topic, record):
     """Claim a probe, as an entry does that never claimed one before."""
     state = EntryState(SETTINGS, 'entry-1#a', Random(1), None)
-    return await Keeping(state, topic, bool)._claim(record)
+    return await Keeping(state, topic, bool)._claim([record])
 
 
 class QuarantineTopicTest(unittest.TestCase):
@@ -56,7 +56,7 @@
         async def scenario(store, first, second):
             await first.write_records([RECORD])
             found = await second.read_records(0)
-            self.assertEqual([record.fingerprint for record in found], ['f'])
+            self.assertEqual([record.name for record in found], ['f'])
             self.assertEqual(found[0].incarnations, RECORD.incarnations)
             self.assertLess(abs(found[0].age_s - RECORD.age_s), 30)
             self.assertEqual(found[0].probes, 0)
@@ -74,7 +74,7 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(first.write_records, [RECORD])
                 found = await second.read_records(600)
-            self.assertEqual([record.fingerprint for record in found], ['f'])
+            self.assertEqual([record.name for record in found], ['f'])
 
         run_with_store(scenario)
 
@@ -137,7 +137,7 @@
             topic.put('worse', b'\xff')
             await first.write_records([RECORD])
             found = await second.read_records(0)
-            self.assertEqual([record.fingerprint for record in found], ['f'])
+            self.assertEqual([record.name for record in found], ['f'])
 
         run_with_store(scenario)
 
--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from trestledock.relay import MAX_AGE_S, Crash, Quarantine
+from trestledock.relay._blame import SHARED_THRESHOLD
 from trestledock.relay._quarantine import (
     MAX_CLEARED,
     MAX_SENT_CLEARED,
@@ -52,6 +53,18 @@
             make_quarantine('t1@1', 't1@2', 't1@3').is_quarantined(DEADLY)
         )
 
+    # Guards against quarantine by crashes that an answer outweighs: a popular
+    # request is at many targets that crash together.
+    def test_answered_lately(self):
+        quarantine = Quarantine()
+        quarantine.record_answer(DEADLY, 0)
+        record_crashes(quarantine, DEADLY, 't1', 't2', 't3', 't4', 't5', now=1)
+        self.assertFalse(quarantine.is_quarantined(DEADLY))
+        record_crashes(quarantine, DEADLY, 't6', now=1.4)
+        self.assertFalse(quarantine.is_quarantined(DEADLY))
+        record_crashes(quarantine, DEADLY, 't7', now=1.8)
+        self.assertTrue(quarantine.is_quarantined(DEADLY))
+
     def test_other_request_with_more_crashes(self):
         """A request with more crashes, by other causes, excuses no other."""
         quarantine = make_quarantine('t1', 't2', 't3')
@@ -88,13 +101,18 @@
     def test_probe_delays_increase(self):
         quarantine = make_quarantine('t1', 't2', 't3')
         now = 0
-        for number, wait_s in enumerate((*PROBE_DELAYS_S, PROBE_DELAYS_S[-1])):
+        for number, wait_s in enumerate(PROBE_DELAYS_S):
             self.assertFalse(quarantine.is_probe_due(DEADLY, now + wait_s - 1))
             now += wait_s
             self.assertTrue(quarantine.is_probe_due(DEADLY, now))
             quarantine.record_probe(DEADLY, now)
             now += 1
             record_crashes(quarantine, DEADLY, f'u{number}', now=now)
+        # Guards against a deadly request that reaches targets without end.
+        self.assertFalse(quarantine.is_probe_due(DEADLY, now * 1_000))
+        self.assertLessEqual(
+            quarantine.get_retry_after_s(DEADLY, now), PROBE_DELAYS_S[-1]
+        )
 
     def test_records_keep_age(self):
         """An instance that starts later has the same state."""
@@ -126,7 +144,8 @@
     def test_new_crashes_count(self):
         quarantine = make_quarantine('t1', 't2', 't3')
         quarantine.record_answer(DEADLY, 0)
-        record_crashes(quarantine, DEADLY, 't4', 't5', 't6')
+        for number in range(SHARED_THRESHOLD.crashes):
+            record_crashes(quarantine, DEADLY, f'u{number}', now=number)
         self.assertTrue(quarantine.is_quarantined(DEADLY))
 
     def test_records_keep_cleared(self):
@@ -208,7 +227,7 @@
         for number in range(count):
             quarantine.clear_crashes(f'f{number}', ('u1', 'u2', 'u3'))
         quarantine.clear_crashes('f0', ('u4',))
-        sent = [record.fingerprint for record in quarantine.get_records(0)]
+        sent = [record.name for record in quarantine.get_records(0)]
         self.assertEqual(len(sent), 1 + MAX_SENT_CLEARED)
         self.assertEqual(
             (sent[0], sent[-2:]), (DEADLY, [f'f{count - 1}', 'f0'])
--- a/tests/test_relay_unconfirmed_crashes.py
+++ b/tests/test_relay_unconfirmed_crashes.py
@@ -23,7 +23,7 @@
 
 def get_fingerprints(crashes):
     """Return the fingerprints of crashes."""
-    return [crash.fingerprint for crash in crashes]
+    return [crash.name for crash in crashes]
 
 
 class UnconfirmedCrashesTest(unittest.TestCase):
--- a/trestledock/connection/_parsing.py
+++ b/trestledock/connection/_parsing.py
@@ -15,7 +15,11 @@
 
 from trestledock.connection._settings import Settings
 from trestledock.process import rank_by_key
-from trestledock.relay import RequestIdentity, get_fingerprint
+from trestledock.relay import (
+    RequestIdentity,
+    get_fingerprint,
+    get_part_names,
+)
 from trestledock.request import Kind, Model, Request
 from trestledock.version import Configuration, Team
 
@@ -24,6 +28,9 @@
 HOME_HEADER = 'trestledock-home'
 ATTEMPT_HEADER = 'trestledock-attempt'
 KEY_HEADER = 'idempotency-key'
+#: Ids of the parts of the prompt in order, comma-separated; the last part is
+#: the request's own.
+PARTS_HEADER = 'trestledock-prompt-parts'
 
 #: Prompt tokens in each block that is hashed for prefix affinity.
 BLOCK_TOKENS = 512
@@ -58,6 +65,7 @@
     idempotency_key: str
     home: str
     first_attempt: bool
+    parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -110,6 +118,7 @@
         key,
         home,
         http.headers.get(ATTEMPT_HEADER) == '1',
+        get_part_names(http.headers.get(PARTS_HEADER, '').split(',')),
     )
 
 
@@ -158,6 +167,7 @@
         max_tokens=completion.max_tokens,
         prefix=hash_prefix(completion.prompt, settings.chars_per_token),
         fingerprint=fingerprint,
+        parts=envelope.parts,
     )
 
 
@@ -187,6 +197,7 @@
         home=envelope.home,
         first_attempt=envelope.first_attempt,
         fingerprint=fingerprint,
+        parts=envelope.parts,
     )
 
 
--- a/trestledock/entry/_admission.py
+++ b/trestledock/entry/_admission.py
@@ -67,7 +67,7 @@
 def is_quarantined(state: EntryState, job: Job) -> bool:
     """Return whether no target may run a request; a probe has one run."""
     is_probe = job.is_trial and not job.may_have_run
-    return not is_probe and state.isolation.is_quarantined(job.fingerprint)
+    return not is_probe and state.isolation.is_quarantined(job.names)
 
 
 def may_resume_elsewhere(state: EntryState, job: Job) -> bool:
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -231,6 +231,8 @@
         elif not job.history.is_last_attempt(job.route):
             job.fallback = answer
             return RelayAttempt(AttemptOutcome.lost, 'answer', peer, end.value)
+        if job.run:
+            job.run.is_success = head.status < HTTPStatus.MULTIPLE_CHOICES
         job.record_event(anyio.current_time())
         headers = self.dialect.make_reply_headers(head)
         await reply.start(head.status, headers, is_framed=head.is_framed)
--- a/trestledock/entry/_crash_events.py
+++ b/trestledock/entry/_crash_events.py
@@ -12,51 +12,56 @@
 class TargetEnded(Event):
     """A target crashed while it ran a request.
 
-    `sign` is the failure of a new connection, or none if another incarnation of
-    the target was listed; `ends` is the number of crashes attributed to the
-    request so far.
+    `blamed` are the names of the request to which the crash is attributed,
+    `ends` the number of crashes of each so far.  `sign` is the failure of a new
+    connection, or none if another incarnation of the target was listed.
     """
 
     peer: str
-    fingerprint: str
+    blamed: tuple[str, ...]
     sign: str
-    ends: int
+    ends: tuple[int, ...]
 
 
 class CrashExcused(Event):
-    """A crash is not attributed to a request that was answered lately."""
+    """A crash is not attributed to a suspect name that was answered since."""
 
     peer: str
-    fingerprint: str
+    suspect: str
 
 
 class RequestQuarantined(Event):
-    """A request goes to no target from now on, after too many crashes.
+    """Requests with all names in `blamed` go to no target from now on.
 
-    `ends` is their number, and `source` the origin of the last one: this entry,
+    `kind` tells whether these are parts of prompts (`part`) or belong to one
+    request.  `ends` is the number of crashes, the first one `first_ms` and the
+    last one `last_ms` ago, and `source` the origin of the last one: this entry,
     another one or the store.
     """
 
-    fingerprint: str
+    blamed: tuple[str, ...]
+    kind: str
     ends: int
+    first_ms: int
+    last_ms: int
     source: str
 
 
 class RequestCleared(Event):
-    """A request with `ends` crashes was answered by a target."""
+    """A request of a name with `ends` crashes was answered by a target."""
 
-    fingerprint: str
+    suspect: str
     ends: int
     source: str
 
 
 class TrialGranted(Event):
-    """A quarantined request goes to one target as a probe."""
+    """A request with quarantined names goes to one target as a probe."""
 
-    fingerprint: str
+    blamed: tuple[str, ...]
 
 
 class SuspectForgotten(Event):
-    """The crashes of a request were dropped, as too many others have some."""
+    """The crashes of a name were dropped, as too many others have some."""
 
-    fingerprint: str
+    suspect: str
--- a/trestledock/entry/_isolation.py
+++ b/trestledock/entry/_isolation.py
@@ -3,12 +3,13 @@
 ========================================
 
 Finds out why a connection to a target was closed in the middle of a request,
-attributes a crash of the target to the request, and informs the other entries
-and the store. A target that merely closes connections accepts new ones at once.
-After a crash nothing listens at the address, and another incarnation of the
-target is listed later.
+attributes a crash of the target to the names of the request, and informs the
+other entries and the store. A target that merely closes connections accepts new
+ones at once. After a crash nothing listens at the address, and another
+incarnation of the target is listed later.
 """
 
+from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import Enum
 from types import MappingProxyType
@@ -26,6 +27,7 @@
 
 from trestledock.entry import _events as events
 from trestledock.entry._logger import emit
+from trestledock.entry._runs import Run, Runs
 from trestledock.relay import (
     Crash,
     Fleet,
@@ -35,6 +37,7 @@
     Quarantine,
     QuarantineRecord,
     FailureKind,
+    is_part,
 )
 
 
@@ -76,12 +79,15 @@
 #: and its answer is announced: one crash says little, and each message goes to
 #: every entry.
 MIN_SHARED_CRASHES = 2
+#: Interval of checking which answers in progress have lasted, in seconds.
+PROOF_INTERVAL_S = 0.2
 #: Sources in log events: this entry, and the platform's store.
 SELF = 'self'
 STORE = 'store'
+MS = 1000
 
 Reconnect = Callable[[ListedTarget], Awaitable[FailureKind]]
-Claim = Callable[[QuarantineRecord], Awaitable[bool]]
+Claim = Callable[[Sequence[QuarantineRecord]], Awaitable[bool]]
 SendCrashes = Callable[[Sequence[Crash]], None]
 SendCleared = Callable[[str, Sequence[str]], None]
 
@@ -91,7 +97,7 @@
     return FailureKind.unreachable
 
 
-async def _refuse_claim(_: QuarantineRecord) -> bool:
+async def _refuse_claim(_: Sequence[QuarantineRecord]) -> bool:
     """Default for `claim`, without a store."""
     return False
 
@@ -105,8 +111,8 @@
     """Callbacks of the isolation.
 
     `reconnect` connects to a target again; `claim` reserves the right to probe
-    a quarantined request among all entries; the others send to all entries at
-    once.
+    names of quarantined requests among all entries; the others send to all
+    entries at once.
     """
 
     reconnect: Reconnect = _report_unreachable
@@ -118,9 +124,9 @@
 class Isolation:
     """Keeps requests that crash targets away from them.
 
-    `unsaved` has the fingerprints of requests to save in the store, and
-    `unsaved_added` is set when one is added; `revision` grows with each change
-    of the quarantine.
+    `unsaved` has the names to save in the store, and `unsaved_added` is set
+    when one is added; `revision` grows with each change of the quarantine.
+    `runs` are the requests that targets run now.
     """
 
     def __init__(self, health: Health, fleet: Fleet) -> None:
@@ -132,57 +138,74 @@
         self.unsaved: set[str] = set()
         self.unsaved_added = anyio.Event()
         self.revision = 0
+        self.runs = Runs()
+        self._proofs_until = float('-inf')
         self._suspected = UnconfirmedCrashes()
         self._witnessed: set[str] = set()
         self._claiming: set[str] = set()
         self._probed: set[str] = set()
 
-    def is_quarantined(self, fingerprint: str) -> bool:
-        """Whether a request must not go to any target."""
-        return self.quarantine.is_quarantined(fingerprint)
-
-    def count_quarantined(self) -> int:
-        """Return the number of quarantined requests."""
-        return sum(map(self.is_quarantined, self.quarantine.suspects))
+    def is_quarantined(self, names: Iterable[str]) -> bool:
+        """Whether a request with these names must not go to any target."""
+        if not self.quarantine.suspects:
+            return False
+        self._update_proofs()
+        return self.quarantine.refuses(names)
+
+    def count_quarantined(self, *, parts: bool = False) -> int:
+        """Return how many parts of prompts are blamed, or else requests."""
+        return sum(
+            all(map(is_part, suspects)) is parts
+            for suspects in self.quarantine.get_blamed()
+        )
 
     def count_unconfirmed(self, now: float) -> int:
         """Return the number of targets that may have crashed."""
         return self._suspected.count_targets(now)
 
-    def get_retry_after_s(self, fingerprint: str) -> float:
+    def get_retry_after_s(self, names: Iterable[str]) -> float:
         """Return the Retry-After of a quarantined request, in seconds."""
         now = anyio.current_time()
-        return self.quarantine.get_retry_after_s(fingerprint, now)
+        suspects = self.quarantine.find_suspects(names) or ()
+        return max(
+            (self.quarantine.get_retry_after_s(name, now) for name in suspects),
+            default=0,
+        )
 
-    async def may_probe(self, fingerprint: str) -> bool:
+    async def may_probe(self, names: Iterable[str]) -> bool:
         """Whether a quarantined request may go to one target as a probe now.
 
-        At any time one request with this fingerprint may, among all entries;
-        the others don't wait.
+        At any time one request with what is blamed may, among all entries; the
+        others don't wait.
         """
         now = anyio.current_time()
-        is_due = self.quarantine.is_probe_due(fingerprint, now)
-        if not is_due or fingerprint in self._claiming:
+        blamed = self.quarantine.find_suspects(names) or frozenset()
+        is_due = all(self.quarantine.is_probe_due(name, now) for name in blamed)
+        if not blamed or not is_due or blamed & self._claiming:
             return False
-        self._claiming.add(fingerprint)
+        self._claiming.update(blamed)
         try:
             is_granted = await self.hooks.claim(
-                self.quarantine.make_record(fingerprint, now)
+                [
+                    self.quarantine.make_record(name, now)
+                    for name in sorted(blamed)
+                ]
             )
         finally:
-            self._claiming.discard(fingerprint)
+            self._claiming.difference_update(blamed)
         # Another entry may have got an answer during the claim.
-        if not is_granted or not self.is_quarantined(fingerprint):
+        if not is_granted or self.quarantine.find_suspects(names) != blamed:
             return False
-        self.quarantine.record_probe(fingerprint, now)
-        self._probed.add(fingerprint)
+        for name in blamed:
+            self.quarantine.record_probe(name, now)
+        self._probed.update(blamed)
         self.revision += 1
-        emit(events.TrialGranted(fingerprint))
+        emit(events.TrialGranted(tuple(sorted(blamed))))
         return True
 
     async def investigate_failure(
         self,
-        fingerprint: str,
+        names: Iterable[str],
         failure_kind: FailureKind,
         targets: Iterable[ListedTarget],
     ) -> None:
@@ -191,6 +214,7 @@
         Only one crash counts among all targets that work on a request: its
         engine and the helpers may have crashed together.
         """
+        failed_at = anyio.current_time()
         inquiry = INQUIRIES[failure_kind]
         if inquiry is Inquiry.none:
             return
@@ -200,14 +224,21 @@
                 reconnects
                 and await self.hooks.reconnect(target) is PROCESS_ENDED
             ):
-                crash = Crash(fingerprint, target.incarnation)
-                self._record_own([crash], PROCESS_ENDED)
+                self._record_own(
+                    [
+                        Crash(name, target.incarnation, failed_at)
+                        for name in names
+                    ],
+                    PROCESS_ENDED,
+                )
                 return
-            self._suspected.add(fingerprint, target, anyio.current_time())
+            self._suspect(names, target, failed_at)
 
-    def record_unproven(self, fingerprint: str, target: ListedTarget) -> None:
+    def record_unproven(
+        self, names: Iterable[str], target: ListedTarget
+    ) -> None:
         """Record an answer that may have ended with a crash of its target."""
-        self._suspected.add(fingerprint, target, anyio.current_time())
+        self._suspect(names, target, anyio.current_time())
 
     def record_replaced(self, incarnation: str) -> None:
         """Record another incarnation of a target: the given one crashed."""
@@ -223,16 +254,21 @@
             self._suspected.pop_replaced_by(listed, now), FailureKind.none
         )
 
-    def record_answered(self, fingerprint: str) -> None:
-        """Record that a target has answered a request without a crash."""
-        was_quarantined = self.is_quarantined(fingerprint)
-        now = anyio.current_time()
-        incarnations = self.quarantine.record_answer(fingerprint, now)
-        self._log_cleared(fingerprint, len(incarnations), SELF)
-        if len(incarnations) >= MIN_SHARED_CRASHES:
-            self.hooks.send_cleared(fingerprint, incarnations)
-        if was_quarantined:
-            self._mark_unsaved(fingerprint)
+    def record_answered(self, run: Run) -> None:
+        """Record that a target has answered a request without a crash.
+
+        Only a successful answer shows that the target ran the request.
+        """
+        if not run.is_success:
+            return
+        for name in run.names:
+            was_quarantined = self.quarantine.is_quarantined(name)
+            incarnations = self.quarantine.record_answer(name, run.proven_at)
+            self._log_cleared(name, len(incarnations), SELF)
+            if len(incarnations) >= MIN_SHARED_CRASHES:
+                self.hooks.send_cleared(name, incarnations)
+            if was_quarantined:
+                self._mark_unsaved(name)
 
     def merge_crashes(
         self,
@@ -241,20 +277,21 @@
     ) -> None:
         """Add crashes reported by another entry, with ages in seconds."""
         now = anyio.current_time()
-        for crash, age_s in crashes:
-            self._add(crash, now - age_s, source)
-            if age_s < RECENT_S:
-                self._avoid(crash.incarnation, now)
+        with self._checking(source):
+            for crash, age_s in crashes:
+                self.quarantine.record_crash(crash, now - age_s)
+                if age_s < RECENT_S:
+                    self._avoid(crash.incarnation, now)
 
     def merge_cleared(
         self,
-        fingerprint: str,
+        name: str,
         incarnations: Iterable[str],
         source: str,
     ) -> None:
-        """Remove crashes of a request that was answered at another entry."""
-        count = self.quarantine.clear_crashes(fingerprint, incarnations)
-        self._log_cleared(fingerprint, count, source)
+        """Remove crashes of a name that was answered at another entry."""
+        count = self.quarantine.clear_crashes(name, incarnations)
+        self._log_cleared(name, count, source)
         self._evict_excess()
 
     def merge_records(
@@ -264,125 +301,152 @@
     ) -> None:
         """Add records of the store, or from another entry's update."""
         now = anyio.current_time()
-        for record in records:
-            fingerprint = record.fingerprint
-            self.merge_cleared(fingerprint, record.cleared, source)
-            was_quarantined = self.is_quarantined(fingerprint)
-            self.quarantine.merge(record, now)
-            self._check_quarantined(
-                fingerprint, source, was_quarantined=was_quarantined
-            )
+        with self._checking(source):
+            for record in records:
+                self.merge_cleared(record.name, record.cleared, source)
+                self.quarantine.merge(record, now)
 
     def get_known(self) -> Iterator[tuple[Crash, float]]:
         """Yield the crashes that a new entry is sent, with their ages."""
         now = anyio.current_time()
-        for fingerprint, suspect in self.quarantine.suspects.items():
+        for name, suspect in self.quarantine.suspects.items():
             if len(suspect.incarnations) < MIN_SHARED_CRASHES:
                 continue
-            age_s = suspect.get_age_s(now)
-            for incarnation in suspect.incarnations:
-                yield Crash(fingerprint, incarnation), age_s
+            for incarnation, at in suspect.incarnations.items():
+                yield Crash(name, incarnation), max(0, now - at)
 
     def needs_resending(self, crash: Crash) -> bool:
         """Whether the loss of a message about a crash would matter."""
-        return (
-            self.quarantine.count_crashes(crash.fingerprint)
-            >= MIN_SHARED_CRASHES
-        )
+        return self.quarantine.count_crashes(crash.name) >= MIN_SHARED_CRASHES
 
     def record_restore(self) -> None:
         """Save the probes again that a restored store may have lost.
 
         Other entries may not know of them yet, and would probe once more.
         """
-        for fingerprint in filter(self.is_quarantined, self._probed):
-            self._mark_unsaved(fingerprint)
+        for name in filter(self.quarantine.is_quarantined, self._probed):
+            self._mark_unsaved(name)
 
     def pop_unsaved(self) -> list[QuarantineRecord]:
         """Return and clear the records that are to be saved."""
         now = anyio.current_time()
-        fingerprints = sorted(self.unsaved & self.quarantine.suspects.keys())
+        names = sorted(self.unsaved & self.quarantine.suspects.keys())
         self.unsaved = set()
         self.unsaved_added = anyio.Event()
-        return [
-            self.quarantine.make_record(fingerprint, now)
-            for fingerprint in fingerprints
-        ]
+        return [self.quarantine.make_record(name, now) for name in names]
 
     def requeue_unsaved(self, records: Iterable[QuarantineRecord]) -> None:
         """Mark records for saving again after a failure."""
         for record in records:
-            self._mark_unsaved(record.fingerprint)
+            self._mark_unsaved(record.name)
+
+    def _suspect(
+        self, names: Iterable[str], target: ListedTarget, failed_at: float
+    ) -> None:
+        for name in names:
+            self._suspected.add(name, target, failed_at)
 
     def _record_own(
         self, crashes: list[Crash], failure_kind: FailureKind
     ) -> None:
         now = anyio.current_time()
+        attributed = list(filter(self.quarantine.is_blamed, crashes))
+        self._witnessed.update(crash.name for crash in attributed)
+        with self._checking(SELF):
+            for crash in attributed:
+                self.quarantine.record_crash(crash, crash.at)
+        for incarnation in dict.fromkeys(
+            crash.incarnation for crash in crashes
+        ):
+            self._avoid(incarnation, now)
+            self._log_ended(incarnation, attributed, failure_kind)
         for crash in crashes:
-            self._avoid(crash.incarnation, now)
-        attributed = []
-        for crash in crashes:
-            if self.quarantine.is_blamed(crash, now):
-                attributed.append(crash)
-            else:
-                emit(events.CrashExcused(crash.incarnation, crash.fingerprint))
-        for crash in attributed:
-            self._witnessed.add(crash.fingerprint)
-            if self._add(crash, now, SELF):
-                count = self.quarantine.count_crashes(crash.fingerprint)
-                emit(
-                    events.TargetEnded(
-                        crash.incarnation,
-                        crash.fingerprint,
-                        failure_kind.value,
-                        count,
-                    )
-                )
+            if crash not in attributed:
+                emit(events.CrashExcused(crash.incarnation, crash.name))
         self.hooks.send_crashes(attributed)
 
+    def _log_ended(
+        self,
+        incarnation: str,
+        crashes: Iterable[Crash],
+        failure_kind: FailureKind,
+    ) -> None:
+        """Log the crash of a target with the names that it counts against."""
+        counts = {
+            crash.name: self.quarantine.count_crashes(crash.name)
+            for crash in crashes
+            if crash.incarnation == incarnation
+        }
+        if counts:
+            emit(
+                events.TargetEnded(
+                    incarnation,
+                    tuple(counts),
+                    failure_kind.value,
+                    tuple(counts.values()),
+                )
+            )
+
     def _avoid(self, incarnation: str, now: float) -> None:
         """Stop using a crashed target until its record is removed."""
         if incarnation in self.fleet.targets:
             self.health.record_silence(incarnation, now)
 
-    def _add(self, crash: Crash, crashed_at: float, source: str) -> bool:
-        was_quarantined = self.is_quarantined(crash.fingerprint)
-        is_new = self.quarantine.record_crash(crash, crashed_at)
-        if is_new:
-            self._check_quarantined(
-                crash.fingerprint, source, was_quarantined=was_quarantined
-            )
-        return is_new
-
-    def _check_quarantined(
-        self, fingerprint: str, source: str, *, was_quarantined: bool
-    ) -> None:
-        """Log and save a request that has become quarantined.
+    @contextmanager
+    def _checking(self, source: str) -> Iterator[None]:
+        """Log and save what the changes in the context put in quarantine.
 
-        An entry that observed one of its crashes saves it in the store, for
-        entries that start later. So up to three entries do, as any of them may
-        have stopped.
+        An entry that observed one of the crashes saves them in the store, for
+        entries that start later. So several entries do, as any of them may have
+        stopped.
         """
-        if self.is_quarantined(fingerprint) and not was_quarantined:
-            count = self.quarantine.count_crashes(fingerprint)
-            self.revision += 1
-            emit(events.RequestQuarantined(fingerprint, count, source))
-            if source != STORE and fingerprint in self._witnessed:
-                self._mark_unsaved(fingerprint)
+        before = set(self.quarantine.get_blamed())
+        yield
+        for suspects in self.quarantine.get_blamed():
+            if suspects not in before:
+                self.revision += 1
+                self._log_quarantined(suspects, source)
+                if source != STORE and suspects & self._witnessed:
+                    self.unsaved.update(suspects)
+                    self.unsaved_added.set()
         self._evict_excess()
 
+    def _log_quarantined(self, suspects: Iterable[str], source: str) -> None:
+        now = anyio.current_time()
+        names = sorted(suspects)
+        known = [self.quarantine.suspects[name] for name in names]
+        instants = [at for one in known for at in one.incarnations.values()]
+        emit(
+            events.RequestQuarantined(
+                blamed=tuple(names),
+                kind='part' if all(map(is_part, names)) else 'request',
+                ends=max(len(one.incarnations) for one in known),
+                first_ms=round((now - min(instants)) * MS),
+                last_ms=round((now - max(instants)) * MS),
+                source=source,
+            )
+        )
+
+    def _update_proofs(self) -> None:
+        now = anyio.current_time()
+        if now < self._proofs_until:
+            return
+        self._proofs_until = now + PROOF_INTERVAL_S
+        candidates = self.quarantine.get_candidates()
+        self.quarantine.set_proofs(self.runs.get_proofs(candidates, now))
+
     def _evict_excess(self) -> None:
         for forgotten in self.quarantine.evict_excess():
             self._witnessed.discard(forgotten)
             emit(events.SuspectForgotten(forgotten))
 
-    def _log_cleared(self, fingerprint: str, count: int, source: str) -> None:
+    def _log_cleared(self, name: str, count: int, source: str) -> None:
         if not count:
             return
         self.revision += 1
-        self._witnessed.discard(fingerprint)
-        emit(events.RequestCleared(fingerprint, count, source))
+        self._witnessed.discard(name)
+        emit(events.RequestCleared(name, count, source))
 
-    def _mark_unsaved(self, fingerprint: str) -> None:
-        self.unsaved.add(fingerprint)
+    def _mark_unsaved(self, name: str) -> None:
+        self.unsaved.add(name)
         self.unsaved_added.set()
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -11,6 +11,7 @@
 from typing import Mapping
 
 from trestledock.entry._byte_budget import HeldBytes
+from trestledock.entry._runs import Run
 from trestledock.entry._wire import Head
 from trestledock.relay import (
     PlacementRequest,
@@ -112,7 +113,7 @@
     the caller was finally told in place of an answer.  `answer_held` counts the
     bytes of plain answers.  `is_ranked` is true if the requests of the service
     have different ranks, and `has_yielded` once it left engines to the requests
-    ahead of it.
+    ahead of it.  `run` is the last attempt at a target.
     """
 
     call: Call
@@ -138,6 +139,12 @@
     is_ranked: bool = False
     has_yielded: bool = False
     is_usage_recorded: bool = False
+    run: Run | None = None
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """What the request is known by if it crashes targets."""
+        return self.fingerprint, *self.call.parts
 
     @property
     def may_have_run(self) -> bool:
--- a/trestledock/entry/_message_codec.py
+++ b/trestledock/entry/_message_codec.py
@@ -132,7 +132,7 @@
 @_get_fields.register
 def _(message: Ends, now: float) -> dict[str, Any]:
     rows = [
-        (end.fingerprint, end.incarnation, round(age_s * MS))
+        (end.name, end.incarnation, round(age_s * MS))
         for end, age_s in message.ends
     ]
     return {'kind': 'ends', 'ends': rows}
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -90,7 +90,9 @@
         events.CrashExcused: Counter(
             'Ends of targets that a recent answer excuses'
         ),
-        events.RequestQuarantined: Counter('Requests put in quarantine'),
+        events.RequestQuarantined: Counter(
+            'Requests or parts of prompts put in quarantine', ('kind',)
+        ),
         events.RequestCleared: Counter(
             'Requests under which targets had ended, and that were answered'
         ),
@@ -183,7 +185,8 @@
         'rate_quota_per_second': 'Requests a second to such targets from here',
         'data_centres_evacuated': 'Data centres whose targets get nothing',
         'requests_quarantined': 'Requests that go to no target',
-        'requests_suspected': 'Requests under which a target has ended',
+        'parts_quarantined': 'Parts of prompts with which none goes to targets',
+        'requests_suspected': 'Requests and parts under which a target ended',
         'crashes_unconfirmed': 'Targets that may have ended under a request',
         'links_doubted': 'Links to targets that may be lost',
         'body_bytes': 'Bytes of requests that are held',
--- a/trestledock/entry/_quarantine_sync.py
+++ b/trestledock/entry/_quarantine_sync.py
@@ -10,7 +10,7 @@
 """
 
 from dataclasses import replace
-from typing import Callable
+from typing import Callable, Sequence
 
 import anyio
 
@@ -62,21 +62,21 @@
             group.start_soon(self._follow)
             group.start_soon(self._write)
 
-    async def claim(self, record: QuarantineRecord) -> bool:
-        """Claim the right to probe a request; refused without the store."""
+    async def claim(self, records: Sequence[QuarantineRecord]) -> bool:
+        """Claim the right to probe some names; refused without the store."""
         now = anyio.current_time()
         if now < self._next_claim_at:
             return False
         self._next_claim_at = now + MIN_CLAIM_INTERVAL_S
         try:
             with anyio.fail_after(TIMEOUT_S):
-                return await self._claim(record)
+                return await self._claim(records)
         except STORE_ERRORS as exc:
             emit(events.StoreLost('claim_trial', repr(exc)))
             return False
 
-    async def _claim(self, record: QuarantineRecord) -> bool:
-        """Write that a request is probed now, unless another entry wrote first.
+    async def _claim(self, records: Sequence[QuarantineRecord]) -> bool:
+        """Write that names are probed now, unless another entry wrote first.
 
         Of several claims one succeeds, because each is valid only if the
         records still end where they were read to. After a restore of the store
@@ -88,14 +88,15 @@
         self.state.record_epoch(stored.end.epoch, now)
         if not self.state.restores.is_complete(now):
             return False
+        names = {record.name for record in records}
         for stored_record in stored.records:
-            if (
-                stored_record.fingerprint == record.fingerprint
-                and not stored_record.is_probe_due
-            ):
+            if stored_record.name in names and not stored_record.is_probe_due:
                 return False
-        probed = replace(record, age_s=0, probes=record.probes + 1)
-        return await self.store.write_records([probed], stored.end)
+        probed = [
+            replace(record, age_s=0, probes=record.probes + 1)
+            for record in records
+        ]
+        return await self.store.write_records(probed, stored.end)
 
     async def _follow(self) -> None:
         while True:
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -84,7 +84,7 @@
     async def _relay_job(self, job: Job, reply: Reply) -> None:
         self._log_admitted(job)
         if is_quarantined(self.state, job):
-            job.is_trial = await self.state.isolation.may_probe(job.fingerprint)
+            job.is_trial = await self.state.isolation.may_probe(job.names)
         with anyio.CancelScope(deadline=job.deadline) as scope:
             with self.state.track_unanswered(reply, scope):
                 await self._run(job, reply)
@@ -147,9 +147,9 @@
         """Record that a request has not crashed its target, if known."""
         isolation = self.state.isolation
         if attempt.end is AnswerEnd.unproven:
-            isolation.record_unproven(job.fingerprint, placement.target)
-        else:
-            isolation.record_answered(job.fingerprint)
+            isolation.record_unproven(job.names, placement.target)
+        elif job.run:
+            isolation.record_answered(job.run)
 
     async def _may_retry(self, job: Job) -> bool:
         """Return whether to retry; a begun answer waits for the budget."""
@@ -199,7 +199,7 @@
         refusal = _weaken_refusal(job, reason)
         if refusal is Refusal.quarantined:
             isolation = self.state.isolation
-            job.retry_after_s = isolation.get_retry_after_s(job.fingerprint)
+            job.retry_after_s = isolation.get_retry_after_s(job.names)
         if job.fallback and refusal in FAILURE_REFUSALS:
             head = job.fallback.head
             job.refusal = refusal
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -243,10 +243,12 @@
         log_send_against_notices(self.state, job.call.req_id, placement)
         log_send_to_evacuated(self.state, job.call.req_id, placement)
         try:
-            await self._write(job, placement, reservation_ids, wire)
-            attempt, idle_s = await self.answer_receiver.receive(
-                job, placement, wire, reply, asked_at
-            )
+            with self.state.isolation.runs.track(job.names) as run:
+                job.run = run
+                await self._write(job, placement, reservation_ids, wire)
+                attempt, idle_s = await self.answer_receiver.receive(
+                    job, placement, wire, reply, asked_at
+                )
         except WireError as exc:
             self.state.health.record_failure(peer, anyio.current_time())
             self.state.links.record_broken(placement.target, wire, exc)
@@ -277,7 +279,7 @@
         helpers = () if job.response_begun else placement.helpers
         with anyio.CancelScope(shield=True):
             await self.state.isolation.investigate_failure(
-                job.fingerprint, failure_kind, (placement.target, *helpers)
+                job.names, failure_kind, (placement.target, *helpers)
             )
 
     async def _write(
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -388,7 +388,10 @@
             'rate_limits': len(self.notices.get_in_force(RateLimit)),
             'rate_quota_per_second': self._get_quota_sum(),
             'data_centres_evacuated': len(self.fleet.evacuations.names),
-            'requests_quarantined': self.isolation.count_quarantined(),
+            'requests_quarantined': self.isolation.count_quarantined(
+                parts=False
+            ),
+            'parts_quarantined': self.isolation.count_quarantined(parts=True),
             'requests_suspected': len(self.isolation.quarantine.suspects),
             'crashes_unconfirmed': self.isolation.count_unconfirmed(now),
             'links_doubted': self.links.count_doubted(now),
--- a/trestledock/entry/_store_repair.py
+++ b/trestledock/entry/_store_repair.py
@@ -119,20 +119,18 @@
             return True
         stored = await self.directory.quarantine.read_whole()
         isolation.merge_records(stored.records, STORE)
-        by_fingerprint = {
-            record.fingerprint: record for record in stored.records
-        }
+        by_fingerprint = {record.name: record for record in stored.records}
         missing = [
             record
             for record in isolation.quarantine.get_records(anyio.current_time())
-            if _is_missing(record, by_fingerprint.get(record.fingerprint))
+            if _is_missing(record, by_fingerprint.get(record.name))
         ]
         if not missing:
             return True
         quarantine = self.directory.quarantine
         is_written = await quarantine.write_records(missing, stored.end)
         if is_written:
-            names = [record.fingerprint for record in missing]
+            names = [record.name for record in missing]
             emit(events.WrittenAgain('quarantine', names))
         return is_written
 
--- a/trestledock/entry/_streaming.py
+++ b/trestledock/entry/_streaming.py
@@ -133,6 +133,8 @@
 
     def _record_first_event(self) -> None:
         now = anyio.current_time()
+        if self.job.run:
+            self.job.run.began_at = now
         flight = self.state.load_table.own.get(self.job.call.req_id)
         emit(
             events.FirstEvent(
@@ -162,6 +164,8 @@
             )
         if end is not AnswerEnd.unproven:
             self.state.record_success(self.peer, anyio.current_time())
+        if self.job.run:
+            self.job.run.is_success = bool(self.event_count)
         await self._start(head)
         await self.reply.finish(self.splitter.remainder)
         return RelayAttempt(
--- a/trestledock/entry/_update_exchange.py
+++ b/trestledock/entry/_update_exchange.py
@@ -323,11 +323,12 @@
 
 def _encode_quarantined(record: QuarantineRecord) -> dict[str, Any]:
     return {
-        'fingerprint': record.fingerprint,
+        'fingerprint': record.name,
         'ends': record.incarnations,
         'age_s': record.age_s,
         'trials': record.probes,
         'cleared': record.cleared,
+        'ages_s': record.ages_s,
     }
 
 
@@ -338,6 +339,7 @@
         read_age_s(fields['age_s']),
         read_count(fields['trials']),
         tuple(map(read_text, read_list(fields['cleared']))),
+        tuple(map(read_age_s, read_list(fields.get('ages_s', [])))),
     )
 
 
--- a/trestledock/platform/_quarantine.py
+++ b/trestledock/platform/_quarantine.py
@@ -8,7 +8,7 @@
 """
 
 import json
-from typing import Iterable
+from typing import Any, Iterable, Mapping
 
 from trestledock.clock import read_unix_ms
 from trestledock.entry import (
@@ -75,7 +75,7 @@
         query = {} if expected is None else {'expectedEnd': expected.offset}
         now_ms = read_unix_ms()
         framed = [
-            frame_record(record.fingerprint, _encode_record(record, now_ms))
+            frame_record(record.name, _encode_record(record, now_ms))
             for record in records
         ]
         response = await self._writer.append(TOPIC, framed, **query)
@@ -87,12 +87,18 @@
 
 
 def _encode_record(record: QuarantineRecord, now_ms: float) -> bytes:
-    """Encode the value of a record."""
+    """Encode the value of a record.
+
+    `ages_ms` are the ages of the crashes as of the writing, for which
+    `written_ms` is the time.
+    """
     data = {
         'ends': record.incarnations,
         'since_ms': round(now_ms - record.age_s * MS),
         'trials': record.probes,
         'cleared': record.cleared,
+        'written_ms': round(now_ms),
+        'ages_ms': [round(age_s * MS) for age_s in record.ages_s],
     }
     return encode_json(data)
 
@@ -124,4 +130,14 @@
         read_age_s((now_ms - since_ms) / MS),
         read_count(data.get('trials')),
         tuple(map(read_text, read_list(data.get('cleared', [])))),
+        _read_ages_s(data, now_ms),
     )
+
+
+def _read_ages_s(data: Mapping[str, Any], now_ms: float) -> tuple[float, ...]:
+    """Return the ages of the crashes, none in records of older versions."""
+    if 'ages_ms' not in data:
+        return ()
+    passed_ms = max(0, now_ms - read_number(data.get('written_ms')))
+    ages_ms = map(read_number, read_list(data['ages_ms']))
+    return tuple(read_age_s((age_ms + passed_ms) / MS) for age_ms in ages_ms)
--- a/trestledock/process/_admission.py
+++ b/trestledock/process/_admission.py
@@ -19,7 +19,11 @@
 from trestledock.process._groups import get_giant_engine_limit
 from trestledock.process._live_request import LiveRequest, Phase
 from trestledock.process._messages import Arrive, CallerDisconnected
-from trestledock.process._quarantining import is_quarantined, start_due_probe
+from trestledock.process._quarantining import (
+    get_retry_after_s,
+    is_quarantined,
+    start_due_probe,
+)
 from trestledock.process._queue import MAX_QUEUED
 from trestledock.process._selection import (
     Candidate,
@@ -54,7 +58,7 @@
         return
     start_due_probe(state, live, now)
     if is_quarantined(state, live):
-        wait_s = state.quarantine.get_retry_after_s(req.fingerprint, now)
+        wait_s = get_retry_after_s(state, req, now)
         refuse(state, live, Reason.quarantined, wait_s)
         return
     _ADMITTERS[req.kind](state, live, now)
--- a/trestledock/process/_attempt_results.py
+++ b/trestledock/process/_attempt_results.py
@@ -154,7 +154,7 @@
         return
     target = state.get_targets()[live.attempt.target]
     target.breaker.succeed()
-    record_completion(state, live.req, now)
+    record_completion(state, live.req, live.attempt_at)
     verdict = Verdict(
         Outcome.answered,
         peer=live.attempt.target,
@@ -245,7 +245,7 @@
     live.advance_attempt(live.attempt.number, AttemptEvent.finish)
     name = live.shares[-1].target
     state.get_targets()[name].breaker.succeed()
-    record_completion(state, live.req, now)
+    record_completion(state, live.req, live.attempt_at)
     verdict = Verdict(Outcome.answered, peer=name, tokens=live.emitted)
     finish_request(state, live, verdict)
     schedule_dispatch(state, live.pool, now)
--- a/trestledock/process/_dispatch.py
+++ b/trestledock/process/_dispatch.py
@@ -205,7 +205,7 @@
     target = choose_of_two(state, others or candidates).target
     name = target.info.name
     live.enter_phase(Phase.running)
-    attempt = live.begin_attempt(name)
+    attempt = live.begin_attempt(name, now)
     live.advance_attempt(attempt.number, AttemptEvent.write)
     target.breaker.start(now)
     target.in_flight += 1
@@ -232,7 +232,7 @@
     now: float,
 ) -> None:
     live.enter_phase(Phase.running)
-    attempt = live.begin_attempt(shares[0].target)
+    attempt = live.begin_attempt(shares[0].target, now)
     live.shares = shares
     live.advance_attempt(attempt.number, AttemptEvent.write)
     state.count('attempts', live.req.length_class.value)
--- a/trestledock/process/_live_request.py
+++ b/trestledock/process/_live_request.py
@@ -78,9 +78,9 @@
     `least_s` is the minimum time that it takes once it is sent.
     `reserved_engines` counts the engines of the group that have confirmed their
     reservation.  `awaited_job` is the reservation and the last token of the job
-    whose result is awaited.  `heard_at` is the arrival of the last chunk in the
-    attempt.  With `is_trial`, the request probes whether it still crashes
-    targets.
+    whose result is awaited.  The last attempt began at `attempt_at`, and
+    `heard_at` is the arrival of its last chunk.  With `is_trial`, the request
+    probes whether it still crashes targets.
     """
 
     req: Request
@@ -99,6 +99,7 @@
     claim: PendingClaim | None = None
     first_token_at: float | None = None
     heard_at: float = 0
+    attempt_at: float = 0
     is_trial: bool = False
 
     @property
@@ -123,7 +124,7 @@
             self.phase = phase
         return is_allowed
 
-    def begin_attempt(self, target: str) -> Attempt:
+    def begin_attempt(self, target: str, now: float) -> Attempt:
         """Begin a new attempt, which continues after the emitted tokens."""
         attempt = Attempt(len(self.attempts) + 1, target)
         self.attempts.append(attempt)
@@ -132,6 +133,7 @@
         self.reserved_engines = 0
         self.resumed = False
         self.heard_at = 0
+        self.attempt_at = now
         return attempt
 
     def advance_attempt(self, number: int, event: AttemptEvent) -> bool:
--- a/trestledock/process/_payloads.py
+++ b/trestledock/process/_payloads.py
@@ -204,13 +204,16 @@
 class TargetEnds:
     """Incarnations of targets that crashed while they ran a request.
 
-    The request is no longer suspected of the crashes in `cleared`, because a
-    target has completed it since.
+    `fingerprint` is a name of the request, which may be a part of its prompt.
+    It is no longer suspected of the crashes in `cleared`, because a target has
+    completed such a request since.  `ages_s` are the times since the crashes,
+    none for crashes of this moment.
     """
 
     fingerprint: str
     targets: tuple[str, ...]
     cleared: tuple[str, ...] = ()
+    ages_s: tuple[float, ...] = ()
 
 
 Payload = (
--- a/trestledock/process/_quarantining.py
+++ b/trestledock/process/_quarantining.py
@@ -12,38 +12,38 @@
 from trestledock.process._live_request import LiveRequest
 from trestledock.process._payloads import TargetEnds
 from trestledock.process._state import State
-from trestledock.relay import Crash, rank_by_key
+from trestledock.relay import Crash, QuarantineRecord, rank_by_key
 from trestledock.request import Request
 
 
 def record_crash(
     state: State, live: LiveRequest, target_name: str, now: float
 ) -> None:
-    """Attribute the crash of a target to a request that it ran."""
+    """Attribute the crash of a target to the names of a request it ran."""
     target = state.get_targets().get(target_name)
-    fingerprint = live.req.fingerprint
-    if target is None or not fingerprint:
+    if target is None:
         return
-    crash = Crash(fingerprint, target.info.key)
-    if state.quarantine.is_blamed(crash, now):
-        crashes = TargetEnds(fingerprint, (crash.incarnation,))
-        merge_crashes(state, crashes, now)
-        _broadcast(state, crashes)
+    for name in live.req.names:
+        if state.quarantine.is_blamed(Crash(name, target.info.key, now)):
+            crashes = TargetEnds(name, (target.info.key,))
+            merge_crashes(state, crashes, now)
+            _broadcast(state, crashes)
 
 
 def merge_crashes(state: State, crashes: TargetEnds, now: float) -> None:
-    """Merge the target crashes under a request, as seen here or by a peer."""
-    state.quarantine.clear_crashes(crashes.fingerprint, crashes.cleared)
-    was_quarantined = state.quarantine.is_quarantined(crashes.fingerprint)
-    for incarnation in crashes.targets:
-        state.quarantine.record_crash(
-            Crash(crashes.fingerprint, incarnation), now
-        )
-    if (
-        state.quarantine.is_quarantined(crashes.fingerprint)
-        and not was_quarantined
-    ):
-        state.log_event('request_quarantined', detail=crashes.fingerprint)
+    """Merge the target crashes under a name, as seen here or by a peer."""
+    record = QuarantineRecord(
+        crashes.fingerprint,
+        crashes.targets,
+        cleared=crashes.cleared,
+        ages_s=crashes.ages_s,
+    )
+    before = set(state.quarantine.get_blamed())
+    state.quarantine.merge(record, now)
+    for suspects in state.quarantine.get_blamed():
+        if suspects not in before:
+            detail = ' '.join(sorted(suspects))
+            state.log_event('request_quarantined', detail=detail)
     for forgotten in state.quarantine.evict_excess():
         state.log_event('suspect_forgotten', detail=forgotten)
 
@@ -55,26 +55,35 @@
     peer.knows_quarantine = True
     for record in state.quarantine.get_records(now):
         crashes = TargetEnds(
-            record.fingerprint, record.incarnations, record.cleared
+            record.name, record.incarnations, record.cleared, record.ages_s
         )
         send_to_member(state, peer.info.member, crashes)
 
 
-def record_completion(state: State, req: Request, now: float) -> None:
-    """Record that a target completed a request, which clears it."""
-    if not req.fingerprint:
-        return
-    cleared = state.quarantine.record_answer(req.fingerprint, now)
-    if cleared:
-        state.log_event('request_cleared', detail=req.fingerprint)
-        _broadcast(state, TargetEnds(req.fingerprint, (), cleared))
+def record_completion(state: State, req: Request, began_at: float) -> None:
+    """Record that a target completed a request, which clears its names.
+
+    Its attempt began at `began_at`.
+    """
+    for name in req.names:
+        cleared = state.quarantine.record_answer(name, began_at)
+        if cleared:
+            state.log_event('request_cleared', detail=name)
+            _broadcast(state, TargetEnds(name, (), cleared))
 
 
 def is_quarantined(state: State, live: LiveRequest) -> bool:
     """Whether a request must not be sent; a probe allows one attempt."""
     is_probe = live.is_trial and not live.attempts
-    return not is_probe and state.quarantine.is_quarantined(
-        live.req.fingerprint
+    return not is_probe and state.quarantine.refuses(live.req.names)
+
+
+def get_retry_after_s(state: State, req: Request, now: float) -> float:
+    """Return after how many seconds a refused caller should retry."""
+    suspects = state.quarantine.find_suspects(req.names) or ()
+    return max(
+        (state.quarantine.get_retry_after_s(name, now) for name in suspects),
+        default=0,
     )
 
 
@@ -83,17 +92,18 @@
 
     Among instances that can reach each other, the same one always does so.
     """
-    fingerprint = live.req.fingerprint
-    is_due = state.quarantine.is_probe_due(fingerprint, now)
-    if not is_due or not is_quarantined(state, live):
+    suspects = sorted(state.quarantine.find_suspects(live.req.names) or ())
+    are_due = [state.quarantine.is_probe_due(name, now) for name in suspects]
+    if not suspects or not all(are_due):
         return
     members = [
         state.member,
         *(peer.info.member for peer in _get_reachable_peers(state)),
     ]
-    if rank_by_key(fingerprint, members)[0] == state.member:
+    if rank_by_key(suspects[0], members)[0] == state.member:
         live.is_trial = True
-        state.quarantine.record_probe(fingerprint, now)
+        for name in suspects:
+            state.quarantine.record_probe(name, now)
 
 
 def _broadcast(state: State, crashes: TargetEnds) -> None:
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -102,7 +102,7 @@
     pick_cheapest,
 )
 from trestledock.relay._policy import DEFAULT_POLICY, PlacementPolicy
-from trestledock.relay._prompt_parts import get_part_names
+from trestledock.relay._prompt_parts import get_part_names, is_part
 from trestledock.relay._quarantine import Crash, Quarantine, QuarantineRecord
 from trestledock.relay._quotas import KnownInstances, Member, Membership
 from trestledock.relay._rate_limits import RateLimit
@@ -266,6 +266,7 @@
     'get_decode_s',
     'get_fingerprint',
     'get_part_names',
+    'is_part',
     'get_first_event_timeout_s',
     'get_idle_fleet_s',
     'get_in_time_s',
--- a/trestledock/relay/_recent_answers.py
+++ b/trestledock/relay/_recent_answers.py
@@ -1,58 +1,44 @@
 """
-Recently answered requests
-==========================
+Recent answers
+==============
 
-Requests that targets have answered lately.  A popular request is in flight at
-every target that crashes, and would be blamed for all of these crashes; an
-answer by another target in the meantime outweighs them.
+When targets last began answers that they then completed, by name of request.
+A request that was answered did not crash its target, so neither did another one
+of its names before: earlier crashes had other causes.
 """
 
-from dataclasses import dataclass
-
-#: How long an answer excuses crashes, in seconds: if the request has become
-#: deadly since, with a new version of its targets, crashes count against it
-#: after this time at the latest.
+#: How long a request counts as answered lately, in seconds.
 ANSWER_TTL_S = 60.0
-#: The maximum number of crashes that an answer excuses: as many as quarantine a
-#: request without any answer.
-MAX_EXCUSED = 3
-#: The maximum number of answered requests that are kept, some 150 bytes each;
-#: the oldest answers are dropped first.
-MAX_ANSWERS = 2_000
-
-
-@dataclass
-class _Answer:
-    """The time of a request's last answer, and the crashes that it excused."""
-
-    answered_at: float
-    excused: int = 0
+#: The maximum number of names that are kept, some 150 bytes each; those
+#: answered longest ago are dropped first.
+MAX_ANSWERS = 4_000
 
 
 class RecentAnswers:
-    """The requests that were answered here lately.
+    """The instants at which answers began, by name.
 
     >>> answers = RecentAnswers()
-    >>> answers.record_answer('f', now=0)
-    >>> [answers.excuses('f', now=1) for _ in range(4)]
-    [True, True, True, False]
+    >>> answers.record_answer('f', began_at=5)
+    >>> [answers.excuses('f', crashed_at) for crashed_at in (4, 6)]
+    [True, False]
     """
 
     def __init__(self) -> None:
         """Create an empty collection."""
-        self._answers: dict[str, _Answer] = {}
-
-    def record_answer(self, fingerprint: str, now: float) -> None:
-        """Record that a target has answered a request."""
-        self._answers.pop(fingerprint, None)
-        self._answers[fingerprint] = _Answer(now)
-        if len(self._answers) > MAX_ANSWERS:
-            self._answers.pop(next(iter(self._answers)))
-
-    def excuses(self, fingerprint: str, now: float) -> bool:
-        """Count a crash; return whether an answer excuses the request."""
-        answer = self._answers.get(fingerprint)
-        if answer is None or now - answer.answered_at > ANSWER_TTL_S:
-            return False
-        answer.excused += 1
-        return answer.excused <= MAX_EXCUSED
+        self._began_at: dict[str, float] = {}
+
+    def record_answer(self, name: str, began_at: float) -> None:
+        """Record a complete answer that a target began at an instant."""
+        latest_at = max(began_at, self._began_at.pop(name, began_at))
+        self._began_at[name] = latest_at
+        if len(self._began_at) > MAX_ANSWERS:
+            self._began_at.pop(next(iter(self._began_at)))
+
+    def excuses(self, name: str, crashed_at: float) -> bool:
+        """Return whether an answer began after a crash."""
+        return crashed_at < self._began_at.get(name, float('-inf'))
+
+    def is_recent(self, name: str, now: float) -> bool:
+        """Return whether a request was answered lately."""
+        began_at = self._began_at.get(name, float('-inf'))
+        return now - began_at <= ANSWER_TTL_S
--- a/trestledock/relay/_unconfirmed_crashes.py
+++ b/trestledock/relay/_unconfirmed_crashes.py
@@ -33,7 +33,7 @@
 
     >>> crashes = UnconfirmedCrashes()
     >>> crashes.add('f', ListedTarget('t1', 's', 'a:1'), now=0)
-    >>> [crash.fingerprint for crash in crashes.pop_confirmed('t1', now=2)]
+    >>> [crash.name for crash in crashes.pop_confirmed('t1', now=2)]
     ['f']
     """
 
@@ -46,12 +46,12 @@
         self._expire(now)
         return len(self._by_target)
 
-    def add(self, fingerprint: str, target: ListedTarget, now: float) -> None:
+    def add(self, name: str, target: ListedTarget, now: float) -> None:
         """Record that a target may have crashed while it ran a request."""
         self._expire(now)
         if len(self._by_target) >= MAX_UNCONFIRMED:
             return
-        crash = Crash(fingerprint, target.incarnation)
+        crash = Crash(name, target.incarnation, now)
         crashes = self._by_target.setdefault(target.incarnation, [])
         crashes.append(
             _PossibleCrash(crash, target.address, now + UNCONFIRMED_TTL_S)
--- a/trestledock/request/_request.py
+++ b/trestledock/request/_request.py
@@ -90,7 +90,8 @@
     it.  `idempotency_key` is empty if the caller gave none; `home` is the data
     centre whose members decide about the key.  `prefix` holds hashes of the
     prompt's leading blocks, longest prefix last.  `fingerprint` is the same for
-    every attempt at the request, and empty if unknown.
+    every attempt at the request, and empty if unknown.  `parts` are the names
+    of the parts of its prompt that other requests share.
     """
 
     req_id: str
@@ -108,6 +109,12 @@
     home: str = ''
     first_attempt: bool = False
     fingerprint: str = ''
+    parts: tuple[str, ...] = ()
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """What the request is known by if it crashes targets."""
+        return tuple(filter(None, (self.fingerprint, *self.parts)))
 
     @cached_property
     def length_class(self) -> LengthClass:
