Soak: parts of prompts that crash the targets that begin to write on them

All streams of the soak name the parts of their prompts now. In plan parts six or twelve more callers send new requests that share one or two deadly parts, beside kills of entries, cuts of the store and crashes of other targets.

The checks follow the users' two rules: at most three requests with a part reach targets later than 3 s after its fifth crash, and from 6 s after it sound streams are served half as often as before.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,7 +9,7 @@
 
 import time
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import count
 from random import Random
 from typing import Callable
@@ -22,7 +22,13 @@
 from tests.soak.entries import Entry
 from tests.soak.ledger import Ledger, RequestRecord, RequestSpec
 from tests.soak.serving import CONNECTION_ERRORS
-from tests.soak.targets import DEADLY, count_events, get_body, make_event
+from tests.soak.targets import (
+    DEADLY,
+    DEADLY_PART,
+    count_events,
+    get_body,
+    make_event,
+)
 
 HOST = 'a.example'
 #: Path, kind of route and service by kind of request; the configuration has a
@@ -63,6 +69,10 @@
 DEADLY_SIZES = '3000,600'
 DEADLY_PAUSE_SHARE = 0.4
 DEADLY_PAUSE_S = (0.5, 4)
+#: The numbers of first parts and of documents that prompts share.
+FIRST_PARTS, DOCUMENTS = 3, 40
+#: When requests with a deadly part begin to come, in seconds.
+DEADLY_PARTS_AT_S = 4
 #: Maximum chunks of a body, maximum bytes of a chunk, and the longest pause
 #: before each chunk, in seconds.
 MAX_CHUNKS = 4
@@ -176,6 +186,7 @@
             events=count_events(sizes) if sizes else 0,
             digest=0 if route_kind == 'idempotent' else crc32(body),
             timeout_s=TIMEOUT_S[kind],
+            parts=make_parts(req_id) if sizes else '',
         )
 
     def _draw_chunks(self) -> list[bytes]:
@@ -222,6 +233,8 @@
         if spec.sizes:
             headers['Trestledock-Model'] = 'm'
             headers['Trestledock-Token-Counts'] = spec.sizes
+        if spec.parts:
+            headers['Trestledock-Prompt-Prefix'] = spec.parts
         method = 'POST'
         if spec.kind == 'idempotent':
             method, chunks = 'GET', []
@@ -278,6 +291,33 @@
         )
 
 
+@dataclass
+class PartCaller(Caller):
+    """A caller of requests with a deadly part, no two of them alike."""
+
+    part: str = DEADLY_PART
+
+    async def run(self) -> None:
+        """Send requests once the callers of sound ones have sent theirs."""
+        await anyio.sleep(DEADLY_PARTS_AT_S)
+        await super().run()
+
+    def _draw_request(self, req_id: str, body: bytes) -> RequestSpec:
+        spec = super()._draw_request(req_id, body)
+        while not spec.sizes:
+            spec = super()._draw_request(req_id, body)
+        first, *others = spec.parts.split(',')
+        parts = ','.join((first, f'{self.part}:400', *others))
+        return replace(spec, parts=parts)
+
+
+def make_parts(req_id: str) -> str:
+    """Return the parts of a prompt, the last of which no other has."""
+    number = crc32(req_id.encode())
+    first, document = number % FIRST_PARTS, number % DOCUMENTS
+    return f'a{first}:900,b{document}:400,c{number:x}:250'
+
+
 def _get_framing_headers(
     chunks: list[bytes], *, chunked: bool
 ) -> dict[str, str]:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -463,6 +463,17 @@
     shake_target: 2,
     hang_up: 1,
 }
+PARTS: dict[FaultKind, int] = {
+    kill_entry: 3,
+    kill_all: 1,
+    freeze_entry: 1,
+    restart_entry: 2,
+    cut_store: 2,
+    store_down: 2,
+    crash_target: 6,
+    drain_target: 2,
+    publish_in_series: 1,
+}
 LIMITED: dict[FaultKind, int] = {
     limit_target: 8,
     limit_service: 2,
@@ -562,6 +573,7 @@
         'standstill': STANDSTILL,
         'again': AGAIN,
         'deadly': DEADLY,
+        'parts': PARTS,
         'restored': RESTORED,
         'limited': LIMITED,
         'told': TOLD,
@@ -574,15 +586,19 @@
 )
 
 
+#: Plans in which the product decides how many targets crash.
+OWN_RNG_PLANS = frozenset(('deadly', 'parts'))
+
+
 def make_fault_rng(plan: str, rng: Random) -> Random:
     """Return the generator of the kinds, times and entries of the faults.
 
-    In plan `deadly` the product decides how many targets crash, and each crash
-    draws from the run's generator.  Shared with the faults, it made them differ
-    from run to run: in six runs of one seed all entries were killed once to
-    three times, and no two had the same faults.
+    In plans `deadly` and `parts` the product decides how many targets crash,
+    and each crash draws from the run's generator.  Shared with the faults, it
+    made them differ from run to run: in six runs of one seed all entries were
+    killed once to three times, and no two had the same faults.
     """
-    return Random(rng.random()) if plan == 'deadly' else rng
+    return Random(rng.random()) if plan in OWN_RNG_PLANS else rng
 
 
 async def inject_faults(world: World, run_rng: Random) -> None:
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -35,6 +35,7 @@
     events: int = 0
     digest: int = 0
     timeout_s: float = 5
+    parts: str = ''
 
     @property
     def repeatable(self) -> bool:
@@ -150,7 +151,10 @@
 
 @dataclass(frozen=True)
 class Crash:
-    """A crash of a target that began to run a request, with its path."""
+    """A crash of a target that began to run a request.
+
+    `path` is that of the request, or names the part of its prompt.
+    """
 
     path: str
     target: str
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -40,6 +40,7 @@
     Survival,
     Throttle,
 )
+from trestledock.relay import _blame, _quarantine
 from trestledock.relay._backoff import BackoffGate
 from trestledock.relay._cold_gate import ColdGate
 from trestledock.relay._quarantine import Suspect
@@ -135,7 +136,27 @@
 
 def budget() -> None:
     """Never quarantine requests that crash targets."""
-    Quarantine.is_quarantined = lambda quarantine, fingerprint: False
+    Quarantine.refuses = lambda quarantine, names: False
+
+
+def parts() -> None:
+    """Know requests that crash targets by their fingerprints only."""
+    _headers.get_part_names = lambda part_ids: ()
+
+
+def sound() -> None:
+    """Blame each part that was at some crashes, whatever was answered since."""
+    Quarantine.record_answer = lambda quarantine, name, began_at: ()
+    _quarantine.find_blamed = _blame_all
+
+
+def _blame_all(evidence: _blame.Names) -> tuple[_blame.Suspects, ...]:
+    least = _blame.REQUEST_THRESHOLD.crashes
+    return tuple(
+        frozenset((name,))
+        for name, one in evidence.items()
+        if len(one.crashes) >= least
+    )
 
 
 def updates() -> None:
@@ -228,6 +249,8 @@
         lost,
         gone,
         budget,
+        parts,
+        sound,
         updates,
         exceptions,
         copies,
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -49,6 +49,9 @@
 READY, DRAINING, VANISHED = 'ready', 'draining', 'vanished'
 #: Part of the path of requests that crash every target that begins to run them.
 DEADLY = 'deadly'
+#: Begins the id of a part of a prompt that crashes such targets.
+DEADLY_PART = 'dead'
+PARTS_HEADER = 'trestledock-prompt-prefix'
 #: Path of a request that runs nothing.
 REPORT_PATH = '/report'
 #: What a crashing target has written of its answer: nothing, the head, or the
@@ -114,6 +117,12 @@
     """Do nothing after a crash, as the default of `on_crash`."""
 
 
+def get_deadly_part(parts: str) -> str:
+    """Return the id of a deadly part, which is never the last; else ''."""
+    ids = [part.partition(':')[0] for part in parts.split(',')[:-1]]
+    return next((one for one in ids if one.startswith(DEADLY_PART)), '')
+
+
 def make_event(req_id: str, number: int) -> bytes:
     """Return one event of a stream."""
     return f'id: {number}\ndata: {req_id} {number}\n\n'.encode()
@@ -345,8 +354,9 @@
             *self._get_notices(),
         ]
         run.leaves = self.announces_draining
-        if DEADLY in exchange.path:
-            await self._crash(exchange, run, headers)
+        deadly = get_deadly_part(exchange.headers.get(PARTS_HEADER, ''))
+        if DEADLY in exchange.path or deadly:
+            await self._crash(exchange, run, headers, deadly)
         elif draw() < self.fault_shares.fails:
             run.status = 500
             await exchange.answer(500, b'failed', headers)
@@ -356,7 +366,7 @@
             await self._answer_plain(exchange, run, headers)
 
     async def _crash(
-        self, exchange: Exchange, run: Run, headers: Headers
+        self, exchange: Exchange, run: Run, headers: Headers, deadly: str
     ) -> None:
         """Crash with the request just begun and all others."""
         if run.sizes:
@@ -366,7 +376,7 @@
             await exchange.start(200, headers)
         if partial_answer == 'events' and run.sizes:
             await exchange.write(make_event(run.req_id, 1))
-        self.ledger.record_crash(exchange.path, self.incarnation)
+        self.ledger.record_crash(deadly or exchange.path, self.incarnation)
         self.on_crash(self)
         await anyio.sleep_forever()
 
--- a/tests/soak/timed_checks.py
+++ b/tests/soak/timed_checks.py
@@ -20,6 +20,7 @@
     RequestRecord,
     Run,
 )
+from tests.soak.targets import DEADLY_PART, get_deadly_part
 
 OK_STATUS = 200
 #: How long a draining target may still get requests (a bound of the settings),
@@ -46,6 +47,13 @@
 #: begin later than `CONTACT_TIMEOUT_S` after that.
 MIN_CRASHES = 3
 MAX_LATE_RUNS = 3
+#: The same for a part of prompts; here requests count that reach targets.
+MIN_PART_CRASHES = 5
+#: From twice the contact timeout after a part is known, sound requests with the
+#: same key or first part must be served at least this share as often as before;
+#: with fewer than this many requests there is no share.
+MIN_SOUND_SERVED = 1 / 2
+MIN_SOUND_COUNT = 20
 #: In a window of `WINDOW_S` seconds a rate-limited target may get
 #: `LIMIT_TOLERANCE` times as many requests as its limit allows, plus
 #: `LIMIT_BURST`.
@@ -157,7 +165,7 @@
     for crash in ledger.crashes:
         crash_times.setdefault(crash.path, []).append(crash.at)
     for path, times in crash_times.items():
-        if len(times) < MIN_CRASHES:
+        if len(times) < MIN_CRASHES or path.startswith(DEADLY_PART):
             continue
         known_at = sorted(times)[MIN_CRASHES - 1] + CONTACT_TIMEOUT_S
         late = [
@@ -170,6 +178,69 @@
             yield f'{path} reached {len(late)} targets more, ended {len(times)}'
 
 
+def check_parts(ledger: Ledger) -> Iterator[str]:
+    """Few requests with a deadly part reach targets after the fifth crash."""
+    for part, times in _get_part_crashes(ledger).items():
+        if len(times) < MIN_PART_CRASHES:
+            continue
+        known_at = times[MIN_PART_CRASHES - 1] + CONTACT_TIMEOUT_S
+        late = [
+            one
+            for one in ledger.arrivals
+            if one.at > known_at + DRIVER_MARGIN_S
+            and _has_part(ledger.requests.get(one.req_id), part)
+            and ledger.is_undisturbed(
+                ledger.get_entry(one.req_id), one.at, one.at
+            )
+        ]
+        if len(late) > MAX_LATE_RUNS:
+            yield f'{part} reached {len(late)} targets more, ended {len(times)}'
+
+
+def check_sound(ledger: Ledger) -> Iterator[str]:
+    """Sound streams are served while others with a deadly part come."""
+    for part, times in _get_part_crashes(ledger).items():
+        since = times[:MIN_PART_CRASHES][-1] + 2 * CONTACT_TIMEOUT_S
+        before = _get_sound(ledger, float('-inf'), times[0] - ANSWER_MARGIN_S)
+        after = _get_sound(ledger, since, float('inf'))
+        if min(len(before), len(after)) < MIN_SOUND_COUNT:
+            continue
+        least = MIN_SOUND_SERVED * _count_served(before) / len(before)
+        if _count_served(after) < least * len(after):
+            yield (
+                f'{part}: {_count_served(after)} of {len(after)} sound served,'
+                f' {_count_served(before)} of {len(before)} before'
+            )
+
+
+def _get_part_crashes(ledger: Ledger) -> dict[str, list[float]]:
+    """Return when deadly parts crashed targets, in order."""
+    times: dict[str, list[float]] = {}
+    for crash in sorted(ledger.crashes, key=lambda one: one.at):
+        if crash.path.startswith(DEADLY_PART):
+            times.setdefault(crash.path, []).append(crash.at)
+    return times
+
+
+def _has_part(request: RequestRecord | None, part: str) -> bool:
+    return request is not None and part == get_deadly_part(request.ask.parts)
+
+
+def _get_sound(
+    ledger: Ledger, since: float, until: float
+) -> list[RequestRecord]:
+    """Return the sound streams sent in an interval at undisturbed entries."""
+    return [
+        request
+        for request in ledger.requests.values()
+        if since <= request.sent_at <= until
+        and request.ask.parts
+        and not get_deadly_part(request.ask.parts)
+        and request.left_at is None
+        and ledger.is_undisturbed(request.entry, request.sent_at, request.end)
+    ]
+
+
 def check_limit(ledger: Ledger) -> Iterator[str]:
     """A target's rate limit is kept, from `CONTACT_TIMEOUT_S` on."""
     end_times = _get_limit_end_times(ledger)
@@ -488,6 +559,8 @@
     check_graces,
     check_gone,
     check_budget,
+    check_parts,
+    check_sound,
     check_limit,
     check_words,
     check_rests,
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -23,6 +23,7 @@
     TIMEOUT_S,
     Caller,
     DeadlyCaller,
+    PartCaller,
     Keys,
 )
 from tests.soak.entries import COLD_PER_S, GRACE_S, Entry, run_entries
@@ -32,6 +33,7 @@
 from tests.soak.store import CONFIG, TARGETS, Store
 from tests.soak.updates import poll_failures, poll_updates
 from tests.soak.targets import (
+    DEADLY_PART,
     DRAINING,
     HEARTBEAT_INTERVAL_S,
     READY,
@@ -55,6 +57,8 @@
 #: Number of different requests that crash targets, and of callers of each.
 DEADLY_REQUESTS = 3
 DEADLY_CALLERS = 4
+#: Number of callers with a deadly part, for each of up to two such parts.
+PART_CALLERS = 6
 #: Interval at which the driver measures its own delay, in seconds.
 LATENESS_INTERVAL_S = 0.02
 ENGINE = {
@@ -172,6 +176,8 @@
             self.group.start_soon(caller.run)
         if self.size.plan == 'deadly':
             self._start_deadly_callers()
+        if self.size.plan == 'parts':
+            self._start_part_callers()
 
     def _start_deadly_callers(self) -> None:
         """Start callers of requests that crash targets.
@@ -190,6 +196,20 @@
             )
             self.group.start_soon(caller.run)
 
+    def _start_part_callers(self) -> None:
+        """Start callers whose requests share one of one or two deadly parts."""
+        for number in range(PART_CALLERS * self.rng.randint(1, 2)):
+            caller = PartCaller(
+                f'p{number}',
+                self.entries,
+                self.ledger,
+                self.keys,
+                Random(self.rng.random()),
+                lambda: self.finished,
+                part=f'{DEADLY_PART}{number // PART_CALLERS}',
+            )
+            self.group.start_soon(caller.run)
+
     def publish(self) -> None:
         """Write the current configuration as a new version."""
         self.version += self.rng.randint(1, 3)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -46,6 +46,12 @@
         report = self.check(replace(SIZE, plan='deadly'))
         self.assertGreater(report.changes, 0)
 
+    # Guards against new requests that crash one target after the other, since
+    # they share a part of their prompts.
+    def test_parts_that_crash_targets(self):
+        report = self.check(replace(SIZE, plan='parts'))
+        self.assertGreater(report.changes, 0)
+
     def test_frozen_reader(self):
         report = self.check(replace(SIZE, plan='standstill'))
         self.assertGreater(report.changes, 0)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -328,6 +328,44 @@
         ledger.requests.popitem()
         self.assertEqual(run_checks(ledger), [])
 
+    def test_part_keeps_crashing_targets(self):
+        """Four requests arrive after five crashes and the contact timeout."""
+        ledger = Ledger(
+            crashes=[Crash('dead0', f'i-{one}', one) for one in range(5)]
+        )
+        for number in range(4):
+            spec = replace(STREAM, req_id=f'r{number}', parts='a:1,dead0:1,c:1')
+            ledger.requests[spec.req_id] = make_request(
+                spec, status=503, whole=True, seal='', last_event=0
+            )
+            ledger.arrivals.append(Arrival(spec.req_id, 'i-1', 10))
+        self.assertEqual(
+            run_checks(ledger), ['parts: dead0 reached 4 targets more, ended 5']
+        )
+        ledger.arrivals.pop()
+        self.assertEqual(run_checks(ledger), [])
+
+    def test_sound_requests_are_refused(self):
+        """Nine of twenty are served, from six seconds after the last crash."""
+        ledger = Ledger(crashes=[Crash('dead0', 'i-1', 5)])
+        for number in range(40):
+            spec = replace(STREAM, req_id=f'r{number}', parts='a:1,c:1')
+            is_served = number < 29
+            refused = {'status': 503, 'seal': '', 'last_event': 0}
+            request = make_request(spec, **({} if is_served else refused))
+            request.sent_at = 1 if number < 20 else 12
+            ledger.requests[spec.req_id] = request
+            if is_served:
+                ledger.runs.append(make_run(spec))
+        self.assertEqual(
+            [one for one in run_checks(ledger) if one.startswith('sound')],
+            ['sound: dead0: 9 of 20 sound served, 20 of 20 before'],
+        )
+        ledger.crashes.clear()
+        self.assertEqual(
+            [one for one in run_checks(ledger) if one.startswith('sound')], []
+        )
+
     def make_drain_ledger(self, *sent_at):
         """Return a ledger of requests to a target that announced draining."""
         first = make_request(STREAM, first_at=10)
