Crashes of targets that are reached through other entries count

With targets crashing quickly, entries doubt their links and go through each other.

A broken tunnel is investigated like a close now: a new connection, over the own link and through another entry, tells whether the target is gone. Ruled out: the exception's cause is lost in the library (it is kept for direct connections).

--- a/tests/test_entry_failure_kinds.py
+++ b/tests/test_entry_failure_kinds.py
@@ -1,6 +1,7 @@
 """Evidence of how an attempt without an answer failed."""
 
 import unittest
+from unittest import mock
 
 import anyio
 
@@ -20,9 +21,26 @@
 STREAM = make_route(
     RouteKind.streaming, resumable=True, objective_s=0.1, pause_s=0.1
 )
+BROKEN = anyio.BrokenResourceError()
 BEGUN = make_stream(1, 2, end=b'')
 
 
+class TunnelTest(unittest.TestCase):
+    """Tunnels, which end with the target or with the entry between."""
+
+    # Guards against crashes that count against nothing, since targets are
+    # reached through other entries.
+    def test_broken_tunnel_is_investigated(self):
+        async def main():
+            stream = mock.Mock(receive=mock.AsyncMock(side_effect=BROKEN))
+            wire = Wire(stream, is_tunnel=True)
+            with self.assertRaises(WireError) as caught:
+                await wire.read_head()
+            return caught.exception.failure_kind
+
+        self.assertIs(anyio.run(main), FailureKind.closed)
+
+
 class EvidenceTest(unittest.TestCase):
     """Each kind of failure has its own evidence."""
 
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -252,7 +252,17 @@
             return b''
         except STREAM_ERRORS as exc:
             self.broken = True
-            raise WireError(step, repr(exc), classify_disconnect(exc)) from exc
+            raise WireError(step, repr(exc), self._classify(exc)) from exc
+
+    def _classify(self, exc: Exception) -> FailureKind:
+        """Return the kind of a failure.
+
+        A tunnel breaks together with its target, whose own failure is not known
+        here, or with the entry that it goes through.
+        """
+        if self.is_tunnel:
+            return FailureKind.closed
+        return classify_disconnect(exc)
 
 
 async def connect_stream(
