Crashed targets put no links in doubt

A target that is known to have crashed says nothing of the links to it: its failures are dropped and no new ones are recorded, until it answers again. A crash is only known if another entry does not reach the target either, so an entry that is cut off still notices. Other failures count as before (test_entry_links, test_entries_without_links, test_link_property).

--- a/tests/test_entry_links.py
+++ b/tests/test_entry_links.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from trestledock.entry._links import Links
+from trestledock.entry._links import MAX_CRASHED, Links
 from trestledock.entry._wire import Wire, WireError
 from trestledock.relay import FailureKind, Fleet, Health, ListedTarget
 
@@ -52,6 +52,50 @@
         self.assertFalse(self.break_all(failure))
 
 
+class CrashedTargetTest(unittest.TestCase):
+    """Targets that have crashed while they ran requests."""
+
+    # Guards against a wave of crashes that is taken for a lost link: entries
+    # went through each other, and refused requests that sound targets can run.
+    def test_crashes_are_no_failures_of_links(self):
+        async def main():
+            links = Links(Fleet(), Health())
+            refused = WireError('connect', 'refused', FailureKind.refused)
+            for target in TARGETS:
+                links.record_failure(target, refused, is_new=True)
+            seen = [links.is_doubted(TARGETS[0]), links.is_isolated()]
+            for target in TARGETS:
+                links.record_crashed(target.incarnation)
+            seen.append(links.is_doubted(TARGETS[0]))
+            for target in TARGETS:
+                links.record_failure(target, refused, is_new=True)
+            seen.extend((links.is_doubted(TARGETS[0]), links.is_isolated()))
+            return seen
+
+        self.assertEqual(anyio.run(main), [True, True, False, False, False])
+
+    # Guards against a cut that is overlooked, as one of the targets crashed.
+    def test_other_failures_count(self):
+        async def main():
+            links = Links(Fleet(), Health())
+            silent = WireError('connect', 'timeout', FailureKind.unreachable)
+            for target in TARGETS:
+                links.record_failure(target, silent, is_new=True)
+            links.record_crashed(TARGETS[0].incarnation)
+            return links.is_doubted(TARGETS[0])
+
+        self.assertTrue(anyio.run(main))
+
+    def test_known_crashes_are_bounded(self):
+        async def main():
+            links = Links(Fleet(), Health())
+            for number in range(MAX_CRASHED * 2):
+                links.record_crashed(f't{number}')
+            return len(links._crashed)
+
+        self.assertEqual(anyio.run(main), MAX_CRASHED)
+
+
 class IsolationTest(unittest.TestCase):
     """Entries without any way to the targets."""
 
--- a/trestledock/entry/_isolation.py
+++ b/trestledock/entry/_isolation.py
@@ -90,6 +90,7 @@
 Claim = Callable[[Sequence[QuarantineRecord]], Awaitable[bool]]
 SendCrashes = Callable[[Sequence[Crash]], None]
 SendCleared = Callable[[str, Sequence[str]], None]
+RecordCrashed = Callable[[str], None]
 
 
 async def _report_unreachable(_: ListedTarget) -> FailureKind:
@@ -111,14 +112,15 @@
     """Callbacks of the isolation.
 
     `reconnect` connects to a target again; `claim` reserves the right to probe
-    names of quarantined requests among all entries; the others send to all
-    entries at once.
+    names of quarantined requests among all entries; `record_crashed` is told of
+    each crashed target; the others send to all entries at once.
     """
 
     reconnect: Reconnect = _report_unreachable
     claim: Claim = _refuse_claim
     send_crashes: SendCrashes = _send_nothing
     send_cleared: SendCleared = _send_nothing
+    record_crashed: RecordCrashed = _send_nothing
 
 
 class Isolation:
@@ -390,6 +392,7 @@
 
     def _avoid(self, incarnation: str, now: float) -> None:
         """Stop using a crashed target until its record is removed."""
+        self.hooks.record_crashed(incarnation)
         if incarnation in self.fleet.targets:
             self.health.record_silence(incarnation, now)
 
--- a/trestledock/entry/_links.py
+++ b/trestledock/entry/_links.py
@@ -33,6 +33,8 @@
         FailureKind.unreachable,
     )
 )
+#: The maximum number of crashed targets that are kept, the newest ones.
+MAX_CRASHED = 1_000
 MS = 1000
 
 
@@ -56,6 +58,7 @@
         self._fleet = fleet
         self._target_health = target_health
         self._doubted_at: dict[Scope, float] = {}
+        self._crashed: dict[str, None] = {}
 
     def is_doubted(self, target: ListedTarget) -> bool:
         """Return whether the link to a target may be lost."""
@@ -73,12 +76,21 @@
         now = anyio.current_time()
         return self.health.is_cut_off(now) and not self.has_way_around()
 
+    def record_crashed(self, incarnation: str) -> None:
+        """Record that a target has crashed: its failures have this cause."""
+        self._crashed[incarnation] = None
+        if len(self._crashed) > MAX_CRASHED:
+            self._crashed.pop(next(iter(self._crashed)))
+        self.health.forget_failures(incarnation)
+
     def record_failure(
         self, target: ListedTarget, failure: WireError, *, is_new: bool
     ) -> None:
         """Record that a connection to a target failed."""
         if failure.failure_kind not in LINK_FAILURES:
             return
+        if target.incarnation in self._crashed:
+            return
         now = anyio.current_time()
         self.health.record_failure(target, now, is_new=is_new)
         self._log_doubted(target, now)
@@ -104,6 +116,7 @@
         if wire.is_tunnel:
             self.record_reached(target, wire.via)
             return
+        self._crashed.pop(target.incarnation, None)
         is_new = wire.is_new
         wire.is_new = False
         self.health.record_success(target, is_new=is_new)
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -141,6 +141,7 @@
         """Create the parts that share others."""
         self.isolation = Isolation(self.health, self.fleet)
         self.links = Links(self.fleet, self.health)
+        self.isolation.hooks.record_crashed = self.links.record_crashed
         self.proof = FreshnessProof(self.settings.revoke_s)
         self.placer = Placer(
             self.load_table,
--- a/trestledock/relay/_link_health.py
+++ b/trestledock/relay/_link_health.py
@@ -227,6 +227,13 @@
             if links.is_doubted(now)
         ]
 
+    def forget_failures(self, incarnation: str) -> None:
+        """Forget the failures of a target, which say nothing of its links."""
+        for scope, links in tuple(self.scopes.items()):
+            links.failures.pop(incarnation, None)
+            if not links.failures and not links.is_lost:
+                self.forget(scope)
+
     def forget(self, scope: Scope) -> None:
         """Forget a scope without targets."""
         self.scopes.pop(scope, None)
