List and release quarantined names: trestledock quarantine show, release

After its third probe only an operator releases a name; nothing let one see or free what the store holds.

--- a/trestledock/cli/_main.py
+++ b/trestledock/cli/_main.py
@@ -12,6 +12,7 @@
 from trestledock.cli._explain import explain
 from trestledock.cli._losses import losses
 from trestledock.cli._operator import check, drain, publish, show
+from trestledock.cli._quarantine import quarantine
 from trestledock.cli._serve import serve, standin
 from trestledock.demo import demo
 
@@ -31,6 +32,7 @@
     drain,
     explain,
     losses,
+    quarantine,
     standin,
     demo,
 )
