Popular parts that share no request are not blamed together

Only parts that were together in one request at a crash are blamed together, and a part that any entry has cleared counts as sound. A crash message has the names of one request, so all entries learn which go together. The mutant of the promise patches the decision that is asked now (refuses).

--- a/tests/blaming.py
+++ b/tests/blaming.py
@@ -198,6 +198,7 @@
             for name in request.names if self._is_suspect(request) else ():
                 crash = Crash(name, f't{target}@{self.births[target]}')
                 self.quarantine.record_crash(crash, self.now)
+            self.quarantine.record_request(request.names)
             if request.sends < SENDS:
                 self._schedule(0.01, self._send, request)
 
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -131,7 +131,7 @@
     (
         'ends deadly',
         'query_of_death',
-        (mock.patch.object(Quarantine, 'is_quarantined', return_value=False),),
+        (mock.patch.object(Quarantine, 'refuses', return_value=False),),
     ),
 )
 
--- a/tests/test_relay_blame.py
+++ b/tests/test_relay_blame.py
@@ -27,8 +27,13 @@
 THREE = dict(list(FIVE.items())[: REQUEST_THRESHOLD.crashes])
 
 
-def part(crashes):
-    return Evidence(crashes, SHARED_THRESHOLD, is_part=True)
+def part(crashes, companions=''):
+    return Evidence(
+        crashes,
+        SHARED_THRESHOLD,
+        is_part=True,
+        companions=frozenset(companions),
+    )
 
 
 def sound_part(crashes):
@@ -45,15 +50,15 @@
     'one crash less': ({'D': part(dict(list(FIVE.items())[1:]))}, []),
     'many targets at one moment': ({'P': part(MOMENT)}, []),
     'two parts that are always together': (
-        {'D': part(FIVE), 'P': part(FIVE)},
+        {'D': part(FIVE, 'P'), 'P': part(FIVE, 'D')},
         ['DP'],
     ),
     'one report of the part beside it is lost': (
-        {'D': part(SIX), 'P': part(FIVE)},
+        {'D': part(SIX, 'P'), 'P': part(FIVE, 'D')},
         ['DP'],
     ),
     'it ran without the part beside it': (
-        {'D': part(SEVEN), 'P': part(FIVE)},
+        {'D': part(SEVEN, 'P'), 'P': part(FIVE, 'D')},
         ['D'],
     ),
     'one of two was answered lately': (
@@ -64,6 +69,10 @@
         {'D': sound_part(FIVE)},
         ['D'],
     ),
+    'parts of different requests': (
+        {'D': part(SEVEN), 'P': part(SIX)},
+        ['D'],
+    ),
     'two deadly parts': (
         {'D': part(FIVE), 'E': part(OTHERS)},
         ['D', 'E'],
@@ -103,6 +112,7 @@
     # deadly one: only requests with both are refused.
     def test_requests_with_some_names_run(self):
         quarantine = make_quarantine({'part:d': FIVE, 'part:p': FIVE})
+        quarantine.record_request(('f', 'part:d', 'part:p'))
         self.assertTrue(quarantine.refuses(('f', 'part:p', 'part:d')))
         self.assertFalse(quarantine.refuses(('f', 'part:p')))
         quarantine.record_answer('part:p', 9)
@@ -121,6 +131,15 @@
                     quarantine.record_crash(crash, 4.5 + number)
                 self.assertEqual(quarantine.refuses(('part:d',)), is_refused)
 
+    # Guards against popular parts that are blamed together, which refuses no
+    # request, and hide the deadly one at an entry that has answered none.
+    def test_part_that_another_entry_has_cleared(self):
+        quarantine = make_quarantine({'part:d': FIVE, 'part:p': SIX})
+        self.assertFalse(quarantine.refuses(('f', 'part:d')))
+        quarantine.clear_crashes('part:p', ('earlier',))
+        self.assertTrue(quarantine.refuses(('f', 'part:d')))
+        self.assertFalse(quarantine.refuses(('f', 'part:p')))
+
     # Guards against instances that start later and blame nobody, as all
     # crashes of a record seem to be of one moment.
     def test_record_keeps_the_moments(self):
--- a/trestledock/entry/_isolation.py
+++ b/trestledock/entry/_isolation.py
@@ -281,10 +281,12 @@
         """Add crashes reported by another entry, with ages in seconds."""
         now = anyio.current_time()
         with self._checking(source):
-            for crash, age_s in crashes:
+            known = list(crashes)
+            for crash, age_s in known:
                 self.quarantine.record_crash(crash, now - age_s)
                 if age_s < RECENT_S:
                     self._avoid(crash.incarnation, now)
+            self._record_requests(crash for crash, _ in known)
 
     def merge_cleared(
         self,
@@ -358,6 +360,7 @@
         with self._checking(SELF):
             for crash in attributed:
                 self.quarantine.record_crash(crash, crash.at)
+            self._record_requests(attributed)
         for incarnation in dict.fromkeys(
             crash.incarnation for crash in crashes
         ):
@@ -368,6 +371,17 @@
                 emit(events.CrashExcused(crash.incarnation, crash.name))
         self.hooks.send_crashes(attributed)
 
+    def _record_requests(self, crashes: Iterable[Crash]) -> None:
+        """Record which names are those of one request.
+
+        The crashes of one target that are reported together are.
+        """
+        names: dict[str, list[str]] = {}
+        for crash in crashes:
+            names.setdefault(crash.incarnation, []).append(crash.name)
+        for together in names.values():
+            self.quarantine.record_request(together)
+
     def _log_ended(
         self,
         incarnation: str,
--- a/trestledock/relay/_blame.py
+++ b/trestledock/relay/_blame.py
@@ -66,13 +66,16 @@
     """The crashes that count against a name: their instants by incarnation.
 
     Requests have several names that are parts of prompts, but one fingerprint.
-    A name `was_sound` if it was answered in the minute before the last crash.
+    A name `was_sound` if it was answered in the minute before the last crash,
+    or after an earlier one.  `companions` are the names that were together with
+    it in a request at a crash.
     """
 
     crashes: Mapping[str, float]
     threshold: Threshold
     is_part: bool = False
     was_sound: bool = False
+    companions: Set[str] = frozenset()
 
     def is_sufficient(self, explained: Set[str]) -> bool:
         """Return whether the crashes without another explanation suffice."""
@@ -136,10 +139,14 @@
 
 
 def _find_equivalent(parts: Names, worst: str, crashes: Set[str]) -> Suspects:
-    """Return the parts that explain the crashes as well as the worst one."""
+    """Return the parts that explain the crashes as well as the worst one.
+
+    One request must be able to have them all.
+    """
     return frozenset(
         name
         for name, one in parts.items()
         if one.was_sound == parts[worst].was_sound
+        and name in {worst, *parts[worst].companions}
         and len(crashes - one.crashes.keys()) <= MAX_MISSING
     )
--- a/trestledock/relay/_quarantine.py
+++ b/trestledock/relay/_quarantine.py
@@ -47,6 +47,8 @@
 #: kept: messages about them arrive seconds late, and a popular request is
 #: cleared of some with each crash.
 MAX_CLEARED = 50
+#: About how many names that were in one request with another are kept.
+MAX_COMPANIONS = 200
 #: The maximum number of names sent or stored that are only cleared of crashes,
 #: of which the latest are: old crashes are hardly reported any more.
 MAX_SENT_CLEARED = 100
@@ -115,7 +117,8 @@
     the last probe or crash, None if the name is only known to be cleared of
     some.  Crashes that were `cleared` by an answer are kept, in the order in
     which they were cleared: other instances learn of the answer late, and still
-    report the old crashes.
+    report the old crashes.  `companions` are names that were in one request
+    with this one.
     """
 
     threshold: Threshold = SHARED_THRESHOLD
@@ -123,6 +126,7 @@
     cleared: dict[str, None] = field(default_factory=dict)
     since: float | None = None
     probes: int = 0
+    companions: set[str] = field(default_factory=set)
 
     def get_age_s(self, now: float) -> float:
         """Return the time since the last probe or crash, in seconds."""
@@ -146,8 +150,14 @@
             if at >= proven_at
         }
         last_at = max(crashes.values(), default=proven_at)
-        was_sound = answers.is_recent(name, last_at)
-        return Evidence(crashes, self.threshold, is_part(name), was_sound)
+        was_sound = bool(self.cleared) or answers.is_recent(name, last_at)
+        return Evidence(
+            crashes,
+            self.threshold,
+            is_part(name),
+            was_sound,
+            self.companions,
+        )
 
 
 class Quarantine:
@@ -191,6 +201,15 @@
         self._blamed = None
         return True
 
+    def record_request(self, names: Iterable[str]) -> None:
+        """Record that suspect parts were together in one request."""
+        parts = set(filter(is_part, names))
+        for name in parts & self.suspects.keys():
+            companions = self.suspects[name].companions
+            if len(companions) < MAX_COMPANIONS and not parts <= companions:
+                companions |= parts
+                self._blamed = None
+
     def count_crashes(self, name: str) -> int:
         """Return the number of targets that crashed under a name."""
         suspect = self.suspects.get(name)
