Crashes of targets without a suspect request put no data centre in doubt

A crash counts against no request whose answer has gone on for half a second, so an entry where all were that far knew of no crash: two refused connections would have made it suspect the whole data centre of these targets. What an entry knows of crashed targets is asked as well now. Found by reading who asks the quarantine for crashes; the test fails without the change.

--- a/tests/test_entry_isolation.py
+++ b/tests/test_entry_isolation.py
@@ -1,6 +1,7 @@
 """Which requests crashes are attributed to when an attempt fails."""
 
 import unittest
+from dataclasses import replace
 from random import Random
 
 import anyio
@@ -351,6 +352,36 @@
         self.assertEqual(found, [])
 
 
+class LastingRequestTest(unittest.TestCase):
+    """Crashes of targets whose requests here had gone on for a while."""
+
+    # Guards against a data centre that is suspected for crashes of targets,
+    # since none of them counts against a request of this entry.
+    def test_crash_without_suspects(self):
+        async def main():
+            state = EntryState(SETTINGS, 'e#a', Random(1), None)
+
+            async def reconnect(_):
+                return FailureKind.refused
+
+            state.isolation.hooks.reconnect = reconnect
+            now = anyio.current_time()
+            for target in TARGETS:
+                far = replace(target, data_centre='far')
+                state.fleet.put(far)
+                await state.isolation.investigate_failure(
+                    (), FailureKind.closed, [far]
+                )
+                state.record_silence(far.incarnation, now)
+            return (
+                list(state.health.data_centres),
+                state.health.is_suspect(TARGETS[0].incarnation, now),
+                state.links.are_all_doubted(now),
+            )
+
+        self.assertEqual(run_virtually(main), ([], True, False))
+
+
 class ProbeTest(unittest.TestCase):
     """Which entry may send a quarantined request to one target."""
 
--- a/trestledock/entry/_links.py
+++ b/trestledock/entry/_links.py
@@ -83,13 +83,17 @@
             self._crashed.pop(next(iter(self._crashed)))
         self.health.forget_failures(incarnation)
 
+    def has_crashed(self, incarnation: str) -> bool:
+        """Return whether a target is known to have crashed lately."""
+        return incarnation in self._crashed
+
     def record_failure(
         self, target: ListedTarget, failure: WireError, *, is_new: bool
     ) -> None:
         """Record that a connection to a target failed."""
         if failure.failure_kind not in LINK_FAILURES:
             return
-        if target.incarnation in self._crashed:
+        if self.has_crashed(target.incarnation):
             return
         now = anyio.current_time()
         self.health.record_failure(target, now, is_new=is_new)
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -238,12 +238,18 @@
         A crash during a request says nothing about the target's data centre.
         """
         data_centre = self._get_remote_data_centre(target_id)
-        if self.isolation.quarantine.has_crashed(target_id):
+        if self._has_crashed(target_id):
             data_centre = ''
         if not self.health.is_suspect(target_id, now, data_centre):
             emit(events.TargetSuspected(target_id, data_centre))
         self.health.record_silence(target_id, now, data_centre)
 
+    def _has_crashed(self, target_id: str) -> bool:
+        """Whether a target crashed, under a known request or another one."""
+        if self.isolation.quarantine.has_crashed(target_id):
+            return True
+        return self.links.has_crashed(target_id)
+
     def record_success(self, target_id: str, now: float) -> None:
         """Record that a target answered as expected."""
         self.health.record_success(
