--- a/tests/test_deadly_parts.py
+++ b/tests/test_deadly_parts.py
@@ -129,3 +129,26 @@
     def test_first_part(self):
         with self.check(lambda _: f'{DEADLY_PART}:9,{SHARED}:9', 0.1) as seen:
             self.check_sound(*seen)
+
+    # Guards against an entry that starts later and knows nothing of the part,
+    # or that missed the messages, until its first targets have crashed.
+    def test_entry_started_later(self):
+        fleet = run_fleet(
+            self.start_late, STREAM, CRASHES['reset before the head'], targets=8
+        )
+        self.assertEqual(fleet.late_statuses, [NOT_RUN, NOT_RUN])
+
+    async def start_late(self, fleet):
+        traffic = Traffic(fleet, lambda _: f'{SHARED}:9,{DEADLY_PART}:9', 0.1)
+        with anyio.move_on_after(3):
+            await traffic.run()
+        fleet.add_entry()
+        fleet.late_statuses = []
+        crashes = len(fleet.crashed_at)
+        for number in range(2):
+            outcome = await fleet.entries[-1].ask(
+                f'late{number}',
+                headers={PARTS_HEADER: f'{SHARED}:9,{DEADLY_PART}:9,7:9'},
+            )
+            fleet.late_statuses.append(outcome.status)
+        self.assertEqual(len(fleet.crashed_at), crashes)
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -2,6 +2,7 @@
 
 import json
 import unittest
+from dataclasses import replace
 from random import Random
 
 import anyio
@@ -68,6 +69,33 @@
 
         run_with_store(scenario)
 
+    # Guards against an entry that blames no part after a start, since all
+    # crashes of a record seem to be of one moment.
+    def test_ages_of_crashes(self):
+        async def scenario(store, first, second):
+            ages_s = (90.0, 80.0, 70.0)
+            await first.write_records([replace(RECORD, ages_s=ages_s)])
+            found = await second.read_records(0)
+            for age_s, expected_s in zip(found[0].ages_s, ages_s, strict=True):
+                self.assertLess(abs(age_s - expected_s), 30)
+            self.assertAlmostEqual(
+                found[0].ages_s[0] - found[0].ages_s[2], 20, places=2
+            )
+
+        run_with_store(scenario)
+
+    def test_record_of_an_older_version(self):
+        """It has no ages of single crashes."""
+
+        async def scenario(store, first, second):
+            plain = {'ends': ['a', 'b', 'c'], 'since_ms': 1, 'trials': 0}
+            store.get_topic(TOPIC).put('f', json.dumps(plain).encode())
+            found = await second.read_records(0)
+            self.assertEqual(found[0].ages_s, ())
+            self.assertEqual(len(list(found[0].get_crashes())), 3)
+
+        run_with_store(scenario)
+
     def test_long_polling_read_ends_with_a_write(self):
         async def scenario(store, first, second):
             await second.read_records(0)
--- a/tests/test_process_isolating.py
+++ b/tests/test_process_isolating.py
@@ -1,11 +1,13 @@
 """Tests of the quarantine shared by instances of the own interface."""
 
 import unittest
+from dataclasses import replace
 from random import Random
 
 from trestledock.process import Identity, Policy, Timing
 from trestledock.process._actions import SendToPeer
 from trestledock.process._live_request import LiveRequest
+from trestledock.process._payloads import TargetEnds
 from trestledock.process._quarantining import (
     is_quarantined,
     merge_crashes,
@@ -41,6 +43,12 @@
     return LiveRequest(REQ, 0, pool='')
 
 
+def make_live_with_part(number):
+    """Return a request that shares nothing but a part with others."""
+    req = replace(REQ, fingerprint=f'f{number}', parts=('part:d',))
+    return LiveRequest(req, 0, pool='')
+
+
 def pop_payloads(state):
     """Remove and return the payloads that an instance has sent."""
     payloads = [
@@ -103,6 +111,35 @@
                 probes.append(live.is_trial)
         self.assertEqual(sum(probes), 1)
 
+    # Guards against new requests that crash one target after the other, since
+    # they share a part of their prompts.
+    def test_part_that_crashes_targets(self):
+        """Each request has a fingerprint and targets of its own."""
+        payloads = []
+        for number in range(5):
+            target = TargetInfo(f'p{number}', f'b:{number}', 'x')
+            self.one.fleet.merge_targets((target,), 0)
+            live = make_live_with_part(number)
+            self.assertFalse(is_quarantined(self.one, live))
+            record_crash(self.one, live, target.name, number)
+            payloads.extend((number, sent) for sent in pop_payloads(self.one))
+        self.assertTrue(is_quarantined(self.one, make_live_with_part(9)))
+        for at, payload in payloads:
+            merge_crashes(self.other, payload, at)
+        self.assertTrue(is_quarantined(self.other, make_live_with_part(9)))
+        self.assertFalse(is_quarantined(self.other, make_live()))
+
+    def test_new_peer_blames_the_part(self):
+        """The crashes that it is sent keep their times."""
+        for number in range(5):
+            merge_crashes(
+                self.one, TargetEnds('part:d', (f't{number}',)), number
+            )
+        peer = self.one.fleet.peers['entry-1#0001']
+        send_quarantine(self.one, peer, 9)
+        self.send(pop_payloads(self.one))
+        self.assertTrue(is_quarantined(self.other, make_live_with_part(9)))
+
     def test_request_without_fingerprint_is_not_suspected(self):
         live = LiveRequest(Request('r2', 'kiosks', Kind.call, 9), 0, pool='')
         for target in TARGETS:
