--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -238,18 +238,12 @@
         A crash during a request says nothing about the target's data centre.
         """
         data_centre = self._get_remote_data_centre(target_id)
-        if self._has_crashed(target_id):
+        if _has_crashed(self, target_id):
             data_centre = ''
         if not self.health.is_suspect(target_id, now, data_centre):
             emit(events.TargetSuspected(target_id, data_centre))
         self.health.record_silence(target_id, now, data_centre)
 
-    def _has_crashed(self, target_id: str) -> bool:
-        """Whether a target crashed, under a known request or another one."""
-        if self.isolation.quarantine.has_crashed(target_id):
-            return True
-        return self.links.has_crashed(target_id)
-
     def record_success(self, target_id: str, now: float) -> None:
         """Record that a target answered as expected."""
         self.health.record_success(
@@ -490,3 +484,10 @@
         await work(*args)
     except Exception:
         emit(events.Failed(work.__qualname__), failed=True)
+
+
+def _has_crashed(state: EntryState, target_id: str) -> bool:
+    """Return whether a target crashed, under a suspect request or not."""
+    if state.isolation.quarantine.has_crashed(target_id):
+        return True
+    return state.links.has_crashed(target_id)
