What is blamed once a lasting answer has ended is logged and saved, too

An answer that goes on excuses its parts. As it ended, they were blamed without a line in the log, a record in the store or a new revision for other entries, since no crash was reported at that moment. The test fails without the change.

--- a/tests/test_entry_isolation.py
+++ b/tests/test_entry_isolation.py
@@ -197,6 +197,7 @@
             with isolation.runs.track(('part:a', 'g')) as run:
                 await self.crash_part(isolation)
                 seen.append(isolation.is_quarantined(['part:a']))
+                isolation.pop_unsaved()
                 run.began_at = anyio.current_time()
                 await anyio.sleep(MIN_WRITING_S / 2)
                 seen.append(isolation.is_quarantined(['part:a']))
@@ -205,8 +206,10 @@
             await anyio.sleep(PROOF_INTERVAL_S)
             seen.append(isolation.is_quarantined(['part:a']))
 
+            seen.append(isolation.unsaved)
+
         run_isolation(scenario)
-        self.assertEqual(seen, [True, True, False, True])
+        self.assertEqual(seen, [True, True, False, True, {'part:a'}])
 
     async def crash_part(self, isolation):
         for target in TARGETS[:5]:
--- a/trestledock/entry/_isolation.py
+++ b/trestledock/entry/_isolation.py
@@ -372,9 +372,10 @@
         self.hooks.send_crashes(attributed)
 
     def _record_requests(self, crashes: Iterable[Crash]) -> None:
-        """Record which names are those of one request.
+        """Record which names belong to one request.
 
-        The crashes of one target that are reported together are.
+        The crashes of one target in one message do. Messages to a new entry may
+        have those of several requests, which then only seem to be one.
         """
         names: dict[str, list[str]] = {}
         for crash in crashes:
@@ -451,7 +452,8 @@
             return
         self._proofs_until = now + PROOF_INTERVAL_S
         candidates = self.quarantine.get_candidates()
-        self.quarantine.set_proofs(self.runs.get_proofs(candidates, now))
+        with self._checking(SELF):
+            self.quarantine.set_proofs(self.runs.get_proofs(candidates, now))
 
     def _evict_excess(self) -> None:
         for forgotten in self.quarantine.evict_excess():
