Commands import the entry only where they need it

The commands of the quarantine imported the platform's adapter, and the entry replaces the server of its library, with settings that other commands don't have.

The test of the imports fails without the change.

--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -21,6 +21,16 @@
             Path('file.yaml').write_text(text)
             return runner.invoke(main, words)
 
+    # Guards against instances and stand-ins that answer nothing: the entry
+    # replaces the server of its library, with settings that they don't have.
+    def test_commands_do_not_import_the_entry(self):
+        code = (
+            'import sys, trestledock.cli; '
+            'sys.exit("trestledock.entry" in sys.modules)'
+        )
+        command = (sys.executable, '-c', code)
+        self.assertEqual(subprocess.run(command, cwd=ROOT).returncode, 0)
+
     def test_version(self):
         self.assertIn(VERSION, self.run_command('--version').output)
 
--- a/trestledock/cli/_quarantine.py
+++ b/trestledock/cli/_quarantine.py
@@ -7,19 +7,13 @@
 """
 
 import sys
-from typing import Awaitable, Callable, TypeVar
+from types import ModuleType
+from typing import Any, Awaitable, Callable
 
 import anyio
 import click
 
 from trestledock.cli._files import fail
-from trestledock.entry import DirectoryError, WireError
-from trestledock.platform.operator import read_quarantine, release
-from trestledock.relay import QuarantineRecord
-
-#: The exceptions of a store that is not reached or not understood.
-READ_ERRORS = (OSError, DirectoryError, WireError, ValueError)
-Found = TypeVar('Found')
 
 store_option = click.option(
     '--store', required=True, help="HOST:PORT of the platform's store."
@@ -35,8 +29,8 @@
 @store_option
 def show_quarantine(store: str) -> None:
     """Print each quarantined name with its crashes and probes."""
-    for record in _run(read_quarantine, store):
-        click.echo(_format(record))
+    for line in _run(_load_operator().show_quarantine, store):
+        click.echo(line)
 
 
 @quarantine.command('release')
@@ -44,24 +38,21 @@
 @store_option
 def release_name(name: str, store: str) -> None:
     """Clear NAME of its crashes, for example part:5c1e07a2."""
-    if not _run(release, store, name):
+    if not _run(_load_operator().release, store, name):
         click.echo(f'{name} is not quarantined', err=True)
         sys.exit(1)
     click.echo(f'{name}: released')
 
 
-def _format(record: QuarantineRecord) -> str:
-    count = len(record.incarnations)
-    return (
-        f'{record.name}: {count} crashes, the last one or a probe '
-        f'{record.age_s:.0f} s ago, {record.probes} probes'
-    )
+def _load_operator() -> ModuleType:
+    """Import the adapter, which replaces the server of all other commands."""
+    from trestledock.platform import operator  # noqa: WPS433
+
+    return operator
 
 
-def _run(
-    action: Callable[..., Awaitable[Found]], store: str, *args: str
-) -> Found:
+def _run(action: Callable[..., Awaitable[Any]], store: str, *args: str) -> Any:
     try:
         return anyio.run(action, store, *args)
-    except READ_ERRORS as exc:
+    except _load_operator().READ_ERRORS as exc:
         fail((f'{store}: {exc!r}',))
