Ends of answers: a crash that counts against no request is known, too

A target whose requests here had all gone on for half a second leaves no suspect as it crashes. The check whether an answer that a close has ended is whole asked the quarantine only, and would have taken another process at the address for the target. It asks what links and data centres ask now, one function for all.

--- a/tests/test_entry_isolation.py
+++ b/tests/test_entry_isolation.py
@@ -11,12 +11,14 @@
 from trestledock.entry._isolation import PROOF_INTERVAL_S
 from trestledock.entry._runs import MIN_WRITING_S, Run
 from trestledock.entry._state import EntryState
+from trestledock.entry._survival import SurvivalChecks
 from trestledock.relay import (
     Crash,
     ListedTarget,
     QuarantineRecord,
     FailureKind,
     Standing,
+    Survival,
 )
 from trestledock.relay._blame import MOMENT_S
 from trestledock.relay._unconfirmed_crashes import UNCONFIRMED_TTL_S
@@ -435,3 +437,28 @@
 
     def test_no_probe_without_store(self):
         self.assertEqual(self.run_probes(False), [False, False, False, False])
+
+
+class KnownCrashTest(unittest.TestCase):
+    """What is asked of a target that is known to have crashed."""
+
+    # Guards against an answer that looks complete, since the crash of its
+    # target counts against no request of this entry.
+    def test_crash_without_suspects_ends_answers(self):
+        """Another process may listen at its address by now."""
+
+        async def main():
+            state = EntryState(SETTINGS, 'e#a', Random(1), None)
+
+            async def reconnect(_):
+                return FailureKind.none
+
+            state.isolation.hooks.reconnect = reconnect
+            checks = SurvivalChecks(state)
+            before = await checks._find(TARGETS[0])
+            state.links.record_crashed(TARGETS[0].incarnation)
+            return before, await checks._find(TARGETS[0])
+
+        self.assertEqual(
+            run_virtually(main), (Survival.survived, Survival.ended)
+        )
--- a/trestledock/entry/_state.py
+++ b/trestledock/entry/_state.py
@@ -238,7 +238,7 @@
         A crash during a request says nothing about the target's data centre.
         """
         data_centre = self._get_remote_data_centre(target_id)
-        if _has_crashed(self, target_id):
+        if has_crashed(self, target_id):
             data_centre = ''
         if not self.health.is_suspect(target_id, now, data_centre):
             emit(events.TargetSuspected(target_id, data_centre))
@@ -389,9 +389,7 @@
             'rate_limits': len(self.notices.get_in_force(RateLimit)),
             'rate_quota_per_second': self._get_quota_sum(),
             'data_centres_evacuated': len(self.fleet.evacuations.names),
-            'requests_quarantined': self.isolation.count_quarantined(
-                parts=False
-            ),
+            'requests_quarantined': self.isolation.count_quarantined(),
             'parts_quarantined': self.isolation.count_quarantined(parts=True),
             'requests_suspected': len(self.isolation.quarantine.suspects),
             'crashes_unconfirmed': self.isolation.count_unconfirmed(now),
@@ -486,7 +484,7 @@
         emit(events.Failed(work.__qualname__), failed=True)
 
 
-def _has_crashed(state: EntryState, target_id: str) -> bool:
+def has_crashed(state: EntryState, target_id: str) -> bool:
     """Return whether a target crashed, under a suspect request or not."""
     if state.isolation.quarantine.has_crashed(target_id):
         return True
--- a/trestledock/entry/_survival.py
+++ b/trestledock/entry/_survival.py
@@ -17,7 +17,7 @@
 from trestledock.entry import _events as events
 from trestledock.entry._connector import MAX_PEERS_TRIED
 from trestledock.entry._logger import emit
-from trestledock.entry._state import EntryState
+from trestledock.entry._state import EntryState, has_crashed
 from trestledock.entry._tunnels import OPEN_TIMEOUT_S
 from trestledock.entry._wire import CONNECT_TIMEOUT_S
 from trestledock.relay import FailureKind, ListedTarget, Survival
@@ -83,10 +83,9 @@
 
         One that drains may have ended properly after its last answer.
         """
-        isolation = self.state.isolation
-        if isolation.quarantine.has_crashed(target.incarnation):
+        if has_crashed(self.state, target.incarnation):
             return Survival.ended
-        failure = await isolation.hooks.reconnect(target)
+        failure = await self.state.isolation.hooks.reconnect(target)
         if failure is FailureKind.none:
             return Survival.survived
         is_refused = failure is FailureKind.refused
