--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# The stand-ins are Python and use the standard library only: they need no
+# build. This checks that they and the build of the deploy file are there.
+cd "$(dirname "$0")/.." || exit 2
+[ -d target/deps ] || { echo 'build deploy/system.toml first'; exit 2; }
+for file in review/kit.py review/[0-9]*/case.py; do
+    python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file" ||
+        exit 2
+done
