--- a/review/1/case.py
+++ b/review/1/case.py
@@ -73,7 +73,7 @@
                 writer.write(raw)
                 await writer.drain()
                 self.answers += self.is_garbled
-                allowed = self.copies < self.answers * GARBLED_SHARE
+                allowed = self.copies + 1 <= self.answers * GARBLED_SHARE
                 if may_copy and self.is_garbled and allowed:
                     self.copies += 1
                     held = raw
--- a/review/kit.py
+++ b/review/kit.py
@@ -52,6 +52,25 @@
     return ports
 
 
+def is_free(host, port):
+    """Return whether a port is unused for TCP and UDP."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind((host, port))
+            except OSError:
+                return False
+    return True
+
+
+def find_free_range(host):
+    """Return the first of 16 ports that are unused for TCP and UDP."""
+    while True:
+        first = random.SystemRandom().randrange(20000, 40000)
+        if all(is_free(host, first + step) for step in range(16)):
+            return first
+
+
 class Record:
     """What was sent, answered and run, with times since the start."""
 
@@ -314,7 +333,7 @@
         self.name, self.host, self.zone = name, host, zone
         self.folder = Path(folder)
         self.ports = free_ports(host, 3)
-        first = 20000 + random.randrange(20000)
+        first = find_free_range(host)
         self.path = self.folder / f'{name}.toml'
         self.path.write_text(SETTINGS.format(
             name=name, host=host, zone=zone, store=store, first=first,
