Logs name the connection of each send and order, and answers of other requests

The log had the outcome of each attempt, but not the connection that it used: whether two sends of one request shared a connection, what that connection had carried before, and which answer was read could not be told apart.

answered and sending_ended have conn and exchange, the number of the connection and of the exchange on it; order_answered is new and has the same for orders to engines; foreign_answer, new, is written and counted when an answer with the id of another request is read. Each kind keeps its limit of lines a second.

--- a/tests/limiting.py
+++ b/tests/limiting.py
@@ -196,6 +196,7 @@
         self.is_tunnel = False
         self.framing = Framing.length
         self.is_new = True
+        self.number = self.exchange = 1
 
     async def send(self, method, path, headers, body, spawn):
         await anyio.sleep(NETWORK_DELAY_S)
--- a/tests/test_entry_metrics.py
+++ b/tests/test_entry_metrics.py
@@ -19,7 +19,9 @@
         metrics = Metrics()
         metrics.record_event(events.Refused('r', 'no_target', 503, 1, 1, 0))
         metrics.record_event(
-            events.Answered('r', 't', '200', 250, 200, 40, 'close', 'unproven')
+            events.Answered(
+                'r', 't', '200', 250, 200, 40, 'close', 'unproven', 7, 1
+            )
         )
         metrics.record_event(events.PeerMet('p'))
         text = metrics.render(dict.fromkeys(GAUGES, 1)).decode()
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -11,12 +11,14 @@
 
 import anyio
 
+from trestledock.entry import _events as events
 from trestledock.entry._answer_ends import AnswerEnds
 from trestledock.entry._answer_source import find_attributed_target
 from trestledock.entry._cold_targets import record_cold_time
 from trestledock.entry._byte_budget import HeldBytes
 from trestledock.entry._dialect import AnswerMetadata, Dialect
 from trestledock.entry._job import StoredAnswer, Job
+from trestledock.entry._logger import emit
 from trestledock.entry._timeouts import ResponseTimeout, ResponseTimeouts
 from trestledock.entry._pool import get_idle_s
 from trestledock.entry._notices import record_answer_notices
@@ -67,6 +69,16 @@
         self.state.links.record_answer(placement.target, wire)
         answer = self.dialect.read_head(head)
         if answer.req_id and answer.req_id != job.call.req_id:
+            emit(
+                events.ForeignAnswer(
+                    req=job.call.req_id,
+                    peer=placement.target.incarnation,
+                    status=head.status,
+                    answer_req=answer.req_id,
+                    conn=wire.number,
+                    exchange=wire.exchange,
+                )
+            )
             raise WireError('answer', 'of another request')
         record_answer_notices(
             self.state, job, placement, head.status, answer, asked_at
--- a/trestledock/entry/_events.py
+++ b/trestledock/entry/_events.py
@@ -50,6 +50,7 @@
     MemoryRefused,
     FirstEvent,
     SendingEnded,
+    ForeignAnswer,
     Repeated,
     Answered,
     FailurePassedOn,
@@ -96,6 +97,7 @@
     ColdWaited,
     SentUnderLimit,
     SurvivalChecked,
+    OrderAnswered,
     OrderLost,
 )
 
@@ -107,6 +109,7 @@
     MemoryRefused,
     FirstEvent,
     SendingEnded,
+    ForeignAnswer,
     Repeated,
     Answered,
     FailurePassedOn,
@@ -167,6 +170,7 @@
     EpochDoubted,
     WrittenAgain,
     DatagramDropped,
+    OrderAnswered,
     OrderLost,
     Failed,
     Started,
--- a/trestledock/entry/_logger.py
+++ b/trestledock/entry/_logger.py
@@ -33,6 +33,7 @@
     for kind in (
         events.Refused,
         events.SendingEnded,
+        events.ForeignAnswer,
         events.Cut,
         events.FailurePassedOn,
         events.Failed,
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -43,6 +43,9 @@
             'Sendings without an answer',
             ('ending', 'step', 'sign', 'framing'),
         ),
+        events.ForeignAnswer: Counter(
+            'Answers read that were not those of the requests that waited'
+        ),
         events.Repeated: Counter('Requests that went to another target'),
         events.Answered: Counter('Answers passed on', ('framing', 'end')),
         events.FailurePassedOn: Counter("Targets' failures passed on"),
@@ -58,6 +61,9 @@
             'Requests that left engines to more urgent ones or other teams'
         ),
         events.MemoryRefused: Counter('Prompts whose memory was not granted'),
+        events.OrderAnswered: Counter(
+            'Orders to engines with an answer', ('operation',)
+        ),
         events.OrderLost: Counter('Orders to engines without an answer'),
         events.TargetSuspected: Counter('Targets that fell silent'),
         events.LimitHeard: Counter(
--- a/trestledock/entry/_relaying.py
+++ b/trestledock/entry/_relaying.py
@@ -322,6 +322,8 @@
             took_ms=took_ms,
             sign=attempt.failure_kind.value,
             framing=_get_name(attempt.framing),
+            conn=attempt.conn,
+            exchange=attempt.exchange,
             fingerprint=job.fingerprint,
         )
     )
@@ -341,6 +343,8 @@
         longest_ms=round(job.longest_pause_s * MS),
         framing=_get_name(attempt.framing),
         end=attempt.end.value,
+        conn=attempt.conn,
+        exchange=attempt.exchange,
     )
 
 
--- a/trestledock/entry/_request_events.py
+++ b/trestledock/entry/_request_events.py
@@ -84,7 +84,7 @@
 
     `ending` and `step` say how and at which step, `sign` is the kind of failure
     of the connection, if it failed. `framing` is as in `Answered`, empty if
-    no head of an answer was read.
+    no head of an answer was read. `conn` and `exchange` are as in `Answered`.
     """
 
     req: str
@@ -95,9 +95,25 @@
     took_ms: int
     sign: str
     framing: str
+    conn: int
+    exchange: int
     fingerprint: str
 
 
+class ForeignAnswer(Event):
+    """An answer was read that is not that of the request that waits for one.
+
+    It has the id `answer_req`.
+    """
+
+    req: str
+    peer: str
+    status: int
+    answer_req: str
+    conn: int
+    exchange: int
+
+
 class Repeated(Event):
     """A request goes to another target, after `sendings` attempts."""
 
@@ -113,7 +129,8 @@
     longest pause after that. `framing` is what told where the answer ends:
     its length, its chunks, the close of the connection, or none as it is empty.
     `end` is whole, or, after a close alone, outlived if its target lived on and
-    unproven if that isn't known.
+    unproven if that isn't known. The request was the `exchange`-th on the
+    connection `conn` of this process, both 0 if it was not written.
     """
 
     req: str
@@ -124,6 +141,8 @@
     longest_ms: int
     framing: str
     end: str
+    conn: int
+    exchange: int
 
 
 class FailurePassedOn(Event):
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -255,17 +255,21 @@
             # Idle connections fall silent together, while new ones work.
             self.pool.close_idle(peer)
             await self._report_lost(job, placement, exc.failure_kind)
-            return RelayAttempt(
+            attempt = RelayAttempt(
                 AttemptOutcome.lost,
                 exc.step,
                 peer,
                 exc.detail,
                 exc.failure_kind,
-                wire.framing,
             )
         finally:
             await self.pool.release(placement.target, wire, idle_s)
-        return replace(attempt, framing=wire.framing)
+        return replace(
+            attempt,
+            framing=wire.framing,
+            conn=wire.number,
+            exchange=wire.exchange,
+        )
 
     async def _report_lost(
         self, job: Job, placement: Placement, failure_kind: FailureKind
--- a/trestledock/entry/_target_events.py
+++ b/trestledock/entry/_target_events.py
@@ -207,6 +207,20 @@
     took_ms: int
 
 
+class OrderAnswered(Event):
+    """An order for a reservation got an answer.
+
+    It was the `exchange`-th on the connection `conn` of this process.
+    """
+
+    peer: str
+    operation: str
+    reservation: str
+    status: int
+    conn: int
+    exchange: int
+
+
 class OrderLost(Event):
     """An order to an engine got no answer."""
 
--- a/trestledock/entry/_tickets.py
+++ b/trestledock/entry/_tickets.py
@@ -8,6 +8,8 @@
 reservations of a crashed process expire by themselves.
 """
 
+from dataclasses import dataclass
+
 import anyio
 
 from trestledock.entry import _events as events
@@ -40,6 +42,15 @@
 NO_ANSWER = 0
 
 
+@dataclass(frozen=True)
+class _Order:
+    """An order for a reservation, with its operation for the log."""
+
+    operation: str
+    reservation_id: str
+    request: ControlRequest
+
+
 class Tickets:
     """Reserves and releases engine memory for one entry process.
 
@@ -108,9 +119,7 @@
         # The evacuation of its data centre may have begun since the placement.
         if self.state.fleet.is_evacuated(holder):
             return
-        order = self.dialect.make_reserve(
-            reservation_id, tokens, LEASE_S, holder
-        )
+        order = self._make_reserve('reserve', reservation_id, tokens, holder)
         # From here on the memory may be reserved, whatever the answer is.
         self._holders[reservation_id] = holder
         reservation_ids[holder.incarnation] = reservation_id
@@ -142,8 +151,8 @@
                 await anyio.sleep(RENEW_INTERVAL_S)
                 if self.state.fleet.is_superseded(holder):
                     return
-                order = self.dialect.make_reserve(
-                    reservation_id, tokens, LEASE_S, holder
+                order = self._make_reserve(
+                    'renew', reservation_id, tokens, holder
                 )
                 await self._send_control(holder, order)
 
@@ -151,13 +160,24 @@
         self, holder: ListedTarget, reservation_id: str
     ) -> None:
         for _ in range(RELEASE_TRIES):
-            order = self.dialect.make_release(reservation_id, holder)
+            request = self.dialect.make_release(reservation_id, holder)
+            order = _Order('release', reservation_id, request)
             if await self._send_control(holder, order) in RELEASED_STATUSES:
                 return
 
-    async def _send_control(
-        self, holder: ListedTarget, order: ControlRequest
-    ) -> int:
+    def _make_reserve(
+        self,
+        operation: str,
+        reservation_id: str,
+        tokens: int,
+        holder: ListedTarget,
+    ) -> _Order:
+        request = self.dialect.make_reserve(
+            reservation_id, tokens, LEASE_S, holder
+        )
+        return _Order(operation, reservation_id, request)
+
+    async def _send_control(self, holder: ListedTarget, order: _Order) -> int:
         """Send a control request; return its status, zero without an answer."""
         try:
             with anyio.fail_after(CONTROL_TIMEOUT_S):
@@ -167,22 +187,30 @@
             return NO_ANSWER
         return head.status
 
-    async def _exchange(
-        self, holder: ListedTarget, order: ControlRequest
-    ) -> Head:
+    async def _exchange(self, holder: ListedTarget, order: _Order) -> Head:
         wire = await self.pool.acquire(holder)
         idle_s: float = 0
         asked_at = anyio.current_time()
         try:
             await wire.send(
-                order.method,
-                order.path,
-                order.headers,
-                order.body,
+                order.request.method,
+                order.request.path,
+                order.request.headers,
+                order.request.body,
                 self.state.spawn,
             )
             head = await self._read_answer(holder, wire, asked_at)
             idle_s = CONTROL_IDLE_S
+            emit(
+                events.OrderAnswered(
+                    peer=holder.incarnation,
+                    operation=order.operation,
+                    reservation=order.reservation_id,
+                    status=head.status,
+                    conn=wire.number,
+                    exchange=wire.exchange,
+                )
+            )
         finally:
             await self.pool.release(holder, wire, idle_s)
         return head
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -7,6 +7,7 @@
 general-purpose HTTP clients don't report it.
 """
 
+import itertools
 import socket
 from contextlib import suppress
 from dataclasses import dataclass
@@ -48,6 +49,9 @@
     anyio.ClosedResourceError,
 )
 
+#: Numbers the connections of this process, for its log.
+_conn_numbers = itertools.count(1)
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -103,6 +107,7 @@
     `is_new` is true until an answer has arrived, and `framing` that of the
     newest answer, None after a request. A tunnel goes through the
     entry `via`, for one request, and has an id in the logs of both entries.
+    Logs name a connection by its `number`, and count the exchanges on it.
     """
 
     def __init__(self, stream: ByteStream, *, is_tunnel: bool = False) -> None:
@@ -111,6 +116,8 @@
         self.is_tunnel = is_tunnel
         self.via = ''
         self.tunnel_id = ''
+        self.number = next(_conn_numbers)
+        self.exchange = 0
         self.http = h11.Connection(h11.CLIENT)
         self.request_written = True
         self.broken = False
@@ -143,6 +150,7 @@
         end = self.http.send(h11.EndOfMessage()) or b''
         self.request_written = False
         self.framing = None
+        self.exchange += 1
         self._method = method
         if spawn and len(head) + len(raw) > SMALL_BODY_BYTES:
             spawn(self._write_quietly, head, raw, end)
--- a/trestledock/relay/_attempts.py
+++ b/trestledock/relay/_attempts.py
@@ -35,7 +35,8 @@
 
     It is logged as `sending_ended`. `framing` is that of the target's answer,
     None if no head of one was read, and `end` tells whether an answer that was
-    passed on is known to be whole.
+    passed on is known to be whole. The request was the `exchange`-th on the
+    connection `conn`, which are 0 if it was not written.
     """
 
     outcome: AttemptOutcome
@@ -45,6 +46,8 @@
     failure_kind: FailureKind = FailureKind.none
     framing: Framing | None = None
     end: AnswerEnd = AnswerEnd.whole
+    conn: int = 0
+    exchange: int = 0
 
     @property
     def may_have_run(self) -> bool:
