A name identifies an answer only on a connection that carried it once

Cause: a target sent a rejection a second time, where the next answer on its connection was expected. The entry compared the id of an answer with that of the request only. All sends of a request have the same id, so the copy of an earlier send's rejection, read on the same connection, counted as that of the later one: not run.

The target's own record has one rejection and two runs. 231 of 11,194 pairs of a request and a target had a second send, 220 of them on the connection of the first one. Ruled out: two entries that send the same request (one entry's log has all five sends), a late write, another incarnation at the address (one id, one connection).

An answer now counts only if it bears the name of the exchange in progress and no answer with that name came on this connection before. The name is the request's id; orders for memory have none, so a connection carries one order at most, and an answer without an id counts only where no other had none. The pool leaves connections that have carried a name, a connection ends after 128 exchanges, which bounds the names kept (some 8 KB each), and nothing that another answer says is recorded: notices, the proof of a link, the cold time.

tests/test_late_answers.py failed before in 12 cases: requests that run twice (copies with the answer and in pieces, with and without a long body), that are refused though run, an old error that stands for the repeat's answer, another caller's answer under a reused id and without an id, orders after requests, orders after orders, a request after an order (421), a limit noted twice, and a copy as proof of a link.

Not asking again leaves orders, errors and reused ids as they were.

--- a/tests/limiting.py
+++ b/tests/limiting.py
@@ -29,6 +29,7 @@
 from trestledock.platform._headers import HELPERS, REQUEST_ID, PlatformDialect
 from trestledock.relay import (
     Catalog,
+    ExchangeNames,
     Framing,
     ListedTarget,
     Service,
@@ -196,7 +197,8 @@
         self.is_tunnel = False
         self.framing = Framing.length
         self.is_new = True
-        self.number = self.exchange = 1
+        self.number = 1
+        self.names = ExchangeNames()
 
     async def send(self, method, path, headers, body, spawn):
         await anyio.sleep(NETWORK_DELAY_S)
@@ -259,7 +261,7 @@
         self.fleet = fleet
         self.entry = entry
 
-    async def acquire(self, listed):
+    async def acquire(self, listed, name):
         for target in self.fleet.targets:
             if target.get_listed().incarnation == listed.incarnation:
                 return TargetWire(self.fleet, self.entry, target)
@@ -322,9 +324,9 @@
         pool = self.relayer.sender.pool
         acquire = pool.acquire
 
-        async def acquire_slowly(listed):
+        async def acquire_slowly(listed, name):
             await anyio.sleep(wait_s)
-            return await acquire(listed)
+            return await acquire(listed, name)
 
         pool.acquire = acquire_slowly
 
--- a/tests/test_entry_sending.py
+++ b/tests/test_entry_sending.py
@@ -34,8 +34,8 @@
             acquire = pool.acquire
             connected = []
 
-            async def acquire_late(target):
-                wire = await acquire(target)
+            async def acquire_late(target, name):
+                wire = await acquire(target, name)
                 connected.append(target.target_id)
                 if len(connected) == 1:
                     change(world.state.fleet, target)
@@ -98,8 +98,8 @@
             moved = replace(state.fleet.targets['t1'], service='new')
             state.fleet.put(replace(moved, sequence=1))
 
-            async def acquire_late(target):
-                wire = await acquire(target)
+            async def acquire_late(target, name):
+                wire = await acquire(target, name)
                 if state.catalog.version == 1:
                     move(state, route)
                 return wire
--- a/tests/test_entry_tunnels.py
+++ b/tests/test_entry_tunnels.py
@@ -33,7 +33,7 @@
 from trestledock.entry._pool import Pool
 from trestledock.entry._tunnels import PeerError
 from trestledock.entry._wire import WireError
-from trestledock.relay import FailureKind, RouteKind
+from trestledock.relay import NO_NAME, FailureKind, RouteKind
 
 ONCE = make_route(RouteKind.non_idempotent, max_attempts=1)
 
@@ -439,7 +439,7 @@
             cut_world.cut()
             listed = next(iter(cut_world.state.fleet.targets.values()))
             with self.assertRaises(WireError):
-                await pool.acquire(listed)
+                await pool.acquire(listed, NO_NAME)
 
         run_cut_world(ONCE, [StubTarget()], run)
 
--- /dev/null
+++ b/tests/test_late_answers.py
@@ -0,0 +1,271 @@
+"""Targets that send an answer a second time, where the next one is due."""
+
+import unittest
+
+from tests.relaying import (
+    StubTarget,
+    make_answer,
+    make_route,
+    read_request,
+    run_world,
+)
+from trestledock.relay import EngineModel, RouteKind
+
+ONCE = make_route(RouteKind.non_idempotent, max_attempts=1)
+TWICE = make_route(RouteKind.idempotent, max_attempts=2)
+NOT_RUN = ('Trestledock-Not-Executed: 1',)
+
+
+def reject(req_id='r1', more=NOT_RUN):
+    """Return an answer that says that the request has not run."""
+    return make_answer(b'', 503, req_id, seal=False, more=more)
+
+
+def make_order_answer(status=200, body=b'{}', more=()):
+    """Return the answer to an order, which has no id."""
+    lines = [f'HTTP/1.1 {status} X', f'Content-Length: {len(body)}', *more]
+    return '\r\n'.join([*lines, '', '']).encode() + body
+
+
+class RepeatingTarget(StubTarget):
+    """Sends each answer again on its connection, where the next one is due.
+
+    The copy comes right after the answer, while the next request is read, with
+    the next answer, in two pieces before it, or never.  `runs` has the requests
+    that it ran.
+    """
+
+    def __init__(self, *answers, moment='with'):
+        super().__init__(*answers)
+        self.moment = moment
+        self.runs = []
+
+    async def _talk(self, stream):
+        held = b''
+        while True:
+            first = b''
+            if self.moment == 'body':
+                first = await stream.receive(1)
+            if self.moment in {'early', 'body'}:
+                await stream.send(held)
+                held = b''
+            request = await read_request(Prefixed(stream, first))
+            self.requests.append(request)
+            answer = self.answers.pop(0)
+            if answer.startswith((b'HTTP/1.1 200', b'HTTP/1.1 500')):
+                self.runs.append(request)
+            if self.moment == 'pieces':
+                await stream.send(held[:20])
+                held = held[20:]
+            await stream.send(held + answer)
+            held = b'' if self.moment == 'never' else answer
+
+
+class Prefixed:
+    """A stream of which some bytes have been read."""
+
+    def __init__(self, stream, first):
+        self.stream = stream
+        self.first = first
+
+    async def receive(self):
+        first, self.first = self.first, b''
+        return first or await self.stream.receive()
+
+
+MOMENTS = ('early', 'with', 'pieces', 'body')
+
+
+class RequestTest(unittest.TestCase):
+    """Requests on a connection that has carried others."""
+
+    def play(self, route, target, asks=({},), prepare=None):
+        """Send some requests, one after the other; return their outcomes."""
+        outcomes = []
+
+        async def scenario(world):
+            if prepare:
+                prepare(world)
+            for fields in asks:
+                outcomes.append(await world.ask(**fields))
+
+        run_world(route, [target], scenario)
+        return outcomes
+
+    # Guards against a request that must not be repeated and runs twice, since
+    # the late copy of a rejection is taken for the answer of a later sending.
+    def test_copy_of_a_rejection(self):
+        for moment in MOMENTS:
+            for body in (b'', bytes(200_000)):
+                with self.subTest(moment=moment, size=len(body)):
+                    target = RepeatingTarget(
+                        reject(), make_answer(), make_answer(), moment=moment
+                    )
+                    outcome = self.play(ONCE, target, [{'body': body}])[0]
+                    self.assertEqual(outcome.status, 200)
+                    self.assertEqual(len(target.runs), 1)
+
+    # Guards against a request that runs and is refused as not run.
+    def test_copies_of_rejections_only(self):
+        rejections = [reject() for _ in range(5)]
+        target = RepeatingTarget(*rejections, make_answer(), make_answer())
+        outcome = self.play(ONCE, target)[0]
+        self.assertEqual((outcome.status, len(target.runs)), (200, 1))
+
+    # Guards against an old error that stands for the answer of the repeat.
+    def test_copy_of_an_error(self):
+        error = make_answer(b'failed', 500)
+        target = RepeatingTarget(error, make_answer(), make_answer())
+        outcome = self.play(TWICE, target)[0]
+        self.assertEqual((outcome.status, outcome.body), (200, b'ok'))
+
+    # Guards against a second caller's attempt under the same id that gets the
+    # answer of the first one.
+    def test_copy_under_a_reused_id(self):
+        target = RepeatingTarget(make_answer(b'one'), make_answer(b'two'))
+        outcomes = self.play(ONCE, target, [{}, {}])
+        self.assertEqual([one.body for one in outcomes], [b'one', b'two'])
+
+    # Guards against an answer without an id whose copy reaches the caller of
+    # another request.
+    def test_copy_without_an_id(self):
+        answers = self.make_without_id(), make_answer(b'two', req_id='r2')
+        target = RepeatingTarget(*answers)
+        asks = [{'req_id': 'r1'}, {'req_id': 'r2'}]
+        outcomes = self.play(ONCE, target, asks)
+        self.assertNotEqual(outcomes[1].body, b'one')
+        self.assertLessEqual(len(target.runs), 2)
+
+    def make_without_id(self):
+        return make_order_answer(200, b'one', ('Trestledock-Response-Seal: s',))
+
+    # Guards against what a target said in an old answer and that counts as
+    # said after a later question.
+    def test_notice_in_a_copy(self):
+        limited = reject('r1', (*NOT_RUN, 'Server-Limit: 3'))
+        target = RepeatingTarget(limited, make_answer(), make_answer())
+        limits = []
+
+        def prepare(world):
+            record = world.state.notices.record
+
+            def record_and_keep(peer, notice):
+                limits.append(getattr(notice, 'per_s', None))
+                return record(peer, notice)
+
+            world.state.notices.record = record_and_keep
+
+        self.play(ONCE, target, prepare=prepare)
+        self.assertEqual(limits.count(3), 1)
+
+
+class LinkTest(unittest.TestCase):
+    """What an old answer proves of the link to its target."""
+
+    # Guards against a copy, which may have arrived before the link was lost,
+    # that counts as a success of the link.
+    def test_copy_is_no_success(self):
+        answers = make_answer(req_id='r1'), make_answer(req_id='r2')
+        target = RepeatingTarget(*answers)
+        recorded = []
+
+        async def scenario(world):
+            record = world.state.links.record_answer
+            world.state.links.record_answer = lambda listed, wire: (
+                recorded.append(listed),
+                record(listed, wire),
+            )
+            await world.ask('r1')
+            await world.ask('r2')
+
+        run_world(ONCE, [target], scenario)
+        self.assertEqual(len(recorded), 1)
+
+
+ENGINE = EngineModel(8, 382_500, 0.001, 50_000)
+
+
+class OrderTest(unittest.TestCase):
+    """Orders for memory beside requests on the same connections."""
+
+    def play(self, answers, scenario):
+        """Run a scenario with the reservations of an entry at one target."""
+        target = RepeatingTarget(*answers)
+
+        async def run(world):
+            await scenario(world, world.relayer.sender.tickets)
+
+        run_world(ONCE, [target], run, engine=ENGINE)
+        return target
+
+    async def reserve(self, world, tickets, name):
+        """Return the status of an order that reserves memory."""
+        holder = next(iter(world.state.fleet.targets.values()))
+        order = tickets._make_reserve('reserve', name, 10, holder)
+        return await tickets._send_control(holder, order)
+
+    # Guards against memory that is believed to be held, since a copy of a
+    # request's answer stands for that of the order.
+    def test_order_after_a_request(self):
+        statuses = []
+
+        async def scenario(world, tickets):
+            await world.ask()
+            statuses.append(await self.reserve(world, tickets, 'a'))
+
+        refused = make_order_answer(409)
+        self.play([make_answer(), refused], scenario)
+        self.assertNotIn(200, statuses)
+
+    # Guards against a copy of an order's answer that stands for that of the
+    # next order.
+    def test_order_after_an_order(self):
+        statuses = []
+
+        async def scenario(world, tickets):
+            for name in ('a', 'b'):
+                statuses.append(await self.reserve(world, tickets, name))
+
+        answers = make_order_answer(), make_order_answer(409)
+        self.play(answers, scenario)
+        self.assertEqual(statuses, [200, 409])
+
+    # Guards against a request that counts as not run, since the copy of an
+    # order's answer says that another target has the address.
+    def test_request_after_an_order(self):
+        outcomes = []
+
+        async def scenario(world, tickets):
+            await self.reserve(world, tickets, 'a')
+            outcomes.append(await world.ask())
+
+        answers = make_order_answer(421, b''), make_answer(), make_answer()
+        target = self.play(answers, scenario)
+        self.assertEqual(len(target.runs), 1)
+        self.assertNotEqual(outcomes[0].status, 503)
+
+
+class ConnectionTest(unittest.TestCase):
+    """Which connections requests take, and how many are opened."""
+
+    def play(self, req_ids):
+        target = RepeatingTarget(
+            *[make_answer(req_id=req_id) for req_id in req_ids], moment='never'
+        )
+
+        async def scenario(world):
+            for req_id in req_ids:
+                await world.ask(req_id)
+
+        run_world(ONCE, [target], scenario)
+        return target
+
+    # Guards against a new connection for each request.
+    def test_other_requests_share_a_connection(self):
+        target = self.play([f'r{number}' for number in range(60)])
+        self.assertEqual(target.connections, 1)
+
+    # Guards against names that pile up on a connection that is always used.
+    def test_connection_is_replaced_when_full(self):
+        target = self.play([f'r{number}' for number in range(150)])
+        self.assertEqual(target.connections, 2)
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -11,15 +11,14 @@
 
 import anyio
 
-from trestledock.entry import _events as events
 from trestledock.entry._answer_ends import AnswerEnds
 from trestledock.entry._answer_source import find_attributed_target
 from trestledock.entry._cold_targets import record_cold_time
 from trestledock.entry._byte_budget import HeldBytes
 from trestledock.entry._dialect import AnswerMetadata, Dialect
 from trestledock.entry._job import StoredAnswer, Job
-from trestledock.entry._logger import emit
 from trestledock.entry._timeouts import ResponseTimeout, ResponseTimeouts
+from trestledock.entry._own_answer import OwnAnswerReader
 from trestledock.entry._pool import get_idle_s
 from trestledock.entry._notices import record_answer_notices
 from trestledock.entry._reply import Reply
@@ -65,21 +64,8 @@
         The request was written at the time `asked_at` or later.
         """
         timeout = self.timeouts.get_first_timeout(job, placement)
-        head = await self._read_head(job, placement, wire, timeout)
+        head, answer = await self._read_head(job, placement, wire, timeout)
         self.state.links.record_answer(placement.target, wire)
-        answer = self.dialect.read_head(head)
-        if answer.req_id and answer.req_id != job.call.req_id:
-            emit(
-                events.ForeignAnswer(
-                    req=job.call.req_id,
-                    peer=placement.target.incarnation,
-                    status=head.status,
-                    answer_req=answer.req_id,
-                    conn=wire.number,
-                    exchange=wire.exchange,
-                )
-            )
-            raise WireError('answer', 'of another request')
         record_answer_notices(
             self.state, job, placement, head.status, answer, asked_at
         )
@@ -111,8 +97,11 @@
         placement: Placement,
         wire: Wire,
         timeout: ResponseTimeout,
-    ) -> Head:
+    ) -> tuple[Head, AnswerMetadata]:
         current = timeout
+        reader = OwnAnswerReader(
+            self.dialect, wire, placement.target.incarnation, job.call.req_id
+        )
         while True:
             waits_for_memory = self.timeouts.is_waiting_for_memory(
                 job, placement
@@ -123,7 +112,7 @@
                 else current
             )
             with self.timeouts.wait(job, placement, next_wait):
-                return await wire.read_head()
+                return await reader.read_head()
             if waits_for_memory and not self.timeouts.is_wait_over(
                 job, placement
             ):
--- a/trestledock/entry/_metrics.py
+++ b/trestledock/entry/_metrics.py
@@ -44,7 +44,8 @@
             ('ending', 'step', 'sign', 'framing'),
         ),
         events.ForeignAnswer: Counter(
-            'Answers read that were not those of the requests that waited'
+            'Answers read that were not those of the requests that waited',
+            ('origin',),
         ),
         events.Repeated: Counter('Requests that went to another target'),
         events.Answered: Counter('Answers passed on', ('framing', 'end')),
--- a/trestledock/entry/_pool.py
+++ b/trestledock/entry/_pool.py
@@ -86,11 +86,13 @@
         self._connector = connector
         self._idle: dict[str, list[_Idle]] = defaultdict(list)
 
-    async def acquire(self, target: ListedTarget) -> Wire:
-        """Return an idle connection or a new one."""
-        idle_wires = self._idle[target.incarnation]
-        while idle_wires:
-            idle = idle_wires.pop()
+    async def acquire(self, target: ListedTarget, name: str) -> Wire:
+        """Return an idle connection or a new one for an exchange of a name.
+
+        A connection that has carried the name is left: an answer with it may be
+        a late copy of the earlier one.
+        """
+        while idle := self._take_idle(target.incarnation, name):
             await idle.stop_watching()
             is_alive = idle.expires_at > anyio.current_time()
             if is_alive and not idle.wire.broken:
@@ -158,6 +160,15 @@
             return FailureKind.unreachable
         return failure_kind
 
+    def _take_idle(self, incarnation: str, name: str) -> _Idle | None:
+        """Take the connection used last that may carry a name, if any."""
+        idle_wires = self._idle.get(incarnation, [])
+        for idle in reversed(idle_wires):
+            if idle.wire.names.may_begin(name):
+                idle_wires.remove(idle)
+                return idle
+        return None
+
     def _store(self, target: ListedTarget, wire: Wire, idle_s: float) -> None:
         expires_at = anyio.current_time() + idle_s
         idle = _Idle(wire, expires_at, anyio.CancelScope(), anyio.Event())
--- a/trestledock/entry/_request_events.py
+++ b/trestledock/entry/_request_events.py
@@ -103,13 +103,16 @@
 class ForeignAnswer(Event):
     """An answer was read that is not that of the request that waits for one.
 
-    It has the id `answer_req`.
+    It has the id `answer_req`, or none. `origin` is earlier if an answer with
+    it, or without any, came on this connection before, or else unknown. For an
+    order, `req` is its reservation.
     """
 
     req: str
     peer: str
     status: int
     answer_req: str
+    origin: str
     conn: int
     exchange: int
 
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -146,7 +146,7 @@
     ) -> RelayAttempt:
         peer = placement.target.incarnation
         try:
-            wire = await self.pool.acquire(placement.target)
+            wire = await self.pool.acquire(placement.target, job.call.req_id)
         except WireError as exc:
             if exc.failure_kind is not FailureKind.no_link:
                 self.state.record_silence(peer, anyio.current_time())
@@ -268,7 +268,7 @@
             attempt,
             framing=wire.framing,
             conn=wire.number,
-            exchange=wire.exchange,
+            exchange=wire.names.count,
         )
 
     async def _report_lost(
@@ -307,6 +307,7 @@
             priority=job.priority,
         )
         job.is_writing = True
+        wire.names.begin(job.call.req_id)
         await wire.send(
             job.call.method,
             f'{job.call.path}{job.call.query}',
--- a/trestledock/entry/_tickets.py
+++ b/trestledock/entry/_tickets.py
@@ -18,10 +18,11 @@
 from trestledock.entry._job import Job
 from trestledock.entry._logger import emit
 from trestledock.entry._notices import record_order_notices
+from trestledock.entry._own_answer import OwnAnswerReader
 from trestledock.entry._pool import Pool
 from trestledock.entry._state import EntryState
 from trestledock.entry._wire import Head, Wire, WireError
-from trestledock.relay import ListedTarget, Placement
+from trestledock.relay import NO_NAME, ListedTarget, Placement
 
 #: The lease of a reservation, in seconds: below the 4 s after which unused
 #: memory counts as leaked.
@@ -188,39 +189,49 @@
         return head.status
 
     async def _exchange(self, holder: ListedTarget, order: _Order) -> Head:
-        wire = await self.pool.acquire(holder)
+        wire = await self.pool.acquire(holder, NO_NAME)
         idle_s: float = 0
         asked_at = anyio.current_time()
         try:
-            await wire.send(
-                order.request.method,
-                order.request.path,
-                order.request.headers,
-                order.request.body,
-                self.state.spawn,
-            )
-            head = await self._read_answer(holder, wire, asked_at)
+            await self._write(order.request, wire)
+            head = await self._read_answer(holder, order, wire, asked_at)
             idle_s = CONTROL_IDLE_S
-            emit(
-                events.OrderAnswered(
-                    peer=holder.incarnation,
-                    operation=order.operation,
-                    reservation=order.reservation_id,
-                    status=head.status,
-                    conn=wire.number,
-                    exchange=wire.exchange,
-                )
-            )
         finally:
             await self.pool.release(holder, wire, idle_s)
+        emit(
+            events.OrderAnswered(
+                peer=holder.incarnation,
+                operation=order.operation,
+                reservation=order.reservation_id,
+                status=head.status,
+                conn=wire.number,
+                exchange=wire.names.count,
+            )
+        )
         return head
 
+    async def _write(self, request: ControlRequest, wire: Wire) -> None:
+        wire.names.begin(NO_NAME)
+        await wire.send(
+            request.method,
+            request.path,
+            request.headers,
+            request.body,
+            self.state.spawn,
+        )
+
     async def _read_answer(
-        self, holder: ListedTarget, wire: Wire, asked_at: float
+        self,
+        holder: ListedTarget,
+        order: _Order,
+        wire: Wire,
+        asked_at: float,
     ) -> Head:
-        head = await wire.read_head()
+        reader = OwnAnswerReader(
+            self.dialect, wire, holder.incarnation, order.reservation_id
+        )
+        head, answer = await reader.read_head()
         self.state.links.record_answer(holder, wire)
-        answer = self.dialect.read_head(head)
         record_order_notices(self.state, holder, head.status, answer, asked_at)
         if self.state.settings.cold_bounds and head.status == OK:
             cold = self.dialect.read_cold_time(head)
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -18,6 +18,7 @@
 from anyio.abc import ByteStream, SocketAttribute, SocketStream
 
 from trestledock.relay import (
+    ExchangeNames,
     FailureKind,
     Framing,
     classify_connect_error,
@@ -107,7 +108,8 @@
     `is_new` is true until an answer has arrived, and `framing` that of the
     newest answer, None after a request. A tunnel goes through the
     entry `via`, for one request, and has an id in the logs of both entries.
-    Logs name a connection by its `number`, and count the exchanges on it.
+    Logs name a connection by its `number`. `names` has the names of its
+    exchanges with a target.
     """
 
     def __init__(self, stream: ByteStream, *, is_tunnel: bool = False) -> None:
@@ -117,7 +119,7 @@
         self.via = ''
         self.tunnel_id = ''
         self.number = next(_conn_numbers)
-        self.exchange = 0
+        self.names = ExchangeNames()
         self.http = h11.Connection(h11.CLIENT)
         self.request_written = True
         self.broken = False
@@ -150,7 +152,6 @@
         end = self.http.send(h11.EndOfMessage()) or b''
         self.request_written = False
         self.framing = None
-        self.exchange += 1
         self._method = method
         if spawn and len(head) + len(raw) > SMALL_BODY_BYTES:
             spawn(self._write_quietly, head, raw, end)
@@ -187,6 +188,8 @@
         """Prepare for the next request; return False if that is not safe."""
         if self.broken or self.is_tunnel or not self.request_written:
             return False
+        if self.names.is_full:
+            return False
         done = self.http.our_state is h11.DONE
         if not done or self.http.their_state is not h11.DONE:
             return False
--- a/trestledock/relay/__init__.py
+++ b/trestledock/relay/__init__.py
@@ -64,6 +64,12 @@
 )
 from trestledock.relay._evacuations import EvacuationList, Evacuations
 from trestledock.relay._event_stream import EventSplitter, StreamEvent
+from trestledock.relay._exchange_names import (
+    MAX_EXCHANGES,
+    NO_NAME,
+    AnswerOrigin,
+    ExchangeNames,
+)
 from trestledock.relay._failure_kinds import (
     FailureKind,
     classify_connect_error,
@@ -154,6 +160,10 @@
     'ALL_TARGETS',
     'UNPROVEN_ENDS',
     'AnswerEnd',
+    'AnswerOrigin',
+    'ExchangeNames',
+    'MAX_EXCHANGES',
+    'NO_NAME',
     'Framing',
     'Survival',
     'Tail',
