Late copies of other answers are read past

The id tells whose answer was read, and the names of the earlier exchanges tell that it is a copy. Its end is told by its framing, so the entry reads on to its own answer. Bounds: four copies in one exchange, one megabyte on one connection, the time limits of the answer; only answers whose name came on this connection before, so other bytes still end it; not on a connection that has asked HEAD, whose answers have no body, whatever their heads say. A wait that was cancelled in the middle of a copy goes on there.

Ruled out: that framing goes wrong behind a copy that comes alone.

--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -3,12 +3,11 @@
 import unittest
 
 from tests.relaying import (
-    StubTarget,
     make_answer,
     make_route,
-    read_request,
     run_world,
 )
+from tests.repeating import RepeatingTarget
 from trestledock.relay import EngineModel, RouteKind
 
 ONCE = make_route(RouteKind.non_idempotent, max_attempts=1)
@@ -27,52 +26,6 @@
     return '\r\n'.join([*lines, '', '']).encode() + body
 
 
-class RepeatingTarget(StubTarget):
-    """Sends each answer again on its connection, where the next one is due.
-
-    The copy comes right after the answer, while the next request is read, with
-    the next answer, in two pieces before it, or never.  `runs` has the requests
-    that it ran.
-    """
-
-    def __init__(self, *answers, moment='with'):
-        super().__init__(*answers)
-        self.moment = moment
-        self.runs = []
-
-    async def _talk(self, stream):
-        held = b''
-        while True:
-            first = b''
-            if self.moment == 'body':
-                first = await stream.receive(1)
-            if self.moment in {'early', 'body'}:
-                await stream.send(held)
-                held = b''
-            request = await read_request(Prefixed(stream, first))
-            self.requests.append(request)
-            answer = self.answers.pop(0)
-            if answer.startswith((b'HTTP/1.1 200', b'HTTP/1.1 500')):
-                self.runs.append(request)
-            if self.moment == 'pieces':
-                await stream.send(held[:20])
-                held = held[20:]
-            await stream.send(held + answer)
-            held = b'' if self.moment == 'never' else answer
-
-
-class Prefixed:
-    """A stream of which some bytes have been read."""
-
-    def __init__(self, stream, first):
-        self.stream = stream
-        self.first = first
-
-    async def receive(self):
-        first, self.first = self.first, b''
-        return first or await self.stream.receive()
-
-
 MOMENTS = ('early', 'with', 'pieces', 'body')
 
 
@@ -119,6 +72,34 @@
         outcome = self.play(TWICE, target)[0]
         self.assertEqual((outcome.status, outcome.body), (200, b'ok'))
 
+    # Guards against an answer that is lost, since the copy of another one comes
+    # before it.
+    def test_copy_of_another_answer(self):
+        for moment in MOMENTS:
+            with self.subTest(moment=moment):
+                ids = [f'r{number}' for number in range(6)]
+                answers = [make_answer(one.encode(), 200, one) for one in ids]
+                target = RepeatingTarget(*answers, moment=moment)
+                asks = [{'req_id': one} for one in ids]
+                outcomes = self.play(ONCE, target, asks)
+                self.assertEqual([one.body.decode() for one in outcomes], ids)
+
+    # Guards against a body of a copy that is taken for the next answer, since
+    # the answer to HEAD has none.
+    def test_copy_beside_head(self):
+        head = make_answer(b'', req_id='r1').replace(b': 0', b': 9')
+        target = RepeatingTarget(head, make_answer(b'two', req_id='r2'))
+        asks = [{'req_id': 'r1', 'method': 'HEAD'}, {'req_id': 'r2'}]
+        outcomes = self.play(ONCE, target, asks)
+        self.assertIn(outcomes[1].body, (b'two', b''))
+
+    # Guards against an endless wait for an own answer behind others.
+    def test_endless_copies(self):
+        one, two = make_answer(req_id='r1'), make_answer(req_id='r2')
+        target = RepeatingTarget(one, one * 50 + two, moment='never')
+        outcomes = self.play(ONCE, target, [{'req_id': 'r1'}, {'req_id': 'r2'}])
+        self.assertEqual(outcomes[1].status, 502)
+
     # Guards against a second caller's attempt under the same id that gets the
     # answer of the first one.
     def test_copy_under_a_reused_id(self):
@@ -165,7 +146,7 @@
     # Guards against a copy, which may have arrived before the link was lost,
     # that counts as a success of the link.
     def test_copy_is_no_success(self):
-        answers = make_answer(req_id='r1'), make_answer(req_id='r2')
+        answers = make_answer(req_id='r1'), make_answer(req_id='r3')
         target = RepeatingTarget(*answers)
         recorded = []
 
--- a/trestledock/entry/_own_answer.py
+++ b/trestledock/entry/_own_answer.py
@@ -4,7 +4,8 @@
 
 Reads the head of an answer on a connection to a target and returns it only if
 it is that of the exchange in progress.  Nothing that any other answer says
-counts: it may be old.
+counts: it may be old.  Late copies of earlier answers are read past, since the
+own answer follows them.
 """
 
 from dataclasses import dataclass
@@ -16,7 +17,11 @@
 from trestledock.relay import AnswerOrigin
 
 
-@dataclass(frozen=True)
+#: How many late copies of earlier answers are read past in one exchange.
+MAX_COPIES = 4
+
+
+@dataclass
 class OwnAnswerReader:
     """Reads the answer of the exchange in progress on a connection.
 
@@ -28,16 +33,34 @@
     wire: Wire
     peer: str
     req: str
+    copies: int = 0
 
     async def read_head(self) -> tuple[Head, AnswerMetadata]:
-        """Return the head of the answer; raise a `WireError` for another's."""
-        head = await self.wire.read_head()
-        answer = self.dialect.read_head(head)
-        origin = self.wire.names.find_origin(answer.req_id)
-        if origin is AnswerOrigin.own:
-            return head, answer
-        self._log_foreign(head, answer, origin)
-        raise WireError('answer', f'of another exchange: {origin.value}')
+        """Return the head of the answer.
+
+        Raises a `WireError` for an answer of another exchange, unless it is a
+        copy that can be read past.  The wait may be cancelled, and goes on with
+        another call.
+        """
+        while True:
+            if self.wire.is_skipping:
+                await self.wire.skip_answer()
+            head = await self.wire.read_head()
+            answer = self.dialect.read_head(head)
+            origin = self.wire.names.find_origin(answer.req_id)
+            if origin is AnswerOrigin.own:
+                return head, answer
+            self._log_foreign(head, answer, origin)
+            self._begin_skipping(origin)
+
+    def _begin_skipping(self, origin: AnswerOrigin) -> None:
+        """Have a late copy read past; raise if that is not possible."""
+        self.copies += 1
+        is_copy = origin is AnswerOrigin.earlier and self.copies <= MAX_COPIES
+        if not is_copy or not self.wire.may_skip:
+            detail = f'of another exchange: {origin.value}'
+            raise WireError('answer', detail)
+        self.wire.is_skipping = True
 
     def _log_foreign(
         self, head: Head, answer: AnswerMetadata, origin: AnswerOrigin
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -38,6 +38,9 @@
 READ_BYTES = 65_536
 #: Requests above this size, in bytes, are written while the answer is awaited.
 SMALL_BODY_BYTES = 32_768
+HEAD = 'HEAD'
+#: How many bytes of answers that belong to no request are read on a connection.
+MAX_SKIPPED_BYTES = 1_048_576
 #: Long requests are written in pieces of this size, in bytes: the stream copies
 #: what the target doesn't read of a piece.
 WRITE_BYTES = 262_144
@@ -109,7 +112,8 @@
     newest answer, None after a request. A tunnel goes through the
     entry `via`, for one request, and has an id in the logs of both entries.
     Logs name a connection by its `number`. `names` has the names of its
-    exchanges with a target.
+    exchanges with a target. `is_skipping` is true while an answer is read that
+    belongs to no request.
     """
 
     def __init__(self, stream: ByteStream, *, is_tunnel: bool = False) -> None:
@@ -125,7 +129,10 @@
         self.broken = False
         self.is_new = True
         self.framing: Framing | None = None
+        self.is_skipping = False
+        self._skipped_bytes = 0
         self._method = ''
+        self._has_asked_head = False
         self._received_eof = False
 
     @classmethod
@@ -153,6 +160,7 @@
         self.request_written = False
         self.framing = None
         self._method = method
+        self._has_asked_head = self._has_asked_head or method == HEAD
         if spawn and len(head) + len(raw) > SMALL_BODY_BYTES:
             spawn(self._write_quietly, head, raw, end)
         else:
@@ -184,6 +192,35 @@
         """Return the complete body."""
         return b''.join([raw async for raw in self.iter_body()])
 
+    @property
+    def may_skip(self) -> bool:
+        """Whether the end of another answer can be told.
+
+        The answer to a HEAD request has no body, whatever its head says.
+        """
+        return not self._has_asked_head
+
+    async def skip_answer(self) -> None:
+        """Read the rest of an answer that belongs to no request.
+
+        The next head to be read is that of the next answer. The wait may be
+        cancelled, and goes on with another call. Raises a `WireError` if such
+        answers are too long.
+        """
+        self.is_skipping = True
+        async for raw in self.iter_body():
+            self._skipped_bytes += len(raw)
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                raise WireError('answer', 'another one is too long')
+        following, is_closed = self.http.trailing_data
+        self.http = _expect_answer(self._method)
+        if following:
+            self.http.receive_data(following)
+        if is_closed:
+            self.http.receive_data(b'')
+        self.framing = None
+        self.is_skipping = False
+
     def recycle(self) -> bool:
         """Prepare for the next request; return False if that is not safe."""
         if self.broken or self.is_tunnel or not self.request_written:
@@ -303,6 +340,15 @@
     return await anyio.connect_tcp(host, port, local_host=own_host)
 
 
+def _expect_answer(method: str) -> h11.Connection:
+    """Return a parser that expects the answer to a request."""
+    http = h11.Connection(h11.CLIENT)
+    headers = [('host', 'unused')]
+    http.send(h11.Request(method=method, target='/', headers=headers))
+    http.send(h11.EndOfMessage())
+    return http
+
+
 def _split(head: bytes, raw: bytes, end: bytes) -> Iterator[bytes]:
     """Yield the pieces in which a request is written; one if it is small.
 
