Soak: targets that are full at times send answers a second time, late

Plan repeated: one or all targets of a service reject requests and repeat a share of their answers (requests, rejections, orders) when the next request is read, 5 ms later, in two pieces, or joined with the next answer. The stand-in targets echo the id in rejections, too, as the protocol says. The checks once and refusals are the old ones; the patch late compares the id alone.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -17,6 +17,7 @@
 import anyio
 
 from tests.soak.callers import TIMEOUT_S
+from tests.soak.copies import repeat_at_target, repeat_in_service
 from tests.soak.entries import Entry
 from tests.soak.ledger import ALL_ENTRIES, Fault
 from tests.soak.links import Blocked
@@ -566,6 +567,19 @@
     hang_up: 1,
     publish_in_series: 1,
 }
+REPEATED: dict[FaultKind, int] = {
+    repeat_in_service: 10,
+    repeat_at_target: 5,
+    partition_partly: 2,
+    kill_entry: 1,
+    freeze_entry: 1,
+    restart_entry: 3,
+    restart_target: 2,
+    crash_target: 1,
+    drain_target: 2,
+    cut_store: 1,
+    publish_in_series: 1,
+}
 PLANS = MappingProxyType(
     {
         'mixed': MIXED,
@@ -582,6 +596,7 @@
         'cold': COLD,
         'partitioned': PARTITIONED,
         'unframed': UNFRAMED,
+        'repeated': REPEATED,
     }
 )
 
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -32,6 +32,9 @@
 from trestledock.entry._survival import SurvivalChecks
 from trestledock.platform import _epochs, _headers, run
 from trestledock.relay import (
+    NO_NAME,
+    AnswerOrigin,
+    ExchangeNames,
     Fleet,
     AttemptHistory,
     FreshnessProof,
@@ -225,6 +228,17 @@
     SurvivalChecks.check = check
 
 
+def late() -> None:
+    """Compare the id of an answer only with that of the request."""
+
+    def find_origin(names: ExchangeNames, name: str) -> AnswerOrigin:
+        is_own = name in {names._name, NO_NAME}
+        return AnswerOrigin.own if is_own else AnswerOrigin.unknown
+
+    ExchangeNames.may_begin = lambda names, name: True
+    ExchangeNames.find_origin = find_origin
+
+
 async def _sleep_forever(*args: Any) -> None:
     await anyio.sleep_forever()
 
@@ -259,6 +273,7 @@
         partitions,
         framing,
         survival,
+        late,
     )
 }
 
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 from random import Random
+from types import MappingProxyType
 
 import anyio
 
@@ -32,8 +33,10 @@
 SMALL_SIZE = Size(entries=6, engines=8, plain=5, callers=60)
 LARGE_SIZE = Size(entries=24, engines=12, plain=8, callers=72)
 LARGE_EVERY = 8
+#: Numbers of plain targets of plans in which requests return to the same ones.
+FEW_TARGETS = MappingProxyType({'repeated': 2})
 #: Plans whose entries need addresses of their own for partitions.
-PARTITION_PLANS = ('partitioned', 'unframed')
+PARTITION_PLANS = ('partitioned', 'unframed', 'repeated')
 
 
 @dataclass(frozen=True)
@@ -55,7 +58,9 @@
     """Return the size of the run of a seed."""
     if plan == Size.plan:
         return Size()
-    return replace(SMALL_SIZE if seed % LARGE_EVERY else LARGE_SIZE, plan=plan)
+    size = SMALL_SIZE if seed % LARGE_EVERY else LARGE_SIZE
+    plain = FEW_TARGETS.get(plan, size.plain)
+    return replace(size, plan=plan, plain=plain)
 
 
 def get_command(size: Size, command: tuple[str, ...]) -> tuple[str, ...]:
--- a/tests/soak/serving.py
+++ b/tests/soak/serving.py
@@ -9,7 +9,8 @@
 import socket
 import struct
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import Enum
 from typing import Any, Awaitable, Callable
 from urllib.parse import parse_qsl, urlsplit
 
@@ -62,11 +63,29 @@
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
 
 
+class Moment(Enum):
+    """When the copy of an answer is sent, after the next request was read."""
+
+    at_once = 'at_once'
+    later = 'later'
+    pieces = 'pieces'
+    joined = 'joined'
+
+
+#: How long after the next request a late copy comes, and the pause between its
+#: pieces, in seconds.
+COPY_DELAY_S = 0.005
+#: The longest answer that is sent twice, in bytes.
+MAX_COPY_BYTES = 65_536
+
+
 @dataclass
 class Exchange:
     """One request on a connection, with methods to answer it.
 
-    An answer that `ends_by_close` has neither a length nor chunks.
+    An answer that `ends_by_close` has neither a length nor chunks. One with a
+    `copied_at` is sent again where the next one is due; `prefix` is a copy
+    that is sent together with this answer.
     """
 
     stream: SocketStream
@@ -78,6 +97,9 @@
     body: bytes
     ends_by_close: bool = False
     cut: Cut | None = None
+    copied_at: Moment | None = None
+    prefix: bytes = b''
+    sent: bytearray = field(default_factory=bytearray)
 
     async def answer(
         self,
@@ -119,6 +141,9 @@
 
     async def _send(self, event: Any) -> None:
         raw = self.http.send(event) or b''
+        if self.copied_at and len(self.sent) <= MAX_COPY_BYTES:
+            self.sent += raw
+        raw, self.prefix = self.prefix + raw, b''
         if self.cut and len(raw) >= self.cut.left:
             end = len(raw) if self.cut.ends_piece else self.cut.left
             await self.stream.send(raw[:end])
@@ -135,10 +160,15 @@
 async def serve_stream(stream: SocketStream, handle: Handler) -> None:
     """Serve the requests of one connection in sequence."""
     http = h11.Connection(h11.SERVER)
+    last = None
     async with stream:
         try:
             while True:
-                await handle(await _read(stream, http))
+                exchange = await _read(stream, http)
+                if last and last.copied_at:
+                    await _send_copy(last, exchange)
+                last = exchange
+                await handle(exchange)
                 http.start_next_cycle()
         except Reset:
             reset(stream)
@@ -148,6 +178,24 @@
             return
 
 
+async def _send_copy(last: Exchange, exchange: Exchange) -> None:
+    """Send the last answer again, where that of `exchange` is expected."""
+    raw = bytes(last.sent)
+    if len(raw) > MAX_COPY_BYTES:
+        return
+    if last.copied_at is Moment.joined:
+        exchange.prefix = raw
+        return
+    if last.copied_at is not Moment.at_once:
+        await anyio.sleep(COPY_DELAY_S)
+    if last.copied_at is Moment.pieces:
+        half = len(raw) // 2
+        await exchange.stream.send(raw[:half])
+        await anyio.sleep(COPY_DELAY_S)
+        raw = raw[half:]
+    await exchange.stream.send(raw)
+
+
 async def _read(stream: SocketStream, http: h11.Connection) -> Exchange:
     head = None
     body = b''
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -24,6 +24,7 @@
     Close,
     Exchange,
     Headers,
+    Moment,
     Reset,
     serve_stream,
 )
@@ -89,7 +90,8 @@
 
     `fails`: answers 500; `sheds`: refuses; `loses`: resets before the answer;
     `breaks`: resets in the middle of it; `mixes`: names another request;
-    `mute`: never answers; `cuts`: cuts the answer after any byte.
+    `mute`: never answers; `cuts`: cuts the answer after any byte; `repeats`:
+    sends the answer again, late.
     """
 
     fails: float = 0
@@ -99,6 +101,7 @@
     mixes: float = 0
     mute: float = 0
     cuts: float = 0
+    repeats: float = 0
 
 
 def get_seal(incarnation: str, req_id: str) -> str:
@@ -123,6 +126,12 @@
     return next((one for one in ids if one.startswith(DEADLY_PART)), '')
 
 
+def get_echoed_id(headers: dict[str, str]) -> Headers:
+    """Return the header with the id of a request; orders have none."""
+    req_id = headers.get('trestledock-request-id')
+    return [('Trestledock-Request-Id', req_id)] if req_id else []
+
+
 def make_event(req_id: str, number: int) -> bytes:
     """Return one event of a stream."""
     return f'id: {number}\ndata: {req_id} {number}\n\n'.encode()
@@ -249,10 +258,13 @@
         if exchange.path.startswith(STORE_PATH_PREFIX):
             await exchange.answer(404)
             return
+        repeats = self.fault_shares.repeats
+        if repeats and self.rng.random() < repeats:
+            exchange.copied_at = self.rng.choice(tuple(Moment))
         headers = exchange.headers
         expected = headers.get('trestledock-expect-instance', self.target_id)
         if expected != self.target_id:
-            await exchange.answer(421)
+            await exchange.answer(421, b'', get_echoed_id(headers))
             return
         if exchange.path == '/order':
             await self._handle_order(exchange)
@@ -278,7 +290,11 @@
             self.running -= 1
 
     async def _refuse(self, exchange: Exchange, req_id: str) -> None:
-        refused = [('Trestledock-Not-Executed', '1'), *self._get_notices()]
+        refused = [
+            ('Trestledock-Not-Executed', '1'),
+            *get_echoed_id(exchange.headers),
+            *self._get_notices(),
+        ]
         if self.retry_after:
             refused.append(('Retry-After', self.retry_after))
             self.ledger.record_backoff(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -85,6 +85,13 @@
         report = self.check(replace(SIZE, plan='unframed'))
         self.assertGreater(report.changes, 0)
 
+    # Guards against requests that run twice, or are refused though they have
+    # run, as a late copy is taken for the answer of a later sending.
+    def test_answers_that_come_twice(self):
+        size = replace(SIZE, engines=2, callers=50, run_s=10)
+        report = self.check(replace(size, plan='repeated'))
+        self.assertGreater(report.changes, 0)
+
     def test_store_restored_from_a_copy(self):
         report = self.check(replace(SIZE, plan='restored'))
         self.assertGreater(report.faults, 0)
