Own interface: each request to a target has a connection of its own

What callers could see (found by the review of related paths, not reported): on a connection that is used again, a late copy of a target's answer stood for the next one. The caller of a plain service got another caller's answer, and an engine's old rejection counted as that of a later job, which then ran at a second engine, too.

Cause: the answers of engines and plain services on this interface bear no id, so on a kept connection nothing tells whose an answer is. The client kept up to 20 idle connections.

Evidence: test_copy_of_an_answer failed with connections that are kept: two calls got 'one', 'one' where 'one', 'two' was sent.

Ways: an id of the attempt that targets echo leaves out plain services, which are any HTTP service; a connection for each request serves all kinds, and load reports and cancellations as well. Messages between instances keep their connections: nothing is read from their answers.

--- a/tests/test_connection_target.py
+++ b/tests/test_connection_target.py
@@ -8,7 +8,8 @@
 from anyio.abc import SocketAttribute
 
 from tests.relaying import AbortedAnswer, FinalAnswer, StubTarget
-from trestledock.connection._target import TargetLink
+from tests.repeating import RepeatingTarget
+from trestledock.connection._target import TargetLink, make_target_client
 from trestledock.process import (
     AttemptFailed,
     CallDone,
@@ -127,3 +128,33 @@
                 self.assertIsInstance(message, AttemptFailed)
         answer = AbortedAnswer(STREAM_HEAD + STREAM, 0)
         self.assertIsInstance(self.resume(answer)[-1], StreamDone)
+
+
+class LateAnswerTest(unittest.TestCase):
+    """A target that sends its answers again, where the next one is due."""
+
+    # Guards against a caller that gets the answer to another one's call, since
+    # its late copy comes on a connection that is used again.
+    def test_copy_of_an_answer(self):
+        hub = FakeHub()
+        whole = b'HTTP/1.1 200 X\r\nContent-Length: 3\r\n\r\n%s'
+        target = RepeatingTarget(whole % b'one', whole % b'two')
+
+        async def main():
+            listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+            port = listener.extra(SocketAttribute.local_port)
+            hub.open(anyio.current_time() + 10)
+            async with (
+                make_target_client() as client,
+                anyio.create_task_group() as group,
+            ):
+                group.start_soon(target.serve, listener)
+                link = TargetLink(hub, client)
+                for number in (1, 2):
+                    await link.call(
+                        CallService('r', number, 't', f'127.0.0.1:{port}', 1e9)
+                    )
+                group.cancel_scope.cancel()
+
+        anyio.run(main)
+        self.assertEqual([one.body for one in hub.sent], ['one', 'two'])
--- a/trestledock/connection/_daemon.py
+++ b/trestledock/connection/_daemon.py
@@ -26,7 +26,11 @@
 from trestledock.connection._platform import PlatformLink
 from trestledock.connection._polling import Poller
 from trestledock.connection._settings import Settings
-from trestledock.connection._target import TargetLink
+from trestledock.connection._target import (
+    MAX_CONNECTIONS,
+    TargetLink,
+    make_target_client,
+)
 from trestledock.process import (
     AppendRecord,
     CallService,
@@ -42,8 +46,6 @@
 
 #: How often the daemon checks whether it is drained, in seconds.
 DRAIN_POLL_INTERVAL_S = 0.1
-#: The most open connections to targets.
-MAX_CONNECTIONS = 2000
 
 log = logging.getLogger('trestledock')
 
@@ -96,11 +98,12 @@
     base_url = hub.settings.platform
     async with (
         httpx.AsyncClient(limits=limits) as client,
+        make_target_client() as target_client,
         httpx.AsyncClient(base_url=base_url) as platform_client,
         anyio.create_task_group() as group,
     ):
         platform = PlatformLink(hub, platform_client)
-        target = TargetLink(hub, client)
+        target = TargetLink(hub, target_client)
         hub.links.update(
             {
                 AppendRecord: platform.append,
@@ -114,7 +117,7 @@
         )
         group.start_soon(hub.run)
         group.start_soon(platform.run)
-        group.start_soon(Poller(hub, client).run)
+        group.start_soon(Poller(hub, target_client).run)
 
 
 async def _serve_in_task_group(hub: Hub, stopped: anyio.Event) -> None:
--- a/trestledock/connection/_target.py
+++ b/trestledock/connection/_target.py
@@ -43,6 +43,8 @@
 #: The timeout of cancellations and orders, in seconds.
 CONTROL_TIMEOUT_S = 5.0
 MIN_TIMEOUT_S = 0.001
+#: The most open connections to targets.
+MAX_CONNECTIONS = 2000
 NOT_STARTED_STATUS = 503
 STALE_FENCING_STATUS = 409
 MS = 1000
@@ -78,6 +80,18 @@
     count: int | None = None
 
 
+def make_target_client() -> httpx.AsyncClient:
+    """Return a client for targets whose connections carry one request each.
+
+    Answers of targets don't say which request they belong to. On a connection
+    that is used again, a late copy of one would be taken for the next.
+    """
+    limits = httpx.Limits(
+        max_connections=MAX_CONNECTIONS, max_keepalive_connections=0
+    )
+    return httpx.AsyncClient(limits=limits)
+
+
 class TargetLink:
     """Sends work of an instance to targets."""
 
