Answers without an id end the use of their connection, or of the exchange

An answer to a request that bears no id was believed where no other on its connection had none, and the connection was kept: the next answer without an id there counted as a late copy, and the entry read on to its deadline behind it. On a connection that had carried an order, the same happened to the first one. Targets echo the id, so this concerns answers of something before them.

Now a connection is not used again after such an answer, and one that can't be told from a copy ends the exchange at once as not known (502), not as not run. test_no_id_after_an_order and test_copy_without_an_id guard it.

explain also prints the orders of a request, and where copies of its answers were met.

--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -12,6 +12,11 @@
 e2 {"asctime": "10:00:02", "message": "admitted", "req": "r2", "team": "b"}
 e1 {"asctime": "10:00:02", "message": "target_suspected", "peer": "t1"}
 e1 {"asctime": "10:00:09", "message": "target_suspected", "peer": "t1"}
+e1 {"asctime": "10:00:04", "message": "foreign_answer", "req": "r3", \
+"answer_req": "r4", "conn": 7}
+e1 {"asctime": "10:00:05", "message": "answered", "req": "r4", "conn": 7}
+e1 {"asctime": "10:00:06", "message": "order_answered", "peer": "t1", \
+"reservation": "r4-1", "conn": 8}
 not a JSON line
 e1 {broken
 """
@@ -37,3 +42,12 @@
         result = self.run_explain('r9')
         self.assertEqual(result.exit_code, 2)
         self.assertIn('no line of r9', result.output)
+
+    # Guards against orders of a request, and copies of its answer that another
+    # request met, that its explanation leaves out.
+    def test_orders_and_copies(self):
+        result = self.run_explain('r4')
+        events = [line.split()[2] for line in result.output.splitlines()]
+        self.assertEqual(
+            events, ['foreign_answer', 'answered', 'order_answered']
+        )
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -114,8 +114,24 @@
         target = RepeatingTarget(*answers)
         asks = [{'req_id': 'r1'}, {'req_id': 'r2'}]
         outcomes = self.play(ONCE, target, asks)
-        self.assertNotEqual(outcomes[1].body, b'one')
-        self.assertLessEqual(len(target.runs), 2)
+        self.assertEqual(outcomes[1].body, b'two')
+
+    # Guards against an entry that waits to the deadline behind an answer
+    # without an id, since it takes it for a copy of an order's.
+    def test_no_id_after_an_order(self):
+        refused = make_order_answer(503, b'', NOT_RUN)
+        target = RepeatingTarget(make_order_answer(), refused, moment='never')
+        outcomes = []
+
+        async def scenario(world):
+            holder = next(iter(world.state.fleet.targets.values()))
+            tickets = world.relayer.sender.tickets
+            order = tickets._make_reserve('reserve', 'a', 10, holder)
+            await tickets._send_control(holder, order)
+            outcomes.append(await world.ask())
+
+        run_world(ONCE, [target], scenario, engine=ENGINE)
+        self.assertEqual(outcomes[0].status, 502)
 
     def make_without_id(self):
         return make_order_answer(200, b'one', ('Trestledock-Response-Seal: s',))
--- a/tests/test_relay_exchange_names.py
+++ b/tests/test_relay_exchange_names.py
@@ -59,7 +59,9 @@
     def test_no_name_in_an_answer(self):
         carried = ExchangeNames()
         carried.begin('r1')
+        self.assertFalse(carried.is_spent)
         self.assertIs(carried.find_origin(NO_NAME), AnswerOrigin.own)
+        self.assertTrue(carried.is_spent)
         carried.begin('r2')
         self.assertIs(carried.find_origin(NO_NAME), AnswerOrigin.earlier)
 
@@ -72,9 +74,9 @@
     # Guards against a connection whose names take ever more memory.
     def test_names_are_bounded(self):
         carried = carry(*map(str, range(MAX_EXCHANGES - 1)))
-        self.assertFalse(carried.is_full)
+        self.assertFalse(carried.is_spent)
         carried.begin('last')
-        self.assertTrue(carried.is_full)
+        self.assertTrue(carried.is_spent)
 
     # Guards against any copy of an earlier answer that is believed, whatever a
     # connection has carried.
--- a/trestledock/cli/_explain.py
+++ b/trestledock/cli/_explain.py
@@ -66,7 +66,7 @@
     A line about a target counts if it has no request id and was logged between
     the first and the last line of the request.
     """
-    request_lines = [line for line in lines if line.get('req') == req_id]
+    request_lines = [line for line in lines if _is_about(line, req_id)]
     if not request_lines:
         return []
     times = [line.get('asctime', '') for line in request_lines]
@@ -76,6 +76,7 @@
         line
         for line in lines
         if 'req' not in line
+        and line not in request_lines
         and line.get('peer') in targets
         and first <= line.get('asctime', '') <= last
     ]
@@ -85,6 +86,16 @@
     )
 
 
+def _is_about(line: dict[str, Any], req_id: str) -> bool:
+    """Return whether a line is about a request.
+
+    That includes its orders for memory, whose reservations begin with its id,
+    and copies of its answers that others have read.
+    """
+    reservation = line.get('reservation', '').rpartition('-')[0]
+    return req_id in {line.get('req'), line.get('answer_req'), reservation}
+
+
 def format_line(line: dict[str, Any]) -> str:
     """Format a line as text: time, source, event name, then its fields."""
     source = line.get('source', '')
--- a/trestledock/entry/_own_answer.py
+++ b/trestledock/entry/_own_answer.py
@@ -51,16 +51,20 @@
             if origin is AnswerOrigin.own:
                 return head, answer
             self._log_foreign(head, answer, origin)
-            self._begin_skipping(origin)
+            if not self._is_copy(answer, origin):
+                detail = f'of another exchange: {origin.value}'
+                raise WireError('answer', detail)
+            self.wire.is_skipping = True
 
-    def _begin_skipping(self, origin: AnswerOrigin) -> None:
-        """Have a late copy read past; raise if that is not possible."""
+    def _is_copy(self, answer: AnswerMetadata, origin: AnswerOrigin) -> bool:
+        """Count a late copy; return whether it can be read past.
+
+        One without an id may as well be the own answer, which nothing follows.
+        """
         self.copies += 1
-        is_copy = origin is AnswerOrigin.earlier and self.copies <= MAX_COPIES
-        if not is_copy or not self.wire.may_skip:
-            detail = f'of another exchange: {origin.value}'
-            raise WireError('answer', detail)
-        self.wire.is_skipping = True
+        if not answer.req_id or self.copies > MAX_COPIES:
+            return False
+        return origin is AnswerOrigin.earlier and self.wire.may_skip
 
     def _log_foreign(
         self, head: Head, answer: AnswerMetadata, origin: AnswerOrigin
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -225,7 +225,7 @@
         """Prepare for the next request; return False if that is not safe."""
         if self.broken or self.is_tunnel or not self.request_written:
             return False
-        if self.names.is_full:
+        if self.names.is_spent:
             return False
         done = self.http.our_state is h11.DONE
         if not done or self.http.their_state is not h11.DONE:
--- a/trestledock/relay/_exchange_names.py
+++ b/trestledock/relay/_exchange_names.py
@@ -52,11 +52,16 @@
         self.count = 0
         self._name = NO_NAME
         self._answered: set[int] = set()
+        self._is_unnamed = False
 
     @property
-    def is_full(self) -> bool:
-        """Whether the connection may carry no further exchange."""
-        return self.count >= MAX_EXCHANGES
+    def is_spent(self) -> bool:
+        """Whether the connection may carry no further exchange.
+
+        It may not after a request whose answer had no name: nothing would tell
+        that answer from the next one without any.
+        """
+        return self._is_unnamed or self.count >= MAX_EXCHANGES
 
     def may_begin(self, name: str) -> bool:
         """Return whether the answer of an exchange could be identified."""
@@ -77,5 +82,6 @@
             return AnswerOrigin.earlier
         if name not in {self._name, NO_NAME}:
             return AnswerOrigin.unknown
+        self._is_unnamed = name != self._name
         self._answered.update((hash(name), hash(self._name)))
         return AnswerOrigin.own
