--- a/tests/limiting.py
+++ b/tests/limiting.py
@@ -199,6 +199,7 @@
         self.is_new = True
         self.number = 1
         self.names = ExchangeNames()
+        self.is_skipping = False
 
     async def send(self, method, path, headers, body, spawn):
         await anyio.sleep(NETWORK_DELAY_S)
--- a/tests/test_entry_evacuated_targets.py
+++ b/tests/test_entry_evacuated_targets.py
@@ -74,8 +74,8 @@
             pool = world.relayer.sender.pool
             acquire = pool.acquire
 
-            async def acquire_late(target):
-                wire = await acquire(target)
+            async def acquire_late(target, name):
+                wire = await acquire(target, name)
                 world.state.fleet.targets['t0'] = near
                 set_evacuated(world.state, FAR)
                 return wire
