--- a/trestledock/entry/_own_answer.py
+++ b/trestledock/entry/_own_answer.py
@@ -16,7 +16,6 @@
 from trestledock.entry._wire import Head, Wire, WireError
 from trestledock.relay import AnswerOrigin
 
-
 #: How many late copies of earlier answers are read past in one exchange.
 MAX_COPIES = 4
 
--- a/trestledock/entry/_wire.py
+++ b/trestledock/entry/_wire.py
@@ -38,7 +38,7 @@
 READ_BYTES = 65_536
 #: Requests above this size, in bytes, are written while the answer is awaited.
 SMALL_BODY_BYTES = 32_768
-HEAD = 'HEAD'
+HEAD_METHOD = 'HEAD'
 #: How many bytes of answers that belong to no request are read on a connection.
 MAX_SKIPPED_BYTES = 1_048_576
 #: Long requests are written in pieces of this size, in bytes: the stream copies
@@ -160,7 +160,7 @@
         self.request_written = False
         self.framing = None
         self._method = method
-        self._has_asked_head = self._has_asked_head or method == HEAD
+        self._has_asked_head = self._has_asked_head or method == HEAD_METHOD
         if spawn and len(head) + len(raw) > SMALL_BODY_BYTES:
             spawn(self._write_quietly, head, raw, end)
         else:
