A full target gets no new connection for a request that it has just rejected

Ruled out: waiting for an idle connection (callers wait for a full target), and not asking such a target again at all, which refuses where it has room and a connection is there.

--- a/tests/limiting.py
+++ b/tests/limiting.py
@@ -262,6 +262,10 @@
         self.fleet = fleet
         self.entry = entry
 
+    def has_idle(self, listed, name):
+        """Return that connections can always be had."""
+        return True
+
     async def acquire(self, listed, name):
         for target in self.fleet.targets:
             if target.get_listed().incarnation == listed.incarnation:
--- a/trestledock/entry/_answering.py
+++ b/trestledock/entry/_answering.py
@@ -191,6 +191,7 @@
         if body is None:
             return RelayAttempt(AttemptOutcome.lost, 'answer', peer, NO_BUFFER)
         if answer.not_run:
+            job.rejected_at[peer] = anyio.current_time()
             at_fault = self._find_at_fault(job, placement, head.status, answer)
             detail = f'{head.status} at {at_fault}'
             return RelayAttempt(AttemptOutcome.rejected, 'answer', peer, detail)
--- a/trestledock/entry/_job.py
+++ b/trestledock/entry/_job.py
@@ -113,7 +113,8 @@
     the caller was finally told in place of an answer.  `answer_held` counts the
     bytes of plain answers.  `is_ranked` is true if the requests of the service
     have different ranks, and `has_yielded` once it left engines to the requests
-    ahead of it.  `run` is the last attempt at a target.
+    ahead of it.  `run` is the last attempt at a target.  `rejected_at` has when
+    targets rejected the request last.
     """
 
     call: Call
@@ -140,6 +141,7 @@
     has_yielded: bool = False
     is_usage_recorded: bool = False
     run: Run | None = None
+    rejected_at: dict[str, float] = field(default_factory=dict)
 
     @property
     def names(self) -> tuple[str, ...]:
--- a/trestledock/entry/_pool.py
+++ b/trestledock/entry/_pool.py
@@ -101,6 +101,13 @@
             await idle.wire.close()
         return await self._connector.connect(target)
 
+    def has_idle(self, target: ListedTarget, name: str) -> bool:
+        """Return whether an idle connection may carry an exchange of a name."""
+        return any(
+            idle.wire.names.may_begin(name)
+            for idle in self._idle.get(target.incarnation, ())
+        )
+
     async def check_connection(self, target: ListedTarget) -> FailureKind:
         """Connect to a target again; return the kind of failure, if any.
 
--- a/trestledock/entry/_sending.py
+++ b/trestledock/entry/_sending.py
@@ -8,6 +8,7 @@
 path.
 """
 
+import math
 from dataclasses import replace
 
 import anyio
@@ -41,6 +42,9 @@
 )
 
 MS = 1000
+#: How long after a rejection no connection is opened for the same request, in
+#: seconds: as long as callers wait at least that are told to come back.
+RETURN_PAUSE_S = 0.25
 
 
 class Sender:
@@ -70,6 +74,10 @@
         now = anyio.current_time()
         flight = make_flight(job, placement, now)
         self._log_placed(job, placement, now)
+        if self._returns_too_soon(job, placement.target, now):
+            return RelayAttempt(
+                AttemptOutcome.not_sent, 'returned', flight.target
+            )
         if not job.history.attempts:
             self.state.budgets.record_request(job.service, now)
         reservation_ids: dict[str, str] = {}
@@ -89,6 +97,19 @@
             AttemptOutcome.not_sent, 'claim', flight.target, prior.flight_id
         )
 
+    def _returns_too_soon(
+        self, job: Job, target: ListedTarget, now: float
+    ) -> bool:
+        """Return whether only a new connection could carry a request again.
+
+        A target that has just rejected it is full, and resets connections above
+        its limit.
+        """
+        rejected_at = job.rejected_at.get(target.incarnation, -math.inf)
+        if now - rejected_at >= RETURN_PAUSE_S:
+            return False
+        return not self.pool.has_idle(target, job.call.req_id)
+
     async def _reserve(
         self,
         job: Job,
