--- a/tests/repeating.py
+++ b/tests/repeating.py
@@ -6,9 +6,9 @@
 class RepeatingTarget(StubTarget):
     """Sends each answer again on its connection, where the next one is due.
 
-    The copy comes right after the answer, while the next request is read, with
-    the next answer, in two pieces before it, or never.  `runs` has the requests
-    that it ran.
+    The copy comes right after the answer (`early`), while the next request is
+    read (`body`), with the next answer (`with`), also in two `pieces`, or
+    `never`.  `runs` has the requests that it ran.
     """
 
     def __init__(self, *answers, moment='with'):
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -15,6 +15,9 @@
 ONCE = make_route(RouteKind.non_idempotent, max_attempts=1)
 TWICE = make_route(RouteKind.idempotent, max_attempts=2)
 NOT_RUN = ('Trestledock-Not-Executed: 1',)
+ENGINE = EngineModel(8, 382_500, 0.001, 50_000)
+#: When copies are sent, as in `RepeatingTarget`.
+MOMENTS = ('early', 'with', 'pieces', 'body')
 
 
 def reject(req_id='r1', more=NOT_RUN):
@@ -28,9 +31,6 @@
     return '\r\n'.join([*lines, '', '']).encode() + body
 
 
-MOMENTS = ('early', 'with', 'pieces', 'body')
-
-
 class RequestTest(unittest.TestCase):
     """Requests on a connection that has carried others."""
 
@@ -116,7 +116,7 @@
         target = RepeatingTarget(head, make_answer(b'two', req_id='r2'))
         asks = [{'req_id': 'r1', 'method': 'HEAD'}, {'req_id': 'r2'}]
         outcomes = self.play(ONCE, target, asks)
-        self.assertIn(outcomes[1].body, (b'two', b''))
+        self.assertEqual(outcomes[1].status, 502)
 
     # Guards against an endless wait for an own answer behind others.
     def test_endless_copies(self):
@@ -204,9 +204,6 @@
         self.assertEqual(len(recorded), 1)
 
 
-ENGINE = EngineModel(8, 382_500, 0.001, 50_000)
-
-
 class OrderTest(unittest.TestCase):
     """Orders for memory beside requests on the same connections."""
 
