--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -3,6 +3,7 @@
 import unittest
 from dataclasses import replace
 from itertools import repeat
+from unittest import mock
 
 import anyio
 
@@ -17,6 +18,7 @@
     make_stream,
     run_world,
 )
+from trestledock.entry import _sending
 from trestledock.relay import EngineModel, Flight, Phase, RouteKind, TeamKey
 
 NOT_RUN = ('Trestledock-Not-Executed: 1',)
@@ -64,7 +66,14 @@
     def test_rejected_by_all_is_refused(self):
         """After rejections only, the refusal promises that nothing ran."""
         full = make_answer(b'', 503, seal=False, more=NOT_RUN)
-        outcome = self.check(ONCE, repeat(full, 9), 503, 6)
+        outcome = self.check(ONCE, repeat(full, 9), 503, 2)
+        self.assertIn('retry-after', outcome.headers)
+
+    def test_rejected_again_later(self):
+        """Targets that rejected a while ago are tried again, some times."""
+        full = make_answer(b'', 503, seal=False, more=NOT_RUN)
+        with mock.patch.object(_sending, 'RETURN_PAUSE_S', 0):
+            outcome = self.check(ONCE, repeat(full, 9), 503, 6)
         self.assertIn('retry-after', outcome.headers)
 
     def test_misdirected_request_is_retried(self):
