--- a/trestledock/relay/_exchange_names.py
+++ b/trestledock/relay/_exchange_names.py
@@ -22,7 +22,7 @@
 from enum import Enum
 
 #: The maximum number of exchanges on a connection, which bounds the names that
-#: are kept of it (some 8 KB).
+#: are kept of it (some 13 KB).
 MAX_EXCHANGES = 128
 #: The name of an exchange whose answer bears no id.
 NO_NAME = ''
