--- a/review/kit_2.py
+++ b/review/kit_2.py
@@ -191,19 +191,41 @@
         self.receive_bytes = receive_bytes
         self.state = 'ready'
         self.sequence = 0
+        self.writers = set()
 
-    async def start(self, host):
+    async def start(self, host, port=0):
         sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if self.receive_bytes:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
                             self.receive_bytes)
-        sock.bind((host, 0))
+        sock.bind((host, port))
         limit = 2 ** 16 if not self.receive_bytes else self.receive_bytes
         self.server = await asyncio.start_server(
             self._serve, sock=sock, limit=limit)
-        self.address = f'{host}:{sock.getsockname()[1]}'
+        self.host, self.port = sock.getsockname()
+        self.address = f'{self.host}:{self.port}'
         self.beating = asyncio.create_task(self._beat())
 
+    async def crash(self, name, for_s):
+        """End at once; start again after `for_s` under the id `name`.
+
+        The store removes the record after three heartbeats of silence.
+        """
+        self.record.write('runner-down', runner=self.name)
+        self.beating.cancel()
+        self.server.close()
+        for writer in tuple(self.writers):
+            writer.transport.abort()
+        old, ended = self.name, time.monotonic()
+        await asyncio.sleep(min(for_s, 3 * HEARTBEAT_S))
+        if for_s >= 3 * HEARTBEAT_S:
+            self.store.put('keyed.servers', old, b'')
+            await asyncio.sleep(ended + for_s - time.monotonic())
+        self.name, self.sequence = name, 0
+        await self.start(self.host, self.port)
+        self.record.write('runner-up', runner=name)
+
     def announce(self):
         self.sequence += 1
         self.store.put('keyed.servers', self.name, json.dumps({
@@ -218,6 +240,7 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while head := await read_head(reader):
                 if not await self._answer(head, reader, writer):
@@ -228,6 +251,7 @@
         except asyncio.CancelledError:
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def _answer(self, head, reader, writer):
