--- a/review/kit_2.py
+++ b/review/kit_2.py
@@ -192,6 +192,7 @@
         self.state = 'ready'
         self.sequence = 0
         self.writers = set()
+        self.is_down = False
 
     async def start(self, host, port=0):
         sock = socket.socket()
@@ -213,6 +214,7 @@
         The store removes the record after three heartbeats of silence.
         """
         self.record.write('runner-down', runner=self.name)
+        self.is_down = True
         self.beating.cancel()
         self.server.close()
         for writer in tuple(self.writers):
@@ -222,7 +224,7 @@
         if for_s >= 3 * HEARTBEAT_S:
             self.store.put('keyed.servers', old, b'')
             await asyncio.sleep(ended + for_s - time.monotonic())
-        self.name, self.sequence = name, 0
+        self.name, self.sequence, self.is_down = name, 0, False
         await self.start(self.host, self.port)
         self.record.write('runner-up', runner=name)
 
@@ -241,6 +243,9 @@
 
     async def _serve(self, reader, writer):
         self.writers.add(writer)
+        if self.is_down:
+            # Accepted in the moment of the crash.
+            writer.transport.abort()
         try:
             while head := await read_head(reader):
                 if not await self._answer(head, reader, writer):
